Serve a request end to end through separate processes

Cause: the project is empty; everything else grows on one thin path.

Change: folders by duty, core types, the closed error table, bounded rings, settings, the platform log and backend server stand-ins, and the path caller -> front -> allowance -> routing -> guard -> backend server, with the configuration replayed from the platform's log.

--- /dev/null
+++ b/src/contract/message.rs
@@ -0,0 +1,176 @@
+//! Records of the configuration stream, and what the view answers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, RouteId, ServiceId};
+
+/// What one organisation is granted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrganisationContract {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// Requests a second over the whole fleet.
+    pub rate_per_s: f64,
+    /// Requests at once over the whole fleet.
+    pub burst_count: u32,
+    /// Share under overload, relative to other organisations.
+    pub weight_share: u32,
+    /// Routes it may use besides the open ones.
+    pub routes: Vec<RouteId>,
+}
+
+impl Default for OrganisationContract {
+    fn default() -> Self {
+        OrganisationContract {
+            organisation: "".into(),
+            rate_per_s: 1.0,
+            burst_count: 1,
+            weight_share: 1,
+            routes: Vec::new(),
+        }
+    }
+}
+
+/// How one service is run.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceContract {
+    /// The service.
+    pub service: ServiceId,
+    /// Share of its backend servers that must stay in service, from 0 to 1.
+    pub floor_share: f64,
+    /// Slots of one backend server.
+    pub slots_count: u32,
+    /// Its routes.
+    pub routes: Vec<RouteContract>,
+}
+
+impl Default for ServiceContract {
+    fn default() -> Self {
+        ServiceContract {
+            service: "".into(),
+            floor_share: 0.5,
+            slots_count: 5,
+            routes: Vec::new(),
+        }
+    }
+}
+
+/// One route of a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RouteContract {
+    /// The route, unique in the fleet.
+    pub route: RouteId,
+    /// HTTP method, in capitals.
+    pub method: String,
+    /// Start of the paths that it takes.
+    pub path_prefix: String,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Whether callers need no key.
+    pub open: bool,
+    /// Whether a person waits for the answer.
+    pub foreground: bool,
+    /// Deadline of a request that names none; also the longest one a caller may ask for.
+    pub deadline_ms: u64,
+    /// Most bytes of a body.
+    pub body_limit_bytes: u64,
+}
+
+impl Default for RouteContract {
+    fn default() -> Self {
+        RouteContract {
+            route: "".into(),
+            method: "GET".to_owned(),
+            path_prefix: "/".to_owned(),
+            repeatable: false,
+            open: false,
+            foreground: true,
+            deadline_ms: 10_000,
+            body_limit_bytes: 1_048_576,
+        }
+    }
+}
+
+/// One record of the configuration stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Applied once, however often it was appended.
+    pub operation: OperationId,
+    /// Offset of the record that last changed the same object; none for a new object.
+    pub base: Option<Offset>,
+    /// Who asked for the change.
+    pub author: String,
+    /// Wall time of the change at its author, in milliseconds since the epoch; for people only.
+    pub at_ms: u64,
+    /// The change.
+    pub change: Change,
+}
+
+/// One change of configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Change {
+    /// Puts an organisation's contract in force.
+    PublishOrganisation {
+        /// The whole contract.
+        contract: OrganisationContract,
+    },
+    /// Puts a service's contract in force.
+    PublishService {
+        /// The whole contract.
+        contract: ServiceContract,
+    },
+    /// Grants a key to an organisation.
+    GrantKey {
+        /// The organisation.
+        organisation: OrganisationId,
+        /// Hash of the key.
+        key_hash: KeyHash,
+    },
+    /// Withdraws a key for good.
+    WithdrawKey {
+        /// Hash of the key.
+        key_hash: KeyHash,
+    },
+    /// Takes a failure domain out of service.
+    DomainOut {
+        /// The failure domain.
+        domain: DomainId,
+        /// Whether the operator accepts that services fall below their floor.
+        override_floor: bool,
+    },
+    /// Brings a failure domain back into service.
+    DomainIn {
+        /// The failure domain.
+        domain: DomainId,
+    },
+}
+
+/// What became of a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// In force.
+    Accepted,
+    /// The object has changed since its base.
+    StaleBase,
+    /// The operation was seen before.
+    Repeated,
+    /// The change does not hold what a contract must.
+    Invalid,
+}
+
+/// What the view knows of a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyAnswer {
+    /// Granted to this organisation.
+    Granted(OrganisationId),
+    /// Withdrawn.
+    Withdrawn,
+    /// Never granted.
+    Unknown,
+}
--- /dev/null
+++ b/src/contract/mod.rs
@@ -0,0 +1,16 @@
+//! The view in force: contracts, keys, routes and failure domains.
+//!
+//! A pure function of a prefix of the configuration stream: every reader applies the same rule to
+//! the same records and comes to the same view. It has no thread; the journal duty owns the view
+//! and hands out snapshots.
+
+pub mod message;
+pub mod state;
+
+pub use message::{
+    Change, KeyAnswer, OrganisationContract, Record, RouteContract, ServiceContract, Verdict,
+};
+pub use state::View;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/daemon/readers.rs
@@ -0,0 +1,47 @@
+//! Hands views and records from the journal to the duties that read them.
+
+use std::sync::Arc;
+
+use crate::allowance::AllowanceEvent;
+use crate::contract::View;
+use crate::front::{FrontEvent, FrontMessage};
+use crate::journal::duty::JournalReader;
+use crate::journal::{LogRecord, Stream, MEMBERS};
+use crate::membership::MembershipEvent;
+use crate::metrics::Metrics;
+use crate::ring::RingSender;
+use crate::routing::{RoutingEvent, RoutingMessage};
+
+/// Everything that reads views.
+pub struct Readers {
+    /// The front.
+    pub front: RingSender<FrontMessage>,
+    /// The allowance.
+    pub allowance: RingSender<AllowanceEvent>,
+    /// Routing.
+    pub routing: RingSender<RoutingMessage>,
+    /// Membership.
+    pub membership: RingSender<MembershipEvent>,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+impl JournalReader for Readers {
+    fn view(&self, view: Arc<View>) {
+        self.allowance.deliver(AllowanceEvent::View(view.clone()));
+        self.routing
+            .deliver(RoutingMessage::Event(RoutingEvent::View(view.clone())));
+        self.front
+            .deliver(FrontMessage::Event(FrontEvent::View(view)));
+    }
+
+    fn record(&self, stream: Stream, record: LogRecord) {
+        if stream != MEMBERS {
+            return;
+        }
+        match serde_json::from_str(&record.body) {
+            Ok(entry) => self.membership.deliver(MembershipEvent::Heard(entry)),
+            Err(_) => self.metrics.count("membership.record.malformed"),
+        }
+    }
+}
--- /dev/null
+++ b/src/front/check.rs
@@ -0,0 +1,125 @@
+//! The strict check of a request's line and headers, before any decision.
+
+use std::time::{Duration, Instant};
+
+use super::message::RequestHead;
+use crate::error::ErrorKind;
+use crate::settings::front::FrontSettings;
+use crate::types::RequestId;
+use crate::wire::exchange::RawHead;
+use crate::wire::forward;
+use crate::wire::http::{is_hop_header, HeaderPair};
+use crate::wire::proof::hash_key;
+
+/// Header with the deadline that a caller asks for, in milliseconds.
+pub const CALLER_DEADLINE_MS: &str = "x-deadline-ms";
+/// Header with the caller's idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Takes a well-formed request, or names what is wrong with it.
+pub fn check(
+    settings: &FrontSettings,
+    request: RequestId,
+    arrived_at: Instant,
+    raw: &RawHead,
+) -> Result<RequestHead, ErrorKind> {
+    check_size(settings, &raw.headers)?;
+    check_framing(&raw.headers)?;
+    if !raw.target.starts_with('/') {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(RequestHead {
+        request,
+        arrived_at,
+        method: raw.method.clone(),
+        target: raw.target.clone(),
+        headers: passed_on(&raw.headers),
+        key_hash: key(&raw.headers)?.map(hash_key),
+        deadline: deadline(&raw.headers)?,
+        idempotency_key: single(&raw.headers, IDEMPOTENCY_KEY)?.map(str::to_owned),
+        body_bytes: raw.body_bytes,
+    })
+}
+
+fn check_size(settings: &FrontSettings, headers: &[HeaderPair]) -> Result<(), ErrorKind> {
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.len() + value.len())
+        .sum();
+    if bytes > settings.header_limit_bytes || headers.len() > settings.header_limit_count {
+        return Err(ErrorKind::HeadersTooLarge);
+    }
+    Ok(())
+}
+
+fn check_framing(headers: &[HeaderPair]) -> Result<(), ErrorKind> {
+    let length = single(headers, "content-length").map_err(|_| ErrorKind::BadFraming)?;
+    let encoding = single(headers, "transfer-encoding").map_err(|_| ErrorKind::BadFraming)?;
+    if length.is_some() && encoding.is_some() {
+        return Err(ErrorKind::BadFraming);
+    }
+    if encoding.is_some_and(|value| !value.eq_ignore_ascii_case("chunked")) {
+        return Err(ErrorKind::BadFraming);
+    }
+    let digits = |value: &str| !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+    if length.is_some_and(|value| !digits(value)) {
+        return Err(ErrorKind::BadFraming);
+    }
+    Ok(())
+}
+
+fn key(headers: &[HeaderPair]) -> Result<Option<&str>, ErrorKind> {
+    let Some(value) = single(headers, "authorization")? else {
+        return Ok(None);
+    };
+    let (scheme, key) = value.split_once(' ').ok_or(ErrorKind::BadRequest)?;
+    if !scheme.eq_ignore_ascii_case("bearer") || key.trim().is_empty() {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(Some(key.trim()))
+}
+
+fn deadline(headers: &[HeaderPair]) -> Result<Option<Duration>, ErrorKind> {
+    let Some(value) = single(headers, CALLER_DEADLINE_MS).map_err(|_| ErrorKind::BadDeadline)?
+    else {
+        return Ok(None);
+    };
+    match value.parse::<u64>() {
+        Ok(deadline_ms) if (1..=MAX_DEADLINE_MS).contains(&deadline_ms) => {
+            Ok(Some(Duration::from_millis(deadline_ms)))
+        }
+        _ => Err(ErrorKind::BadDeadline),
+    }
+}
+
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// The value of a header that may come once at most.
+fn single<'a>(headers: &'a [HeaderPair], name: &str) -> Result<Option<&'a str>, ErrorKind> {
+    let mut found = headers
+        .iter()
+        .filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    let first = found.next().map(|(_, value)| value.as_str());
+    if found.next().is_some() {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(first)
+}
+
+fn passed_on(headers: &[HeaderPair]) -> Vec<HeaderPair> {
+    let mut kept = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        let own = name.len() >= forward::PREFIX.len()
+            && name.as_bytes()[..forward::PREFIX.len()]
+                .eq_ignore_ascii_case(forward::PREFIX.as_bytes());
+        if own || is_hop_header(name) || is_consumed(name) {
+            continue;
+        }
+        kept.push((name.clone(), value.clone()));
+    }
+    kept
+}
+
+fn is_consumed(name: &str) -> bool {
+    name.eq_ignore_ascii_case("authorization") || name.eq_ignore_ascii_case(CALLER_DEADLINE_MS)
+}
--- /dev/null
+++ b/src/front/duty.rs
@@ -0,0 +1,139 @@
+//! The front's thread, and the threads that write answers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crossbeam::channel::Receiver;
+
+use super::answer::refusal;
+use super::message::{FrontAction, FrontEvent, FrontMessage, RequestHead};
+use super::state::FrontState;
+use crate::allowance::AllowanceEvent;
+use crate::clock::Clock;
+use crate::error::ErrorKind;
+use crate::metrics::Metrics;
+use crate::ring::RingSender;
+use crate::routing::RoutingMessage;
+use crate::types::RequestId;
+use crate::wire::exchange::{Exchange, WholeAnswer};
+
+/// An answer to be written.
+pub struct AnswerJob {
+    /// The exchange that waits for it.
+    pub exchange: Box<dyn Exchange>,
+    /// The answer.
+    pub answer: WholeAnswer,
+}
+
+/// What the front needs of the world.
+pub struct FrontContext {
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The allowance.
+    pub allowance: RingSender<AllowanceEvent>,
+    /// Routing.
+    pub routing: RingSender<RoutingMessage>,
+    /// The threads that write answers.
+    pub answers: RingSender<AnswerJob>,
+}
+
+type HeldRequest = (Arc<RequestHead>, Box<dyn Exchange>);
+
+/// Runs the duty until it is told to stop.
+pub fn run(context: &FrontContext, messages: &Receiver<FrontMessage>) {
+    let mut state = FrontState::default();
+    let mut held: HashMap<RequestId, HeldRequest> = HashMap::new();
+    for message in messages {
+        let event = match message {
+            FrontMessage::Stop => return,
+            FrontMessage::Event(event) => event,
+            FrontMessage::Arrived(head, exchange) => {
+                held.insert(head.request, (head.clone(), exchange));
+                FrontEvent::Arrived(head)
+            }
+        };
+        if let Some(action) = state.handle(context.clock.now(), event) {
+            carry_out(context, &mut held, action);
+        }
+    }
+}
+
+fn carry_out(
+    context: &FrontContext,
+    held: &mut HashMap<RequestId, HeldRequest>,
+    action: FrontAction,
+) {
+    match action {
+        FrontAction::Take {
+            request,
+            organisation,
+        } => {
+            if context
+                .allowance
+                .offer(AllowanceEvent::Take {
+                    request,
+                    organisation,
+                })
+                .is_err()
+            {
+                refuse(context, held, request, ErrorKind::Busy, None);
+            }
+        }
+        FrontAction::Dispatch(plan) => {
+            let Some((head, exchange)) = held.remove(&plan.request) else {
+                return;
+            };
+            let request = plan.request;
+            let message = RoutingMessage::Dispatch {
+                plan,
+                head,
+                exchange,
+            };
+            if let Err(RoutingMessage::Dispatch { exchange, .. }) = context.routing.offer(message) {
+                answer(context, exchange, refusal(request, ErrorKind::Busy, None));
+            }
+        }
+        FrontAction::Refuse {
+            request,
+            kind,
+            retry_after,
+        } => {
+            refuse(context, held, request, kind, retry_after);
+        }
+    }
+}
+
+fn refuse(
+    context: &FrontContext,
+    held: &mut HashMap<RequestId, HeldRequest>,
+    request: RequestId,
+    kind: ErrorKind,
+    retry_after: Option<std::time::Duration>,
+) {
+    context
+        .metrics
+        .count(&format!("front.refused.{}", kind.code()));
+    if let Some((_, exchange)) = held.remove(&request) {
+        answer(context, exchange, refusal(request, kind, retry_after));
+    }
+}
+
+fn answer(context: &FrontContext, exchange: Box<dyn Exchange>, answer: WholeAnswer) {
+    // With all answer threads busy the exchange is dropped, which ends it with an empty 500.
+    if context
+        .answers
+        .offer(AnswerJob { exchange, answer })
+        .is_err()
+    {
+        context.metrics.count("front.answer.dropped");
+    }
+}
+
+/// Writes answers until the ring closes.
+pub fn write_answers(jobs: &Receiver<AnswerJob>) {
+    for job in jobs {
+        job.exchange.answer(job.answer);
+    }
+}
--- /dev/null
+++ b/src/front/message.rs
@@ -0,0 +1,90 @@
+//! Events and actions of the front.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::contract::View;
+use crate::error::ErrorKind;
+use crate::routing::RequestPlan;
+use crate::types::{KeyHash, OrganisationId, RequestId};
+use crate::wire::exchange::Exchange;
+use crate::wire::http::HeaderPair;
+
+/// A well-formed request, without its body.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestHead {
+    /// The request.
+    pub request: RequestId,
+    /// When it arrived.
+    pub arrived_at: Instant,
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub target: String,
+    /// Headers that are passed on: no key, none of the connection, none of the fleet's own.
+    pub headers: Vec<HeaderPair>,
+    /// Hash of the key that came with it.
+    pub key_hash: Option<KeyHash>,
+    /// Deadline that the caller asks for.
+    pub deadline: Option<Duration>,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<String>,
+    /// Length of the body, where known.
+    pub body_bytes: Option<u64>,
+}
+
+/// What happens to the front.
+#[derive(Debug, Clone)]
+pub enum FrontEvent {
+    /// A well-formed request arrived.
+    Arrived(Arc<RequestHead>),
+    /// The request has its token.
+    Granted {
+        /// The request.
+        request: RequestId,
+    },
+    /// The organisation is over its rate.
+    Limited {
+        /// The request.
+        request: RequestId,
+        /// When a token may be there.
+        retry_after: Duration,
+    },
+    /// A new view is in force.
+    View(Arc<View>),
+    /// The daemon stops taking requests.
+    Drain,
+}
+
+/// An event, with what the state need not see.
+pub enum FrontMessage {
+    /// A request with its exchange.
+    Arrived(Arc<RequestHead>, Box<dyn Exchange>),
+    /// Any other event.
+    Event(FrontEvent),
+    /// The duty ends.
+    Stop,
+}
+
+/// What the front does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FrontAction {
+    /// Asks for a token.
+    Take {
+        /// The request.
+        request: RequestId,
+        /// Whose token.
+        organisation: OrganisationId,
+    },
+    /// Hands the request to routing.
+    Dispatch(RequestPlan),
+    /// Refuses the request.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        kind: ErrorKind,
+        /// When to try again, where known.
+        retry_after: Option<Duration>,
+    },
+}
--- /dev/null
+++ b/src/front/tests.rs
@@ -0,0 +1,64 @@
+use std::time::Instant;
+
+use super::check::check;
+use crate::error::ErrorKind;
+use crate::settings::front::FrontSettings;
+use crate::wire::exchange::RawHead;
+
+fn raw(headers: &[(&str, &str)]) -> RawHead {
+    let headers = headers
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+        .collect();
+    RawHead {
+        method: "GET".to_owned(),
+        target: "/x".to_owned(),
+        headers,
+        ..Default::default()
+    }
+}
+
+fn refused(headers: &[(&str, &str)]) -> Option<ErrorKind> {
+    check(&FrontSettings::default(), 1, Instant::now(), &raw(headers)).err()
+}
+
+#[test]
+fn both_framings_at_once_are_refused() {
+    let headers = [("Content-Length", "5"), ("Transfer-Encoding", "chunked")];
+    assert_eq!(refused(&headers), Some(ErrorKind::BadFraming));
+}
+
+#[test]
+fn a_length_with_a_sign_is_refused() {
+    assert_eq!(
+        refused(&[("Content-Length", "+5")]),
+        Some(ErrorKind::BadFraming)
+    );
+}
+
+#[test]
+fn two_keys_are_refused() {
+    let headers = [("Authorization", "Bearer a"), ("authorization", "Bearer b")];
+    assert_eq!(refused(&headers), Some(ErrorKind::BadRequest));
+}
+
+#[test]
+fn key_hop_headers_and_fleet_headers_are_not_passed_on() {
+    // Arrange
+    let headers = [
+        ("Authorization", "Bearer a"),
+        ("Connection", "close"),
+        ("X-Banyanbeam-Organisation", "forged"),
+        ("Accept", "text/plain"),
+    ];
+
+    // Act
+    let head = check(&FrontSettings::default(), 1, Instant::now(), &raw(&headers)).unwrap();
+
+    // Assert
+    assert_eq!(
+        head.headers,
+        vec![("Accept".to_owned(), "text/plain".to_owned())]
+    );
+    assert!(head.key_hash.is_some());
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! banyanbeam: a proxy fleet for backend servers with gray failures.
+//!
+//! One module a duty. In each, `state` decides, `message` names events and actions, and `duty`
+//! is the thread that carries the actions out.
+
+pub mod allowance;
+pub mod cli;
+pub mod clock;
+pub mod contract;
+pub mod daemon;
+pub mod error;
+pub mod front;
+pub mod guard;
+pub mod journal;
+pub mod membership;
+pub mod metrics;
+pub mod ring;
+pub mod routing;
+pub mod settings;
+pub mod standin;
+pub mod types;
+pub mod wire;
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,10 @@
+//! Which daemons are there, in which life, and which backend servers stand beside them.
+
+pub mod duty;
+pub mod message;
+pub mod state;
+
+pub use message::{DaemonEntry, Fleet, MembershipAction, MembershipEvent, ServerEntry};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/forward.rs
@@ -0,0 +1,195 @@
+//! The threads that carry attempts to guards.
+
+use std::io::Read;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Receiver;
+
+use super::message::{
+    AttemptOutcome, HeldRequest, RequestPlan, RoutingEvent, RoutingMessage, Target,
+};
+use crate::error::ErrorKind;
+use crate::ring::RingSender;
+use crate::types::{format_id, Attempt};
+use crate::wire::call::{call, Call, CallError};
+use crate::wire::exchange::WholeAnswer;
+use crate::wire::forward::{self, ForwardHead};
+use crate::wire::http::header;
+use crate::wire::proof::FleetKey;
+
+/// An attempt to be made.
+pub struct ForwardJob {
+    /// The plan.
+    pub plan: Arc<RequestPlan>,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Where to.
+    pub target: Target,
+    /// Head, exchange and body.
+    pub held: Box<HeldRequest>,
+}
+
+/// What the threads need of the world.
+#[derive(Clone)]
+pub struct ForwardContext {
+    /// Signs heads.
+    pub key: FleetKey,
+    /// Longest wait for a connection to a guard.
+    pub connect_timeout: Duration,
+    /// Most bytes of an answer.
+    pub answer_limit_bytes: usize,
+    /// Bodies up to this size are kept for retries.
+    pub retry_body_limit_bytes: usize,
+    /// Where ends of attempts go.
+    pub routing: RingSender<RoutingMessage>,
+}
+
+/// Makes attempts until the ring closes.
+pub fn run(context: &ForwardContext, jobs: &Receiver<ForwardJob>) {
+    for mut job in jobs {
+        let started_at = Instant::now();
+        let outcome = attempt(context, &mut job);
+        let event = RoutingEvent::Attempted {
+            request: job.plan.request,
+            attempt: job.attempt,
+            outcome,
+            elapsed: started_at.elapsed(),
+        };
+        context.routing.deliver(RoutingMessage::Attempted {
+            event,
+            held: job.held,
+        });
+    }
+}
+
+fn attempt(context: &ForwardContext, job: &mut ForwardJob) -> AttemptOutcome {
+    if let Err(kind) = keep_body(context, job) {
+        return not_run(kind);
+    }
+    let remaining = job
+        .plan
+        .deadline_at
+        .saturating_duration_since(Instant::now());
+    if remaining.is_zero() {
+        return not_run(ErrorKind::DeadlineUnmeetable);
+    }
+    let head = ForwardHead {
+        request: job.plan.request,
+        attempt: job.attempt,
+        organisation: job.plan.organisation.clone(),
+        service: job.plan.service.clone(),
+        route: job.plan.route.clone(),
+        server: job.target.server.clone(),
+        weight_share: job.plan.weight_share,
+        repeatable: job.plan.repeatable,
+        remaining,
+    };
+    let mut headers = head.encode(&context.key);
+    headers.extend_from_slice(&job.held.head.headers);
+    let kept = job.held.body.clone();
+    let mut kept_reader = kept.as_deref().unwrap_or_default();
+    let body_bytes = kept
+        .as_ref()
+        .map(|body| body.len() as u64)
+        .or(job.held.head.body_bytes);
+    let body: &mut dyn Read = match kept {
+        Some(_) => &mut kept_reader,
+        None => job.held.exchange.body(),
+    };
+    let result = call(Call {
+        address: job.target.guard_address,
+        method: &job.held.head.method,
+        target: &job.held.head.target,
+        headers: &headers,
+        body,
+        body_bytes,
+        connect_timeout: context.connect_timeout,
+        deadline_at: job.plan.deadline_at,
+        answer_limit_bytes: context.answer_limit_bytes,
+    });
+    outcome_of(job, result)
+}
+
+/// Reads a short body whole, so that a retry can send it again.
+fn keep_body(context: &ForwardContext, job: &mut ForwardJob) -> Result<(), ErrorKind> {
+    if job.held.body.is_some() {
+        return Ok(());
+    }
+    let limit_bytes = match job.held.head.body_bytes {
+        Some(bytes) if bytes > context.retry_body_limit_bytes as u64 => return Ok(()),
+        Some(bytes) => bytes,
+        None => job.plan.body_limit_bytes.min(CHUNKED_LIMIT_BYTES),
+    };
+    let mut body = Vec::new();
+    let mut reader = job.held.exchange.body().take(limit_bytes + 1);
+    reader
+        .read_to_end(&mut body)
+        .map_err(|_| ErrorKind::ShortUpload)?;
+    if body.len() as u64 > limit_bytes {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    if job
+        .held
+        .head
+        .body_bytes
+        .is_some_and(|bytes| bytes != body.len() as u64)
+    {
+        return Err(ErrorKind::ShortUpload);
+    }
+    job.held.body = Some(body.into());
+    Ok(())
+}
+
+/// Longest body without a length; longer ones need a `Content-Length`.
+const CHUNKED_LIMIT_BYTES: u64 = 1_048_576;
+
+fn outcome_of(job: &ForwardJob, result: Result<WholeAnswer, CallError>) -> AttemptOutcome {
+    match result {
+        Ok(answer) => answered(job, answer),
+        Err(CallError::NotSent | CallError::Unwritable) => AttemptOutcome::NotRun {
+            kind: ErrorKind::NoServer,
+            retry_after: None,
+            by_guard: false,
+        },
+        Err(CallError::ShortBody) => not_run(ErrorKind::ShortUpload),
+        Err(CallError::AnswerTooLarge) => AttemptOutcome::Unknown {
+            kind: ErrorKind::AnswerTooLarge,
+        },
+        Err(CallError::ShortAnswer) => AttemptOutcome::Unknown {
+            kind: ErrorKind::BadAnswer,
+        },
+        Err(CallError::Late | CallError::Broken) => AttemptOutcome::Unknown {
+            kind: ErrorKind::OutcomeUnknown,
+        },
+    }
+}
+
+fn answered(job: &ForwardJob, answer: WholeAnswer) -> AttemptOutcome {
+    if header(&answer.headers, forward::REQUEST) != Some(format_id(job.plan.request).as_str()) {
+        return AttemptOutcome::Unknown {
+            kind: ErrorKind::BadAnswer,
+        };
+    }
+    let Some(code) = header(&answer.headers, forward::KIND) else {
+        return AttemptOutcome::Answered(answer);
+    };
+    let kind = ErrorKind::from_code(code).unwrap_or(ErrorKind::Internal);
+    if kind.ran() != crate::error::Ran::No {
+        return AttemptOutcome::Unknown { kind };
+    }
+    let retry_after = header(&answer.headers, "retry-after").and_then(|value| value.parse().ok());
+    AttemptOutcome::NotRun {
+        kind,
+        retry_after: retry_after.map(Duration::from_secs),
+        by_guard: true,
+    }
+}
+
+fn not_run(kind: ErrorKind) -> AttemptOutcome {
+    AttemptOutcome::NotRun {
+        kind,
+        retry_after: None,
+        by_guard: false,
+    }
+}
--- /dev/null
+++ b/src/routing/message.rs
@@ -0,0 +1,162 @@
+//! Events and actions of routing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::contract::View;
+use crate::error::ErrorKind;
+use crate::front::RequestHead;
+use crate::membership::Fleet;
+use crate::types::{
+    Attempt, BackendServerId, DaemonId, OrganisationId, RequestId, RouteId, ServiceId,
+};
+use crate::wire::exchange::{Exchange, WholeAnswer};
+
+/// An admitted request, as routing needs it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestPlan {
+    /// The request.
+    pub request: RequestId,
+    /// The organisation; empty on open routes.
+    pub organisation: OrganisationId,
+    /// The organisation's share under overload.
+    pub weight_share: u32,
+    /// The service.
+    pub service: ServiceId,
+    /// The route.
+    pub route: RouteId,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether a person waits for the answer.
+    pub foreground: bool,
+    /// Most bytes of its body.
+    pub body_limit_bytes: u64,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<String>,
+    /// When the answer must be there.
+    pub deadline_at: Instant,
+}
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// The daemon beside the server.
+    pub daemon: DaemonId,
+    /// Where its guard takes requests.
+    pub guard_address: SocketAddr,
+    /// The backend server.
+    pub server: BackendServerId,
+}
+
+/// How one attempt ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// The server's whole answer.
+    Answered(WholeAnswer),
+    /// Truly not run.
+    NotRun {
+        /// Why.
+        kind: ErrorKind,
+        /// When to try again, where known.
+        retry_after: Option<Duration>,
+        /// Whether the guard said so; otherwise the guard was not reached.
+        by_guard: bool,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why.
+        kind: ErrorKind,
+    },
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The server's whole answer.
+    Answered(WholeAnswer),
+    /// No answer of a server; the kind says whether it ran.
+    Failed {
+        /// Why.
+        kind: ErrorKind,
+        /// When to try again, where known.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// What happens to routing.
+#[derive(Debug, Clone)]
+pub enum RoutingEvent {
+    /// An admitted request.
+    Dispatch(RequestPlan),
+    /// An attempt ended.
+    Attempted {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: Attempt,
+        /// How it ended.
+        outcome: AttemptOutcome,
+        /// How long it took.
+        elapsed: Duration,
+    },
+    /// A new view is in force.
+    View(Arc<View>),
+    /// The fleet changed.
+    Fleet(Arc<Fleet>),
+}
+
+/// An event, with what the state need not see.
+pub enum RoutingMessage {
+    /// A request with its head and exchange.
+    Dispatch {
+        /// The plan.
+        plan: RequestPlan,
+        /// Its line and headers.
+        head: Arc<RequestHead>,
+        /// Its exchange.
+        exchange: Box<dyn Exchange>,
+    },
+    /// An attempt ended.
+    Attempted {
+        /// The event.
+        event: RoutingEvent,
+        /// What the attempt used.
+        held: Box<HeldRequest>,
+    },
+    /// Any other event.
+    Event(RoutingEvent),
+    /// The duty ends.
+    Stop,
+}
+
+/// What an attempt needs besides the plan.
+pub struct HeldRequest {
+    /// Line and headers.
+    pub head: Arc<RequestHead>,
+    /// The caller's exchange.
+    pub exchange: Box<dyn Exchange>,
+    /// The body, once it was read whole; only then can it be sent again.
+    pub body: Option<Arc<[u8]>>,
+}
+
+/// What routing does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RoutingAction {
+    /// Makes an attempt.
+    Send {
+        /// The plan.
+        plan: Arc<RequestPlan>,
+        /// The attempt.
+        attempt: Attempt,
+        /// Where to.
+        target: Target,
+    },
+    /// Ends the request.
+    Finish {
+        /// The request.
+        request: RequestId,
+        /// How.
+        outcome: Outcome,
+    },
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,13 @@
+//! Chooses a backend server for each request, and decides on retries.
+
+pub mod duty;
+pub mod forward;
+pub mod message;
+pub mod state;
+
+pub use message::{
+    AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, RoutingMessage, Target,
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/tests.rs
@@ -0,0 +1,44 @@
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{Outcome, RequestPlan, RoutingAction, RoutingEvent};
+use super::state::RoutingState;
+use crate::error::ErrorKind;
+use crate::settings::routing::RoutingSettings;
+
+#[test]
+fn a_service_without_servers_is_refused_as_not_run() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = RoutingState::new(RoutingSettings::default(), ChaCha8Rng::seed_from_u64(1));
+    let plan = RequestPlan {
+        request: 1,
+        organisation: "o".into(),
+        weight_share: 1,
+        service: "s".into(),
+        route: "r".into(),
+        repeatable: true,
+        foreground: true,
+        body_limit_bytes: 0,
+        idempotency_key: None,
+        deadline_at: now + Duration::from_secs(1),
+    };
+
+    // Act
+    let action = state.handle(now, RoutingEvent::Dispatch(plan));
+
+    // Assert
+    let outcome = Outcome::Failed {
+        kind: ErrorKind::NoServer,
+        retry_after: None,
+    };
+    assert_eq!(
+        action,
+        Some(RoutingAction::Finish {
+            request: 1,
+            outcome
+        })
+    );
+}
--- /dev/null
+++ b/src/settings/daemon.rs
@@ -0,0 +1,73 @@
+//! Who this daemon is and where it runs.
+use serde::{Deserialize, Serialize};
+
+use super::Checker;
+use crate::types::{DaemonId, DomainId};
+
+/// Who this daemon is and where it runs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Name of this daemon, unique in the fleet and stable over restarts.
+    pub daemon: DaemonId,
+    /// Failure domain of this VM.
+    pub domain: DomainId,
+    /// Region of this VM.
+    pub region: String,
+    /// Secret that every daemon of the fleet shares; at least 16 characters. Never sent.
+    pub fleet_secret: String,
+    /// Longest graceful shutdown, in milliseconds.
+    pub stop_grace_ms: u64,
+}
+
+impl Default for DaemonSettings {
+    fn default() -> Self {
+        DaemonSettings {
+            daemon: "daemon-1".into(),
+            domain: "domain-1".into(),
+            region: "region-1".to_owned(),
+            fleet_secret: "change-me-change-me-change-me-32".to_owned(),
+            stop_grace_ms: 30_000,
+        }
+    }
+}
+
+impl DaemonSettings {
+    /// Checks every value against its bounds.
+    pub fn check(&self, checker: &mut Checker<'_>) {
+        checker.require(
+            !self.daemon.is_empty(),
+            "daemon",
+            format!("{:?}", self.daemon),
+            "must not be empty",
+        );
+        checker.require(
+            !self.domain.is_empty(),
+            "domain",
+            format!("{:?}", self.domain),
+            "must not be empty",
+        );
+        checker.require(
+            !self.region.is_empty(),
+            "region",
+            format!("{:?}", self.region),
+            "must not be empty",
+        );
+        let secret_holds = self.fleet_secret.len() >= SECRET_MIN_BYTES;
+        checker.require(
+            secret_holds,
+            "fleet_secret",
+            "(hidden)",
+            "must have at least 16 characters",
+        );
+        let stop_grace_ms_holds = (0..=600000).contains(&self.stop_grace_ms);
+        checker.require(
+            stop_grace_ms_holds,
+            "stop_grace_ms",
+            self.stop_grace_ms,
+            "must be from 0 to 600000",
+        );
+    }
+}
+
+const SECRET_MIN_BYTES: usize = 16;
--- /dev/null
+++ b/src/settings/front.rs
@@ -0,0 +1,98 @@
+//! Callers' HTTP.
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::Checker;
+
+/// Callers' HTTP.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FrontSettings {
+    /// Address that callers reach.
+    pub address: SocketAddr,
+    /// Threads that forward requests; also the requests in flight at this entry.
+    pub worker_count: usize,
+    /// Requests that may wait between two duties.
+    pub ring_count: usize,
+    /// Most bytes of all headers of a request together.
+    pub header_limit_bytes: usize,
+    /// Most headers of a request.
+    pub header_limit_count: usize,
+    /// Most bytes of a backend server's answer.
+    pub answer_limit_bytes: usize,
+    /// Bodies up to this size are kept so that a retry can send them again.
+    pub retry_body_limit_bytes: usize,
+    /// Deadline of a request that names none on a route that names none, in milliseconds.
+    pub default_deadline_ms: u64,
+}
+
+impl Default for FrontSettings {
+    fn default() -> Self {
+        FrontSettings {
+            address: "127.0.0.1:8080".parse().expect("a literal address"),
+            worker_count: 64,
+            ring_count: 1024,
+            header_limit_bytes: 16_384,
+            header_limit_count: 100,
+            answer_limit_bytes: 8_388_608,
+            retry_body_limit_bytes: 65_536,
+            default_deadline_ms: 10_000,
+        }
+    }
+}
+
+impl FrontSettings {
+    /// Checks every value against its bounds.
+    pub fn check(&self, checker: &mut Checker<'_>) {
+        let worker_count_holds = (1..=1024).contains(&self.worker_count);
+        checker.require(
+            worker_count_holds,
+            "worker_count",
+            self.worker_count,
+            "must be from 1 to 1024",
+        );
+        let ring_count_holds = (1..=65536).contains(&self.ring_count);
+        checker.require(
+            ring_count_holds,
+            "ring_count",
+            self.ring_count,
+            "must be from 1 to 65536",
+        );
+        let header_limit_bytes_holds = (512..=1048576).contains(&self.header_limit_bytes);
+        checker.require(
+            header_limit_bytes_holds,
+            "header_limit_bytes",
+            self.header_limit_bytes,
+            "must be from 512 to 1048576",
+        );
+        let header_limit_count_holds = (1..=1000).contains(&self.header_limit_count);
+        checker.require(
+            header_limit_count_holds,
+            "header_limit_count",
+            self.header_limit_count,
+            "must be from 1 to 1000",
+        );
+        let answer_limit_bytes_holds = (1024..=1073741824).contains(&self.answer_limit_bytes);
+        checker.require(
+            answer_limit_bytes_holds,
+            "answer_limit_bytes",
+            self.answer_limit_bytes,
+            "must be from 1024 to 1073741824",
+        );
+        let retry_body_limit_bytes_holds = (0..=16777216).contains(&self.retry_body_limit_bytes);
+        checker.require(
+            retry_body_limit_bytes_holds,
+            "retry_body_limit_bytes",
+            self.retry_body_limit_bytes,
+            "must be from 0 to 16777216",
+        );
+        let default_deadline_ms_holds = (1..=3600000).contains(&self.default_deadline_ms);
+        checker.require(
+            default_deadline_ms_holds,
+            "default_deadline_ms",
+            self.default_deadline_ms,
+            "must be from 1 to 3600000",
+        );
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,169 @@
+//! The settings of one daemon: JSON, typed and checked. One file a duty.
+
+pub mod allowance;
+pub mod daemon;
+pub mod front;
+pub mod guard;
+pub mod journal;
+pub mod log;
+pub mod membership;
+pub mod metrics;
+pub mod routing;
+
+use std::fmt;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// All settings of a daemon.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Who this daemon is and where it runs.
+    pub daemon: daemon::DaemonSettings,
+    /// Callers' HTTP.
+    pub front: front::FrontSettings,
+    /// The guard of the backend servers on this VM.
+    pub guard: guard::GuardSettings,
+    /// The platform's log.
+    pub journal: journal::JournalSettings,
+    /// Rate and burst of organisations.
+    pub allowance: allowance::AllowanceSettings,
+    /// Daemons and the servers beside them.
+    pub membership: membership::MembershipSettings,
+    /// Choice of server and retries.
+    pub routing: routing::RoutingSettings,
+    /// Counters and timings.
+    pub metrics: metrics::MetricsSettings,
+    /// The log of this process.
+    pub log: log::LogSettings,
+}
+
+/// One wrong setting.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("setting {field}: {value} {problem}")]
+pub struct SettingsError {
+    /// Dotted path of the field.
+    pub field: String,
+    /// The value found.
+    pub value: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// Why settings could not be taken.
+#[derive(Debug, Error)]
+pub enum LoadError {
+    /// The file can't be read.
+    #[error("settings file {path:?}: {source}")]
+    Read {
+        /// Path of the file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The text is not JSON of the right types.
+    #[error("settings file {path:?}, line {line}, column {column}: {problem}")]
+    Parse {
+        /// Path of the file.
+        path: String,
+        /// Line, counted from 1.
+        line: usize,
+        /// Column, counted from 1.
+        column: usize,
+        /// What is wrong, with field and value.
+        problem: String,
+    },
+    /// Values that can't be.
+    #[error("{}", join(.0))]
+    Values(Vec<SettingsError>),
+}
+
+fn join(errors: &[SettingsError]) -> String {
+    let lines: Vec<String> = errors.iter().map(SettingsError::to_string).collect();
+    lines.join("\n")
+}
+
+/// Collects the wrong settings of one section.
+pub struct Checker<'a> {
+    section: &'static str,
+    errors: &'a mut Vec<SettingsError>,
+}
+
+impl Checker<'_> {
+    /// Notes that `field` with `value` does not hold what it must.
+    pub fn require(&mut self, holds: bool, field: &str, value: impl fmt::Display, problem: &str) {
+        if holds {
+            return;
+        }
+        self.errors.push(SettingsError {
+            field: format!("{}.{field}", self.section),
+            value: value.to_string(),
+            problem: problem.to_owned(),
+        });
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Settings, LoadError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| LoadError::Read {
+            path: shown.clone(),
+            source,
+        })?;
+        let settings: Settings = serde_json::from_str(&text).map_err(|error| LoadError::Parse {
+            path: shown,
+            line: error.line(),
+            column: error.column(),
+            problem: error.to_string(),
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks every value against its bounds.
+    pub fn check(&self) -> Result<(), LoadError> {
+        let mut errors = Vec::new();
+        self.daemon.check(&mut Checker {
+            section: "daemon",
+            errors: &mut errors,
+        });
+        self.front.check(&mut Checker {
+            section: "front",
+            errors: &mut errors,
+        });
+        self.guard.check(&mut Checker {
+            section: "guard",
+            errors: &mut errors,
+        });
+        self.journal.check(&mut Checker {
+            section: "journal",
+            errors: &mut errors,
+        });
+        self.allowance.check(&mut Checker {
+            section: "allowance",
+            errors: &mut errors,
+        });
+        self.membership.check(&mut Checker {
+            section: "membership",
+            errors: &mut errors,
+        });
+        self.routing.check(&mut Checker {
+            section: "routing",
+            errors: &mut errors,
+        });
+        self.log.check(&mut Checker {
+            section: "log",
+            errors: &mut errors,
+        });
+        if errors.is_empty() {
+            return Ok(());
+        }
+        Err(LoadError::Values(errors))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/settings/routing.rs
@@ -0,0 +1,53 @@
+//! Choice of server and retries.
+use serde::{Deserialize, Serialize};
+
+use super::Checker;
+
+/// Choice of server and retries.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RoutingSettings {
+    /// Requests that may wait for the routing duty.
+    pub ring_count: usize,
+    /// Most attempts at one request.
+    pub attempt_limit_count: u32,
+    /// Longest wait for a connection to a guard.
+    pub connect_timeout_ms: u64,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        RoutingSettings {
+            ring_count: 1024,
+            attempt_limit_count: 3,
+            connect_timeout_ms: 500,
+        }
+    }
+}
+
+impl RoutingSettings {
+    /// Checks every value against its bounds.
+    pub fn check(&self, checker: &mut Checker<'_>) {
+        let ring_count_holds = (1..=65536).contains(&self.ring_count);
+        checker.require(
+            ring_count_holds,
+            "ring_count",
+            self.ring_count,
+            "must be from 1 to 65536",
+        );
+        let attempt_limit_count_holds = (1..=10).contains(&self.attempt_limit_count);
+        checker.require(
+            attempt_limit_count_holds,
+            "attempt_limit_count",
+            self.attempt_limit_count,
+            "must be from 1 to 10",
+        );
+        let connect_timeout_ms_holds = (1..=60000).contains(&self.connect_timeout_ms);
+        checker.require(
+            connect_timeout_ms_holds,
+            "connect_timeout_ms",
+            self.connect_timeout_ms,
+            "must be from 1 to 60000",
+        );
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,8 @@
+//! Encodings. Decisions never depend on them.
+
+pub mod call;
+pub mod exchange;
+pub mod forward;
+pub mod hex;
+pub mod http;
+pub mod proof;
