Name what daemons ask each other, free of any encoding

Cause: the slices need one border to peers before they can grow side by side.

Change: the link slice with typed requests and answers, its ring and thread, and a dispatcher that hands peers' requests to duties; the daemon's assembly split by part.

Conclusion: slices can be built against the border before the transport.

--- /dev/null
+++ b/src/daemon/beside.rs
@@ -0,0 +1,70 @@
+//! Starts the guard of the backend servers beside this daemon.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+
+use super::common::Common;
+use super::entry::{start_answers, ACCEPT_THREAD_COUNT};
+use super::rings::Rings;
+use crate::guard::{self, GuardMessage};
+use crate::ring::{ring, spawn_duty};
+use crate::wire::exchange::HttpListener;
+
+pub(super) fn start_guard(
+    common: &Common,
+    rings: &Rings,
+    listener: &Arc<HttpListener>,
+    messages: Receiver<GuardMessage>,
+) -> Vec<JoinHandle<()>> {
+    let settings = &common.settings;
+    let (starts, starts_end) = ring("start", settings.guard.ring_count, &common.metrics);
+    let (answers, answers_end) = ring("refuse", settings.guard.ring_count, &common.metrics);
+    let mut threads = Vec::new();
+    for index in 0..ACCEPT_THREAD_COUNT {
+        let context = guard::accept::AcceptContext {
+            listener: listener.clone(),
+            key: common.key.clone(),
+            clock: common.clock.clone(),
+            metrics: common.metrics.clone(),
+            guard: rings.guard.clone(),
+        };
+        threads.push(spawn_duty(&format!("guard-in-{index}"), move || {
+            guard::accept::run(&context)
+        }));
+    }
+    let context = guard::duty::GuardContext {
+        settings: settings.guard.clone(),
+        clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
+        starts,
+        answers,
+        membership: rings.membership.clone(),
+    };
+    threads.push(spawn_duty("guard", move || {
+        guard::duty::run(&context, &messages)
+    }));
+    let context = guard::forward::ForwardContext {
+        backend: Arc::new(guard::forward::HttpBackend),
+        connect_timeout: Duration::from_millis(settings.guard.connect_timeout_ms),
+        answer_limit_bytes: settings.front.answer_limit_bytes,
+        guard: rings.guard.clone(),
+    };
+    for index in 0..settings.guard.worker_count {
+        let context = context.clone();
+        let jobs = starts_end.clone();
+        threads.push(spawn_duty(&format!("call-{index}"), move || {
+            guard::forward::run(&context, &jobs)
+        }));
+    }
+    threads.extend(start_answers("refuse", &answers_end));
+    threads
+}
+
+pub(super) fn start_announce(rings: &Rings, listener: &Arc<HttpListener>) -> JoinHandle<()> {
+    let listener = listener.clone();
+    let guard = rings.guard.clone();
+    spawn_duty("announce", move || guard::announce::run(&listener, &guard))
+}
--- /dev/null
+++ b/src/daemon/common.rs
@@ -0,0 +1,19 @@
+//! What the parts of one daemon share.
+
+use std::sync::Arc;
+
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::types::Incarnation;
+use crate::wire::proof::FleetKey;
+
+/// What the parts of one daemon share.
+pub(super) struct Common {
+    pub(super) settings: Settings,
+    pub(super) key: FleetKey,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) metrics: Metrics,
+    /// This life of the daemon.
+    pub(super) incarnation: Incarnation,
+}
--- /dev/null
+++ b/src/daemon/entry.rs
@@ -0,0 +1,108 @@
+//! Starts the entry: front, allowance, routing and the threads that carry attempts.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::common::Common;
+use super::rings::Rings;
+use crate::allowance::{self, AllowanceEvent};
+use crate::front::{self, FrontMessage};
+use crate::ring::{ring, spawn_duty};
+use crate::routing::{self, RoutingMessage};
+use crate::wire::exchange::HttpListener;
+
+const ANSWER_THREAD_COUNT: usize = 16;
+pub(super) const ACCEPT_THREAD_COUNT: usize = 2;
+
+pub(super) type EntryReceivers = (
+    Receiver<FrontMessage>,
+    Receiver<AllowanceEvent>,
+    Receiver<RoutingMessage>,
+);
+
+pub(super) fn start_entry(
+    common: &Common,
+    rings: &Rings,
+    listener: &Arc<HttpListener>,
+    receivers: EntryReceivers,
+) -> Vec<JoinHandle<()>> {
+    let settings = &common.settings;
+    let (front_end, allowance_end, routing_end) = receivers;
+    let mut threads = Vec::new();
+    let (answers, answers_end) = ring("answer", settings.front.ring_count, &common.metrics);
+    let (forwards, forwards_end) = ring("forward", settings.front.ring_count, &common.metrics);
+    for index in 0..ACCEPT_THREAD_COUNT {
+        let context = front::accept::AcceptContext {
+            settings: settings.front.clone(),
+            listener: listener.clone(),
+            clock: common.clock.clone(),
+            metrics: common.metrics.clone(),
+            front: rings.front.clone(),
+        };
+        threads.push(spawn_duty(&format!("accept-{index}"), move || {
+            front::accept::run(&context)
+        }));
+    }
+    let context = front::duty::FrontContext {
+        clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
+        allowance: rings.allowance.clone(),
+        routing: rings.routing.clone(),
+        answers: answers.clone(),
+    };
+    threads.push(spawn_duty("front", move || {
+        front::duty::run(&context, &front_end)
+    }));
+    let context = allowance::duty::AllowanceContext {
+        clock: common.clock.clone(),
+        front: rings.front.clone(),
+    };
+    threads.push(spawn_duty("allowance", move || {
+        allowance::duty::run(&context, &allowance_end)
+    }));
+    let context = routing::duty::RoutingContext {
+        settings: settings.routing.clone(),
+        clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
+        forwards,
+        answers,
+    };
+    let random = ChaCha8Rng::from_rng(&mut rand::rng());
+    threads.push(spawn_duty("routing", move || {
+        routing::duty::run(&context, random, &routing_end)
+    }));
+    let context = routing::forward::ForwardContext {
+        key: common.key.clone(),
+        connect_timeout: Duration::from_millis(settings.routing.connect_timeout_ms),
+        answer_limit_bytes: settings.front.answer_limit_bytes,
+        retry_body_limit_bytes: settings.front.retry_body_limit_bytes,
+        routing: rings.routing.clone(),
+    };
+    for index in 0..settings.front.worker_count {
+        let context = context.clone();
+        let jobs = forwards_end.clone();
+        threads.push(spawn_duty(&format!("forward-{index}"), move || {
+            routing::forward::run(&context, &jobs);
+        }));
+    }
+    threads.extend(start_answers("answer", &answers_end));
+    threads
+}
+
+pub(super) fn start_answers(
+    name: &str,
+    jobs: &Receiver<front::duty::AnswerJob>,
+) -> Vec<JoinHandle<()>> {
+    let start = |index: usize| {
+        let jobs = jobs.clone();
+        spawn_duty(&format!("{name}-{index}"), move || {
+            front::duty::write_answers(&jobs)
+        })
+    };
+    (0..ANSWER_THREAD_COUNT).map(start).collect()
+}
--- /dev/null
+++ b/src/daemon/rings.rs
@@ -0,0 +1,67 @@
+//! The rings between the duties of one daemon.
+
+use crossbeam::channel::Receiver;
+
+use super::common::Common;
+use crate::allowance::AllowanceEvent;
+use crate::front::FrontMessage;
+use crate::guard::GuardMessage;
+use crate::journal::JournalEvent;
+use crate::link::LinkMessage;
+use crate::membership::MembershipEvent;
+use crate::ring::{ring, RingSender};
+use crate::routing::RoutingMessage;
+
+#[derive(Clone)]
+pub(super) struct Rings {
+    pub(super) front: RingSender<FrontMessage>,
+    pub(super) allowance: RingSender<AllowanceEvent>,
+    pub(super) routing: RingSender<RoutingMessage>,
+    pub(super) guard: RingSender<GuardMessage>,
+    pub(super) membership: RingSender<MembershipEvent>,
+    pub(super) journal: RingSender<JournalEvent>,
+    pub(super) link: RingSender<LinkMessage>,
+}
+
+pub(super) struct Receivers {
+    pub(super) front: Receiver<FrontMessage>,
+    pub(super) allowance: Receiver<AllowanceEvent>,
+    pub(super) routing: Receiver<RoutingMessage>,
+    pub(super) guard: Receiver<GuardMessage>,
+    pub(super) membership: Receiver<MembershipEvent>,
+    pub(super) journal: Receiver<JournalEvent>,
+    pub(super) link: Receiver<LinkMessage>,
+}
+
+pub(super) fn make_rings(common: &Common) -> (Rings, Receivers) {
+    let settings = &common.settings;
+    let metrics = &common.metrics;
+    let (front, front_end) = ring("front", settings.front.ring_count, metrics);
+    let (allowance, allowance_end) = ring("allowance", settings.allowance.ring_count, metrics);
+    let (routing, routing_end) = ring("routing", settings.routing.ring_count, metrics);
+    let (guard, guard_end) = ring("guard", settings.guard.ring_count, metrics);
+    let (membership, membership_end) = ring("membership", settings.membership.ring_count, metrics);
+    let (journal, journal_end) = ring("journal", JOURNAL_RING_COUNT, metrics);
+    let (link, link_end) = ring("link", settings.link.ring_count, metrics);
+    let rings = Rings {
+        front,
+        allowance,
+        routing,
+        guard,
+        membership,
+        journal,
+        link,
+    };
+    let receivers = Receivers {
+        front: front_end,
+        allowance: allowance_end,
+        routing: routing_end,
+        guard: guard_end,
+        membership: membership_end,
+        journal: journal_end,
+        link: link_end,
+    };
+    (rings, receivers)
+}
+
+pub(super) const JOURNAL_RING_COUNT: usize = 1024;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod guard;
 pub mod journal;
+pub mod link;
 pub mod membership;
 pub mod metrics;
 pub mod ring;
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -36,6 +36,8 @@
     pub domain: DomainId,
     /// Where its guard takes requests.
     pub guard_address: SocketAddr,
+    /// Where its peer link listens.
+    pub link_address: SocketAddr,
     /// Whether it is leaving.
     pub leaving: bool,
     /// The backend servers beside it.
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -10,6 +10,7 @@
         version,
         domain: "d".into(),
         guard_address: "127.0.0.1:1".parse().unwrap(),
+        link_address: "127.0.0.1:2".parse().unwrap(),
         leaving: false,
         servers: Vec::new(),
     }
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -93,12 +93,12 @@
                 held: taken,
             };
             if let Err(job) = context.forwards.offer(job) {
-                finish(context, request, job.held, failed(ErrorKind::Busy));
+                finish(context, request, *job.held, failed(ErrorKind::Busy));
             }
         }
         RoutingAction::Finish { request, outcome } => {
             if let Some(taken) = held.remove(&request) {
-                finish(context, request, taken, outcome);
+                finish(context, request, *taken, outcome);
             }
         }
     }
@@ -111,7 +111,7 @@
     }
 }
 
-fn finish(context: &RoutingContext, request: RequestId, held: Box<HeldRequest>, outcome: Outcome) {
+fn finish(context: &RoutingContext, request: RequestId, held: HeldRequest, outcome: Outcome) {
     let answer = match outcome {
         Outcome::Answered(answer) => served(request, answer),
         Outcome::Failed { kind, retry_after } => {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 pub mod front;
 pub mod guard;
 pub mod journal;
+pub mod link;
 pub mod log;
 pub mod membership;
 pub mod metrics;
@@ -32,6 +33,8 @@
     pub allowance: allowance::AllowanceSettings,
     /// Daemons and the servers beside them.
     pub membership: membership::MembershipSettings,
+    /// Control connections between daemons.
+    pub link: link::LinkSettings,
     /// Choice of server and retries.
     pub routing: routing::RoutingSettings,
     /// Counters and timings.
@@ -150,6 +153,10 @@
             section: "membership",
             errors: &mut errors,
         });
+        self.link.check(&mut Checker {
+            section: "link",
+            errors: &mut errors,
+        });
         self.routing.check(&mut Checker {
             section: "routing",
             errors: &mut errors,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -94,6 +94,7 @@
     settings.front.address = any;
     settings.guard.address = any;
     settings.guard.announce_address = any;
+    settings.link.address = any;
     settings.journal.address = log;
     settings
 }
