Part the choice of server from the life of a request; name decisions

Cause: detection and at-most-once both live in routing and would meet in one file; decisions of several slices need one form for the audit trail.

Change: ServerChoice as the trait object between them; Decision, Subject and AuditSink with a bounded state.

Conclusion: the two matters can be built and tested apart.

--- /dev/null
+++ b/src/audit/mod.rs
@@ -0,0 +1,23 @@
+//! The trail of changes and decisions, which `explain` and `audit` read.
+
+pub mod message;
+pub mod state;
+
+pub use message::{Decision, Subject};
+
+/// Takes decisions. Never waits and never fails: when full, the oldest are dropped and counted.
+pub trait AuditSink: Send + Sync {
+    /// Records a decision with its rule and evidence.
+    fn decision(&self, decision: Decision);
+}
+
+/// A sink that keeps nothing.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct NoAudit;
+
+impl AuditSink for NoAudit {
+    fn decision(&self, _decision: Decision) {}
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -13,6 +13,7 @@
 use crate::allowance::{self, AllowanceEvent};
 use crate::front::{self, FrontMessage};
 use crate::ring::{ring, spawn_duty};
+use crate::routing::choice::TwoChoices;
 use crate::routing::{self, RoutingMessage};
 use crate::wire::exchange::HttpListener;
 
@@ -72,9 +73,9 @@
         forwards,
         answers,
     };
-    let random = ChaCha8Rng::from_rng(&mut rand::rng());
+    let choice = Box::new(TwoChoices::new(ChaCha8Rng::from_rng(&mut rand::rng())));
     threads.push(spawn_duty("routing", move || {
-        routing::duty::run(&context, random, &routing_end)
+        routing::duty::run(&context, choice, &routing_end)
     }));
     let context = routing::forward::ForwardContext {
         key: common.key.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! is the thread that carries the actions out.
 
 pub mod allowance;
+pub mod audit;
 pub mod cli;
 pub mod clock;
 pub mod contract;
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Receiver;
-use rand_chacha::ChaCha8Rng;
 
+use super::choice::ServerChoice;
 use super::forward::ForwardJob;
 use super::message::{HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage};
 use super::state::RoutingState;
@@ -35,8 +35,12 @@
 }
 
 /// Runs the duty until it is told to stop.
-pub fn run(context: &RoutingContext, random: ChaCha8Rng, messages: &Receiver<RoutingMessage>) {
-    let mut state = RoutingState::new(context.settings.clone(), random);
+pub fn run(
+    context: &RoutingContext,
+    choice: Box<dyn ServerChoice>,
+    messages: &Receiver<RoutingMessage>,
+) {
+    let mut state = RoutingState::new(context.settings.clone(), choice);
     let mut held: HashMap<RequestId, Box<HeldRequest>> = HashMap::new();
     for message in messages {
         let event = match message {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,28 +1,21 @@
-//! Decisions of routing: the least loaded of two servers drawn at random, and retries.
+//! Decisions of routing: the life of a request over its attempts.
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use rand::Rng;
-use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
 
+use super::choice::ServerChoice;
 use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
-use crate::contract::View;
 use crate::error::ErrorKind;
-use crate::membership::Fleet;
 use crate::settings::routing::RoutingSettings;
 use crate::types::{Attempt, BackendServerId, RequestId};
 
 /// State of routing.
 pub struct RoutingState {
     settings: RoutingSettings,
-    random: ChaCha8Rng,
-    view: Arc<View>,
-    fleet: Arc<Fleet>,
-    /// Requests of this entry at each server.
-    outstanding: HashMap<BackendServerId, u32>,
+    choice: Box<dyn ServerChoice>,
     requests: HashMap<RequestId, RequestState>,
 }
 
@@ -35,13 +28,10 @@
 
 impl RoutingState {
     /// Routing with nothing to route to yet.
-    pub fn new(settings: RoutingSettings, random: ChaCha8Rng) -> RoutingState {
+    pub fn new(settings: RoutingSettings, choice: Box<dyn ServerChoice>) -> RoutingState {
         RoutingState {
             settings,
-            random,
-            view: Arc::default(),
-            fleet: Arc::default(),
-            outstanding: HashMap::new(),
+            choice,
             requests: HashMap::new(),
         }
     }
@@ -49,49 +39,47 @@
     /// Takes one event and gives what is to be done.
     pub fn handle(&mut self, now: Instant, event: RoutingEvent) -> Option<RoutingAction> {
         match event {
-            RoutingEvent::Dispatch(plan) => Some(self.dispatch(plan)),
+            RoutingEvent::Dispatch(plan) => Some(self.dispatch(now, plan)),
             RoutingEvent::Attempted {
                 request,
                 attempt,
                 outcome,
-                ..
-            } => self.attempted(now, request, attempt, outcome),
+                elapsed,
+            } => self.attempted(now, request, attempt, outcome, elapsed),
             RoutingEvent::View(view) => {
-                self.view = view;
+                self.choice.view(view);
                 None
             }
             RoutingEvent::Fleet(fleet) => {
-                self.fleet = fleet;
+                self.choice.fleet(fleet);
                 None
             }
         }
     }
 
-    fn dispatch(&mut self, plan: RequestPlan) -> RoutingAction {
+    fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingAction {
         let request = plan.request;
-        let Some(target) = self.pick(&plan, &[]) else {
+        let Some(target) = self.choice.pick(now, &plan, &[]) else {
             let outcome = Outcome::Failed {
                 kind: ErrorKind::NoServer,
                 retry_after: None,
             };
             return RoutingAction::Finish { request, outcome };
         };
+        let plan = Arc::new(plan);
         let state = RequestState {
-            plan: Arc::new(plan),
+            plan,
             attempt: 0,
             target,
             tried: SmallVec::new(),
         };
-        self.send(request, state)
+        self.send(now, request, state)
     }
 
-    fn send(&mut self, request: RequestId, mut state: RequestState) -> RoutingAction {
+    fn send(&mut self, now: Instant, request: RequestId, mut state: RequestState) -> RoutingAction {
         state.attempt += 1;
         state.tried.push(state.target.server.clone());
-        *self
-            .outstanding
-            .entry(state.target.server.clone())
-            .or_default() += 1;
+        self.choice.sent(now, &state.plan, &state.target);
         let action = RoutingAction::Send {
             plan: state.plan.clone(),
             attempt: state.attempt,
@@ -107,16 +95,18 @@
         request: RequestId,
         attempt: Attempt,
         outcome: AttemptOutcome,
+        elapsed: Duration,
     ) -> Option<RoutingAction> {
         let state = self.requests.remove(&request)?;
         if state.attempt != attempt {
             self.requests.insert(request, state);
             return None;
         }
-        self.release(&state.target.server);
+        self.choice
+            .ended(now, &state.plan, &state.target, &outcome, elapsed);
         if self.may_retry(now, &state, &outcome) {
-            if let Some(target) = self.pick(&state.plan, &state.tried) {
-                return Some(self.send(request, RequestState { target, ..state }));
+            if let Some(target) = self.choice.pick(now, &state.plan, &state.tried) {
+                return Some(self.send(now, request, RequestState { target, ..state }));
             }
         }
         let outcome = match outcome {
@@ -147,49 +137,4 @@
             AttemptOutcome::Unknown { .. } => state.plan.repeatable,
         }
     }
-
-    fn release(&mut self, server: &BackendServerId) {
-        if let Some(count) = self.outstanding.get_mut(server) {
-            *count = count.saturating_sub(1);
-        }
-    }
-
-    fn pick(&mut self, plan: &RequestPlan, tried: &[BackendServerId]) -> Option<Target> {
-        let candidates = self.candidates(plan, tried);
-        if candidates.is_empty() {
-            return None;
-        }
-        let first = &candidates[self.random.random_range(0..candidates.len())];
-        let second = &candidates[self.random.random_range(0..candidates.len())];
-        let load = |target: &Target| self.outstanding.get(&target.server).copied().unwrap_or(0);
-        let chosen = if load(second) < load(first) {
-            second
-        } else {
-            first
-        };
-        Some(chosen.clone())
-    }
-
-    fn candidates(&self, plan: &RequestPlan, tried: &[BackendServerId]) -> Vec<Target> {
-        let mut candidates = Vec::new();
-        for daemon in self.fleet.daemons.values() {
-            if daemon.leaving || self.view.domains_out.contains(&daemon.domain) {
-                continue;
-            }
-            for server in &daemon.servers {
-                if server.service != plan.service
-                    || server.draining
-                    || tried.contains(&server.server)
-                {
-                    continue;
-                }
-                candidates.push(Target {
-                    daemon: daemon.daemon.clone(),
-                    guard_address: daemon.guard_address,
-                    server: server.server.clone(),
-                });
-            }
-        }
-        candidates
-    }
 }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -3,6 +3,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::choice::TwoChoices;
 use super::message::{Outcome, RequestPlan, RoutingAction, RoutingEvent};
 use super::state::RoutingState;
 use crate::error::ErrorKind;
@@ -12,7 +13,8 @@
 fn a_service_without_servers_is_refused_as_not_run() {
     // Arrange
     let now = Instant::now();
-    let mut state = RoutingState::new(RoutingSettings::default(), ChaCha8Rng::seed_from_u64(1));
+    let choice = TwoChoices::new(ChaCha8Rng::seed_from_u64(1));
+    let mut state = RoutingState::new(RoutingSettings::default(), Box::new(choice));
     let plan = RequestPlan {
         request: 1,
         organisation: "o".into(),
