Say when a read was sent, also for reads that found nothing

A duty that counts freshness needs the moment at which a read was sent and the outcome of reads without records. JournalEvent::Read carries asked_at, and JournalReader::read_ended replaces record. A reader of another stream than the configuration that is told Truncated goes on from the first kept record.

--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -1,6 +1,7 @@
 //! Hands views and records from the journal to the duties that read them.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use crate::allowance::AllowanceEvent;
 use crate::contract::View;
@@ -11,6 +12,7 @@
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::routing::{RoutingEvent, RoutingMessage};
+use crate::types::Offset;
 
 /// Everything that reads views.
 pub struct Readers {
@@ -35,13 +37,21 @@
             .deliver(FrontMessage::Event(FrontEvent::View(view)));
     }
 
-    fn record(&self, stream: Stream, record: LogRecord) {
+    fn read_ended(
+        &self,
+        stream: Stream,
+        _asked_at: Instant,
+        records: Vec<LogRecord>,
+        _next: Offset,
+    ) {
         if stream != MEMBERS {
             return;
         }
-        match serde_json::from_str(&record.body) {
-            Ok(entry) => self.membership.deliver(MembershipEvent::Heard(entry)),
-            Err(_) => self.metrics.count("membership.record.malformed"),
+        for record in records {
+            match serde_json::from_str(&record.body) {
+                Ok(entry) => self.membership.deliver(MembershipEvent::Heard(entry)),
+                Err(_) => self.metrics.count("membership.record.malformed"),
+            }
         }
     }
 }
--- a/src/journal/duty.rs
+++ b/src/journal/duty.rs
@@ -3,25 +3,29 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 
 use super::message::{JournalAction, JournalEvent, LogRecord};
 use super::state::JournalState;
-use super::{PlatformLog, Stream, CONFIGURATION, MEMBERS};
+use super::{LogError, PlatformLog, Stream, CONFIGURATION, STREAMS};
 use crate::clock::Clock;
 use crate::contract::View;
 use crate::metrics::Metrics;
 use crate::ring::{ring, spawn_duty, RingSender};
 use crate::settings::journal::JournalSettings;
+use crate::types::Offset;
 
 /// Takes new views and records of other streams.
 pub trait JournalReader: Send {
     /// A new view is in force.
     fn view(&self, view: Arc<View>);
-    /// A record of a stream other than the configuration.
-    fn record(&self, stream: Stream, record: LogRecord);
+    /// A read of a stream other than the configuration ended; called for empty reads too.
+    ///
+    /// The read was sent at `asked_at`, so whatever was appended before then and is not yet
+    /// handed over is among the records or at `next` and beyond.
+    fn read_ended(&self, stream: Stream, asked_at: Instant, records: Vec<LogRecord>, next: Offset);
 }
 
 /// What the journal needs of the world.
@@ -46,11 +50,12 @@
 ) -> Vec<JoinHandle<()>> {
     let (sender, receiver) = events;
     let mut threads = Vec::new();
-    for stream in [CONFIGURATION, MEMBERS] {
+    for stream in STREAMS {
         let reader = Reader {
             stream,
             log: context.log.clone(),
             settings: context.settings.clone(),
+            clock: context.clock.clone(),
             events: sender.clone(),
             stopping: stopping.clone(),
         };
@@ -75,6 +80,7 @@
     stream: Stream,
     log: Arc<dyn PlatformLog>,
     settings: JournalSettings,
+    clock: Arc<dyn Clock>,
     events: RingSender<JournalEvent>,
     stopping: Arc<AtomicBool>,
 }
@@ -85,15 +91,19 @@
         let retry = Duration::from_millis(self.settings.retry_ms);
         let mut from = 0;
         while !self.stopping.load(Ordering::Relaxed) {
+            let asked_at = self.clock.now();
             let result = self
                 .log
                 .read(self.stream, from, self.settings.batch_count, wait);
             let failed = result.is_err();
-            if let Ok(batch) = &result {
-                from = batch.next;
+            match &result {
+                Ok(batch) => from = batch.next,
+                Err(LogError::Truncated(first)) if self.stream != CONFIGURATION => from = *first,
+                Err(_) => {}
             }
             self.events.deliver(JournalEvent::Read {
                 stream: self.stream,
+                asked_at,
                 result,
             });
             if failed {
@@ -143,9 +153,14 @@
                 reader.view(view.clone());
             }
         }
-        JournalAction::Hand { stream, record } => {
+        JournalAction::Hand {
+            stream,
+            asked_at,
+            records,
+            next,
+        } => {
             for reader in &context.readers {
-                reader.record(stream, record.clone());
+                reader.read_ended(stream, asked_at, records.clone(), next);
             }
         }
         JournalAction::Append { stream, body } => {
--- a/src/journal/message.rs
+++ b/src/journal/message.rs
@@ -1,6 +1,7 @@
 //! Events and actions of the journal duty.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use super::{LogError, Stream};
 use crate::contract::View;
@@ -21,6 +22,8 @@
     Read {
         /// The stream.
         stream: Stream,
+        /// When the read was sent: what it shows was true then or later.
+        asked_at: Instant,
         /// The records, or why there are none.
         result: Result<super::Batch, LogError>,
     },
@@ -40,12 +43,16 @@
 pub enum JournalAction {
     /// Puts a new view in force.
     Publish(Arc<View>),
-    /// Hands a record of another stream to the duty that reads it.
+    /// Hands the outcome of a read of another stream to the duty that reads it.
     Hand {
         /// The stream.
         stream: Stream,
-        /// The record.
-        record: LogRecord,
+        /// When the read was sent.
+        asked_at: Instant,
+        /// The records; none when the stream had nothing new.
+        records: Vec<LogRecord>,
+        /// Offset that is read next.
+        next: Offset,
     },
     /// Appends a record to the platform's log.
     Append {
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -17,6 +17,8 @@
 pub const CONFIGURATION: Stream = "configuration";
 /// The stream in which daemons make themselves known.
 pub const MEMBERS: Stream = "members";
+/// Every stream that a daemon reads.
+pub const STREAMS: [Stream; 2] = [CONFIGURATION, MEMBERS];
 
 /// Why the platform's log did not answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/src/journal/state.rs
+++ b/src/journal/state.rs
@@ -27,15 +27,27 @@
     /// Takes one event and gives what is to be done.
     pub fn handle(&mut self, _now: Instant, event: JournalEvent) -> Vec<JournalAction> {
         match event {
-            JournalEvent::Read { stream, result } => self.read(stream, result),
+            JournalEvent::Read {
+                stream,
+                asked_at,
+                result,
+            } => self.read(stream, asked_at, result),
             JournalEvent::Append { stream, body } => vec![JournalAction::Append { stream, body }],
             JournalEvent::Stop => Vec::new(),
         }
     }
 
-    fn read(&mut self, stream: Stream, result: Result<Batch, LogError>) -> Vec<JournalAction> {
+    fn read(
+        &mut self,
+        stream: Stream,
+        asked_at: Instant,
+        result: Result<Batch, LogError>,
+    ) -> Vec<JournalAction> {
         let mut actions = Vec::new();
-        let reachable = result.is_ok();
+        let reachable = !matches!(
+            result,
+            Err(LogError::Unavailable(_) | LogError::Malformed(_))
+        );
         if reachable != self.reachable {
             self.reachable = reachable;
             actions.push(JournalAction::Reachable(reachable));
@@ -48,9 +60,12 @@
             self.configure(&batch.records, &mut actions);
             return actions;
         }
-        for record in batch.records {
-            actions.push(JournalAction::Hand { stream, record });
-        }
+        actions.push(JournalAction::Hand {
+            stream,
+            asked_at,
+            records: batch.records,
+            next: batch.next,
+        });
         actions
     }
 
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -14,6 +14,7 @@
     }];
     let event = JournalEvent::Read {
         stream: CONFIGURATION,
+        asked_at: Instant::now(),
         result: Ok(Batch { records, next: 1 }),
     };
 
@@ -27,3 +28,28 @@
     ));
     assert!(matches!(&actions[1], JournalAction::Publish(view) if view.next == 1));
 }
+
+#[test]
+fn an_empty_read_of_another_stream_is_handed_over_with_its_time() {
+    // Arrange
+    let mut state = JournalState::default();
+    let asked_at = Instant::now();
+    let event = JournalEvent::Read {
+        stream: MEMBERS,
+        asked_at,
+        result: Ok(Batch {
+            records: Vec::new(),
+            next: 5,
+        }),
+    };
+
+    // Act
+    let actions = state.handle(asked_at, event);
+
+    // Assert
+    assert!(matches!(
+        &actions[..],
+        [JournalAction::Hand { stream: MEMBERS, asked_at: at, records, next: 5 }]
+            if *at == asked_at && records.is_empty()
+    ));
+}
