Name the events of health and carry a server's share in membership

Cause: entries can only avoid an ejected server if its daemon's description says so. Change: typed events and actions of health; ServerEntry.share_permille, set by MembershipEvent::Share and kept over guard reports; PeerRequest::Summary. Tests: one new, a share outlasts a guard report.

--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -5,7 +5,7 @@
 
 use super::message::{Announcement, GuardAction, GuardEvent, GuardRequest};
 use crate::error::ErrorKind;
-use crate::membership::ServerEntry;
+use crate::membership::{ServerEntry, FULL_SHARE_PERMILLE};
 use crate::settings::guard::GuardSettings;
 use crate::types::{BackendServerId, RequestId};
 
@@ -187,6 +187,7 @@
             slots_count: server.announcement.slots_count,
             cold: server.announcement.cold,
             draining: server.announcement.draining || self.draining,
+            share_permille: FULL_SHARE_PERMILLE,
         };
         self.servers.values().map(entry).collect()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod front;
 pub mod guard;
+pub mod health;
 pub mod journal;
 pub mod link;
 pub mod membership;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -4,6 +4,7 @@
 
 use thiserror::Error;
 
+use crate::health::ServerSummary;
 use crate::membership::DaemonEntry;
 use crate::types::{
     Attempt, DaemonId, Incarnation, KeyHash, Offset, OrganisationId, RequestId, ServiceId,
@@ -158,6 +159,8 @@
     },
     /// Fingerprints of requests that were running when backend servers died.
     Poison(Vec<PoisonReport>),
+    /// What the servers of this service beside the peer met lately.
+    Summary(ServiceId),
 }
 
 /// One death of a backend server while a request ran.
@@ -191,6 +194,8 @@
         /// Digest of all descriptions that the answerer knows.
         digest: u64,
     },
+    /// To `Summary`: one for each server of the service beside the answerer.
+    Summary(Vec<ServerSummary>),
     /// To all others.
     Done,
 }
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -21,6 +21,17 @@
     pub cold: bool,
     /// Whether it takes no new work.
     pub draining: bool,
+    /// Share of its usual requests that entries send to it, in thousandths: 0 while it is
+    /// ejected, small while it is probed, `FULL_SHARE_PERMILLE` in full service.
+    #[serde(default = "full_share_permille")]
+    pub share_permille: u16,
+}
+
+/// The share of a server in full service.
+pub const FULL_SHARE_PERMILLE: u16 = 1000;
+
+fn full_share_permille() -> u16 {
+    FULL_SHARE_PERMILLE
 }
 
 /// One daemon, as it describes itself.
@@ -56,6 +67,13 @@
 pub enum MembershipEvent {
     /// The backend servers beside this daemon changed.
     Local(Vec<ServerEntry>),
+    /// Health set the share of a backend server beside this daemon.
+    Share {
+        /// The backend server.
+        server: BackendServerId,
+        /// The share, in thousandths.
+        share_permille: u16,
+    },
     /// A daemon described itself.
     Heard(DaemonEntry),
     /// This daemon leaves.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -4,7 +4,9 @@
 pub mod message;
 pub mod state;
 
-pub use message::{DaemonEntry, Fleet, MembershipAction, MembershipEvent, ServerEntry};
+pub use message::{
+    DaemonEntry, Fleet, MembershipAction, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE,
+};
 
 #[cfg(test)]
 mod tests;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,6 +1,8 @@
 use std::time::Instant;
 
-use super::message::{DaemonEntry, MembershipEvent};
+use super::message::{
+    DaemonEntry, MembershipAction, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE,
+};
 use super::state::MembershipState;
 
 fn entry(daemon: &str, incarnation: u64, version: u64) -> DaemonEntry {
@@ -29,3 +31,38 @@
     // Assert
     assert!(actions.is_empty());
 }
+
+#[test]
+fn a_share_set_by_health_outlasts_a_new_report_of_the_guard() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = MembershipState::new(entry("a", 1, 0));
+    let server = ServerEntry {
+        server: "s".into(),
+        service: "v".into(),
+        slots_count: 5,
+        cold: false,
+        draining: false,
+        share_permille: FULL_SHARE_PERMILLE,
+    };
+    state.handle(now, MembershipEvent::Local(vec![server.clone()]));
+    let ejected = MembershipEvent::Share {
+        server: "s".into(),
+        share_permille: 0,
+    };
+    state.handle(now, ejected);
+
+    // Act
+    let report = ServerEntry {
+        slots_count: 4,
+        ..server
+    };
+    let actions = state.handle(now, MembershipEvent::Local(vec![report]));
+
+    // Assert
+    let [MembershipAction::Publish(own), _] = &actions[..] else {
+        panic!("{actions:?} has no description");
+    };
+    assert_eq!(own.servers[0].share_permille, 0);
+    assert_eq!(own.servers[0].slots_count, 4);
+}
