Name the guard's life, the fence's attempt and the request's fingerprint in messages

Cause: a fence must tell one life of a guard from the next, a claim must be given back when the request truly did not run, and a guard must know equal requests. Change: fields in ForwardHead (signed), FenceRequest and ClaimRequest, the kind server_died, and by_guard on attempts of unknown end.

--- a/src/error.rs
+++ b/src/error.rs
@@ -111,6 +111,8 @@
     BadAnswer = "bad_answer", 502, Unknown, "The backend server's answer was incomplete.";
     /// The server's answer is over the limit.
     AnswerTooLarge = "answer_too_large", 502, Yes, "The backend server's answer exceeds its limit.";
+    /// The backend server died while it ran the request.
+    ServerDied = "server_died", 502, Unknown, "The backend server died while running the request.";
     /// A fault in this daemon after the request may have run.
     Internal = "internal", 500, Unknown, "The daemon failed while handling the request.";
 }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -32,6 +32,8 @@
     pub draining: bool,
     /// Its load, from 0 to 1, by its own account.
     pub load_share: f64,
+    /// When its present life began, in milliseconds since the epoch; 0 where it does not say.
+    pub started_at_ms: u64,
 }
 
 impl Default for Announcement {
@@ -45,6 +47,7 @@
             cold: false,
             draining: false,
             load_share: 0.0,
+            started_at_ms: 0,
         }
     }
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -7,7 +7,8 @@
 use crate::health::ServerSummary;
 use crate::membership::DaemonEntry;
 use crate::types::{
-    Attempt, DaemonId, Incarnation, KeyHash, Offset, OrganisationId, RequestId, ServiceId,
+    Attempt, DaemonId, Fingerprint, Incarnation, KeyHash, Offset, OrganisationId, RequestId,
+    ServiceId,
 };
 
 /// One life of a daemon.
@@ -69,8 +70,10 @@
 pub struct FenceRequest {
     /// The request.
     pub request: RequestId,
-    /// The attempt.
+    /// The attempt; earlier ones are fenced with it.
     pub attempt: Attempt,
+    /// The life of the guard that the attempt was sent to.
+    pub incarnation: Incarnation,
 }
 
 /// What a guard knows of a request.
@@ -82,13 +85,24 @@
     Running,
     /// It ended; the answer was lost.
     Ended,
-    /// This guard began after the request was sent and can't know.
+    /// This guard is another life, or no longer keeps what it knew.
     Unknown,
 }
 
+/// What is asked about an idempotency key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimStep {
+    /// The request wants to run under the key.
+    Take,
+    /// The request truly did not run, so another may take the key.
+    Release,
+}
+
 /// Asks the home daemon of an idempotency key whether a request may run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimRequest {
+    /// What is asked.
+    pub step: ClaimStep,
     /// The organisation.
     pub organisation: OrganisationId,
     /// The caller's idempotency key.
@@ -100,7 +114,7 @@
 /// The home daemon's word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ClaimAnswer {
-    /// The request may run.
+    /// The request may run; to a release, that the key is free.
     Granted,
     /// Another request holds the key.
     Taken {
@@ -167,7 +181,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PoisonReport {
     /// Hash of organisation, route and body.
-    pub fingerprint: [u8; 32],
+    pub fingerprint: Fingerprint,
     /// Distinct deaths seen.
     pub death_count: u32,
     /// How long the report holds from now.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -4,7 +4,7 @@
 pub mod message;
 
 pub use message::{
-    BorrowAnswer, BorrowRequest, ClaimAnswer, ClaimRequest, FenceAnswer, FenceRequest, LinkError,
-    LinkMessage, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest, PromiseAnswer,
-    PromiseRequest, RecordsAnswer, RecordsRequest,
+    BorrowAnswer, BorrowRequest, ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest,
+    LinkError, LinkMessage, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest,
+    PromiseAnswer, PromiseRequest, RecordsAnswer, RecordsRequest,
 };
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -85,6 +85,7 @@
             plan,
             attempt,
             target,
+            incarnation,
         } => {
             let request = plan.request;
             let Some(taken) = held.remove(&request) else {
@@ -94,6 +95,7 @@
                 plan,
                 attempt,
                 target,
+                incarnation,
                 held: taken,
             };
             if let Err(job) = context.forwards.offer(job) {
--- /dev/null
+++ b/src/routing/fingerprint.rs
@@ -0,0 +1,20 @@
+//! The fingerprint by which guards know equal requests.
+
+use sha2::{Digest, Sha256};
+
+use super::message::{HeldRequest, RequestPlan};
+use crate::types::Fingerprint;
+
+/// Hash of organisation, route, target and body. A body too large to be kept counts by its length.
+pub fn fingerprint(plan: &RequestPlan, held: &HeldRequest) -> Fingerprint {
+    let mut hash = Sha256::new();
+    for field in [&*plan.organisation, &*plan.route, &held.head.target] {
+        hash.update((field.len() as u64).to_le_bytes());
+        hash.update(field.as_bytes());
+    }
+    match &held.body {
+        Some(body) => hash.update(body),
+        None => hash.update(held.head.body_bytes.unwrap_or(u64::MAX).to_le_bytes()),
+    }
+    hash.finalize().into()
+}
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -11,13 +11,15 @@
 };
 use crate::error::ErrorKind;
 use crate::ring::RingSender;
-use crate::types::{format_id, Attempt};
+use crate::types::{format_id, Attempt, Incarnation};
 use crate::wire::call::{call, Call, CallError};
 use crate::wire::exchange::WholeAnswer;
 use crate::wire::forward::{self, ForwardHead};
 use crate::wire::http::header;
 use crate::wire::proof::FleetKey;
 
+use super::fingerprint::fingerprint;
+
 /// An attempt to be made.
 pub struct ForwardJob {
     /// The plan.
@@ -26,6 +28,8 @@
     pub attempt: Attempt,
     /// Where to.
     pub target: Target,
+    /// The life of the daemon there.
+    pub incarnation: Incarnation,
     /// Head, exchange and body.
     pub held: Box<HeldRequest>,
 }
@@ -83,6 +87,9 @@
         server: job.target.server.clone(),
         weight_share: job.plan.weight_share,
         repeatable: job.plan.repeatable,
+        foreground: job.plan.foreground,
+        incarnation: job.incarnation,
+        fingerprint: fingerprint(&job.plan, &job.held),
         remaining,
     };
     let mut headers = head.encode(&context.key);
@@ -155,12 +162,15 @@
         Err(CallError::ShortBody) => not_run(ErrorKind::ShortUpload),
         Err(CallError::AnswerTooLarge) => AttemptOutcome::Unknown {
             kind: ErrorKind::AnswerTooLarge,
+            by_guard: false,
         },
         Err(CallError::ShortAnswer) => AttemptOutcome::Unknown {
             kind: ErrorKind::BadAnswer,
+            by_guard: false,
         },
         Err(CallError::Late | CallError::Broken) => AttemptOutcome::Unknown {
             kind: ErrorKind::OutcomeUnknown,
+            by_guard: false,
         },
     }
 }
@@ -169,6 +179,7 @@
     if header(&answer.headers, forward::REQUEST) != Some(format_id(job.plan.request).as_str()) {
         return AttemptOutcome::Unknown {
             kind: ErrorKind::BadAnswer,
+            by_guard: false,
         };
     }
     let Some(code) = header(&answer.headers, forward::KIND) else {
@@ -176,7 +187,10 @@
     };
     let kind = ErrorKind::from_code(code).unwrap_or(ErrorKind::Internal);
     if kind.ran() != crate::error::Ran::No {
-        return AttemptOutcome::Unknown { kind };
+        return AttemptOutcome::Unknown {
+            kind,
+            by_guard: true,
+        };
     }
     let retry_after = header(&answer.headers, "retry-after").and_then(|value| value.parse().ok());
     AttemptOutcome::NotRun {
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -9,7 +9,7 @@
 use crate::front::RequestHead;
 use crate::membership::Fleet;
 use crate::types::{
-    Attempt, BackendServerId, DaemonId, OrganisationId, RequestId, RouteId, ServiceId,
+    Attempt, BackendServerId, DaemonId, Incarnation, OrganisationId, RequestId, RouteId, ServiceId,
 };
 use crate::wire::exchange::{Exchange, WholeAnswer};
 
@@ -67,6 +67,8 @@
     Unknown {
         /// Why.
         kind: ErrorKind,
+        /// Whether the guard said so; otherwise the guard was lost.
+        by_guard: bool,
     },
 }
 
@@ -151,6 +153,8 @@
         attempt: Attempt,
         /// Where to.
         target: Target,
+        /// The life of the daemon there.
+        incarnation: Incarnation,
     },
     /// Ends the request.
     Finish {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod choice;
 pub mod duty;
+pub mod fingerprint;
 pub mod forward;
 pub mod message;
 pub mod state;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -9,13 +9,16 @@
 use super::choice::ServerChoice;
 use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
 use crate::error::ErrorKind;
+use crate::membership::Fleet;
 use crate::settings::routing::RoutingSettings;
-use crate::types::{Attempt, BackendServerId, RequestId};
+use crate::types::{Attempt, BackendServerId, Incarnation, RequestId};
 
 /// State of routing.
 pub struct RoutingState {
     settings: RoutingSettings,
     choice: Box<dyn ServerChoice>,
+    /// Where daemons are and in which life; never older than what the choice knows.
+    fleet: Arc<Fleet>,
     requests: HashMap<RequestId, RequestState>,
 }
 
@@ -32,6 +35,7 @@
         RoutingState {
             settings,
             choice,
+            fleet: Arc::default(),
             requests: HashMap::new(),
         }
     }
@@ -51,6 +55,7 @@
                 None
             }
             RoutingEvent::Fleet(fleet) => {
+                self.fleet = fleet.clone();
                 self.choice.fleet(fleet);
                 None
             }
@@ -84,11 +89,18 @@
             plan: state.plan.clone(),
             attempt: state.attempt,
             target: state.target.clone(),
+            incarnation: self.incarnation(&state.target),
         };
         self.requests.insert(request, state);
         action
     }
 
+    /// The life of the daemon that the attempt is meant for; 0 is no daemon's.
+    fn incarnation(&self, target: &Target) -> Incarnation {
+        let daemon = self.fleet.daemons.get(&target.daemon);
+        daemon.map_or(0, |daemon| daemon.incarnation)
+    }
+
     fn attempted(
         &mut self,
         now: Instant,
@@ -114,7 +126,7 @@
             AttemptOutcome::NotRun {
                 kind, retry_after, ..
             } => Outcome::Failed { kind, retry_after },
-            AttemptOutcome::Unknown { kind } => Outcome::Failed {
+            AttemptOutcome::Unknown { kind, .. } => Outcome::Failed {
                 kind,
                 retry_after: None,
             },
--- a/src/types.rs
+++ b/src/types.rs
@@ -24,6 +24,8 @@
 pub type Offset = u64;
 /// SHA-256 of a key. The key itself is never stored.
 pub type KeyHash = [u8; 32];
+/// Hash that tells equal requests of one organisation.
+pub type Fingerprint = [u8; 32];
 /// Number of the attempt at a request, counted from 1.
 pub type Attempt = u32;
 
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::types::{
-    format_id, parse_id, Attempt, BackendServerId, OrganisationId, RequestId, RouteId, ServiceId,
+    format_id, parse_id, Attempt, BackendServerId, Fingerprint, Incarnation, OrganisationId,
+    RequestId, RouteId, ServiceId,
 };
 use crate::wire::hex;
 use crate::wire::http::{header, HeaderPair};
@@ -27,6 +28,9 @@
 const ATTEMPT: &str = "x-banyanbeam-attempt";
 const WEIGHT: &str = "x-banyanbeam-weight";
 const REPEATABLE: &str = "x-banyanbeam-repeatable";
+const FOREGROUND: &str = "x-banyanbeam-foreground";
+const INCARNATION: &str = "x-banyanbeam-incarnation";
+const FINGERPRINT: &str = "x-banyanbeam-fingerprint";
 const PROOF: &str = "x-banyanbeam-proof";
 
 /// What an entry tells a guard about a request.
@@ -48,6 +52,12 @@
     pub weight_share: u32,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether a person waits for the answer.
+    pub foreground: bool,
+    /// The life of the guard that the entry means; another life refuses the request.
+    pub incarnation: Incarnation,
+    /// Tells equal requests: hash of organisation, route, target and body.
+    pub fingerprint: Fingerprint,
     /// What is left of its deadline.
     pub remaining: Duration,
 }
@@ -64,6 +74,9 @@
             (SERVER.to_owned(), self.server.to_string()),
             (WEIGHT.to_owned(), self.weight_share.to_string()),
             (REPEATABLE.to_owned(), self.repeatable.to_string()),
+            (FOREGROUND.to_owned(), self.foreground.to_string()),
+            (INCARNATION.to_owned(), self.incarnation.to_string()),
+            (FINGERPRINT.to_owned(), hex::encode(&self.fingerprint)),
             (
                 DEADLINE_MS.to_owned(),
                 self.remaining.as_millis().to_string(),
@@ -97,6 +110,11 @@
             server: text(headers, SERVER)?.into(),
             weight_share: parse(headers, WEIGHT)?,
             repeatable: parse(headers, REPEATABLE)?,
+            foreground: parse(headers, FOREGROUND)?,
+            incarnation: parse(headers, INCARNATION)?,
+            fingerprint: header(headers, FINGERPRINT)
+                .and_then(hex::decode_32)
+                .ok_or(FINGERPRINT)?,
             remaining: Duration::from_millis(remaining_ms),
         })
     }
@@ -112,6 +130,9 @@
     SERVER,
     WEIGHT,
     REPEATABLE,
+    FOREGROUND,
+    INCARNATION,
+    FINGERPRINT,
     DEADLINE_MS,
 ];
 
--- a/src/wire/forward/tests.rs
+++ b/src/wire/forward/tests.rs
@@ -10,6 +10,9 @@
         server: "s1".into(),
         weight_share: 2,
         repeatable: false,
+        foreground: true,
+        incarnation: 3,
+        fingerprint: [5; 32],
         remaining: Duration::from_millis(500),
     }
 }
