Show a whole deployment in one process, and check every answer

Cause: nobody can try the product without installing a platform.

Change: the load tool (mix, rate, histogram, truth check against the servers' own count of runs), the demonstration fleet of both deployments, and reads of the log stand-in that wait without holding a thread each.

--- /dev/null
+++ b/src/cli/demo.rs
@@ -0,0 +1,86 @@
+//! `banyanbeam demo`.
+
+use std::process::ExitCode;
+
+use clap::Args;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::demo::deployment::{key_of, Deployment};
+use crate::demo::{self, DemoOptions, DeploymentName};
+use crate::load::table::render;
+
+/// Arguments of `demo`.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "Exit codes: 0 every answer was true; 1 an answer was not true, or a failure.
+
+Examples:
+  banyanbeam demo
+  banyanbeam demo --deployment atlas --requests 5000
+  banyanbeam demo --stay"
+)]
+pub struct DemoArguments {
+    /// Which deployment to show.
+    #[arg(long, value_enum, default_value = "nangolo")]
+    deployment: DeploymentName,
+    /// Requests to send.
+    #[arg(long, default_value_t = 2_000)]
+    requests: u64,
+    /// Seed of the mix.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Stays up afterwards, and prints addresses and keys to try.
+    #[arg(long)]
+    stay: bool,
+}
+
+/// Shows a whole deployment in this process.
+pub fn run(arguments: &DemoArguments) -> eyre::Result<ExitCode> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let options = DemoOptions {
+        deployment: arguments.deployment,
+        request_count: arguments.requests,
+        seed: arguments.seed,
+    };
+    let demo = demo::run(&options)?;
+    print!("{}", render(&demo.report));
+    if arguments.stay {
+        print_addresses(&demo, &Deployment::named(arguments.deployment));
+        signals.forever().next();
+    }
+    let code = if demo.report.is_true() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    };
+    demo.fleet.stop();
+    Ok(code)
+}
+
+fn print_addresses(demo: &demo::Demo, deployment: &Deployment) {
+    println!("platform log http://{}", demo.fleet.log_address);
+    for vm in &demo.fleet.vms {
+        println!(
+            "entry http://{} beside {} in {}",
+            vm.daemon.front_address, vm.server, vm.domain
+        );
+    }
+    for contract in &deployment.organisations {
+        println!(
+            "key of {}: {}",
+            contract.organisation,
+            key_of(&contract.organisation)
+        );
+    }
+    let (Some(vm), Some(request)) = (demo.fleet.vms.first(), deployment.mix().into_iter().next())
+    else {
+        return;
+    };
+    let front = vm.daemon.front_address;
+    println!(
+        "try: curl -H 'Authorization: Bearer {}' http://{front}{}",
+        request.key, request.target
+    );
+    println!("stop with Ctrl-C");
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. One file a command.
 
 mod check;
+mod demo;
 mod logging;
 mod serve;
 mod settings;
@@ -23,6 +24,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Shows a whole deployment in one process and checks every answer.
+    Demo(demo::DemoArguments),
     /// Runs one daemon until SIGTERM or SIGINT.
     Serve(serve::ServeArguments),
     /// Checks a settings file and does nothing else.
@@ -36,6 +39,7 @@
 /// Runs the command and gives the exit code.
 pub fn run(arguments: Arguments) -> ExitCode {
     let result = match arguments.command {
+        Command::Demo(arguments) => demo::run(&arguments),
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Settings(arguments) => settings::run(&arguments),
--- /dev/null
+++ b/src/demo/deployment.rs
@@ -0,0 +1,206 @@
+//! The two deployments that the demonstration can show.
+
+use crate::contract::{OrganisationContract, RouteContract, ServiceContract};
+use crate::load::LoadRequest;
+use crate::types::{DomainId, OrganisationId};
+
+use super::DeploymentName;
+
+/// One service of a deployment.
+#[derive(Debug, Clone)]
+pub struct DemoService {
+    /// Its contract.
+    pub contract: ServiceContract,
+    /// Its backend servers.
+    pub server_count: usize,
+    /// How long one request takes there, in milliseconds.
+    pub work_ms: u64,
+}
+
+/// A deployment: failure domains, services and organisations.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Its failure domains.
+    pub domains: Vec<DomainId>,
+    /// Its services.
+    pub services: Vec<DemoService>,
+    /// Its organisations.
+    pub organisations: Vec<OrganisationContract>,
+}
+
+/// A route that any organisation may use.
+struct RouteSpec {
+    route: &'static str,
+    method: &'static str,
+    repeatable: bool,
+    body_limit_bytes: u64,
+}
+
+const SMALL_BODY_BYTES: u64 = 64 * 1024;
+const UPLOAD_BYTES: u64 = 64 * 1024 * 1024;
+const DEMO_UPLOAD_BYTES: u64 = 256 * 1024;
+const DEMO_ORDER_BYTES: u64 = 200;
+const DEADLINE_MS: u64 = 5_000;
+const FLOOR_SHARE: f64 = 0.5;
+const SLOTS_COUNT: u32 = 5;
+
+impl Deployment {
+    /// The deployment of this name.
+    pub fn named(name: DeploymentName) -> Deployment {
+        match name {
+            DeploymentName::Nangolo => nangolo(),
+            DeploymentName::Atlas => atlas(),
+        }
+    }
+
+    /// A mix in which every organisation uses every route.
+    pub fn mix(&self) -> Vec<LoadRequest> {
+        let mut mix = Vec::new();
+        for organisation in &self.organisations {
+            for service in &self.services {
+                for route in &service.contract.routes {
+                    mix.push(request(&organisation.organisation, service, route));
+                }
+            }
+        }
+        mix
+    }
+}
+
+/// The demonstration's key of an organisation.
+pub fn key_of(organisation: &OrganisationId) -> String {
+    format!("demo-key-of-{organisation}")
+}
+
+fn request(
+    organisation: &OrganisationId,
+    service: &DemoService,
+    route: &RouteContract,
+) -> LoadRequest {
+    let body_bytes = match route.method.as_str() {
+        "GET" => 0,
+        _ if route.body_limit_bytes > SMALL_BODY_BYTES => DEMO_UPLOAD_BYTES,
+        _ => DEMO_ORDER_BYTES,
+    };
+    LoadRequest {
+        organisation: organisation.clone(),
+        service: service.contract.service.clone(),
+        key: key_of(organisation),
+        method: route.method.clone(),
+        target: format!("{}/17", route.path_prefix),
+        body_bytes,
+        repeatable: route.repeatable,
+    }
+}
+
+fn nangolo() -> Deployment {
+    let sheets = [read("sheets")];
+    let orders = [write("orders")];
+    let scans = [upload("scans"), read("frames")];
+    Deployment {
+        domains: domains("khomas"),
+        services: vec![
+            service("fit-sheets", 6, 4, &sheets),
+            service("order-booking", 9, 8, &orders),
+            service("scans-and-status", 6, 6, &scans),
+        ],
+        organisations: organisations("optician", &["sheets", "orders", "scans", "frames"]),
+    }
+}
+
+fn atlas() -> Deployment {
+    let catalogue = [read("catalogue"), read("availability")];
+    let bookings = [write("bookings"), write("deposits")];
+    let fleet = [upload("photos"), read("tables")];
+    let routes = [
+        "catalogue",
+        "availability",
+        "bookings",
+        "deposits",
+        "photos",
+        "tables",
+    ];
+    Deployment {
+        domains: domains("casablanca"),
+        services: vec![
+            service("catalogue", 9, 6, &catalogue),
+            service("bookings-and-deposits", 12, 8, &bookings),
+            service("fleet-and-condition", 6, 6, &fleet),
+        ],
+        organisations: organisations("tenant", &routes),
+    }
+}
+
+fn read(route: &'static str) -> RouteSpec {
+    RouteSpec {
+        route,
+        method: "GET",
+        repeatable: true,
+        body_limit_bytes: 0,
+    }
+}
+
+fn write(route: &'static str) -> RouteSpec {
+    RouteSpec {
+        route,
+        method: "POST",
+        repeatable: false,
+        body_limit_bytes: SMALL_BODY_BYTES,
+    }
+}
+
+fn upload(route: &'static str) -> RouteSpec {
+    RouteSpec {
+        route,
+        method: "POST",
+        repeatable: true,
+        body_limit_bytes: UPLOAD_BYTES,
+    }
+}
+
+fn domains(place: &str) -> Vec<DomainId> {
+    (1..=3)
+        .map(|number| format!("{place}-{number}").into())
+        .collect()
+}
+
+fn service(name: &str, server_count: usize, work_ms: u64, routes: &[RouteSpec]) -> DemoService {
+    let routes = routes.iter().map(|spec| RouteContract {
+        route: spec.route.into(),
+        method: spec.method.to_owned(),
+        path_prefix: format!("/{}", spec.route),
+        repeatable: spec.repeatable,
+        deadline_ms: DEADLINE_MS,
+        body_limit_bytes: spec.body_limit_bytes,
+        ..Default::default()
+    });
+    let contract = ServiceContract {
+        service: name.into(),
+        floor_share: FLOOR_SHARE,
+        slots_count: SLOTS_COUNT,
+        routes: routes.collect(),
+    };
+    DemoService {
+        contract,
+        server_count,
+        work_ms,
+    }
+}
+
+/// Eight organisations, two of them large.
+fn organisations(name: &str, routes: &[&str]) -> Vec<OrganisationContract> {
+    let contract = |number: u32| {
+        let large = number <= LARGE_COUNT;
+        OrganisationContract {
+            organisation: format!("{name}-{number}").into(),
+            rate_per_s: if large { 400.0 } else { 100.0 },
+            burst_count: if large { 800 } else { 200 },
+            weight_share: if large { 4 } else { 1 },
+            routes: routes.iter().map(|route| (*route).into()).collect(),
+        }
+    };
+    (1..=ORGANISATION_COUNT).map(contract).collect()
+}
+
+const ORGANISATION_COUNT: u32 = 8;
+const LARGE_COUNT: u32 = 2;
--- /dev/null
+++ b/src/demo/fleet.rs
@@ -0,0 +1,221 @@
+//! Brings a deployment up on loopback and puts its contracts in force.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use attohttpc::Method;
+
+use super::deployment::{key_of, Deployment};
+use crate::clock::{epoch_ms, Clock, SystemClock};
+use crate::contract::{Change, Record};
+use crate::daemon::{self, Daemon};
+use crate::journal::client::HttpLog;
+use crate::journal::{PlatformLog, CONFIGURATION};
+use crate::settings::daemon::DaemonSettings;
+use crate::settings::front::FrontSettings;
+use crate::settings::guard::GuardSettings;
+use crate::settings::journal::JournalSettings;
+use crate::settings::link::LinkSettings;
+use crate::settings::Settings;
+use crate::standin::backend_server::{self, BackendServerOptions, RanReport};
+use crate::standin::platform_log;
+use crate::types::{new_operation_id, parse_id, DomainId, RequestId};
+use crate::wire::http::client;
+use crate::wire::proof::hash_key;
+
+/// One daemon with its backend server.
+pub struct DemoVm {
+    /// The VM's failure domain.
+    pub domain: DomainId,
+    /// The daemon.
+    pub daemon: Daemon,
+    /// The backend server's name.
+    pub server: String,
+    /// Where the backend server listens.
+    pub server_address: SocketAddr,
+}
+
+/// A fleet in this process.
+pub struct DemoFleet {
+    /// Where the platform's log listens.
+    pub log_address: SocketAddr,
+    /// The VMs.
+    pub vms: Vec<DemoVm>,
+}
+
+const WORKER_COUNT: usize = 8;
+const READY_LIMIT: Duration = Duration::from_secs(60);
+const READY_PAUSE: Duration = Duration::from_millis(50);
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const STOP_GRACE_MS: u64 = 2_000;
+
+impl DemoFleet {
+    /// Starts the platform's log, and a daemon beside each backend server.
+    pub fn start(deployment: &Deployment) -> eyre::Result<DemoFleet> {
+        let log_address = platform_log::start(any_port())?.address;
+        let mut vms = Vec::new();
+        for service in &deployment.services {
+            for number in 0..service.server_count {
+                let domain = deployment.domains[number % deployment.domains.len()].clone();
+                let server = format!("{}-{}", service.contract.service, number + 1);
+                let daemon = daemon::start(settings(&server, &domain, log_address))?;
+                let options = BackendServerOptions {
+                    server: server.as_str().into(),
+                    service: service.contract.service.clone(),
+                    address: any_port(),
+                    announce_address: daemon.announce_address,
+                    slots_count: service.contract.slots_count,
+                    work: Duration::from_millis(service.work_ms),
+                };
+                let server_address = backend_server::start(&options)?.address;
+                vms.push(DemoVm {
+                    domain,
+                    daemon,
+                    server,
+                    server_address,
+                });
+            }
+        }
+        Ok(DemoFleet { log_address, vms })
+    }
+
+    /// Where callers come in.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.daemon.front_address).collect()
+    }
+
+    /// Publishes the contracts and grants a key to each organisation.
+    pub fn publish(&self, deployment: &Deployment) -> eyre::Result<()> {
+        let settings = JournalSettings {
+            address: self.log_address,
+            ..Default::default()
+        };
+        let log = HttpLog::new(&settings);
+        for service in &deployment.services {
+            append(
+                &log,
+                Change::PublishService {
+                    contract: service.contract.clone(),
+                },
+            )?;
+        }
+        for contract in &deployment.organisations {
+            append(
+                &log,
+                Change::PublishOrganisation {
+                    contract: contract.clone(),
+                },
+            )?;
+            let key_hash = hash_key(&key_of(&contract.organisation));
+            let organisation = contract.organisation.clone();
+            append(
+                &log,
+                Change::GrantKey {
+                    organisation,
+                    key_hash,
+                },
+            )?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every entry serves every route.
+    pub fn wait_until_ready(&self, deployment: &Deployment) -> eyre::Result<()> {
+        let until = Instant::now() + READY_LIMIT;
+        let organisation = &deployment.organisations[0].organisation;
+        for front in self.fronts() {
+            for wanted in deployment.mix() {
+                if wanted.organisation != *organisation || wanted.method != "GET" {
+                    continue;
+                }
+                let url = format!("http://{front}{}", wanted.target);
+                while !answers(&url, &wanted.key) {
+                    eyre::ensure!(Instant::now() < until, "{url} does not answer");
+                    std::thread::sleep(READY_PAUSE);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Runs by request id, as the backend servers counted them.
+    pub fn runs(&self) -> eyre::Result<HashMap<RequestId, u64>> {
+        let mut runs = HashMap::new();
+        for vm in &self.vms {
+            let url = format!("http://{}/ran", vm.server_address);
+            let text = client(Method::GET, &url, CALL_TIMEOUT, CALL_TIMEOUT)
+                .send()?
+                .text()?;
+            let report: RanReport = serde_json::from_str(&text)?;
+            eyre::ensure!(report.keys_seen_count == 0, "{} saw a key", vm.server);
+            for (request, count) in report.runs {
+                *runs
+                    .entry(parse_id(&request).unwrap_or_default())
+                    .or_default() += count;
+            }
+        }
+        Ok(runs)
+    }
+
+    /// Stops every daemon, finishing what runs.
+    pub fn stop(self) {
+        let grace = Duration::from_millis(STOP_GRACE_MS);
+        std::thread::scope(|scope| {
+            for vm in self.vms {
+                scope.spawn(move || vm.daemon.stop(grace));
+            }
+        });
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn settings(daemon: &str, domain: &DomainId, log_address: SocketAddr) -> Settings {
+    Settings {
+        daemon: DaemonSettings {
+            daemon: format!("beside-{daemon}").as_str().into(),
+            domain: domain.clone(),
+            ..Default::default()
+        },
+        front: FrontSettings {
+            address: any_port(),
+            worker_count: WORKER_COUNT,
+            ..Default::default()
+        },
+        guard: GuardSettings {
+            address: any_port(),
+            announce_address: any_port(),
+            worker_count: WORKER_COUNT,
+            ..Default::default()
+        },
+        link: LinkSettings {
+            address: any_port(),
+            ..Default::default()
+        },
+        journal: JournalSettings {
+            address: log_address,
+            ..Default::default()
+        },
+        ..Default::default()
+    }
+}
+
+fn append(log: &HttpLog, change: Change) -> eyre::Result<()> {
+    let record = Record {
+        operation: new_operation_id(),
+        base: None,
+        author: "demo".to_owned(),
+        at_ms: epoch_ms(SystemClock.wall()),
+        change,
+    };
+    log.append(CONFIGURATION, &serde_json::to_string(&record)?)?;
+    Ok(())
+}
+
+fn answers(url: &str, key: &str) -> bool {
+    let request = client(Method::GET, url, CALL_TIMEOUT, CALL_TIMEOUT).bearer_auth(key);
+    request.send().is_ok_and(|response| response.is_success())
+}
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,64 @@
+//! A whole deployment in one process: the platform's log, daemons with toy backend servers in
+//! three failure domains, contracts, keys and a load of mixed requests.
+
+pub mod deployment;
+pub mod fleet;
+
+use std::time::Duration;
+
+use clap::ValueEnum;
+
+use crate::load::{duty, LoadPlan, LoadReport};
+use deployment::Deployment;
+use fleet::DemoFleet;
+
+/// Which of the two deployments to show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum DeploymentName {
+    /// Nangolo & Daughters Frame Adjusters, Windhoek.
+    Nangolo,
+    /// Atlas Table Labs, Casablanca.
+    Atlas,
+}
+
+/// What to show.
+#[derive(Debug, Clone)]
+pub struct DemoOptions {
+    /// The deployment.
+    pub deployment: DeploymentName,
+    /// Requests to send.
+    pub request_count: u64,
+    /// Seed of the mix.
+    pub seed: u64,
+}
+
+/// A demonstration that has run its load; the fleet is still up.
+pub struct Demo {
+    /// The fleet.
+    pub fleet: DemoFleet,
+    /// What became of the load.
+    pub report: LoadReport,
+}
+
+/// Brings a fleet up, sends the load and compares the answers with what the servers ran.
+pub fn run(options: &DemoOptions) -> eyre::Result<Demo> {
+    let deployment = Deployment::named(options.deployment);
+    let fleet = DemoFleet::start(&deployment)?;
+    fleet.publish(&deployment)?;
+    fleet.wait_until_ready(&deployment)?;
+    let plan = LoadPlan {
+        fronts: fleet.fronts(),
+        mix: deployment.mix(),
+        request_count: options.request_count,
+        rate_per_s: None,
+        worker_count: WORKER_COUNT,
+        deadline: DEADLINE,
+        seed: options.seed,
+    };
+    let mut report = duty::run(&plan);
+    report.compare(&fleet.runs()?);
+    Ok(Demo { fleet, report })
+}
+
+const WORKER_COUNT: usize = 32;
+const DEADLINE: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/src/load/duty.rs
@@ -0,0 +1,121 @@
+//! The threads that send requests.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{bounded, Receiver, Sender};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{LoadPlan, LoadRequest, LoadResult, Verdict};
+use super::report::LoadReport;
+use super::state::{judge, request_of};
+use crate::front::check::CALLER_DEADLINE_MS;
+use crate::wire::call::{call, Call};
+
+/// One request that is due.
+struct Due {
+    at: Instant,
+    kind_index: usize,
+    front: SocketAddr,
+}
+
+/// Sends the whole load and waits for its end.
+pub fn run(plan: &LoadPlan) -> LoadReport {
+    let started_at = Instant::now();
+    let (due_sender, due_receiver) = bounded::<Due>(plan.worker_count);
+    let (result_sender, result_receiver) = bounded::<LoadResult>(plan.worker_count);
+    std::thread::scope(|scope| {
+        for _ in 0..plan.worker_count {
+            let due = due_receiver.clone();
+            let results = result_sender.clone();
+            scope.spawn(move || work(plan, &due, &results));
+        }
+        drop((due_receiver, result_sender));
+        scope.spawn(move || pace(plan, started_at, &due_sender));
+        let mut report = LoadReport::new(plan);
+        for result in result_receiver {
+            report.add(plan, &result);
+        }
+        report.elapsed = started_at.elapsed();
+        report
+    })
+}
+
+/// Hands out requests at the plan's rate.
+fn pace(plan: &LoadPlan, started_at: Instant, due: &Sender<Due>) {
+    let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
+    for index in 0..plan.request_count {
+        let offset = plan
+            .rate_per_s
+            .map_or(0.0, |rate_per_s| index as f64 / rate_per_s);
+        let at = started_at + Duration::from_secs_f64(offset);
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        let kind_index = random.random_range(0..plan.mix.len());
+        let front = plan.fronts[index as usize % plan.fronts.len()];
+        let at = at.max(started_at);
+        if due
+            .send(Due {
+                at,
+                kind_index,
+                front,
+            })
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn work(plan: &LoadPlan, due: &Receiver<Due>, results: &Sender<LoadResult>) {
+    for job in due {
+        // With a rate the wait for a free worker counts, so that slow answers are not left out.
+        let from = if plan.rate_per_s.is_some() {
+            job.at
+        } else {
+            Instant::now()
+        };
+        let sent = &plan.mix[job.kind_index];
+        let (request, verdict) = send(plan, sent, job.front);
+        let elapsed = from.elapsed();
+        let result = LoadResult {
+            kind_index: job.kind_index,
+            request,
+            verdict,
+            elapsed,
+        };
+        if results.send(result).is_err() {
+            return;
+        }
+    }
+}
+
+fn send(plan: &LoadPlan, sent: &LoadRequest, front: SocketAddr) -> (Option<u128>, Verdict) {
+    let mut headers = vec![(
+        CALLER_DEADLINE_MS.to_owned(),
+        plan.deadline.as_millis().to_string(),
+    )];
+    if !sent.key.is_empty() {
+        headers.push(("authorization".to_owned(), format!("Bearer {}", sent.key)));
+    }
+    let result = call(Call {
+        address: front,
+        method: &sent.method,
+        target: &sent.target,
+        headers: &headers,
+        body: &mut std::io::repeat(b'x').take(sent.body_bytes),
+        body_bytes: Some(sent.body_bytes),
+        connect_timeout: plan.deadline,
+        deadline_at: Instant::now() + plan.deadline + ANSWER_GRACE,
+        answer_limit_bytes: ANSWER_LIMIT_BYTES,
+    });
+    match result {
+        Ok(answer) => (request_of(&answer), judge(sent, &answer)),
+        Err(_) => (None, Verdict::Silent),
+    }
+}
+
+/// A daemon answers by the deadline; this is for the way back.
+const ANSWER_GRACE: Duration = Duration::from_secs(2);
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,13 @@
+//! A load tool: sends a mix of requests through real sockets and checks every answer.
+
+pub mod duty;
+pub mod message;
+pub mod report;
+pub mod state;
+pub mod table;
+
+pub use message::{LoadPlan, LoadRequest, Verdict};
+pub use report::LoadReport;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/load/tests.rs
@@ -0,0 +1,124 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::message::{LoadPlan, LoadRequest, LoadResult, Verdict};
+use super::report::LoadReport;
+use super::state::judge;
+use crate::error::{ErrorKind, Ran};
+use crate::front::answer::refusal;
+use crate::types::format_id;
+use crate::wire::exchange::WholeAnswer;
+use crate::wire::forward::REQUEST;
+
+fn sent() -> LoadRequest {
+    LoadRequest {
+        organisation: "o".into(),
+        service: "s".into(),
+        key: "k".to_owned(),
+        method: "GET".to_owned(),
+        target: "/x".to_owned(),
+        body_bytes: 3,
+        repeatable: false,
+    }
+}
+
+fn answer_of(organisation: &str, id_in_body: u128) -> WholeAnswer {
+    let body = serde_json::json!({
+        "request": format_id(id_in_body),
+        "organisation": organisation,
+        "path": "/x",
+        "body_bytes": 3,
+    });
+    WholeAnswer {
+        status: 200,
+        headers: vec![(REQUEST.to_owned(), format_id(7))],
+        body: body.to_string().into_bytes(),
+    }
+}
+
+fn plan() -> LoadPlan {
+    LoadPlan {
+        fronts: Vec::new(),
+        mix: vec![sent()],
+        request_count: 0,
+        rate_per_s: None,
+        worker_count: 1,
+        deadline: Duration::from_secs(1),
+        seed: 1,
+    }
+}
+
+fn report_of(verdict: Verdict) -> LoadReport {
+    let plan = plan();
+    let mut report = LoadReport::new(&plan);
+    let result = LoadResult {
+        kind_index: 0,
+        request: Some(7),
+        verdict,
+        elapsed: Duration::ZERO,
+    };
+    report.add(&plan, &result);
+    report
+}
+
+#[test]
+fn an_answer_to_another_request_is_untrue() {
+    assert!(matches!(
+        judge(&sent(), &answer_of("o", 8)),
+        Verdict::Untrue(_)
+    ));
+}
+
+#[test]
+fn an_answer_run_for_another_organisation_is_untrue() {
+    assert!(matches!(
+        judge(&sent(), &answer_of("p", 7)),
+        Verdict::Untrue(_)
+    ));
+}
+
+#[test]
+fn the_whole_answer_to_this_request_is_true() {
+    assert_eq!(judge(&sent(), &answer_of("o", 7)), Verdict::Answered);
+}
+
+#[test]
+fn a_refusal_keeps_its_kind_and_whether_it_ran() {
+    let verdict = judge(&sent(), &refusal(7, ErrorKind::Busy, None));
+    assert_eq!(
+        verdict,
+        Verdict::Refused {
+            kind: "busy".to_owned(),
+            ran: Ran::No
+        }
+    );
+}
+
+#[test]
+fn a_run_of_a_request_refused_as_not_run_is_found() {
+    // Arrange
+    let mut report = report_of(Verdict::Refused {
+        kind: "busy".to_owned(),
+        ran: Ran::No,
+    });
+
+    // Act
+    report.compare(&HashMap::from([(7, 1)]));
+
+    // Assert
+    assert!(!report.is_true());
+}
+
+#[test]
+fn a_second_run_of_a_request_that_may_not_be_repeated_is_found() {
+    let mut report = report_of(Verdict::Answered);
+    report.compare(&HashMap::from([(7, 2)]));
+    assert!(!report.is_true());
+}
+
+#[test]
+fn one_run_of_an_answered_request_is_true() {
+    let mut report = report_of(Verdict::Answered);
+    report.compare(&HashMap::from([(7, 1)]));
+    assert!(report.is_true());
+}
--- a/src/standin/platform_log.rs
+++ b/src/standin/platform_log.rs
@@ -33,6 +33,16 @@
 struct Kept {
     faults: LogFaults,
     streams: HashMap<String, StreamKept>,
+    /// Reads that wait for a record.
+    parked: Vec<ParkedRead>,
+}
+
+struct ParkedRead {
+    request: Request,
+    stream: String,
+    from: Offset,
+    limit_count: usize,
+    until: Instant,
 }
 
 #[derive(Default)]
@@ -77,11 +87,11 @@
             }
         });
     }
+    spawn_duty("platform-log-reads", move || answer_parked(&shared));
     Ok(PlatformLogStandin { address })
 }
 
-/// Reads wait for records, so each reading daemon takes one worker a stream.
-const WORKER_COUNT: usize = 64;
+const WORKER_COUNT: usize = 8;
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
 fn answer(shared: &Shared, mut request: Request) {
@@ -158,33 +168,66 @@
 }
 
 fn read(shared: &Shared, request: Request, stream: &str, query: &str) {
-    let from = parameter(query, "from").unwrap_or(0);
-    let limit_count = parameter(query, "limit").unwrap_or(512) as usize;
     let wait = Duration::from_millis(parameter(query, "wait_ms").unwrap_or(0)).min(MAX_WAIT);
-    let until = Instant::now() + wait;
+    let read = ParkedRead {
+        request,
+        stream: stream.to_owned(),
+        from: parameter(query, "from").unwrap_or(0),
+        limit_count: parameter(query, "limit").unwrap_or(DEFAULT_LIMIT_COUNT) as usize,
+        until: Instant::now() + wait,
+    };
+    shared
+        .kept
+        .lock()
+        .expect("no panic while locked")
+        .parked
+        .push(read);
+    shared.grown.notify_all();
+}
+
+const DEFAULT_LIMIT_COUNT: u64 = 512;
+
+/// Answers each parked read once it has a record, or its time is over.
+fn answer_parked(shared: &Shared) {
     let mut kept = shared.kept.lock().expect("no panic while locked");
     loop {
-        let grown = kept
-            .streams
-            .get(stream)
-            .is_some_and(|kept| kept.next() > from);
-        let left = until.saturating_duration_since(Instant::now());
-        if grown || left.is_zero() || kept.faults.down {
-            break;
+        let now = Instant::now();
+        let mut ready = Vec::new();
+        let mut waiting = Vec::new();
+        for read in std::mem::take(&mut kept.parked) {
+            let grown = kept
+                .streams
+                .get(&read.stream)
+                .is_some_and(|kept| kept.next() > read.from);
+            let due = grown || kept.faults.down || read.until <= now;
+            if due { &mut ready } else { &mut waiting }.push(read);
+        }
+        kept.parked = waiting;
+        if !ready.is_empty() {
+            let answers: Vec<_> = ready.into_iter().map(|read| prepare(&kept, read)).collect();
+            drop(kept);
+            for (request, status, body) in answers {
+                respond(request, status, &body);
+            }
+            kept = shared.kept.lock().expect("no panic while locked");
+            continue;
         }
+        let next_at = kept.parked.iter().map(|read| read.until).min();
+        let wait = next_at.map_or(MAX_WAIT, |at| at.saturating_duration_since(now));
         kept = shared
             .grown
-            .wait_timeout(kept, left)
+            .wait_timeout(kept, wait)
             .expect("no panic while locked")
             .0;
     }
+}
+
+fn prepare(kept: &Kept, read: ParkedRead) -> (Request, u16, String) {
     if kept.faults.down {
-        drop(kept);
-        return respond(request, 503, "down");
+        return (read.request, 503, "down".to_owned());
     }
-    let answer = read_answer(kept.streams.get(stream), from, limit_count);
-    drop(kept);
-    respond(request, 200, &to_json(&answer));
+    let answer = read_answer(kept.streams.get(&read.stream), read.from, read.limit_count);
+    (read.request, 200, to_json(&answer))
 }
 
 fn read_answer(stream: Option<&StreamKept>, from: Offset, limit_count: usize) -> ReadAnswer {
