Name the events of the escrow and of ejection permits

Cause: health asks for permits and peers for tokens and promises before the escrow itself is built. Change: the ring of the allowance carries AllowanceMessage (an event, or a peer's request with its reply); AllowanceEvent gains Permit, PermitEnded, Read, Borrow, Promise, Answered, Fleet, Leave and Tick; PermitReader takes answers about permits; EscrowRecord is a record of the escrow stream. The bucket a daemon still decides; the new events do nothing yet and peers are refused. Tests: unchanged.

--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -3,9 +3,11 @@
 pub mod bucket;
 pub mod duty;
 pub mod message;
+pub mod record;
 pub mod state;
 
-pub use message::{AllowanceAction, AllowanceEvent};
+pub use message::{AllowanceAction, AllowanceEvent, AllowanceMessage, PermitReader};
+pub use record::EscrowRecord;
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/allowance/record.rs
@@ -0,0 +1,49 @@
+//! Records of the escrow stream.
+
+use serde::{Deserialize, Serialize};
+
+use crate::link::PeerName;
+use crate::types::Offset;
+
+/// Number of a seat, from 0.
+pub type SeatId = u16;
+
+/// One record of the escrow stream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum EscrowRecord {
+    /// Takes those of the seats that nobody has held yet.
+    Claim {
+        /// Who takes them.
+        holder: PeerName,
+        /// Its custodian, where this makes it a holder.
+        custodian: Option<PeerName>,
+        /// The seats.
+        seats: Vec<SeatId>,
+    },
+    /// A holder names its custodian anew.
+    Name {
+        /// The holder.
+        holder: PeerName,
+        /// Its custodian from this record on.
+        custodian: Option<PeerName>,
+    },
+    /// Moves all seats of a holder to another daemon.
+    Reclaim {
+        /// The holder that is thought dead.
+        holder: PeerName,
+        /// Offset of the record that made the custody which this one uses up.
+        custody: Offset,
+        /// Who takes the seats: the custodian, or anyone where the holder names none.
+        by: PeerName,
+    },
+    /// A holder gives seats to another daemon.
+    HandOver {
+        /// The holder.
+        holder: PeerName,
+        /// Who takes them.
+        to: PeerName,
+        /// The seats.
+        seats: Vec<SeatId>,
+    },
+}
--- a/src/allowance/state.rs
+++ b/src/allowance/state.rs
@@ -29,7 +29,7 @@
                 self.resize(now);
                 Vec::new()
             }
-            AllowanceEvent::Stop => Vec::new(),
+            _ => Vec::new(),
         }
     }
 
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -10,7 +10,8 @@
 
 use super::common::Common;
 use super::rings::Rings;
-use crate::allowance::{self, AllowanceEvent};
+use crate::allowance::message::NoPermitReader;
+use crate::allowance::{self, AllowanceMessage};
 use crate::front::{self, FrontMessage};
 use crate::ring::{ring, spawn_duty};
 use crate::routing::choice::TwoChoices;
@@ -22,7 +23,7 @@
 
 pub(super) type EntryReceivers = (
     Receiver<FrontMessage>,
-    Receiver<AllowanceEvent>,
+    Receiver<AllowanceMessage>,
     Receiver<RoutingMessage>,
 );
 
@@ -61,7 +62,9 @@
     }));
     let context = allowance::duty::AllowanceContext {
         clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
         front: rings.front.clone(),
+        permits: Box::new(NoPermitReader),
     };
     threads.push(spawn_duty("allowance", move || {
         allowance::duty::run(&context, &allowance_end)
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::allowance::AllowanceEvent;
+use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::contract::View;
 use crate::front::{FrontEvent, FrontMessage};
 use crate::journal::duty::JournalReader;
@@ -19,7 +19,7 @@
     /// The front.
     pub front: RingSender<FrontMessage>,
     /// The allowance.
-    pub allowance: RingSender<AllowanceEvent>,
+    pub allowance: RingSender<AllowanceMessage>,
     /// Routing.
     pub routing: RingSender<RoutingMessage>,
     /// Membership.
@@ -30,7 +30,8 @@
 
 impl JournalReader for Readers {
     fn view(&self, view: Arc<View>) {
-        self.allowance.deliver(AllowanceEvent::View(view.clone()));
+        self.allowance
+            .deliver(AllowanceMessage::Event(AllowanceEvent::View(view.clone())));
         self.routing
             .deliver(RoutingMessage::Event(RoutingEvent::View(view.clone())));
         self.front
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -3,7 +3,7 @@
 use crossbeam::channel::Receiver;
 
 use super::common::Common;
-use crate::allowance::AllowanceEvent;
+use crate::allowance::AllowanceMessage;
 use crate::front::FrontMessage;
 use crate::guard::GuardMessage;
 use crate::journal::JournalEvent;
@@ -15,7 +15,7 @@
 #[derive(Clone)]
 pub(super) struct Rings {
     pub(super) front: RingSender<FrontMessage>,
-    pub(super) allowance: RingSender<AllowanceEvent>,
+    pub(super) allowance: RingSender<AllowanceMessage>,
     pub(super) routing: RingSender<RoutingMessage>,
     pub(super) guard: RingSender<GuardMessage>,
     pub(super) membership: RingSender<MembershipEvent>,
@@ -25,7 +25,7 @@
 
 pub(super) struct Receivers {
     pub(super) front: Receiver<FrontMessage>,
-    pub(super) allowance: Receiver<AllowanceEvent>,
+    pub(super) allowance: Receiver<AllowanceMessage>,
     pub(super) routing: Receiver<RoutingMessage>,
     pub(super) guard: Receiver<GuardMessage>,
     pub(super) membership: Receiver<MembershipEvent>,
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -11,7 +11,7 @@
 use super::entry::start_entry;
 use super::fleet::{start_journal, start_link, start_membership, FleetAddresses};
 use super::rings::{make_rings, Receivers, Rings};
-use crate::allowance::AllowanceEvent;
+use crate::allowance::AllowanceMessage;
 use crate::clock::{epoch_ms, Clock, SystemClock};
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
@@ -115,7 +115,7 @@
             listener.close();
         }
         rings.front.deliver(FrontMessage::Stop);
-        rings.allowance.deliver(AllowanceEvent::Stop);
+        rings.allowance.deliver(AllowanceMessage::Stop);
         rings.routing.deliver(RoutingMessage::Stop);
         rings.guard.deliver(GuardMessage::Stop);
         rings.membership.deliver(MembershipEvent::Stop);
--- a/src/front/duty.rs
+++ b/src/front/duty.rs
@@ -8,7 +8,7 @@
 use super::answer::refusal;
 use super::message::{FrontAction, FrontEvent, FrontMessage, RequestHead};
 use super::state::FrontState;
-use crate::allowance::AllowanceEvent;
+use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::metrics::Metrics;
@@ -32,7 +32,7 @@
     /// Counters.
     pub metrics: Metrics,
     /// The allowance.
-    pub allowance: RingSender<AllowanceEvent>,
+    pub allowance: RingSender<AllowanceMessage>,
     /// Routing.
     pub routing: RingSender<RoutingMessage>,
     /// The threads that write answers.
@@ -72,10 +72,10 @@
         } => {
             if context
                 .allowance
-                .offer(AllowanceEvent::Take {
+                .offer(AllowanceMessage::Event(AllowanceEvent::Take {
                     request,
                     organisation,
-                })
+                }))
                 .is_err()
             {
                 refuse(context, held, request, ErrorKind::Busy, None);
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::health::ServerSummary;
@@ -12,7 +13,7 @@
 };
 
 /// One life of a daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PeerName {
     /// The daemon.
     pub daemon: DaemonId,
