Check every change on replay, share what a view did not change

A record is void when a field of its contract is impossible; the check reads the record alone, so every reader agrees. A withdrawal holds on any base. All failure domains are one object, so of two operators who take out different ones at once only one succeeds. The offset at which a domain came back is in the view. The memory of operations is bounded; an older repetition has a stale base. Routes are found by one probe for each prefix length instead of a scan.

--- a/src/contract/message.rs
+++ b/src/contract/message.rs
@@ -1,5 +1,9 @@
 //! Records of the configuration stream, and what the view answers.
 
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, RouteId, ServiceId};
@@ -164,6 +168,72 @@
     Invalid,
 }
 
+/// What a change is about. Versions are kept for each object.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum ObjectId {
+    /// An organisation's contract.
+    Organisation(OrganisationId),
+    /// A service's contract.
+    Service(ServiceId),
+    /// A key.
+    Key(KeyHash),
+    /// All failure domains together, so that of two racing operators only one takes one out.
+    Domains,
+}
+
+impl ObjectId {
+    /// The object of a change.
+    pub fn of(change: &Change) -> ObjectId {
+        match change {
+            Change::PublishOrganisation { contract } => {
+                ObjectId::Organisation(contract.organisation.clone())
+            }
+            Change::PublishService { contract } => ObjectId::Service(contract.service.clone()),
+            Change::GrantKey { key_hash, .. } | Change::WithdrawKey { key_hash } => {
+                ObjectId::Key(*key_hash)
+            }
+            Change::DomainOut { .. } | Change::DomainIn { .. } => ObjectId::Domains,
+        }
+    }
+}
+
+impl fmt::Display for ObjectId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ObjectId::Organisation(id) => write!(f, "organisation/{id}"),
+            ObjectId::Service(id) => write!(f, "service/{id}"),
+            ObjectId::Key(key_hash) => write!(f, "key/{}", short_hash(key_hash)),
+            ObjectId::Domains => f.write_str("domains"),
+        }
+    }
+}
+
+/// The first 16 hexadecimal digits of a key's hash, by which people know it.
+pub fn short_hash(key_hash: &KeyHash) -> String {
+    crate::wire::hex::encode(&key_hash[..8])
+}
+
+/// What an object holds before or after a change.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ObjectState {
+    /// Nothing.
+    Absent,
+    /// An organisation's contract.
+    Organisation(Arc<OrganisationContract>),
+    /// A service's contract.
+    Service(Arc<ServiceContract>),
+    /// A key.
+    Key {
+        /// The organisation that it was granted to.
+        organisation: OrganisationId,
+        /// Whether it is withdrawn.
+        withdrawn: bool,
+    },
+    /// The failure domains that are out of service.
+    Domains(BTreeSet<DomainId>),
+}
+
 /// What the view knows of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyAnswer {
--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -4,11 +4,15 @@
 //! the same records and comes to the same view. It has no thread; the journal duty owns the view
 //! and hands out snapshots.
 
+pub mod check;
 pub mod message;
+pub mod routes;
 pub mod state;
 
+pub use check::{check_change, ContractError};
 pub use message::{
-    Change, KeyAnswer, OrganisationContract, Record, RouteContract, ServiceContract, Verdict,
+    short_hash, Change, KeyAnswer, ObjectId, ObjectState, OrganisationContract, Record,
+    RouteContract, ServiceContract, Verdict,
 };
 pub use state::View;
 
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -1,14 +1,20 @@
 //! The view and the rule by which a record changes it.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use imbl::{HashMap, HashSet, Vector};
+
+use super::check::check_change;
 use super::message::{
-    Change, KeyAnswer, OrganisationContract, Record, RouteContract, ServiceContract, Verdict,
+    Change, KeyAnswer, ObjectId, ObjectState, OrganisationContract, Record, ServiceContract,
+    Verdict,
 };
+pub use super::routes::RouteAnswer;
+use super::routes::RouteIndex;
 use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, ServiceId};
 
-/// What one prefix of the configuration stream puts in force.
+/// What one prefix of the configuration stream puts in force. A clone shares what did not change.
 #[derive(Debug, Clone, Default)]
 pub struct View {
     /// Offset after the last record applied. Never falls.
@@ -19,16 +25,36 @@
     pub services: HashMap<ServiceId, Arc<ServiceContract>>,
     /// Failure domains that are out of service.
     pub domains_out: BTreeSet<DomainId>,
-    keys: HashMap<KeyHash, KeyState>,
-    versions: HashMap<String, Offset>,
-    operations: HashSet<OperationId>,
+    /// Offset at which a failure domain last came back into service. A guard that sees the
+    /// offset of its own domain grow holds the backend servers beside it for cold.
+    pub domains_back: BTreeMap<DomainId, Offset>,
+    /// Keys withdrawn without the log. Not part of the prefix; only leaves when the log has them.
+    pub tombstones: HashSet<KeyHash>,
+    pub(super) keys: HashMap<KeyHash, KeyState>,
+    /// Offset of the record that last changed an organisation.
+    pub(super) organisation_versions: HashMap<OrganisationId, Offset>,
+    /// Offset of the record that last changed a service.
+    pub(super) service_versions: HashMap<ServiceId, Offset>,
+    /// Offset of the record that last changed any failure domain.
+    pub(super) domains_version: Option<Offset>,
+    /// The newest operations, oldest first; never longer than `OPERATION_LIMIT_COUNT`.
+    pub(super) operations: Vector<OperationId>,
+    /// The same operations, for lookups.
+    pub(super) operations_seen: HashSet<OperationId>,
+    pub(super) routes: RouteIndex,
 }
 
-#[derive(Debug, Clone)]
-struct KeyState {
-    organisation: OrganisationId,
+/// Operations remembered. An older repetition is still void: its base is stale by then.
+pub const OPERATION_LIMIT_COUNT: usize = 1_024;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct KeyState {
+    /// Empty when the key was withdrawn before it was granted.
+    pub(super) organisation: OrganisationId,
+    /// Offset of the record that last changed the key.
+    pub(super) version: Offset,
     /// Only ever turns from false to true.
-    withdrawn: bool,
+    pub(super) withdrawn: bool,
 }
 
 impl View {
@@ -38,114 +64,180 @@
             return Verdict::Repeated;
         }
         self.next = offset + 1;
-        if !self.operations.insert(record.operation) {
+        if !self.remember(record.operation) {
             return Verdict::Repeated;
         }
-        let object = object_of(&record.change);
-        if self.versions.get(&object).copied() != record.base {
+        if !check_change(&record.change).is_empty() {
+            return Verdict::Invalid;
+        }
+        if !self.base_holds(record) {
             return Verdict::StaleBase;
         }
-        self.versions.insert(object, offset);
-        self.change(&record.change);
+        self.change(offset, &record.change);
         Verdict::Accepted
     }
 
+    /// Notes that every record below `next` was read.
+    pub fn read_up_to(&mut self, next: Offset) {
+        self.next = self.next.max(next);
+    }
+
+    /// Withdraws a key without the log. Says whether that is new.
+    pub fn bury(&mut self, key_hash: KeyHash) -> bool {
+        if self.is_withdrawn(&key_hash) {
+            return false;
+        }
+        self.tombstones.insert(key_hash).is_none()
+    }
+
     /// Offset of the record that last changed the object of this change.
     pub fn base_of(&self, change: &Change) -> Option<Offset> {
-        self.versions.get(&object_of(change)).copied()
+        self.version(&ObjectId::of(change))
+    }
+
+    /// Offset of the record that last changed an object.
+    pub fn version(&self, object: &ObjectId) -> Option<Offset> {
+        match object {
+            ObjectId::Organisation(id) => self.organisation_versions.get(id).copied(),
+            ObjectId::Service(id) => self.service_versions.get(id).copied(),
+            ObjectId::Key(key_hash) => self.keys.get(key_hash).map(|state| state.version),
+            ObjectId::Domains => self.domains_version,
+        }
+    }
+
+    /// What an object holds now.
+    pub fn object(&self, object: &ObjectId) -> ObjectState {
+        match object {
+            ObjectId::Organisation(id) => match self.organisations.get(id) {
+                Some(contract) => ObjectState::Organisation(contract.clone()),
+                None => ObjectState::Absent,
+            },
+            ObjectId::Service(id) => match self.services.get(id) {
+                Some(contract) => ObjectState::Service(contract.clone()),
+                None => ObjectState::Absent,
+            },
+            ObjectId::Key(key_hash) => match self.keys.get(key_hash) {
+                Some(state) => ObjectState::Key {
+                    organisation: state.organisation.clone(),
+                    withdrawn: state.withdrawn,
+                },
+                None => ObjectState::Absent,
+            },
+            ObjectId::Domains => ObjectState::Domains(self.domains_out.clone()),
+        }
     }
 
     /// What is known of a key.
     pub fn key(&self, key_hash: &KeyHash) -> KeyAnswer {
+        if self.is_withdrawn(key_hash) {
+            return KeyAnswer::Withdrawn;
+        }
         match self.keys.get(key_hash) {
             None => KeyAnswer::Unknown,
-            Some(state) if state.withdrawn => KeyAnswer::Withdrawn,
             Some(state) => KeyAnswer::Granted(state.organisation.clone()),
         }
     }
 
+    /// Every key that the log knows, with its organisation and whether it is withdrawn.
+    pub fn keys(&self) -> impl Iterator<Item = (&KeyHash, &OrganisationId, bool)> {
+        self.keys
+            .iter()
+            .map(|(key_hash, state)| (key_hash, &state.organisation, self.is_withdrawn(key_hash)))
+    }
+
+    /// Whether a key is withdrawn, by the log or without it.
+    pub fn is_withdrawn(&self, key_hash: &KeyHash) -> bool {
+        let by_log = self.keys.get(key_hash).is_some_and(|state| state.withdrawn);
+        by_log || self.tombstones.contains(key_hash)
+    }
+
     /// The route with the longest path prefix that takes this method and path.
     pub fn route(&self, method: &str, path: &str) -> RouteAnswer<'_> {
-        let mut best = RouteAnswer::Unknown;
-        let mut best_length = 0;
-        for service in self.services.values() {
-            for route in &service.routes {
-                if !path.starts_with(&route.path_prefix) {
-                    continue;
-                }
-                if route.method != method {
-                    if matches!(best, RouteAnswer::Unknown) {
-                        best = RouteAnswer::OtherMethod;
-                    }
-                    continue;
-                }
-                if route.path_prefix.len() < best_length {
-                    continue;
-                }
-                best_length = route.path_prefix.len();
-                best = RouteAnswer::Found(service, route);
+        self.routes.find(&self.services, method, path)
+    }
+
+    fn remember(&mut self, operation: OperationId) -> bool {
+        if self.operations_seen.insert(operation).is_some() {
+            return false;
+        }
+        self.operations.push_back(operation);
+        if self.operations.len() > OPERATION_LIMIT_COUNT {
+            if let Some(oldest) = self.operations.pop_front() {
+                self.operations_seen.remove(&oldest);
             }
         }
-        best
+        true
     }
 
-    fn change(&mut self, change: &Change) {
+    /// A withdrawal holds on any base: it only grows, so it can't undo another change.
+    fn base_holds(&self, record: &Record) -> bool {
+        match &record.change {
+            Change::WithdrawKey { .. } => true,
+            Change::GrantKey { key_hash, .. } => {
+                record.base.is_none() && !self.keys.contains_key(key_hash)
+            }
+            change => self.base_of(change) == record.base,
+        }
+    }
+
+    fn change(&mut self, offset: Offset, change: &Change) {
         match change {
             Change::PublishOrganisation { contract } => {
-                self.organisations
-                    .insert(contract.organisation.clone(), Arc::new(contract.clone()));
-            }
-            Change::PublishService { contract } => {
-                self.services
-                    .insert(contract.service.clone(), Arc::new(contract.clone()));
+                let id = contract.organisation.clone();
+                self.organisation_versions.insert(id.clone(), offset);
+                self.organisations.insert(id, Arc::new(contract.clone()));
             }
+            Change::PublishService { contract } => self.change_service(offset, contract),
             Change::GrantKey {
                 organisation,
                 key_hash,
             } => {
                 let state = KeyState {
-                    organisation: organisation.clone(),
+                    organisation: self.shared_name(organisation),
+                    version: offset,
                     withdrawn: false,
                 };
-                self.keys.entry(*key_hash).or_insert(state);
-            }
-            Change::WithdrawKey { key_hash } => {
-                if let Some(state) = self.keys.get_mut(key_hash) {
-                    state.withdrawn = true;
-                }
+                self.keys.insert(*key_hash, state);
             }
+            Change::WithdrawKey { key_hash } => self.withdraw(offset, key_hash),
             Change::DomainOut { domain, .. } => {
+                self.domains_version = Some(offset);
                 self.domains_out.insert(domain.clone());
             }
             Change::DomainIn { domain } => {
-                self.domains_out.remove(domain);
+                self.domains_version = Some(offset);
+                if self.domains_out.remove(domain) {
+                    self.domains_back.insert(domain.clone(), offset);
+                }
             }
         }
     }
-}
 
-/// What the view knows of a method and path.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum RouteAnswer<'a> {
-    /// The service and route.
-    Found(&'a Arc<ServiceContract>, &'a RouteContract),
-    /// The path is known with another method only.
-    OtherMethod,
-    /// No route.
-    Unknown,
-}
+    fn change_service(&mut self, offset: Offset, contract: &ServiceContract) {
+        let id = contract.service.clone();
+        self.service_versions.insert(id.clone(), offset);
+        self.routes
+            .add_in_place_of(self.services.get(&id), contract);
+        self.services.insert(id, Arc::new(contract.clone()));
+    }
 
-fn object_of(change: &Change) -> String {
-    match change {
-        Change::PublishOrganisation { contract } => {
-            format!("organisation/{}", contract.organisation)
-        }
-        Change::PublishService { contract } => format!("service/{}", contract.service),
-        Change::GrantKey { key_hash, .. } | Change::WithdrawKey { key_hash } => {
-            format!("key/{}", crate::wire::hex::encode(key_hash))
-        }
-        Change::DomainOut { domain, .. } | Change::DomainIn { domain } => {
-            format!("domain/{domain}")
+    fn withdraw(&mut self, offset: Offset, key_hash: &KeyHash) {
+        self.tombstones.remove(key_hash);
+        let state = self.keys.entry(*key_hash).or_insert_with(|| KeyState {
+            organisation: "".into(),
+            version: offset,
+            withdrawn: false,
+        });
+        if !state.withdrawn {
+            state.withdrawn = true;
+            state.version = offset;
         }
     }
+
+    /// The organisation's name as its contract holds it, so that many keys share one text.
+    fn shared_name(&self, organisation: &OrganisationId) -> OrganisationId {
+        self.organisations
+            .get(organisation)
+            .map_or_else(|| organisation.clone(), |held| held.organisation.clone())
+    }
 }
--- a/src/contract/tests.rs
+++ b/src/contract/tests.rs
@@ -1,3 +1,4 @@
+use super::state::RouteAnswer;
 use super::*;
 use crate::types::Offset;
 
@@ -62,3 +63,192 @@
     // Assert
     assert_eq!(view.key(&key_hash), KeyAnswer::Withdrawn);
 }
+
+#[test]
+fn a_bad_contract_is_refused_whole_and_every_field_is_named() {
+    // Arrange
+    let mut view = View::default();
+    let contract = OrganisationContract {
+        organisation: "o".into(),
+        rate_per_s: -1.0,
+        burst_count: 0,
+        ..Default::default()
+    };
+    let change = Change::PublishOrganisation { contract };
+
+    // Act
+    let errors: Vec<String> = check_change(&change)
+        .iter()
+        .map(ContractError::to_string)
+        .collect();
+    let verdict = view.apply(0, &record(1, None, change));
+
+    // Assert
+    assert_eq!(
+        errors,
+        [
+            "organisation/o.rate_per_s: -1 must be above 0 and at most 10000000",
+            "organisation/o.burst_count: 0 must be from 1 to 100000000",
+        ]
+    );
+    assert_eq!(verdict, Verdict::Invalid);
+    assert!(view.organisations.is_empty());
+}
+
+#[test]
+fn of_two_operators_who_take_out_different_domains_one_is_refused() {
+    // Arrange
+    let mut view = View::default();
+    let out = |domain: &str| Change::DomainOut {
+        domain: domain.into(),
+        override_floor: false,
+    };
+
+    // Act
+    let first = view.apply(0, &record(1, None, out("north")));
+    let second = view.apply(1, &record(2, None, out("south")));
+
+    // Assert
+    assert_eq!((first, second), (Verdict::Accepted, Verdict::StaleBase));
+    assert_eq!(view.domains_out.len(), 1);
+}
+
+#[test]
+fn a_domain_that_comes_back_names_the_offset() {
+    // Arrange
+    let mut view = View::default();
+    let domain: crate::types::DomainId = "north".into();
+    let out = Change::DomainOut {
+        domain: domain.clone(),
+        override_floor: false,
+    };
+    let back = Change::DomainIn {
+        domain: domain.clone(),
+    };
+
+    // Act
+    view.apply(0, &record(1, None, out));
+    view.apply(1, &record(2, Some(0), back));
+
+    // Assert
+    assert!(view.domains_out.is_empty());
+    assert_eq!(view.domains_back[&domain], 1);
+}
+
+#[test]
+fn a_withdrawal_holds_on_any_base_and_before_its_grant() {
+    // Arrange
+    let mut view = View::default();
+    let key_hash = [9; 32];
+    let grant = Change::GrantKey {
+        organisation: "o".into(),
+        key_hash,
+    };
+
+    // Act
+    view.apply(0, &record(1, Some(77), Change::WithdrawKey { key_hash }));
+    let late_grant = view.apply(1, &record(2, None, grant));
+
+    // Assert
+    assert_eq!(late_grant, Verdict::StaleBase);
+    assert_eq!(view.key(&key_hash), KeyAnswer::Withdrawn);
+}
+
+#[test]
+fn a_key_withdrawn_without_the_log_stays_withdrawn_when_the_log_grants_it() {
+    // Arrange
+    let mut view = View::default();
+    let key_hash = [9; 32];
+    view.bury(key_hash);
+
+    // Act
+    let change = Change::GrantKey {
+        organisation: "o".into(),
+        key_hash,
+    };
+    view.apply(0, &record(1, None, change));
+
+    // Assert
+    assert_eq!(view.key(&key_hash), KeyAnswer::Withdrawn);
+}
+
+#[test]
+fn a_forgotten_operation_that_comes_again_is_still_void() {
+    // Arrange
+    let mut view = View::default();
+    view.apply(0, &record(0, None, publish(1.0)));
+    for offset in 1..=(state::OPERATION_LIMIT_COUNT as u64 + 1) {
+        view.apply(
+            offset,
+            &record(u128::from(offset), Some(offset - 1), publish(2.0)),
+        );
+    }
+
+    // Act
+    let verdict = view.apply(9_999, &record(0, None, publish(1.0)));
+
+    // Assert
+    assert_eq!(verdict, Verdict::StaleBase);
+    assert_eq!(view.organisations["o"].rate_per_s, 2.0);
+}
+
+fn service(service: &str, routes: &[(&str, &str)]) -> Change {
+    let route = |(method, path_prefix): &(&str, &str)| RouteContract {
+        route: format!("{method}{}", path_prefix.replace('/', "."))
+            .as_str()
+            .into(),
+        method: (*method).to_owned(),
+        path_prefix: (*path_prefix).to_owned(),
+        ..Default::default()
+    };
+    let contract = ServiceContract {
+        service: service.into(),
+        routes: routes.iter().map(route).collect(),
+        ..Default::default()
+    };
+    Change::PublishService { contract }
+}
+
+fn found(view: &View, method: &str, path: &str) -> String {
+    match view.route(method, path) {
+        RouteAnswer::Found(service, route) => format!("{} {}", service.service, route.path_prefix),
+        RouteAnswer::OtherMethod => "other method".to_owned(),
+        RouteAnswer::Unknown => "unknown".to_owned(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_that_takes_the_method_wins() {
+    // Arrange
+    let mut view = View::default();
+    let wide = service("wide", &[("GET", "/"), ("POST", "/orders")]);
+    view.apply(0, &record(1, None, wide));
+    view.apply(
+        1,
+        &record(2, None, service("deep", &[("GET", "/orders/new")])),
+    );
+
+    // Act and assert
+    assert_eq!(found(&view, "GET", "/orders/new/7"), "deep /orders/new");
+    assert_eq!(found(&view, "POST", "/orders/new/7"), "wide /orders");
+    assert_eq!(found(&view, "GET", "/orders"), "wide /");
+    assert_eq!(found(&view, "PUT", "/orders"), "other method");
+    assert_eq!(found(&view, "PUT", "other"), "unknown");
+}
+
+#[test]
+fn routes_of_a_replaced_contract_are_gone() {
+    // Arrange
+    let mut view = View::default();
+    view.apply(
+        0,
+        &record(1, None, service("s", &[("GET", "/a"), ("GET", "/b")])),
+    );
+
+    // Act
+    view.apply(1, &record(2, Some(0), service("s", &[("GET", "/b")])));
+
+    // Assert
+    assert_eq!(found(&view, "GET", "/a"), "unknown");
+    assert_eq!(found(&view, "GET", "/b"), "s /b");
+}
