Replay the escrow stream: seats, custody and hand-overs

Cause: rate and burst over the whole fleet need one holder a shard, agreed without a coordination service. Change: the ledger is a pure function of the escrow stream; each record names the offset that it is based on, so a record appended twice or late is void. Buckets lend, and hold their cap down until loans lapse. A view keeps the shard count with which an organisation began (View.shard_counts, to be kept in checkpoints), so that daemons which read different versions of a contract never add up to more than the greatest of them.

--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -1,17 +1,32 @@
-//! A token bucket.
+//! A token bucket that also lends.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Tokens that grow with time up to a burst.
-#[derive(Debug, Clone)]
+/// Tokens that grow with time up to a burst, of which some are lent.
+#[derive(Debug, Clone, PartialEq)]
 pub struct Bucket {
     rate_per_s: f64,
     burst_count: f64,
-    /// Never above `burst_count`.
+    /// Together with `lent_count` never above `burst_count`, except for loans older than a
+    /// fall of the burst.
     token_count: f64,
     filled_at: Instant,
+    /// Loans by the time at which they have surely lapsed, soonest first.
+    lent: VecDeque<Lent>,
+    /// Sum of `lent`.
+    lent_count: u32,
 }
 
+#[derive(Debug, Clone, PartialEq)]
+struct Lent {
+    count: u32,
+    lapsed_at: Instant,
+}
+
+/// Loans that lapse within this share of a loan's life of each other are kept as one.
+const LENT_STEPS: u32 = 8;
+
 impl Bucket {
     /// A bucket with nothing in it.
     pub fn empty(now: Instant, rate_per_s: f64, burst_count: f64) -> Bucket {
@@ -20,6 +35,8 @@
             burst_count,
             token_count: 0.0,
             filled_at: now,
+            lent: VecDeque::new(),
+            lent_count: 0,
         }
     }
 
@@ -34,30 +51,107 @@
     /// Takes tokens, or says after which time they may be there.
     pub fn take(&mut self, now: Instant, count: f64) -> Result<(), Duration> {
         self.fill(now);
-        if self.token_count >= count {
-            self.token_count -= count;
+        if self.token_count + ROUNDING >= count {
+            self.token_count = (self.token_count - count).max(0.0);
             return Ok(());
         }
+        Err(self.wait_for(now, count))
+    }
+
+    /// Lends at most `count` whole tokens until `lapsed_at` at the latest.
+    pub fn lend(&mut self, now: Instant, count: u32, lapsed_at: Instant) -> u32 {
+        self.fill(now);
+        let whole = (self.token_count + ROUNDING).floor().max(0.0) as u32;
+        let count = whole.min(count);
+        if count == 0 {
+            return 0;
+        }
+        self.token_count = (self.token_count - f64::from(count)).max(0.0);
+        self.lent_count += count;
+        let step = lapsed_at.saturating_duration_since(now) / LENT_STEPS;
+        match self.lent.back_mut() {
+            Some(last) if last.lapsed_at + step >= lapsed_at => {
+                last.count += count;
+                last.lapsed_at = last.lapsed_at.max(lapsed_at);
+            }
+            _ => self.lent.push_back(Lent { count, lapsed_at }),
+        }
+        count
+    }
+
+    /// How long a loan may live so that loans in use do not hold the rate down.
+    pub fn loan_time(&self, longest: Duration) -> Duration {
         if self.rate_per_s <= 0.0 {
-            return Err(Duration::MAX);
+            return longest;
+        }
+        let turnover = Duration::try_from_secs_f64(self.burst_count / self.rate_per_s / 2.0);
+        turnover.unwrap_or(longest).clamp(SHORTEST_LOAN, longest)
+    }
+
+    /// When a whole token may be there.
+    pub fn wait_for(&self, now: Instant, count: f64) -> Duration {
+        if self.burst_count < count || self.rate_per_s <= 0.0 {
+            return NEVER;
+        }
+        let room = self.burst_count - f64::from(self.lent_count);
+        let grows = (count - self.token_count).max(0.0) / self.rate_per_s;
+        let grows = Duration::try_from_secs_f64(grows).unwrap_or(NEVER);
+        if room + ROUNDING >= count {
+            return grows.min(NEVER);
         }
-        Err(Duration::from_secs_f64(
-            (count - self.token_count) / self.rate_per_s,
-        ))
+        let lapses = self.lent.front().map_or(Duration::ZERO, |lent| {
+            lent.lapsed_at.saturating_duration_since(now)
+        });
+        grows.max(lapses).min(NEVER)
     }
 
     /// Changes rate and burst from now on; what is above the new burst is lost.
     pub fn resize(&mut self, now: Instant, rate_per_s: f64, burst_count: f64) {
+        if self.rate_per_s == rate_per_s && self.burst_count == burst_count {
+            return;
+        }
         self.fill(now);
         self.rate_per_s = rate_per_s;
         self.burst_count = burst_count;
-        self.token_count = self.token_count.min(burst_count);
+        self.cap();
+    }
+
+    /// Whether it is filled to its burst with nothing lent.
+    pub fn is_full(&mut self, now: Instant) -> bool {
+        self.fill(now);
+        self.lent_count == 0 && self.token_count >= self.burst_count
     }
 
+    /// Grows step by step, since each loan holds the cap down until it has lapsed.
     fn fill(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.filled_at);
-        self.filled_at = self.filled_at.max(now);
-        let grown = self.token_count + self.rate_per_s * elapsed.as_secs_f64();
-        self.token_count = grown.min(self.burst_count);
+        while let Some(first) = self.lent.front() {
+            if first.lapsed_at > now {
+                break;
+            }
+            let lapsed_at = first.lapsed_at;
+            let count = first.count;
+            self.grow(lapsed_at);
+            self.lent.pop_front();
+            self.lent_count -= count;
+        }
+        self.grow(now);
+    }
+
+    fn grow(&mut self, until: Instant) {
+        let elapsed = until.saturating_duration_since(self.filled_at);
+        self.filled_at = self.filled_at.max(until);
+        self.token_count += self.rate_per_s * elapsed.as_secs_f64();
+        self.cap();
+    }
+
+    fn cap(&mut self) {
+        let room = (self.burst_count - f64::from(self.lent_count)).max(0.0);
+        self.token_count = self.token_count.min(room);
     }
 }
+
+/// Error of floating-point sums, far below one token.
+const ROUNDING: f64 = 1e-9;
+const SHORTEST_LOAN: Duration = Duration::from_millis(20);
+/// A wait that stands for "not under this contract".
+pub const NEVER: Duration = Duration::from_secs(3600);
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -8,8 +8,9 @@
 /// Number of a seat, from 0.
 pub type SeatId = u16;
 
-/// One record of the escrow stream.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+/// One record of the escrow stream. Each names what it is based on, so that a record that is
+/// appended twice or late changes nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum EscrowRecord {
     /// Takes those of the seats that nobody has held yet.
@@ -25,6 +26,8 @@
     Name {
         /// The holder.
         holder: PeerName,
+        /// Offset of the record that made the custody which this one ends.
+        custody: Offset,
         /// Its custodian from this record on.
         custodian: Option<PeerName>,
     },
@@ -32,7 +35,7 @@
     Reclaim {
         /// The holder that is thought dead.
         holder: PeerName,
-        /// Offset of the record that made the custody which this one uses up.
+        /// Offset of the record that made the custody which this one ends.
         custody: Offset,
         /// Who takes the seats: the custodian, or anyone where the holder names none.
         by: PeerName,
@@ -41,6 +44,8 @@
     HandOver {
         /// The holder.
         holder: PeerName,
+        /// Offset up to which the holder had read; seats that it got later stay.
+        next: Offset,
         /// Who takes them.
         to: PeerName,
         /// The seats.
--- /dev/null
+++ b/src/allowance/seat.rs
@@ -0,0 +1,154 @@
+//! Which seats an organisation's shards use, and which daemon a seat belongs to by preference.
+
+use smallvec::SmallVec;
+
+use super::record::SeatId;
+use crate::contract::OrganisationContract;
+use crate::link::PeerName;
+use crate::types::DomainId;
+
+/// Most shards of one organisation or service.
+pub const SHARD_COUNT: SeatId = 3;
+/// Seats of a fleet. The number of daemons that hold seats is never greater.
+pub const SEAT_COUNT: SeatId = 512 * SHARD_COUNT;
+/// A burst below this stays in one shard.
+const SHARDED_BURST_COUNT: u32 = 2 * SHARD_COUNT as u32;
+
+/// Number of a shard within its organisation, from 0.
+pub type ShardIndex = u8;
+
+/// How many shards a contract is cut into when its organisation first appears.
+///
+/// An organisation keeps that number for good. Daemons that read different versions of its
+/// contract then each give a shard the same part of theirs, and the parts add up to no more than
+/// the greatest of the versions.
+pub fn shard_count(contract: &OrganisationContract) -> ShardIndex {
+    if contract.burst_count < SHARDED_BURST_COUNT {
+        1
+    } else {
+        SHARD_COUNT as ShardIndex
+    }
+}
+
+/// Rate and burst of one shard of a contract that is cut into `shard_count` shards.
+pub fn share(
+    contract: &OrganisationContract,
+    shard_count: ShardIndex,
+    shard: ShardIndex,
+) -> (f64, f64) {
+    let shards = u32::from(shard_count);
+    let burst_count = (contract.burst_count + shards - 1 - u32::from(shard)) / shards;
+    let rate_per_s = contract.rate_per_s / f64::from(shards);
+    (rate_per_s, f64::from(burst_count))
+}
+
+/// The seats of the shards of a name, one a shard, each of another class.
+pub fn seats_of(name: &str, shard_count: ShardIndex, seat_count: SeatId) -> SmallVec<[SeatId; 3]> {
+    let hash = hash_of(&[name.as_bytes()]);
+    let group_count = (seat_count / SHARD_COUNT).max(1);
+    let group = (hash % u64::from(group_count)) as SeatId;
+    let turn = (hash >> 32) as SeatId % SHARD_COUNT;
+    (0..SeatId::from(shard_count))
+        .map(|shard| (group * SHARD_COUNT + (turn + shard) % SHARD_COUNT) % seat_count)
+        .collect()
+}
+
+/// A daemon that may hold seats.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The daemon's life.
+    pub name: PeerName,
+    /// Its failure domain.
+    pub domain: DomainId,
+}
+
+/// The daemons that may hold seats, in the order of their names.
+#[derive(Debug, Clone, Default)]
+pub struct Candidates {
+    all: Vec<(Candidate, u64)>,
+    domains: Vec<DomainId>,
+}
+
+impl Candidates {
+    /// Candidates of a fleet.
+    pub fn new(all: Vec<Candidate>) -> Candidates {
+        let mut domains: Vec<DomainId> = all.iter().map(|c| c.domain.clone()).collect();
+        domains.sort();
+        domains.dedup();
+        let index_of = |domain: &DomainId| domains.binary_search(domain).unwrap_or(0) as u64;
+        let all = all
+            .into_iter()
+            .map(|candidate| {
+                let index = index_of(&candidate.domain);
+                (candidate, index)
+            })
+            .collect();
+        Candidates { all, domains }
+    }
+
+    /// All candidates.
+    pub fn iter(&self) -> impl Iterator<Item = &Candidate> {
+        self.all.iter().map(|(candidate, _)| candidate)
+    }
+
+    /// The daemon that a seat belongs to by preference.
+    pub fn preferred(&self, seat: SeatId) -> Option<&Candidate> {
+        let score = |(candidate, domain): &&(Candidate, u64)| self.score(seat, candidate, *domain);
+        let best = self.all.iter().min_by_key(score)?;
+        Some(&best.0)
+    }
+
+    /// How many candidates a seat prefers to this one.
+    pub fn rank(&self, seat: SeatId, own: &PeerName) -> usize {
+        let mine = self.all.iter().find(|(c, _)| c.name == *own);
+        let Some((candidate, domain)) = mine else {
+            return self.all.len();
+        };
+        let mine = self.score(seat, candidate, *domain);
+        self.all
+            .iter()
+            .filter(|(c, domain)| self.score(seat, c, *domain) < mine)
+            .count()
+    }
+
+    /// A custodian for a holder: in another failure domain where there is one.
+    pub fn custodian_for(
+        &self,
+        own: &Candidate,
+        usable: impl Fn(&PeerName) -> bool,
+    ) -> Option<PeerName> {
+        let own_name = own.name.daemon.as_bytes();
+        let score = |c: &&Candidate| {
+            let hash = hash_of(&[own_name, c.name.daemon.as_bytes()]);
+            (c.domain == own.domain, hash)
+        };
+        self.iter()
+            .filter(|c| c.name.daemon != own.name.daemon && usable(&c.name))
+            .min_by_key(score)
+            .map(|c| c.name.clone())
+    }
+
+    /// Seats of one group prefer different failure domains; within one, the hash decides.
+    fn score(&self, seat: SeatId, candidate: &Candidate, domain: u64) -> (u64, u64) {
+        let domain_count = self.domains.len().max(1) as u64;
+        let turn = u64::from(seat / SHARD_COUNT) + u64::from(seat % SHARD_COUNT);
+        let distance = (domain + domain_count - turn % domain_count) % domain_count;
+        let hash = hash_of(&[&seat.to_be_bytes(), candidate.name.daemon.as_bytes()]);
+        (distance, hash)
+    }
+}
+
+/// FNV-1a with a final mix. The same on every daemon and in every release.
+fn hash_of(parts: &[&[u8]]) -> u64 {
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for part in parts {
+        for byte in part.iter().chain(&[0xff]) {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+        }
+    }
+    hash ^= hash >> 30;
+    hash = hash.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash ^= hash >> 27;
+    hash = hash.wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- a/src/allowance/tests.rs
+++ b/src/allowance/tests.rs
@@ -2,6 +2,9 @@
 
 use super::bucket::Bucket;
 
+mod ledger;
+mod seats;
+
 #[test]
 fn a_bucket_gives_its_burst_and_then_its_rate() {
     // Arrange
@@ -23,3 +26,25 @@
     let mut bucket = Bucket::empty(start, 2.0, 3.0);
     assert_eq!(bucket.take(start, 1.0), Err(Duration::from_millis(500)));
 }
+
+#[test]
+fn tokens_lent_and_tokens_held_never_pass_the_burst() {
+    // Arrange
+    let start = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut bucket = Bucket::full(start, 100.0, 10.0);
+
+    // Act
+    let lent = bucket.lend(start, 8, start + second);
+    let before = (0..20).filter(|_| {
+        bucket
+            .take(start + second - Duration::from_millis(1), 1.0)
+            .is_ok()
+    });
+    let before = before.count();
+    let after = (0..20).filter(|_| bucket.take(start + second * 2, 1.0).is_ok());
+    let after = after.count();
+
+    // Assert
+    assert_eq!((lent, before, after), (8, 2, 10));
+}
--- /dev/null
+++ b/src/allowance/tests/ledger.rs
@@ -0,0 +1,145 @@
+use crate::allowance::record::EscrowRecord;
+use crate::allowance::replay::{Ledger, Moved};
+use crate::link::PeerName;
+
+fn peer(name: &str) -> PeerName {
+    PeerName {
+        daemon: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn claim(holder: &str, custodian: &str) -> EscrowRecord {
+    EscrowRecord::Claim {
+        holder: peer(holder),
+        custodian: Some(peer(custodian)),
+        seats: vec![0, 1],
+    }
+}
+
+fn name(holder: &str, custody: u64, custodian: &str) -> EscrowRecord {
+    EscrowRecord::Name {
+        holder: peer(holder),
+        custody,
+        custodian: Some(peer(custodian)),
+    }
+}
+
+fn reclaim(holder: &str, custody: u64, by: &str) -> EscrowRecord {
+    EscrowRecord::Reclaim {
+        holder: peer(holder),
+        custody,
+        by: peer(by),
+    }
+}
+
+fn hand_over(holder: &str, next: u64, to: &str) -> EscrowRecord {
+    EscrowRecord::HandOver {
+        holder: peer(holder),
+        next,
+        to: peer(to),
+        seats: vec![0],
+    }
+}
+
+fn replay(records: &[EscrowRecord]) -> (Ledger, Vec<usize>) {
+    let mut ledger = Ledger::new(2);
+    let mut moves = Vec::new();
+    for (offset, record) in records.iter().enumerate() {
+        moves.push(ledger.apply(offset as u64, record).len());
+    }
+    (ledger, moves)
+}
+
+#[test]
+fn the_first_claim_of_a_seat_holds() {
+    let (ledger, moves) = replay(&[claim("a", "b"), claim("b", "a")]);
+    assert_eq!(moves, [2, 0]);
+    assert_eq!(ledger.holder_of(0), Some(&peer("a")));
+    assert_eq!(ledger.holders().len(), 1);
+}
+
+#[test]
+fn only_the_custodian_of_that_offset_reclaims() {
+    // Arrange
+    let records = [
+        claim("a", "b"),
+        reclaim("a", 0, "c"),
+        name("a", 0, "c"),
+        reclaim("a", 0, "b"),
+        reclaim("a", 2, "b"),
+        reclaim("a", 2, "c"),
+    ];
+
+    // Act
+    let (ledger, moves) = replay(&records);
+
+    // Assert
+    assert_eq!(moves, [2, 0, 0, 0, 0, 2]);
+    assert_eq!(ledger.holder_of(1), Some(&peer("c")));
+}
+
+#[test]
+fn a_custodian_named_twice_by_one_record_is_named_once() {
+    let records = [
+        claim("a", "b"),
+        name("a", 0, "c"),
+        name("a", 1, "b"),
+        name("a", 0, "c"),
+    ];
+    let (ledger, _) = replay(&records);
+    assert_eq!(ledger.holders()[&peer("a")].custodian, Some(peer("b")));
+}
+
+#[test]
+fn custody_is_not_inherited() {
+    let records = [
+        claim("a", "b"),
+        EscrowRecord::Claim {
+            holder: peer("b"),
+            custodian: Some(peer("c")),
+            seats: vec![1],
+        },
+        reclaim("a", 0, "c"),
+    ];
+    let (_, moves) = replay(&records);
+    assert_eq!(moves, [2, 0, 0]);
+}
+
+#[test]
+fn a_hand_over_appended_twice_does_not_take_a_seat_that_came_back() {
+    // Arrange
+    let records = [
+        claim("a", "b"),
+        hand_over("a", 1, "b"),
+        hand_over("b", 2, "a"),
+        hand_over("a", 1, "b"),
+    ];
+
+    // Act
+    let (ledger, moves) = replay(&records);
+
+    // Assert
+    assert_eq!(moves, [2, 1, 1, 0]);
+    assert_eq!(ledger.holder_of(0), Some(&peer("a")));
+}
+
+#[test]
+fn a_reclaim_of_a_holder_without_custodian_is_open_to_all() {
+    // Arrange
+    let open = EscrowRecord::Claim {
+        holder: peer("a"),
+        custodian: None,
+        seats: vec![0, 1],
+    };
+    let mut ledger = Ledger::new(2);
+    ledger.apply(0, &open);
+
+    // Act
+    let moves = ledger.apply(1, &reclaim("a", 0, "d"));
+
+    // Assert
+    assert!(moves.iter().all(|moved| moved.moved == Moved::Reclaimed));
+    assert_eq!(moves.len(), 2);
+    assert_eq!(ledger.holders()[&peer("d")].custodian, None);
+}
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -12,6 +12,7 @@
 };
 pub use super::routes::RouteAnswer;
 use super::routes::RouteIndex;
+use crate::allowance::seat::{shard_count, ShardIndex};
 use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, ServiceId};
 
 /// What one prefix of the configuration stream puts in force. A clone shares what did not change.
@@ -21,6 +22,8 @@
     pub next: Offset,
     /// Contracts of organisations.
     pub organisations: HashMap<OrganisationId, Arc<OrganisationContract>>,
+    /// Shard counts of organisations whose contract alone would give another one today.
+    pub shard_counts: BTreeMap<OrganisationId, ShardIndex>,
     /// Contracts of services.
     pub services: HashMap<ServiceId, Arc<ServiceContract>>,
     /// Failure domains that are out of service.
@@ -184,6 +187,7 @@
         match change {
             Change::PublishOrganisation { contract } => {
                 let id = contract.organisation.clone();
+                self.keep_shard_count(contract);
                 self.organisation_versions.insert(id.clone(), offset);
                 self.organisations.insert(id, Arc::new(contract.clone()));
             }
@@ -213,6 +217,25 @@
         }
     }
 
+    /// Into how many shards the allowance of an organisation is cut, for as long as it exists.
+    pub fn shard_count(&self, contract: &OrganisationContract) -> ShardIndex {
+        let kept = self.shard_counts.get(&contract.organisation);
+        kept.copied().unwrap_or_else(|| shard_count(contract))
+    }
+
+    fn keep_shard_count(&mut self, contract: &OrganisationContract) {
+        let Some(before) = self.organisations.get(&contract.organisation) else {
+            return;
+        };
+        let kept = self.shard_count(before);
+        if kept == shard_count(contract) {
+            self.shard_counts.remove(&contract.organisation);
+        } else {
+            self.shard_counts
+                .insert(contract.organisation.clone(), kept);
+        }
+    }
+
     fn change_service(&mut self, offset: Offset, contract: &ServiceContract) {
         let id = contract.service.clone();
         self.service_versions.insert(id.clone(), offset);
--- a/src/contract/tests.rs
+++ b/src/contract/tests.rs
@@ -252,3 +252,29 @@
     assert_eq!(found(&view, "GET", "/a"), "unknown");
     assert_eq!(found(&view, "GET", "/b"), "s /b");
 }
+
+#[test]
+fn an_organisation_keeps_its_shard_count_when_its_burst_changes() {
+    // Arrange
+    let burst = |burst_count| {
+        let contract = OrganisationContract {
+            organisation: "o".into(),
+            burst_count,
+            ..Default::default()
+        };
+        Change::PublishOrganisation { contract }
+    };
+    let mut view = View::default();
+    view.apply(0, &record(1, None, burst(100)));
+    let before = view.shard_count(&view.organisations["o"]);
+
+    // Act
+    view.apply(1, &record(2, Some(0), burst(1)));
+    let small = view.shard_count(&view.organisations["o"]);
+    view.apply(2, &record(3, Some(1), burst(50)));
+    let large = view.shard_count(&view.organisations["o"]);
+
+    // Assert
+    assert_eq!((before, small, large), (3, 3, 3));
+    assert!(view.shard_counts.is_empty());
+}
