--- a/src/daemon/beside.rs
+++ b/src/daemon/beside.rs
@@ -4,7 +4,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use crossbeam::channel::Receiver;
+use crossbeam::channel::{Receiver, Sender};
 
 use super::common::Common;
 use super::entry::{start_answers, ACCEPT_THREAD_COUNT};
@@ -18,10 +18,12 @@
     rings: &Rings,
     listener: &Arc<HttpListener>,
     messages: Receiver<GuardMessage>,
+    drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &common.settings;
     let (starts, starts_end) = ring("start", settings.guard.ring_count, &common.metrics);
     let (answers, answers_end) = ring("refuse", settings.guard.ring_count, &common.metrics);
+    let (cancels, cancels_end) = ring("cancel", CANCEL_RING_COUNT, &common.metrics);
     let mut threads = Vec::new();
     for index in 0..ACCEPT_THREAD_COUNT {
         let context = guard::accept::AcceptContext {
@@ -37,11 +39,16 @@
     }
     let context = guard::duty::GuardContext {
         settings: settings.guard.clone(),
+        daemon: settings.daemon.daemon.clone(),
+        incarnation: common.incarnation,
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
         starts,
+        cancels,
         answers,
         membership: rings.membership.clone(),
+        link: rings.link.clone(),
+        drained,
     };
     threads.push(spawn_duty("guard", move || {
         guard::duty::run(&context, &messages)
@@ -59,10 +66,16 @@
             guard::forward::run(&context, &jobs)
         }));
     }
+    let metrics = common.metrics.clone();
+    threads.push(spawn_duty("cancel", move || {
+        guard::cancel::run(&metrics, &cancels_end)
+    }));
     threads.extend(start_answers("refuse", &answers_end));
     threads
 }
 
+const CANCEL_RING_COUNT: usize = 256;
+
 pub(super) fn start_announce(rings: &Rings, listener: &Arc<HttpListener>) -> JoinHandle<()> {
     let listener = listener.clone();
     let guard = rings.guard.clone();
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -11,6 +11,7 @@
 use super::peers::PeerDispatch;
 use super::readers::Readers;
 use super::rings::Rings;
+use crate::guard::GuardMessage;
 use crate::journal::client::HttpLog;
 use crate::journal::{self, JournalEvent, MEMBERS};
 use crate::link::{self, LinkMessage, PeerName};
@@ -47,6 +48,8 @@
     let routing = rings.routing.clone();
     let link = rings.link.clone();
     let metrics = common.metrics.clone();
+    let guard = rings.guard.clone();
+    let fleet_metrics = common.metrics.clone();
     let context = membership::duty::MembershipContext {
         clock: common.clock.clone(),
         publish: Box::new(move |entry| {
@@ -63,7 +66,10 @@
         }),
         changed: Box::new(move |fleet| {
             routing.deliver(RoutingMessage::Event(RoutingEvent::Fleet(fleet.clone())));
-            link.deliver(LinkMessage::Fleet(fleet));
+            link.deliver(LinkMessage::Fleet(fleet.clone()));
+            if guard.offer(GuardMessage::Fleet(fleet)).is_err() {
+                fleet_metrics.count("guard.fleet.missed");
+            }
         }),
     };
     spawn_duty("membership", move || {
@@ -82,6 +88,8 @@
         allowance: rings.allowance.clone(),
         routing: rings.routing.clone(),
         membership: rings.membership.clone(),
+        guard: rings.guard.clone(),
+        domain: common.settings.daemon.domain.clone(),
         metrics: common.metrics.clone(),
     };
     let context = journal::duty::JournalContext {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,7 +1,8 @@
 //! Hands peers' requests to the duties that answer them.
 
 use super::rings::Rings;
-use crate::link::{LinkError, PeerHandler, PeerName, PeerReply, PeerRequest};
+use crate::guard::{GuardEvent, GuardMessage};
+use crate::link::{LinkError, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest};
 
 /// Knows which duty answers which request.
 pub(super) struct PeerDispatch {
@@ -10,7 +11,23 @@
 
 impl PeerHandler for PeerDispatch {
     fn handle(&self, from: &PeerName, request: PeerRequest, reply: PeerReply) {
-        let _ = (&self.rings, from, request);
-        reply(Err(LinkError::Refused));
+        let guard = |event| match self.rings.guard.offer(GuardMessage::Event(event)) {
+            Ok(()) => Ok(PeerAnswer::Done),
+            Err(_) => Err(LinkError::Refused),
+        };
+        match request {
+            PeerRequest::Fence(request) => {
+                let message = GuardMessage::Fence { request, reply };
+                if let Err(GuardMessage::Fence { reply, .. }) = self.rings.guard.offer(message) {
+                    reply(Err(LinkError::Refused));
+                }
+            }
+            PeerRequest::Cancel(request) => reply(guard(GuardEvent::Cancel(request))),
+            PeerRequest::Poison(reports) => {
+                let from = from.daemon.clone();
+                reply(guard(GuardEvent::Poison { from, reports }));
+            }
+            _ => reply(Err(LinkError::Refused)),
+        }
     }
 }
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -6,12 +6,14 @@
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::contract::View;
 use crate::front::{FrontEvent, FrontMessage};
+use crate::guard::{GuardEvent, GuardMessage};
 use crate::journal::duty::JournalReader;
 use crate::journal::{LogRecord, Stream, MEMBERS};
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::routing::{RoutingEvent, RoutingMessage};
+use crate::types::DomainId;
 use crate::types::Offset;
 
 /// Everything that reads views.
@@ -24,12 +26,19 @@
     pub routing: RingSender<RoutingMessage>,
     /// Membership.
     pub membership: RingSender<MembershipEvent>,
+    /// The guard.
+    pub guard: RingSender<GuardMessage>,
+    /// The failure domain of this VM.
+    pub domain: DomainId,
     /// Counters.
     pub metrics: Metrics,
 }
 
 impl JournalReader for Readers {
     fn view(&self, view: Arc<View>) {
+        let out = view.domains_out.contains(&self.domain);
+        self.guard
+            .deliver(GuardMessage::Event(GuardEvent::Domain { out }));
         self.allowance
             .deliver(AllowanceMessage::Event(AllowanceEvent::View(view.clone())));
         self.routing
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -71,6 +71,7 @@
         guard: guard_listener.address(),
         link: link_address,
     };
+    let (drained, _guard_drained) = crossbeam::channel::bounded(1);
     let mut threads = Vec::new();
     threads.extend(start_entry(
         &common,
@@ -78,7 +79,13 @@
         &front_listener,
         (front, allowance, routing),
     ));
-    threads.extend(start_guard(&common, &rings, &guard_listener, guard));
+    threads.extend(start_guard(
+        &common,
+        &rings,
+        &guard_listener,
+        guard,
+        drained,
+    ));
     threads.push(start_announce(&rings, &announce_listener));
     threads.push(start_membership(&common, &rings, addresses, membership));
     threads.extend(start_journal(&common, &rings, journal, &stopping));
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -1,6 +1,6 @@
 //! The threads that call backend servers and write their answers.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,9 @@
 pub trait BackendClient: Send + Sync {
     /// Runs the request and gives the whole answer.
     fn call(&self, request: Call<'_>) -> Result<WholeAnswer, CallError>;
+
+    /// Whether the server takes connections; no only if it refuses one.
+    fn is_up(&self, address: SocketAddr) -> bool;
 }
 
 /// Backend servers over HTTP.
@@ -43,8 +46,17 @@
     fn call(&self, request: Call<'_>) -> Result<WholeAnswer, CallError> {
         call(request)
     }
+
+    fn is_up(&self, address: SocketAddr) -> bool {
+        match TcpStream::connect_timeout(&address, UP_TIMEOUT) {
+            Ok(_) => true,
+            Err(error) => error.kind() != std::io::ErrorKind::ConnectionRefused,
+        }
+    }
 }
 
+const UP_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// What the threads need of the world.
 #[derive(Clone)]
 pub struct ForwardContext {
@@ -65,6 +77,7 @@
         let result = start(context, &mut job);
         let outcome = match &result {
             Ok(answer) => ServerOutcome::Answered(answer.status),
+            Err(CallError::Broken) if !context.backend.is_up(job.address) => ServerOutcome::Died,
             Err(error) => ServerOutcome::Failed(*error),
         };
         let request = job.head.request;
@@ -72,12 +85,15 @@
         context
             .guard
             .deliver(GuardMessage::Event(GuardEvent::Finished {
-                request,
+                key: (request, job.head.attempt),
                 outcome,
                 elapsed,
             }));
         job.exchange.answer(match result {
             Ok(answer) => served(&job.head, answer),
+            Err(_) if outcome == ServerOutcome::Died => {
+                refusal(request, ErrorKind::ServerDied, None)
+            }
             Err(error) => refusal(request, kind_of(error), None),
         });
     }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -1,13 +1,20 @@
 //! Events and actions of the guard.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use crate::error::ErrorKind;
+use crate::link::message::PoisonReport;
+use crate::link::{FenceAnswer, FenceRequest, PeerReply};
+use crate::membership::Fleet;
 use crate::membership::ServerEntry;
-use crate::types::{BackendServerId, OrganisationId, RequestId, RouteId, ServiceId};
+use crate::types::{
+    Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, OrganisationId, RequestId,
+    RouteId, ServiceId,
+};
 use crate::wire::call::CallError;
 use crate::wire::exchange::{Exchange, RawHead};
 use crate::wire::forward::ForwardHead;
@@ -52,11 +59,18 @@
     }
 }
 
+/// One attempt at a request.
+pub type AttemptKey = (RequestId, Attempt);
+
 /// A request as the guard decides on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GuardRequest {
     /// The request.
     pub request: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The life of the guard that the entry means.
+    pub incarnation: Incarnation,
     /// The organisation.
     pub organisation: OrganisationId,
     /// Its share under overload.
@@ -67,10 +81,21 @@
     pub server: BackendServerId,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether a person waits for the answer.
+    pub foreground: bool,
+    /// Tells equal requests.
+    pub fingerprint: Fingerprint,
     /// When its answer must be there.
     pub deadline_at: Instant,
 }
 
+impl GuardRequest {
+    /// The attempt that it is.
+    pub fn key(&self) -> AttemptKey {
+        (self.request, self.attempt)
+    }
+}
+
 /// How a call to a backend server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerOutcome {
@@ -78,6 +103,8 @@
     Answered(u16),
     /// No whole answer.
     Failed(CallError),
+    /// The connection broke, and the server takes no new one.
+    Died,
 }
 
 /// What happens to the guard.
@@ -87,8 +114,8 @@
     Arrived(GuardRequest),
     /// A call to a server ended.
     Finished {
-        /// The request.
-        request: RequestId,
+        /// The attempt.
+        key: AttemptKey,
         /// How.
         outcome: ServerOutcome,
         /// How long it took.
@@ -98,6 +125,22 @@
     Announced(Announcement),
     /// A backend server withdrew its announcement.
     Withdrawn(BackendServerId),
+    /// Whether this VM's failure domain is out of service.
+    Domain {
+        /// Out, or back in.
+        out: bool,
+    },
+    /// An entry that lost this guard asks to keep a request from starting.
+    Fence(FenceRequest),
+    /// The caller left; the request may end.
+    Cancel(RequestId),
+    /// Another guard saw servers die.
+    Poison {
+        /// Its daemon.
+        from: DaemonId,
+        /// What it saw.
+        reports: Vec<PoisonReport>,
+    },
     /// The time asked for has come.
     Tick,
     /// The daemon takes no new work.
@@ -117,6 +160,15 @@
         /// When it arrived.
         arrived_at: Instant,
     },
+    /// A peer's request to fence, with who waits for the answer.
+    Fence {
+        /// The request.
+        request: FenceRequest,
+        /// Takes the answer.
+        reply: PeerReply,
+    },
+    /// Where other daemons are.
+    Fleet(Arc<Fleet>),
     /// Any other event.
     Event(GuardEvent),
     /// The duty ends.
@@ -128,18 +180,38 @@
 pub enum GuardAction {
     /// Calls the server.
     Start {
-        /// The request.
-        request: RequestId,
+        /// The attempt.
+        key: AttemptKey,
         /// The server's address.
         address: SocketAddr,
     },
-    /// Refuses the request; it did not run.
+    /// Refuses the request; the kind says whether it may have run.
     Refuse {
-        /// The request.
-        request: RequestId,
+        /// The attempt.
+        key: AttemptKey,
         /// Why.
         kind: ErrorKind,
+        /// When to try again, where known.
+        retry_after: Option<Duration>,
+    },
+    /// Answers the fence that was asked for.
+    FenceAnswered(FenceAnswer),
+    /// Tells a server that nobody waits for a request any more.
+    CancelServer {
+        /// The request.
+        request: RequestId,
+        /// The server's address.
+        address: SocketAddr,
+    },
+    /// Tells the other guards of a service of deaths.
+    Report {
+        /// The service.
+        service: ServiceId,
+        /// The deaths.
+        reports: Vec<PoisonReport>,
     },
+    /// After `Drain`: nothing runs or waits any more.
+    Drained,
     /// Tells membership of the servers on this VM.
     Servers(Vec<ServerEntry>),
 }
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -2,12 +2,22 @@
 
 pub mod accept;
 pub mod announce;
+pub mod cancel;
+pub mod cold;
+mod deaths;
+mod drain;
 pub mod duty;
 pub mod forward;
 pub mod message;
+pub mod poison;
+pub mod queue;
+mod server;
+pub mod started;
 pub mod state;
+pub mod times;
+mod withdraw;
 
-pub use message::{Announcement, GuardAction, GuardEvent, GuardMessage};
+pub use message::{Announcement, AttemptKey, GuardAction, GuardEvent, GuardMessage};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/guard/poison.rs
@@ -0,0 +1,115 @@
+//! Requests that were running when servers died.
+//!
+//! A request is refused for a time after two distinct deaths, seen here or reported
+//! by other guards, with no answer to an equal request in between.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use crate::link::message::PoisonReport;
+use crate::types::{BackendServerId, DaemonId, Fingerprint};
+
+/// Fingerprints that are kept at most.
+const RECORD_LIMIT_COUNT: usize = 1024;
+
+/// One death: the server, and which of its lives ended.
+pub type DeathId = (BackendServerId, u64);
+
+/// What is known of requests that may kill servers.
+pub struct PoisonRecord {
+    suspects: HashMap<Fingerprint, Suspect>,
+    hold: Duration,
+    death_count: u32,
+}
+
+struct Suspect {
+    /// Deaths seen here while the request ran, each once.
+    deaths: SmallVec<[DeathId; 2]>,
+    /// Deaths that other guards report, the latest word of each.
+    reported: SmallVec<[(DaemonId, u32); 2]>,
+    lapses_at: Instant,
+}
+
+impl PoisonRecord {
+    /// An empty record that refuses after `death_count` deaths, for `hold`.
+    pub fn new(hold: Duration, death_count: u32) -> PoisonRecord {
+        PoisonRecord {
+            suspects: HashMap::new(),
+            hold,
+            death_count,
+        }
+    }
+
+    /// Whether the request must be refused, and for how long yet.
+    pub fn refused_for(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Duration> {
+        let suspect = self.suspects.get(fingerprint)?;
+        let left = suspect.lapses_at.checked_duration_since(now)?;
+        (suspect.total_count() >= self.death_count && !left.is_zero()).then_some(left)
+    }
+
+    /// A server died while the request ran. Gives the word for the other guards.
+    pub fn died(&mut self, now: Instant, death: DeathId, fingerprint: Fingerprint) -> PoisonReport {
+        let lapses_at = now + self.hold;
+        let suspect = self.suspect(now, fingerprint);
+        suspect.lapses_at = lapses_at;
+        if !suspect.deaths.contains(&death) {
+            suspect.deaths.push(death);
+        }
+        let death_count = suspect.deaths.len() as u32;
+        PoisonReport {
+            fingerprint,
+            death_count,
+            holds_for: self.hold,
+        }
+    }
+
+    /// Another guard reports deaths.
+    pub fn reported(&mut self, now: Instant, from: &DaemonId, report: &PoisonReport) {
+        let lapses_at = now + report.holds_for.min(self.hold);
+        let suspect = self.suspect(now, report.fingerprint);
+        suspect.lapses_at = suspect.lapses_at.max(lapses_at);
+        suspect.reported.retain(|(daemon, _)| daemon != from);
+        suspect.reported.push((from.clone(), report.death_count));
+    }
+
+    /// A server answered an equal request, so the request kills none.
+    pub fn survived(&mut self, fingerprint: &Fingerprint) {
+        self.suspects.remove(fingerprint);
+    }
+
+    /// Forgets what has lapsed.
+    pub fn lapse(&mut self, now: Instant) {
+        self.suspects.retain(|_, suspect| suspect.lapses_at > now);
+    }
+
+    fn suspect(&mut self, now: Instant, fingerprint: Fingerprint) -> &mut Suspect {
+        if self.suspects.len() >= RECORD_LIMIT_COUNT && !self.suspects.contains_key(&fingerprint) {
+            self.drop_soonest();
+        }
+        self.suspects.entry(fingerprint).or_insert(Suspect {
+            deaths: SmallVec::new(),
+            reported: SmallVec::new(),
+            lapses_at: now,
+        })
+    }
+
+    fn drop_soonest(&mut self) {
+        let soonest = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, suspect)| suspect.lapses_at)
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(fingerprint) = soonest {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
+
+impl Suspect {
+    fn total_count(&self) -> u32 {
+        let reported: u32 = self.reported.iter().map(|(_, count)| count).sum();
+        self.deaths.len() as u32 + reported
+    }
+}
--- /dev/null
+++ b/src/guard/queue.rs
@@ -0,0 +1,265 @@
+//! The fair queue of one backend server: deficit round robin over organisations in two lanes.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Instant;
+
+use super::message::{AttemptKey, GuardRequest};
+use crate::types::OrganisationId;
+
+/// Foreground requests taken in a row while background requests wait.
+const FOREGROUND_RUN_COUNT: u32 = 7;
+/// What one request costs of a deficit.
+const REQUEST_COST: u64 = 1;
+
+/// Requests that wait for a slot of one server.
+pub struct FairQueue {
+    limit_count: usize,
+    /// Never above `limit_count`.
+    length_count: usize,
+    foreground: Lane,
+    background: Lane,
+    /// Foreground requests taken since the last background one.
+    foreground_run_count: u32,
+}
+
+impl FairQueue {
+    /// An empty queue for at most `limit_count` requests.
+    pub fn new(limit_count: usize) -> FairQueue {
+        FairQueue {
+            limit_count,
+            length_count: 0,
+            foreground: Lane::default(),
+            background: Lane::default(),
+            foreground_run_count: 0,
+        }
+    }
+
+    /// How many requests wait.
+    pub fn len(&self) -> usize {
+        self.length_count
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.length_count == 0
+    }
+
+    /// Adds a request. A full queue sheds the newest request of the organisation that holds the
+    /// most for its weight, which may be the one that came.
+    pub fn push(&mut self, request: GuardRequest) -> Option<GuardRequest> {
+        self.lane(request.foreground).push(request);
+        self.length_count += 1;
+        if self.length_count <= self.limit_count {
+            return None;
+        }
+        let over_share = self.most_over_share()?;
+        let shed = self
+            .background
+            .pop_newest(&over_share)
+            .or_else(|| self.foreground.pop_newest(&over_share));
+        self.length_count -= usize::from(shed.is_some());
+        shed
+    }
+
+    /// Takes the next request.
+    pub fn pop(&mut self) -> Option<GuardRequest> {
+        let background_due = self.foreground_run_count >= FOREGROUND_RUN_COUNT;
+        let from_background =
+            self.foreground.is_empty() || (background_due && !self.background.is_empty());
+        let taken = self.lane(!from_background).pop()?;
+        self.length_count -= 1;
+        self.foreground_run_count = if from_background {
+            0
+        } else {
+            self.foreground_run_count.saturating_add(1)
+        };
+        Some(taken)
+    }
+
+    /// Takes a request out of turn.
+    pub fn remove(&mut self, key: AttemptKey) -> Option<GuardRequest> {
+        let removed = self
+            .foreground
+            .remove_where(|request| request.key() == key)
+            .or_else(|| self.background.remove_where(|request| request.key() == key));
+        self.length_count -= usize::from(removed.is_some());
+        removed
+    }
+
+    /// Takes one request whose deadline has come.
+    pub fn pop_expired(&mut self, now: Instant) -> Option<GuardRequest> {
+        let removed = self
+            .foreground
+            .remove_where(|request| request.deadline_at <= now)
+            .or_else(|| {
+                self.background
+                    .remove_where(|request| request.deadline_at <= now)
+            });
+        self.length_count -= usize::from(removed.is_some());
+        removed
+    }
+
+    /// The earliest deadline of those that wait.
+    pub fn next_deadline_at(&self) -> Option<Instant> {
+        let lanes = [&self.foreground, &self.background];
+        lanes
+            .iter()
+            .flat_map(|lane| lane.requests())
+            .map(|request| request.deadline_at)
+            .min()
+    }
+
+    /// How many requests would start before this one.
+    pub fn ahead_count(&self, request: &GuardRequest) -> usize {
+        if request.foreground {
+            let ahead = self.foreground.ahead_count(request);
+            let background = ahead / FOREGROUND_RUN_COUNT as usize;
+            return ahead + background.min(self.background.len());
+        }
+        let ahead = self.background.ahead_count(request);
+        let foreground = (ahead + 1) * FOREGROUND_RUN_COUNT as usize;
+        ahead + foreground.min(self.foreground.len())
+    }
+
+    fn lane(&mut self, foreground: bool) -> &mut Lane {
+        if foreground {
+            &mut self.foreground
+        } else {
+            &mut self.background
+        }
+    }
+
+    fn most_over_share(&self) -> Option<OrganisationId> {
+        let mut most: Option<(f64, &OrganisationId)> = None;
+        for (organisation, queue) in self.foreground.queues.iter().chain(&self.background.queues) {
+            let count =
+                self.foreground.held_by(organisation) + self.background.held_by(organisation);
+            let share = count as f64 / f64::from(queue.weight_share);
+            let greater = most.is_none_or(|(most_share, name)| {
+                share > most_share || (share == most_share && organisation > name)
+            });
+            if greater {
+                most = Some((share, organisation));
+            }
+        }
+        most.map(|(_, organisation)| organisation.clone())
+    }
+}
+
+/// Deficit round robin over organisations.
+#[derive(Default)]
+struct Lane {
+    queues: HashMap<OrganisationId, OrganisationQueue>,
+    /// Every organisation with a request, once; the head has its turn.
+    ring: VecDeque<OrganisationId>,
+}
+
+struct OrganisationQueue {
+    /// Never empty.
+    requests: VecDeque<GuardRequest>,
+    /// At least 1.
+    weight_share: u32,
+    /// What is left of the present turn; below one weight plus the cost of a request.
+    deficit: u64,
+}
+
+impl Lane {
+    fn is_empty(&self) -> bool {
+        self.ring.is_empty()
+    }
+
+    fn len(&self) -> usize {
+        self.queues.values().map(|queue| queue.requests.len()).sum()
+    }
+
+    fn held_by(&self, organisation: &OrganisationId) -> usize {
+        let queue = self.queues.get(organisation);
+        queue.map_or(0, |queue| queue.requests.len())
+    }
+
+    fn requests(&self) -> impl Iterator<Item = &GuardRequest> {
+        self.queues.values().flat_map(|queue| &queue.requests)
+    }
+
+    fn push(&mut self, request: GuardRequest) {
+        let organisation = request.organisation.clone();
+        let weight_share = request.weight_share.max(1);
+        if let Some(queue) = self.queues.get_mut(&organisation) {
+            queue.weight_share = weight_share;
+            queue.requests.push_back(request);
+            return;
+        }
+        let queue = OrganisationQueue {
+            requests: VecDeque::from([request]),
+            weight_share,
+            deficit: 0,
+        };
+        self.queues.insert(organisation.clone(), queue);
+        self.ring.push_back(organisation);
+    }
+
+    fn pop(&mut self) -> Option<GuardRequest> {
+        let organisation = self.ring.front()?.clone();
+        let queue = self.queues.get_mut(&organisation)?;
+        if queue.deficit < REQUEST_COST {
+            queue.deficit += u64::from(queue.weight_share);
+        }
+        queue.deficit -= REQUEST_COST;
+        let taken = queue.requests.pop_front();
+        let turn_over = queue.deficit < REQUEST_COST;
+        if queue.requests.is_empty() {
+            self.forget(&organisation);
+        } else if turn_over {
+            self.ring.rotate_left(1);
+        }
+        taken
+    }
+
+    fn pop_newest(&mut self, organisation: &OrganisationId) -> Option<GuardRequest> {
+        let queue = self.queues.get_mut(organisation)?;
+        let newest = queue.requests.pop_back();
+        if queue.requests.is_empty() {
+            self.forget(organisation);
+        }
+        newest
+    }
+
+    fn remove_where<F>(&mut self, matches: F) -> Option<GuardRequest>
+    where
+        F: Fn(&GuardRequest) -> bool,
+    {
+        for organisation in self.ring.clone() {
+            let Some(queue) = self.queues.get_mut(&organisation) else {
+                continue;
+            };
+            let Some(place) = queue.requests.iter().position(&matches) else {
+                continue;
+            };
+            let removed = queue.requests.remove(place);
+            if queue.requests.is_empty() {
+                self.forget(&organisation);
+            }
+            return removed;
+        }
+        None
+    }
+
+    fn ahead_count(&self, request: &GuardRequest) -> usize {
+        let own = self.held_by(&request.organisation);
+        let turns = (own as f64 + 1.0) / f64::from(request.weight_share.max(1));
+        let mut ahead = own;
+        for (organisation, queue) in &self.queues {
+            if *organisation == request.organisation {
+                continue;
+            }
+            let share = (turns * f64::from(queue.weight_share)).ceil() as usize;
+            ahead += share.min(queue.requests.len());
+        }
+        ahead
+    }
+
+    fn forget(&mut self, organisation: &OrganisationId) {
+        self.queues.remove(organisation);
+        self.ring.retain(|name| name != organisation);
+    }
+}
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -1,198 +1,309 @@
 //! Decisions of the guard: which request starts, waits or is refused.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use super::message::{Announcement, GuardAction, GuardEvent, GuardRequest};
+use super::deaths::{BrokenCall, DeathWatch};
+use super::message::{
+    Announcement, AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome,
+};
+use super::server::ServerState;
+use super::started::StartedRecord;
 use crate::error::ErrorKind;
-use crate::membership::{ServerEntry, FULL_SHARE_PERMILLE};
+use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
-use crate::types::{BackendServerId, RequestId};
+use crate::types::{BackendServerId, Incarnation};
+use crate::wire::call::CallError;
 
 /// State of the guard.
 pub struct GuardState {
-    settings: GuardSettings,
-    servers: BTreeMap<BackendServerId, ServerState>,
-    /// The server of each request that runs.
-    running: HashMap<RequestId, BackendServerId>,
-    draining: bool,
-}
-
-struct ServerState {
-    announcement: Announcement,
-    renewed_at: Instant,
-    /// Never above the slots of the announcement.
-    running_count: u32,
-    /// Never longer than the settings' queue.
-    queue: VecDeque<GuardRequest>,
+    pub(super) settings: GuardSettings,
+    /// This life. Requests and fences meant for another are not taken.
+    pub(super) incarnation: Incarnation,
+    pub(super) servers: BTreeMap<BackendServerId, ServerState>,
+    /// What runs, counted in its server's `running_count`.
+    pub(super) running: HashMap<AttemptKey, GuardRequest>,
+    pub(super) started: StartedRecord,
+    pub(super) deaths: DeathWatch,
+    pub(super) draining: bool,
+    pub(super) domain_out: bool,
+    /// What membership was told last.
+    reported: Vec<ServerEntry>,
 }
 
 impl GuardState {
-    /// A guard that knows no server yet.
-    pub fn new(settings: GuardSettings) -> GuardState {
+    /// A guard in this life that knows no server yet.
+    pub fn new(settings: GuardSettings, incarnation: Incarnation) -> GuardState {
+        let keep = Duration::from_millis(settings.started_keep_ms);
         GuardState {
+            started: StartedRecord::new(keep, settings.started_limit_count),
+            deaths: DeathWatch::new(&settings),
             settings,
+            incarnation,
             servers: BTreeMap::new(),
             running: HashMap::new(),
             draining: false,
+            domain_out: false,
+            reported: Vec::new(),
         }
     }
 
     /// When `Tick` is due next.
     pub fn next_tick_at(&self) -> Option<Instant> {
-        self.servers
-            .values()
-            .map(|server| server.renewed_at + self.ttl())
-            .min()
+        let mut next: Option<Instant> = None;
+        for server in self.servers.values() {
+            let lapses_at = (!server.gone).then(|| server.renewed_at + self.ttl());
+            for at in [lapses_at, server.queue.next_deadline_at()]
+                .into_iter()
+                .flatten()
+            {
+                next = Some(next.map_or(at, |known| known.min(at)));
+            }
+        }
+        next
     }
 
     /// Takes one event and gives what is to be done.
     pub fn handle(&mut self, now: Instant, event: GuardEvent) -> Vec<GuardAction> {
+        let mut actions = Vec::new();
         match event {
-            GuardEvent::Arrived(request) => vec![self.arrived(now, request)]
-                .into_iter()
-                .flatten()
-                .collect(),
-            GuardEvent::Finished { request, .. } => self.finished(now, request),
-            GuardEvent::Announced(announcement) => self.announced(now, announcement),
-            GuardEvent::Withdrawn(server) => self.remove(&server),
-            GuardEvent::Tick => self.tick(now),
+            GuardEvent::Arrived(request) => self.arrived(now, request, &mut actions),
+            GuardEvent::Finished {
+                key,
+                outcome,
+                elapsed,
+            } => self.finished(now, key, outcome, elapsed, &mut actions),
+            GuardEvent::Announced(announcement) => {
+                self.announced(now, announcement, &mut actions);
+            }
+            GuardEvent::Withdrawn(server) => self.gone(now, &server, &mut actions),
+            GuardEvent::Domain { out } => self.domain(now, out, &mut actions),
+            GuardEvent::Fence(fence) => self.fence(now, &fence, &mut actions),
+            GuardEvent::Cancel(request) => self.cancel(now, request, &mut actions),
+            GuardEvent::Poison { from, reports } => {
+                for report in &reports {
+                    self.deaths.reported(now, &from, report);
+                }
+            }
+            GuardEvent::Tick => self.tick(now, &mut actions),
             GuardEvent::Drain => {
                 self.draining = true;
-                vec![self.report()]
+                self.refuse_all_waiting(now, ErrorKind::Stopping, &mut actions);
             }
         }
+        self.started.lapse(now);
+        self.report_servers(&mut actions);
+        if self.draining && self.running.is_empty() {
+            actions.push(GuardAction::Drained);
+        }
+        actions
     }
 
-    fn ttl(&self) -> Duration {
+    pub(super) fn ttl(&self) -> Duration {
         Duration::from_millis(self.settings.announcement_ttl_ms)
     }
 
-    fn arrived(&mut self, now: Instant, request: GuardRequest) -> Option<GuardAction> {
-        let id = request.request;
-        let refuse = |kind| Some(GuardAction::Refuse { request: id, kind });
+    fn takes_work(&self) -> bool {
+        !self.draining && !self.domain_out
+    }
+
+    fn arrived(&mut self, now: Instant, request: GuardRequest, actions: &mut Vec<GuardAction>) {
+        let key = request.key();
+        let mut refuse = |kind, retry_after| {
+            actions.push(GuardAction::Refuse {
+                key,
+                kind,
+                retry_after,
+            });
+        };
         if self.draining {
-            return refuse(ErrorKind::Stopping);
+            return refuse(ErrorKind::Stopping, None);
+        }
+        if self.domain_out || request.incarnation != self.incarnation {
+            return refuse(ErrorKind::NoServer, None);
         }
         if now >= request.deadline_at {
-            return refuse(ErrorKind::DeadlineUnmeetable);
+            return refuse(ErrorKind::DeadlineUnmeetable, None);
+        }
+        if let Some(left) = self.deaths.refused_for(now, &request.fingerprint) {
+            return refuse(ErrorKind::PoisonRequest, Some(left));
         }
-        let limit = self.settings.queue_count;
         let Some(server) = self.servers.get_mut(&request.server) else {
-            return refuse(ErrorKind::NoServer);
+            return refuse(ErrorKind::NoServer, None);
         };
-        if server.announcement.draining {
-            return refuse(ErrorKind::NoServer);
-        }
-        if server.running_count < server.announcement.slots_count {
-            server.running_count += 1;
-            self.running.insert(id, request.server.clone());
-            return Some(GuardAction::Start {
-                request: id,
-                address: server.announcement.address,
-            });
+        if !server.takes_work() {
+            return refuse(ErrorKind::NoServer, None);
+        }
+        let must_wait = !server.has_free_slot() || !server.queue.is_empty();
+        if must_wait && !server.can_meet_deadline(now, &request) {
+            let wait = server.expected_wait(&request);
+            return refuse(ErrorKind::DeadlineUnmeetable, Some(wait));
         }
-        if server.queue.len() >= limit {
-            return refuse(ErrorKind::Busy);
+        if let Err(kind) = self.started.admit(key, request.repeatable) {
+            return refuse(kind, None);
         }
-        server.queue.push_back(request);
-        None
+        let name = request.server.clone();
+        if !must_wait {
+            return self.start(&name, request, actions);
+        }
+        if let Some(shed) = server.queue.push(request) {
+            let wait = server.expected_wait(&shed);
+            self.refuse(now, shed.key(), ErrorKind::Busy, Some(wait), actions);
+        }
+        self.pump(now, &name, actions);
     }
 
-    fn finished(&mut self, now: Instant, request: RequestId) -> Vec<GuardAction> {
-        let Some(name) = self.running.remove(&request) else {
-            return Vec::new();
-        };
-        let Some(server) = self.servers.get_mut(&name) else {
-            return Vec::new();
+    fn start(
+        &mut self,
+        name: &BackendServerId,
+        request: GuardRequest,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let Some(server) = self.servers.get_mut(name) else {
+            return;
         };
-        server.running_count = server.running_count.saturating_sub(1);
-        let mut actions = Vec::new();
-        while server.running_count < server.announcement.slots_count {
-            let Some(next) = server.queue.pop_front() else {
-                break;
+        let key = request.key();
+        server.running_count += 1;
+        self.started.started(key);
+        actions.push(GuardAction::Start {
+            key,
+            address: server.announcement.address,
+        });
+        self.running.insert(key, request);
+    }
+
+    /// Refuses a request that was admitted and has not started.
+    pub(super) fn refuse(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        self.started.refused(now, key);
+        actions.push(GuardAction::Refuse {
+            key,
+            kind,
+            retry_after,
+        });
+    }
+
+    /// Starts what waits while slots are free.
+    pub(super) fn pump(
+        &mut self,
+        now: Instant,
+        name: &BackendServerId,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        loop {
+            let Some(server) = self.servers.get_mut(name) else {
+                return;
+            };
+            if !server.has_free_slot() {
+                return;
+            }
+            let Some(next) = server.queue.pop() else {
+                return;
             };
             if now >= next.deadline_at {
-                let kind = ErrorKind::DeadlineUnmeetable;
-                actions.push(GuardAction::Refuse {
-                    request: next.request,
-                    kind,
-                });
+                self.refuse(
+                    now,
+                    next.key(),
+                    ErrorKind::DeadlineUnmeetable,
+                    None,
+                    actions,
+                );
                 continue;
             }
-            server.running_count += 1;
-            self.running.insert(next.request, name.clone());
-            actions.push(GuardAction::Start {
-                request: next.request,
-                address: server.announcement.address,
-            });
+            if let Some(left) = self.deaths.refused_for(now, &next.fingerprint) {
+                self.refuse(
+                    now,
+                    next.key(),
+                    ErrorKind::PoisonRequest,
+                    Some(left),
+                    actions,
+                );
+                continue;
+            }
+            self.start(name, next, actions);
         }
-        actions
     }
 
-    fn announced(&mut self, now: Instant, announcement: Announcement) -> Vec<GuardAction> {
-        let name = announcement.server.clone();
-        let before = self.entries();
-        match self.servers.get_mut(&name) {
-            Some(server) => {
-                server.announcement = announcement;
-                server.renewed_at = now;
+    fn finished(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        outcome: ServerOutcome,
+        elapsed: Duration,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let Some(request) = self.running.remove(&key) else {
+            return;
+        };
+        self.started.ended(now, key);
+        let name = request.server.clone();
+        let Some(server) = self.servers.get_mut(&name) else {
+            return;
+        };
+        server.running_count = server.running_count.saturating_sub(1);
+        match outcome {
+            ServerOutcome::Answered(SHED_STATUS) => server.cold.failed(now),
+            ServerOutcome::Answered(_) => {
+                server.answered(now, &request, elapsed);
+                self.deaths.survived(&request.fingerprint);
             }
-            None => {
-                let queue = VecDeque::new();
-                let state = ServerState {
-                    announcement,
-                    renewed_at: now,
-                    running_count: 0,
-                    queue,
-                };
-                self.servers.insert(name, state);
+            ServerOutcome::Failed(CallError::Late) => server.cold.late(now),
+            ServerOutcome::Failed(CallError::NotSent) => server.cold.failed(now),
+            ServerOutcome::Failed(CallError::Broken) => {
+                server.cold.failed(now);
+                let call = BrokenCall::new(now, server, &request);
+                self.deaths.broken(now, call);
             }
+            ServerOutcome::Died => {
+                server.cold.failed(now);
+                let call = BrokenCall::new(now, server, &request);
+                actions.push(self.deaths.died(now, call));
+                self.gone(now, &name, actions);
+            }
+            ServerOutcome::Failed(_) => {}
         }
-        if self.entries() == before {
-            return Vec::new();
-        }
-        vec![self.report()]
+        self.pump(now, &name, actions);
     }
 
-    fn remove(&mut self, name: &BackendServerId) -> Vec<GuardAction> {
-        let Some(server) = self.servers.remove(name) else {
-            return Vec::new();
+    fn announced(
+        &mut self,
+        now: Instant,
+        announcement: Announcement,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let name = announcement.server.clone();
+        let Some(server) = self.servers.get_mut(&name) else {
+            let state = ServerState::new(&self.settings, announcement, now);
+            self.servers.insert(name, state);
+            return;
         };
-        let mut actions = vec![self.report()];
-        for waiting in server.queue {
-            actions.push(GuardAction::Refuse {
-                request: waiting.request,
-                kind: ErrorKind::NoServer,
-            });
+        let new_life = server.renew(now, announcement);
+        let draining = server.announcement.draining;
+        if new_life {
+            actions.extend(self.deaths.confirm(now, &name));
         }
-        actions
-    }
-
-    fn tick(&mut self, now: Instant) -> Vec<GuardAction> {
-        let ttl = self.ttl();
-        let mut lapsed = Vec::new();
-        for (name, server) in &self.servers {
-            if now.saturating_duration_since(server.renewed_at) >= ttl {
-                lapsed.push(name.clone());
-            }
+        if draining {
+            self.refuse_waiting(now, &name, ErrorKind::NoServer, actions);
         }
-        lapsed.iter().flat_map(|name| self.remove(name)).collect()
+        self.pump(now, &name, actions);
     }
 
-    fn entries(&self) -> Vec<ServerEntry> {
-        let entry = |server: &ServerState| ServerEntry {
-            server: server.announcement.server.clone(),
-            service: server.announcement.service.clone(),
-            slots_count: server.announcement.slots_count,
-            cold: server.announcement.cold,
-            draining: server.announcement.draining || self.draining,
-            share_permille: FULL_SHARE_PERMILLE,
-        };
-        self.servers.values().map(entry).collect()
-    }
-
-    fn report(&self) -> GuardAction {
-        GuardAction::Servers(self.entries())
+    fn report_servers(&mut self, actions: &mut Vec<GuardAction>) {
+        let takes_work = self.takes_work();
+        let present = self.servers.values().filter(|server| !server.gone);
+        let entries: Vec<ServerEntry> = present.map(|server| server.entry(takes_work)).collect();
+        if entries != self.reported {
+            self.reported = entries.clone();
+            actions.push(GuardAction::Servers(entries));
+        }
     }
 }
+
+/// Status by which servers shed load.
+const SHED_STATUS: u16 = 503;
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,36 +1,85 @@
 use std::time::{Duration, Instant};
 
 use super::message::{Announcement, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
+use super::started::StartedRecord;
 use super::state::GuardState;
 use crate::error::ErrorKind;
+use crate::link::message::PoisonReport;
+use crate::link::{FenceAnswer, FenceRequest};
 use crate::settings::guard::GuardSettings;
+use crate::types::RequestId;
 
-fn request(id: u128, now: Instant) -> GuardRequest {
+const LIFE: u64 = 7;
+
+/// A request id made at a millisecond.
+fn id(made_ms: u64, number: u128) -> RequestId {
+    (u128::from(made_ms) << 80) | number
+}
+
+fn request(number: u128, now: Instant) -> GuardRequest {
     GuardRequest {
-        request: id,
+        request: id(1, number),
+        attempt: 1,
+        incarnation: LIFE,
         organisation: "o".into(),
         weight_share: 1,
         route: "r".into(),
         server: "s".into(),
-        repeatable: true,
+        repeatable: false,
+        foreground: true,
+        fingerprint: [number as u8; 32],
         deadline_at: now + Duration::from_secs(1),
     }
 }
 
-fn guard_with_one_slot(now: Instant) -> GuardState {
-    let mut state = GuardState::new(GuardSettings {
-        queue_count: 1,
-        ..Default::default()
-    });
-    let announcement = Announcement {
+fn announcement() -> Announcement {
+    Announcement {
         server: "s".into(),
         slots_count: 1,
         ..Default::default()
+    }
+}
+
+fn guard_with_one_slot(now: Instant) -> GuardState {
+    let settings = GuardSettings {
+        queue_count: 1,
+        ..Default::default()
     };
-    state.handle(now, GuardEvent::Announced(announcement));
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, GuardEvent::Announced(announcement()));
     state
 }
 
+fn finished(number: u128, outcome: ServerOutcome) -> GuardEvent {
+    GuardEvent::Finished {
+        key: (id(1, number), 1),
+        outcome,
+        elapsed: Duration::from_millis(1),
+    }
+}
+
+fn fence(number: u128, attempt: u32) -> GuardEvent {
+    GuardEvent::Fence(FenceRequest {
+        request: id(1, number),
+        attempt,
+        incarnation: LIFE,
+    })
+}
+
+fn refusal_of(actions: &[GuardAction], number: u128) -> Option<ErrorKind> {
+    actions.iter().find_map(|action| match action {
+        GuardAction::Refuse { key, kind, .. } if key.0 == id(1, number) => Some(*kind),
+        _ => None,
+    })
+}
+
+fn starts(actions: &[GuardAction], number: u128) -> bool {
+    let wanted = id(1, number);
+    actions
+        .iter()
+        .any(|action| matches!(action, GuardAction::Start { key, .. } if key.0 == wanted))
+}
+
 #[test]
 fn the_next_request_starts_when_a_slot_is_free() {
     // Arrange
@@ -40,23 +89,11 @@
     let waiting = state.handle(now, GuardEvent::Arrived(request(2, now)));
 
     // Act
-    let outcome = ServerOutcome::Answered(200);
-    let elapsed = Duration::from_millis(1);
-    let actions = state.handle(
-        now,
-        GuardEvent::Finished {
-            request: 1,
-            outcome,
-            elapsed,
-        },
-    );
+    let actions = state.handle(now, finished(1, ServerOutcome::Answered(200)));
 
     // Assert
     assert!(waiting.is_empty());
-    assert!(matches!(
-        actions[..],
-        [GuardAction::Start { request: 2, .. }]
-    ));
+    assert!(starts(&actions, 2));
 }
 
 #[test]
@@ -66,19 +103,301 @@
     state.handle(now, GuardEvent::Arrived(request(1, now)));
     state.handle(now, GuardEvent::Arrived(request(2, now)));
     let actions = state.handle(now, GuardEvent::Arrived(request(3, now)));
+    assert_eq!(refusal_of(&actions, 3), Some(ErrorKind::Busy));
+}
+
+#[test]
+fn a_full_queue_sheds_the_newest_request_of_the_organisation_over_its_share() {
+    // Arrange
+    let now = Instant::now();
+    let settings = GuardSettings {
+        queue_count: 2,
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, GuardEvent::Announced(announcement()));
+    for number in 1..=3 {
+        state.handle(now, GuardEvent::Arrived(request(number, now)));
+    }
+
+    // Act
+    let small = GuardRequest {
+        organisation: "small".into(),
+        ..request(4, now)
+    };
+    let actions = state.handle(now, GuardEvent::Arrived(small));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 3), Some(ErrorKind::Busy));
+    assert_eq!(refusal_of(&actions, 4), None);
+}
+
+#[test]
+fn a_request_that_would_wait_past_its_deadline_is_refused_at_once() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    for number in 1..=10 {
+        state.handle(now, GuardEvent::Arrived(request(number, now)));
+        let event = GuardEvent::Finished {
+            key: (id(1, number), 1),
+            outcome: ServerOutcome::Answered(200),
+            elapsed: Duration::from_millis(600),
+        };
+        state.handle(now, event);
+    }
+    state.handle(now, GuardEvent::Arrived(request(11, now)));
+
+    // Act
+    let actions = state.handle(now, GuardEvent::Arrived(request(12, now)));
+
+    // Assert
     assert_eq!(
-        actions,
-        vec![GuardAction::Refuse {
-            request: 3,
-            kind: ErrorKind::Busy
-        }]
+        refusal_of(&actions, 12),
+        Some(ErrorKind::DeadlineUnmeetable)
     );
 }
 
 #[test]
-fn a_lapsed_announcement_takes_the_server_out() {
+fn a_lapsed_announcement_takes_the_server_out_and_refuses_what_waits() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    let later = now + Duration::from_secs(2);
+    let long = GuardRequest {
+        deadline_at: now + Duration::from_secs(60),
+        ..request(2, now)
+    };
+    state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, GuardEvent::Arrived(long));
+
+    // Act
+    let actions = state.handle(later, GuardEvent::Tick);
+    let after = state.handle(later, GuardEvent::Arrived(request(3, later)));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 2), Some(ErrorKind::NoServer));
+    assert!(actions.contains(&GuardAction::Servers(Vec::new())));
+    assert_eq!(refusal_of(&after, 3), Some(ErrorKind::NoServer));
+}
+
+#[test]
+fn a_draining_guard_refuses_what_waits_and_ends_once_what_runs_has_ended() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Act
+    let draining = state.handle(now, GuardEvent::Drain);
+    let ended = state.handle(now, finished(1, ServerOutcome::Answered(200)));
+
+    // Assert
+    assert_eq!(refusal_of(&draining, 2), Some(ErrorKind::Stopping));
+    assert!(!draining.contains(&GuardAction::Drained));
+    assert!(ended.contains(&GuardAction::Drained));
+}
+
+#[test]
+fn a_domain_that_is_out_gets_no_work_and_is_cold_on_return() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+
+    // Act
+    state.handle(now, GuardEvent::Domain { out: true });
+    let refused = state.handle(now, GuardEvent::Arrived(request(1, now)));
+    let back = state.handle(now, GuardEvent::Domain { out: false });
+
+    // Assert
+    assert_eq!(refusal_of(&refused, 1), Some(ErrorKind::NoServer));
+    let cold =
+        |action: &GuardAction| matches!(action, GuardAction::Servers(servers) if servers[0].cold);
+    assert!(back.iter().any(cold));
+}
+
+#[test]
+fn an_attempt_never_starts_twice() {
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, finished(1, ServerOutcome::Answered(200)));
+    let again = state.handle(now, GuardEvent::Arrived(request(1, now)));
+    assert!(!starts(&again, 1));
+    assert_eq!(refusal_of(&again, 1), Some(ErrorKind::OutcomeUnknown));
+}
+
+#[test]
+fn a_fence_tells_what_became_of_the_request() {
+    // Arrange
     let now = Instant::now();
     let mut state = guard_with_one_slot(now);
-    let actions = state.handle(now + Duration::from_secs(60), GuardEvent::Tick);
-    assert_eq!(actions, vec![GuardAction::Servers(Vec::new())]);
+    state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Act
+    let running = state.handle(now, fence(1, 1));
+    let waiting = state.handle(now, fence(2, 1));
+    let unseen = state.handle(now, fence(3, 1));
+    let late = state.handle(now, GuardEvent::Arrived(request(3, now)));
+    state.handle(now, finished(1, ServerOutcome::Answered(200)));
+    let ended = state.handle(now, fence(1, 1));
+
+    // Assert
+    let answer = |answer| GuardAction::FenceAnswered(answer);
+    assert!(running.contains(&answer(FenceAnswer::Running)));
+    assert!(waiting.contains(&answer(FenceAnswer::Fenced)));
+    assert_eq!(refusal_of(&waiting, 2), Some(ErrorKind::Fenced));
+    assert!(unseen.contains(&answer(FenceAnswer::Fenced)));
+    assert_eq!(refusal_of(&late, 3), Some(ErrorKind::Fenced));
+    assert!(ended.contains(&answer(FenceAnswer::Ended)));
+}
+
+#[test]
+fn a_fence_or_request_meant_for_another_life_is_not_taken() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    let stale = GuardRequest {
+        incarnation: LIFE - 1,
+        ..request(1, now)
+    };
+    let fence = FenceRequest {
+        request: id(1, 1),
+        attempt: 1,
+        incarnation: LIFE - 1,
+    };
+
+    // Act
+    let arrived = state.handle(now, GuardEvent::Arrived(stale));
+    let fenced = state.handle(now, GuardEvent::Fence(fence));
+
+    // Assert
+    assert_eq!(refusal_of(&arrived, 1), Some(ErrorKind::NoServer));
+    assert!(fenced.contains(&GuardAction::FenceAnswered(FenceAnswer::Unknown)));
+}
+
+#[test]
+fn what_the_record_forgot_is_neither_started_nor_called_fenced() {
+    // Arrange
+    let now = Instant::now();
+    let mut record = StartedRecord::new(Duration::from_secs(10), 100);
+    let key = (id(5, 1), 1);
+    record.admit(key, false).unwrap();
+    record.started(key);
+    record.ended(now, key);
+
+    // Act
+    record.lapse(now + Duration::from_secs(10));
+
+    // Assert
+    assert!(record.is_empty());
+    assert_eq!(record.admit(key, false), Err(ErrorKind::OutcomeUnknown));
+    assert_eq!(record.fence(now, id(5, 1), 1), FenceAnswer::Unknown);
+    assert_eq!(record.fence(now, id(6, 1), 1), FenceAnswer::Fenced);
+}
+
+#[test]
+fn a_caller_that_left_ends_its_request() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Act
+    let waiting = state.handle(now, GuardEvent::Cancel(id(1, 2)));
+    let running = state.handle(now, GuardEvent::Cancel(id(1, 1)));
+
+    // Assert
+    assert_eq!(refusal_of(&waiting, 2), Some(ErrorKind::Cancelled));
+    let address = announcement().address;
+    let told = GuardAction::CancelServer {
+        request: id(1, 1),
+        address,
+    };
+    assert_eq!(running, vec![told]);
+}
+
+/// Runs a request whose server dies, and lets the server come back.
+fn die(state: &mut GuardState, now: Instant, number: u128) -> Vec<GuardAction> {
+    state.handle(now, GuardEvent::Arrived(request(number, now)));
+    let actions = state.handle(now, finished(number, ServerOutcome::Died));
+    state.handle(now, GuardEvent::Announced(announcement()));
+    actions
+}
+
+#[test]
+fn a_request_is_refused_after_two_deaths_and_others_go_on() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    let again = |number| GuardRequest {
+        fingerprint: [1; 32],
+        ..request(number, now)
+    };
+
+    // Act
+    let first = die(&mut state, now, 1);
+    state.handle(now, GuardEvent::Arrived(again(2)));
+    state.handle(now, finished(2, ServerOutcome::Died));
+    state.handle(now, GuardEvent::Announced(announcement()));
+    let third = state.handle(now, GuardEvent::Arrived(again(3)));
+    let other = state.handle(now, GuardEvent::Arrived(request(4, now)));
+
+    // Assert
+    assert!(first
+        .iter()
+        .any(|action| matches!(action, GuardAction::Report { .. })));
+    assert_eq!(refusal_of(&third, 3), Some(ErrorKind::PoisonRequest));
+    assert!(starts(&other, 4));
+}
+
+#[test]
+fn a_death_that_another_guard_reports_counts() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    let reports = vec![PoisonReport {
+        fingerprint: [9; 32],
+        death_count: 1,
+        holds_for: Duration::from_secs(60),
+    }];
+    let from = "elsewhere".into();
+
+    // Act
+    state.handle(now, GuardEvent::Poison { from, reports });
+    die(&mut state, now, 9);
+    let again = GuardRequest {
+        fingerprint: [9; 32],
+        ..request(10, now)
+    };
+    let actions = state.handle(now, GuardEvent::Arrived(again));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 10), Some(ErrorKind::PoisonRequest));
+}
+
+#[test]
+fn an_answer_clears_a_suspect() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    let same = |number| GuardRequest {
+        fingerprint: [1; 32],
+        ..request(number, now)
+    };
+    die(&mut state, now, 1);
+
+    // Act
+    state.handle(now, GuardEvent::Arrived(same(2)));
+    state.handle(now, finished(2, ServerOutcome::Answered(200)));
+    state.handle(now, GuardEvent::Arrived(same(3)));
+    state.handle(now, finished(3, ServerOutcome::Died));
+    state.handle(now, GuardEvent::Announced(announcement()));
+    let actions = state.handle(now, GuardEvent::Arrived(same(4)));
+
+    // Assert
+    assert!(starts(&actions, 4));
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -48,3 +48,10 @@
 pub fn parse_id(text: &str) -> Option<u128> {
     uuid::Uuid::parse_str(text).ok().map(|id| id.as_u128())
 }
+
+/// Milliseconds since the epoch at which a request id of UUID version 7 was made.
+pub fn id_time_ms(id: u128) -> u64 {
+    (id >> ID_TIME_SHIFT_BITS) as u64
+}
+
+const ID_TIME_SHIFT_BITS: u32 = 80;
