Carry calls between daemons over capnp-rpc

The link answered every call as unreachable. It now runs a single-threaded executor that owns all peer connections: dialled on demand, proven by HMAC over both names, lives and nonces, watched by heartbeats, closed when silent or idle. The peer interface is a capability that only a proof gives. Requests and answers are typed unions that mirror message.rs; the ring is carried over by a thread that waits. Gossip, comparison, pages of members and probes have their messages.

--- /dev/null
+++ b/src/link/accepted.rs
@@ -0,0 +1,263 @@
+//! Connections from peers: the proof, then their requests.
+
+use std::cell::{Cell, RefCell};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_io::{Async, Timer};
+use capnp::capability::Promise;
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{pry, RpcSystem};
+use futures::channel::oneshot;
+use futures::future::{select, Either};
+
+use super::caller::Caller;
+use super::codec::{read_name, read_request, write_answer, write_name};
+use super::connection::{network, BYTES_PER_WORD};
+use super::handshake::{new_nonce, End, Nonce, Transcript};
+use super::message::{PeerHandler, PeerName};
+use super::peer_capnp::{greeter, peer};
+use super::socket::Socket;
+use crate::metrics::Metrics;
+use crate::settings::link::LinkSettings;
+
+/// What accepted connections share.
+pub(super) struct Acceptor {
+    pub(super) caller: Rc<Caller>,
+    pub(super) handler: Arc<dyn PeerHandler>,
+    /// Accepted connections that are open.
+    pub(super) open_count: Cell<usize>,
+}
+
+impl Acceptor {
+    fn settings(&self) -> &LinkSettings {
+        &self.caller.dial.settings
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.caller.dial.metrics
+    }
+
+    /// Serves one connection until it ends.
+    pub(super) async fn serve(self: Rc<Self>, stream: Async<TcpStream>) {
+        if self.open_count.get() >= self.settings().accepted_limit_count {
+            self.metrics().count("link.accept.over_limit");
+            return;
+        }
+        self.open_count.set(self.open_count.get() + 1);
+        let socket = Socket::new(stream);
+        let session = Rc::new(Session {
+            acceptor: self.clone(),
+            heard_at: Cell::new(Instant::now()),
+            proven: Cell::new(false),
+            in_flight_count: Cell::new(0),
+        });
+        let greeter: greeter::Client = capnp_rpc::new_client(GreeterServer {
+            session: session.clone(),
+            stage: RefCell::new(Stage::Fresh),
+        });
+        let system = RpcSystem::new(
+            network(&socket, Side::Server, self.settings()),
+            Some(greeter.client),
+        );
+        let watch = std::pin::pin!(session.clone().watch());
+        match select(system, watch).await {
+            Either::Left((Err(error), _)) => {
+                log::debug!("accepted connection: {error}");
+                self.metrics().count("link.message.malformed");
+            }
+            Either::Left((Ok(()), _)) => {}
+            Either::Right((reason, _)) => self.metrics().count(reason),
+        }
+        socket.close();
+        self.open_count.set(self.open_count.get() - 1);
+    }
+}
+
+/// One accepted connection.
+struct Session {
+    acceptor: Rc<Acceptor>,
+    heard_at: Cell<Instant>,
+    proven: Cell<bool>,
+    /// Requests that the handler has not answered.
+    in_flight_count: Cell<usize>,
+}
+
+impl Session {
+    /// Ends when the peer proves nothing in time or says nothing for long; gives the counter.
+    async fn watch(self: Rc<Self>) -> &'static str {
+        let settings = self.acceptor.settings();
+        Timer::after(Duration::from_millis(settings.connect_timeout_ms)).await;
+        if !self.proven.get() {
+            return "link.proof.missing";
+        }
+        let limit = Duration::from_millis(settings.keepalive_ms) * ACCEPTED_SILENT_KEEPALIVES;
+        loop {
+            let silent_at = self.heard_at.get() + limit;
+            if Instant::now() >= silent_at {
+                return "link.accepted.silent";
+            }
+            Timer::at(silent_at).await;
+        }
+    }
+}
+
+const ACCEPTED_SILENT_KEEPALIVES: u32 = 3;
+
+/// How far the proof has come. Each step is taken once.
+enum Stage {
+    Fresh,
+    Challenged(Transcript),
+    Over,
+}
+
+struct GreeterServer {
+    session: Rc<Session>,
+    stage: RefCell<Stage>,
+}
+
+impl GreeterServer {
+    fn refuse(&self, problem: &str) -> Error {
+        self.session.acceptor.metrics().count("link.proof.refused");
+        Error::failed(problem.to_owned())
+    }
+}
+
+impl greeter::Server for GreeterServer {
+    fn challenge(
+        &mut self,
+        params: greeter::ChallengeParams,
+        mut results: greeter::ChallengeResults,
+    ) -> Promise<(), Error> {
+        let stage = self.stage.replace(Stage::Over);
+        if !matches!(stage, Stage::Fresh) {
+            return Promise::err(self.refuse("a second challenge on one connection"));
+        }
+        let params = pry!(params.get());
+        let caller = pry!(read_name(pry!(params.get_caller())));
+        let Ok(caller_nonce) = Nonce::try_from(pry!(params.get_nonce())) else {
+            return Promise::err(self.refuse("malformed nonce"));
+        };
+        let peers = &self.session.acceptor.caller;
+        if caller.daemon == peers.dial.own.daemon {
+            return Promise::err(self.refuse("the caller has the name of this daemon"));
+        }
+        let known = peers.known_incarnation(&caller.daemon).unwrap_or(0);
+        if caller.incarnation < known {
+            return Promise::err(self.refuse("the caller is an earlier life of its daemon"));
+        }
+        let transcript = Transcript {
+            caller,
+            caller_nonce,
+            answerer: peers.dial.own.clone(),
+            answerer_nonce: new_nonce(),
+        };
+        let mut answer = results.get();
+        write_name(&transcript.answerer, answer.reborrow().init_answerer());
+        answer.set_nonce(&transcript.answerer_nonce);
+        answer.set_proof(&transcript.sign(&peers.dial.key, End::Answerer));
+        self.stage.replace(Stage::Challenged(transcript));
+        Promise::ok(())
+    }
+
+    fn prove(
+        &mut self,
+        params: greeter::ProveParams,
+        mut results: greeter::ProveResults,
+    ) -> Promise<(), Error> {
+        let Stage::Challenged(transcript) = self.stage.replace(Stage::Over) else {
+            return Promise::err(self.refuse("a proof without a challenge"));
+        };
+        let proof = pry!(pry!(params.get()).get_proof());
+        let key = &self.session.acceptor.caller.dial.key;
+        if !transcript.verify(key, End::Caller, proof) {
+            return Promise::err(self.refuse("the caller's proof is wrong"));
+        }
+        self.session.proven.set(true);
+        self.session.heard_at.set(Instant::now());
+        self.session.acceptor.metrics().count("link.accept.proven");
+        results.get().set_peer(capnp_rpc::new_client(PeerServer {
+            from: transcript.caller,
+            session: self.session.clone(),
+        }));
+        Promise::ok(())
+    }
+}
+
+/// What a proven peer may call.
+struct PeerServer {
+    from: PeerName,
+    session: Rc<Session>,
+}
+
+impl peer::Server for PeerServer {
+    fn heartbeat(
+        &mut self,
+        _params: peer::HeartbeatParams,
+        _results: peer::HeartbeatResults,
+    ) -> Promise<(), Error> {
+        self.session.heard_at.set(Instant::now());
+        Promise::ok(())
+    }
+
+    fn ask(
+        &mut self,
+        params: peer::AskParams,
+        mut results: peer::AskResults,
+    ) -> Promise<(), Error> {
+        let session = self.session.clone();
+        session.heard_at.set(Instant::now());
+        let metrics = session.acceptor.metrics().clone();
+        let read = params
+            .get()
+            .and_then(|params| params.get_request())
+            .and_then(read_request);
+        let request = match read {
+            Ok(request) => request,
+            Err(error) => {
+                metrics.count("link.request.malformed");
+                return Promise::err(Error::unimplemented(error.to_string()));
+            }
+        };
+        if session.in_flight_count.get() >= session.acceptor.settings().calls_limit_count {
+            metrics.count("link.request.over_limit");
+            return Promise::err(Error::overloaded("too many calls in flight".to_owned()));
+        }
+        session
+            .in_flight_count
+            .set(session.in_flight_count.get() + 1);
+        let held = InFlight(session);
+        let (sender, receiver) = oneshot::channel();
+        let reply = Box::new(move |result| {
+            // The caller may have left.
+            let _ = sender.send(result);
+        });
+        held.0.acceptor.handler.handle(&self.from, request, reply);
+        Promise::from_future(async move {
+            let Ok(Ok(answer)) = receiver.await else {
+                metrics.count("link.request.refused");
+                return Err(Error::overloaded("the call is refused".to_owned()));
+            };
+            write_answer(&answer, results.get().init_answer());
+            let size = results.get().into_reader().total_size()?;
+            let limit_bytes = held.0.acceptor.settings().message_limit_bytes / 2;
+            if size.word_count > (limit_bytes / BYTES_PER_WORD) as u64 {
+                metrics.count("link.answer.oversized");
+                return Err(Error::overloaded("the answer is too long".to_owned()));
+            }
+            Ok(())
+        })
+    }
+}
+
+/// Gives the place of a request back, also when its caller has left.
+struct InFlight(Rc<Session>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight_count.set(self.0.in_flight_count.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/link/caller.rs
@@ -0,0 +1,220 @@
+//! Calls to peers: a connection on demand, and one answer for each call.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use futures::future::{FutureExt, LocalBoxFuture, Shared};
+
+use super::connection::{connect, Connection, Dial};
+use super::message::{LinkError, PeerRequest};
+use super::reply::PendingReply;
+use super::state::{ConnectionEnd, PeerState};
+use crate::membership::Fleet;
+use crate::types::{DaemonId, Incarnation};
+
+/// Whom a call is for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) enum PeerKey {
+    /// A daemon that membership knows.
+    Daemon(DaemonId),
+    /// Whichever daemon answers at a seed address.
+    Seed(SocketAddr),
+}
+
+type Dialling = Shared<LocalBoxFuture<'static, Result<Rc<Connection>, LinkError>>>;
+
+#[derive(Default)]
+struct Peer {
+    state: PeerState,
+    /// Calls that wait for a connection or an answer.
+    calls_count: usize,
+    connection: Option<Rc<Connection>>,
+    dialling: Option<Dialling>,
+}
+
+/// All outgoing connections.
+pub(super) struct Caller {
+    pub(super) dial: Dial,
+    executor: Weak<LocalExecutor<'static>>,
+    peers: RefCell<HashMap<PeerKey, Peer>>,
+    fleet: RefCell<Arc<Fleet>>,
+}
+
+impl Caller {
+    pub(super) fn new(dial: Dial, executor: &Rc<LocalExecutor<'static>>) -> Rc<Caller> {
+        Rc::new(Caller {
+            dial,
+            executor: Rc::downgrade(executor),
+            peers: RefCell::default(),
+            fleet: RefCell::default(),
+        })
+    }
+
+    /// The life of a daemon that membership knows of.
+    pub(super) fn known_incarnation(&self, daemon: &DaemonId) -> Option<Incarnation> {
+        let fleet = self.fleet.borrow();
+        fleet.daemons.get(daemon).map(|entry| entry.incarnation)
+    }
+
+    /// Takes a new snapshot; connections to earlier lives are closed.
+    pub(super) fn set_fleet(&self, fleet: Arc<Fleet>) {
+        *self.fleet.borrow_mut() = fleet;
+        for peer in self.peers.borrow().values() {
+            let Some(connection) = &peer.connection else {
+                continue;
+            };
+            let known = self.known_incarnation(&connection.peer.daemon);
+            if known.is_some_and(|known| known > connection.peer.incarnation) {
+                connection.close();
+            }
+        }
+    }
+
+    fn address(&self, key: &PeerKey) -> Option<SocketAddr> {
+        match key {
+            PeerKey::Seed(address) => Some(*address),
+            PeerKey::Daemon(daemon) => {
+                let fleet = self.fleet.borrow();
+                fleet.daemons.get(daemon).map(|entry| entry.link_address)
+            }
+        }
+    }
+
+    /// Makes one call.
+    pub(super) async fn call(
+        self: Rc<Self>,
+        key: PeerKey,
+        request: PeerRequest,
+        pending: PendingReply,
+    ) {
+        if !self.admit(&key) {
+            self.dial.metrics.count("link.call.over_limit");
+            return pending.end(Err(LinkError::Unreachable));
+        }
+        match self.connection(&key).await {
+            Ok(connection) => {
+                if connection.ask(&request, pending).await {
+                    self.with_peer(&key, |peer| peer.state.answered());
+                }
+            }
+            Err(error) => pending.end(Err(error)),
+        }
+        self.release(&key);
+    }
+
+    fn with_peer<T>(&self, key: &PeerKey, body: impl FnOnce(&mut Peer) -> T) -> Option<T> {
+        self.peers.borrow_mut().get_mut(key).map(body)
+    }
+
+    fn admit(&self, key: &PeerKey) -> bool {
+        let settings = &self.dial.settings;
+        let mut peers = self.peers.borrow_mut();
+        if !peers.contains_key(key) && peers.len() >= settings.dialled_limit_count {
+            let idle = peers
+                .iter()
+                .find(|(_, peer)| peer.calls_count == 0 && peer.connection.is_none())
+                .map(|(key, _)| key.clone());
+            let Some(idle) = idle else {
+                return false;
+            };
+            peers.remove(&idle);
+        }
+        let peer = peers.entry(key.clone()).or_default();
+        if peer.calls_count >= settings.calls_limit_count {
+            return false;
+        }
+        peer.calls_count += 1;
+        true
+    }
+
+    fn release(&self, key: &PeerKey) {
+        self.with_peer(key, |peer| peer.calls_count -= 1);
+    }
+
+    async fn connection(self: &Rc<Self>, key: &PeerKey) -> Result<Rc<Connection>, LinkError> {
+        let dialling = {
+            let mut peers = self.peers.borrow_mut();
+            let peer = peers.get_mut(key).ok_or(LinkError::Unreachable)?;
+            if let Some(connection) = peer.connection.as_ref().filter(|found| found.is_open()) {
+                return Ok(connection.clone());
+            }
+            if !peer.state.may_dial(Instant::now()) {
+                self.dial.metrics.count("link.call.suspect");
+                return Err(LinkError::Unreachable);
+            }
+            let address = self.address(key).ok_or(LinkError::Unreachable)?;
+            peer.dialling
+                .get_or_insert_with(|| {
+                    self.clone()
+                        .dial(key.clone(), address)
+                        .boxed_local()
+                        .shared()
+                })
+                .clone()
+        };
+        dialling.await
+    }
+
+    async fn dial(
+        self: Rc<Self>,
+        key: PeerKey,
+        address: SocketAddr,
+    ) -> Result<Rc<Connection>, LinkError> {
+        let result = connect(&self.dial, address).await;
+        self.with_peer(&key, |peer| peer.dialling = None);
+        let (connection, system, woken) = match result {
+            Ok(made) => made,
+            Err(error) => {
+                self.ended(&key, ConnectionEnd::Failed);
+                return Err(error);
+            }
+        };
+        if !self.expected(&key, &connection) {
+            self.dial.metrics.count("link.peer.another");
+            self.ended(&key, ConnectionEnd::Failed);
+            return Err(LinkError::Unreachable);
+        }
+        let connection = Rc::new(connection);
+        self.with_peer(&key, |peer| peer.connection = Some(connection.clone()));
+        let executor = self.executor.upgrade().ok_or(LinkError::Unreachable)?;
+        let caller = self.clone();
+        let watched = connection.clone();
+        let watch = async move {
+            let end = watched.clone().monitor(system, woken).await;
+            caller.with_peer(&key, |peer| {
+                peer.connection.take_if(|found| Rc::ptr_eq(found, &watched));
+            });
+            caller.ended(&key, end);
+        };
+        executor.spawn(watch).detach();
+        Ok(connection)
+    }
+
+    /// Whether the proven peer is the daemon that was called, in no earlier life than known.
+    fn expected(&self, key: &PeerKey, connection: &Connection) -> bool {
+        let found = &connection.peer;
+        if found.daemon == self.dial.own.daemon {
+            return false;
+        }
+        let PeerKey::Daemon(daemon) = key else {
+            return true;
+        };
+        let known = self.known_incarnation(daemon).unwrap_or(0);
+        found.daemon == *daemon && found.incarnation >= known
+    }
+
+    fn ended(&self, key: &PeerKey, end: ConnectionEnd) {
+        let settings = &self.dial.settings;
+        let now = Instant::now();
+        let suspect = self.with_peer(key, |peer| peer.state.ended(settings, now, end));
+        if suspect == Some(true) {
+            self.dial.metrics.count("link.peer.suspect");
+            log::info!("peer {key:?} does not answer on new connections");
+        }
+    }
+}
--- /dev/null
+++ b/src/link/codec/member.rs
@@ -0,0 +1,136 @@
+//! Descriptions and summaries of daemons in the Cap'n Proto encoding.
+
+use std::net::{IpAddr, SocketAddr};
+
+use capnp::{struct_list, text_list, Error};
+
+use super::malformed;
+use crate::link::peer_capnp::{address, daemon_entry, server_entry, summary};
+use crate::membership::{DaemonEntry, ServerEntry, Summary};
+use crate::types::DaemonId;
+
+pub(super) fn write_entry(entry: &DaemonEntry, mut out: daemon_entry::Builder<'_>) {
+    out.set_daemon(&*entry.daemon);
+    out.set_incarnation(entry.incarnation);
+    out.set_version(entry.version);
+    out.set_domain(&*entry.domain);
+    write_address(entry.guard_address, out.reborrow().init_guard_address());
+    write_address(entry.link_address, out.reborrow().init_link_address());
+    out.set_leaving(entry.leaving);
+    let mut servers = out.init_servers(entry.servers.len() as u32);
+    for (index, server) in entry.servers.iter().enumerate() {
+        write_server(server, servers.reborrow().get(index as u32));
+    }
+}
+
+fn write_server(server: &ServerEntry, mut out: server_entry::Builder<'_>) {
+    out.set_server(&*server.server);
+    out.set_service(&*server.service);
+    out.set_slots_count(server.slots_count);
+    out.set_cold(server.cold);
+    out.set_draining(server.draining);
+    out.set_share_permille(server.share_permille);
+}
+
+fn write_address(value: SocketAddr, mut out: address::Builder<'_>) {
+    match value.ip() {
+        IpAddr::V4(ip) => out.set_ip(&ip.octets()),
+        IpAddr::V6(ip) => out.set_ip(&ip.octets()),
+    }
+    out.set_port(value.port());
+}
+
+fn read_entry(entry: daemon_entry::Reader<'_>) -> Result<DaemonEntry, Error> {
+    let mut servers = Vec::new();
+    for server in entry.get_servers()? {
+        servers.push(ServerEntry {
+            server: server.get_server()?.to_str()?.into(),
+            service: server.get_service()?.to_str()?.into(),
+            slots_count: server.get_slots_count(),
+            cold: server.get_cold(),
+            draining: server.get_draining(),
+            share_permille: server.get_share_permille(),
+        });
+    }
+    Ok(DaemonEntry {
+        daemon: entry.get_daemon()?.to_str()?.into(),
+        incarnation: entry.get_incarnation(),
+        version: entry.get_version(),
+        domain: entry.get_domain()?.to_str()?.into(),
+        guard_address: read_address(entry.get_guard_address()?)?,
+        link_address: read_address(entry.get_link_address()?)?,
+        leaving: entry.get_leaving(),
+        servers,
+    })
+}
+
+fn read_address(value: address::Reader<'_>) -> Result<SocketAddr, Error> {
+    let data = value.get_ip()?;
+    let ip = if let Ok(octets) = <[u8; 4]>::try_from(data) {
+        IpAddr::from(octets)
+    } else if let Ok(octets) = <[u8; 16]>::try_from(data) {
+        IpAddr::from(octets)
+    } else {
+        return Err(malformed("address"));
+    };
+    Ok(SocketAddr::new(ip, value.get_port()))
+}
+
+pub(super) fn write_entries(
+    entries: &[DaemonEntry],
+    mut out: struct_list::Builder<'_, daemon_entry::Owned>,
+) {
+    for (index, entry) in entries.iter().enumerate() {
+        write_entry(entry, out.reborrow().get(index as u32));
+    }
+}
+
+pub(super) fn read_entries(
+    entries: struct_list::Reader<'_, daemon_entry::Owned>,
+) -> Result<Vec<DaemonEntry>, Error> {
+    entries.iter().map(read_entry).collect()
+}
+
+pub(super) fn write_summaries(
+    summaries: &[Summary],
+    mut out: struct_list::Builder<'_, summary::Owned>,
+) {
+    for (index, summary) in summaries.iter().enumerate() {
+        let mut item = out.reborrow().get(index as u32);
+        item.set_daemon(&*summary.daemon);
+        item.set_incarnation(summary.incarnation);
+        item.set_version(summary.version);
+        item.set_round(summary.round);
+        item.set_suspect(summary.suspect);
+    }
+}
+
+pub(super) fn read_summaries(
+    summaries: struct_list::Reader<'_, summary::Owned>,
+) -> Result<Vec<Summary>, Error> {
+    let mut found = Vec::new();
+    for summary in summaries {
+        found.push(Summary {
+            daemon: summary.get_daemon()?.to_str()?.into(),
+            incarnation: summary.get_incarnation(),
+            version: summary.get_version(),
+            round: summary.get_round(),
+            suspect: summary.get_suspect(),
+        });
+    }
+    Ok(found)
+}
+
+pub(super) fn write_names(names: &[DaemonId], mut out: text_list::Builder<'_>) {
+    for (index, name) in names.iter().enumerate() {
+        out.set(index as u32, &**name);
+    }
+}
+
+pub(super) fn read_names(names: text_list::Reader<'_>) -> Result<Vec<DaemonId>, Error> {
+    let mut found = Vec::new();
+    for name in names {
+        found.push(name?.to_str()?.into());
+    }
+    Ok(found)
+}
--- a/src/link/duty.rs
+++ b/src/link/duty.rs
@@ -1,12 +1,24 @@
-//! The link's thread.
+//! The link's thread: a single-threaded executor that owns all peer connections.
 
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
 use crossbeam::channel::Receiver;
+use futures::channel::mpsc;
+use futures::{SinkExt, StreamExt};
 
-use super::message::{LinkError, LinkMessage, PeerHandler, PeerName};
+use super::accepted::Acceptor;
+use super::caller::{Caller, PeerKey};
+use super::connection::Dial;
+use super::message::{LinkMessage, PeerHandler, PeerName};
+use super::reply::PendingReply;
 use crate::metrics::Metrics;
+use crate::ring::spawn_duty;
 use crate::settings::link::LinkSettings;
 use crate::wire::proof::FleetKey;
 
@@ -20,7 +32,7 @@
     pub key: FleetKey,
     /// Counters.
     pub metrics: Metrics,
-    /// Answers peers' requests.
+    /// Answers peers' requests; it is called on the link's thread and must not wait.
     pub handler: Arc<dyn PeerHandler>,
 }
 
@@ -31,12 +43,98 @@
 
 /// Runs the duty until it is told to stop.
 pub fn run(context: &LinkContext, listener: TcpListener, messages: &Receiver<LinkMessage>) {
-    let _ = (listener, &context.handler);
-    for message in messages {
+    let (sender, receiver) = mpsc::channel(BRIDGE_COUNT);
+    let ring = messages.clone();
+    let bridge = spawn_duty("link-ring", move || carry_over(&ring, sender));
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(serve(context, &executor, listener, receiver)));
+    drop(executor);
+    // A thread that panicked has told so on standard error.
+    let _ = bridge.join();
+}
+
+const BRIDGE_COUNT: usize = 16;
+
+/// Carries messages from the ring, where a thread waits, to the channel, where a task waits.
+fn carry_over(ring: &Receiver<LinkMessage>, mut sender: mpsc::Sender<LinkMessage>) {
+    for message in ring {
+        let stop = matches!(message, LinkMessage::Stop);
+        if async_io::block_on(sender.send(message)).is_err() || stop {
+            return;
+        }
+    }
+}
+
+async fn serve(
+    context: &LinkContext,
+    executor: &Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    mut messages: mpsc::Receiver<LinkMessage>,
+) {
+    let dial = Dial {
+        settings: context.settings.clone(),
+        own: context.own.clone(),
+        key: context.key.clone(),
+        metrics: context.metrics.clone(),
+    };
+    let caller = Caller::new(dial, executor);
+    let acceptor = Rc::new(Acceptor {
+        caller: caller.clone(),
+        handler: context.handler.clone(),
+        open_count: Cell::new(0),
+    });
+    match Async::new(listener) {
+        Ok(listener) => executor
+            .spawn(accept(listener, acceptor, Rc::downgrade(executor)))
+            .detach(),
+        Err(error) => log::error!("the peer link can't accept: {error}"),
+    }
+    while let Some(message) = messages.next().await {
         match message {
             LinkMessage::Stop => return,
-            LinkMessage::Fleet(_) => {}
-            LinkMessage::Call { reply, .. } => reply(Err(LinkError::Unreachable)),
+            LinkMessage::Fleet(fleet) => caller.set_fleet(fleet),
+            LinkMessage::Call { to, request, reply } => {
+                let call =
+                    caller
+                        .clone()
+                        .call(PeerKey::Daemon(to), request, PendingReply::new(reply));
+                executor.spawn(call).detach();
+            }
+            LinkMessage::CallSeed {
+                address,
+                request,
+                reply,
+            } => {
+                let call =
+                    caller
+                        .clone()
+                        .call(PeerKey::Seed(address), request, PendingReply::new(reply));
+                executor.spawn(call).detach();
+            }
         }
     }
 }
+
+async fn accept(
+    listener: Async<TcpListener>,
+    acceptor: Rc<Acceptor>,
+    executor: std::rc::Weak<LocalExecutor<'static>>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("the peer link can't accept: {error}");
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Some(executor) = executor.upgrade() else {
+            return;
+        };
+        executor.spawn(acceptor.clone().serve(stream)).detach();
+    }
+}
+
+/// Wait after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,7 +6,9 @@
 use thiserror::Error;
 
 use crate::health::ServerSummary;
-use crate::membership::DaemonEntry;
+use crate::membership::{
+    CompareAnswer, CompareRequest, GossipAnswer, GossipRequest, MembersAnswer, MembersRequest,
+};
 use crate::types::{
     Attempt, DaemonId, Fingerprint, Incarnation, KeyHash, Offset, OrganisationId, RequestId,
     ServiceId,
@@ -165,17 +167,18 @@
     Records(RecordsRequest),
     /// Withdrawn keys, spread without the log.
     Tombstones(Vec<KeyHash>),
-    /// Descriptions of daemons, newest first, and a digest of all that the sender knows.
-    Gossip {
-        /// Descriptions.
-        entries: Vec<DaemonEntry>,
-        /// Digest of all descriptions that the sender knows.
-        digest: u64,
-    },
     /// Fingerprints of requests that were running when backend servers died.
     Poison(Vec<PoisonReport>),
     /// What the servers of this service beside the peer met lately.
     Summary(ServiceId),
+    /// What changed among the daemons.
+    Gossip(GossipRequest),
+    /// Looks for what differs between two views of the fleet.
+    Compare(CompareRequest),
+    /// A page of the fleet, for a daemon that knows none of it.
+    Members(MembersRequest),
+    /// Does that daemon answer the peer that is asked?
+    Probe(DaemonId),
 }
 
 /// One death of a backend server while a request ran.
@@ -202,15 +205,16 @@
     Claim(ClaimAnswer),
     /// To `Records`.
     Records(RecordsAnswer),
-    /// To `Gossip`: what the sender lacks.
-    Gossip {
-        /// Descriptions.
-        entries: Vec<DaemonEntry>,
-        /// Digest of all descriptions that the answerer knows.
-        digest: u64,
-    },
     /// To `Summary`: one for each server of the service beside the answerer.
     Summary(Vec<ServerSummary>),
+    /// To `Gossip`.
+    Gossip(GossipAnswer),
+    /// To `Compare`.
+    Compare(CompareAnswer),
+    /// To `Members`.
+    Members(MembersAnswer),
+    /// To `Probe`: whether the daemon answered.
+    Probe(bool),
     /// To all others.
     Done,
 }
@@ -249,6 +253,15 @@
         /// Takes the answer.
         reply: PeerReply,
     },
+    /// Membership calls whichever daemon answers at a seed address.
+    CallSeed {
+        /// The address of a peer link.
+        address: std::net::SocketAddr,
+        /// The request.
+        request: PeerRequest,
+        /// Takes the answer.
+        reply: PeerReply,
+    },
     /// Where daemons are.
     Fleet(std::sync::Arc<crate::membership::Fleet>),
     /// The duty ends.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,10 +1,25 @@
 //! Control connections to other daemons: calls with answers, and silence detection.
 
+pub mod codec;
 pub mod duty;
 pub mod message;
+pub mod state;
+
+mod accepted;
+mod caller;
+mod connection;
+mod handshake;
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+mod peer_capnp;
+mod reply;
+mod socket;
 
 pub use message::{
-    BorrowAnswer, BorrowRequest, ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest,
-    LinkError, LinkMessage, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest,
-    PromiseAnswer, PromiseRequest, RecordsAnswer, RecordsRequest,
+    BorrowAnswer, BorrowRequest, ClaimAnswer, ClaimRequest, ClaimStep, EscrowId, FenceAnswer,
+    FenceRequest, LinkError, LinkMessage, PeerAnswer, PeerHandler, PeerName, PeerReply,
+    PeerRequest, PromiseAnswer, PromiseRequest, RecordsAnswer, RecordsRequest,
 };
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/link/socket.rs
@@ -0,0 +1,57 @@
+//! A socket that the reading half, the writing half and the one who closes it share.
+
+use std::io;
+use std::net::{Shutdown, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use async_io::Async;
+use futures::io::{AsyncRead, AsyncWrite};
+
+/// A connected socket. Clones share it.
+#[derive(Clone)]
+pub(super) struct Socket(Arc<Async<TcpStream>>);
+
+impl Socket {
+    /// Takes a connected stream; small messages leave at once.
+    pub(super) fn new(stream: Async<TcpStream>) -> Socket {
+        // Without it answers are only later.
+        let _ = stream.get_ref().set_nodelay(true);
+        Socket(Arc::new(stream))
+    }
+
+    /// Ends both directions.
+    pub(super) fn close(&self) {
+        // An error means that the socket is closed already.
+        let _ = self.0.get_ref().shutdown(Shutdown::Both);
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut &*self.0).poll_write(context, buffer)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_flush(context)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &*self.0).poll_close(context)
+    }
+}
--- /dev/null
+++ b/src/link/tests.rs
@@ -0,0 +1,4 @@
+mod calls;
+mod faults;
+mod states;
+mod support;
--- /dev/null
+++ b/src/link/tests/states.rs
@@ -0,0 +1,124 @@
+use std::time::{Duration, Instant};
+
+use crate::link::handshake::{End, Transcript};
+use crate::link::message::PeerName;
+use crate::link::state::*;
+use crate::link::tests::support::SECRET;
+use crate::settings::link::LinkSettings;
+use crate::wire::proof::FleetKey;
+
+fn after(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+#[test]
+fn a_call_without_an_answer_sends_a_heartbeat_and_then_closes() {
+    // Arrange
+    let start = Instant::now();
+    let mut state = ConnectionState::new(LinkSettings::default(), start);
+    state.handle(start, ConnectionEvent::Asked);
+
+    // Act
+    let early = state.handle(after(start, 249), ConnectionEvent::Tick);
+    let first = state.handle(after(start, 250), ConnectionEvent::Tick);
+    let waiting = state.handle(after(start, 749), ConnectionEvent::Tick);
+    let second = state.handle(after(start, 750), ConnectionEvent::Tick);
+
+    // Assert
+    assert_eq!(early, None);
+    assert_eq!(first, Some(ConnectionAction::Heartbeat));
+    assert_eq!(waiting, None);
+    assert_eq!(second, Some(ConnectionAction::CloseSilent));
+}
+
+#[test]
+fn a_slow_call_keeps_its_connection_while_heartbeats_are_answered() {
+    // Arrange
+    let start = Instant::now();
+    let mut state = ConnectionState::new(LinkSettings::default(), start);
+    state.handle(start, ConnectionEvent::Asked);
+
+    for turn in 1..20 {
+        // Act
+        let now = state.next_tick_at();
+        let action = state.handle(now, ConnectionEvent::Tick);
+        state.handle(now, ConnectionEvent::Heard);
+
+        // Assert
+        assert_eq!(action, Some(ConnectionAction::Heartbeat), "turn {turn}");
+    }
+}
+
+#[test]
+fn an_unused_connection_is_kept_alive_and_then_closed() {
+    // Arrange
+    let start = Instant::now();
+    let mut state = ConnectionState::new(LinkSettings::default(), start);
+    let mut actions = Vec::new();
+
+    // Act
+    while actions.last() != Some(&ConnectionAction::CloseIdle) {
+        let now = state.next_tick_at();
+        actions.extend(state.handle(now, ConnectionEvent::Tick));
+        state.handle(now, ConnectionEvent::Heard);
+    }
+
+    // Assert
+    assert_eq!(actions.len(), 6, "{actions:?}");
+    assert_eq!(actions[0], ConnectionAction::Heartbeat);
+}
+
+#[test]
+fn a_suspect_peer_is_dialled_again_ever_later_until_it_answers() {
+    // Arrange
+    let settings = LinkSettings::default();
+    let start = Instant::now();
+    let mut state = PeerState::default();
+
+    // Act
+    let first = state.ended(&settings, start, ConnectionEnd::Silent);
+    let may_after_first = state.may_dial(start);
+    let second = state.ended(&settings, start, ConnectionEnd::Failed);
+    let may_after_second = state.may_dial(after(start, 199));
+    state.ended(&settings, start, ConnectionEnd::Failed);
+    let may_after_third = state.may_dial(after(start, 399));
+
+    // Assert
+    assert!(!first && may_after_first);
+    assert!(second && !may_after_second);
+    assert!(!may_after_third && state.may_dial(after(start, 400)));
+    state.answered();
+    assert!(state.may_dial(start) && !state.suspect());
+}
+
+#[test]
+fn a_proof_serves_one_end_and_one_pair_of_lives() {
+    // Arrange
+    let key = FleetKey::new(SECRET);
+    let name = |daemon: &str| PeerName {
+        daemon: daemon.into(),
+        incarnation: 1,
+    };
+    let transcript = Transcript {
+        caller: name("a"),
+        caller_nonce: [1; 32],
+        answerer: name("b"),
+        answerer_nonce: [2; 32],
+    };
+    let proof = transcript.sign(&key, End::Caller);
+    let mut later_life = transcript.clone();
+    later_life.answerer.incarnation = 2;
+    let mut swapped = transcript.clone();
+    swapped.caller = transcript.answerer.clone();
+    swapped.answerer = transcript.caller.clone();
+
+    // Act
+    let reflected = transcript.verify(&key, End::Answerer, &proof);
+    let in_later_life = later_life.verify(&key, End::Caller, &proof);
+    let with_names_swapped = swapped.verify(&key, End::Caller, &proof);
+    let cut = transcript.verify(&key, End::Caller, &proof[..31]);
+
+    // Assert
+    assert!(transcript.verify(&key, End::Caller, &proof));
+    assert!(!reflected && !in_later_life && !with_names_swapped && !cut);
+}
--- /dev/null
+++ b/src/link/tests/support.rs
@@ -0,0 +1,247 @@
+//! Two links in one process, and a relay between them that can go silent.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{bounded, Receiver};
+
+use crate::link::duty::{bind, run, LinkContext};
+use crate::link::message::*;
+use crate::membership::{DaemonEntry, Fleet};
+use crate::metrics::Metrics;
+use crate::ring::{ring, RingSender};
+use crate::settings::link::LinkSettings;
+use crate::types::DaemonId;
+use crate::wire::proof::FleetKey;
+
+pub(super) const SECRET: &str = "a-secret-of-the-fleet-in-tests";
+
+pub(super) type Script =
+    Box<dyn Fn(&PeerName, PeerRequest) -> Option<Result<PeerAnswer, LinkError>> + Send + Sync>;
+
+/// Answers as a script says; keeps the replies that the script leaves open.
+pub(super) struct Scripted {
+    script: Script,
+    held: Mutex<Vec<PeerReply>>,
+}
+
+impl PeerHandler for Scripted {
+    fn handle(&self, from: &PeerName, request: PeerRequest, reply: PeerReply) {
+        match (self.script)(from, request) {
+            Some(result) => reply(result),
+            None => self.held.lock().unwrap().push(reply),
+        }
+    }
+}
+
+pub(super) struct RunningLink {
+    pub(super) address: SocketAddr,
+    pub(super) metrics: Metrics,
+    pub(super) sender: RingSender<LinkMessage>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for RunningLink {
+    fn drop(&mut self) {
+        self.sender.deliver(LinkMessage::Stop);
+        let thread = self.thread.take().unwrap();
+        assert!(thread.join().is_ok() || std::thread::panicking());
+    }
+}
+
+pub(super) fn start_link(daemon: &str, secret: &str, script: Script) -> RunningLink {
+    start_link_with(daemon, secret, LinkSettings::default(), script)
+}
+
+pub(super) fn start_link_with(
+    daemon: &str,
+    secret: &str,
+    settings: LinkSettings,
+    script: Script,
+) -> RunningLink {
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap();
+    let metrics = Metrics::local();
+    let name = PeerName {
+        daemon: daemon.into(),
+        incarnation: 7,
+    };
+    let context = LinkContext {
+        settings,
+        own: name,
+        key: FleetKey::new(secret),
+        metrics: metrics.clone(),
+        handler: Arc::new(Scripted {
+            script,
+            held: Mutex::default(),
+        }),
+    };
+    let (sender, receiver) = ring("link", 64, &metrics);
+    let thread = std::thread::spawn(move || run(&context, listener, &receiver));
+    RunningLink {
+        address,
+        metrics,
+        sender,
+        thread: Some(thread),
+    }
+}
+
+pub(super) fn refuse_all() -> Script {
+    Box::new(|_, _| Some(Err(LinkError::Refused)))
+}
+
+pub(super) fn answer_done() -> Script {
+    Box::new(|_, _| Some(Ok(PeerAnswer::Done)))
+}
+
+pub(super) fn fleet_of(links: &[(&str, SocketAddr)]) -> Arc<Fleet> {
+    let entry = |daemon: &str, address| DaemonEntry {
+        daemon: daemon.into(),
+        incarnation: 7,
+        version: 1,
+        domain: "north".into(),
+        guard_address: address,
+        link_address: address,
+        leaving: false,
+        servers: Vec::new(),
+    };
+    let daemons = links
+        .iter()
+        .map(|(daemon, address)| (DaemonId::from(*daemon), Arc::new(entry(daemon, *address))))
+        .collect();
+    Arc::new(Fleet { daemons })
+}
+
+impl RunningLink {
+    pub(super) fn knows(&self, links: &[(&str, SocketAddr)]) {
+        self.sender.deliver(LinkMessage::Fleet(fleet_of(links)));
+    }
+
+    /// Sends a call; the receiver gets every answer that is given.
+    pub(super) fn call(
+        &self,
+        to: &str,
+        request: PeerRequest,
+    ) -> Receiver<Result<PeerAnswer, LinkError>> {
+        let (answers, receiver) = bounded(4);
+        let reply = Box::new(move |result| answers.send(result).unwrap());
+        self.sender.deliver(LinkMessage::Call {
+            to: to.into(),
+            request,
+            reply,
+        });
+        receiver
+    }
+
+    pub(super) fn ask(&self, to: &str, request: PeerRequest) -> Result<PeerAnswer, LinkError> {
+        only_answer(&self.call(to, request))
+    }
+
+    pub(super) fn counted(&self, name: &str) -> u64 {
+        self.metrics.counts().get(name).copied().unwrap_or(0)
+    }
+
+    pub(super) fn wait_for_count(&self, name: &str) {
+        let until = Instant::now() + Duration::from_secs(30);
+        while self.counted(name) == 0 {
+            assert!(Instant::now() < until, "{name} was never counted");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// The one answer of a call; a second one fails the test.
+pub(super) fn only_answer(
+    answers: &Receiver<Result<PeerAnswer, LinkError>>,
+) -> Result<PeerAnswer, LinkError> {
+    let answer = answers
+        .recv_timeout(Duration::from_secs(30))
+        .expect("every call is answered");
+    assert!(
+        answers
+            .recv_timeout(Duration::from_secs(30))
+            .is_err_and(|error| error.is_disconnected()),
+        "a call was answered twice"
+    );
+    answer
+}
+
+/// Passes bytes between a caller and a target until it is told to be silent.
+pub(super) struct Relay {
+    pub(super) address: SocketAddr,
+    silent: Arc<AtomicBool>,
+    /// All bytes that callers sent.
+    pub(super) sent: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Relay {
+    pub(super) fn start(target: SocketAddr) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let relay = Relay {
+            address: listener.local_addr().unwrap(),
+            silent: Arc::default(),
+            sent: Arc::default(),
+        };
+        let all_silent = relay.silent.clone();
+        let sent = relay.sent.clone();
+        std::thread::spawn(move || {
+            for caller in listener.incoming() {
+                let caller = caller.unwrap();
+                let answerer = TcpStream::connect(target).unwrap();
+                // Silence falls on the connections of its time; later ones work.
+                let silent = Arc::new(AtomicBool::new(false));
+                pass(&caller, &answerer, &all_silent, &silent, Some(sent.clone()));
+                pass(&answerer, &caller, &all_silent, &silent, None);
+            }
+        });
+        relay
+    }
+
+    /// Every open connection goes silent at its next byte.
+    pub(super) fn silence_open_connections(&self) {
+        self.silent.store(true, Ordering::SeqCst);
+    }
+
+    /// New connections work; silenced ones stay silent.
+    pub(super) fn restore(&self) {
+        self.silent.store(false, Ordering::SeqCst);
+    }
+}
+
+fn pass(
+    from: &TcpStream,
+    to: &TcpStream,
+    all_silent: &Arc<AtomicBool>,
+    silent: &Arc<AtomicBool>,
+    copy: Option<Arc<Mutex<Vec<u8>>>>,
+) {
+    let mut from = from.try_clone().unwrap();
+    let mut to = to.try_clone().unwrap();
+    let all_silent = all_silent.clone();
+    let silent = silent.clone();
+    std::thread::spawn(move || {
+        let mut buffer = [0; 4096];
+        while let Ok(count) = from.read(&mut buffer) {
+            if count == 0 {
+                break;
+            }
+            if all_silent.load(Ordering::SeqCst) {
+                silent.store(true, Ordering::SeqCst);
+            }
+            if silent.load(Ordering::SeqCst) {
+                continue;
+            }
+            if let Some(copy) = &copy {
+                copy.lock().unwrap().extend_from_slice(&buffer[..count]);
+            }
+            if to.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    });
+}
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -1,9 +1,9 @@
 //! Events and actions of membership.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
 use crate::types::{BackendServerId, DaemonId, DomainId, Incarnation, ServiceId};
@@ -55,11 +55,11 @@
     pub servers: Vec<ServerEntry>,
 }
 
-/// Every daemon known, by name. A snapshot.
+/// Every daemon known, by name. A snapshot; clones share what did not change.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Fleet {
     /// The daemons.
-    pub daemons: BTreeMap<DaemonId, Arc<DaemonEntry>>,
+    pub daemons: OrdMap<DaemonId, Arc<DaemonEntry>>,
 }
 
 /// What happens to membership.
@@ -90,3 +90,82 @@
     /// Gives a new snapshot to the duties of this daemon.
     Changed(Arc<Fleet>),
 }
+
+/// Names one state of a daemon, without its description.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Summary {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Version of its description.
+    pub version: u64,
+    /// Raised by the daemon itself, and only to refute a suspicion.
+    pub round: u32,
+    /// Whether it is suspected in this round. The daemon itself never sets it.
+    pub suspect: bool,
+}
+
+/// What changed among the daemons, as one daemon tells another.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct GossipRequest {
+    /// What changed of late.
+    pub summaries: Vec<Summary>,
+    /// Descriptions that the peer asked for.
+    pub entries: Vec<DaemonEntry>,
+    /// Digest of all that the sender knows.
+    pub digest: u64,
+}
+
+/// The answer to gossip.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct GossipAnswer {
+    /// What changed of late, as the answerer knows.
+    pub summaries: Vec<Summary>,
+    /// Daemons whose newer descriptions the answerer lacks.
+    pub wanted: Vec<DaemonId>,
+    /// Digest of all that the answerer knows.
+    pub digest: u64,
+}
+
+/// Digests of the sixteen parts below one node of the digest tree.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CompareRequest {
+    /// How many nibbles of a name's hash lead to the node.
+    pub depth: u8,
+    /// Those nibbles, in the low bits.
+    pub prefix: u64,
+    /// Digests of the parts, in order.
+    pub digests: Vec<u64>,
+}
+
+/// What differs below one node of the digest tree.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CompareAnswer {
+    /// All that the answerer knows in differing parts with few daemons.
+    pub summaries: Vec<Summary>,
+    /// Bit `n` is set where part `n` differs and has too many daemons to list.
+    pub deeper: u16,
+}
+
+/// Asks for a page of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MembersRequest {
+    /// The page begins after this daemon; empty for the first.
+    pub after: DaemonId,
+    /// Most bytes of descriptions.
+    pub limit_bytes: u32,
+}
+
+/// A page of the fleet, in order of the daemons' names.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MembersAnswer {
+    /// One summary for each description.
+    pub summaries: Vec<Summary>,
+    /// The descriptions.
+    pub entries: Vec<DaemonEntry>,
+    /// Where the next page begins.
+    pub next: DaemonId,
+    /// Whether this is the last page.
+    pub complete: bool,
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -5,7 +5,8 @@
 pub mod state;
 
 pub use message::{
-    DaemonEntry, Fleet, MembershipAction, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE,
+    CompareAnswer, CompareRequest, DaemonEntry, Fleet, GossipAnswer, GossipRequest, MembersAnswer,
+    MembersRequest, MembershipAction, MembershipEvent, ServerEntry, Summary, FULL_SHARE_PERMILLE,
 };
 
 #[cfg(test)]
