Teach the stand-in server to cancel, to keep deadlines and to fail in more ways

Cause: tests of cancellation, poison requests and cut answers need a server that shows them. Change: control requests pass the workers by; faults for lost, short and crossed answers, overload, drain and death; the guard refuses an answer that names another request.

--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -14,7 +14,7 @@
 use crate::wire::call::{call, Call, CallError};
 use crate::wire::exchange::{Exchange, RawHead, WholeAnswer};
 use crate::wire::forward::{ForwardHead, DEADLINE_MS, ORGANISATION, PREFIX, REQUEST};
-use crate::wire::http::HeaderPair;
+use crate::wire::http::{header, HeaderPair};
 
 /// A request that starts.
 pub struct StartJob {
@@ -101,7 +101,7 @@
 
 fn start(context: &ForwardContext, job: &mut StartJob) -> Result<WholeAnswer, CallError> {
     let headers = server_headers(job);
-    context.backend.call(Call {
+    let answer = context.backend.call(Call {
         address: job.address,
         method: &job.raw.method,
         target: &job.raw.target,
@@ -111,7 +111,12 @@
         connect_timeout: context.connect_timeout,
         deadline_at: job.deadline_at,
         answer_limit_bytes: context.answer_limit_bytes,
-    })
+    })?;
+    let own_id = format_id(job.head.request);
+    if header(&answer.headers, REQUEST).is_some_and(|id| id != own_id) {
+        return Err(CallError::ShortAnswer);
+    }
+    Ok(answer)
 }
 
 /// The caller's headers, and what the server may know of the request.
--- /dev/null
+++ b/src/standin/backend_server/mod.rs
@@ -0,0 +1,157 @@
+//! A backend server: answers requests after a while, announces itself, and fails as told.
+//!
+//! `PUT /faults` with a `ServerFaults` changes how it fails; `GET /ran` lists what it ran;
+//! `DELETE /banyanbeam/requests/ID` ends a run whose caller left.
+
+mod faults;
+mod run;
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use attohttpc::Method as ClientMethod;
+use crossbeam::channel::{bounded, Sender};
+use tiny_http::{Method, Request, Server};
+
+pub use faults::{RanReport, ServerFaults};
+use run::{respond, run, Shared};
+
+use crate::clock::{epoch_ms, Clock, SystemClock};
+use crate::guard::cancel::CANCEL_PATH;
+use crate::guard::Announcement;
+use crate::ring::spawn_duty;
+use crate::types::{BackendServerId, ServiceId};
+use crate::wire::http::client;
+
+/// What a stand-in server is.
+#[derive(Debug, Clone)]
+pub struct BackendServerOptions {
+    /// Its name.
+    pub server: BackendServerId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where the daemon beside it takes announcements.
+    pub announce_address: SocketAddr,
+    /// Its slots.
+    pub slots_count: u32,
+    /// How long a request takes.
+    pub work: Duration,
+}
+
+/// A running stand-in. It ends with its process.
+pub struct BackendServerStandin {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Starts the stand-in.
+pub fn start(options: &BackendServerOptions) -> eyre::Result<BackendServerStandin> {
+    let server = Arc::new(Server::http(options.address).map_err(|error| eyre::eyre!("{error}"))?);
+    let address = server
+        .server_addr()
+        .to_ip()
+        .expect("a TCP listener has an IP address");
+    let shared = Arc::new(Shared::default());
+    let (jobs, jobs_end) = bounded(WORKER_COUNT);
+    for index in 0..RECEIVER_COUNT {
+        let server = server.clone();
+        let shared = shared.clone();
+        let jobs = jobs.clone();
+        spawn_duty(&format!("server-in-{index}"), move || {
+            while let Ok(request) = server.recv() {
+                dispatch(&shared, request, &jobs);
+            }
+        });
+    }
+    for index in 0..WORKER_COUNT {
+        let shared = shared.clone();
+        let options = options.clone();
+        let jobs = jobs_end.clone();
+        spawn_duty(&format!("server-{index}"), move || {
+            for request in jobs {
+                run(&shared, &options, request);
+            }
+        });
+    }
+    let options = BackendServerOptions {
+        address,
+        ..options.clone()
+    };
+    spawn_duty("server-announce", move || announce(&shared, &options));
+    Ok(BackendServerStandin { address })
+}
+
+const RECEIVER_COUNT: usize = 2;
+const WORKER_COUNT: usize = 32;
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+fn announce(shared: &Shared, options: &BackendServerOptions) {
+    let url = format!("http://{}/announce", options.announce_address);
+    let started_at_ms = epoch_ms(SystemClock.wall());
+    loop {
+        let faults = shared.faults();
+        let announcement = Announcement {
+            server: options.server.clone(),
+            service: options.service.clone(),
+            address: options.address,
+            slots_count: options.slots_count,
+            cold: faults.cold,
+            draining: faults.draining,
+            started_at_ms,
+            ..Default::default()
+        };
+        if !faults.unannounced {
+            let body = serde_json::to_string(&announcement).expect("plain values become JSON");
+            // A daemon that is not up yet hears the next announcement.
+            let _ = client(ClientMethod::POST, &url, ANNOUNCE_TIMEOUT, ANNOUNCE_TIMEOUT)
+                .text(body)
+                .send();
+        }
+        std::thread::sleep(ANNOUNCE_EVERY);
+    }
+}
+
+/// Answers control requests at once and hands all others to the workers.
+fn dispatch(shared: &Shared, request: Request, jobs: &Sender<Request>) {
+    let target = request.url().to_owned();
+    if let Some(id) = target.strip_prefix(CANCEL_PATH) {
+        if *request.method() == Method::Delete {
+            shared.cancel(id);
+            return respond(request, 200, "{}".to_owned(), None);
+        }
+    }
+    match (request.method(), target.as_str()) {
+        (Method::Put, "/faults") => set_faults(shared, request),
+        (Method::Get, "/ran") => {
+            let ran = shared.ran.lock().expect("no panic while locked").clone();
+            let text = serde_json::to_string(&ran).expect("plain values become JSON");
+            respond(request, 200, text, None);
+        }
+        _ => {
+            if let Err(refused) = jobs.try_send(request) {
+                respond(refused.into_inner(), 503, "overloaded".to_owned(), None);
+            }
+        }
+    }
+}
+
+fn set_faults(shared: &Shared, mut request: Request) {
+    let mut text = String::new();
+    let mut body = request.as_reader().take(FAULTS_LIMIT_BYTES);
+    // Text that can't be read is told of below as faults that can't be parsed.
+    let _ = body.read_to_string(&mut text);
+    match serde_json::from_str(&text) {
+        Ok(faults) => {
+            *shared.faults.lock().expect("no panic while locked") = faults;
+            respond(request, 200, "{}".to_owned(), None);
+        }
+        Err(error) => respond(request, 400, error.to_string(), None),
+    }
+}
+
+const FAULTS_LIMIT_BYTES: u64 = 4096;
--- /dev/null
+++ b/src/standin/backend_server/run.rs
@@ -0,0 +1,211 @@
+//! One run of a request at the stand-in server.
+
+use std::collections::HashSet;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use tiny_http::{Header, Request, Response};
+
+use super::faults::{RanReport, ServerFaults};
+use super::BackendServerOptions;
+use crate::wire::forward;
+
+/// What the threads of one stand-in share.
+#[derive(Default)]
+pub(super) struct Shared {
+    pub(super) faults: Mutex<ServerFaults>,
+    pub(super) ran: Mutex<RanReport>,
+    running_count: AtomicU64,
+    served_count: AtomicU64,
+    /// Requests that run and whose caller left.
+    cancelled: Mutex<HashSet<String>>,
+    cancelled_changed: Condvar,
+}
+
+const BODY_KEPT_BYTES: usize = 4096;
+const COPY_BUFFER_BYTES: usize = 32 * 1024;
+/// How long a silent server holds a request.
+const SILENCE: Duration = Duration::from_secs(60);
+const LONGEST_RUN: Duration = Duration::from_secs(120);
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    Done,
+    Cancelled,
+    Late,
+}
+
+impl Shared {
+    /// Ends the run of a request whose caller left.
+    pub(super) fn cancel(&self, id: &str) {
+        let mut cancelled = self.cancelled.lock().expect("no panic while locked");
+        cancelled.insert(id.to_owned());
+        self.cancelled_changed.notify_all();
+    }
+
+    pub(super) fn faults(&self) -> ServerFaults {
+        self.faults.lock().expect("no panic while locked").clone()
+    }
+
+    /// Works for a time, or until the caller left or the deadline came.
+    fn work(&self, id: &str, work: Duration, deadline: Duration) -> RunEnd {
+        let started_at = Instant::now();
+        let mut cancelled = self.cancelled.lock().expect("no panic while locked");
+        loop {
+            if cancelled.remove(id) {
+                return RunEnd::Cancelled;
+            }
+            let elapsed = started_at.elapsed();
+            if elapsed >= deadline {
+                return RunEnd::Late;
+            }
+            if elapsed >= work {
+                return RunEnd::Done;
+            }
+            let left = work.min(deadline) - elapsed;
+            let waited = self.cancelled_changed.wait_timeout(cancelled, left);
+            cancelled = waited.expect("no panic while locked").0;
+        }
+    }
+}
+
+/// Reads the whole request, works, and answers.
+pub(super) fn run(shared: &Shared, options: &BackendServerOptions, mut request: Request) {
+    let faults = shared.faults();
+    let length_bytes = request.body_length();
+    let (body_bytes, kept) = read_body(&mut request);
+    if length_bytes.is_some_and(|length| length as u64 != body_bytes) {
+        let mut ran = shared.ran.lock().expect("no panic while locked");
+        ran.short_body_count += 1;
+        drop(ran);
+        return respond(request, 400, "short body".to_owned(), None);
+    }
+    die_if_told(&faults, &request, &kept);
+    let id = header(&request, forward::REQUEST).unwrap_or_default();
+    let deadline = header(&request, forward::DEADLINE_MS)
+        .and_then(|value| value.parse().ok())
+        .map_or(LONGEST_RUN, Duration::from_millis);
+    let running = shared.running_count.fetch_add(1, Ordering::SeqCst) + 1;
+    let served = shared.served_count.fetch_add(1, Ordering::SeqCst) + 1;
+    let every = |count: u64| count > 0 && served % count == 0;
+    let overloaded = faults.bears_count > 0 && running > faults.bears_count;
+    note_start(shared, &request, &id, running, overloaded);
+    let mut work = options.work;
+    if faults.slow_every_count == 0 || every(faults.slow_every_count) {
+        work += Duration::from_millis(faults.slow_ms);
+    }
+    if faults.silent {
+        work = SILENCE;
+    }
+    let patience = if faults.silent { SILENCE } else { deadline };
+    let end = shared.work(&id, work, patience);
+    shared.running_count.fetch_sub(1, Ordering::SeqCst);
+    note_end(shared, end);
+    if end == RunEnd::Late {
+        return respond(request, 504, "late".to_owned(), None);
+    }
+    if end == RunEnd::Cancelled || faults.silent || every(faults.lost_answer_every_count) {
+        return break_off(request);
+    }
+    if overloaded {
+        return respond(request, 503, "overloaded".to_owned(), None);
+    }
+    if every(faults.error_every_count) {
+        return respond(request, 500, "failed".to_owned(), None);
+    }
+    if every(faults.short_answer_every_count) {
+        return cut_short(request);
+    }
+    let answer = serde_json::json!({
+        "server": &*options.server,
+        "request": id,
+        "organisation": header(&request, forward::ORGANISATION).unwrap_or_default(),
+        "path": request.url(),
+        "body_bytes": body_bytes,
+    });
+    let echoed = if every(faults.wrong_id_every_count) {
+        crate::types::format_id(0)
+    } else {
+        id
+    };
+    respond(request, 200, answer.to_string(), Some(echoed));
+}
+
+/// The length of the body and its first bytes.
+fn read_body(request: &mut Request) -> (u64, Vec<u8>) {
+    let mut kept = Vec::new();
+    let mut buffer = vec![0; COPY_BUFFER_BYTES];
+    let mut body_bytes = 0;
+    let reader = request.as_reader();
+    while let Ok(got) = reader.read(&mut buffer) {
+        if got == 0 {
+            break;
+        }
+        let room = BODY_KEPT_BYTES.saturating_sub(kept.len());
+        kept.extend_from_slice(&buffer[..room.min(got)]);
+        body_bytes += got as u64;
+    }
+    (body_bytes, kept)
+}
+
+fn die_if_told(faults: &ServerFaults, request: &Request, body: &[u8]) {
+    if faults.dies_on.is_empty() {
+        return;
+    }
+    let in_body = String::from_utf8_lossy(body).contains(&faults.dies_on);
+    if in_body || request.url().contains(&faults.dies_on) {
+        std::process::exit(DEATH_CODE);
+    }
+}
+
+const DEATH_CODE: i32 = 70;
+
+fn note_start(shared: &Shared, request: &Request, id: &str, running: u64, overloaded: bool) {
+    let key = header(request, "idempotency-key");
+    let mut ran = shared.ran.lock().expect("no panic while locked");
+    *ran.runs.entry(id.to_owned()).or_default() += 1;
+    if let Some(key) = key {
+        *ran.runs_by_key.entry(key).or_default() += 1;
+    }
+    ran.peak_count = ran.peak_count.max(running);
+    ran.overload_count += u64::from(overloaded);
+    ran.keys_seen_count += u64::from(header(request, "authorization").is_some());
+}
+
+fn note_end(shared: &Shared, end: RunEnd) {
+    let mut ran = shared.ran.lock().expect("no panic while locked");
+    ran.cancelled_count += u64::from(end == RunEnd::Cancelled);
+    ran.late_count += u64::from(end == RunEnd::Late);
+}
+
+/// Breaks the connection without an answer.
+fn break_off(request: Request) {
+    drop(request.into_writer());
+}
+
+/// Sends an answer that ends before its length.
+fn cut_short(request: Request) {
+    let mut writer = request.into_writer();
+    // A caller that left has nothing to be told.
+    let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
+    let _ = writer.flush();
+}
+
+pub(super) fn header(request: &Request, name: &str) -> Option<String> {
+    let mut headers = request.headers().iter();
+    let found = headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name))?;
+    Some(found.value.to_string())
+}
+
+pub(super) fn respond(request: Request, status: u16, body: String, id: Option<String>) {
+    let mut response = Response::from_string(body).with_status_code(status);
+    if let Some(id) = id {
+        let header = Header::from_bytes(forward::REQUEST, id).expect("an id is a header value");
+        response.add_header(header);
+    }
+    // A caller that left has nothing to be told.
+    let _ = request.respond(response);
+}
