Follow the log through outages: read-back, peers, tombstones, checkpoints

An operator's change is accepted when this daemon read its own record back; a lost answer is resolved by reading. While the log is silent, records come from peers; a withdrawal is a tombstone that spreads without the log and is appended when it is back. Records that are no longer kept are replaced by a checkpoint, a pure function of the prefix. A view is given out only when it was read to its end, and a daemon without contact to the log or a peer for stale_limit_ms refuses every request.

--- /dev/null
+++ b/src/contract/checkpoint.rs
@@ -0,0 +1,103 @@
+//! A view as text and back. The same prefix gives the same text, byte for byte.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::message::{OrganisationContract, ServiceContract};
+use super::state::{KeyState, View};
+use crate::allowance::seat::ShardIndex;
+use crate::types::{format_id, parse_id, DomainId, Offset, OrganisationId};
+use crate::wire::hex;
+
+/// Every object in order of its name, so that the text depends on the prefix alone.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Checkpoint {
+    next: Offset,
+    domains_version: Option<Offset>,
+    shard_counts: BTreeMap<OrganisationId, ShardIndex>,
+    domains_out: BTreeSet<DomainId>,
+    domains_back: BTreeMap<DomainId, Offset>,
+    services: Vec<(Offset, Arc<ServiceContract>)>,
+    organisations: Vec<(Offset, Arc<OrganisationContract>)>,
+    /// Hash, organisation, version, withdrawn.
+    keys: Vec<(String, OrganisationId, Offset, bool)>,
+    /// Newest operations, oldest first.
+    operations: Vec<String>,
+}
+
+impl View {
+    /// The view as text, without tombstones: a pure function of the prefix below `next`.
+    pub fn to_checkpoint(&self) -> String {
+        let mut services = Vec::with_capacity(self.services.len());
+        for (id, contract) in &self.services {
+            let version = self.service_versions.get(id).copied().unwrap_or(0);
+            services.push((version, contract.clone()));
+        }
+        services.sort_by(|a, b| a.1.service.cmp(&b.1.service));
+        let mut organisations = Vec::with_capacity(self.organisations.len());
+        for (id, contract) in &self.organisations {
+            let version = self.organisation_versions.get(id).copied().unwrap_or(0);
+            organisations.push((version, contract.clone()));
+        }
+        organisations.sort_by(|a, b| a.1.organisation.cmp(&b.1.organisation));
+        let mut keys = Vec::with_capacity(self.keys.len());
+        for (key_hash, state) in &self.keys {
+            let organisation = state.organisation.clone();
+            let hash = hex::encode(key_hash);
+            keys.push((hash, organisation, state.version, state.withdrawn));
+        }
+        keys.sort();
+        let operations = self.operations.iter().map(|id| format_id(*id)).collect();
+        let checkpoint = Checkpoint {
+            next: self.next,
+            domains_version: self.domains_version,
+            shard_counts: self.shard_counts.clone(),
+            domains_out: self.domains_out.clone(),
+            domains_back: self.domains_back.clone(),
+            services,
+            organisations,
+            keys,
+            operations,
+        };
+        serde_json::to_string(&checkpoint).expect("plain values become JSON")
+    }
+
+    /// Reads a view from its text; none when the text is malformed.
+    pub fn from_checkpoint(text: &str) -> Option<View> {
+        let checkpoint: Checkpoint = serde_json::from_str(text).ok()?;
+        let mut view = View {
+            next: checkpoint.next,
+            domains_version: checkpoint.domains_version,
+            shard_counts: checkpoint.shard_counts,
+            domains_out: checkpoint.domains_out,
+            domains_back: checkpoint.domains_back,
+            ..Default::default()
+        };
+        for (version, contract) in checkpoint.services {
+            let id = contract.service.clone();
+            view.service_versions.insert(id.clone(), version);
+            view.routes.add_in_place_of(None, &contract);
+            view.services.insert(id, contract);
+        }
+        for (version, contract) in checkpoint.organisations {
+            let id = contract.organisation.clone();
+            view.organisation_versions.insert(id.clone(), version);
+            view.organisations.insert(id, contract);
+        }
+        for (hash, organisation, version, withdrawn) in checkpoint.keys {
+            let state = KeyState {
+                organisation: view.shared_name(&organisation),
+                version,
+                withdrawn,
+            };
+            view.keys.insert(hex::decode_32(&hash)?, state);
+        }
+        for operation in checkpoint.operations {
+            view.remember(parse_id(&operation)?);
+        }
+        Some(view)
+    }
+}
--- a/src/contract/message.rs
+++ b/src/contract/message.rs
@@ -234,6 +234,21 @@
     Domains(BTreeSet<DomainId>),
 }
 
+/// One record of the configuration as it was read, with what it did.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AppliedChange {
+    /// Where the record stands.
+    pub offset: Offset,
+    /// The record.
+    pub record: Record,
+    /// Whether it holds.
+    pub verdict: Verdict,
+    /// The object before.
+    pub before: ObjectState,
+    /// The object after.
+    pub after: ObjectState,
+}
+
 /// What the view knows of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyAnswer {
--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -5,14 +5,15 @@
 //! and hands out snapshots.
 
 pub mod check;
+pub mod checkpoint;
 pub mod message;
 pub mod routes;
 pub mod state;
 
 pub use check::{check_change, ContractError};
 pub use message::{
-    short_hash, Change, KeyAnswer, ObjectId, ObjectState, OrganisationContract, Record,
-    RouteContract, ServiceContract, Verdict,
+    short_hash, AppliedChange, Change, KeyAnswer, ObjectId, ObjectState, OrganisationContract,
+    Record, RouteContract, ServiceContract, Verdict,
 };
 pub use state::View;
 
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Whether an operation is among the newest that were read.
+    pub fn has_seen(&self, operation: OperationId) -> bool {
+        self.operations_seen.contains(&operation)
+    }
+
     /// What is known of a key.
     pub fn key(&self, key_hash: &KeyHash) -> KeyAnswer {
         if self.is_withdrawn(key_hash) {
@@ -159,7 +164,7 @@
         self.routes.find(&self.services, method, path)
     }
 
-    fn remember(&mut self, operation: OperationId) -> bool {
+    pub(super) fn remember(&mut self, operation: OperationId) -> bool {
         if self.operations_seen.insert(operation).is_some() {
             return false;
         }
@@ -258,7 +263,7 @@
     }
 
     /// The organisation's name as its contract holds it, so that many keys share one text.
-    fn shared_name(&self, organisation: &OrganisationId) -> OrganisationId {
+    pub(super) fn shared_name(&self, organisation: &OrganisationId) -> OrganisationId {
         self.organisations
             .get(organisation)
             .map_or_else(|| organisation.clone(), |held| held.organisation.clone())
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -15,7 +15,7 @@
 use crate::journal::client::HttpLog;
 use crate::journal::{self, JournalEvent, MEMBERS};
 use crate::link::{self, LinkMessage, PeerName};
-use crate::membership::{self, DaemonEntry, MembershipEvent};
+use crate::membership::{self, DaemonEntry, Fleet, MembershipEvent};
 use crate::ring::spawn_duty;
 use crate::routing::{RoutingEvent, RoutingMessage};
 
@@ -45,6 +45,7 @@
         servers: Vec::new(),
     };
     let journal = rings.journal.clone();
+    let journal_fleet = rings.journal.clone();
     let routing = rings.routing.clone();
     let link = rings.link.clone();
     let metrics = common.metrics.clone();
@@ -64,7 +65,9 @@
                 metrics.count("membership.publish.refused");
             }
         }),
-        changed: Box::new(move |fleet| {
+        changed: Box::new(move |fleet: Arc<Fleet>| {
+            // A snapshot that finds the ring full is replaced by the next one.
+            let _ = journal_fleet.offer(JournalEvent::Fleet(fleet.clone()));
             routing.deliver(RoutingMessage::Event(RoutingEvent::Fleet(fleet.clone())));
             link.deliver(LinkMessage::Fleet(fleet.clone()));
             if guard.offer(GuardMessage::Fleet(fleet)).is_err() {
@@ -94,9 +97,12 @@
     };
     let context = journal::duty::JournalContext {
         settings: common.settings.journal.clone(),
+        own: common.settings.daemon.daemon.clone(),
+        seed: common.incarnation,
         log: Arc::new(HttpLog::new(&common.settings.journal)),
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
+        link: rings.link.clone(),
         readers: vec![Box::new(readers)],
     };
     journal::duty::start(context, (rings.journal.clone(), events), stopping.clone())
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -2,6 +2,7 @@
 
 use super::rings::Rings;
 use crate::guard::{GuardEvent, GuardMessage};
+use crate::journal::JournalEvent;
 use crate::link::{LinkError, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest};
 
 /// Knows which duty answers which request.
@@ -27,6 +28,25 @@
                 let from = from.daemon.clone();
                 reply(guard(GuardEvent::Poison { from, reports }));
             }
+            PeerRequest::Records(request) => {
+                let event = JournalEvent::PeerAsked {
+                    from: from.clone(),
+                    request,
+                    reply,
+                };
+                if let Err(JournalEvent::PeerAsked { reply, .. }) = self.rings.journal.offer(event)
+                {
+                    reply(Err(LinkError::Refused));
+                }
+            }
+            PeerRequest::Tombstones(hashes) => {
+                let event = JournalEvent::Tombstones { hashes };
+                let taken = self.rings.journal.offer(event).is_ok();
+                reply(match taken {
+                    true => Ok(PeerAnswer::Done),
+                    false => Err(LinkError::Refused),
+                });
+            }
             _ => reply(Err(LinkError::Refused)),
         }
     }
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -47,6 +47,11 @@
             .deliver(FrontMessage::Event(FrontEvent::View(view)));
     }
 
+    fn usable(&self, usable: bool) {
+        self.front
+            .deliver(FrontMessage::Event(FrontEvent::Usable(usable)));
+    }
+
     fn read_ended(
         &self,
         stream: Stream,
--- a/src/front/message.rs
+++ b/src/front/message.rs
@@ -52,6 +52,8 @@
     },
     /// A new view is in force.
     View(Arc<View>),
+    /// Whether requests may rely on the view.
+    Usable(bool),
     /// The daemon stops taking requests.
     Drain,
 }
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -15,6 +15,8 @@
 #[derive(Default)]
 pub struct FrontState {
     view: Option<Arc<View>>,
+    /// Whether the view may be relied on; without it every request is refused.
+    usable: bool,
     draining: bool,
     /// Requests that wait for their token.
     waiting: HashMap<RequestId, RequestPlan>,
@@ -36,6 +38,10 @@
                 self.view = Some(view);
                 None
             }
+            FrontEvent::Usable(usable) => {
+                self.usable = usable;
+                None
+            }
             FrontEvent::Drain => {
                 self.draining = true;
                 None
@@ -66,7 +72,8 @@
         if self.draining {
             return Err(ErrorKind::Stopping);
         }
-        let view = self.view.as_ref().ok_or(ErrorKind::NoView)?;
+        let view = self.view.as_ref().filter(|_| self.usable);
+        let view = view.ok_or(ErrorKind::NoView)?;
         let path = head.target.split('?').next().unwrap_or_default();
         let (service, route) = match view.route(&head.method, path) {
             RouteAnswer::Found(service, route) => (service, route),
--- a/src/journal/duty.rs
+++ b/src/journal/duty.rs
@@ -7,20 +7,31 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 
-use super::message::{JournalAction, JournalEvent, LogRecord};
+use super::appender::{self, AppendJob};
+use super::message::{JournalAction, JournalEvent, LogRecord, ReaderCommand, SubmitOutcome};
+use super::reader::{ConfigurationReader, StreamReader};
 use super::state::JournalState;
-use super::{LogError, PlatformLog, Stream, CONFIGURATION, STREAMS};
+use super::{PlatformLog, Stream, CONFIGURATION, STREAMS};
 use crate::clock::Clock;
-use crate::contract::View;
+use crate::contract::{AppliedChange, View};
+use crate::link::{LinkMessage, PeerAnswer, PeerRequest};
 use crate::metrics::Metrics;
 use crate::ring::{ring, spawn_duty, RingSender};
 use crate::settings::journal::JournalSettings;
-use crate::types::Offset;
+use crate::types::{DaemonId, Offset, OperationId};
 
 /// Takes new views and records of other streams.
 pub trait JournalReader: Send {
     /// A new view is in force.
     fn view(&self, view: Arc<View>);
+    /// Whether requests may rely on the view; false until the first one.
+    fn usable(&self, usable: bool);
+    /// A record of the configuration was read, whether it holds or not.
+    fn changed(&self, _change: &AppliedChange) {}
+    /// An operator's change came to an end.
+    fn resolved(&self, _operation: OperationId, _outcome: &SubmitOutcome) {}
+    /// Whether the platform's log answers.
+    fn reachable(&self, _reachable: bool) {}
     /// A read of a stream other than the configuration ended; called for empty reads too.
     ///
     /// The read was sent at `asked_at`, so whatever was appended before then and is not yet
@@ -32,16 +43,29 @@
 pub struct JournalContext {
     /// Its settings.
     pub settings: JournalSettings,
+    /// This daemon.
+    pub own: DaemonId,
+    /// Seed of the choice of peers.
+    pub seed: u64,
     /// The platform's log.
     pub log: Arc<dyn PlatformLog>,
     /// Time.
     pub clock: Arc<dyn Clock>,
     /// Counters.
     pub metrics: Metrics,
+    /// The link to peers.
+    pub link: RingSender<LinkMessage>,
     /// Where views and records go.
     pub readers: Vec<Box<dyn JournalReader>>,
 }
 
+struct Out {
+    context: JournalContext,
+    events: RingSender<JournalEvent>,
+    appends: RingSender<AppendJob>,
+    commands: RingSender<ReaderCommand>,
+}
+
 /// Starts the journal's threads.
 pub fn start(
     context: JournalContext,
@@ -51,7 +75,7 @@
     let (sender, receiver) = events;
     let mut threads = Vec::new();
     for stream in STREAMS {
-        let reader = Reader {
+        let reader = StreamReader {
             stream,
             log: context.log.clone(),
             settings: context.settings.clone(),
@@ -61,98 +85,78 @@
         };
         threads.push(spawn_duty(&format!("read-{stream}"), move || reader.run()));
     }
-    let (append_sender, append_receiver) =
-        ring("journal.append", APPEND_RING_COUNT, &context.metrics);
+    let (commands, commands_end) = ring("journal.command", COMMAND_RING_COUNT, &context.metrics);
+    let reader = ConfigurationReader {
+        log: context.log.clone(),
+        settings: context.settings.clone(),
+        clock: context.clock.clone(),
+        events: sender.clone(),
+    };
+    threads.push(spawn_duty(&format!("read-{CONFIGURATION}"), move || {
+        reader.run(&commands_end)
+    }));
+    let (appends, appends_end) = ring("journal.append", APPEND_RING_COUNT, &context.metrics);
     let log = context.log.clone();
     let metrics = context.metrics.clone();
+    let ended = sender.clone();
     threads.push(spawn_duty("append", move || {
-        append_all(&*log, &append_receiver, &metrics)
+        appender::run(&*log, &appends_end, &ended, &metrics)
     }));
+    let out = Out {
+        context,
+        events: sender,
+        appends,
+        commands,
+    };
     threads.push(spawn_duty("journal", move || {
-        decide(context, &receiver, &append_sender)
+        decide(&out, &receiver, &stopping)
     }));
     threads
 }
 
 const APPEND_RING_COUNT: usize = 256;
+/// One command is under way at a time.
+const COMMAND_RING_COUNT: usize = 1;
+const IDLE: Duration = Duration::from_secs(60);
 
-struct Reader {
-    stream: Stream,
-    log: Arc<dyn PlatformLog>,
-    settings: JournalSettings,
-    clock: Arc<dyn Clock>,
-    events: RingSender<JournalEvent>,
-    stopping: Arc<AtomicBool>,
-}
-
-impl Reader {
-    fn run(&self) {
-        let wait = Duration::from_millis(self.settings.wait_ms);
-        let retry = Duration::from_millis(self.settings.retry_ms);
-        let mut from = 0;
-        while !self.stopping.load(Ordering::Relaxed) {
-            let asked_at = self.clock.now();
-            let result = self
-                .log
-                .read(self.stream, from, self.settings.batch_count, wait);
-            let failed = result.is_err();
-            match &result {
-                Ok(batch) => from = batch.next,
-                Err(LogError::Truncated(first)) if self.stream != CONFIGURATION => from = *first,
-                Err(_) => {}
-            }
-            self.events.deliver(JournalEvent::Read {
-                stream: self.stream,
-                asked_at,
-                result,
-            });
-            if failed {
-                std::thread::sleep(retry);
-            }
-        }
-    }
-}
-
-fn append_all(log: &dyn PlatformLog, appends: &Receiver<(Stream, String)>, metrics: &Metrics) {
-    for (stream, body) in appends {
-        if let Err(error) = log.append(stream, &body) {
-            metrics.count("journal.append.failed");
-            log::debug!("append to {stream}: {error}");
-        }
-    }
-}
-
-fn decide(
-    context: JournalContext,
-    events: &Receiver<JournalEvent>,
-    appends: &RingSender<(Stream, String)>,
-) {
-    let mut state = JournalState::default();
+fn decide(out: &Out, events: &Receiver<JournalEvent>, stopping: &AtomicBool) {
+    let context = &out.context;
+    let mut state = JournalState::new(context.settings.clone(), context.own.clone(), context.seed);
+    carry_out(out, JournalAction::Command(state.first_command()));
     loop {
-        let event = match events.recv_timeout(IDLE) {
-            Ok(JournalEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-            Err(RecvTimeoutError::Timeout) => continue,
+        let now = context.clock.now();
+        let wait = state
+            .next_timer_at(now)
+            .map_or(IDLE, |at| at.saturating_duration_since(now));
+        let event = match events.recv_timeout(wait) {
+            Ok(JournalEvent::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+            Err(RecvTimeoutError::Timeout) => JournalEvent::Timer,
             Ok(event) => event,
         };
         for action in state.handle(context.clock.now(), event) {
-            carry_out(&context, appends, action);
+            carry_out(out, action);
         }
     }
+    stopping.store(true, Ordering::Relaxed);
 }
 
-const IDLE: Duration = Duration::from_secs(60);
-
-fn carry_out(
-    context: &JournalContext,
-    appends: &RingSender<(Stream, String)>,
-    action: JournalAction,
-) {
+fn carry_out(out: &Out, action: JournalAction) {
+    let context = &out.context;
     match action {
         JournalAction::Publish(view) => {
             for reader in &context.readers {
                 reader.view(view.clone());
             }
         }
+        JournalAction::Usable(usable) => {
+            match usable {
+                true => log::info!("the configuration is usable"),
+                false => log::warn!("no contact to the log or a peer: every request is refused"),
+            }
+            for reader in &context.readers {
+                reader.usable(usable);
+            }
+        }
         JournalAction::Hand {
             stream,
             asked_at,
@@ -163,13 +167,101 @@
                 reader.read_ended(stream, asked_at, records.clone(), next);
             }
         }
-        JournalAction::Append { stream, body } => {
-            if appends.offer((stream, body)).is_err() {
-                context.metrics.count("journal.append.refused");
+        JournalAction::Changed(change) => {
+            for reader in &context.readers {
+                reader.changed(&change);
             }
         }
+        JournalAction::Resolved { operation, outcome } => {
+            for reader in &context.readers {
+                reader.resolved(operation, &outcome);
+            }
+        }
+        JournalAction::Command(command) => {
+            // The reader has taken the last command before its event came, so there is room.
+            let _ = out.commands.offer(command);
+        }
+        JournalAction::Append { stream, body } => {
+            offer_append(out, AppendJob::Record { stream, body });
+        }
+        JournalAction::AppendChange { operation, body } => {
+            offer_append(out, AppendJob::Change { operation, body });
+        }
+        JournalAction::WriteCheckpoint { next, text } => {
+            offer_append(out, AppendJob::Checkpoint { next, text });
+        }
         JournalAction::Count(name) => context.metrics.count(name),
-        JournalAction::Reachable(true) => log::info!("the platform's log answers again"),
-        JournalAction::Reachable(false) => log::warn!("the platform's log does not answer"),
+        JournalAction::Reachable(reachable) => {
+            match reachable {
+                true => log::info!("the platform's log answers again"),
+                false => log::warn!("the platform's log does not answer"),
+            }
+            for reader in &context.readers {
+                reader.reachable(reachable);
+            }
+        }
+        action => call_peer(out, action),
+    }
+}
+
+fn offer_append(out: &Out, job: AppendJob) {
+    if out.appends.offer(job).is_err() {
+        out.context.metrics.count("journal.append.refused");
+    }
+}
+
+fn call_peer(out: &Out, action: JournalAction) {
+    match action {
+        JournalAction::AskPeer { to, request } => {
+            let events = out.events.clone();
+            let asked_at = out.context.clock.now();
+            let from = request.from;
+            let reply = move |result| {
+                let result = match result {
+                    Ok(PeerAnswer::Records(answer)) => Ok(answer),
+                    Ok(_) => Err(crate::link::LinkError::Refused),
+                    Err(error) => Err(error),
+                };
+                let event = JournalEvent::PeerAnswered {
+                    from,
+                    asked_at,
+                    result,
+                };
+                // An answer that finds the ring full is asked for again.
+                let _ = events.offer(event);
+            };
+            call(out, to, PeerRequest::Records(request), Box::new(reply));
+        }
+        JournalAction::SendTombstones {
+            to,
+            hashes,
+            known_count,
+        } => {
+            let events = out.events.clone();
+            let peer = to.clone();
+            let reply = move |result: Result<PeerAnswer, _>| {
+                let event = JournalEvent::TombstonesTaken {
+                    peer,
+                    known_count,
+                    taken: result.is_ok(),
+                };
+                // A confirmation that finds the ring full is asked for again.
+                let _ = events.offer(event);
+            };
+            call(out, to, PeerRequest::Tombstones(hashes), Box::new(reply));
+        }
+        JournalAction::AnswerPeer { reply, answer } => reply(answer.map(PeerAnswer::Records)),
+        _ => {}
+    }
+}
+
+fn call(out: &Out, to: DaemonId, request: PeerRequest, reply: crate::link::PeerReply) {
+    if out
+        .context
+        .link
+        .offer(LinkMessage::Call { to, request, reply })
+        .is_err()
+    {
+        out.context.metrics.count("journal.peer.not-sent");
     }
 }
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -1,11 +1,19 @@
 //! Reads and appends the platform's log, and hands its records and the view to the other duties.
 
+mod appender;
+pub mod checkpoint;
 pub mod client;
 pub mod duty;
+pub mod follow;
 pub mod message;
+pub mod peers;
+mod reader;
 pub mod state;
+pub mod submissions;
+pub mod tombstones;
+pub mod writer;
 
-pub use message::{JournalAction, JournalEvent, LogRecord};
+pub use message::{JournalAction, JournalEvent, LogRecord, ReaderCommand, SubmitOutcome};
 
 use crate::types::Offset;
 use std::time::Duration;
@@ -17,8 +25,12 @@
 pub const CONFIGURATION: Stream = "configuration";
 /// The stream in which daemons make themselves known.
 pub const MEMBERS: Stream = "members";
-/// Every stream that a daemon reads.
-pub const STREAMS: [Stream; 2] = [CONFIGURATION, MEMBERS];
+/// The stream that tells of checkpoints of the configuration.
+pub const CHECKPOINTS: Stream = "checkpoints";
+/// The stream that holds the text of checkpoints, in parts.
+pub const CHECKPOINT_PARTS: Stream = "checkpoint-parts";
+/// Every stream besides the configuration that a daemon reads all the time.
+pub const STREAMS: [Stream; 2] = [MEMBERS, CHECKPOINTS];
 
 /// Why the platform's log did not answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- /dev/null
+++ b/src/journal/reader.rs
@@ -0,0 +1,106 @@
+//! The threads that read streams of the platform's log.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+
+use super::message::{JournalEvent, ReaderCommand};
+use super::{checkpoint, LogError, PlatformLog, Stream, CONFIGURATION};
+use crate::clock::Clock;
+use crate::ring::RingSender;
+use crate::settings::journal::JournalSettings;
+use crate::types::Offset;
+
+/// Reads a stream from its oldest record on, all the time.
+pub(super) struct StreamReader {
+    pub(super) stream: Stream,
+    pub(super) log: Arc<dyn PlatformLog>,
+    pub(super) settings: JournalSettings,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) events: RingSender<JournalEvent>,
+    pub(super) stopping: Arc<AtomicBool>,
+}
+
+impl StreamReader {
+    pub(super) fn run(&self) {
+        let wait = Duration::from_millis(self.settings.wait_ms);
+        let mut from = 0;
+        while !self.stopping.load(Ordering::Relaxed) {
+            let asked_at = self.clock.now();
+            let asked_from = from;
+            let result = self
+                .log
+                .read(self.stream, from, self.settings.batch_count, wait);
+            let failed = match &result {
+                Ok(batch) => {
+                    from = batch.next;
+                    false
+                }
+                Err(LogError::Truncated(first)) => {
+                    from = *first;
+                    false
+                }
+                Err(_) => true,
+            };
+            self.events.deliver(JournalEvent::Read {
+                stream: self.stream,
+                asked_at,
+                from: asked_from,
+                result,
+            });
+            if failed {
+                std::thread::sleep(Duration::from_millis(self.settings.retry_ms));
+            }
+        }
+    }
+}
+
+/// Reads the configuration as the journal tells it; each command brings one event.
+pub(super) struct ConfigurationReader {
+    pub(super) log: Arc<dyn PlatformLog>,
+    pub(super) settings: JournalSettings,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) events: RingSender<JournalEvent>,
+}
+
+impl ConfigurationReader {
+    pub(super) fn run(&self, commands: &Receiver<ReaderCommand>) {
+        for command in commands {
+            let event = match command {
+                ReaderCommand::Read { from, pause } => self.read(from, pause),
+                ReaderCommand::FindCheckpoint => self.find_checkpoint(),
+            };
+            self.events.deliver(event);
+        }
+    }
+
+    fn read(&self, from: Offset, pause: bool) -> JournalEvent {
+        if pause {
+            std::thread::sleep(Duration::from_millis(self.settings.retry_ms));
+        }
+        let wait = Duration::from_millis(self.settings.wait_ms);
+        let asked_at = self.clock.now();
+        let result = self
+            .log
+            .read(CONFIGURATION, from, self.settings.batch_count, wait);
+        JournalEvent::Read {
+            stream: CONFIGURATION,
+            asked_at,
+            from,
+            result,
+        }
+    }
+
+    fn find_checkpoint(&self) -> JournalEvent {
+        let text = match checkpoint::find(&*self.log, self.settings.batch_count) {
+            Ok(text) => text,
+            Err(error) => {
+                log::debug!("looking for a checkpoint: {error}");
+                None
+            }
+        };
+        JournalEvent::CheckpointRead { text }
+    }
+}
--- a/src/settings/journal.rs
+++ b/src/settings/journal.rs
@@ -19,6 +19,23 @@
     pub retry_ms: u64,
     /// Most records of one read.
     pub batch_count: usize,
+    /// Longest wait for an operator's change to be read back, in milliseconds.
+    pub read_back_ms: u64,
+    /// Wait for peers to confirm a withdrawal that the log did not take, in milliseconds.
+    pub confirm_ms: u64,
+    /// Wait between two questions to peers while the log is silent, in milliseconds.
+    pub peer_ask_ms: u64,
+    /// Without contact to the log or a peer for this long, every request is refused; in
+    /// milliseconds. A daemon that knows no peer goes on.
+    pub stale_limit_ms: u64,
+    /// Longest checkpoint that a peer is sent.
+    pub peer_checkpoint_limit_bytes: usize,
+    /// A checkpoint is due after this many records.
+    pub checkpoint_every_count: u64,
+    /// A checkpoint is due after this time, in milliseconds; less than the log keeps records.
+    pub checkpoint_every_ms: u64,
+    /// Wait that each daemon of the fleet adds before checkpoints, in milliseconds.
+    pub checkpoint_spread_ms: u64,
 }
 
 impl Default for JournalSettings {
@@ -29,6 +46,14 @@
             timeout_ms: 2_000,
             retry_ms: 250,
             batch_count: 512,
+            read_back_ms: 10_000,
+            confirm_ms: 1_500,
+            peer_ask_ms: 250,
+            stale_limit_ms: 10_000,
+            peer_checkpoint_limit_bytes: 786_432,
+            checkpoint_every_count: 1_000,
+            checkpoint_every_ms: 600_000,
+            checkpoint_spread_ms: 200,
         }
     }
 }
@@ -64,5 +89,39 @@
             self.batch_count,
             "must be from 1 to 10000",
         );
+        self.check_waits(checker);
+        let limit_holds = (1_024..=67_108_864).contains(&self.peer_checkpoint_limit_bytes);
+        checker.require(
+            limit_holds,
+            "peer_checkpoint_limit_bytes",
+            self.peer_checkpoint_limit_bytes,
+            "must be from 1024 to 67108864",
+        );
+        checker.require(
+            (1..=1_000_000).contains(&self.checkpoint_every_count),
+            "checkpoint_every_count",
+            self.checkpoint_every_count,
+            "must be from 1 to 1000000",
+        );
+    }
+
+    fn check_waits(&self, checker: &mut Checker<'_>) {
+        let waits = [
+            ("read_back_ms", self.read_back_ms),
+            ("confirm_ms", self.confirm_ms),
+            ("peer_ask_ms", self.peer_ask_ms),
+            ("stale_limit_ms", self.stale_limit_ms),
+            ("checkpoint_spread_ms", self.checkpoint_spread_ms),
+        ];
+        for (field, value_ms) in waits {
+            let holds = (10..=600_000).contains(&value_ms);
+            checker.require(holds, field, value_ms, "must be from 10 to 600000");
+        }
+        checker.require(
+            (1_000..=86_400_000).contains(&self.checkpoint_every_ms),
+            "checkpoint_every_ms",
+            self.checkpoint_every_ms,
+            "must be from 1000 to 86400000",
+        );
     }
 }
