Find failing servers by a sequential test against their peers, eject under a permit

Cause: nothing looked at what requests meet, so a gray server kept its share. The guard's outcomes feed windows per server and route; cumulative likelihood sums per kind of trouble raise an alarm, peers are asked for fresh summaries, an alarm that they do not share asks for an ejection permit. Return by probes, then a growing share; waits grow with jitter. Fixed thresholds as a second detector behind the same trait. Deaths and the failed connections after them are no evidence, since the request may have killed the server. The recent window now covers half a second, and up to two seconds on a quiet route only.

--- a/src/daemon/beside.rs
+++ b/src/daemon/beside.rs
@@ -8,6 +8,7 @@
 
 use super::common::Common;
 use super::entry::{start_answers, ACCEPT_THREAD_COUNT};
+use super::health::HealthFeed;
 use super::rings::Rings;
 use crate::guard::{self, GuardMessage};
 use crate::ring::{ring, spawn_duty};
@@ -46,6 +47,7 @@
         starts,
         cancels,
         answers,
+        outcomes: Box::new(HealthFeed(rings.health.clone())),
         membership: rings.membership.clone(),
         link: rings.link.clone(),
         drained,
--- a/src/daemon/common.rs
+++ b/src/daemon/common.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::audit::AuditSink;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -14,6 +15,8 @@
     pub(super) key: FleetKey,
     pub(super) clock: Arc<dyn Clock>,
     pub(super) metrics: Metrics,
+    /// Trail of decisions.
+    pub(super) audit: Arc<dyn AuditSink>,
     /// This life of the daemon.
     pub(super) incarnation: Incarnation,
 }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -9,8 +9,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::common::Common;
+use super::health::HealthFeed;
 use super::rings::Rings;
-use crate::allowance::message::NoPermitReader;
 use crate::allowance::{self, AllowanceMessage};
 use crate::front::{self, FrontMessage};
 use crate::ring::{ring, spawn_duty};
@@ -64,7 +64,7 @@
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
         front: rings.front.clone(),
-        permits: Box::new(NoPermitReader),
+        permits: Box::new(HealthFeed(rings.health.clone())),
     };
     threads.push(spawn_duty("allowance", move || {
         allowance::duty::run(&context, &allowance_end)
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -12,6 +12,7 @@
 use super::readers::Readers;
 use super::rings::Rings;
 use crate::guard::GuardMessage;
+use crate::health::{HealthEvent, HealthMessage};
 use crate::journal::client::HttpLog;
 use crate::journal::{self, JournalEvent, MEMBERS};
 use crate::link::{self, LinkMessage, PeerName};
@@ -48,6 +49,7 @@
     let journal_fleet = rings.journal.clone();
     let routing = rings.routing.clone();
     let link = rings.link.clone();
+    let health = rings.health.clone();
     let metrics = common.metrics.clone();
     let guard = rings.guard.clone();
     let fleet_metrics = common.metrics.clone();
@@ -70,6 +72,11 @@
             let _ = journal_fleet.offer(JournalEvent::Fleet(fleet.clone()));
             routing.deliver(RoutingMessage::Event(RoutingEvent::Fleet(fleet.clone())));
             link.deliver(LinkMessage::Fleet(fleet.clone()));
+            // Health sends to membership, so membership must not wait for health.
+            let event = HealthEvent::Fleet(fleet.clone());
+            if health.offer(HealthMessage::Event(event)).is_err() {
+                fleet_metrics.count("health.fleet.missed");
+            }
             if guard.offer(GuardMessage::Fleet(fleet)).is_err() {
                 fleet_metrics.count("guard.fleet.missed");
             }
--- /dev/null
+++ b/src/daemon/health.rs
@@ -0,0 +1,147 @@
+//! Starts health and joins it to guard, membership, allowance and link.
+
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::Receiver;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::common::Common;
+use super::rings::Rings;
+use crate::allowance::{AllowanceEvent, AllowanceMessage, PermitReader};
+use crate::guard::message::AttemptKey;
+use crate::health::{
+    self, HealthEvent, HealthMessage, OutcomeReader, PermitDesk, RequestEnd, StartedRequest,
+    SummarySource,
+};
+use crate::link::{LinkMessage, PeerAnswer, PeerRequest};
+use crate::membership::ServerEntry;
+use crate::metrics::Metrics;
+use crate::ring::{spawn_duty, RingSender};
+use crate::types::{BackendServerId, DaemonId, ServiceId};
+
+/// Hands guard's outcomes and allowance's answers to health. A full ring loses evidence, counted.
+#[derive(Clone)]
+pub(super) struct HealthFeed(pub(super) RingSender<HealthMessage>);
+
+impl HealthFeed {
+    fn offer(&self, event: HealthEvent) {
+        // The ring counts what it can't take.
+        let _ = self.0.offer(HealthMessage::Event(event));
+    }
+}
+
+impl OutcomeReader for HealthFeed {
+    fn started(&self, request: StartedRequest) {
+        self.offer(HealthEvent::Started(request));
+    }
+
+    fn finished(&self, key: AttemptKey, end: RequestEnd, elapsed: Duration) {
+        self.offer(HealthEvent::Finished { key, end, elapsed });
+    }
+
+    fn servers(&self, servers: &[ServerEntry]) {
+        self.offer(HealthEvent::Servers(servers.to_vec()));
+    }
+}
+
+impl PermitReader for HealthFeed {
+    fn permit(&self, service: &ServiceId, server: &BackendServerId, holds_until: Option<Instant>) {
+        self.offer(HealthEvent::Permit {
+            service: service.clone(),
+            server: server.clone(),
+            holds_until,
+        });
+    }
+}
+
+/// Asks the allowance for ejection permits.
+struct AllowanceDesk {
+    allowance: RingSender<AllowanceMessage>,
+    metrics: Metrics,
+}
+
+impl AllowanceDesk {
+    fn offer(&self, event: AllowanceEvent) {
+        let message = AllowanceMessage::Event(event);
+        if self.allowance.offer(message).is_err() {
+            self.metrics.count("health.permit.dropped");
+        }
+    }
+}
+
+impl PermitDesk for AllowanceDesk {
+    fn ask(&self, service: &ServiceId, server: &BackendServerId) {
+        self.offer(AllowanceEvent::Permit {
+            service: service.clone(),
+            server: server.clone(),
+        });
+    }
+
+    fn give_up(&self, service: &ServiceId, server: &BackendServerId) {
+        self.offer(AllowanceEvent::PermitEnded {
+            service: service.clone(),
+            server: server.clone(),
+        });
+    }
+}
+
+/// Asks peers over the link.
+struct LinkSummaries {
+    link: RingSender<LinkMessage>,
+    feed: HealthFeed,
+    metrics: Metrics,
+}
+
+impl SummarySource for LinkSummaries {
+    fn ask(&self, to: &DaemonId, service: &ServiceId) {
+        let feed = self.feed.clone();
+        let metrics = self.metrics.clone();
+        let (from, asked) = (to.clone(), service.clone());
+        let message = LinkMessage::Call {
+            to: to.clone(),
+            request: PeerRequest::Summary(service.clone()),
+            reply: Box::new(move |answer| match answer {
+                Ok(PeerAnswer::Summary(servers)) => feed.offer(HealthEvent::Summary {
+                    from,
+                    service: asked,
+                    servers,
+                }),
+                _ => metrics.count("health.summary.unanswered"),
+            }),
+        };
+        if self.link.offer(message).is_err() {
+            self.metrics.count("health.summary.dropped");
+        }
+    }
+}
+
+pub(super) fn start_health(
+    common: &Common,
+    rings: &Rings,
+    messages: Receiver<HealthMessage>,
+) -> JoinHandle<()> {
+    let metrics = common.metrics.clone();
+    let context = health::duty::HealthContext {
+        settings: common.settings.health.clone(),
+        own: common.settings.daemon.daemon.clone(),
+        clock: common.clock.clone(),
+        metrics: metrics.clone(),
+        audit: common.audit.clone(),
+        permits: Box::new(AllowanceDesk {
+            allowance: rings.allowance.clone(),
+            metrics: metrics.clone(),
+        }),
+        summaries: Box::new(LinkSummaries {
+            link: rings.link.clone(),
+            feed: HealthFeed(rings.health.clone()),
+            metrics,
+        }),
+        membership: rings.membership.clone(),
+    };
+    let random = ChaCha8Rng::from_rng(&mut rand::rng());
+    spawn_duty("health", move || {
+        health::duty::run(&context, random, &messages)
+    })
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod common;
 mod entry;
 mod fleet;
+mod health;
 mod peers;
 mod readers;
 mod rings;
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -2,6 +2,7 @@
 
 use super::rings::Rings;
 use crate::guard::{GuardEvent, GuardMessage};
+use crate::health::HealthMessage;
 use crate::journal::JournalEvent;
 use crate::link::{LinkError, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest};
 
@@ -47,6 +48,12 @@
                     false => Err(LinkError::Refused),
                 });
             }
+            PeerRequest::Summary(service) => {
+                let asked = HealthMessage::Asked { service, reply };
+                if let Err(HealthMessage::Asked { reply, .. }) = self.rings.health.offer(asked) {
+                    reply(Err(LinkError::Refused));
+                }
+            }
             _ => reply(Err(LinkError::Refused)),
         }
     }
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -6,6 +6,7 @@
 use crate::allowance::AllowanceMessage;
 use crate::front::FrontMessage;
 use crate::guard::GuardMessage;
+use crate::health::HealthMessage;
 use crate::journal::JournalEvent;
 use crate::link::LinkMessage;
 use crate::membership::MembershipEvent;
@@ -18,6 +19,7 @@
     pub(super) allowance: RingSender<AllowanceMessage>,
     pub(super) routing: RingSender<RoutingMessage>,
     pub(super) guard: RingSender<GuardMessage>,
+    pub(super) health: RingSender<HealthMessage>,
     pub(super) membership: RingSender<MembershipEvent>,
     pub(super) journal: RingSender<JournalEvent>,
     pub(super) link: RingSender<LinkMessage>,
@@ -28,6 +30,7 @@
     pub(super) allowance: Receiver<AllowanceMessage>,
     pub(super) routing: Receiver<RoutingMessage>,
     pub(super) guard: Receiver<GuardMessage>,
+    pub(super) health: Receiver<HealthMessage>,
     pub(super) membership: Receiver<MembershipEvent>,
     pub(super) journal: Receiver<JournalEvent>,
     pub(super) link: Receiver<LinkMessage>,
@@ -40,6 +43,7 @@
     let (allowance, allowance_end) = ring("allowance", settings.allowance.ring_count, metrics);
     let (routing, routing_end) = ring("routing", settings.routing.ring_count, metrics);
     let (guard, guard_end) = ring("guard", settings.guard.ring_count, metrics);
+    let (health, health_end) = ring("health", settings.health.ring_count, metrics);
     let (membership, membership_end) = ring("membership", settings.membership.ring_count, metrics);
     let (journal, journal_end) = ring("journal", JOURNAL_RING_COUNT, metrics);
     let (link, link_end) = ring("link", settings.link.ring_count, metrics);
@@ -48,6 +52,7 @@
         allowance,
         routing,
         guard,
+        health,
         membership,
         journal,
         link,
@@ -57,6 +62,7 @@
         allowance: allowance_end,
         routing: routing_end,
         guard: guard_end,
+        health: health_end,
         membership: membership_end,
         journal: journal_end,
         link: link_end,
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -10,11 +10,14 @@
 use super::common::Common;
 use super::entry::start_entry;
 use super::fleet::{start_journal, start_link, start_membership, FleetAddresses};
+use super::health::start_health;
 use super::rings::{make_rings, Receivers, Rings};
 use crate::allowance::AllowanceMessage;
+use crate::audit::NoAudit;
 use crate::clock::{epoch_ms, Clock, SystemClock};
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
+use crate::health::HealthMessage;
 use crate::journal::JournalEvent;
 use crate::link::{self, LinkMessage};
 use crate::membership::MembershipEvent;
@@ -48,6 +51,7 @@
         key: FleetKey::new(&settings.daemon.fleet_secret),
         clock: Arc::new(SystemClock),
         metrics: Metrics::from_settings(&settings.metrics)?,
+        audit: Arc::new(NoAudit),
         incarnation: epoch_ms(SystemClock.wall()),
         settings,
     };
@@ -63,6 +67,7 @@
         allowance,
         routing,
         guard,
+        health,
         membership,
         journal,
         link,
@@ -86,6 +91,7 @@
         guard,
         drained,
     ));
+    threads.push(start_health(&common, &rings, health));
     threads.push(start_announce(&rings, &announce_listener));
     threads.push(start_membership(&common, &rings, addresses, membership));
     threads.extend(start_journal(&common, &rings, journal, &stopping));
@@ -125,6 +131,7 @@
         rings.allowance.deliver(AllowanceMessage::Stop);
         rings.routing.deliver(RoutingMessage::Stop);
         rings.guard.deliver(GuardMessage::Stop);
+        rings.health.deliver(HealthMessage::Stop);
         rings.membership.deliver(MembershipEvent::Stop);
         rings.journal.deliver(JournalEvent::Stop);
         rings.link.deliver(LinkMessage::Stop);
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -16,6 +16,7 @@
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
 use crate::front::duty::AnswerJob;
+use crate::health::{request_end, OutcomeReader, StartedRequest};
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, LinkMessage, PeerAnswer, PeerReply, PeerRequest};
 use crate::membership::{Fleet, MembershipEvent};
@@ -45,6 +46,8 @@
     pub cancels: RingSender<CancelJob>,
     /// The threads that write refusals.
     pub answers: RingSender<AnswerJob>,
+    /// Learns what requests meet.
+    pub outcomes: Box<dyn OutcomeReader>,
     /// Membership.
     pub membership: RingSender<MembershipEvent>,
     /// The link to other daemons.
@@ -116,6 +119,15 @@
 
     fn decide(&mut self, event: GuardEvent) {
         let now = self.context.clock.now();
+        if let GuardEvent::Finished {
+            key,
+            outcome,
+            elapsed,
+        } = &event
+        {
+            let end = request_end(*outcome);
+            self.context.outcomes.finished(*key, end, *elapsed);
+        }
         for action in self.state.handle(now, event) {
             self.carry_out(action);
         }
@@ -157,6 +169,7 @@
                 }
             }
             GuardAction::Servers(servers) => {
+                self.context.outcomes.servers(&servers);
                 let event = MembershipEvent::Local(servers);
                 self.context.membership.deliver(event);
             }
@@ -179,6 +192,12 @@
         let Some(held) = self.held.remove(&key) else {
             return;
         };
+        self.context.outcomes.started(StartedRequest {
+            key,
+            server: held.head.server.clone(),
+            service: held.head.service.clone(),
+            route: held.head.route.clone(),
+        });
         let job = StartJob {
             head: held.head,
             raw: held.raw,
--- /dev/null
+++ b/src/health/evidence.rs
@@ -0,0 +1,32 @@
+//! What the end of a call says about the server that was called.
+
+use super::message::{FailureKind, RequestEnd};
+use crate::guard::message::ServerOutcome;
+use crate::wire::call::CallError;
+
+/// Lowest status that counts as a failure of the server.
+const FAILURE_STATUS: u16 = 500;
+
+/// What the end of a call says about the server.
+pub fn request_end(outcome: ServerOutcome) -> RequestEnd {
+    match outcome {
+        ServerOutcome::Answered(status) if status >= FAILURE_STATUS => {
+            RequestEnd::Failed(FailureKind::Status)
+        }
+        ServerOutcome::Answered(_) => RequestEnd::Good,
+        ServerOutcome::Died => RequestEnd::Died,
+        ServerOutcome::Failed(error) => failed_end(error),
+    }
+}
+
+fn failed_end(error: CallError) -> RequestEnd {
+    match error {
+        CallError::NotSent => RequestEnd::Failed(FailureKind::Connect),
+        CallError::Broken => RequestEnd::Failed(FailureKind::Broken),
+        CallError::ShortAnswer => RequestEnd::Failed(FailureKind::ShortAnswer),
+        CallError::Late => RequestEnd::Late,
+        CallError::Unwritable | CallError::ShortBody | CallError::AnswerTooLarge => {
+            RequestEnd::Neutral
+        }
+    }
+}
--- /dev/null
+++ b/src/health/fixed.rs
@@ -0,0 +1,79 @@
+//! Fixed outlier thresholds over the newest requests: the baseline that the other test is
+//! measured against.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::detector::{Alarm, Detector};
+use super::reference::Expected;
+use super::window::Observation;
+use crate::settings::health::HealthSettings;
+
+/// Requests that are looked at.
+const WINDOW_COUNT: usize = 50;
+
+/// Fewest requests for an alarm.
+const MIN_COUNT: usize = 20;
+
+/// Fixed thresholds on the share of failures and of slow requests.
+pub struct FixedThresholds {
+    failed_share: f64,
+    slow_share: f64,
+    slow_after: Duration,
+    /// Newest last: whether it failed, and whether it was slow.
+    newest: VecDeque<(bool, bool)>,
+}
+
+impl FixedThresholds {
+    /// Thresholds as the settings say.
+    pub fn new(settings: &HealthSettings) -> FixedThresholds {
+        FixedThresholds {
+            failed_share: settings.fixed_failed_share,
+            slow_share: settings.fixed_slow_share,
+            slow_after: Duration::from_millis(settings.fixed_slow_ms),
+            newest: VecDeque::new(),
+        }
+    }
+
+    fn share(&self, met: impl Fn(&(bool, bool)) -> bool) -> f64 {
+        let count = self.newest.iter().filter(|one| met(one)).count();
+        count as f64 / self.newest.len().max(1) as f64
+    }
+}
+
+impl Detector for FixedThresholds {
+    fn observe(&mut self, observation: &Observation, _expected: &Expected) {
+        let slow = observation.elapsed > self.slow_after;
+        self.newest.push_back((observation.failed, slow));
+        if self.newest.len() > WINDOW_COUNT {
+            self.newest.pop_front();
+        }
+    }
+
+    fn alarm(&self, _now: Instant, scale: f64) -> Option<Alarm> {
+        let failed = self.share(|one| one.0);
+        let slow = self.share(|one| one.1);
+        let over = failed >= self.failed_share * scale || slow >= self.slow_share * scale;
+        if self.newest.len() < MIN_COUNT || !over {
+            return None;
+        }
+        Some(Alarm {
+            rule: "health.fixed_thresholds",
+            evidence: vec![
+                ("failed_share", format!("{failed:.2}")),
+                ("slow_share", format!("{slow:.2}")),
+                ("seen_count", self.newest.len().to_string()),
+            ],
+        })
+    }
+
+    fn confirm(&self, _fresh: &Expected) -> bool {
+        true
+    }
+
+    fn forget_times(&mut self) {}
+
+    fn reset(&mut self) {
+        self.newest.clear();
+    }
+}
--- a/src/health/message.rs
+++ b/src/health/message.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use crate::contract::View;
+use crate::guard::message::AttemptKey;
 use crate::membership::{Fleet, ServerEntry};
-use crate::types::{BackendServerId, DaemonId, RequestId, RouteId, ServiceId};
+use crate::types::{BackendServerId, DaemonId, RouteId, ServiceId};
 
 /// How a request at a backend server ended, as evidence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -16,8 +17,10 @@
     Failed(FailureKind),
     /// The deadline came before the answer.
     Late,
-    /// Says nothing about the server: the caller left, its upload was short, or the request is
-    /// suspected of killing servers.
+    /// The server died. No evidence, since the request may have killed it, and neither are failed
+    /// connections in the next seconds; the guard takes a dead server out.
+    Died,
+    /// Says nothing about the server: the caller left, or its upload was short.
     Neutral,
 }
 
@@ -39,8 +42,8 @@
 /// A request that started at a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartedRequest {
-    /// The request.
-    pub request: RequestId,
+    /// The attempt.
+    pub key: AttemptKey,
     /// The backend server.
     pub server: BackendServerId,
     /// Its service.
@@ -62,12 +65,12 @@
     pub buckets: Vec<u32>,
 }
 
-/// What one route of one backend server met lately and over a longer time.
+/// What one route of one backend server met, over two times that end now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteSummary {
     /// The route.
     pub route: RouteId,
-    /// The last two seconds.
+    /// The newest requests: those of the last half second, on a quiet route of up to two seconds.
     pub recent: RouteCounts,
     /// A longer time, older requests weighing less.
     pub long: RouteCounts,
@@ -89,8 +92,8 @@
     Started(StartedRequest),
     /// A request ended.
     Finished {
-        /// The request.
-        request: RequestId,
+        /// The attempt.
+        key: AttemptKey,
         /// How.
         end: RequestEnd,
         /// How long the server took.
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -1,9 +1,43 @@
 //! Finds backend servers that fail partly, slowly or silently, and takes them out of service
 //! while the floor of their service permits it.
 
+pub mod detector;
+pub mod duty;
+mod ejection;
+pub mod evidence;
+pub mod fixed;
+pub mod histogram;
 pub mod message;
+pub mod peers;
+pub mod reference;
+pub mod running;
+pub mod sequential;
+pub mod standing;
+pub mod state;
+pub mod watch;
+pub mod window;
 
+pub use duty::{HealthMessage, PermitDesk, SummarySource};
+pub use evidence::request_end;
 pub use message::{
     FailureKind, HealthAction, HealthDecision, HealthEvent, RequestEnd, RouteCounts, RouteSummary,
     ServerSummary, StartedRequest, Verdict,
 };
+
+use std::time::Duration;
+
+use crate::guard::message::AttemptKey;
+use crate::membership::ServerEntry;
+
+/// Learns what requests meet at the backend servers beside this daemon.
+pub trait OutcomeReader: Send {
+    /// A request started.
+    fn started(&self, request: StartedRequest);
+    /// A request ended.
+    fn finished(&self, key: AttemptKey, end: RequestEnd, elapsed: Duration);
+    /// The servers changed.
+    fn servers(&self, servers: &[ServerEntry]);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/health/running.rs
@@ -0,0 +1,90 @@
+//! Requests that run at a backend server, and what they say before and at their end.
+
+use std::time::{Duration, Instant};
+
+use super::message::RequestEnd;
+use super::reference::Expected;
+use super::window::Observation;
+use crate::types::{BackendServerId, RouteId};
+
+/// A request that stays stuck is evidence again after this time.
+const STUCK_REPEAT: Duration = Duration::from_millis(200);
+
+/// A request that runs.
+pub struct RunningRequest {
+    /// The server.
+    pub server: BackendServerId,
+    /// The route.
+    pub route: RouteId,
+    /// When it started.
+    pub started_at: Instant,
+    /// Whether it was counted before its end.
+    counted: bool,
+    /// When it was last evidence as stuck.
+    stuck_at: Option<Instant>,
+}
+
+impl RunningRequest {
+    /// A request that starts.
+    pub fn new(server: BackendServerId, route: RouteId, started_at: Instant) -> RunningRequest {
+        RunningRequest {
+            server,
+            route,
+            started_at,
+            counted: false,
+            stuck_at: None,
+        }
+    }
+
+    /// What the request says while it runs; none while it is younger than the marks.
+    pub fn look(&mut self, now: Instant, expected: &Expected) -> Option<Observation> {
+        let age = now.saturating_duration_since(self.started_at);
+        let slow = is_over(age, expected.slow_after()) && !self.counted;
+        let repeats = |at: Instant| now.saturating_duration_since(at) >= STUCK_REPEAT;
+        let stuck = is_over(age, expected.stuck_after) && self.stuck_at.is_none_or(repeats);
+        if !slow && !stuck {
+            return None;
+        }
+        let again = std::mem::replace(&mut self.counted, true);
+        if stuck {
+            self.stuck_at = Some(now);
+        }
+        Some(Observation {
+            at: now,
+            elapsed: age,
+            failed: false,
+            slow,
+            stuck,
+            again,
+        })
+    }
+
+    /// What the end of the request says; none where that is nothing, or nothing new.
+    pub fn end(
+        &self,
+        now: Instant,
+        end: RequestEnd,
+        elapsed: Duration,
+        expected: &Expected,
+    ) -> Option<Observation> {
+        let failed = matches!(end, RequestEnd::Failed(_));
+        let slow = is_over(elapsed, expected.slow_after());
+        // A deadline shorter than the slow mark says nothing about the server.
+        let silent = end == RequestEnd::Neutral || (end == RequestEnd::Late && !slow);
+        if silent || (self.counted && !failed) {
+            return None;
+        }
+        Some(Observation {
+            at: now,
+            elapsed,
+            failed,
+            slow: slow && !self.counted,
+            stuck: false,
+            again: self.counted,
+        })
+    }
+}
+
+fn is_over(time: Duration, mark: Option<Duration>) -> bool {
+    mark.is_some_and(|mark| time > mark)
+}
--- /dev/null
+++ b/src/health/state.rs
@@ -0,0 +1,401 @@
+//! Decisions of health: evidence in, alarms checked against peers, ejection and return.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use rand_chacha::ChaCha8Rng;
+
+use super::ejection::{ask_permit, decide, share};
+use super::message::{
+    HealthAction, HealthEvent, RequestEnd, ServerSummary, StartedRequest, Verdict,
+};
+use super::peers::Peers;
+use super::reference::Reference;
+use super::running::RunningRequest;
+use super::standing::Standing;
+use super::watch::Watch;
+use super::window::Observation;
+use crate::guard::message::AttemptKey;
+use crate::membership::ServerEntry;
+use crate::settings::health::HealthSettings;
+use crate::types::{BackendServerId, DaemonId, RouteId, ServiceId};
+
+/// Time between two looks at running requests.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Peers that were asked have this long to answer before the answers there are must do.
+const ANSWER_WAIT: Duration = Duration::from_millis(200);
+
+/// A shared trouble is recorded at most once in this time.
+const SHARED_QUIET: Duration = Duration::from_secs(60);
+
+/// Evidence asked for while a server returns, as a share of the usual.
+pub(super) const RETURN_SCALE: f64 = 0.5;
+
+/// State of health.
+pub struct HealthState {
+    pub(super) settings: HealthSettings,
+    pub(super) random: ChaCha8Rng,
+    pub(super) watches: BTreeMap<BackendServerId, Watch>,
+    running: HashMap<AttemptKey, RunningRequest>,
+    references: BTreeMap<ServiceId, Reference>,
+    peers: Peers,
+    asked_at: Option<Instant>,
+    ticked_at: Option<Instant>,
+}
+
+impl HealthState {
+    /// Health of a daemon that knows no server yet.
+    pub fn new(settings: HealthSettings, own: DaemonId, random: ChaCha8Rng) -> HealthState {
+        HealthState {
+            settings,
+            random,
+            watches: BTreeMap::new(),
+            running: HashMap::new(),
+            references: BTreeMap::new(),
+            peers: Peers::new(own),
+            asked_at: None,
+            ticked_at: None,
+        }
+    }
+
+    /// When `Tick` is due next.
+    pub fn next_tick_at(&self) -> Option<Instant> {
+        if self.watches.is_empty() {
+            return None;
+        }
+        let quiet = |watch: &Watch| watch.standing == Standing::InService;
+        let idle = self.running.is_empty() && self.watches.values().all(quiet);
+        let period = if idle { self.ask_period() } else { TICK };
+        self.ticked_at.map(|at| at + period)
+    }
+
+    /// Takes one event and gives what is to be done.
+    pub fn handle(&mut self, now: Instant, event: HealthEvent) -> Vec<HealthAction> {
+        self.ticked_at.get_or_insert(now);
+        let mut actions = Vec::new();
+        match event {
+            HealthEvent::Started(started) => self.started(now, started),
+            HealthEvent::Finished { key, end, elapsed } => {
+                self.finished(now, key, end, elapsed, &mut actions);
+            }
+            HealthEvent::Servers(servers) => self.servers(now, servers, &mut actions),
+            HealthEvent::Suspicion { server } => {
+                if let Some(watch) = self.watches.get_mut(&server) {
+                    watch.suspect(now);
+                }
+            }
+            HealthEvent::Summary {
+                service, servers, ..
+            } => self.summary(now, &service, &servers, &mut actions),
+            HealthEvent::Permit {
+                server,
+                holds_until,
+                ..
+            } => self.permit(now, &server, holds_until, &mut actions),
+            HealthEvent::View(_) => {}
+            HealthEvent::Fleet(fleet) => self.peers.fleet(fleet),
+            HealthEvent::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// What the servers of a service beside this daemon met, for a peer that asks.
+    pub fn summarise(&mut self, now: Instant, service: &ServiceId) -> Vec<ServerSummary> {
+        let limit = self.settings.summary_route_limit_count;
+        let mut summaries = Vec::new();
+        for watch in self.watches.values_mut() {
+            if watch.service != *service || !watch.present || !watch.standing.is_watched() {
+                continue;
+            }
+            summaries.push(watch.summary(now, limit));
+        }
+        summaries
+    }
+
+    fn ask_period(&self) -> Duration {
+        Duration::from_millis(self.settings.ask_period_ms)
+    }
+
+    fn started(&mut self, now: Instant, started: StartedRequest) {
+        let StartedRequest {
+            key, server, route, ..
+        } = started;
+        if !self.watches.contains_key(&server) {
+            return;
+        }
+        let running = RunningRequest::new(server, route, now);
+        self.running.insert(key, running);
+    }
+
+    fn finished(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        end: RequestEnd,
+        elapsed: Duration,
+        actions: &mut Vec<HealthAction>,
+    ) {
+        let Some(running) = self.running.remove(&key) else {
+            return;
+        };
+        let Some(watch) = self.watches.get_mut(&running.server) else {
+            return;
+        };
+        let end = watch.end_after_death(now, end);
+        let expected = watch.expected(&running.route);
+        let Some(observation) = running.end(now, end, elapsed, &expected) else {
+            return;
+        };
+        self.observe(now, &running.server, &running.route, observation, actions);
+    }
+
+    fn observe(
+        &mut self,
+        now: Instant,
+        server: &BackendServerId,
+        route: &RouteId,
+        observation: Observation,
+        actions: &mut Vec<HealthAction>,
+    ) {
+        let Some(watch) = self.watches.get_mut(server) else {
+            return;
+        };
+        let reference = self.references.entry(watch.service.clone()).or_default();
+        watch.observe(&self.settings, reference, route, &observation);
+        match &mut watch.standing {
+            Standing::InService => self.look(now, server, 1.0, actions),
+            Standing::Probing {
+                good_count,
+                bad_count,
+            } => {
+                let elsewhere = watch.probe_route.as_ref().is_some_and(|r| r != route);
+                if observation.is_bad() {
+                    *bad_count += 1;
+                } else if !elsewhere {
+                    *good_count += 1;
+                }
+                self.probed(now, server, actions);
+            }
+            Standing::Returning { seen_count, .. } => {
+                *seen_count += 1;
+                self.look(now, server, RETURN_SCALE, actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// Raises an alarm where the evidence is strong enough.
+    pub(super) fn look(
+        &mut self,
+        now: Instant,
+        server: &BackendServerId,
+        scale: f64,
+        actions: &mut Vec<HealthAction>,
+    ) {
+        let suspicion = self.settings.suspicion_scale_share;
+        let Some(watch) = self.watches.get_mut(server) else {
+            return;
+        };
+        let Some(charge) = watch.alarm(now, suspicion, scale) else {
+            return;
+        };
+        if watch.standing.needs_permit() {
+            // It holds its permit still: a relapse on the way back needs no second check.
+            self.eject(now, server, &charge, actions);
+            return;
+        }
+        let service = watch.service.clone();
+        self.take_own(now, &service);
+        let asked = self.peers.next(&service, self.settings.ask_limit_count);
+        let Some(watch) = self.watches.get_mut(server) else {
+            return;
+        };
+        watch.standing = Standing::Checking {
+            charge,
+            asked_at: now,
+            asked_count: asked.len(),
+        };
+        for (to, service) in asked {
+            actions.push(HealthAction::Ask { to, service });
+        }
+    }
+
+    /// Servers beside this daemon are peers of each other too.
+    fn take_own(&mut self, now: Instant, service: &ServiceId) {
+        let of_service = |watch: &&Watch| watch.service == *service;
+        if self.watches.values().filter(of_service).count() < 2 {
+            return;
+        }
+        let summaries = self.summarise(now, service);
+        let reference = self.references.entry(service.clone()).or_default();
+        for summary in &summaries {
+            reference.take(now, summary);
+        }
+    }
+
+    fn summary(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        summaries: &[ServerSummary],
+        actions: &mut Vec<HealthAction>,
+    ) {
+        let reference = self.references.entry(service.clone()).or_default();
+        for summary in summaries {
+            reference.take(now, summary);
+        }
+        for watch in self.watches.values_mut() {
+            if watch.service == *service {
+                watch.renew_expected(reference);
+            }
+        }
+        for server in self.local(service) {
+            self.check(now, &server, actions);
+        }
+    }
+
+    fn local(&self, service: &ServiceId) -> Vec<BackendServerId> {
+        let of_service = |watch: &&Watch| watch.service == *service;
+        let name = |watch: &Watch| watch.server.clone();
+        self.watches.values().filter(of_service).map(name).collect()
+    }
+
+    /// Weighs an alarm against the fresh figures that peers have told.
+    fn check(&mut self, now: Instant, server: &BackendServerId, actions: &mut Vec<HealthAction>) {
+        let Some(watch) = self.watches.get_mut(server) else {
+            return;
+        };
+        let Standing::Checking {
+            charge,
+            asked_at,
+            asked_count,
+        } = &watch.standing
+        else {
+            return;
+        };
+        let Some(reference) = self.references.get(&watch.service) else {
+            return;
+        };
+        let told_count = reference.told_since(*asked_at, server);
+        let waited = now.saturating_duration_since(*asked_at) >= ANSWER_WAIT;
+        let enough_count = (*asked_count).clamp(1, 2);
+        if told_count < *asked_count && !(waited && told_count >= enough_count) {
+            return;
+        }
+        if told_count == 0 {
+            return;
+        }
+        let charge = charge.clone();
+        if watch.confirm(&charge, reference) {
+            watch.standing = Standing::AwaitingPermit {
+                charge,
+                asked_at: now,
+                denied: false,
+            };
+            actions.push(ask_permit(watch));
+            return;
+        }
+        watch.reset();
+        watch.standing = Standing::InService;
+        let quiet = |at: Instant| now.saturating_duration_since(at) < SHARED_QUIET;
+        if watch.shared_at.is_some_and(quiet) {
+            return;
+        }
+        watch.shared_at = Some(now);
+        actions.push(decide(watch, Verdict::SharedTrouble, &charge));
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<HealthAction>) {
+        self.ticked_at = Some(now);
+        self.look_at_running(now, actions);
+        let names: Vec<BackendServerId> = self.watches.keys().cloned().collect();
+        for server in names {
+            self.check(now, &server, actions);
+            self.advance(now, &server, actions);
+        }
+        let due = |at: Instant| now.saturating_duration_since(at) >= self.ask_period();
+        if self.asked_at.is_none_or(due) {
+            self.asked_at = Some(now);
+            self.ask_round(now, actions);
+        }
+    }
+
+    /// Requests that run longer than the marks are evidence before they end.
+    fn look_at_running(&mut self, now: Instant, actions: &mut Vec<HealthAction>) {
+        let mut seen = Vec::new();
+        for running in self.running.values_mut() {
+            let Some(watch) = self.watches.get(&running.server) else {
+                continue;
+            };
+            let expected = watch.expected(&running.route);
+            let Some(observation) = running.look(now, &expected) else {
+                continue;
+            };
+            seen.push((running.server.clone(), running.route.clone(), observation));
+        }
+        // The order of a map differs from run to run; that of evidence must not.
+        seen.sort_by(|a, b| (&a.0, &a.1, a.2.elapsed).cmp(&(&b.0, &b.1, b.2.elapsed)));
+        for (server, route, observation) in seen {
+            self.observe(now, &server, &route, observation, actions);
+        }
+    }
+
+    fn ask_round(&mut self, now: Instant, actions: &mut Vec<HealthAction>) {
+        let mut services: Vec<ServiceId> = Vec::new();
+        for watch in self.watches.values() {
+            if watch.present && !services.contains(&watch.service) {
+                services.push(watch.service.clone());
+            }
+        }
+        for service in &services {
+            self.take_own(now, service);
+        }
+        let asked = self.peers.next_of(&services, self.settings.ask_limit_count);
+        for (to, service) in asked {
+            actions.push(HealthAction::Ask { to, service });
+        }
+    }
+
+    fn servers(
+        &mut self,
+        now: Instant,
+        servers: Vec<ServerEntry>,
+        actions: &mut Vec<HealthAction>,
+    ) {
+        for watch in self.watches.values_mut() {
+            let present = servers.iter().any(|entry| entry.server == watch.server);
+            if watch.present && !present {
+                watch.returned_at = Some(now);
+            }
+            watch.present = present;
+        }
+        for entry in servers {
+            let name = entry.server.clone();
+            let known = self.watches.contains_key(&name);
+            let watch = self
+                .watches
+                .entry(name)
+                .or_insert_with(|| Watch::new(&self.settings, entry.server, entry.service));
+            watch.cold = entry.cold;
+            if known && watch.standing.needs_permit() {
+                actions.push(share(&self.settings, watch));
+            }
+        }
+        self.forget(now);
+        let service = |watch: &Watch| watch.service.clone();
+        let services = self.watches.values().map(service).collect();
+        self.peers.services(services);
+    }
+
+    /// Drops watches on servers that left long ago, and requests that ran there.
+    fn forget(&mut self, now: Instant) {
+        let kept = Duration::from_millis(self.settings.backoff_limit_ms);
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= kept;
+        self.watches
+            .retain(|_, watch| watch.present || !watch.returned_at.is_some_and(is_old));
+        let watches = &self.watches;
+        self.running
+            .retain(|_, running| watches.get(&running.server).is_some_and(|w| w.present));
+    }
+}
--- /dev/null
+++ b/src/health/watch.rs
@@ -0,0 +1,260 @@
+//! The watch on one backend server: its routes, its detectors and where it stands.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::detector::{make_detector, Detector};
+use super::message::{FailureKind, RequestEnd, RouteSummary, ServerSummary};
+use super::reference::{Expected, Reference};
+use super::standing::{Charge, Standing};
+use super::window::{Observation, RouteWindow};
+use crate::settings::health::HealthSettings;
+use crate::types::{BackendServerId, RouteId, ServiceId};
+
+/// Most routes that one server is watched on; the quietest gives way.
+const ROUTE_LIMIT_COUNT: usize = 64;
+
+/// How long a word of a health or load endpoint counts.
+const SUSPICION_TIME: Duration = Duration::from_secs(5);
+
+/// After a death, failed connections are no evidence for this time.
+const DEATH_TIME: Duration = Duration::from_secs(3);
+
+struct Track {
+    window: RouteWindow,
+    detector: Box<dyn Detector>,
+    /// What a healthy server would meet; renewed with each summary of a peer.
+    expected: Expected,
+}
+
+/// An ejection permit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PermitHold {
+    /// When it was last granted.
+    pub granted_at: Instant,
+    /// Until when it holds.
+    pub holds_until: Instant,
+    /// When its renewal was last asked for.
+    pub renewed_at: Instant,
+}
+
+/// The watch on one backend server.
+pub struct Watch {
+    /// The server.
+    pub server: BackendServerId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Whether it is beside this daemon now; the watch is kept for a while after it left.
+    pub present: bool,
+    /// Whether its guard holds it for cold: slowness is then no evidence.
+    pub cold: bool,
+    /// Where it stands.
+    pub standing: Standing,
+    /// Its permit, while it has one.
+    pub permit: Option<PermitHold>,
+    /// Ejections without a long healthy time between them.
+    pub ejection_count: u32,
+    /// Length of its last wait for probes.
+    pub backoff: Duration,
+    /// When it last came back to full service, or left this daemon.
+    pub returned_at: Option<Instant>,
+    /// When a shared trouble was last recorded.
+    pub shared_at: Option<Instant>,
+    /// Route that it was ejected for; probes elsewhere do not count as good.
+    pub probe_route: Option<RouteId>,
+    suspicion_until: Option<Instant>,
+    /// When it was last seen to die.
+    died_at: Option<Instant>,
+    tracks: BTreeMap<RouteId, Track>,
+    /// Weighs the requests of all routes together.
+    overall: Box<dyn Detector>,
+}
+
+impl Watch {
+    /// A watch on a server in full service.
+    pub fn new(settings: &HealthSettings, server: BackendServerId, service: ServiceId) -> Watch {
+        Watch {
+            server,
+            service,
+            present: true,
+            cold: false,
+            standing: Standing::InService,
+            permit: None,
+            ejection_count: 0,
+            backoff: Duration::ZERO,
+            returned_at: None,
+            shared_at: None,
+            probe_route: None,
+            suspicion_until: None,
+            died_at: None,
+            tracks: BTreeMap::new(),
+            overall: make_detector(settings),
+        }
+    }
+
+    /// Takes the word of a health or load endpoint.
+    pub fn suspect(&mut self, now: Instant) {
+        self.suspicion_until = Some(now + SUSPICION_TIME);
+    }
+
+    /// What an end says in the light of a death of the server.
+    pub fn end_after_death(&mut self, now: Instant, end: RequestEnd) -> RequestEnd {
+        if end == RequestEnd::Died {
+            self.died_at = Some(now);
+            return RequestEnd::Neutral;
+        }
+        let is_new = |at: Instant| now.saturating_duration_since(at) < DEATH_TIME;
+        let no_connection = end == RequestEnd::Failed(FailureKind::Connect);
+        if no_connection && self.died_at.is_some_and(is_new) {
+            return RequestEnd::Neutral;
+        }
+        end
+    }
+
+    /// What a healthy server would meet on a route.
+    pub fn expected(&self, route: &RouteId) -> Expected {
+        self.tracks
+            .get(route)
+            .map_or_else(Expected::default, |track| track.expected)
+    }
+
+    /// Takes one request.
+    pub fn observe(
+        &mut self,
+        settings: &HealthSettings,
+        reference: &Reference,
+        route: &RouteId,
+        observation: &Observation,
+    ) {
+        self.make_room(route);
+        let server = &self.server;
+        let track = self.tracks.entry(route.clone()).or_insert_with(|| Track {
+            window: RouteWindow::default(),
+            detector: make_detector(settings),
+            expected: reference.expected(server, route, None),
+        });
+        track.window.observe(observation);
+        if !self.standing.is_watched() {
+            return;
+        }
+        let observation = Observation {
+            slow: observation.slow && !self.cold,
+            ..*observation
+        };
+        track.detector.observe(&observation, &track.expected);
+        self.overall.observe(&observation, &track.expected);
+    }
+
+    fn make_room(&mut self, route: &RouteId) {
+        if self.tracks.len() < ROUTE_LIMIT_COUNT || self.tracks.contains_key(route) {
+            return;
+        }
+        let weight = |track: &Track| track.window.weight();
+        let quietest = self
+            .tracks
+            .iter()
+            .min_by(|(_, a), (_, b)| weight(a).total_cmp(&weight(b)))
+            .map(|(name, _)| name.clone());
+        if let Some(quietest) = quietest {
+            self.tracks.remove(&quietest);
+        }
+    }
+
+    /// The strongest alarm, if any. `scale` below 1 asks for less evidence.
+    pub fn alarm(&self, now: Instant, suspicion_scale_share: f64, scale: f64) -> Option<Charge> {
+        let suspected = self.suspicion_until.is_some_and(|until| now < until);
+        let scale = if suspected {
+            scale * suspicion_scale_share
+        } else {
+            scale
+        };
+        if let Some(alarm) = self.overall.alarm(now, scale) {
+            return Some(Charge { alarm, route: None });
+        }
+        for (route, track) in &self.tracks {
+            if let Some(alarm) = track.detector.alarm(now, scale) {
+                let route = Some(route.clone());
+                return Some(Charge { alarm, route });
+            }
+        }
+        None
+    }
+
+    /// Whether the evidence holds against the peers' fresh figures.
+    pub fn confirm(&self, charge: &Charge, reference: &Reference) -> bool {
+        match &charge.route {
+            Some(route) => {
+                let Some(track) = self.tracks.get(route) else {
+                    return false;
+                };
+                let fresh = reference.fresh(&self.server, Some(route), track.expected);
+                track.detector.confirm(&fresh)
+            }
+            None => {
+                let expected = self.mean_expected();
+                let fresh = reference.fresh(&self.server, None, expected);
+                self.overall.confirm(&fresh)
+            }
+        }
+    }
+
+    /// Mean over routes, by their requests.
+    fn mean_expected(&self) -> Expected {
+        let mut mean = Expected {
+            failed_share: 0.0,
+            slow_share: 0.0,
+            stuck_share: 0.0,
+            ..Default::default()
+        };
+        let total: f64 = self.tracks.values().map(|t| t.window.weight()).sum();
+        if total <= 0.0 {
+            return Expected::default();
+        }
+        for track in self.tracks.values() {
+            let weight = track.window.weight() / total;
+            mean.failed_share += track.expected.failed_share * weight;
+            mean.slow_share += track.expected.slow_share * weight;
+            mean.stuck_share += track.expected.stuck_share * weight;
+        }
+        let slow = |t: &Track| t.expected.slow_bucket;
+        mean.slow_bucket = self.tracks.values().filter_map(slow).max();
+        mean
+    }
+
+    /// Takes the peers' newest figures as the yardstick.
+    pub fn renew_expected(&mut self, reference: &Reference) {
+        for (route, track) in &mut self.tracks {
+            let kept_bucket = track.expected.slow_bucket;
+            track.expected = reference.expected(&self.server, route, kept_bucket);
+            if track.expected.slow_bucket == kept_bucket {
+                continue;
+            }
+            // What was slow by the old mark can't be compared with shares at the new one.
+            track.detector.forget_times();
+            self.overall.forget_times();
+        }
+    }
+
+    /// Forgets all evidence.
+    pub fn reset(&mut self) {
+        self.overall.reset();
+        for track in self.tracks.values_mut() {
+            track.detector.reset();
+        }
+    }
+
+    /// What the server met, on its busiest routes.
+    pub fn summary(&mut self, now: Instant, route_limit_count: usize) -> ServerSummary {
+        let mut routes: Vec<RouteSummary> = Vec::new();
+        for (route, track) in &mut self.tracks {
+            routes.push(track.window.summary(now, route));
+        }
+        routes.retain(|route| route.long.seen_count > 0);
+        routes.sort_by_key(|route| std::cmp::Reverse(route.long.seen_count));
+        routes.truncate(route_limit_count);
+        ServerSummary {
+            server: self.server.clone(),
+            routes,
+        }
+    }
+}
--- /dev/null
+++ b/src/health/window.rs
@@ -0,0 +1,215 @@
+//! What one route of one backend server met: the last two seconds exactly, older requests decayed.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::histogram::{bucket_of, BUCKET_COUNT};
+use super::message::{RouteCounts, RouteSummary};
+use crate::types::RouteId;
+
+/// Length of one slice of the recent window.
+pub const SLICE: Duration = Duration::from_millis(250);
+
+/// Slices are kept for this time; older requests are decayed.
+const KEPT: Duration = Duration::from_secs(2);
+
+/// The newest requests are those of this time at least, so that a trouble that began just now is
+/// not diluted by the time before.
+const NEWEST: Duration = Duration::from_millis(500);
+
+/// On a quiet route the newest requests reach back until there are as many.
+const NEWEST_COUNT: f64 = 20.0;
+
+/// Time in which an older request loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// One request, sorted against the marks of its route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Observation {
+    /// When it was seen.
+    pub at: Instant,
+    /// Time taken, or the age of a request that still runs.
+    pub elapsed: Duration,
+    /// Whether the server failed it.
+    pub failed: bool,
+    /// Whether it ran longer than the slow mark.
+    pub slow: bool,
+    /// Whether it ran longer than the stuck mark.
+    pub stuck: bool,
+    /// Whether the request was counted before: evidence that grows while a request runs.
+    pub again: bool,
+}
+
+impl Observation {
+    /// Whether it speaks against the server in any way.
+    pub fn is_bad(&self) -> bool {
+        self.failed || self.slow || self.stuck
+    }
+}
+
+/// Counts that may be decayed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Counts {
+    /// Requests seen.
+    pub seen: f64,
+    /// Failed ones.
+    pub failed: f64,
+    /// Stuck ones.
+    pub stuck: f64,
+    /// Requests by time taken.
+    pub buckets: [f64; BUCKET_COUNT],
+}
+
+impl Default for Counts {
+    fn default() -> Self {
+        Counts {
+            seen: 0.0,
+            failed: 0.0,
+            stuck: 0.0,
+            buckets: [0.0; BUCKET_COUNT],
+        }
+    }
+}
+
+impl Counts {
+    fn add(&mut self, observation: &Observation) {
+        if !observation.again {
+            self.seen += 1.0;
+            self.buckets[bucket_of(observation.elapsed)] += 1.0;
+        }
+        self.failed += f64::from(u8::from(observation.failed));
+        self.stuck += f64::from(u8::from(observation.stuck));
+    }
+
+    /// Adds other counts, each times `weight`.
+    pub fn merge(&mut self, other: &Counts, weight: f64) {
+        self.seen += other.seen * weight;
+        self.failed += other.failed * weight;
+        self.stuck += other.stuck * weight;
+        for (own, added) in self.buckets.iter_mut().zip(&other.buckets) {
+            *own += added * weight;
+        }
+    }
+
+    fn decay(&mut self, weight: f64) {
+        let before = std::mem::take(self);
+        self.merge(&before, weight);
+    }
+
+    /// Requests in buckets above `bucket`.
+    pub fn above(&self, bucket: usize) -> f64 {
+        self.buckets.iter().skip(bucket + 1).sum()
+    }
+
+    fn to_message(&self) -> RouteCounts {
+        let mut buckets: Vec<u32> = self.buckets.iter().map(|c| c.round() as u32).collect();
+        while buckets.last() == Some(&0) {
+            buckets.pop();
+        }
+        RouteCounts {
+            seen_count: self.seen.round() as u32,
+            failed_count: self.failed.round() as u32,
+            stuck_count: self.stuck.round() as u32,
+            buckets,
+        }
+    }
+}
+
+impl From<&RouteCounts> for Counts {
+    fn from(message: &RouteCounts) -> Counts {
+        let mut counts = Counts {
+            seen: f64::from(message.seen_count),
+            failed: f64::from(message.failed_count.min(message.seen_count)),
+            stuck: f64::from(message.stuck_count.min(message.seen_count)),
+            ..Default::default()
+        };
+        for (own, told) in counts.buckets.iter_mut().zip(&message.buckets) {
+            *own = f64::from(*told);
+        }
+        counts
+    }
+}
+
+/// What one route of one backend server met.
+#[derive(Debug, Default)]
+pub struct RouteWindow {
+    /// Oldest first; never more than the recent window's slices.
+    slices: VecDeque<(Instant, Counts)>,
+    long: Counts,
+    decayed_at: Option<Instant>,
+}
+
+impl RouteWindow {
+    /// Takes one request.
+    pub fn observe(&mut self, observation: &Observation) {
+        self.advance(observation.at);
+        let fresh = self
+            .slices
+            .back()
+            .is_none_or(|(from, _)| observation.at.saturating_duration_since(*from) >= SLICE);
+        if fresh {
+            self.slices.push_back((observation.at, Counts::default()));
+        }
+        if let Some((_, counts)) = self.slices.back_mut() {
+            counts.add(observation);
+        }
+    }
+
+    /// The newest requests, by whole slices.
+    fn newest(&self, now: Instant) -> Counts {
+        let mut newest = Counts::default();
+        for (from, counts) in self.slices.iter().rev() {
+            let is_new = now.saturating_duration_since(*from) <= NEWEST;
+            if !is_new && newest.seen >= NEWEST_COUNT {
+                break;
+            }
+            newest.merge(counts, 1.0);
+        }
+        newest
+    }
+
+    fn kept(&self) -> Counts {
+        let mut kept = Counts::default();
+        for (_, counts) in &self.slices {
+            kept.merge(counts, 1.0);
+        }
+        kept
+    }
+
+    /// Requests seen over the longer time, the recent ones included.
+    pub fn weight(&self) -> f64 {
+        self.long.seen + self.slices.iter().map(|(_, c)| c.seen).sum::<f64>()
+    }
+
+    /// Recent and longer counts for peers.
+    pub fn summary(&mut self, now: Instant, route: &RouteId) -> RouteSummary {
+        self.advance(now);
+        let mut long = self.long.clone();
+        long.merge(&self.kept(), 1.0);
+        RouteSummary {
+            route: route.clone(),
+            recent: self.newest(now).to_message(),
+            long: long.to_message(),
+        }
+    }
+
+    /// Moves old slices into the decayed counts.
+    fn advance(&mut self, now: Instant) {
+        let decayed_at = *self.decayed_at.get_or_insert(now);
+        let passed = now.saturating_duration_since(decayed_at);
+        if passed >= SLICE {
+            let half_lives = passed.as_secs_f64() / HALF_LIFE.as_secs_f64();
+            self.long.decay(0.5f64.powf(half_lives));
+            self.decayed_at = Some(now);
+        }
+        while let Some((from, _)) = self.slices.front() {
+            let age = now.saturating_duration_since(*from);
+            if age <= KEPT {
+                break;
+            }
+            if let Some((_, counts)) = self.slices.pop_front() {
+                self.long.merge(&counts, 1.0);
+            }
+        }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod front;
 pub mod guard;
+pub mod health;
 pub mod journal;
 pub mod link;
 pub mod log;
@@ -35,6 +36,8 @@
     pub membership: membership::MembershipSettings,
     /// Control connections between daemons.
     pub link: link::LinkSettings,
+    /// Detection and ejection of failing backend servers.
+    pub health: health::HealthSettings,
     /// Choice of server and retries.
     pub routing: routing::RoutingSettings,
     /// Counters and timings.
@@ -157,6 +160,10 @@
             section: "link",
             errors: &mut errors,
         });
+        self.health.check(&mut Checker {
+            section: "health",
+            errors: &mut errors,
+        });
         self.routing.check(&mut Checker {
             section: "routing",
             errors: &mut errors,
