--- /dev/null
+++ b/src/allowance/assignment.rs
@@ -0,0 +1,374 @@
+//! When to claim, hand over and reclaim seats, and whom to name as custodian.
+//!
+//! Nothing here is needed for safety; `custody` refuses what would not be safe.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::custody::{CustodyState, EscrowTimes};
+use super::record::{EscrowRecord, SeatId};
+use super::seat::{Candidate, Candidates, SHARD_COUNT};
+use crate::link::{PeerName, PromiseRequest};
+use crate::types::DaemonId;
+
+/// What the assignment of seats wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AssignmentAction {
+    /// Appends a record.
+    Append(EscrowRecord),
+    /// Asks the custodian for a promise.
+    Ask(PromiseRequest),
+    /// Finds out whether a daemon lives before it is given seats.
+    Probe(PeerName),
+}
+
+/// Decisions about seats over time.
+#[derive(Debug)]
+pub struct Assignment {
+    own: Candidate,
+    times: EscrowTimes,
+    claim_wait: Duration,
+    candidates: Candidates,
+    /// Since when each candidate has been known in its present life.
+    known_since: BTreeMap<PeerName, Instant>,
+    /// Daemons that did not answer, and until when they are passed over.
+    avoided: BTreeMap<DaemonId, Instant>,
+    /// Since when seats without holder have been seen.
+    unheld_since: Option<Instant>,
+    /// Since when holders without custodian have looked dead.
+    dead_since: BTreeMap<PeerName, Instant>,
+    /// When the custodian last answered, or was read to be the custodian.
+    answered_at: Option<(PeerName, Instant)>,
+    /// A hand-over that waits for the answer to its probe.
+    planned: Option<(PeerName, Vec<SeatId>)>,
+    /// When each kind of record was last sent, so that a lost one is sent again, but not at once.
+    sent: Sent,
+    ticked_at: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct Sent {
+    claim: Option<Instant>,
+    name: Option<Instant>,
+    move_seats: Option<Instant>,
+    reclaims: BTreeMap<PeerName, Instant>,
+}
+
+impl Assignment {
+    /// Assignment of a daemon that knows no other.
+    pub fn new(own: Candidate, times: EscrowTimes, claim_wait: Duration) -> Assignment {
+        Assignment {
+            candidates: Candidates::new(vec![own.clone()]),
+            own,
+            times,
+            claim_wait,
+            known_since: BTreeMap::new(),
+            avoided: BTreeMap::new(),
+            unheld_since: None,
+            dead_since: BTreeMap::new(),
+            answered_at: None,
+            planned: None,
+            sent: Sent::default(),
+            ticked_at: None,
+        }
+    }
+
+    /// Takes the daemons that may hold seats; this daemon is always one unless it leaves.
+    pub fn candidates(&mut self, now: Instant, mut others: Vec<Candidate>) {
+        others.retain(|candidate| candidate.name.daemon != self.own.name.daemon);
+        self.known_since
+            .retain(|name, _| others.iter().any(|c| c.name == *name));
+        for candidate in &others {
+            let name = candidate.name.clone();
+            self.known_since.entry(name).or_insert(now);
+        }
+        others.push(self.own.clone());
+        others.sort_by(|a, b| a.name.cmp(&b.name));
+        self.candidates = Candidates::new(others);
+    }
+
+    /// How often `tick` is due.
+    pub fn period(&self) -> Duration {
+        self.times.right / 6
+    }
+
+    /// Notes whether a daemon answered.
+    pub fn answered(&mut self, now: Instant, daemon: &DaemonId, answered: bool) {
+        if answered {
+            self.avoided.remove(daemon);
+        } else {
+            let until = now + self.times.right / 2;
+            self.avoided.insert(daemon.clone(), until);
+        }
+    }
+
+    /// Whether a daemon answered when it was last asked.
+    pub fn usable(&self, now: Instant, daemon: &DaemonId) -> bool {
+        self.avoided.get(daemon).is_none_or(|until| *until <= now)
+    }
+
+    /// Notes a custodian's promise.
+    pub fn promised(&mut self, now: Instant, custodian: &PeerName) {
+        self.answered_at = Some((custodian.clone(), now));
+    }
+
+    /// The probed daemon lives: the planned hand-over goes on.
+    pub fn probed(
+        &mut self,
+        now: Instant,
+        custody: &mut CustodyState,
+        to: &PeerName,
+    ) -> Option<AssignmentAction> {
+        let (planned, seats) = self.planned.take()?;
+        if planned != *to {
+            return None;
+        }
+        let record = custody.hand_over(now, to, &seats)?;
+        Some(AssignmentAction::Append(record))
+    }
+
+    /// Everything that is due now.
+    pub fn tick(&mut self, now: Instant, custody: &mut CustodyState) -> Vec<AssignmentAction> {
+        let mut actions = Vec::new();
+        let paused = self
+            .ticked_at
+            .is_some_and(|at| now > at + self.times.right / 2);
+        self.ticked_at = Some(now);
+        if paused {
+            custody.paused(now);
+        }
+        if let Some(request) = custody.ask() {
+            actions.push(AssignmentAction::Ask(request));
+        }
+        if !custody.is_fresh(now) {
+            return actions;
+        }
+        actions.extend(self.claim(now, custody));
+        actions.extend(self.name(now, custody));
+        self.reclaim(now, custody, &mut actions);
+        self.reclaim_open(now, custody, &mut actions);
+        if custody.is_retired() {
+            self.hand_over_all(now, custody, &mut actions);
+        } else {
+            actions.extend(self.rebalance(now, custody));
+        }
+        actions
+    }
+
+    fn claim(&mut self, now: Instant, custody: &CustodyState) -> Option<AssignmentAction> {
+        let seats = custody.ledger().seats();
+        let is_unheld = |seat: &SeatId| seats[usize::from(*seat)].holder.is_none();
+        let unheld: Vec<SeatId> = (0..seats.len() as SeatId).filter(is_unheld).collect();
+        if unheld.is_empty() || custody.is_retired() {
+            self.unheld_since = None;
+            return None;
+        }
+        let since = *self.unheld_since.get_or_insert(now);
+        if !self.is_due(now, self.sent.claim) || now < since + self.claim_wait {
+            return None;
+        }
+        let own = &self.own.name;
+        let is_mine = |seat: &SeatId| {
+            let rank = self.candidates.rank(*seat, own) as u32;
+            now >= since + self.claim_wait * (rank + 1)
+        };
+        let seats: Vec<SeatId> = unheld.into_iter().filter(is_mine).collect();
+        if seats.is_empty() {
+            return None;
+        }
+        self.sent.claim = Some(now);
+        Some(AssignmentAction::Append(EscrowRecord::Claim {
+            holder: self.own.name.clone(),
+            custodian: self.custodian(now, None),
+            seats,
+        }))
+    }
+
+    fn name(&mut self, now: Instant, custody: &mut CustodyState) -> Option<AssignmentAction> {
+        let entry = custody.ledger().holders().get(&self.own.name)?.clone();
+        if custody.is_naming() && !self.is_due(now, self.sent.name) {
+            return None;
+        }
+        let silent = match &entry.custodian {
+            None => true,
+            Some(named) => self.is_silent(now, named),
+        };
+        if !silent {
+            return None;
+        }
+        let custodian = self.custodian(now, entry.custodian.as_ref());
+        if custodian == entry.custodian || !self.is_due(now, self.sent.name) {
+            return None;
+        }
+        self.sent.name = Some(now);
+        let record = custody.name(now, custodian)?;
+        Some(AssignmentAction::Append(record))
+    }
+
+    /// Whether a custodian has left or has not promised for half of what a promise lasts.
+    fn is_silent(&mut self, now: Instant, named: &PeerName) -> bool {
+        let known = self.candidates.iter().any(|c| c.name == *named);
+        match &self.answered_at {
+            Some((answered, at)) if answered == named => !known || now > *at + self.times.right / 2,
+            _ => {
+                self.answered_at = Some((named.clone(), now));
+                !known
+            }
+        }
+    }
+
+    fn custodian(&self, now: Instant, silent: Option<&PeerName>) -> Option<PeerName> {
+        self.candidates.custodian_for(&self.own, |name| {
+            Some(name) != silent && self.usable(now, &name.daemon)
+        })
+    }
+
+    fn reclaim(
+        &mut self,
+        now: Instant,
+        custody: &mut CustodyState,
+        actions: &mut Vec<AssignmentAction>,
+    ) {
+        for holder in custody.due(now) {
+            if !self.is_due(now, self.sent.reclaims.get(&holder).copied()) {
+                continue;
+            }
+            if let Some(record) = custody.decide(now, &holder) {
+                self.sent.reclaims.insert(holder, now);
+                actions.push(AssignmentAction::Append(record));
+            }
+        }
+        let holders = custody.ledger().holders();
+        self.sent
+            .reclaims
+            .retain(|holder, _| holders.contains_key(holder));
+    }
+
+    /// Reclaims holders that name no custodian and are gone; the nearest to their seats does it.
+    fn reclaim_open(
+        &mut self,
+        now: Instant,
+        custody: &CustodyState,
+        actions: &mut Vec<AssignmentAction>,
+    ) {
+        let holders = custody.ledger().holders();
+        self.dead_since
+            .retain(|holder, _| holders.contains_key(holder));
+        for (holder, entry) in holders {
+            let lives = self.candidates.iter().any(|c| c.name == *holder);
+            if entry.custodian.is_some() || lives || *holder == self.own.name {
+                self.dead_since.remove(holder);
+                continue;
+            }
+            let since = *self.dead_since.entry(holder.clone()).or_insert(now);
+            if custody.is_retired() || now < since + self.times.right * 2 {
+                continue;
+            }
+            let rank = self.rank_for(holder, custody);
+            let sent = self.sent.reclaims.get(holder).copied();
+            if now < since + self.times.right * 2 + RESEND * rank || !self.is_due(now, sent) {
+                continue;
+            }
+            self.sent.reclaims.insert(holder.clone(), now);
+            actions.push(AssignmentAction::Append(EscrowRecord::Reclaim {
+                holder: holder.clone(),
+                custody: entry.custody,
+                by: self.own.name.clone(),
+            }));
+        }
+    }
+
+    fn rank_for(&self, holder: &PeerName, custody: &CustodyState) -> u32 {
+        let seats = custody.ledger().seats();
+        let first = seats.iter().position(|s| s.holder.as_ref() == Some(holder));
+        first.map_or(0, |seat| {
+            self.candidates.rank(seat as SeatId, &self.own.name) as u32
+        })
+    }
+
+    fn hand_over_all(
+        &mut self,
+        now: Instant,
+        custody: &mut CustodyState,
+        actions: &mut Vec<AssignmentAction>,
+    ) {
+        if !self.is_due(now, self.sent.move_seats) {
+            return;
+        }
+        let others = self
+            .candidates
+            .iter()
+            .filter(|c| c.name.daemon != self.own.name.daemon && self.usable(now, &c.name.daemon));
+        let others = Candidates::new(others.cloned().collect());
+        let mut by_target: BTreeMap<PeerName, Vec<SeatId>> = BTreeMap::new();
+        for seat in custody.starts().keys() {
+            if let Some(target) = others.preferred(*seat) {
+                let seats = by_target.entry(target.name.clone()).or_default();
+                seats.push(*seat);
+            }
+        }
+        for (target, seats) in by_target {
+            let Some(record) = custody.hand_over(now, &target, &seats) else {
+                continue;
+            };
+            self.sent.move_seats = Some(now);
+            actions.push(AssignmentAction::Append(record));
+        }
+    }
+
+    /// Plans to hand seats of one class to a daemon that they prefer, so that no organisation
+    /// has two shards on the move.
+    fn rebalance(&mut self, now: Instant, custody: &CustodyState) -> Option<AssignmentAction> {
+        let pause = self.times.loan + self.times.right / 3;
+        if self.sent.move_seats.is_some_and(|at| now < at + pause) {
+            return None;
+        }
+        let mut found: Option<(PeerName, Vec<SeatId>)> = None;
+        for (seat, start) in custody.starts() {
+            if start.at > now {
+                continue;
+            }
+            let Some(target) = self.target_of(now, *seat, custody) else {
+                continue;
+            };
+            match &mut found {
+                None => found = Some((target, vec![*seat])),
+                Some((to, seats))
+                    if *to == target && seats[0] % SHARD_COUNT == seat % SHARD_COUNT =>
+                {
+                    seats.push(*seat);
+                }
+                Some(_) => {}
+            }
+        }
+        let (to, seats) = found?;
+        self.sent.move_seats = Some(now);
+        self.planned = Some((to.clone(), seats));
+        Some(AssignmentAction::Probe(to))
+    }
+
+    /// Where a seat should go; a seat whose hand-over was lost goes to anyone.
+    fn target_of(&self, now: Instant, seat: SeatId, custody: &CustodyState) -> Option<PeerName> {
+        let target = self.candidates.preferred(seat)?.name.clone();
+        if target == self.own.name {
+            return custody
+                .is_given(seat)
+                .then(|| self.custodian(now, None))
+                .flatten();
+        }
+        self.has_settled(now, &target).then_some(target)
+    }
+
+    fn has_settled(&self, now: Instant, target: &PeerName) -> bool {
+        let since = self.known_since.get(target);
+        let settled = since.is_some_and(|since| now >= *since + self.times.right);
+        settled && self.usable(now, &target.daemon)
+    }
+
+    fn is_due(&self, now: Instant, sent: Option<Instant>) -> bool {
+        sent.is_none_or(|at| now >= at + RESEND)
+    }
+}
+
+/// A record that was not read back after this time is sent again.
+const RESEND: Duration = Duration::from_secs(1);
--- a/src/allowance/custody.rs
+++ b/src/allowance/custody.rs
@@ -71,6 +71,8 @@
     wards: BTreeMap<PeerName, Ward>,
     /// This daemon leaves and never reclaims.
     retired: bool,
+    /// Records are missing, so nothing read since shows who holds what.
+    gapped: bool,
 }
 
 impl CustodyState {
@@ -87,6 +89,7 @@
             ending: None,
             wards: BTreeMap::new(),
             retired: false,
+            gapped: false,
         }
     }
 
@@ -137,6 +140,7 @@
         whole: bool,
     ) {
         for (offset, record) in records {
+            self.gapped |= *offset > self.ledger.next;
             let Some(record) = record else {
                 self.ledger.skip(*offset);
                 continue;
@@ -145,7 +149,7 @@
                 self.moved(now, &moved);
             }
         }
-        if whole {
+        if whole && !self.gapped {
             self.fresh_until = self.fresh_until.max(Some(asked_at + self.times.right));
         }
         self.follow_own(now);
--- /dev/null
+++ b/src/allowance/entry.rs
@@ -0,0 +1,314 @@
+//! The entry's side: requests take tokens from this daemon's own shards or borrow them.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::calls::{OpenCall, Purpose};
+use super::loan::{Purse, Round, Waiting};
+use super::message::{AllowanceAction, CallId};
+use super::record::SeatId;
+use super::seat;
+use super::state::{AllowanceState, UNKNOWN_RETRY};
+use crate::contract::OrganisationContract;
+use crate::link::{BorrowAnswer, BorrowRequest, EscrowId, PeerName, PeerRequest};
+use crate::types::{DaemonId, OrganisationId, RequestId};
+
+/// Borrowed tokens and waiting requests by organisation.
+#[derive(Debug, Default)]
+pub struct Entry {
+    purses: HashMap<OrganisationId, Purse>,
+    /// When to look at a purse again; outdated entries do no harm.
+    timers: BinaryHeap<Reverse<(Instant, OrganisationId)>>,
+}
+
+impl Entry {
+    /// When the next purse is to be looked at.
+    pub fn next_at(&self) -> Option<Instant> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Forgets organisations without requests lately.
+    pub fn sweep(&mut self, now: Instant) {
+        self.purses.retain(|_, purse| !purse.is_idle(now));
+    }
+
+    /// Organisations with requests lately.
+    pub fn purse_count(&self) -> usize {
+        self.purses.len()
+    }
+
+    fn purse(&mut self, organisation: &OrganisationId) -> &mut Purse {
+        self.purses.entry(organisation.clone()).or_default()
+    }
+
+    fn wake_at(&mut self, at: Instant, organisation: &OrganisationId) {
+        self.timers.push(Reverse((at, organisation.clone())));
+    }
+
+    fn due(&mut self, now: Instant) -> Option<OrganisationId> {
+        if self.next_at()? > now {
+            return None;
+        }
+        self.timers
+            .pop()
+            .map(|Reverse((_, organisation))| organisation)
+    }
+}
+
+impl AllowanceState {
+    pub(super) fn take(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        organisation: OrganisationId,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let view = self.view.clone();
+        let Some(contract) = view.organisations.get(&organisation) else {
+            actions.push(AllowanceAction::Refuse {
+                request,
+                retry_after: UNKNOWN_RETRY,
+            });
+            return;
+        };
+        let wait = Duration::from_millis(self.settings.borrow_wait_ms);
+        let limit_count = self.settings.waiting_limit_count;
+        let purse = self.entry.purse(&organisation);
+        purse.asked(now);
+        let closed = purse
+            .closed_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        if purse.waiting.len() >= limit_count {
+            actions.push(AllowanceAction::Refuse {
+                request,
+                retry_after: closed.max(SHORTEST_ROUND),
+            });
+            return;
+        }
+        let until = now + wait;
+        purse.waiting.push_back(Waiting { request, until });
+        self.serve(now, contract, actions);
+        self.go_on(now, contract, actions);
+        let waits = !self.entry.purse(&organisation).waiting.is_empty();
+        if waits {
+            self.entry.wake_at(until, &organisation);
+        }
+    }
+
+    /// Looks at every purse whose time has come.
+    pub(super) fn wake(&mut self, now: Instant, actions: &mut Vec<AllowanceAction>) {
+        let view = self.view.clone();
+        while let Some(organisation) = self.entry.due(now) {
+            let Some(contract) = view.organisations.get(&organisation) else {
+                continue;
+            };
+            if !self.entry.purses.contains_key(&organisation) {
+                continue;
+            }
+            self.serve(now, contract, actions);
+            self.refuse_late(now, &organisation, actions);
+            self.go_on(now, contract, actions);
+        }
+    }
+
+    /// Takes the answer to a call for tokens.
+    pub(super) fn borrowed(
+        &mut self,
+        now: Instant,
+        (call, sent_at): (CallId, Instant),
+        organisation: &OrganisationId,
+        lent: Option<BorrowAnswer>,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let longest = self.times.loan;
+        let purse = self.entry.purse(organisation);
+        if let Some(lent) = &lent {
+            let time = lent.lapses_after.min(longest);
+            if lent.count > 0 && sent_at + time > now {
+                purse.put(sent_at, lent.count, time);
+            }
+        }
+        if let Some(round) = &mut purse.round {
+            if round.pending.is_some_and(|(pending, _)| pending == call) {
+                round.pending = None;
+                let retry_after = lent.map_or(UNKNOWN_RETRY, |lent| match lent.count {
+                    0 => lent.retry_after,
+                    _ => SHORTEST_ROUND,
+                });
+                round.retry_after = round.retry_after.min(retry_after);
+            }
+        }
+        let view = self.view.clone();
+        let Some(contract) = view.organisations.get(organisation) else {
+            return;
+        };
+        self.serve(now, contract, actions);
+        self.go_on(now, contract, actions);
+    }
+
+    /// Grants waiting requests from borrowed tokens first, since those lapse.
+    fn serve(
+        &mut self,
+        now: Instant,
+        contract: &OrganisationContract,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let purse = self.entry.purse(&contract.organisation);
+        while !purse.waiting.is_empty() {
+            let took = purse.take(now)
+                || self
+                    .lender
+                    .take(now, &self.view, &self.custody, contract)
+                    .is_ok();
+            if !took {
+                return;
+            }
+            if let Some(Waiting { request, .. }) = purse.waiting.pop_front() {
+                actions.push(AllowanceAction::Grant { request });
+            }
+        }
+    }
+
+    /// Asks the next holder, or ends the round when all were asked.
+    fn go_on(
+        &mut self,
+        now: Instant,
+        contract: &OrganisationContract,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let organisation = &contract.organisation;
+        let purse = self.entry.purse(organisation);
+        if purse.waiting.is_empty() {
+            if purse.round.as_ref().is_some_and(|r| r.pending.is_none()) {
+                purse.round = None;
+            }
+            return;
+        }
+        if purse.round.is_none() {
+            if purse.closed_until.is_some_and(|until| now < until) {
+                return self.refuse_hopeless(now, organisation, actions);
+            }
+            let round = self.new_round(now, contract);
+            self.entry.purse(organisation).round = Some(round);
+        }
+        self.ask_next(now, organisation, actions);
+    }
+
+    fn ask_next(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let window = Duration::from_millis(self.settings.batch_ms);
+        let patience = now + Duration::from_millis(self.settings.patience_ms);
+        let purse = self.entry.purse(organisation);
+        let count = purse.batch_count(now, window);
+        let Some(round) = &mut purse.round else {
+            return;
+        };
+        if round.pending.is_some_and(|(_, until)| now < until) {
+            return;
+        }
+        let Some(to) = round.left.pop() else {
+            let closed_until = now + round.retry_after.max(SHORTEST_ROUND);
+            purse.closed_until = Some(closed_until);
+            purse.round = None;
+            self.entry.wake_at(closed_until, organisation);
+            return self.refuse_hopeless(now, organisation, actions);
+        };
+        let call = self.calls.open(OpenCall {
+            to: PeerName {
+                daemon: to.clone(),
+                incarnation: 0,
+            },
+            sent_at: now,
+            purpose: Purpose::Tokens(organisation.clone()),
+        });
+        round.pending = Some((call, patience));
+        self.entry.wake_at(patience, organisation);
+        actions.push(AllowanceAction::Call {
+            call,
+            to,
+            request: PeerRequest::Borrow(BorrowRequest {
+                escrow: EscrowId::Organisation(organisation.clone()),
+                count,
+            }),
+        });
+    }
+
+    /// The holders of an organisation's shards that may have tokens, the farthest first.
+    fn new_round(&mut self, now: Instant, contract: &OrganisationContract) -> Round {
+        let seat_count = self.custody.ledger().seats().len() as SeatId;
+        let shard_count = self.view.shard_count(contract);
+        let own_wait = self.lender.wait(now, &self.view, &self.custody, contract);
+        let mut left: SmallVec<[DaemonId; 3]> = SmallVec::new();
+        for seat in seat::seats_of(&contract.organisation, shard_count, seat_count) {
+            let Some(holder) = self.custody.ledger().holder_of(seat) else {
+                continue;
+            };
+            let known = left.contains(&holder.daemon) || holder.daemon == self.own.name.daemon;
+            if known || !self.assignment.usable(now, &holder.daemon) {
+                continue;
+            }
+            left.push(holder.daemon.clone());
+        }
+        let is_near = |daemon: &DaemonId| {
+            let entry = self.fleet.daemons.get(daemon);
+            entry.is_some_and(|entry| entry.domain == self.own.domain)
+        };
+        left.sort_by_key(is_near);
+        Round {
+            left,
+            pending: None,
+            retry_after: own_wait.min(UNKNOWN_RETRY),
+        }
+    }
+
+    /// Refuses requests that would not be asked for again before they have to be refused.
+    fn refuse_hopeless(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let purse = self.entry.purse(organisation);
+        let Some(closed_until) = purse.closed_until else {
+            return;
+        };
+        let retry_after = closed_until.saturating_duration_since(now);
+        purse.waiting.retain(|waiting| {
+            let hopeless = waiting.until <= closed_until;
+            if hopeless {
+                actions.push(AllowanceAction::Refuse {
+                    request: waiting.request,
+                    retry_after,
+                });
+            }
+            !hopeless
+        });
+    }
+
+    fn refuse_late(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let purse = self.entry.purse(organisation);
+        while purse.waiting.front().is_some_and(|w| w.until <= now) {
+            if let Some(Waiting { request, .. }) = purse.waiting.pop_front() {
+                actions.push(AllowanceAction::Refuse {
+                    request,
+                    retry_after: SHORTEST_ROUND,
+                });
+            }
+        }
+    }
+}
+
+/// Shortest time between two rounds of asking for one organisation.
+const SHORTEST_ROUND: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/src/allowance/lender.rs
@@ -0,0 +1,158 @@
+//! Buckets of the shards whose seats this daemon holds.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use super::bucket::{Bucket, NEVER};
+use super::custody::{CustodyState, EscrowTimes, Start};
+use super::record::SeatId;
+use super::seat::{self, ShardIndex};
+use crate::contract::{OrganisationContract, View};
+use crate::link::BorrowAnswer;
+use crate::types::OrganisationId;
+
+/// One shard of one organisation.
+#[derive(Debug, Clone)]
+struct Shard {
+    /// The tenure of the seat that the bucket belongs to; another one begins with a new bucket.
+    start: Start,
+    bucket: Bucket,
+}
+
+/// The buckets of the seats that this daemon holds. A bucket is made when it is first asked for.
+#[derive(Debug, Default)]
+pub struct Lender {
+    shards: HashMap<(OrganisationId, ShardIndex), Shard>,
+}
+
+impl Lender {
+    /// Takes one token for a request of this daemon, or says when one may be there.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        view: &View,
+        custody: &CustodyState,
+        contract: &OrganisationContract,
+    ) -> Result<(), Duration> {
+        let mut wait = NEVER;
+        for (shard, seat, start) in own_shards(now, view, custody, contract) {
+            debug_assert!(custody.may_spend(now, seat));
+            let bucket = self.bucket(now, view, contract, (shard, start));
+            match bucket.take(now, 1.0) {
+                Ok(()) => return Ok(()),
+                Err(later) => wait = wait.min(later),
+            }
+        }
+        Err(wait)
+    }
+
+    /// When this daemon's own shards may have a token.
+    pub fn wait(
+        &mut self,
+        now: Instant,
+        view: &View,
+        custody: &CustodyState,
+        contract: &OrganisationContract,
+    ) -> Duration {
+        let mut wait = NEVER;
+        for (shard, _, start) in own_shards(now, view, custody, contract) {
+            let bucket = self.bucket(now, view, contract, (shard, start));
+            wait = wait.min(bucket.wait_for(now, 1.0));
+        }
+        wait
+    }
+
+    /// Lends tokens to a peer.
+    pub fn lend(
+        &mut self,
+        now: Instant,
+        view: &View,
+        custody: &CustodyState,
+        contract: &OrganisationContract,
+        (count, times): (u32, EscrowTimes),
+    ) -> BorrowAnswer {
+        let mut answer = BorrowAnswer {
+            count: 0,
+            lapses_after: times.loan,
+            retry_after: NEVER,
+        };
+        for (shard, _, start) in own_shards(now, view, custody, contract) {
+            let bucket = self.bucket(now, view, contract, (shard, start));
+            let time = bucket.loan_time(times.loan);
+            let lapsed_at = now + time + times.margin.min(time / MARGIN_PARTS);
+            let lent = bucket.lend(now, count - answer.count, lapsed_at);
+            if lent == 0 {
+                answer.retry_after = answer.retry_after.min(bucket.wait_for(now, 1.0));
+                continue;
+            }
+            answer.count += lent;
+            answer.lapses_after = answer.lapses_after.min(time);
+        }
+        answer
+    }
+
+    /// Forgets buckets that would be made the same again, and those of lost seats.
+    pub fn sweep(&mut self, now: Instant, custody: &CustodyState) {
+        let starts: HashSet<Start> = custody.starts().values().copied().collect();
+        self.shards
+            .retain(|_, shard| starts.contains(&shard.start) && !shard.bucket.is_full(now));
+    }
+
+    /// Buckets in memory.
+    pub fn bucket_count(&self) -> usize {
+        self.shards.len()
+    }
+
+    fn bucket(
+        &mut self,
+        now: Instant,
+        view: &View,
+        contract: &OrganisationContract,
+        (shard, start): (ShardIndex, Start),
+    ) -> &mut Bucket {
+        let (rate_per_s, burst_count) = seat::share(contract, view.shard_count(contract), shard);
+        let key = (contract.organisation.clone(), shard);
+        let make = || Shard {
+            start,
+            bucket: if start.fresh {
+                Bucket::full(now, rate_per_s, burst_count)
+            } else {
+                Bucket::empty(start.at, rate_per_s, burst_count)
+            },
+        };
+        let held = self.shards.entry(key).or_insert_with(make);
+        if held.start != start {
+            *held = make();
+        }
+        held.bucket.resize(now, rate_per_s, burst_count);
+        &mut held.bucket
+    }
+}
+
+/// Clocks drift apart by less than this part of a loan's life.
+const MARGIN_PARTS: u32 = 50;
+
+/// Shards of an organisation that this daemon may spend from now.
+fn own_shards(
+    now: Instant,
+    view: &View,
+    custody: &CustodyState,
+    contract: &OrganisationContract,
+) -> smallvec::SmallVec<[(ShardIndex, SeatId, Start); 3]> {
+    let seat_count = custody.ledger().seats().len() as SeatId;
+    let seats = seat::seats_of(
+        &contract.organisation,
+        view.shard_count(contract),
+        seat_count,
+    );
+    let mut own = smallvec::SmallVec::new();
+    for (shard, seat) in seats.into_iter().enumerate() {
+        if !custody.may_spend(now, seat) {
+            continue;
+        }
+        if let Some(start) = custody.starts().get(&seat) {
+            own.push((shard as ShardIndex, seat, *start));
+        }
+    }
+    own
+}
--- /dev/null
+++ b/src/allowance/loan.rs
@@ -0,0 +1,125 @@
+//! Borrowed tokens of one organisation at an entry, and the requests that wait for some.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::message::CallId;
+use crate::types::{DaemonId, RequestId};
+
+/// Tokens that a holder lent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Loan {
+    count: u32,
+    lapses_at: Instant,
+}
+
+/// A request that waits for a token.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiting {
+    /// The request.
+    pub request: RequestId,
+    /// Refused when it has no token by then.
+    pub until: Instant,
+}
+
+/// Holders that are asked one after the other.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Round {
+    /// Holders not asked yet, the next one last.
+    pub left: SmallVec<[DaemonId; 3]>,
+    /// The call that is waited for, and until when.
+    pub pending: Option<(CallId, Instant)>,
+    /// The soonest time that a holder named.
+    pub retry_after: Duration,
+}
+
+/// What an entry has of one organisation's tokens.
+#[derive(Debug, Default)]
+pub struct Purse {
+    /// Soonest lapse first.
+    loans: SmallVec<[Loan; 4]>,
+    /// First come, first served; bounded by the settings.
+    pub waiting: VecDeque<Waiting>,
+    /// The round of asking that runs.
+    pub round: Option<Round>,
+    /// No new round before.
+    pub closed_until: Option<Instant>,
+    demand: Demand,
+    /// How long the last loan lived.
+    loan_time: Option<Duration>,
+    used_at: Option<Instant>,
+}
+
+impl Purse {
+    /// Notes that a request asks for a token.
+    pub fn asked(&mut self, now: Instant) {
+        self.demand.add(now);
+        self.used_at = Some(now);
+    }
+
+    /// Takes a borrowed token that has not lapsed.
+    pub fn take(&mut self, now: Instant) -> bool {
+        self.loans
+            .retain(|loan| loan.lapses_at > now && loan.count > 0);
+        match self.loans.first_mut() {
+            Some(loan) => {
+                loan.count -= 1;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Puts borrowed tokens in, which lapse `time` after the request for them was sent.
+    pub fn put(&mut self, sent_at: Instant, count: u32, time: Duration) {
+        let lapses_at = sent_at + time;
+        self.loan_time = Some(time);
+        let place = self.loans.partition_point(|l| l.lapses_at <= lapses_at);
+        self.loans.insert(place, Loan { count, lapses_at });
+    }
+
+    /// How many tokens to ask for: those that requests wait for, and the demand of a short time.
+    pub fn batch_count(&self, now: Instant, window: Duration) -> u32 {
+        let half = self.loan_time.map_or(window, |time| time / 2);
+        let ahead = self.demand.rate_per_s(now) * window.min(half).as_secs_f64();
+        (ahead as u32).max(self.waiting.len() as u32).max(1)
+    }
+
+    /// Whether nothing would be lost by forgetting it.
+    pub fn is_idle(&self, now: Instant) -> bool {
+        let unused = self.used_at.is_none_or(|at| now > at + IDLE);
+        unused && self.waiting.is_empty() && self.round.is_none()
+    }
+}
+
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Requests a second, older ones weighing less.
+#[derive(Debug, Default, Clone)]
+struct Demand {
+    level: f64,
+    at: Option<Instant>,
+}
+
+impl Demand {
+    fn add(&mut self, now: Instant) {
+        self.level = self.decayed(now) + 1.0;
+        self.at = Some(now);
+    }
+
+    fn rate_per_s(&self, now: Instant) -> f64 {
+        self.decayed(now) / DEMAND_TIME.as_secs_f64()
+    }
+
+    fn decayed(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let elapsed = now.saturating_duration_since(at);
+        self.level * (-elapsed.as_secs_f64() / DEMAND_TIME.as_secs_f64()).exp()
+    }
+}
+
+const DEMAND_TIME: Duration = Duration::from_millis(200);
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -1,9 +1,18 @@
-//! Rate and burst of each organisation.
+//! Rate and burst of each organisation, and ejection permits, over the whole fleet.
+//!
+//! The escrow stream of the platform's log gives a fixed number of seats to daemons. A seat holds
+//! shards of organisations; entries without tokens borrow from the seats' holders.
 
+pub mod assignment;
 pub mod bucket;
+pub mod calls;
 pub mod custody;
 pub mod duty;
+pub mod entry;
+pub mod lender;
+pub mod loan;
 pub mod message;
+pub mod permit;
 pub mod record;
 pub mod replay;
 pub mod seat;
--- /dev/null
+++ b/src/allowance/permit.rs
@@ -0,0 +1,178 @@
+//! Ejection permits: the holder's side, which counts them, and the asking side.
+//!
+//! The holder of a service's seat alone gives its permits, so the floor holds over the fleet
+//! without agreement on the number of servers: the holder's own count decides. A server that the
+//! holder does not know yet only lowers the number of permits.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::custody::Start;
+use super::record::SeatId;
+use super::seat;
+use crate::contract::View;
+use crate::link::{BorrowAnswer, PeerName};
+use crate::membership::Fleet;
+use crate::types::{BackendServerId, ServiceId};
+
+/// How long a permit lasts after it was asked for or renewed.
+pub const PERMIT_TIME: Duration = Duration::from_secs(5);
+/// Clocks drift apart by less than this within `PERMIT_TIME`.
+const PERMIT_MARGIN: Duration = Duration::from_millis(100);
+/// When to ask again after a refusal.
+const PERMIT_RETRY: Duration = Duration::from_secs(1);
+
+/// The seat that gives the permits of a service.
+pub fn seat_of(service: &ServiceId, seat_count: SeatId) -> SeatId {
+    seat::seats_of(&format!("service/{service}"), 1, seat_count)[0]
+}
+
+/// How many servers of a service may be ejected at once, besides those that take no work anyway.
+pub fn permit_count(service: &ServiceId, view: &View, fleet: &Fleet) -> u32 {
+    let Some(contract) = view.services.get(service) else {
+        return 0;
+    };
+    let mut server_count = 0_u32;
+    let mut unavailable_count = 0_u32;
+    for daemon in fleet.daemons.values() {
+        let away = daemon.leaving || view.domains_out.contains(&daemon.domain);
+        for server in daemon.servers.iter().filter(|s| s.service == *service) {
+            server_count += 1;
+            unavailable_count += u32::from(away || server.draining);
+        }
+    }
+    let floor_count = (contract.floor_share * f64::from(server_count) - ROUNDING).ceil() as u32;
+    server_count
+        .saturating_sub(floor_count)
+        .saturating_sub(unavailable_count)
+}
+
+/// Error of the product of a share and a count.
+const ROUNDING: f64 = 1e-9;
+
+/// Permits that one daemon holds: the greatest of its grants that have not lapsed counts.
+type Grants = SmallVec<[(u32, Instant); 4]>;
+
+/// The holder's record of permits.
+#[derive(Debug, Default)]
+pub struct PermitLender {
+    services: HashMap<ServiceId, (Start, BTreeMap<PeerName, Grants>)>,
+}
+
+impl PermitLender {
+    /// Gives a daemon permits for `count` servers in all; asked again, it renews them.
+    ///
+    /// Permits that an earlier holder gave may last `PERMIT_TIME` into this tenure, so that none
+    /// is given before.
+    pub fn give(
+        &mut self,
+        now: Instant,
+        (service, start): (&ServiceId, Start),
+        from: &PeerName,
+        (count, permit_count): (u32, u32),
+    ) -> BorrowAnswer {
+        if !start.fresh && now < start.at + PERMIT_TIME + PERMIT_MARGIN {
+            return refused();
+        }
+        let entry = self
+            .services
+            .entry(service.clone())
+            .or_insert_with(|| (start, BTreeMap::new()));
+        if entry.0 != start {
+            *entry = (start, BTreeMap::new());
+        }
+        let daemons = &mut entry.1;
+        for grants in daemons.values_mut() {
+            grants.retain(|(_, lapses_at)| *lapses_at > now);
+        }
+        daemons.retain(|_, grants| !grants.is_empty());
+        let level = |grants: &Grants| grants.iter().map(|(count, _)| *count).max().unwrap_or(0);
+        let others = daemons.iter().filter(|(daemon, _)| *daemon != from);
+        let others: u32 = others.map(|(_, grants)| level(grants)).sum();
+        let given = count.min(permit_count.saturating_sub(others));
+        if given == 0 {
+            return refused();
+        }
+        let grants = daemons.entry(from.clone()).or_default();
+        let lapses_at = now + PERMIT_TIME + PERMIT_MARGIN;
+        grants.retain(|(count, _)| *count > given);
+        grants.push((given, lapses_at));
+        BorrowAnswer {
+            count: given,
+            lapses_after: PERMIT_TIME,
+            retry_after: PERMIT_RETRY,
+        }
+    }
+}
+
+fn refused() -> BorrowAnswer {
+    BorrowAnswer {
+        count: 0,
+        lapses_after: PERMIT_TIME,
+        retry_after: PERMIT_RETRY,
+    }
+}
+
+/// The permits that this daemon asks for, by service.
+#[derive(Debug, Default)]
+pub struct PermitDesk {
+    services: BTreeMap<ServiceId, BTreeMap<BackendServerId, Option<Instant>>>,
+}
+
+/// What health is told of one server.
+pub type PermitWord = (BackendServerId, Option<Instant>);
+
+impl PermitDesk {
+    /// A server needs a permit. Gives how many to ask for.
+    pub fn want(&mut self, service: &ServiceId, server: &BackendServerId) -> u32 {
+        let servers = self.services.entry(service.clone()).or_default();
+        servers.entry(server.clone()).or_insert(None);
+        servers.len() as u32
+    }
+
+    /// A server needs none any more.
+    pub fn end(&mut self, service: &ServiceId, server: &BackendServerId) {
+        let Some(servers) = self.services.get_mut(service) else {
+            return;
+        };
+        servers.remove(server);
+        if servers.is_empty() {
+            self.services.remove(service);
+        }
+    }
+
+    /// Spreads an answer over the servers, those that hold a permit first. Those refused are
+    /// forgotten until health asks again.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        (count, lapses_at): (u32, Instant),
+    ) -> Vec<PermitWord> {
+        let Some(servers) = self.services.get_mut(service) else {
+            return Vec::new();
+        };
+        let mut order: Vec<PermitWord> = servers.clone().into_iter().collect();
+        order.sort_by_key(|(_, until)| std::cmp::Reverse(until.filter(|at| *at > now)));
+        for (index, (_, until)) in order.iter_mut().enumerate() {
+            let given = (index as u32) < count && lapses_at > now;
+            *until = if given {
+                Some(lapses_at)
+            } else {
+                until.filter(|at| *at > now)
+            };
+        }
+        for (server, until) in &order {
+            match until {
+                Some(_) => servers.insert(server.clone(), *until),
+                None => servers.remove(server),
+            };
+        }
+        if servers.is_empty() {
+            self.services.remove(service);
+        }
+        order
+    }
+}
--- a/src/allowance/state.rs
+++ b/src/allowance/state.rs
@@ -1,67 +1,362 @@
-//! Decisions of the allowance: one bucket an organisation.
+//! Decisions of the allowance: seats held, tokens lent and borrowed, permits.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::bucket::Bucket;
-use super::message::{AllowanceAction, AllowanceEvent};
+use super::assignment::{Assignment, AssignmentAction};
+use super::calls::{Calls, OpenCall, Purpose};
+use super::custody::{CustodyState, EscrowTimes};
+use super::entry::Entry;
+use super::lender::Lender;
+use super::message::{AllowanceAction, AllowanceEvent, CallId};
+use super::permit::{self, PermitDesk, PermitLender};
+use super::record::SeatId;
+use super::seat::{Candidate, SEAT_COUNT};
 use crate::contract::View;
-use crate::types::{OrganisationId, RequestId};
+use crate::link::{
+    BorrowAnswer, BorrowRequest, EscrowId, LinkError, PeerAnswer, PeerName, PeerRequest,
+    PromiseRequest,
+};
+use crate::membership::Fleet;
+use crate::settings::allowance::AllowanceSettings;
+use crate::types::{BackendServerId, ServiceId};
+
+/// What an allowance is made of.
+#[derive(Debug, Clone)]
+pub struct AllowanceOptions {
+    /// This daemon's life and failure domain.
+    pub own: Candidate,
+    /// Its settings.
+    pub settings: AllowanceSettings,
+    /// Times of the escrow.
+    pub times: EscrowTimes,
+    /// Seats of the fleet.
+    pub seat_count: SeatId,
+}
+
+impl AllowanceOptions {
+    /// The options of every real daemon.
+    pub fn new(own: Candidate, settings: AllowanceSettings) -> AllowanceOptions {
+        AllowanceOptions {
+            own,
+            settings,
+            times: EscrowTimes::default(),
+            seat_count: SEAT_COUNT,
+        }
+    }
+}
 
 /// State of the allowance.
-#[derive(Default)]
 pub struct AllowanceState {
-    view: Arc<View>,
-    buckets: HashMap<OrganisationId, Bucket>,
+    pub(super) own: Candidate,
+    pub(super) settings: AllowanceSettings,
+    pub(super) times: EscrowTimes,
+    pub(super) view: Arc<View>,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) custody: CustodyState,
+    pub(super) assignment: Assignment,
+    pub(super) lender: Lender,
+    pub(super) entry: Entry,
+    pub(super) calls: Calls,
+    permits: PermitLender,
+    desk: PermitDesk,
+    next_tick_at: Option<Instant>,
+    swept_at: Option<Instant>,
 }
 
 impl AllowanceState {
+    /// Allowance of a daemon that knows nothing yet.
+    pub fn new(options: AllowanceOptions) -> AllowanceState {
+        let claim_wait = Duration::from_millis(options.settings.claim_wait_ms);
+        let own_name = options.own.name.clone();
+        AllowanceState {
+            custody: CustodyState::new(own_name, options.times, options.seat_count),
+            assignment: Assignment::new(options.own.clone(), options.times, claim_wait),
+            own: options.own,
+            settings: options.settings,
+            times: options.times,
+            view: Arc::default(),
+            fleet: Arc::default(),
+            lender: Lender::default(),
+            entry: Entry::default(),
+            calls: Calls::default(),
+            permits: PermitLender::default(),
+            desk: PermitDesk::default(),
+            next_tick_at: None,
+            swept_at: None,
+        }
+    }
+
+    /// When `Tick` is due.
+    pub fn next_at(&self) -> Option<Instant> {
+        match (self.next_tick_at, self.entry.next_at()) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Custody of seats, for tests, the model checker and measurements.
+    pub fn custody(&self) -> &CustodyState {
+        &self.custody
+    }
+
+    /// Buckets in memory and organisations with requests lately, for measurements.
+    pub fn held_counts(&self) -> (usize, usize) {
+        (self.lender.bucket_count(), self.entry.purse_count())
+    }
+
     /// Takes one event and gives what is to be done.
     pub fn handle(&mut self, now: Instant, event: AllowanceEvent) -> Vec<AllowanceAction> {
+        let mut actions = Vec::new();
         match event {
             AllowanceEvent::Take {
                 request,
                 organisation,
-            } => vec![self.take(now, request, organisation)],
-            AllowanceEvent::View(view) => {
-                self.view = view;
-                self.resize(now);
-                Vec::new()
+            } => self.take(now, request, organisation, &mut actions),
+            AllowanceEvent::Permit { service, server } => {
+                self.ask_permit(now, &service, &server, &mut actions);
+            }
+            AllowanceEvent::PermitEnded { service, server } => self.desk.end(&service, &server),
+            AllowanceEvent::View(view) => self.view = view,
+            AllowanceEvent::Fleet(fleet) => self.follow_fleet(now, fleet),
+            AllowanceEvent::Read {
+                asked_at,
+                records,
+                whole,
+            } => {
+                self.custody.read(now, asked_at, &records, whole);
+                self.next_tick_at.get_or_insert(now);
             }
-            _ => Vec::new(),
+            AllowanceEvent::Borrow {
+                call,
+                from,
+                request,
+            } => {
+                let answer = self.lend(now, &from, &request);
+                actions.push(AllowanceAction::Lend { call, answer });
+            }
+            AllowanceEvent::Promise { call, request } => {
+                let answer = self.custody.promise(now, &request);
+                actions.push(AllowanceAction::Promised { call, answer });
+            }
+            AllowanceEvent::Answered { call, answer } => {
+                self.answered(now, call, answer, &mut actions);
+            }
+            AllowanceEvent::Leave => {
+                self.custody.retire();
+                self.next_tick_at = Some(now);
+            }
+            AllowanceEvent::Tick => {}
+        }
+        self.tick(now, &mut actions);
+        actions
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<AllowanceAction>) {
+        self.wake(now, actions);
+        if self.next_tick_at.is_none_or(|at| now < at) {
+            return;
+        }
+        self.next_tick_at = Some(now + self.assignment.period());
+        self.calls.forget_old(now);
+        let due = self.assignment.tick(now, &mut self.custody);
+        for action in due {
+            self.assign(now, action, actions);
+        }
+        if self.swept_at.is_none_or(|at| now > at + SWEEP) {
+            self.swept_at = Some(now);
+            self.lender.sweep(now, &self.custody);
+            self.entry.sweep(now);
         }
     }
 
-    fn take(
+    fn assign(
         &mut self,
         now: Instant,
-        request: RequestId,
-        organisation: OrganisationId,
-    ) -> AllowanceAction {
-        let Some(contract) = self.view.organisations.get(&organisation) else {
-            return AllowanceAction::Refuse {
-                request,
-                retry_after: Duration::ZERO,
-            };
+        action: AssignmentAction,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let (to, request, purpose) = match action {
+            AssignmentAction::Append(record) => {
+                actions.push(AllowanceAction::Append(record));
+                return;
+            }
+            AssignmentAction::Ask(request) => {
+                let to = request.custodian.clone();
+                (to, request, Purpose::Promise)
+            }
+            AssignmentAction::Probe(to) => {
+                let request = PromiseRequest {
+                    holder: self.own.name.clone(),
+                    custodian: to.clone(),
+                };
+                (to, request, Purpose::Probe)
+            }
         };
-        let full = || Bucket::full(now, contract.rate_per_s, f64::from(contract.burst_count));
-        let bucket = self.buckets.entry(organisation).or_insert_with(full);
-        match bucket.take(now, 1.0) {
-            Ok(()) => AllowanceAction::Grant { request },
-            Err(retry_after) => AllowanceAction::Refuse {
-                request,
-                retry_after,
+        let call = self.calls.open(OpenCall {
+            to: to.clone(),
+            sent_at: now,
+            purpose,
+        });
+        actions.push(AllowanceAction::Call {
+            call,
+            to: to.daemon,
+            request: PeerRequest::Promise(request),
+        });
+    }
+
+    fn answered(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        answer: Result<PeerAnswer, LinkError>,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let Some(open) = self.calls.close(call) else {
+            return;
+        };
+        let reached = !matches!(answer, Err(LinkError::Unreachable | LinkError::Silent));
+        self.assignment.answered(now, &open.to.daemon, reached);
+        match (open.purpose, answer) {
+            (Purpose::Promise, Ok(PeerAnswer::Promise(answer))) => {
+                if answer.holds_for.is_some() {
+                    self.assignment.promised(now, &open.to);
+                }
+                self.custody.promised(open.sent_at, &open.to, &answer);
+            }
+            (Purpose::Probe, Ok(_)) => {
+                let planned = self.assignment.probed(now, &mut self.custody, &open.to);
+                if let Some(action) = planned {
+                    self.assign(now, action, actions);
+                }
+            }
+            (Purpose::Promise | Purpose::Probe, _) => {}
+            (Purpose::Tokens(organisation), answer) => {
+                let lent = match answer {
+                    Ok(PeerAnswer::Borrow(lent)) => Some(lent),
+                    _ => None,
+                };
+                self.borrowed(now, (call, open.sent_at), &organisation, lent, actions);
+            }
+            (Purpose::Permits(service), Ok(PeerAnswer::Borrow(given))) => {
+                let lapses_at = open.sent_at + given.lapses_after.min(permit::PERMIT_TIME);
+                self.permitted(now, &service, (given.count, lapses_at), actions);
+            }
+            (Purpose::Permits(service), _) => self.permitted(now, &service, (0, now), actions),
+        }
+    }
+
+    fn lend(&mut self, now: Instant, from: &PeerName, request: &BorrowRequest) -> BorrowAnswer {
+        match &request.escrow {
+            EscrowId::Service(service) => self.give_permits(now, from, service, request.count),
+            EscrowId::Organisation(organisation) => {
+                let view = self.view.clone();
+                let Some(contract) = view.organisations.get(organisation) else {
+                    return BorrowAnswer {
+                        count: 0,
+                        lapses_after: self.times.loan,
+                        retry_after: UNKNOWN_RETRY,
+                    };
+                };
+                let asked = (request.count, self.times);
+                self.lender.lend(now, &view, &self.custody, contract, asked)
+            }
+        }
+    }
+
+    fn give_permits(
+        &mut self,
+        now: Instant,
+        from: &PeerName,
+        service: &ServiceId,
+        count: u32,
+    ) -> BorrowAnswer {
+        let seat = permit::seat_of(service, self.custody.ledger().seats().len() as SeatId);
+        let start = self.custody.starts().get(&seat).copied();
+        match start {
+            Some(start) if self.custody.may_spend(now, seat) => {
+                let permit_count = permit::permit_count(service, &self.view, &self.fleet);
+                let asked = (count, permit_count);
+                self.permits.give(now, (service, start), from, asked)
+            }
+            _ => BorrowAnswer {
+                count: 0,
+                lapses_after: permit::PERMIT_TIME,
+                retry_after: UNKNOWN_RETRY,
             },
         }
     }
 
-    fn resize(&mut self, now: Instant) {
-        for (organisation, bucket) in &mut self.buckets {
-            let Some(contract) = self.view.organisations.get(organisation) else {
+    fn ask_permit(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        server: &BackendServerId,
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        let count = self.desk.want(service, server);
+        let seat = permit::seat_of(service, self.custody.ledger().seats().len() as SeatId);
+        let holder = self.custody.ledger().holder_of(seat).cloned();
+        match holder {
+            Some(holder) if holder == self.own.name => {
+                let given = self.give_permits(now, &holder, service, count);
+                let lapses_at = now + given.lapses_after;
+                self.permitted(now, service, (given.count, lapses_at), actions);
+            }
+            Some(holder) => {
+                let call = self.calls.open(OpenCall {
+                    to: holder.clone(),
+                    sent_at: now,
+                    purpose: Purpose::Permits(service.clone()),
+                });
+                actions.push(AllowanceAction::Call {
+                    call,
+                    to: holder.daemon,
+                    request: PeerRequest::Borrow(BorrowRequest {
+                        escrow: EscrowId::Service(service.clone()),
+                        count,
+                    }),
+                });
+            }
+            None => self.permitted(now, service, (0, now), actions),
+        }
+    }
+
+    fn permitted(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        given: (u32, Instant),
+        actions: &mut Vec<AllowanceAction>,
+    ) {
+        for (server, holds_until) in self.desk.answered(now, service, given) {
+            actions.push(AllowanceAction::Permit {
+                service: service.clone(),
+                server,
+                holds_until,
+            });
+        }
+    }
+
+    fn follow_fleet(&mut self, now: Instant, fleet: Arc<Fleet>) {
+        let mut others = Vec::new();
+        for entry in fleet.daemons.values() {
+            if entry.leaving {
                 continue;
-            };
-            bucket.resize(now, contract.rate_per_s, f64::from(contract.burst_count));
+            }
+            others.push(Candidate {
+                name: PeerName {
+                    daemon: entry.daemon.clone(),
+                    incarnation: entry.incarnation,
+                },
+                domain: entry.domain.clone(),
+            });
         }
+        self.assignment.candidates(now, others);
+        self.fleet = fleet;
     }
 }
+
+const SWEEP: Duration = Duration::from_secs(10);
+/// When to ask again where nothing is known yet.
+pub(super) const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -11,8 +11,11 @@
 use super::common::Common;
 use super::health::HealthFeed;
 use super::rings::Rings;
+use crate::allowance::seat::Candidate;
+use crate::allowance::state::AllowanceOptions;
 use crate::allowance::{self, AllowanceMessage};
 use crate::front::{self, FrontMessage};
+use crate::link::PeerName;
 use crate::ring::{ring, spawn_duty};
 use crate::routing::choice::TwoChoices;
 use crate::routing::{self, RoutingMessage};
@@ -60,14 +63,25 @@
     threads.push(spawn_duty("front", move || {
         front::duty::run(&context, &front_end)
     }));
+    let own = Candidate {
+        name: PeerName {
+            daemon: settings.daemon.daemon.clone(),
+            incarnation: common.incarnation,
+        },
+        domain: settings.daemon.domain.clone(),
+    };
     let context = allowance::duty::AllowanceContext {
+        options: AllowanceOptions::new(own, settings.allowance.clone()),
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
         front: rings.front.clone(),
         permits: Box::new(HealthFeed(rings.health.clone())),
+        journal: rings.journal.clone(),
+        link: rings.link.clone(),
+        own: rings.allowance.clone(),
     };
     threads.push(spawn_duty("allowance", move || {
-        allowance::duty::run(&context, &allowance_end)
+        allowance::duty::run(context, &allowance_end)
     }));
     let context = routing::duty::RoutingContext {
         settings: settings.routing.clone(),
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -11,6 +11,7 @@
 use super::peers::PeerDispatch;
 use super::readers::Readers;
 use super::rings::Rings;
+use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::guard::GuardMessage;
 use crate::health::{HealthEvent, HealthMessage};
 use crate::journal::client::HttpLog;
@@ -48,6 +49,7 @@
     let journal = rings.journal.clone();
     let journal_fleet = rings.journal.clone();
     let routing = rings.routing.clone();
+    let allowance = rings.allowance.clone();
     let link = rings.link.clone();
     let health = rings.health.clone();
     let metrics = common.metrics.clone();
@@ -77,6 +79,11 @@
             if health.offer(HealthMessage::Event(event)).is_err() {
                 fleet_metrics.count("health.fleet.missed");
             }
+            let event = AllowanceEvent::Fleet(fleet.clone());
+            let event = AllowanceMessage::Event(event);
+            if allowance.offer(event).is_err() {
+                fleet_metrics.count("allowance.fleet.missed");
+            }
             if guard.offer(GuardMessage::Fleet(fleet)).is_err() {
                 fleet_metrics.count("guard.fleet.missed");
             }
@@ -100,6 +107,7 @@
         membership: rings.membership.clone(),
         guard: rings.guard.clone(),
         domain: common.settings.daemon.domain.clone(),
+        batch_count: common.settings.journal.batch_count,
         metrics: common.metrics.clone(),
     };
     let context = journal::duty::JournalContext {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -1,6 +1,7 @@
 //! Hands peers' requests to the duties that answer them.
 
 use super::rings::Rings;
+use crate::allowance::AllowanceMessage;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::health::HealthMessage;
 use crate::journal::JournalEvent;
@@ -54,6 +55,17 @@
                     reply(Err(LinkError::Refused));
                 }
             }
+            request @ (PeerRequest::Borrow(_) | PeerRequest::Promise(_)) => {
+                let message = AllowanceMessage::Asked {
+                    from: from.clone(),
+                    request,
+                    reply,
+                };
+                let offered = self.rings.allowance.offer(message);
+                if let Err(AllowanceMessage::Asked { reply, .. }) = offered {
+                    reply(Err(LinkError::Refused));
+                }
+            }
             _ => reply(Err(LinkError::Refused)),
         }
     }
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -8,7 +8,7 @@
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::journal::duty::JournalReader;
-use crate::journal::{LogRecord, Stream, MEMBERS};
+use crate::journal::{LogRecord, Stream, ESCROW, MEMBERS};
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
@@ -30,6 +30,8 @@
     pub guard: RingSender<GuardMessage>,
     /// The failure domain of this VM.
     pub domain: DomainId,
+    /// Most records of one read; a read with as many may have left some.
+    pub batch_count: usize,
     /// Counters.
     pub metrics: Metrics,
 }
@@ -55,10 +57,13 @@
     fn read_ended(
         &self,
         stream: Stream,
-        _asked_at: Instant,
+        asked_at: Instant,
         records: Vec<LogRecord>,
         _next: Offset,
     ) {
+        if stream == ESCROW {
+            return self.escrow(asked_at, records);
+        }
         if stream != MEMBERS {
             return;
         }
@@ -70,3 +75,23 @@
         }
     }
 }
+
+impl Readers {
+    fn escrow(&self, asked_at: Instant, records: Vec<LogRecord>) {
+        let whole = records.len() < self.batch_count;
+        let mut parsed = Vec::with_capacity(records.len());
+        for record in records {
+            let read = serde_json::from_str(&record.body).ok();
+            if read.is_none() {
+                self.metrics.count("allowance.record.malformed");
+            }
+            parsed.push((record.offset, read));
+        }
+        let event = AllowanceEvent::Read {
+            asked_at,
+            records: parsed,
+            whole,
+        };
+        self.allowance.deliver(AllowanceMessage::Event(event));
+    }
+}
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -12,7 +12,7 @@
 use super::fleet::{start_journal, start_link, start_membership, FleetAddresses};
 use super::health::start_health;
 use super::rings::{make_rings, Receivers, Rings};
-use crate::allowance::AllowanceMessage;
+use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::audit::NoAudit;
 use crate::clock::{epoch_ms, Clock, SystemClock};
 use crate::front::{FrontEvent, FrontMessage};
@@ -121,6 +121,8 @@
         } = self;
         rings.front.deliver(FrontMessage::Event(FrontEvent::Drain));
         rings.guard.deliver(GuardMessage::Event(GuardEvent::Drain));
+        let leave = AllowanceMessage::Event(AllowanceEvent::Leave);
+        rings.allowance.deliver(leave);
         rings.membership.deliver(MembershipEvent::Leave);
         std::thread::sleep(grace);
         stopping.store(true, Ordering::Relaxed);
--- a/src/journal/mod.rs
+++ b/src/journal/mod.rs
@@ -29,8 +29,10 @@
 pub const CHECKPOINTS: Stream = "checkpoints";
 /// The stream that holds the text of checkpoints, in parts.
 pub const CHECKPOINT_PARTS: Stream = "checkpoint-parts";
+/// The stream that gives the seats of allowances to daemons.
+pub const ESCROW: Stream = "escrow";
 /// Every stream besides the configuration that a daemon reads all the time.
-pub const STREAMS: [Stream; 2] = [MEMBERS, CHECKPOINTS];
+pub const STREAMS: [Stream; 3] = [MEMBERS, CHECKPOINTS, ESCROW];
 
 /// Why the platform's log did not answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
--- a/src/settings/allowance.rs
+++ b/src/settings/allowance.rs
@@ -9,11 +9,28 @@
 pub struct AllowanceSettings {
     /// Requests that may wait for the allowance duty.
     pub ring_count: usize,
+    /// Longest wait of a request for a borrowed token, in milliseconds.
+    pub borrow_wait_ms: u64,
+    /// Requests of one organisation that may wait for tokens at one daemon.
+    pub waiting_limit_count: usize,
+    /// Demand of this long is borrowed at once, in milliseconds.
+    pub batch_ms: u64,
+    /// Wait for a holder's answer before the next one is asked, in milliseconds.
+    pub patience_ms: u64,
+    /// Wait before seats that nobody has held are claimed, in milliseconds.
+    pub claim_wait_ms: u64,
 }
 
 impl Default for AllowanceSettings {
     fn default() -> Self {
-        AllowanceSettings { ring_count: 1024 }
+        AllowanceSettings {
+            ring_count: 1024,
+            borrow_wait_ms: 100,
+            waiting_limit_count: 256,
+            batch_ms: 100,
+            patience_ms: 30,
+            claim_wait_ms: 500,
+        }
     }
 }
 
@@ -27,5 +44,20 @@
             self.ring_count,
             "must be from 1 to 65536",
         );
+        let waiting_holds = (1..=65536).contains(&self.waiting_limit_count);
+        checker.require(
+            waiting_holds,
+            "waiting_limit_count",
+            self.waiting_limit_count,
+            "must be from 1 to 65536",
+        );
+        let mut time = |field, value_ms| {
+            let holds = (1..=10_000).contains(&value_ms);
+            checker.require(holds, field, value_ms, "must be from 1 to 10000");
+        };
+        time("borrow_wait_ms", self.borrow_wait_ms);
+        time("batch_ms", self.batch_ms);
+        time("patience_ms", self.patience_ms);
+        time("claim_wait_ms", self.claim_wait_ms);
     }
 }
