Run a request that may not be repeated at most once, and end when nothing runs

Cause: a lost guard after sending ended as unknown even where the request had not started, a caller's resend could run twice, 'not run' could follow an earlier attempt of unknown end, and a stopping daemon slept for a fixed time. Change: routing fences the lost attempt at its guard, claims idempotency keys at their home daemon before the first attempt and gives them back when nothing can have run; retries draw from a budget; long bodies have threads of their own; the daemon ends once guard and entry have drained, bounded by the longest stop.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -4,12 +4,13 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use crossbeam::channel::Receiver;
+use crossbeam::channel::{Receiver, Sender};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::common::Common;
 use super::health::HealthFeed;
+use super::peers::FleetCaller;
 use super::rings::Rings;
 use crate::allowance::seat::Candidate;
 use crate::allowance::state::AllowanceOptions;
@@ -35,12 +36,16 @@
     rings: &Rings,
     listener: &Arc<HttpListener>,
     receivers: EntryReceivers,
+    drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &common.settings;
     let (front_end, allowance_end, routing_end) = receivers;
     let mut threads = Vec::new();
     let (answers, answers_end) = ring("answer", settings.front.ring_count, &common.metrics);
-    let (forwards, forwards_end) = ring("forward", settings.front.ring_count, &common.metrics);
+    let worker_count = settings.front.worker_count;
+    let upload_count = settings.front.upload_worker_count;
+    let (forwards, forwards_end) = ring("forward", worker_count, &common.metrics);
+    let (uploads, uploads_end) = ring("upload", upload_count, &common.metrics);
     for index in 0..ACCEPT_THREAD_COUNT {
         let context = front::accept::AcceptContext {
             settings: settings.front.clone(),
@@ -88,7 +93,14 @@
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
         forwards,
+        uploads,
         answers,
+        peers: Arc::new(FleetCaller {
+            own: settings.daemon.daemon.clone(),
+            rings: rings.clone(),
+        }),
+        own: rings.routing.clone(),
+        drained,
     };
     let choice = Box::new(TwoChoices::new(ChaCha8Rng::from_rng(&mut rand::rng())));
     threads.push(spawn_duty("routing", move || {
@@ -97,21 +109,43 @@
     let context = routing::forward::ForwardContext {
         key: common.key.clone(),
         connect_timeout: Duration::from_millis(settings.routing.connect_timeout_ms),
+        answer_grace: Duration::from_millis(settings.routing.answer_grace_ms),
         answer_limit_bytes: settings.front.answer_limit_bytes,
         retry_body_limit_bytes: settings.front.retry_body_limit_bytes,
         routing: rings.routing.clone(),
     };
-    for index in 0..settings.front.worker_count {
-        let context = context.clone();
-        let jobs = forwards_end.clone();
-        threads.push(spawn_duty(&format!("forward-{index}"), move || {
-            routing::forward::run(&context, &jobs);
-        }));
-    }
+    threads.extend(start_forwards(
+        "forward",
+        worker_count,
+        &context,
+        &forwards_end,
+    ));
+    threads.extend(start_forwards(
+        "upload",
+        upload_count,
+        &context,
+        &uploads_end,
+    ));
     threads.extend(start_answers("answer", &answers_end));
     threads
 }
 
+fn start_forwards(
+    name: &str,
+    count: usize,
+    context: &routing::forward::ForwardContext,
+    jobs: &Receiver<routing::forward::ForwardJob>,
+) -> Vec<JoinHandle<()>> {
+    let start = |index: usize| {
+        let context = context.clone();
+        let jobs = jobs.clone();
+        spawn_duty(&format!("{name}-{index}"), move || {
+            routing::forward::run(&context, &jobs);
+        })
+    };
+    (0..count).map(start).collect()
+}
+
 pub(super) fn start_answers(
     name: &str,
     jobs: &Receiver<front::duty::AnswerJob>,
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -14,6 +14,7 @@
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::guard::GuardMessage;
 use crate::health::{HealthEvent, HealthMessage};
+use crate::idempotency::{self, IdempotencyMessage};
 use crate::journal::client::HttpLog;
 use crate::journal::{self, JournalEvent, MEMBERS};
 use crate::link::{self, LinkMessage, PeerName};
@@ -54,6 +55,7 @@
     let health = rings.health.clone();
     let metrics = common.metrics.clone();
     let guard = rings.guard.clone();
+    let idempotency = rings.idempotency.clone();
     let fleet_metrics = common.metrics.clone();
     let context = membership::duty::MembershipContext {
         clock: common.clock.clone(),
@@ -84,6 +86,7 @@
             if allowance.offer(event).is_err() {
                 fleet_metrics.count("allowance.fleet.missed");
             }
+            idempotency.deliver(IdempotencyMessage::Fleet(fleet.clone()));
             if guard.offer(GuardMessage::Fleet(fleet)).is_err() {
                 fleet_metrics.count("guard.fleet.missed");
             }
@@ -94,6 +97,22 @@
     })
 }
 
+pub(super) fn start_idempotency(
+    common: &Common,
+    messages: Receiver<IdempotencyMessage>,
+) -> JoinHandle<()> {
+    let context = idempotency::duty::IdempotencyContext {
+        settings: common.settings.idempotency.clone(),
+        daemon: common.settings.daemon.daemon.clone(),
+        incarnation: common.incarnation,
+        clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
+    };
+    spawn_duty("idempotency", move || {
+        idempotency::duty::run(&context, &messages)
+    })
+}
+
 pub(super) fn start_journal(
     common: &Common,
     rings: &Rings,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -4,8 +4,12 @@
 use crate::allowance::AllowanceMessage;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::health::HealthMessage;
+use crate::idempotency::IdempotencyMessage;
 use crate::journal::JournalEvent;
-use crate::link::{LinkError, PeerAnswer, PeerHandler, PeerName, PeerReply, PeerRequest};
+use crate::link::{
+    LinkError, LinkMessage, PeerAnswer, PeerCaller, PeerHandler, PeerName, PeerReply, PeerRequest,
+};
+use crate::types::DaemonId;
 
 /// Knows which duty answers which request.
 pub(super) struct PeerDispatch {
@@ -25,6 +29,14 @@
                     reply(Err(LinkError::Refused));
                 }
             }
+            PeerRequest::Claim(claim) => {
+                let message = IdempotencyMessage::Claim { claim, reply };
+                if let Err(IdempotencyMessage::Claim { reply, .. }) =
+                    self.rings.idempotency.offer(message)
+                {
+                    reply(Err(LinkError::Refused));
+                }
+            }
             PeerRequest::Cancel(request) => reply(guard(GuardEvent::Cancel(request))),
             PeerRequest::Poison(reports) => {
                 let from = from.daemon.clone();
@@ -70,3 +82,40 @@
         }
     }
 }
+
+/// Calls daemons: this one by its rings, all others by the link.
+pub(super) struct FleetCaller {
+    pub(super) own: DaemonId,
+    pub(super) rings: Rings,
+}
+
+impl PeerCaller for FleetCaller {
+    fn call(&self, to: &DaemonId, request: PeerRequest, reply: PeerReply) -> bool {
+        if *to == self.own {
+            return self.call_own(request, reply);
+        }
+        let to = to.clone();
+        let call = LinkMessage::Call { to, request, reply };
+        self.rings.link.offer(call).is_ok()
+    }
+}
+
+impl FleetCaller {
+    fn call_own(&self, request: PeerRequest, reply: PeerReply) -> bool {
+        match request {
+            PeerRequest::Fence(request) => {
+                let message = GuardMessage::Fence { request, reply };
+                self.rings.guard.offer(message).is_ok()
+            }
+            PeerRequest::Cancel(request) => {
+                let message = GuardMessage::Event(GuardEvent::Cancel(request));
+                self.rings.guard.offer(message).is_ok()
+            }
+            PeerRequest::Claim(claim) => {
+                let message = IdempotencyMessage::Claim { claim, reply };
+                self.rings.idempotency.offer(message).is_ok()
+            }
+            _ => false,
+        }
+    }
+}
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -7,6 +7,7 @@
 use crate::front::FrontMessage;
 use crate::guard::GuardMessage;
 use crate::health::HealthMessage;
+use crate::idempotency::IdempotencyMessage;
 use crate::journal::JournalEvent;
 use crate::link::LinkMessage;
 use crate::membership::MembershipEvent;
@@ -23,6 +24,7 @@
     pub(super) membership: RingSender<MembershipEvent>,
     pub(super) journal: RingSender<JournalEvent>,
     pub(super) link: RingSender<LinkMessage>,
+    pub(super) idempotency: RingSender<IdempotencyMessage>,
 }
 
 pub(super) struct Receivers {
@@ -34,6 +36,7 @@
     pub(super) membership: Receiver<MembershipEvent>,
     pub(super) journal: Receiver<JournalEvent>,
     pub(super) link: Receiver<LinkMessage>,
+    pub(super) idempotency: Receiver<IdempotencyMessage>,
 }
 
 pub(super) fn make_rings(common: &Common) -> (Rings, Receivers) {
@@ -46,6 +49,8 @@
     let (health, health_end) = ring("health", settings.health.ring_count, metrics);
     let (membership, membership_end) = ring("membership", settings.membership.ring_count, metrics);
     let (journal, journal_end) = ring("journal", JOURNAL_RING_COUNT, metrics);
+    let idempotency_count = settings.idempotency.ring_count;
+    let (idempotency, idempotency_end) = ring("idempotency", idempotency_count, metrics);
     let (link, link_end) = ring("link", settings.link.ring_count, metrics);
     let rings = Rings {
         front,
@@ -56,6 +61,7 @@
         membership,
         journal,
         link,
+        idempotency,
     };
     let receivers = Receivers {
         front: front_end,
@@ -66,6 +72,7 @@
         membership: membership_end,
         journal: journal_end,
         link: link_end,
+        idempotency: idempotency_end,
     };
     (rings, receivers)
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -4,12 +4,16 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{bounded, Receiver};
 
 use super::beside::{start_announce, start_guard};
 use super::common::Common;
 use super::entry::start_entry;
-use super::fleet::{start_journal, start_link, start_membership, FleetAddresses};
+use super::fleet::{
+    start_idempotency, start_journal, start_link, start_membership, FleetAddresses,
+};
 use super::health::start_health;
 use super::rings::{make_rings, Receivers, Rings};
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
@@ -18,10 +22,12 @@
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::health::HealthMessage;
+use crate::idempotency::IdempotencyMessage;
 use crate::journal::JournalEvent;
 use crate::link::{self, LinkMessage};
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
+use crate::ring::spawn_duty;
 use crate::routing::RoutingMessage;
 use crate::settings::Settings;
 use crate::wire::exchange::HttpListener;
@@ -42,6 +48,8 @@
     listeners: Vec<Arc<HttpListener>>,
     rings: Rings,
     stopping: Arc<AtomicBool>,
+    /// Each hears once that a part of the daemon has nothing left to do.
+    drained: Vec<Receiver<()>>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -71,30 +79,34 @@
         membership,
         journal,
         link,
+        idempotency,
     } = receivers;
     let addresses = FleetAddresses {
         guard: guard_listener.address(),
         link: link_address,
     };
-    let (drained, _guard_drained) = crossbeam::channel::bounded(1);
+    let (guard_drained, guard_drained_end) = bounded(1);
+    let (entry_drained, entry_drained_end) = bounded(1);
     let mut threads = Vec::new();
     threads.extend(start_entry(
         &common,
         &rings,
         &front_listener,
         (front, allowance, routing),
+        entry_drained,
     ));
     threads.extend(start_guard(
         &common,
         &rings,
         &guard_listener,
         guard,
-        drained,
+        guard_drained,
     ));
     threads.push(start_health(&common, &rings, health));
     threads.push(start_announce(&rings, &announce_listener));
     threads.push(start_membership(&common, &rings, addresses, membership));
     threads.extend(start_journal(&common, &rings, journal, &stopping));
+    threads.push(start_idempotency(&common, idempotency));
     threads.push(start_link(&common, &rings, link_listener, link));
     Ok(Daemon {
         front_address: front_listener.address(),
@@ -105,26 +117,34 @@
         listeners: vec![front_listener, guard_listener, announce_listener],
         rings,
         stopping,
+        drained: vec![entry_drained_end, guard_drained_end],
         threads,
     })
 }
 
 impl Daemon {
-    /// Graceful shutdown: takes no new work, tells the fleet, finishes what runs, and ends.
-    pub fn stop(self, grace: Duration) {
+    /// Graceful shutdown: takes no new work, tells the fleet, finishes what runs, and ends as
+    /// soon as nothing runs, at the latest after `limit`.
+    pub fn stop(self, limit: Duration) {
         let Daemon {
             listeners,
             rings,
             stopping,
+            drained,
             threads,
             ..
         } = self;
+        let ends_at = Instant::now() + limit;
         rings.front.deliver(FrontMessage::Event(FrontEvent::Drain));
         rings.guard.deliver(GuardMessage::Event(GuardEvent::Drain));
         let leave = AllowanceMessage::Event(AllowanceEvent::Leave);
         rings.allowance.deliver(leave);
         rings.membership.deliver(MembershipEvent::Leave);
-        std::thread::sleep(grace);
+        for part in &drained {
+            if part.recv_deadline(ends_at).is_err() {
+                log::warn!("requests still run after the longest stop");
+            }
+        }
         stopping.store(true, Ordering::Relaxed);
         for listener in &listeners {
             listener.close();
@@ -135,12 +155,29 @@
         rings.guard.deliver(GuardMessage::Stop);
         rings.health.deliver(HealthMessage::Stop);
         rings.membership.deliver(MembershipEvent::Stop);
+        rings.idempotency.deliver(IdempotencyMessage::Stop);
         rings.journal.deliver(JournalEvent::Stop);
         rings.link.deliver(LinkMessage::Stop);
         drop(rings);
+        join_until(threads, ends_at.max(Instant::now() + LAST_ANSWERS));
+    }
+}
+
+/// Time that is left for the last answers, however long the shutdown took.
+const LAST_ANSWERS: Duration = Duration::from_secs(1);
+
+/// Waits for the threads, but not for those that are still held by a peer at the end.
+fn join_until(threads: Vec<JoinHandle<()>>, ends_at: Instant) {
+    let (joined, joined_end) = bounded(1);
+    spawn_duty("join", move || {
         for thread in threads {
             // A duty that panicked has told so on standard error.
             let _ = thread.join();
         }
+        // The daemon may have ended without waiting.
+        let _ = joined.send(());
+    });
+    if joined_end.recv_deadline(ends_at).is_err() {
+        log::warn!("threads still run after the longest stop");
     }
 }
--- a/src/front/duty.rs
+++ b/src/front/duty.rs
@@ -54,7 +54,7 @@
                 FrontEvent::Arrived(head)
             }
         };
-        if let Some(action) = state.handle(context.clock.now(), event) {
+        for action in state.handle(context.clock.now(), event) {
             carry_out(context, &mut held, action);
         }
     }
@@ -95,6 +95,7 @@
                 answer(context, exchange, refusal(request, ErrorKind::Busy, None));
             }
         }
+        FrontAction::Drained => context.routing.deliver(RoutingMessage::Drain),
         FrontAction::Refuse {
             request,
             kind,
@@ -121,13 +122,9 @@
 }
 
 fn answer(context: &FrontContext, exchange: Box<dyn Exchange>, answer: WholeAnswer) {
-    // With all answer threads busy the exchange is dropped, which ends it with an empty 500.
-    if context
-        .answers
-        .offer(AnswerJob { exchange, answer })
-        .is_err()
-    {
-        context.metrics.count("front.answer.dropped");
+    if let Err(job) = context.answers.offer(AnswerJob { exchange, answer }) {
+        context.metrics.count("front.answer.inline");
+        job.exchange.answer(job.answer);
     }
 }
 
--- a/src/front/message.rs
+++ b/src/front/message.rs
@@ -31,6 +31,8 @@
     pub idempotency_key: Option<String>,
     /// Length of the body, where known.
     pub body_bytes: Option<u64>,
+    /// Whether the body comes in chunks.
+    pub chunked: bool,
 }
 
 /// What happens to the front.
@@ -80,6 +82,8 @@
     },
     /// Hands the request to routing.
     Dispatch(RequestPlan),
+    /// After `Drain`: no request waits for its token any more.
+    Drained,
     /// Refuses the request.
     Refuse {
         /// The request.
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
 use super::message::{FrontAction, FrontEvent, RequestHead};
 use crate::contract::state::RouteAnswer;
 use crate::contract::{KeyAnswer, RouteContract, View};
@@ -18,13 +20,24 @@
     /// Whether the view may be relied on; without it every request is refused.
     usable: bool,
     draining: bool,
+    /// Whether `Drained` was said.
+    drained: bool,
     /// Requests that wait for their token.
     waiting: HashMap<RequestId, RequestPlan>,
 }
 
 impl FrontState {
     /// Takes one event and gives what is to be done.
-    pub fn handle(&mut self, _now: Instant, event: FrontEvent) -> Option<FrontAction> {
+    pub fn handle(&mut self, _now: Instant, event: FrontEvent) -> SmallVec<[FrontAction; 2]> {
+        let mut actions: SmallVec<[FrontAction; 2]> = self.decide(event).into_iter().collect();
+        if self.draining && !self.drained && self.waiting.is_empty() {
+            self.drained = true;
+            actions.push(FrontAction::Drained);
+        }
+        actions
+    }
+
+    fn decide(&mut self, event: FrontEvent) -> Option<FrontAction> {
         match event {
             FrontEvent::Arrived(head) => Some(self.arrived(&head)),
             FrontEvent::Granted { request } => {
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -27,6 +27,8 @@
     pub(super) deaths: DeathWatch,
     pub(super) draining: bool,
     pub(super) domain_out: bool,
+    /// When the last request came, or the drain began.
+    last_arrival_at: Option<Instant>,
     /// What membership was told last.
     reported: Vec<ServerEntry>,
 }
@@ -44,13 +46,14 @@
             running: HashMap::new(),
             draining: false,
             domain_out: false,
+            last_arrival_at: None,
             reported: Vec::new(),
         }
     }
 
     /// When `Tick` is due next.
     pub fn next_tick_at(&self) -> Option<Instant> {
-        let mut next: Option<Instant> = None;
+        let mut next = self.quiet_at();
         for server in self.servers.values() {
             let lapses_at = (!server.gone).then(|| server.renewed_at + self.ttl());
             for at in [lapses_at, server.queue.next_deadline_at()]
@@ -66,6 +69,9 @@
     /// Takes one event and gives what is to be done.
     pub fn handle(&mut self, now: Instant, event: GuardEvent) -> Vec<GuardAction> {
         let mut actions = Vec::new();
+        if matches!(event, GuardEvent::Arrived(_) | GuardEvent::Drain) {
+            self.last_arrival_at = Some(now);
+        }
         match event {
             GuardEvent::Arrived(request) => self.arrived(now, request, &mut actions),
             GuardEvent::Finished {
@@ -93,7 +99,7 @@
         }
         self.started.lapse(now);
         self.report_servers(&mut actions);
-        if self.draining && self.running.is_empty() {
+        if self.quiet_at().is_some_and(|at| now >= at) {
             actions.push(GuardAction::Drained);
         }
         actions
@@ -103,6 +109,15 @@
         Duration::from_millis(self.settings.announcement_ttl_ms)
     }
 
+    /// When a draining guard on which nothing runs will have been sent nothing for a while.
+    /// Until then entries that don't know yet that the daemon leaves are told so.
+    fn quiet_at(&self) -> Option<Instant> {
+        let idle = self.draining && self.running.is_empty();
+        idle.then_some(self.last_arrival_at)
+            .flatten()
+            .map(|at| at + Duration::from_millis(self.settings.quiet_ms))
+    }
+
     fn takes_work(&self) -> bool {
         !self.draining && !self.domain_out
     }
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -191,11 +191,16 @@
 
     // Act
     let draining = state.handle(now, GuardEvent::Drain);
-    let ended = state.handle(now, finished(1, ServerOutcome::Answered(200)));
+    let busy = state.handle(now + Duration::from_secs(1), GuardEvent::Tick);
+    let ended = state.handle(
+        now + Duration::from_secs(1),
+        finished(1, ServerOutcome::Answered(200)),
+    );
 
     // Assert
     assert_eq!(refusal_of(&draining, 2), Some(ErrorKind::Stopping));
     assert!(!draining.contains(&GuardAction::Drained));
+    assert!(!busy.contains(&GuardAction::Drained));
     assert!(ended.contains(&GuardAction::Drained));
 }
 
--- /dev/null
+++ b/src/idempotency/home.rs
@@ -0,0 +1,86 @@
+//! Which daemon is the home of an idempotency key: the highest rendezvous score.
+
+use sha2::{Digest, Sha256};
+
+use crate::membership::Fleet;
+use crate::types::DaemonId;
+
+/// Hash of an organisation and its idempotency key.
+pub type ClaimKey = [u8; 32];
+
+/// The claim key of an organisation's idempotency key.
+pub fn claim_key(organisation: &str, idempotency_key: &str) -> ClaimKey {
+    let mut hash = Sha256::new();
+    hash.update((organisation.len() as u64).to_le_bytes());
+    hash.update(organisation);
+    hash.update(idempotency_key);
+    hash.finalize().into()
+}
+
+/// Scores of a daemon for keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DaemonScore(u64);
+
+impl DaemonScore {
+    /// The scores of this daemon.
+    pub fn new(daemon: &str) -> DaemonScore {
+        DaemonScore(first_word(&Sha256::digest(daemon).into()))
+    }
+
+    /// The daemon's score for a key.
+    pub fn of(self, key: &ClaimKey) -> u64 {
+        mix(self.0 ^ first_word(key))
+    }
+}
+
+/// The daemons that may be homes.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct HomeMap {
+    daemons: Vec<(DaemonId, DaemonScore)>,
+}
+
+impl HomeMap {
+    /// The homes of a fleet: every daemon that is not leaving.
+    pub fn new(fleet: &Fleet) -> HomeMap {
+        let staying = fleet.daemons.values().filter(|daemon| !daemon.leaving);
+        let scored = staying.map(|entry| {
+            let daemon = entry.daemon.clone();
+            let score = DaemonScore::new(&daemon);
+            (daemon, score)
+        });
+        HomeMap {
+            daemons: scored.collect(),
+        }
+    }
+
+    /// The home of a key.
+    pub fn home(&self, key: &ClaimKey) -> Option<&DaemonId> {
+        let best = self
+            .daemons
+            .iter()
+            .max_by_key(|(daemon, score)| (score.of(key), daemon));
+        best.map(|(daemon, _)| daemon)
+    }
+
+    /// Whether a daemon may be a home.
+    pub fn contains(&self, daemon: &DaemonId) -> bool {
+        self.daemons.iter().any(|(known, _)| known == daemon)
+    }
+
+    /// The daemons that may be homes.
+    pub fn daemons(&self) -> impl Iterator<Item = &DaemonId> {
+        self.daemons.iter().map(|(daemon, _)| daemon)
+    }
+}
+
+fn first_word(hash: &[u8; 32]) -> u64 {
+    u64::from_le_bytes(hash[..8].try_into().expect("a hash has 8 bytes"))
+}
+
+/// The finishing step of the splitmix64 generator.
+fn mix(mut word: u64) -> u64 {
+    word = word.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod front;
 pub mod guard;
 pub mod health;
+pub mod idempotency;
 pub mod journal;
 pub mod link;
 pub mod load;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -236,6 +236,13 @@
 /// Takes the answer of a call, once.
 pub type PeerReply = Box<dyn FnOnce(Result<PeerAnswer, LinkError>) + Send>;
 
+/// Calls daemons, this one included.
+pub trait PeerCaller: Send + Sync {
+    /// Sends a request; `reply` may be called from any thread. False means that it was not sent
+    /// and that `reply` is never called.
+    fn call(&self, to: &DaemonId, request: PeerRequest, reply: PeerReply) -> bool;
+}
+
 /// Answers peers' requests.
 pub trait PeerHandler: Send + Sync {
     /// Takes a request of an authenticated peer; `reply` may be called from any thread.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -17,7 +17,7 @@
 
 pub use message::{
     BorrowAnswer, BorrowRequest, ClaimAnswer, ClaimRequest, ClaimStep, EscrowId, FenceAnswer,
-    FenceRequest, LinkError, LinkMessage, PeerAnswer, PeerHandler, PeerName, PeerReply,
+    FenceRequest, LinkError, LinkMessage, PeerAnswer, PeerCaller, PeerHandler, PeerName, PeerReply,
     PeerRequest, PromiseAnswer, PromiseRequest, RecordsAnswer, RecordsRequest,
 };
 
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -41,6 +41,8 @@
     pub key: FleetKey,
     /// Longest wait for a connection to a guard.
     pub connect_timeout: Duration,
+    /// The guard's word is awaited this much longer than the deadline.
+    pub answer_grace: Duration,
     /// Most bytes of an answer.
     pub answer_limit_bytes: usize,
     /// Bodies up to this size are kept for retries.
@@ -59,6 +61,7 @@
             attempt: job.attempt,
             outcome,
             elapsed: started_at.elapsed(),
+            resendable: !job.held.body_spent,
         };
         context.routing.deliver(RoutingMessage::Attempted {
             event,
@@ -94,6 +97,7 @@
     };
     let mut headers = head.encode(&context.key);
     headers.extend_from_slice(&job.held.head.headers);
+    job.held.body_spent = job.held.body.is_none();
     let kept = job.held.body.clone();
     let mut kept_reader = kept.as_deref().unwrap_or_default();
     let body_bytes = kept
@@ -112,7 +116,7 @@
         body,
         body_bytes,
         connect_timeout: context.connect_timeout,
-        deadline_at: job.plan.deadline_at,
+        deadline_at: job.plan.deadline_at + context.answer_grace,
         answer_limit_bytes: context.answer_limit_bytes,
     });
     outcome_of(job, result)
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -7,6 +7,7 @@
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::front::RequestHead;
+use crate::link::{ClaimAnswer, ClaimRequest, FenceAnswer, FenceRequest};
 use crate::membership::Fleet;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Incarnation, OrganisationId, RequestId, RouteId, ServiceId,
@@ -101,7 +102,27 @@
         outcome: AttemptOutcome,
         /// How long it took.
         elapsed: Duration,
+        /// Whether the body can be sent again.
+        resendable: bool,
     },
+    /// A guard answered a fence, or did not.
+    Fenced {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: Attempt,
+        /// The guard's word; none without one.
+        answer: Option<FenceAnswer>,
+    },
+    /// The home of an idempotency key answered a claim, or did not.
+    Claimed {
+        /// The request.
+        request: RequestId,
+        /// The home's word; none without one.
+        answer: Option<ClaimAnswer>,
+    },
+    /// The caller left.
+    CallerLeft(RequestId),
     /// A new view is in force.
     View(Arc<View>),
     /// The fleet changed.
@@ -128,6 +149,8 @@
     },
     /// Any other event.
     Event(RoutingEvent),
+    /// The daemon stops; routing tells when nothing is left to do.
+    Drain,
     /// The duty ends.
     Stop,
 }
@@ -140,6 +163,8 @@
     pub exchange: Box<dyn Exchange>,
     /// The body, once it was read whole; only then can it be sent again.
     pub body: Option<Arc<[u8]>>,
+    /// Whether a body that is not kept was sent in part.
+    pub body_spent: bool,
 }
 
 /// What routing does.
@@ -156,6 +181,27 @@
         /// The life of the daemon there.
         incarnation: Incarnation,
     },
+    /// Asks a guard to keep an attempt from starting.
+    Fence {
+        /// The guard's daemon.
+        to: DaemonId,
+        /// The attempt.
+        fence: FenceRequest,
+    },
+    /// Asks the home of an idempotency key, or gives the key back.
+    Claim {
+        /// The home.
+        to: DaemonId,
+        /// The claim.
+        claim: ClaimRequest,
+    },
+    /// Tells a guard that nobody waits for the request any more.
+    Cancel {
+        /// The guard's daemon.
+        to: DaemonId,
+        /// The request.
+        request: RequestId,
+    },
     /// Ends the request.
     Finish {
         /// The request.
@@ -164,3 +210,18 @@
         outcome: Outcome,
     },
 }
+
+/// Bodies up to this size have come whole before the request is taken.
+const SHORT_BODY_BYTES: u64 = 1024;
+
+impl HeldRequest {
+    /// Whether a body is left that its caller may send slowly.
+    pub fn has_long_body(&self) -> bool {
+        let chunked = self.head.chunked && self.head.body_bytes.is_none();
+        let long = self
+            .head
+            .body_bytes
+            .is_some_and(|bytes| bytes > SHORT_BODY_BYTES);
+        self.body.is_none() && (chunked || long)
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Chooses a backend server for each request, and decides on retries.
 
+pub mod budget;
 pub mod choice;
 pub mod duty;
 pub mod fingerprint;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -1,17 +1,29 @@
 //! Decisions of routing: the life of a request over its attempts.
+//!
+//! A request that may not be repeated has at most one attempt that may have started. When the
+//! guard of an attempt is lost, the guard is asked to fence it; only its word that the attempt
+//! never starts lets the request go on. An idempotency key is claimed at its home before the
+//! first attempt, and given back only when no attempt can have started.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use smallvec::SmallVec;
+use smallvec::{smallvec, SmallVec};
 
+use super::budget::RetryBudget;
 use super::choice::ServerChoice;
 use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
-use crate::error::ErrorKind;
+use crate::error::{ErrorKind, Ran};
+use crate::idempotency::home::claim_key;
+use crate::idempotency::HomeMap;
+use crate::link::{ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest};
 use crate::membership::Fleet;
 use crate::settings::routing::RoutingSettings;
-use crate::types::{Attempt, BackendServerId, Incarnation, RequestId};
+use crate::types::{Attempt, BackendServerId, DaemonId, Incarnation, RequestId};
+
+/// Actions of one event.
+pub type RoutingActions = SmallVec<[RoutingAction; 2]>;
 
 /// State of routing.
 pub struct RoutingState {
@@ -19,86 +31,192 @@
     choice: Box<dyn ServerChoice>,
     /// Where daemons are and in which life; never older than what the choice knows.
     fleet: Arc<Fleet>,
+    /// Homes in that fleet, made when first needed.
+    homes: Option<HomeMap>,
+    budget: RetryBudget,
     requests: HashMap<RequestId, RequestState>,
 }
 
 struct RequestState {
     plan: Arc<RequestPlan>,
+    phase: Phase,
+    /// The last attempt; 0 before the first.
     attempt: Attempt,
-    target: Target,
     tried: SmallVec<[BackendServerId; 4]>,
+    /// The home that granted the idempotency key.
+    claimed_at: Option<DaemonId>,
+    /// Whether an attempt may have started. Never returns to false.
+    may_have_run: bool,
+    /// Servers that died while they ran the request.
+    death_count: u32,
+    /// Whether the body can be sent again.
+    resendable: bool,
+    /// Whether the caller left.
+    abandoned: bool,
+}
+
+enum Phase {
+    /// Nothing was done yet.
+    New,
+    /// The home of the idempotency key is asked.
+    Claiming { home: DaemonId },
+    /// An attempt is under way.
+    Sent {
+        target: Target,
+        incarnation: Incarnation,
+    },
+    /// The guard of a lost attempt is asked to fence it.
+    Fencing { kind: ErrorKind },
 }
 
 impl RoutingState {
     /// Routing with nothing to route to yet.
     pub fn new(settings: RoutingSettings, choice: Box<dyn ServerChoice>) -> RoutingState {
         RoutingState {
+            budget: RetryBudget::new(settings.retry_share),
             settings,
             choice,
             fleet: Arc::default(),
+            homes: None,
             requests: HashMap::new(),
         }
     }
 
     /// Takes one event and gives what is to be done.
-    pub fn handle(&mut self, now: Instant, event: RoutingEvent) -> Option<RoutingAction> {
+    pub fn handle(&mut self, now: Instant, event: RoutingEvent) -> RoutingActions {
         match event {
-            RoutingEvent::Dispatch(plan) => Some(self.dispatch(now, plan)),
+            RoutingEvent::Dispatch(plan) => self.dispatch(now, plan),
             RoutingEvent::Attempted {
                 request,
                 attempt,
                 outcome,
                 elapsed,
-            } => self.attempted(now, request, attempt, outcome, elapsed),
+                resendable,
+            } => self.attempted(now, request, attempt, outcome, elapsed, resendable),
+            RoutingEvent::Fenced {
+                request,
+                attempt,
+                answer,
+            } => self.fenced(now, request, attempt, answer),
+            RoutingEvent::Claimed { request, answer } => self.claimed(now, request, answer),
+            RoutingEvent::CallerLeft(request) => self.caller_left(request),
             RoutingEvent::View(view) => {
                 self.choice.view(view);
-                None
+                SmallVec::new()
             }
             RoutingEvent::Fleet(fleet) => {
                 self.fleet = fleet.clone();
+                self.homes = None;
                 self.choice.fleet(fleet);
-                None
+                SmallVec::new()
             }
         }
     }
 
-    fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingAction {
+    /// Requests that have not ended.
+    pub fn open_count(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingActions {
+        self.budget.dispatched();
         let request = plan.request;
-        let Some(target) = self.choice.pick(now, &plan, &[]) else {
-            let outcome = Outcome::Failed {
-                kind: ErrorKind::NoServer,
-                retry_after: None,
-            };
-            return RoutingAction::Finish { request, outcome };
-        };
-        let plan = Arc::new(plan);
         let state = RequestState {
-            plan,
+            plan: Arc::new(plan),
+            phase: Phase::New,
             attempt: 0,
-            target,
             tried: SmallVec::new(),
+            claimed_at: None,
+            may_have_run: false,
+            death_count: 0,
+            resendable: true,
+            abandoned: false,
         };
-        self.send(now, request, state)
+        match &state.plan.idempotency_key {
+            Some(key) if !state.plan.repeatable => {
+                let key = key.clone();
+                self.claim(request, state, key)
+            }
+            _ => self.send(now, request, state, ErrorKind::NoServer),
+        }
     }
 
-    fn send(&mut self, now: Instant, request: RequestId, mut state: RequestState) -> RoutingAction {
+    fn claim(&mut self, request: RequestId, state: RequestState, key: String) -> RoutingActions {
+        let homes = self.homes.get_or_insert_with(|| HomeMap::new(&self.fleet));
+        let organisation = state.plan.organisation.clone();
+        let Some(home) = homes.home(&claim_key(&organisation, &key)).cloned() else {
+            return self.finish_failed(request, state, ErrorKind::NoServer, None);
+        };
+        let claim = ClaimRequest {
+            step: ClaimStep::Take,
+            organisation,
+            idempotency_key: key,
+            request,
+        };
+        let phase = Phase::Claiming { home: home.clone() };
+        self.requests
+            .insert(request, RequestState { phase, ..state });
+        smallvec![RoutingAction::Claim { to: home, claim }]
+    }
+
+    fn claimed(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        answer: Option<ClaimAnswer>,
+    ) -> RoutingActions {
+        let Some(mut state) = self.requests.remove(&request) else {
+            return SmallVec::new();
+        };
+        let Phase::Claiming { home } = &state.phase else {
+            self.requests.insert(request, state);
+            return SmallVec::new();
+        };
+        match answer {
+            Some(ClaimAnswer::Granted) => {
+                state.claimed_at = Some(home.clone());
+                if state.abandoned {
+                    return self.finish_failed(request, state, ErrorKind::Cancelled, None);
+                }
+                self.send(now, request, state, ErrorKind::NoServer)
+            }
+            Some(ClaimAnswer::Taken { .. }) => {
+                self.finish_failed(request, state, ErrorKind::DuplicateRequest, None)
+            }
+            Some(ClaimAnswer::Unknown) | None => {
+                self.finish_failed(request, state, ErrorKind::OutcomeUnknown, None)
+            }
+        }
+    }
+
+    /// Sends the next attempt, or ends the request with `kind` where no server is left.
+    fn send(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        mut state: RequestState,
+        kind: ErrorKind,
+    ) -> RoutingActions {
+        let Some(target) = self.choice.pick(now, &state.plan, &state.tried) else {
+            return self.finish_failed(request, state, kind, None);
+        };
+        let daemon = self.fleet.daemons.get(&target.daemon);
+        let incarnation = daemon.map_or(0, |daemon| daemon.incarnation);
         state.attempt += 1;
-        state.tried.push(state.target.server.clone());
-        self.choice.sent(now, &state.plan, &state.target);
+        state.tried.push(target.server.clone());
+        self.choice.sent(now, &state.plan, &target);
         let action = RoutingAction::Send {
             plan: state.plan.clone(),
             attempt: state.attempt,
-            target: state.target.clone(),
-            incarnation: self.incarnation(&state.target),
+            target: target.clone(),
+            incarnation,
+        };
+        state.phase = Phase::Sent {
+            target,
+            incarnation,
         };
         self.requests.insert(request, state);
-        action
-    }
-
-    /// The life of the daemon that the attempt is meant for; 0 is no daemon's.
-    fn incarnation(&self, target: &Target) -> Incarnation {
-        let daemon = self.fleet.daemons.get(&target.daemon);
-        daemon.map_or(0, |daemon| daemon.incarnation)
+        smallvec![action]
     }
 
     fn attempted(
@@ -108,45 +226,187 @@
         attempt: Attempt,
         outcome: AttemptOutcome,
         elapsed: Duration,
-    ) -> Option<RoutingAction> {
-        let state = self.requests.remove(&request)?;
-        if state.attempt != attempt {
-            self.requests.insert(request, state);
-            return None;
-        }
+        resendable: bool,
+    ) -> RoutingActions {
+        let Some(mut state) = self.requests.remove(&request) else {
+            return SmallVec::new();
+        };
+        let (target, incarnation) = match &state.phase {
+            Phase::Sent {
+                target,
+                incarnation,
+            } if state.attempt == attempt => (target.clone(), *incarnation),
+            _ => {
+                self.requests.insert(request, state);
+                return SmallVec::new();
+            }
+        };
+        state.resendable = resendable;
         self.choice
-            .ended(now, &state.plan, &state.target, &outcome, elapsed);
-        if self.may_retry(now, &state, &outcome) {
-            if let Some(target) = self.choice.pick(now, &state.plan, &state.tried) {
-                return Some(self.send(now, request, RequestState { target, ..state }));
+            .ended(now, &state.plan, &target, &outcome, elapsed);
+        match outcome {
+            AttemptOutcome::Answered(answer) => {
+                let outcome = Outcome::Answered(answer);
+                smallvec![RoutingAction::Finish { request, outcome }]
             }
-        }
-        let outcome = match outcome {
-            AttemptOutcome::Answered(answer) => Outcome::Answered(answer),
             AttemptOutcome::NotRun {
                 kind, retry_after, ..
-            } => Outcome::Failed { kind, retry_after },
-            AttemptOutcome::Unknown { kind, .. } => Outcome::Failed {
-                kind,
-                retry_after: None,
-            },
-        };
-        Some(RoutingAction::Finish { request, outcome })
+            } => {
+                if self.may_go_elsewhere(now, &state, kind) {
+                    return self.send(now, request, state, kind);
+                }
+                self.finish_failed(request, state, kind, retry_after)
+            }
+            AttemptOutcome::Unknown { kind, by_guard } => {
+                if !by_guard && !state.plan.repeatable {
+                    return self.fence(request, state, &target, incarnation, kind);
+                }
+                state.may_have_run = true;
+                state.death_count += u32::from(kind == ErrorKind::ServerDied);
+                let mut actions = self.repeat(now, request, state, kind);
+                if !by_guard {
+                    let to = target.daemon.clone();
+                    actions.push(RoutingAction::Cancel { to, request });
+                }
+                actions
+            }
+        }
     }
 
-    fn may_retry(&self, now: Instant, state: &RequestState, outcome: &AttemptOutcome) -> bool {
-        if state.attempt >= self.settings.attempt_limit_count || now >= state.plan.deadline_at {
-            return false;
+    /// Sends a request that may be repeated again, where the budget allows.
+    fn repeat(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        state: RequestState,
+        kind: ErrorKind,
+    ) -> RoutingActions {
+        if state.plan.repeatable && self.may_repeat(now, &state) {
+            return self.send(now, request, state, kind);
         }
-        match outcome {
-            AttemptOutcome::Answered(_) => false,
-            AttemptOutcome::NotRun { kind, .. } => {
-                matches!(
-                    kind,
-                    ErrorKind::Busy | ErrorKind::NoServer | ErrorKind::Stopping
-                )
+        self.finish_failed(request, state, kind, None)
+    }
+
+    fn fence(
+        &mut self,
+        request: RequestId,
+        mut state: RequestState,
+        target: &Target,
+        incarnation: Incarnation,
+        kind: ErrorKind,
+    ) -> RoutingActions {
+        let fence = FenceRequest {
+            request,
+            attempt: state.attempt,
+            incarnation,
+        };
+        state.phase = Phase::Fencing { kind };
+        self.requests.insert(request, state);
+        let to = target.daemon.clone();
+        smallvec![RoutingAction::Fence { to, fence }]
+    }
+
+    fn fenced(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        attempt: Attempt,
+        answer: Option<FenceAnswer>,
+    ) -> RoutingActions {
+        let Some(mut state) = self.requests.remove(&request) else {
+            return SmallVec::new();
+        };
+        let kind = match &state.phase {
+            Phase::Fencing { kind } if state.attempt == attempt => *kind,
+            _ => {
+                self.requests.insert(request, state);
+                return SmallVec::new();
             }
-            AttemptOutcome::Unknown { .. } => state.plan.repeatable,
+        };
+        if answer != Some(FenceAnswer::Fenced) {
+            state.may_have_run = true;
+            return self.finish_failed(request, state, kind, None);
         }
+        // The attempt never starts, so the request may go elsewhere.
+        if now >= state.plan.deadline_at {
+            return self.finish_failed(request, state, ErrorKind::DeadlineUnmeetable, None);
+        }
+        if self.may_go_elsewhere(now, &state, ErrorKind::Fenced) {
+            return self.send(now, request, state, ErrorKind::Fenced);
+        }
+        self.finish_failed(request, state, ErrorKind::Fenced, None)
+    }
+
+    fn caller_left(&mut self, request: RequestId) -> RoutingActions {
+        let Some(state) = self.requests.get_mut(&request) else {
+            return SmallVec::new();
+        };
+        state.abandoned = true;
+        let Phase::Sent { target, .. } = &state.phase else {
+            return SmallVec::new();
+        };
+        let to = target.daemon.clone();
+        smallvec![RoutingAction::Cancel { to, request }]
+    }
+
+    /// Whether a request whose last attempt did not run may be tried at another server.
+    fn may_go_elsewhere(&mut self, now: Instant, state: &RequestState, kind: ErrorKind) -> bool {
+        let retried = matches!(
+            kind,
+            ErrorKind::Busy
+                | ErrorKind::NoServer
+                | ErrorKind::Stopping
+                | ErrorKind::Fenced
+                | ErrorKind::DeadlineUnmeetable
+        );
+        retried && self.has_attempt_left(now, state) && self.budget.take()
+    }
+
+    fn may_repeat(&mut self, now: Instant, state: &RequestState) -> bool {
+        state.death_count < MAX_DEATH_COUNT
+            && self.has_attempt_left(now, state)
+            && self.budget.take()
+    }
+
+    fn has_attempt_left(&self, now: Instant, state: &RequestState) -> bool {
+        state.attempt < self.settings.attempt_limit_count
+            && now < state.plan.deadline_at
+            && state.resendable
+            && !state.abandoned
+    }
+
+    /// Ends the request without a server's answer. It is told as not run only if no attempt can
+    /// have started; then its idempotency key is given back.
+    fn finish_failed(
+        &mut self,
+        request: RequestId,
+        state: RequestState,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+    ) -> RoutingActions {
+        let not_run = kind.ran() == Ran::No;
+        let kind = if state.may_have_run && not_run {
+            ErrorKind::OutcomeUnknown
+        } else {
+            kind
+        };
+        let outcome = Outcome::Failed { kind, retry_after };
+        let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
+        if kind.ran() != Ran::No {
+            return actions;
+        }
+        if let (Some(to), Some(key)) = (state.claimed_at, &state.plan.idempotency_key) {
+            let claim = ClaimRequest {
+                step: ClaimStep::Release,
+                organisation: state.plan.organisation.clone(),
+                idempotency_key: key.clone(),
+                request,
+            };
+            actions.push(RoutingAction::Claim { to, claim });
+        }
+        actions
     }
 }
+
+/// A request that has met this many deaths is not sent again.
+const MAX_DEATH_COUNT: u32 = 2;
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -13,6 +13,8 @@
     pub address: SocketAddr,
     /// Threads that forward requests; also the requests in flight at this entry.
     pub worker_count: usize,
+    /// Threads that forward requests with long bodies, which callers may send slowly.
+    pub upload_worker_count: usize,
     /// Requests that may wait between two duties.
     pub ring_count: usize,
     /// Most bytes of all headers of a request together.
@@ -32,6 +34,7 @@
         FrontSettings {
             address: "127.0.0.1:8080".parse().expect("a literal address"),
             worker_count: 64,
+            upload_worker_count: 16,
             ring_count: 1024,
             header_limit_bytes: 16_384,
             header_limit_count: 100,
@@ -52,6 +55,12 @@
             self.worker_count,
             "must be from 1 to 1024",
         );
+        checker.require(
+            (1..=1024).contains(&self.upload_worker_count),
+            "upload_worker_count",
+            self.upload_worker_count,
+            "must be from 1 to 1024",
+        );
         let ring_count_holds = (1..=65536).contains(&self.ring_count);
         checker.require(
             ring_count_holds,
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -37,6 +37,8 @@
     pub poison_hold_ms: u64,
     /// A broken call counts as a death if its server leaves within this time.
     pub death_window_ms: u64,
+    /// A stopping daemon ends once no request has come for this time.
+    pub quiet_ms: u64,
     /// Longest wait for a connection to a backend server.
     pub connect_timeout_ms: u64,
 }
@@ -58,6 +60,7 @@
             poison_death_count: 2,
             poison_hold_ms: 600_000,
             death_window_ms: 5_000,
+            quiet_ms: 500,
             connect_timeout_ms: 1_000,
         }
     }
@@ -151,6 +154,12 @@
             self.poison_hold_ms,
             "must be from 1000 to 86400000",
         );
+        checker.require(
+            (0..=60_000).contains(&self.quiet_ms),
+            "quiet_ms",
+            self.quiet_ms,
+            "must be from 0 to 60000",
+        );
         checker.require(
             (100..=600_000).contains(&self.death_window_ms),
             "death_window_ms",
--- /dev/null
+++ b/src/settings/idempotency.rs
@@ -0,0 +1,60 @@
+//! Callers' idempotency keys.
+use serde::{Deserialize, Serialize};
+
+use super::Checker;
+
+/// Callers' idempotency keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct IdempotencySettings {
+    /// Claims that may wait for the duty.
+    pub ring_count: usize,
+    /// Uses of keys are kept for this time.
+    pub keep_ms: u64,
+    /// Uses that are kept at most.
+    pub limit_count: usize,
+    /// Bound on the difference of clocks, together with the time in which a change of the fleet
+    /// reaches every daemon.
+    pub margin_ms: u64,
+}
+
+impl Default for IdempotencySettings {
+    fn default() -> Self {
+        IdempotencySettings {
+            ring_count: 1024,
+            keep_ms: 600_000,
+            limit_count: 100_000,
+            margin_ms: 5_000,
+        }
+    }
+}
+
+impl IdempotencySettings {
+    /// Checks every value against its bounds.
+    pub fn check(&self, checker: &mut Checker<'_>) {
+        checker.require(
+            (1..=65_536).contains(&self.ring_count),
+            "ring_count",
+            self.ring_count,
+            "must be from 1 to 65536",
+        );
+        checker.require(
+            (1_000..=86_400_000).contains(&self.keep_ms),
+            "keep_ms",
+            self.keep_ms,
+            "must be from 1000 to 86400000",
+        );
+        checker.require(
+            (1..=10_000_000).contains(&self.limit_count),
+            "limit_count",
+            self.limit_count,
+            "must be from 1 to 10000000",
+        );
+        checker.require(
+            (100..=600_000).contains(&self.margin_ms),
+            "margin_ms",
+            self.margin_ms,
+            "must be from 100 to 600000",
+        );
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 pub mod front;
 pub mod guard;
 pub mod health;
+pub mod idempotency;
 pub mod journal;
 pub mod link;
 pub mod log;
@@ -34,6 +35,8 @@
     pub allowance: allowance::AllowanceSettings,
     /// Daemons and the servers beside them.
     pub membership: membership::MembershipSettings,
+    /// Callers' idempotency keys.
+    pub idempotency: idempotency::IdempotencySettings,
     /// Control connections between daemons.
     pub link: link::LinkSettings,
     /// Detection and ejection of failing backend servers.
@@ -156,6 +159,10 @@
             section: "membership",
             errors: &mut errors,
         });
+        self.idempotency.check(&mut Checker {
+            section: "idempotency",
+            errors: &mut errors,
+        });
         self.link.check(&mut Checker {
             section: "link",
             errors: &mut errors,
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -11,6 +11,10 @@
     pub ring_count: usize,
     /// Most attempts at one request.
     pub attempt_limit_count: u32,
+    /// An entry waits for a guard's word this much longer than the deadline.
+    pub answer_grace_ms: u64,
+    /// Share of requests that may be retried, beyond a small reserve.
+    pub retry_share: f64,
     /// Longest wait for a connection to a guard.
     pub connect_timeout_ms: u64,
 }
@@ -20,6 +24,8 @@
         RoutingSettings {
             ring_count: 1024,
             attempt_limit_count: 3,
+            answer_grace_ms: 100,
+            retry_share: 0.2,
             connect_timeout_ms: 500,
         }
     }
@@ -42,6 +48,18 @@
             self.attempt_limit_count,
             "must be from 1 to 10",
         );
+        checker.require(
+            (0..=10_000).contains(&self.answer_grace_ms),
+            "answer_grace_ms",
+            self.answer_grace_ms,
+            "must be from 0 to 10000",
+        );
+        checker.require(
+            (0.0..=1.0).contains(&self.retry_share),
+            "retry_share",
+            self.retry_share,
+            "must be from 0 to 1",
+        );
         let connect_timeout_ms_holds = (1..=60000).contains(&self.connect_timeout_ms);
         checker.require(
             connect_timeout_ms_holds,
