Choose the least loaded of a few servers, near ones first, around paths in trouble

Cause: the choice scanned the whole fleet for each request, knew no slots, latency, share or domain, and met a dead guard again and again. Change: LeastLoaded behind ServerChoice. An index per service, rebuilt only for services of daemons that changed; load from outstanding requests, slots and slowness next to what is usual on the route; failures count as slow; busy, cold, probed and ejected servers; retries keep off tried servers, their domains and servers that have just refused. Paths to guards in trouble are avoided with doubling waits and probed one request at a time, but not below the floor.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -18,7 +18,7 @@
 use crate::front::{self, FrontMessage};
 use crate::link::PeerName;
 use crate::ring::{ring, spawn_duty};
-use crate::routing::choice::TwoChoices;
+use crate::routing::least_loaded::LeastLoaded;
 use crate::routing::{self, RoutingMessage};
 use crate::wire::exchange::HttpListener;
 
@@ -102,7 +102,11 @@
         own: rings.routing.clone(),
         drained,
     };
-    let choice = Box::new(TwoChoices::new(ChaCha8Rng::from_rng(&mut rand::rng())));
+    let choice = Box::new(LeastLoaded::new(
+        settings.routing.clone(),
+        settings.daemon.domain.clone(),
+        ChaCha8Rng::from_rng(&mut rand::rng()),
+    ));
     threads.push(spawn_duty("routing", move || {
         routing::duty::run(&context, choice, &routing_end)
     }));
--- /dev/null
+++ b/src/routing/candidates.rs
@@ -0,0 +1,185 @@
+//! The servers of each service that may be chosen, kept up with the fleet and the view.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use imbl::ordmap::DiffItem;
+
+use super::message::Target;
+use crate::contract::View;
+use crate::membership::{DaemonEntry, Fleet, ServerEntry};
+use crate::types::{DaemonId, DomainId, ServiceId};
+
+/// One server that may be chosen.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Where its requests go.
+    pub target: Target,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Slots that its guard gives at present.
+    pub slots_count: u32,
+    /// Whether its guard holds it for cold.
+    pub cold: bool,
+    /// Share of its usual requests, in thousandths; never 0.
+    pub share_permille: u16,
+}
+
+/// The servers of one service.
+#[derive(Debug, Default)]
+pub struct ServiceCandidates {
+    /// Those of the entry's own domain come first.
+    pub all: Vec<Candidate>,
+    /// How many are of the entry's own domain.
+    pub near_count: usize,
+    /// All servers known, chosen or not.
+    pub known_count: usize,
+}
+
+/// The servers of every service.
+pub struct Candidates {
+    own_domain: DomainId,
+    view: Arc<View>,
+    fleet: Arc<Fleet>,
+    daemons: HashMap<ServiceId, BTreeSet<DaemonId>>,
+    services: HashMap<ServiceId, Arc<ServiceCandidates>>,
+}
+
+impl Candidates {
+    /// No servers yet.
+    pub fn new(own_domain: DomainId) -> Candidates {
+        Candidates {
+            own_domain,
+            view: Arc::default(),
+            fleet: Arc::default(),
+            daemons: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// The servers of a service.
+    pub fn of(&self, service: &ServiceId) -> Option<Arc<ServiceCandidates>> {
+        self.services.get(service).cloned()
+    }
+
+    /// Servers of a service that its contract wants in service at least.
+    pub fn floor_count(&self, service: &ServiceId) -> usize {
+        let Some(candidates) = self.services.get(service) else {
+            return 0;
+        };
+        let share = self
+            .view
+            .services
+            .get(service)
+            .map_or(0.0, |contract| contract.floor_share);
+        (share * candidates.known_count as f64).ceil() as usize
+    }
+
+    /// Takes a new view.
+    pub fn view(&mut self, view: Arc<View>) {
+        let same_domains = view.domains_out == self.view.domains_out;
+        self.view = view;
+        if same_domains {
+            return;
+        }
+        let services: Vec<ServiceId> = self.daemons.keys().cloned().collect();
+        for service in services {
+            self.rebuild(&service);
+        }
+    }
+
+    /// Takes a new fleet and gives the daemons that left or began a new life. Only the services
+    /// of daemons that changed are rebuilt.
+    pub fn fleet(&mut self, fleet: Arc<Fleet>) -> Vec<DaemonId> {
+        let before = std::mem::replace(&mut self.fleet, fleet.clone());
+        let mut changed = BTreeSet::new();
+        let mut renewed = Vec::new();
+        for item in before.daemons.diff(&fleet.daemons) {
+            match item {
+                DiffItem::Add(_, new) => self.add(new, &mut changed),
+                DiffItem::Remove(name, old) => {
+                    renewed.push(name.clone());
+                    self.remove(old, &mut changed);
+                }
+                DiffItem::Update {
+                    old: (name, old),
+                    new: (_, new),
+                } => {
+                    if old.incarnation != new.incarnation {
+                        renewed.push(name.clone());
+                    }
+                    self.remove(old, &mut changed);
+                    self.add(new, &mut changed);
+                }
+            }
+        }
+        for service in changed {
+            self.rebuild(&service);
+        }
+        renewed
+    }
+
+    fn add(&mut self, daemon: &DaemonEntry, changed: &mut BTreeSet<ServiceId>) {
+        for server in &daemon.servers {
+            let daemons = self.daemons.entry(server.service.clone()).or_default();
+            daemons.insert(daemon.daemon.clone());
+            changed.insert(server.service.clone());
+        }
+    }
+
+    fn remove(&mut self, daemon: &DaemonEntry, changed: &mut BTreeSet<ServiceId>) {
+        for server in &daemon.servers {
+            if let Some(daemons) = self.daemons.get_mut(&server.service) {
+                daemons.remove(&daemon.daemon);
+            }
+            changed.insert(server.service.clone());
+        }
+    }
+
+    fn rebuild(&mut self, service: &ServiceId) {
+        let mut candidates = ServiceCandidates::default();
+        let mut far = Vec::new();
+        for name in self.daemons.get(service).into_iter().flatten() {
+            let Some(daemon) = self.fleet.daemons.get(name) else {
+                continue;
+            };
+            let closed = daemon.leaving || self.view.domains_out.contains(&daemon.domain);
+            for server in &daemon.servers {
+                if server.service != *service {
+                    continue;
+                }
+                candidates.known_count += 1;
+                if closed || server.draining || server.share_permille == 0 {
+                    continue;
+                }
+                let list = match daemon.domain == self.own_domain {
+                    true => &mut candidates.all,
+                    false => &mut far,
+                };
+                list.push(candidate(daemon, server));
+            }
+        }
+        candidates.near_count = candidates.all.len();
+        candidates.all.append(&mut far);
+        if candidates.known_count == 0 {
+            self.services.remove(service);
+            self.daemons.remove(service);
+            return;
+        }
+        self.services.insert(service.clone(), Arc::new(candidates));
+    }
+}
+
+fn candidate(daemon: &DaemonEntry, server: &ServerEntry) -> Candidate {
+    Candidate {
+        target: Target {
+            daemon: daemon.daemon.clone(),
+            guard_address: daemon.guard_address,
+            server: server.server.clone(),
+        },
+        domain: daemon.domain.clone(),
+        slots_count: server.slots_count,
+        cold: server.cold,
+        share_permille: server.share_permille,
+    }
+}
--- /dev/null
+++ b/src/routing/least_loaded.rs
@@ -0,0 +1,358 @@
+//! The least loaded of a few servers drawn at random.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use super::candidates::{Candidate, Candidates, ServiceCandidates};
+use super::choice::ServerChoice;
+use super::message::{AttemptOutcome, RequestPlan, Target};
+use super::paths::{PathEnd, PathUse, Paths};
+use super::speed::{RouteSpeeds, ServerSpeed};
+use crate::contract::View;
+use crate::error::ErrorKind;
+use crate::membership::{Fleet, FULL_SHARE_PERMILLE};
+use crate::settings::routing::RoutingSettings;
+use crate::types::{BackendServerId, DomainId, RouteId};
+
+/// A server is held for busy for this long after it refused, unless its guard says when to retry.
+const BUSY_TIME: Duration = Duration::from_millis(20);
+
+/// Longest time for which one refusal holds a server for busy.
+const BUSY_LIMIT: Duration = Duration::from_millis(200);
+
+/// A cold server counts as this much more loaded than it is.
+const COLD_FACTOR: f64 = 2.0;
+
+/// A server in a domain where the request failed counts as this much more loaded.
+const TRIED_DOMAIN_FACTOR: f64 = 1.5;
+
+/// Share below which a server is being probed rather than returning, in thousandths.
+const PROBE_BELOW_PERMILLE: u16 = 100;
+
+/// A request goes to a probed server only if this many usual times are left, so that it can still
+/// go elsewhere.
+const PROBE_TIMES: u32 = 4;
+
+/// Servers that are remembered; beyond that the idle ones are forgotten.
+const LEARNED_LIMIT_COUNT: usize = 10_000;
+
+/// What this entry knows of one server.
+#[derive(Debug, Clone, Default)]
+struct Learned {
+    /// Requests of this entry there.
+    outstanding_count: u32,
+    speed: ServerSpeed,
+    busy_until: Option<Instant>,
+}
+
+/// The least loaded of a few servers drawn at random, near ones first.
+pub struct LeastLoaded {
+    settings: RoutingSettings,
+    random: ChaCha8Rng,
+    own_domain: DomainId,
+    candidates: Candidates,
+    paths: Paths,
+    learned: HashMap<BackendServerId, Learned>,
+    routes: RouteSpeeds,
+}
+
+/// What one pick looks for.
+struct Wish<'a> {
+    now: Instant,
+    plan: &'a RequestPlan,
+    tried: &'a [BackendServerId],
+    tried_domains: SmallVec<[DomainId; 4]>,
+    /// Whether paths in trouble count.
+    heed_paths: bool,
+    own_domain: DomainId,
+}
+
+impl LeastLoaded {
+    /// A choice of an entry in `own_domain` that knows no server yet.
+    pub fn new(settings: RoutingSettings, own_domain: DomainId, random: ChaCha8Rng) -> LeastLoaded {
+        let paths = Paths::new(
+            Duration::from_millis(settings.path_backoff_ms),
+            Duration::from_millis(settings.path_backoff_limit_ms),
+        );
+        LeastLoaded {
+            settings,
+            random,
+            candidates: Candidates::new(own_domain.clone()),
+            own_domain,
+            paths,
+            learned: HashMap::new(),
+            routes: RouteSpeeds::default(),
+        }
+    }
+
+    /// Whether a server may be chosen, its share apart.
+    fn is_open(&self, wish: &Wish<'_>, candidate: &Candidate) -> bool {
+        if wish.tried.contains(&candidate.target.server) {
+            return false;
+        }
+        if candidate.share_permille < PROBE_BELOW_PERMILLE && !self.may_probe(wish) {
+            return false;
+        }
+        if !wish.heed_paths {
+            return true;
+        }
+        match self.paths.may_use(wish.now, &candidate.target.daemon) {
+            PathUse::Open => true,
+            PathUse::Probe { repeatable_only } => wish.plan.repeatable || !repeatable_only,
+            PathUse::Avoided => false,
+        }
+    }
+
+    /// Whether the request can bear a failed probe.
+    fn may_probe(&self, wish: &Wish<'_>) -> bool {
+        let left = wish.plan.deadline_at.saturating_duration_since(wish.now);
+        let usual = self.routes.usual(&wish.plan.route);
+        wish.plan.repeatable && wish.tried.is_empty() && left >= usual * PROBE_TIMES
+    }
+
+    fn is_busy(&self, now: Instant, candidate: &Candidate) -> bool {
+        self.learned
+            .get(&candidate.target.server)
+            .and_then(|learned| learned.busy_until)
+            .is_some_and(|until| now < until)
+    }
+
+    /// How loaded a server seems; lower is better.
+    fn load(&self, wish: &Wish<'_>, candidate: &Candidate) -> f64 {
+        let learned = self.learned.get(&candidate.target.server);
+        let outstanding = learned.map_or(0, |learned| learned.outstanding_count);
+        let slowness = learned.map_or(1.0, |learned| learned.speed.slowness(wish.now));
+        let mut load = f64::from(outstanding + 1) / f64::from(candidate.slots_count.max(1));
+        load *= slowness;
+        if candidate.cold {
+            load *= COLD_FACTOR;
+        }
+        if wish.own_domain != candidate.domain {
+            load *= self.settings.far_factor;
+        }
+        if wish.tried_domains.contains(&candidate.domain) {
+            load *= TRIED_DOMAIN_FACTOR;
+        }
+        load
+    }
+
+    /// Draws a few servers: half of them near, the rest from all.
+    fn draw(&mut self, count: usize, near_count: usize) -> SmallVec<[usize; 8]> {
+        let mut drawn = SmallVec::new();
+        for turn in 0..self.settings.draw_count {
+            let near = turn % 2 == 0 && near_count > 0;
+            let among = if near { near_count } else { count };
+            let index = self.random.random_range(0..among);
+            if !drawn.contains(&index) {
+                drawn.push(index);
+            }
+        }
+        drawn
+    }
+
+    /// Whether a server with less than its full share takes this request.
+    fn within_share(&mut self, share_permille: u16) -> bool {
+        share_permille >= FULL_SHARE_PERMILLE
+            || self.random.random_range(0..FULL_SHARE_PERMILLE) < share_permille
+    }
+
+    fn pick_from(
+        &mut self,
+        wish: &Wish<'_>,
+        all: &[Candidate],
+        near_count: usize,
+    ) -> Option<Target> {
+        if all.is_empty() {
+            return None;
+        }
+        let drawn = self.draw(all.len(), near_count);
+        let mut best: Option<(f64, &Candidate)> = None;
+        for index in drawn {
+            let candidate = &all[index];
+            if !self.within_share(candidate.share_permille)
+                || !self.is_open(wish, candidate)
+                || self.is_busy(wish.now, candidate)
+            {
+                continue;
+            }
+            keep_better(&mut best, self.load(wish, candidate), candidate);
+        }
+        if best.is_none() {
+            best = self.scan(wish, all);
+        }
+        best.map(|(_, candidate)| candidate.target.clone())
+    }
+
+    /// Looks at every server, when none of those drawn will do.
+    fn scan<'a>(&self, wish: &Wish<'_>, all: &'a [Candidate]) -> Option<(f64, &'a Candidate)> {
+        let mut best = None;
+        let mut best_busy = None;
+        for candidate in all {
+            if !self.is_open(wish, candidate) {
+                continue;
+            }
+            let scaled =
+                f64::from(FULL_SHARE_PERMILLE) / f64::from(candidate.share_permille.max(1));
+            let load = self.load(wish, candidate) * scaled;
+            if self.is_busy(wish.now, candidate) {
+                keep_better(&mut best_busy, load, candidate);
+                continue;
+            }
+            keep_better(&mut best, load, candidate);
+        }
+        // A retry is not for servers that have just refused; a first attempt may ask them.
+        let first = wish.tried.is_empty();
+        best.or(best_busy.filter(|_| first))
+    }
+
+    /// Whether avoiding the paths in trouble leaves the service its floor.
+    fn heeds_paths(&self, now: Instant, plan: &RequestPlan, service: &ServiceCandidates) -> bool {
+        if !self.paths.any() {
+            return true;
+        }
+        let mut left_count = 0;
+        for candidate in &service.all {
+            if self.paths.may_use(now, &candidate.target.daemon) != PathUse::Avoided {
+                left_count += 1;
+            }
+        }
+        left_count > 0 && left_count >= self.candidates.floor_count(&plan.service)
+    }
+
+    fn learn(&mut self, now: Instant, route: &RouteId, server: &BackendServerId, met: &Met) {
+        let learned = self.learned.entry(server.clone()).or_default();
+        match met {
+            Met::Time(elapsed) => {
+                let usual = self.routes.take(route, *elapsed);
+                learned.speed.take(now, *elapsed, usual);
+                learned.busy_until = None;
+            }
+            Met::Failure => learned.speed.failed(now),
+            Met::Busy(retry_after) => {
+                let time = retry_after.unwrap_or(BUSY_TIME).min(BUSY_LIMIT);
+                learned.busy_until = Some(now + time);
+            }
+            Met::Nothing => {}
+        }
+    }
+}
+
+/// What an attempt says about a server.
+enum Met {
+    Time(Duration),
+    Failure,
+    Busy(Option<Duration>),
+    Nothing,
+}
+
+fn met(outcome: &AttemptOutcome, elapsed: Duration) -> Met {
+    match outcome {
+        AttemptOutcome::Answered(answer) if answer.status >= FAILURE_STATUS => Met::Failure,
+        AttemptOutcome::Answered(_) => Met::Time(elapsed),
+        AttemptOutcome::Unknown { by_guard: true, .. } => Met::Failure,
+        AttemptOutcome::NotRun {
+            kind: ErrorKind::Busy | ErrorKind::DeadlineUnmeetable,
+            retry_after,
+            by_guard: true,
+        } => Met::Busy(*retry_after),
+        _ => Met::Nothing,
+    }
+}
+
+/// Lowest status that counts as a failure of the server.
+const FAILURE_STATUS: u16 = 500;
+
+/// How the attempt fared on its way; none where it was not sent for a reason of the entry's own.
+fn path_end(outcome: &AttemptOutcome) -> Option<PathEnd> {
+    match outcome {
+        AttemptOutcome::Answered(_) => Some(PathEnd::Answered),
+        AttemptOutcome::NotRun { by_guard: true, .. } => Some(PathEnd::Answered),
+        AttemptOutcome::Unknown { by_guard: true, .. } => Some(PathEnd::Answered),
+        AttemptOutcome::NotRun {
+            kind: ErrorKind::NoServer,
+            ..
+        } => Some(PathEnd::NoConnection),
+        AttemptOutcome::NotRun { .. } => None,
+        AttemptOutcome::Unknown {
+            kind: ErrorKind::AnswerTooLarge,
+            ..
+        } => Some(PathEnd::Answered),
+        AttemptOutcome::Unknown { .. } => Some(PathEnd::Lost),
+    }
+}
+
+fn keep_better<'a>(best: &mut Option<(f64, &'a Candidate)>, load: f64, candidate: &'a Candidate) {
+    if best.as_ref().is_none_or(|(lowest, _)| load < *lowest) {
+        *best = Some((load, candidate));
+    }
+}
+
+impl ServerChoice for LeastLoaded {
+    fn pick(
+        &mut self,
+        now: Instant,
+        plan: &RequestPlan,
+        tried: &[BackendServerId],
+    ) -> Option<Target> {
+        let service = self.candidates.of(&plan.service)?;
+        let mut tried_domains = SmallVec::new();
+        if !tried.is_empty() {
+            for candidate in &service.all {
+                if tried.contains(&candidate.target.server) {
+                    tried_domains.push(candidate.domain.clone());
+                }
+            }
+        }
+        let wish = Wish {
+            now,
+            plan,
+            tried,
+            tried_domains,
+            heed_paths: self.heeds_paths(now, plan, &service),
+            own_domain: self.own_domain.clone(),
+        };
+        self.pick_from(&wish, &service.all, service.near_count)
+    }
+
+    fn sent(&mut self, _now: Instant, _plan: &RequestPlan, target: &Target) {
+        let learned = self.learned.entry(target.server.clone()).or_default();
+        learned.outstanding_count += 1;
+        self.paths.sent(&target.daemon);
+    }
+
+    fn ended(
+        &mut self,
+        now: Instant,
+        plan: &RequestPlan,
+        target: &Target,
+        outcome: &AttemptOutcome,
+        elapsed: Duration,
+    ) {
+        if let Some(learned) = self.learned.get_mut(&target.server) {
+            learned.outstanding_count = learned.outstanding_count.saturating_sub(1);
+        }
+        self.learn(now, &plan.route, &target.server, &met(outcome, elapsed));
+        if let Some(end) = path_end(outcome) {
+            self.paths.ended(now, &target.daemon, end, &mut self.random);
+        }
+    }
+
+    fn view(&mut self, view: Arc<View>) {
+        self.candidates.view(view);
+    }
+
+    fn fleet(&mut self, fleet: Arc<Fleet>) {
+        for daemon in self.candidates.fleet(fleet) {
+            self.paths.forget(&daemon);
+        }
+        if self.learned.len() > LEARNED_LIMIT_COUNT {
+            self.learned
+                .retain(|_, learned| learned.outstanding_count > 0);
+        }
+    }
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,11 +1,15 @@
 //! Chooses a backend server for each request, and decides on retries.
 
 pub mod budget;
+pub mod candidates;
 pub mod choice;
 pub mod duty;
 pub mod fingerprint;
 pub mod forward;
+pub mod least_loaded;
 pub mod message;
+pub mod paths;
+pub mod speed;
 pub mod state;
 
 pub use message::{
--- /dev/null
+++ b/src/routing/speed.rs
@@ -0,0 +1,89 @@
+//! How fast servers answer, next to what is usual on each route.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::types::RouteId;
+
+/// Weight of the newest request in the usual time of a route.
+const ROUTE_WEIGHT: f64 = 0.05;
+
+/// Weight of the newest request in a server's slowness.
+const SERVER_WEIGHT: f64 = 0.2;
+
+/// Time in which what is known of a server loses half of its weight.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Slowness that one failure stands for: a server that fails fast must not seem fast.
+const FAILURE_SLOWNESS: f64 = 4.0;
+
+/// Bounds of what one request says.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.2, 10.0);
+
+/// Usual time of a route that nothing is known of.
+const UNKNOWN_USUAL: Duration = Duration::from_millis(50);
+
+/// Usual times of routes, as this entry sees them.
+#[derive(Debug, Default)]
+pub struct RouteSpeeds {
+    usual_s: HashMap<RouteId, f64>,
+}
+
+impl RouteSpeeds {
+    /// Takes one request and gives the usual time before it.
+    pub fn take(&mut self, route: &RouteId, elapsed: Duration) -> Duration {
+        let elapsed_s = elapsed.as_secs_f64();
+        let Some(usual_s) = self.usual_s.get_mut(route) else {
+            self.usual_s.insert(route.clone(), elapsed_s);
+            return elapsed;
+        };
+        let before_s = *usual_s;
+        *usual_s += ROUTE_WEIGHT * (elapsed_s - before_s);
+        Duration::from_secs_f64(before_s)
+    }
+
+    /// Usual time of a route.
+    pub fn usual(&self, route: &RouteId) -> Duration {
+        self.usual_s
+            .get(route)
+            .map_or(UNKNOWN_USUAL, |usual_s| Duration::from_secs_f64(*usual_s))
+    }
+}
+
+/// How slow one server is: 1 is as usual, 2 takes twice the time.
+#[derive(Debug, Clone, Default)]
+pub struct ServerSpeed {
+    /// Distance from 1.
+    excess: f64,
+    at: Option<Instant>,
+}
+
+impl ServerSpeed {
+    /// Takes one whole answer.
+    pub fn take(&mut self, now: Instant, elapsed: Duration, usual: Duration) {
+        let usual_s = usual.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.add(now, elapsed.as_secs_f64() / usual_s);
+    }
+
+    /// Takes one failure.
+    pub fn failed(&mut self, now: Instant) {
+        self.add(now, FAILURE_SLOWNESS);
+    }
+
+    fn add(&mut self, now: Instant, slowness: f64) {
+        let (least, most) = SLOWNESS_BOUNDS;
+        let before = self.slowness(now) - 1.0;
+        let met = slowness.clamp(least, most) - 1.0;
+        self.excess = before + SERVER_WEIGHT * (met - before);
+        self.at = Some(now);
+    }
+
+    /// How slow the server is now; what was learnt long ago fades.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 1.0;
+        };
+        let half_lives = now.saturating_duration_since(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        1.0 + self.excess * 0.5f64.powf(half_lives)
+    }
+}
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,9 +1,11 @@
+mod choice;
+
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::choice::TwoChoices;
+use super::least_loaded::LeastLoaded;
 use super::message::{Outcome, RequestPlan, RoutingAction, RoutingEvent};
 use super::state::RoutingState;
 use crate::error::ErrorKind;
@@ -13,7 +15,11 @@
 fn a_service_without_servers_is_refused_as_not_run() {
     // Arrange
     let now = Instant::now();
-    let choice = TwoChoices::new(ChaCha8Rng::seed_from_u64(1));
+    let choice = LeastLoaded::new(
+        RoutingSettings::default(),
+        "north".into(),
+        ChaCha8Rng::seed_from_u64(1),
+    );
     let mut state = RoutingState::new(RoutingSettings::default(), Box::new(choice));
     let plan = RequestPlan {
         request: 1,
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -15,6 +15,14 @@
     pub answer_grace_ms: u64,
     /// Share of requests that may be retried, beyond a small reserve.
     pub retry_share: f64,
+    /// Servers that are drawn for one choice.
+    pub draw_count: usize,
+    /// A server in another failure domain counts as this much more loaded.
+    pub far_factor: f64,
+    /// First time for which a path to a guard in trouble is avoided.
+    pub path_backoff_ms: u64,
+    /// Longest time for which such a path is avoided.
+    pub path_backoff_limit_ms: u64,
     /// Longest wait for a connection to a guard.
     pub connect_timeout_ms: u64,
 }
@@ -26,6 +34,10 @@
             attempt_limit_count: 3,
             answer_grace_ms: 100,
             retry_share: 0.2,
+            draw_count: 4,
+            far_factor: 1.2,
+            path_backoff_ms: 250,
+            path_backoff_limit_ms: 30_000,
             connect_timeout_ms: 500,
         }
     }
@@ -60,6 +72,21 @@
             self.retry_share,
             "must be from 0 to 1",
         );
+        let draw_count_holds = (1..=8).contains(&self.draw_count);
+        checker.require(
+            draw_count_holds,
+            "draw_count",
+            self.draw_count,
+            "must be from 1 to 8",
+        );
+        let far_factor_holds = (1.0..=100.0).contains(&self.far_factor);
+        checker.require(
+            far_factor_holds,
+            "far_factor",
+            self.far_factor,
+            "must be from 1 to 100",
+        );
+        self.check_backoff(checker);
         let connect_timeout_ms_holds = (1..=60000).contains(&self.connect_timeout_ms);
         checker.require(
             connect_timeout_ms_holds,
@@ -68,4 +95,21 @@
             "must be from 1 to 60000",
         );
     }
+
+    fn check_backoff(&self, checker: &mut Checker<'_>) {
+        let limit_holds = (10..=3_600_000).contains(&self.path_backoff_limit_ms);
+        checker.require(
+            limit_holds,
+            "path_backoff_limit_ms",
+            self.path_backoff_limit_ms,
+            "must be from 10 to 3600000",
+        );
+        let backoff_holds = (10..=self.path_backoff_limit_ms).contains(&self.path_backoff_ms);
+        checker.require(
+            backoff_holds,
+            "path_backoff_ms",
+            self.path_backoff_ms,
+            "must be from 10 to path_backoff_limit_ms",
+        );
+    }
 }
