--- /dev/null
+++ b/src/allowance/measure/network.rs
@@ -0,0 +1,621 @@
+//! Daemons, messages and the log in memory, under virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::platform::{Platform, Reader};
+use super::score::Score;
+use super::Policy;
+use crate::allowance::message::{AllowanceAction, AllowanceEvent, CallId};
+use crate::allowance::seat::Candidate;
+use crate::allowance::EscrowRecord;
+use crate::contract::{OrganisationContract, View};
+use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
+use crate::membership::{DaemonEntry, Fleet};
+use crate::types::{DaemonId, DomainId, OrganisationId, RequestId};
+
+/// Makes the state of one life of a daemon.
+pub type MakePolicy = Box<dyn Fn(Candidate) -> Box<dyn Policy>>;
+
+/// What a script does to the fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    /// A daemon starts, in a new life.
+    Start(usize),
+    /// A daemon ends without a word.
+    Crash(usize),
+    /// A daemon begins a planned stop.
+    Leave(usize),
+    /// A daemon is stopped by the machine for a while, and goes on.
+    Pause(usize, Duration),
+    /// The log stops answering, or answers again.
+    LogDown(bool),
+    /// Messages between two daemons are lost, or pass again.
+    Cut(usize, usize, bool),
+    /// Messages of one daemon to another are lost, or pass again.
+    CutOneWay(usize, usize, bool),
+    /// A daemon can't reach the log, or can again.
+    LogCut(usize, bool),
+    /// A contract is published; daemons read it one after the other.
+    Publish(OrganisationContract),
+}
+
+/// How messages fare.
+#[derive(Debug, Clone)]
+pub struct NetworkOptions {
+    /// Seed of every choice.
+    pub seed: u64,
+    /// Failure domains; daemons go round.
+    pub domain_count: usize,
+    /// Daemons at most.
+    pub daemon_count: usize,
+    /// Shortest and longest way of a message between daemons.
+    pub delay: (Duration, Duration),
+    /// Shortest and longest way to the log.
+    pub log_delay: (Duration, Duration),
+    /// Share of messages lost.
+    pub loss_share: f64,
+    /// Share of messages and records that arrive twice.
+    pub double_share: f64,
+    /// Share of records that arrive late, by up to `late`.
+    pub late_share: f64,
+    /// How late.
+    pub late: Duration,
+}
+
+impl Default for NetworkOptions {
+    fn default() -> Self {
+        NetworkOptions {
+            seed: 1,
+            domain_count: 3,
+            daemon_count: 9,
+            delay: (Duration::from_micros(100), Duration::from_micros(900)),
+            log_delay: (Duration::from_millis(2), Duration::from_millis(20)),
+            loss_share: 0.0,
+            double_share: 0.0,
+            late_share: 0.0,
+            late: Duration::from_secs(8),
+        }
+    }
+}
+
+enum Happening {
+    Fault(Fault),
+    Event(usize, u64, AllowanceEvent),
+    Asked {
+        to: usize,
+        from: (usize, u64, PeerName),
+        call: CallId,
+        request: PeerRequest,
+    },
+    Arrive {
+        daemon: usize,
+        organisation: usize,
+    },
+    ReadSent(usize, u64),
+    ReadArrives(Reader),
+    ReadOver(Reader),
+    Appended(EscrowRecord),
+    Fleet(usize, u64),
+}
+
+struct Node {
+    name: DaemonId,
+    domain: DomainId,
+    life: u64,
+    policy: Option<Box<dyn Policy>>,
+    leaving: bool,
+    /// Seen by membership; a crashed daemon is seen for a while.
+    seen: bool,
+    paused_until: Instant,
+    log_cut: bool,
+    next: u64,
+    view: Arc<View>,
+}
+
+/// The fleet.
+pub struct Network {
+    options: NetworkOptions,
+    make: MakePolicy,
+    rng: ChaCha8Rng,
+    start: Instant,
+    now: Instant,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    happenings: HashMap<u64, Happening>,
+    sequence: u64,
+    nodes: Vec<Node>,
+    cuts: BTreeMap<(usize, usize), bool>,
+    platform: Platform,
+    view: View,
+    /// Requests that wait for a grant or refusal.
+    open: HashMap<RequestId, (usize, Instant)>,
+    next_request: RequestId,
+    replies: HashMap<CallId, (usize, u64, CallId)>,
+    next_reply: CallId,
+    /// Messages between daemons so far.
+    pub message_count: u64,
+    /// By organisation, in the order of `organisations`.
+    pub scores: Vec<Score>,
+    organisations: Vec<OrganisationId>,
+    /// Daemons that granted, with the time, for questions of a scenario.
+    pub grants: Vec<(Instant, usize, usize)>,
+}
+
+impl Network {
+    /// A fleet in which nothing runs yet.
+    pub fn new(
+        options: NetworkOptions,
+        make: MakePolicy,
+        contracts: &[OrganisationContract],
+    ) -> Network {
+        let start = Instant::now();
+        let node = |index: usize| Node {
+            name: format!("daemon-{index}").into(),
+            domain: format!("domain-{}", index % options.domain_count).into(),
+            life: 0,
+            policy: None,
+            leaving: false,
+            seen: false,
+            paused_until: start,
+            log_cut: false,
+            next: 0,
+            view: Arc::default(),
+        };
+        let nodes = (0..options.daemon_count).map(node).collect();
+        let score =
+            |c: &OrganisationContract| Score::new(start, c.rate_per_s, f64::from(c.burst_count));
+        let mut network = Network {
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+            scores: contracts.iter().map(score).collect(),
+            organisations: contracts.iter().map(|c| c.organisation.clone()).collect(),
+            options,
+            make,
+            start,
+            now: start,
+            queue: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            sequence: 0,
+            nodes,
+            cuts: BTreeMap::new(),
+            platform: Platform::default(),
+            view: View::default(),
+            open: HashMap::new(),
+            next_request: 1,
+            replies: HashMap::new(),
+            next_reply: 1,
+            message_count: 0,
+            grants: Vec::new(),
+        };
+        for contract in contracts {
+            network.put_contract(contract);
+        }
+        network
+    }
+
+    /// When the run began.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Instant {
+        self.now
+    }
+
+    /// Records in the log.
+    pub fn record_count(&self) -> usize {
+        self.platform.record_count()
+    }
+
+    /// Lets something happen at a time after the start.
+    pub fn at(&mut self, after: Duration, fault: Fault) {
+        self.schedule(self.start + after, Happening::Fault(fault));
+    }
+
+    /// Lets a request arrive at a daemon.
+    pub fn arrive_at(&mut self, after: Duration, daemon: usize, organisation: usize) {
+        let at = self.start + after;
+        let happening = Happening::Arrive {
+            daemon,
+            organisation,
+        };
+        self.schedule(at, happening);
+    }
+
+    /// Runs until a time after the start.
+    pub fn run_until(&mut self, after: Duration) {
+        let until = self.start + after;
+        while let Some(Reverse((at, _))) = self.queue.peek() {
+            if *at > until {
+                break;
+            }
+            let Some(Reverse((at, sequence))) = self.queue.pop() else {
+                break;
+            };
+            self.now = self.now.max(at);
+            if let Some(happening) = self.happenings.remove(&sequence) {
+                self.happen(happening);
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn schedule(&mut self, at: Instant, happening: Happening) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence)));
+        self.happenings.insert(self.sequence, happening);
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Fault(fault) => self.fault(fault),
+            Happening::Event(daemon, life, event) => self.event(daemon, life, event),
+            Happening::Asked {
+                to,
+                from,
+                call,
+                request,
+            } => self.asked(to, from, call, request),
+            Happening::Arrive {
+                daemon,
+                organisation,
+            } => self.arrive(daemon, organisation),
+            Happening::ReadSent(daemon, life) => self.send_read(daemon, life),
+            Happening::ReadArrives(reader) => self.read_arrives(reader),
+            Happening::ReadOver(reader) => {
+                if self.platform.give_up(&reader) {
+                    self.answer_read(reader);
+                }
+            }
+            Happening::Appended(record) => {
+                for reader in self.platform.append(record) {
+                    self.answer_read(reader);
+                }
+            }
+            Happening::Fleet(daemon, life) => {
+                let fleet = Arc::new(self.fleet());
+                self.event(daemon, life, AllowanceEvent::Fleet(fleet));
+            }
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Start(daemon) => self.start_daemon(daemon),
+            Fault::Crash(daemon) => {
+                self.nodes[daemon].policy = None;
+                let seen_for = self.between(FORGET.0, FORGET.1);
+                self.nodes[daemon].seen = false;
+                self.tell_fleet(seen_for);
+            }
+            Fault::Leave(daemon) => {
+                let life = self.nodes[daemon].life;
+                self.nodes[daemon].leaving = true;
+                self.event(daemon, life, AllowanceEvent::Leave);
+                self.tell_fleet(Duration::ZERO);
+            }
+            Fault::Pause(daemon, time) => self.nodes[daemon].paused_until = self.now + time,
+            Fault::LogDown(down) => self.platform.down = down,
+            Fault::Cut(a, b, cut) => {
+                self.cuts.insert((a, b), cut);
+                self.cuts.insert((b, a), cut);
+            }
+            Fault::CutOneWay(a, b, cut) => {
+                self.cuts.insert((a, b), cut);
+            }
+            Fault::LogCut(daemon, cut) => self.nodes[daemon].log_cut = cut,
+            Fault::Publish(contract) => {
+                self.put_contract(&contract);
+                let view = Arc::new(self.view.clone());
+                for daemon in 0..self.nodes.len() {
+                    self.nodes[daemon].view = view.clone();
+                    let at = self.now + self.between(Duration::ZERO, READ_CONTRACT);
+                    let event = AllowanceEvent::View(view.clone());
+                    self.schedule(at, Happening::Event(daemon, self.nodes[daemon].life, event));
+                }
+            }
+        }
+    }
+
+    fn put_contract(&mut self, contract: &OrganisationContract) {
+        self.view
+            .organisations
+            .insert(contract.organisation.clone(), Arc::new(contract.clone()));
+        let view = Arc::new(self.view.clone());
+        for node in &mut self.nodes {
+            node.view = view.clone();
+        }
+    }
+
+    fn start_daemon(&mut self, daemon: usize) {
+        let own = {
+            let node = &mut self.nodes[daemon];
+            node.life += 1;
+            node.leaving = false;
+            node.seen = true;
+            node.paused_until = self.now;
+            node.next = 0;
+            Candidate {
+                name: PeerName {
+                    daemon: node.name.clone(),
+                    incarnation: node.life,
+                },
+                domain: node.domain.clone(),
+            }
+        };
+        self.nodes[daemon].policy = Some((self.make)(own));
+        let life = self.nodes[daemon].life;
+        let view = self.nodes[daemon].view.clone();
+        self.event(daemon, life, AllowanceEvent::View(view));
+        self.send_read(daemon, life);
+        self.tell_fleet(Duration::ZERO);
+    }
+
+    fn tell_fleet(&mut self, after: Duration) {
+        for daemon in 0..self.nodes.len() {
+            if self.nodes[daemon].policy.is_none() {
+                continue;
+            }
+            let at = self.now + after + self.between(HEAR.0, HEAR.1);
+            self.schedule(at, Happening::Fleet(daemon, self.nodes[daemon].life));
+        }
+    }
+
+    fn fleet(&self) -> Fleet {
+        let address = "127.0.0.1:1".parse().expect("a literal address");
+        let mut fleet = Fleet::default();
+        for node in self.nodes.iter().filter(|node| node.seen) {
+            let entry = DaemonEntry {
+                daemon: node.name.clone(),
+                incarnation: node.life,
+                version: 1,
+                domain: node.domain.clone(),
+                guard_address: address,
+                link_address: address,
+                leaving: node.leaving,
+                servers: Vec::new(),
+            };
+            fleet.daemons.insert(node.name.clone(), Arc::new(entry));
+        }
+        fleet
+    }
+
+    fn arrive(&mut self, daemon: usize, organisation: usize) {
+        let count = self.nodes.len();
+        let takes = |index: &usize| {
+            let node = &self.nodes[*index];
+            node.policy.is_some() && !node.leaving
+        };
+        let mut turns = (0..count).map(|turn| (daemon + turn) % count);
+        let Some(daemon) = turns.find(takes) else {
+            return;
+        };
+        let request = self.next_request;
+        self.next_request += 1;
+        self.scores[organisation].sent(self.now);
+        self.open.insert(request, (organisation, self.now));
+        let event = AllowanceEvent::Take {
+            request,
+            organisation: self.organisations[organisation].clone(),
+        };
+        self.event(daemon, self.nodes[daemon].life, event);
+    }
+
+    /// Gives an event to a daemon; a paused one takes it when it goes on.
+    fn event(&mut self, daemon: usize, life: u64, event: AllowanceEvent) {
+        let node = &mut self.nodes[daemon];
+        if node.life != life {
+            return;
+        }
+        if self.now < node.paused_until {
+            let at = node.paused_until;
+            return self.schedule(at, Happening::Event(daemon, life, event));
+        }
+        let Some(policy) = &mut node.policy else {
+            return;
+        };
+        let before = policy.next_at();
+        let actions = policy.handle(self.now, event);
+        let after = policy.next_at();
+        for action in actions {
+            self.carry_out(daemon, action);
+        }
+        if let Some(at) = after.filter(|_| after != before) {
+            let at = at.max(self.now);
+            self.schedule(at, Happening::Event(daemon, life, AllowanceEvent::Tick));
+        }
+    }
+
+    fn carry_out(&mut self, daemon: usize, action: AllowanceAction) {
+        match action {
+            AllowanceAction::Grant { request } => {
+                if let Some((organisation, sent_at)) = self.open.remove(&request) {
+                    self.scores[organisation].granted(self.now, sent_at);
+                    self.grants.push((self.now, daemon, organisation));
+                }
+            }
+            AllowanceAction::Refuse { request, .. } => {
+                if let Some((organisation, _)) = self.open.remove(&request) {
+                    self.scores[organisation].refused();
+                }
+            }
+            AllowanceAction::Call { call, to, request } => self.call(daemon, call, &to, request),
+            AllowanceAction::Lend { call, answer } => {
+                self.reply(daemon, call, PeerAnswer::Borrow(answer));
+            }
+            AllowanceAction::Promised { call, answer } => {
+                self.reply(daemon, call, PeerAnswer::Promise(answer));
+            }
+            AllowanceAction::Append(record) => self.append(daemon, record),
+            AllowanceAction::Permit { .. } | AllowanceAction::Count(_) => {}
+        }
+    }
+
+    fn call(&mut self, daemon: usize, call: CallId, to: &DaemonId, request: PeerRequest) {
+        self.message_count += 1;
+        let life = self.nodes[daemon].life;
+        let answered = |answer| AllowanceEvent::Answered { call, answer };
+        let target = self.nodes.iter().position(|node| node.name == *to);
+        let Some(to) = target.filter(|to| self.nodes[*to].policy.is_some()) else {
+            let at = self.now + self.options.delay.1;
+            let event = answered(Err(LinkError::Unreachable));
+            return self.schedule(at, Happening::Event(daemon, life, event));
+        };
+        let event = answered(Err(LinkError::Silent));
+        self.schedule(
+            self.now + CALL_TIMEOUT,
+            Happening::Event(daemon, life, event),
+        );
+        let name = PeerName {
+            daemon: self.nodes[daemon].name.clone(),
+            incarnation: life,
+        };
+        let copies = self.copies(daemon, to);
+        for _ in 0..copies {
+            let at = self.now + self.between(self.options.delay.0, self.options.delay.1);
+            let happening = Happening::Asked {
+                to,
+                from: (daemon, life, name.clone()),
+                call,
+                request: request.clone(),
+            };
+            self.schedule(at, happening);
+        }
+    }
+
+    fn asked(
+        &mut self,
+        to: usize,
+        (from, life, name): (usize, u64, PeerName),
+        call: CallId,
+        request: PeerRequest,
+    ) {
+        let reply = self.next_reply;
+        self.next_reply += 1;
+        self.replies.insert(reply, (from, life, call));
+        let event = match request {
+            PeerRequest::Borrow(request) => AllowanceEvent::Borrow {
+                call: reply,
+                from: name,
+                request,
+            },
+            PeerRequest::Promise(request) => AllowanceEvent::Promise {
+                call: reply,
+                request,
+            },
+            _ => return,
+        };
+        self.event(to, self.nodes[to].life, event);
+    }
+
+    fn reply(&mut self, daemon: usize, call: CallId, answer: PeerAnswer) {
+        let Some((to, life, call)) = self.replies.remove(&call) else {
+            return;
+        };
+        self.message_count += 1;
+        for _ in 0..self.copies(daemon, to) {
+            let at = self.now + self.between(self.options.delay.0, self.options.delay.1);
+            let event = AllowanceEvent::Answered {
+                call,
+                answer: Ok(answer.clone()),
+            };
+            self.schedule(at, Happening::Event(to, life, event));
+        }
+    }
+
+    fn append(&mut self, daemon: usize, record: EscrowRecord) {
+        if self.nodes[daemon].log_cut {
+            return;
+        }
+        let doubled = self.rng.random_bool(self.options.double_share);
+        for _ in 0..1 + usize::from(doubled) {
+            let mut way = self.between(self.options.log_delay.0, self.options.log_delay.1);
+            if self.rng.random_bool(self.options.late_share) {
+                way += self.between(Duration::ZERO, self.options.late);
+            }
+            self.schedule(self.now + way, Happening::Appended(record.clone()));
+        }
+    }
+
+    fn send_read(&mut self, daemon: usize, life: u64) {
+        let node = &self.nodes[daemon];
+        if node.life != life || node.policy.is_none() {
+            return;
+        }
+        if self.now < node.paused_until {
+            let at = node.paused_until;
+            return self.schedule(at, Happening::ReadSent(daemon, life));
+        }
+        let way = self.between(self.options.log_delay.0, self.options.log_delay.1);
+        let reader = Reader {
+            daemon,
+            life,
+            from: self.nodes[daemon].next,
+            asked_at: self.now,
+            until: self.now + way + READ_WAIT,
+        };
+        self.schedule(self.now + way, Happening::ReadArrives(reader));
+    }
+
+    fn read_arrives(&mut self, reader: Reader) {
+        if self.platform.down || self.nodes[reader.daemon].log_cut {
+            let again = Happening::ReadSent(reader.daemon, reader.life);
+            return self.schedule(self.now + READ_RETRY, again);
+        }
+        if self.platform.has(reader.from) {
+            return self.answer_read(reader);
+        }
+        self.platform.wait(reader.clone());
+        self.schedule(reader.until, Happening::ReadOver(reader));
+    }
+
+    fn answer_read(&mut self, reader: Reader) {
+        let Reader { daemon, life, .. } = reader;
+        if self.nodes[daemon].life != life {
+            return;
+        }
+        let at = self.now + self.between(self.options.log_delay.0, self.options.log_delay.1);
+        let again = Happening::ReadSent(daemon, life);
+        if self.platform.down || self.nodes[daemon].log_cut {
+            return self.schedule(at + READ_RETRY, again);
+        }
+        let records = self.platform.read(reader.from);
+        if let Some((last, _)) = records.last() {
+            self.nodes[daemon].next = last + 1;
+        }
+        let event = AllowanceEvent::Read {
+            asked_at: reader.asked_at,
+            records,
+            whole: true,
+        };
+        self.schedule(at, Happening::Event(daemon, life, event));
+        self.schedule(at, again);
+    }
+
+    fn copies(&mut self, from: usize, to: usize) -> usize {
+        let cut = self.cuts.get(&(from, to)).copied().unwrap_or(false);
+        if cut || self.rng.random_bool(self.options.loss_share) {
+            return 0;
+        }
+        1 + usize::from(self.rng.random_bool(self.options.double_share))
+    }
+
+    fn between(&mut self, low: Duration, high: Duration) -> Duration {
+        self.rng.random_range(low..=high)
+    }
+}
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_WAIT: Duration = Duration::from_secs(1);
+const READ_RETRY: Duration = Duration::from_millis(250);
+/// How long a daemon takes to hear of a change of the fleet.
+const HEAR: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(300));
+/// How long membership takes to see that a daemon is gone.
+const FORGET: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(6));
+/// How long daemons take to read a contract.
+const READ_CONTRACT: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/src/allowance/measure/report.rs
@@ -0,0 +1,149 @@
+//! The figures of a run, and their table over seeds.
+
+use std::time::Duration;
+
+use comfy_table::{presets, Table};
+
+use super::network::{Network, NetworkOptions};
+use super::scenarios::{self, Scenario, Way};
+use super::score::quantile;
+
+/// The figures of one run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Figures {
+    /// Most whole tokens over the bound, of any organisation in any span of time.
+    pub over_count: u64,
+    /// Share refused of what a single bucket grants, over all organisations.
+    pub short_share: f64,
+    /// The same for the organisation that fared worst.
+    pub worst_short_share: f64,
+    /// Time until a dead holder's share was back.
+    pub back_s: Option<f64>,
+    /// Messages between daemons a second and daemon.
+    pub messages_per_s: f64,
+    /// Time added to a request for half of them and for 99 in 100, in milliseconds.
+    pub added_ms: (f64, f64),
+    /// Records in the log.
+    pub record_count: usize,
+}
+
+/// Reads the figures of a run.
+pub fn figures(scenario: &Scenario, network: &Network) -> Figures {
+    let scores = &network.scores;
+    let ideal: u64 = scores.iter().map(|score| score.ideal_count).sum();
+    let short = scores
+        .iter()
+        .map(|score| score.ideal_count.saturating_sub(score.granted_count));
+    let mut waits: Vec<u32> = scores.iter().flat_map(|s| s.waits_us.clone()).collect();
+    let ms = |time: Duration| time.as_secs_f64() * 1e3;
+    let worst = scores.iter().map(|score| score.short_share());
+    Figures {
+        over_count: scores
+            .iter()
+            .map(|score| score.whole_over_count())
+            .max()
+            .unwrap_or(0),
+        short_share: short.sum::<u64>() as f64 / ideal.max(1) as f64,
+        worst_short_share: worst.fold(0.0, f64::max),
+        back_s: scenario.died.map(|died| back_s(scenario, network, died)),
+        messages_per_s: network.message_count as f64
+            / scenario.ends.as_secs_f64()
+            / scenarios::DAEMON_COUNT as f64,
+        added_ms: (
+            ms(quantile(&mut waits, 0.5)),
+            ms(quantile(&mut waits, 0.99)),
+        ),
+        record_count: network.record_count(),
+    }
+}
+
+/// Seconds from a holder's death to the end of the last second in which the organisations got
+/// clearly less than their rates.
+fn back_s(scenario: &Scenario, network: &Network, died: Duration) -> f64 {
+    let rate: f64 = scenario.contracts.iter().map(|c| c.rate_per_s).sum();
+    let seconds = scenario.ends.as_secs() as usize;
+    let mut counts = vec![0_u32; seconds + 1];
+    for (at, _, _) in &network.grants {
+        let second = at.saturating_duration_since(network.start()).as_secs();
+        counts[second as usize] += 1;
+    }
+    let first = died.as_secs() as usize;
+    let mut back = first;
+    for (second, count) in counts.iter().enumerate().take(seconds - 1).skip(first) {
+        if f64::from(*count) < rate * WHOLE_SHARE {
+            back = second + 1;
+        }
+    }
+    (back - first) as f64
+}
+
+/// A second with this share of the rate counts as whole.
+const WHOLE_SHARE: f64 = 0.97;
+
+/// Runs every script with every way over the seeds, and gives the table.
+pub fn table(seeds: std::ops::Range<u64>, only: Option<&str>) -> (Table, u64) {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "script",
+        "way",
+        "most over the bound",
+        "refused within rate %",
+        "worst organisation %",
+        "share back s",
+        "messages/s/daemon",
+        "added p50 ms",
+        "added p99 ms",
+        "records",
+    ]);
+    let mut escrow_over_count = 0;
+    for scenario in scenarios::all() {
+        if only.is_some_and(|only| !scenario.name.contains(only)) {
+            continue;
+        }
+        for way in Way::ALL {
+            let runs: Vec<Figures> = seeds
+                .clone()
+                .map(|seed| {
+                    let options = NetworkOptions::default();
+                    figures(&scenario, &scenarios::run(&scenario, way, seed, options))
+                })
+                .collect();
+            if way == Way::Escrow {
+                let over = runs.iter().map(|run| run.over_count).max();
+                escrow_over_count = escrow_over_count.max(over.unwrap_or(0));
+            }
+            table.add_row(row(&scenario, way, &runs));
+        }
+    }
+    (table, escrow_over_count)
+}
+
+fn row(scenario: &Scenario, way: Way, runs: &[Figures]) -> Vec<String> {
+    let spread = |value: &dyn Fn(&Figures) -> f64, digits: usize| {
+        let mut values: Vec<f64> = runs.iter().map(value).collect();
+        values.sort_by(f64::total_cmp);
+        let (low, middle, high) = (
+            values[0],
+            values[values.len() / 2],
+            values[values.len() - 1],
+        );
+        format!("{low:.digits$} / {middle:.digits$} / {high:.digits$}")
+    };
+    let back = match scenario.died {
+        None => "-".to_owned(),
+        Some(_) => spread(&|run| run.back_s.unwrap_or(0.0), 0),
+    };
+    vec![
+        scenario.name.to_owned(),
+        way.name().to_owned(),
+        spread(&|run| run.over_count as f64, 0),
+        spread(&|run| run.short_share * 100.0, 3),
+        spread(&|run| run.worst_short_share * 100.0, 3),
+        back,
+        spread(&|run| run.messages_per_s, 1),
+        spread(&|run| run.added_ms.0, 2),
+        spread(&|run| run.added_ms.1, 2),
+        spread(&|run| run.record_count as f64, 0),
+    ]
+}
--- /dev/null
+++ b/src/allowance/measure/slopes.rs
@@ -0,0 +1,157 @@
+//! What the allowance of one daemon costs, by the number of organisations.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use comfy_table::{presets, Table};
+
+use crate::allowance::message::{AllowanceAction, AllowanceEvent};
+use crate::allowance::record::EscrowRecord;
+use crate::allowance::seat::{Candidate, SEAT_COUNT};
+use crate::allowance::state::{AllowanceOptions, AllowanceState};
+use crate::contract::{OrganisationContract, View};
+use crate::link::{BorrowRequest, EscrowId, PeerName};
+use crate::settings::allowance::AllowanceSettings;
+
+/// Daemon count of the largest fleet that is designed for.
+const FLEET_DAEMON_COUNT: u64 = 7_900;
+const TAKE_COUNT: u32 = 200_000;
+
+/// Measures one daemon that holds every seat, with each number of organisations.
+pub fn table(counts: &[usize]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "organisations",
+        "own token us",
+        "lend us",
+        "memory held KB",
+        "bytes an organisation",
+    ]);
+    for count in counts {
+        table.add_row(measure(*count));
+    }
+    table
+}
+
+fn measure(count: usize) -> Vec<String> {
+    let view = Arc::new(view_of(count));
+    let before = resident_bytes();
+    let (mut state, start) = holder(view.clone());
+    let names: Vec<_> = view.organisations.keys().cloned().collect();
+    for (index, name) in names.iter().enumerate() {
+        lend(&mut state, start, index as u64, name.clone());
+    }
+    let held = resident_bytes().saturating_sub(before);
+    let clock = Instant::now();
+    for turn in 0..TAKE_COUNT {
+        let event = AllowanceEvent::Take {
+            request: u128::from(turn),
+            organisation: names[turn as usize % names.len()].clone(),
+        };
+        std::hint::black_box(state.handle(start, event));
+    }
+    let take = clock.elapsed() / TAKE_COUNT;
+    let clock = Instant::now();
+    for turn in 0..TAKE_COUNT {
+        let name = names[turn as usize % names.len()].clone();
+        lend(&mut state, start, u64::from(turn), name);
+    }
+    let lent = clock.elapsed() / TAKE_COUNT;
+    vec![
+        count.to_string(),
+        format!("{:.2}", take.as_secs_f64() * 1e6),
+        format!("{:.2}", lent.as_secs_f64() * 1e6),
+        (held / 1024).to_string(),
+        (held / count.max(1) as u64).to_string(),
+    ]
+}
+
+fn lend(state: &mut AllowanceState, now: Instant, call: u64, organisation: Arc<str>) {
+    let event = AllowanceEvent::Borrow {
+        call,
+        from: peer("another"),
+        request: BorrowRequest {
+            escrow: EscrowId::Organisation(organisation),
+            count: 1,
+        },
+    };
+    let actions: Vec<AllowanceAction> = state.handle(now, event);
+    std::hint::black_box(actions);
+}
+
+fn peer(name: &str) -> PeerName {
+    PeerName {
+        daemon: name.into(),
+        incarnation: 1,
+    }
+}
+
+/// A state that holds every seat.
+fn holder(view: Arc<View>) -> (AllowanceState, Instant) {
+    let own = Candidate {
+        name: peer("holder"),
+        domain: "domain-1".into(),
+    };
+    let options = AllowanceOptions::new(own.clone(), AllowanceSettings::default());
+    let mut state = AllowanceState::new(options);
+    let now = Instant::now();
+    state.handle(now, AllowanceEvent::View(view));
+    let claim = EscrowRecord::Claim {
+        holder: own.name,
+        custodian: None,
+        seats: (0..SEAT_COUNT).collect(),
+    };
+    let read = AllowanceEvent::Read {
+        asked_at: now,
+        records: vec![(0, Some(claim))],
+        whole: true,
+    };
+    state.handle(now, read);
+    (state, now)
+}
+
+fn view_of(count: usize) -> View {
+    let mut view = View::default();
+    for index in 0..count {
+        let contract = OrganisationContract {
+            organisation: format!("organisation-{index}").into(),
+            rate_per_s: 100.0,
+            burst_count: 1_000,
+            ..Default::default()
+        };
+        let id = contract.organisation.clone();
+        view.organisations.insert(id, Arc::new(contract));
+    }
+    view
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or(0)
+        * PAGE_BYTES
+}
+
+const PAGE_BYTES: u64 = 4096;
+
+/// Records a day and bytes a second of the escrow at the size that is designed for.
+pub fn arithmetic() -> String {
+    let period = Duration::from_millis(500);
+    let promises_per_s = 1.0 / period.as_secs_f64();
+    let restarts_per_day = 11_000_u64;
+    let held_seats = u64::from(SEAT_COUNT);
+    let holder_share = held_seats as f64 / FLEET_DAEMON_COUNT as f64;
+    let records_per_day = restarts_per_day as f64 * holder_share.min(1.0) * RECORDS_PER_RESTART;
+    format!(
+        "holders at most {held_seats} of {FLEET_DAEMON_COUNT} daemons; a holder asks for \
+         {promises_per_s} promises a second; {restarts_per_day} restarts a day bring about \
+         {records_per_day:.0} records a day"
+    )
+}
+
+/// Hand-overs out and back, and a custodian named by each new holder and ward.
+const RECORDS_PER_RESTART: f64 = 6.0;
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod lender;
 pub mod loan;
+pub mod measure;
 pub mod message;
 pub mod permit;
 pub mod record;
--- /dev/null
+++ b/src/cli/measure_allowance.rs
@@ -0,0 +1,44 @@
+//! `banyanbeam measure allowance`.
+
+use std::process::ExitCode;
+
+use clap::Args;
+
+use crate::allowance::measure::{report, slopes};
+
+/// Arguments of `measure allowance`.
+#[derive(Debug, Args)]
+pub struct MeasureAllowanceArguments {
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seeds to run; each figure is given as minimum, median and worst.
+    #[arg(long, default_value_t = 20)]
+    seeds_count: u64,
+    /// Runs only the scripts whose name contains this text.
+    #[arg(long)]
+    only: Option<String>,
+    /// Prints what organisations cost one daemon instead.
+    #[arg(long)]
+    slopes: bool,
+}
+
+const SLOPE_COUNTS: [usize; 4] = [1_000, 10_000, 100_000, 570_000];
+
+/// Prints the figures; fails when the escrow gave more than rate and burst.
+pub fn run(arguments: &MeasureAllowanceArguments) -> eyre::Result<ExitCode> {
+    if arguments.slopes {
+        println!("{}", slopes::table(&SLOPE_COUNTS));
+        println!("{}", slopes::arithmetic());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let seeds = arguments.seed..arguments.seed + arguments.seeds_count.max(1);
+    println!("seeds {seeds:?}; figures are minimum / median / worst over the seeds");
+    let (table, over_count) = report::table(seeds, arguments.only.as_deref());
+    println!("{table}");
+    if over_count > 0 {
+        println!("the escrow gave {over_count} tokens over the bound");
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,8 @@
 mod check;
 mod demo;
 mod logging;
+mod measure;
+mod measure_allowance;
 mod serve;
 mod settings;
 mod standin;
@@ -30,6 +32,8 @@
     Serve(serve::ServeArguments),
     /// Checks a settings file and does nothing else.
     Check(check::CheckArguments),
+    /// Measures decisions on scripted loads under virtual time.
+    Measure(measure::MeasureArguments),
     /// Prints settings.
     Settings(settings::SettingsArguments),
     /// Runs a stand-in of what the platform gives, for tests.
@@ -42,6 +46,7 @@
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
+        Command::Measure(arguments) => measure::run(&arguments),
         Command::Settings(arguments) => settings::run(&arguments),
         Command::Standin(arguments) => standin::run(&arguments),
     };
