--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -51,6 +51,7 @@
       summaries @15 :List(Summary);
       entries @16 :List(DaemonEntry);
       digest @17 :UInt64;
+      wanted @27 :List(Text);
     }
     compare :group {
       depth @18 :UInt8;
@@ -92,10 +93,12 @@
       summaries @12 :List(Summary);
       wanted @13 :List(Text);
       digest @14 :UInt64;
+      entries @23 :List(DaemonEntry);
     }
     compare :group {
       summaries @15 :List(Summary);
       deeper @16 :UInt16;
+      listed @24 :UInt16;
     }
     members :group {
       summaries @17 :List(Summary);
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -17,9 +17,10 @@
 use crate::idempotency::{self, IdempotencyMessage};
 use crate::journal::client::HttpLog;
 use crate::journal::{self, JournalEvent, MEMBERS};
-use crate::link::{self, LinkMessage, PeerName};
-use crate::membership::{self, DaemonEntry, Fleet, MembershipEvent};
-use crate::ring::spawn_duty;
+use crate::link::{self, LinkMessage, PeerName, PeerRequest};
+use crate::membership::duty::{FleetReader, Peers};
+use crate::membership::{self, CallTarget, DaemonEntry, MembershipCall, MembershipEvent, Ticket};
+use crate::ring::{spawn_duty, RingSender};
 use crate::routing::{RoutingEvent, RoutingMessage};
 
 /// Where other daemons reach this one.
@@ -35,7 +36,7 @@
     common: &Common,
     rings: &Rings,
     addresses: FleetAddresses,
-    events: Receiver<MembershipEvent>,
+    (events, calls): (Receiver<MembershipEvent>, Receiver<MembershipCall>),
 ) -> JoinHandle<()> {
     let own = DaemonEntry {
         daemon: common.settings.daemon.daemon.clone(),
@@ -48,17 +49,11 @@
         servers: Vec::new(),
     };
     let journal = rings.journal.clone();
-    let journal_fleet = rings.journal.clone();
-    let routing = rings.routing.clone();
-    let allowance = rings.allowance.clone();
-    let link = rings.link.clone();
-    let health = rings.health.clone();
     let metrics = common.metrics.clone();
-    let guard = rings.guard.clone();
-    let idempotency = rings.idempotency.clone();
-    let fleet_metrics = common.metrics.clone();
     let context = membership::duty::MembershipContext {
+        settings: common.settings.membership.clone(),
         clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
         publish: Box::new(move |entry| {
             let body = serde_json::to_string(entry).expect("plain values become JSON");
             if journal
@@ -71,32 +66,75 @@
                 metrics.count("membership.publish.refused");
             }
         }),
-        changed: Box::new(move |fleet: Arc<Fleet>| {
-            // A snapshot that finds the ring full is replaced by the next one.
-            let _ = journal_fleet.offer(JournalEvent::Fleet(fleet.clone()));
-            routing.deliver(RoutingMessage::Event(RoutingEvent::Fleet(fleet.clone())));
-            link.deliver(LinkMessage::Fleet(fleet.clone()));
-            // Health sends to membership, so membership must not wait for health.
-            let event = HealthEvent::Fleet(fleet.clone());
-            if health.offer(HealthMessage::Event(event)).is_err() {
-                fleet_metrics.count("health.fleet.missed");
-            }
-            let event = AllowanceEvent::Fleet(fleet.clone());
-            let event = AllowanceMessage::Event(event);
-            if allowance.offer(event).is_err() {
-                fleet_metrics.count("allowance.fleet.missed");
-            }
-            idempotency.deliver(IdempotencyMessage::Fleet(fleet.clone()));
-            if guard.offer(GuardMessage::Fleet(fleet)).is_err() {
-                fleet_metrics.count("guard.fleet.missed");
-            }
+        readers: fleet_readers(rings),
+        peers: Box::new(LinkPeers {
+            link: rings.link.clone(),
+            calls: rings.membership_calls.clone(),
         }),
     };
     spawn_duty("membership", move || {
-        membership::duty::run(&context, own, &events)
+        membership::duty::run(&context, own, &events, &calls)
     })
 }
 
+/// Who reads snapshots of the fleet. Each may be full: membership waits for none of them.
+fn fleet_readers(rings: &Rings) -> Vec<FleetReader> {
+    let journal = rings.journal.clone();
+    let routing = rings.routing.clone();
+    let link = rings.link.clone();
+    let health = rings.health.clone();
+    let allowance = rings.allowance.clone();
+    let idempotency = rings.idempotency.clone();
+    let guard = rings.guard.clone();
+    vec![
+        Box::new(move |fleet| journal.offer(JournalEvent::Fleet(fleet.clone())).is_ok()),
+        Box::new(move |fleet| {
+            let event = RoutingEvent::Fleet(fleet.clone());
+            routing.offer(RoutingMessage::Event(event)).is_ok()
+        }),
+        Box::new(move |fleet| link.offer(LinkMessage::Fleet(fleet.clone())).is_ok()),
+        Box::new(move |fleet| {
+            let event = HealthEvent::Fleet(fleet.clone());
+            health.offer(HealthMessage::Event(event)).is_ok()
+        }),
+        Box::new(move |fleet| {
+            let event = AllowanceEvent::Fleet(fleet.clone());
+            allowance.offer(AllowanceMessage::Event(event)).is_ok()
+        }),
+        Box::new(move |fleet| {
+            let message = IdempotencyMessage::Fleet(fleet.clone());
+            idempotency.offer(message).is_ok()
+        }),
+        Box::new(move |fleet| guard.offer(GuardMessage::Fleet(fleet.clone())).is_ok()),
+    ]
+}
+
+/// Calls of membership, carried by the link.
+struct LinkPeers {
+    link: RingSender<LinkMessage>,
+    calls: RingSender<MembershipCall>,
+}
+
+impl Peers for LinkPeers {
+    fn call(&self, ticket: Ticket, to: CallTarget, request: PeerRequest) {
+        let calls = self.calls.clone();
+        let reply = Box::new(move |result| {
+            // Membership ends a call whose answer finds its ring full by itself.
+            let _ = calls.offer(MembershipCall::Answered { ticket, result });
+        });
+        let message = match to {
+            CallTarget::Daemon(to) => LinkMessage::Call { to, request, reply },
+            CallTarget::Seed(address) => LinkMessage::CallSeed {
+                address,
+                request,
+                reply,
+            },
+        };
+        // A refused message is dropped with its reply, and counted by its ring.
+        let _ = self.link.offer(message);
+    }
+}
+
 pub(super) fn start_idempotency(
     common: &Common,
     messages: Receiver<IdempotencyMessage>,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -9,6 +9,7 @@
 use crate::link::{
     LinkError, LinkMessage, PeerAnswer, PeerCaller, PeerHandler, PeerName, PeerReply, PeerRequest,
 };
+use crate::membership::MembershipCall;
 use crate::types::DaemonId;
 
 /// Knows which duty answers which request.
@@ -78,7 +79,20 @@
                     reply(Err(LinkError::Refused));
                 }
             }
-            _ => reply(Err(LinkError::Refused)),
+            PeerRequest::Gossip(_)
+            | PeerRequest::Compare(_)
+            | PeerRequest::Members(_)
+            | PeerRequest::Probe(_) => {
+                let asked = MembershipCall::Asked {
+                    from: from.clone(),
+                    request,
+                    reply,
+                };
+                let refused = self.rings.membership_calls.offer(asked);
+                if let Err(MembershipCall::Asked { reply, .. }) = refused {
+                    reply(Err(LinkError::Refused));
+                }
+            }
         }
     }
 }
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -10,7 +10,7 @@
 use crate::idempotency::IdempotencyMessage;
 use crate::journal::JournalEvent;
 use crate::link::LinkMessage;
-use crate::membership::MembershipEvent;
+use crate::membership::{MembershipCall, MembershipEvent};
 use crate::ring::{ring, RingSender};
 use crate::routing::RoutingMessage;
 
@@ -22,6 +22,7 @@
     pub(super) guard: RingSender<GuardMessage>,
     pub(super) health: RingSender<HealthMessage>,
     pub(super) membership: RingSender<MembershipEvent>,
+    pub(super) membership_calls: RingSender<MembershipCall>,
     pub(super) journal: RingSender<JournalEvent>,
     pub(super) link: RingSender<LinkMessage>,
     pub(super) idempotency: RingSender<IdempotencyMessage>,
@@ -34,6 +35,7 @@
     pub(super) guard: Receiver<GuardMessage>,
     pub(super) health: Receiver<HealthMessage>,
     pub(super) membership: Receiver<MembershipEvent>,
+    pub(super) membership_calls: Receiver<MembershipCall>,
     pub(super) journal: Receiver<JournalEvent>,
     pub(super) link: Receiver<LinkMessage>,
     pub(super) idempotency: Receiver<IdempotencyMessage>,
@@ -48,6 +50,8 @@
     let (guard, guard_end) = ring("guard", settings.guard.ring_count, metrics);
     let (health, health_end) = ring("health", settings.health.ring_count, metrics);
     let (membership, membership_end) = ring("membership", settings.membership.ring_count, metrics);
+    let (membership_calls, membership_calls_end) =
+        ring("membership_calls", settings.membership.ring_count, metrics);
     let (journal, journal_end) = ring("journal", JOURNAL_RING_COUNT, metrics);
     let idempotency_count = settings.idempotency.ring_count;
     let (idempotency, idempotency_end) = ring("idempotency", idempotency_count, metrics);
@@ -59,6 +63,7 @@
         guard,
         health,
         membership,
+        membership_calls,
         journal,
         link,
         idempotency,
@@ -70,6 +75,7 @@
         guard: guard_end,
         health: health_end,
         membership: membership_end,
+        membership_calls: membership_calls_end,
         journal: journal_end,
         link: link_end,
         idempotency: idempotency_end,
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -77,6 +77,7 @@
         guard,
         health,
         membership,
+        membership_calls,
         journal,
         link,
         idempotency,
@@ -104,7 +105,12 @@
     ));
     threads.push(start_health(&common, &rings, health));
     threads.push(start_announce(&rings, &announce_listener));
-    threads.push(start_membership(&common, &rings, addresses, membership));
+    threads.push(start_membership(
+        &common,
+        &rings,
+        addresses,
+        (membership, membership_calls),
+    ));
     threads.extend(start_journal(&common, &rings, journal, &stopping));
     threads.push(start_idempotency(&common, idempotency));
     threads.push(start_link(&common, &rings, link_listener, link));
--- a/src/link/codec/answer.rs
+++ b/src/link/codec/answer.rs
@@ -14,7 +14,7 @@
     BorrowAnswer, ClaimAnswer, FenceAnswer, PeerAnswer, PromiseAnswer, RecordsAnswer,
 };
 use crate::link::peer_capnp::{answer, ClaimState, FenceState};
-use crate::membership::{CompareAnswer, GossipAnswer, MembersAnswer};
+use crate::membership::{CompareAnswer, Gossip, MembersAnswer};
 
 /// Encodes an answer.
 pub fn write_answer(value: &PeerAnswer, mut out: answer::Builder<'_>) {
@@ -44,12 +44,15 @@
             group.set_digest(gossip.digest);
             let count = gossip.summaries.len() as u32;
             write_summaries(&gossip.summaries, group.reborrow().init_summaries(count));
+            let count = gossip.entries.len() as u32;
+            write_entries(&gossip.entries, group.reborrow().init_entries(count));
             let count = gossip.wanted.len() as u32;
             write_names(&gossip.wanted, group.init_wanted(count));
         }
         PeerAnswer::Compare(compare) => {
             let mut group = out.init_compare();
             group.set_deeper(compare.deeper);
+            group.set_listed(compare.listed);
             let count = compare.summaries.len() as u32;
             write_summaries(&compare.summaries, group.init_summaries(count));
         }
@@ -122,14 +125,16 @@
             },
         }),
         answer::Records(group) => PeerAnswer::Records(read_records(group)?),
-        answer::Gossip(group) => PeerAnswer::Gossip(GossipAnswer {
+        answer::Gossip(group) => PeerAnswer::Gossip(Gossip {
             summaries: read_summaries(group.get_summaries()?)?,
+            entries: read_entries(group.get_entries()?)?,
             wanted: read_names(group.get_wanted()?)?,
             digest: group.get_digest(),
         }),
         answer::Compare(group) => PeerAnswer::Compare(CompareAnswer {
             summaries: read_summaries(group.get_summaries()?)?,
             deeper: group.get_deeper(),
+            listed: group.get_listed(),
         }),
         answer::Members(group) => PeerAnswer::Members(MembersAnswer {
             summaries: read_summaries(group.get_summaries()?)?,
--- a/src/link/codec/member.rs
+++ b/src/link/codec/member.rs
@@ -1,6 +1,7 @@
 //! Descriptions and summaries of daemons in the Cap'n Proto encoding.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 
 use capnp::{struct_list, text_list, Error};
 
@@ -77,7 +78,7 @@
 }
 
 pub(super) fn write_entries(
-    entries: &[DaemonEntry],
+    entries: &[Arc<DaemonEntry>],
     mut out: struct_list::Builder<'_, daemon_entry::Owned>,
 ) {
     for (index, entry) in entries.iter().enumerate() {
@@ -87,8 +88,12 @@
 
 pub(super) fn read_entries(
     entries: struct_list::Reader<'_, daemon_entry::Owned>,
-) -> Result<Vec<DaemonEntry>, Error> {
-    entries.iter().map(read_entry).collect()
+) -> Result<Vec<Arc<DaemonEntry>>, Error> {
+    let mut found = Vec::new();
+    for entry in entries {
+        found.push(Arc::new(read_entry(entry)?));
+    }
+    Ok(found)
 }
 
 pub(super) fn write_summaries(
--- a/src/link/codec/mod.rs
+++ b/src/link/codec/mod.rs
@@ -7,12 +7,14 @@
 
 use std::time::Duration;
 
+use capnp::message::Builder;
+use capnp::serialize::compute_serialized_size_in_words;
 use capnp::Error;
 
 pub use answer::{read_answer, write_answer};
 pub use request::{read_request, write_request};
 
-use super::message::PeerName;
+use super::message::{PeerAnswer, PeerName, PeerRequest};
 use super::peer_capnp::peer_name;
 
 pub(super) fn malformed(what: &str) -> Error {
@@ -43,3 +45,19 @@
 fn to_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Length of a request in its encoding, without the frame of the call.
+pub fn request_bytes(request: &PeerRequest) -> usize {
+    let mut message = Builder::new_default();
+    write_request(request, message.init_root());
+    compute_serialized_size_in_words(&message) * WORD_BYTES
+}
+
+/// Length of an answer in its encoding, without the frame of the call.
+pub fn answer_bytes(answer: &PeerAnswer) -> usize {
+    let mut message = Builder::new_default();
+    write_answer(answer, message.init_root());
+    compute_serialized_size_in_words(&message) * WORD_BYTES
+}
+
+const WORD_BYTES: usize = 8;
--- a/src/link/codec/request.rs
+++ b/src/link/codec/request.rs
@@ -4,14 +4,16 @@
 
 use capnp::{struct_list, Error};
 
-use super::member::{read_entries, read_summaries, write_entries, write_summaries};
+use super::member::{
+    read_entries, read_names, read_summaries, write_entries, write_names, write_summaries,
+};
 use super::{read_hash, read_id, read_name, to_ms, write_name};
 use crate::link::message::{
     BorrowRequest, ClaimRequest, ClaimStep, EscrowId, FenceRequest, PeerRequest, PoisonReport,
     PromiseRequest, RecordsRequest,
 };
 use crate::link::peer_capnp::{escrow_id, poison_report, request};
-use crate::membership::{CompareRequest, GossipRequest, MembersRequest};
+use crate::membership::{CompareRequest, Gossip, MembersRequest};
 use crate::types::KeyHash;
 
 /// Encodes a request.
@@ -95,12 +97,14 @@
     }
 }
 
-fn write_gossip(gossip: &GossipRequest, mut out: request::gossip::Builder<'_>) {
+fn write_gossip(gossip: &Gossip, mut out: request::gossip::Builder<'_>) {
     out.set_digest(gossip.digest);
     let count = gossip.summaries.len() as u32;
     write_summaries(&gossip.summaries, out.reborrow().init_summaries(count));
     let count = gossip.entries.len() as u32;
-    write_entries(&gossip.entries, out.init_entries(count));
+    write_entries(&gossip.entries, out.reborrow().init_entries(count));
+    let count = gossip.wanted.len() as u32;
+    write_names(&gossip.wanted, out.init_wanted(count));
 }
 
 /// Decodes a request.
@@ -136,9 +140,10 @@
         }),
         request::Tombstones(keys) => PeerRequest::Tombstones(read_keys(keys?)?),
         request::Poison(reports) => PeerRequest::Poison(read_reports(reports?)?),
-        request::Gossip(group) => PeerRequest::Gossip(GossipRequest {
+        request::Gossip(group) => PeerRequest::Gossip(Gossip {
             summaries: read_summaries(group.get_summaries()?)?,
             entries: read_entries(group.get_entries()?)?,
+            wanted: read_names(group.get_wanted()?)?,
             digest: group.get_digest(),
         }),
         request::Compare(group) => PeerRequest::Compare(CompareRequest {
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,9 +6,7 @@
 use thiserror::Error;
 
 use crate::health::ServerSummary;
-use crate::membership::{
-    CompareAnswer, CompareRequest, GossipAnswer, GossipRequest, MembersAnswer, MembersRequest,
-};
+use crate::membership::{CompareAnswer, CompareRequest, Gossip, MembersAnswer, MembersRequest};
 use crate::types::{
     Attempt, DaemonId, Fingerprint, Incarnation, KeyHash, Offset, OrganisationId, RequestId,
     ServiceId,
@@ -172,7 +170,7 @@
     /// What the servers of this service beside the peer met lately.
     Summary(ServiceId),
     /// What changed among the daemons.
-    Gossip(GossipRequest),
+    Gossip(Gossip),
     /// Looks for what differs between two views of the fleet.
     Compare(CompareRequest),
     /// A page of the fleet, for a daemon that knows none of it.
@@ -208,7 +206,7 @@
     /// To `Summary`: one for each server of the service beside the answerer.
     Summary(Vec<ServerSummary>),
     /// To `Gossip`.
-    Gossip(GossipAnswer),
+    Gossip(Gossip),
     /// To `Compare`.
     Compare(CompareAnswer),
     /// To `Members`.
--- a/src/link/peer_capnp.rs
+++ b/src/link/peer_capnp.rs
@@ -2450,6 +2450,7 @@
       self.builder.reborrow().get_pointer_field(0).clear();
       self.builder.reborrow().get_pointer_field(1).clear();
       self.builder.set_data_field::<u64>(1, 0u64);
+      self.builder.reborrow().get_pointer_field(2).clear();
       self.builder.into()
     }
     #[inline]
@@ -4209,6 +4210,14 @@
       pub fn get_digest(self) -> u64 {
         self.reader.get_data_field::<u64>(1)
       }
+      #[inline]
+      pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_wanted(&self) -> bool {
+        !self.reader.get_pointer_field(2).is_null()
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4303,6 +4312,22 @@
       pub fn set_digest(&mut self, value: u64)  {
         self.builder.set_data_field::<u64>(1, value);
       }
+      #[inline]
+      pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+      }
+      #[inline]
+      pub fn init_wanted(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+      }
+      #[inline]
+      pub fn has_wanted(&self) -> bool {
+        !self.builder.is_pointer_field_null(2)
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4314,7 +4339,7 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 71] = [
+      pub static ENCODED_NODE: [::capnp::Word; 90] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(237, 189, 82, 246, 0, 44, 169, 144),
         ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
@@ -4324,35 +4349,42 @@
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
         ::capnp::word(115, 116, 46, 103, 111, 115, 115, 105),
         ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(93, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -4386,12 +4418,25 @@
         ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
           1 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
           2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -4404,9 +4449,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+      pub static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
       pub const TYPE_ID: u64 = 0x90a9_2c00_f652_bded;
     }
   }
@@ -5141,6 +5186,7 @@
       self.builder.reborrow().get_pointer_field(0).clear();
       self.builder.reborrow().get_pointer_field(1).clear();
       self.builder.set_data_field::<u64>(1, 0u64);
+      self.builder.reborrow().get_pointer_field(2).clear();
       self.builder.into()
     }
     #[inline]
@@ -5148,6 +5194,7 @@
       self.builder.set_data_field::<u16>(0, 7);
       self.builder.reborrow().get_pointer_field(0).clear();
       self.builder.set_data_field::<u16>(2, 0u16);
+      self.builder.set_data_field::<u16>(3, 0u16);
       self.builder.into()
     }
     #[inline]
@@ -6504,6 +6551,14 @@
       pub fn get_digest(self) -> u64 {
         self.reader.get_data_field::<u64>(1)
       }
+      #[inline]
+      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_entries(&self) -> bool {
+        !self.reader.get_pointer_field(2).is_null()
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -6598,6 +6653,22 @@
       pub fn set_digest(&mut self, value: u64)  {
         self.builder.set_data_field::<u64>(1, value);
       }
+      #[inline]
+      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::daemon_entry::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+      }
+      #[inline]
+      pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+      }
+      #[inline]
+      pub fn has_entries(&self) -> bool {
+        !self.builder.is_pointer_field_null(2)
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6609,7 +6680,7 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 71] = [
+      pub static ENCODED_NODE: [::capnp::Word; 90] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(10, 3, 118, 65, 39, 88, 148, 213),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
@@ -6619,35 +6690,42 @@
         ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
         ::capnp::word(114, 46, 103, 111, 115, 115, 105, 112),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(121, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6681,12 +6759,25 @@
         ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(108, 127, 202, 25, 101, 210, 12, 252),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
           1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
           2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          3 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6699,9 +6790,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+      pub static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
       pub const TYPE_ID: u64 = 0xd594_5827_4176_030a;
     }
   }
@@ -6779,6 +6870,10 @@
       pub fn get_deeper(self) -> u16 {
         self.reader.get_data_field::<u16>(2)
       }
+      #[inline]
+      pub fn get_listed(self) -> u16 {
+        self.reader.get_data_field::<u16>(3)
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -6857,6 +6952,14 @@
       pub fn set_deeper(&mut self, value: u16)  {
         self.builder.set_data_field::<u16>(2, value);
       }
+      #[inline]
+      pub fn get_listed(self) -> u16 {
+        self.builder.get_data_field::<u16>(3)
+      }
+      #[inline]
+      pub fn set_listed(&mut self, value: u16)  {
+        self.builder.set_data_field::<u16>(3, value);
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6868,7 +6971,7 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 52] = [
+      pub static ENCODED_NODE: [::capnp::Word; 67] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(67, 229, 114, 89, 221, 241, 132, 192),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
@@ -6878,28 +6981,35 @@
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
         ::capnp::word(114, 46, 99, 111, 109, 112, 97, 114),
         ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(65, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6921,11 +7031,20 @@
         ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(108, 105, 115, 116, 101, 100, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
           1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+          2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6938,9 +7057,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[1,0];
+      pub static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
       pub const TYPE_ID: u64 = 0xc084_f1dd_5972_e543;
     }
   }
--- /dev/null
+++ b/src/membership/budget.rs
@@ -0,0 +1,69 @@
+//! A budget of bytes a second, and how many bytes messages take in their encoding.
+
+use std::time::Instant;
+
+use super::message::{DaemonEntry, Summary};
+
+/// Bytes that may be sent: a rate, and a burst for what comes at once.
+#[derive(Debug)]
+pub(super) struct ByteBudget {
+    rate_bytes_per_s: f64,
+    burst_bytes: f64,
+    /// Below zero after an answer that could not wait.
+    left_bytes: f64,
+    filled_at: Instant,
+}
+
+impl ByteBudget {
+    pub(super) fn new(rate_bytes_per_s: u64, burst_bytes: u64, now: Instant) -> ByteBudget {
+        ByteBudget {
+            rate_bytes_per_s: rate_bytes_per_s as f64,
+            burst_bytes: burst_bytes as f64,
+            left_bytes: burst_bytes as f64,
+            filled_at: now,
+        }
+    }
+
+    /// Bytes that may be sent now.
+    pub(super) fn left_bytes(&mut self, now: Instant) -> usize {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        let filled = self.left_bytes + elapsed * self.rate_bytes_per_s;
+        self.left_bytes = filled.min(self.burst_bytes);
+        self.left_bytes.max(0.0) as usize
+    }
+
+    pub(super) fn spend(&mut self, bytes: usize) {
+        self.left_bytes -= bytes as f64;
+    }
+}
+
+/// Call, answer and release of one exchange without content.
+pub(super) const EXCHANGE_BYTES: usize = 224;
+const WORD_BYTES: usize = 8;
+const SUMMARY_WORDS: usize = 5;
+const ENTRY_WORDS: usize = 18;
+const SERVER_WORDS: usize = 4;
+
+fn text_words(text: &str) -> usize {
+    (text.len() + 1).div_ceil(WORD_BYTES)
+}
+
+/// Bytes of a name in a list.
+pub(super) fn name_bytes(name: &str) -> usize {
+    (1 + text_words(name)) * WORD_BYTES
+}
+
+/// Bytes of a summary in a list.
+pub(super) fn summary_bytes(summary: &Summary) -> usize {
+    (SUMMARY_WORDS + text_words(&summary.daemon)) * WORD_BYTES
+}
+
+/// Bytes of a description in a list.
+pub(super) fn entry_bytes(entry: &DaemonEntry) -> usize {
+    let mut words = ENTRY_WORDS + text_words(&entry.daemon) + text_words(&entry.domain);
+    for server in &entry.servers {
+        words += SERVER_WORDS + text_words(&server.server) + text_words(&server.service);
+    }
+    words * WORD_BYTES
+}
--- /dev/null
+++ b/src/membership/compare.rs
@@ -0,0 +1,122 @@
+//! Repair of what gossip missed: a walk down the digest tree to what differs.
+
+use std::time::Instant;
+
+use rand::seq::IteratorRandom;
+
+use super::budget::EXCHANGE_BYTES;
+use super::digest::{child, is_below, part, TREE_DEPTH_LIMIT, TREE_FANOUT};
+use super::gossip::Purpose;
+use super::message::{CallTarget, CompareAnswer, CompareRequest, Gossip};
+use super::state::MembershipState;
+use crate::link::{PeerAnswer, PeerRequest};
+use crate::types::DaemonId;
+
+/// A part of the tree with at most this many daemons is listed.
+const LIST_LIMIT_COUNT: usize = 16;
+
+impl MembershipState {
+    /// Begins to compare the whole view with a peer.
+    pub(super) fn compare(&mut self, now: Instant, to: CallTarget) {
+        if now < self.compare_at {
+            return;
+        }
+        self.compare_at = self.later(now, self.settings.compare_ms);
+        self.compare_node(now, to, 0, 0);
+    }
+
+    fn compare_node(&mut self, now: Instant, to: CallTarget, depth: u8, prefix: u64) {
+        let (digests, _) = self.parts(depth, prefix);
+        self.budget.spend(EXCHANGE_BYTES + size_of_val(&digests));
+        let request = PeerRequest::Compare(CompareRequest {
+            depth,
+            prefix,
+            digests: digests.to_vec(),
+        });
+        self.call(now, to, Purpose::Compare { depth, prefix }, request);
+    }
+
+    /// Digest and number of daemons of each part below a node.
+    fn parts(&self, depth: u8, prefix: u64) -> ([u64; TREE_FANOUT], [usize; TREE_FANOUT]) {
+        let mut digests = [0; TREE_FANOUT];
+        let mut counts = [0; TREE_FANOUT];
+        for member in self.members.iter() {
+            if !is_below(member.place, depth, prefix) {
+                continue;
+            }
+            let part = part(member.place, depth);
+            digests[part] ^= member.digest();
+            counts[part] += 1;
+        }
+        (digests, counts)
+    }
+
+    pub(super) fn answer_compare(&mut self, request: &CompareRequest) -> Option<PeerAnswer> {
+        let wrong_count = request.digests.len() != TREE_FANOUT;
+        if wrong_count || request.depth > TREE_DEPTH_LIMIT {
+            return None;
+        }
+        let (digests, counts) = self.parts(request.depth, request.prefix);
+        let mut answer = CompareAnswer::default();
+        for index in 0..TREE_FANOUT {
+            if digests[index] == request.digests[index] {
+                continue;
+            }
+            let small = counts[index] <= LIST_LIMIT_COUNT || request.depth == TREE_DEPTH_LIMIT;
+            match small {
+                true => answer.listed |= 1 << index,
+                false => answer.deeper |= 1 << index,
+            }
+        }
+        for member in self.members.iter() {
+            let listed = answer.listed & 1 << part(member.place, request.depth) != 0;
+            if listed && is_below(member.place, request.depth, request.prefix) {
+                answer.summaries.push(member.summary());
+            }
+        }
+        Some(PeerAnswer::Compare(answer))
+    }
+
+    /// Takes what differs: asks for what this daemon lacks, gives what the peer lacks.
+    pub(super) fn compared(
+        &mut self,
+        now: Instant,
+        to: CallTarget,
+        (depth, prefix): (u8, u64),
+        answer: &CompareAnswer,
+    ) {
+        let (wanted, outdated) = self.learn(now, &answer.summaries, Vec::new());
+        let lacking: Vec<DaemonId> = self
+            .members
+            .iter()
+            .filter(|member| is_below(member.place, depth, prefix))
+            .filter(|member| answer.listed & 1 << part(member.place, depth) != 0)
+            .map(|member| &member.entry.daemon)
+            .filter(|daemon| {
+                answer
+                    .summaries
+                    .iter()
+                    .all(|found| found.daemon != **daemon)
+            })
+            .cloned()
+            .collect();
+        if !(wanted.is_empty() && outdated.is_empty() && lacking.is_empty()) {
+            let entries = self.entries(now, &lacking);
+            let mut gossip = Gossip {
+                entries,
+                wanted,
+                digest: self.members.digest(),
+                ..Default::default()
+            };
+            self.accompany(&mut gossip, &outdated);
+            self.send_gossip(now, to.clone(), gossip);
+        }
+        let differing = (0..TREE_FANOUT).filter(|index| answer.deeper & 1 << index != 0);
+        let Some(next) = differing.choose(&mut self.random) else {
+            return;
+        };
+        if depth < TREE_DEPTH_LIMIT {
+            self.compare_node(now, to, depth + 1, child(prefix, next));
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/digest.rs
@@ -0,0 +1,56 @@
+//! Digests of what a daemon knows, equal on daemons that know the same.
+
+use super::message::Summary;
+use crate::types::DaemonId;
+
+/// Children of one node of the digest tree.
+pub(super) const TREE_FANOUT: usize = 16;
+const NIBBLE_BITS: u32 = 4;
+/// Deepest node of the tree; its parts are listed whatever their size.
+pub(super) const TREE_DEPTH_LIMIT: u8 = 15;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Where a daemon stands in the digest tree.
+pub(super) fn place(daemon: &DaemonId) -> u64 {
+    let mut hash = FNV_OFFSET;
+    for byte in daemon.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    }
+    mix(hash)
+}
+
+/// Digest of one summary. Digests of many are joined by exclusive or.
+pub(super) fn digest(place: u64, summary: &Summary) -> u64 {
+    let mut hash = place;
+    let flags = u64::from(summary.round) << 1 | u64::from(summary.suspect);
+    for value in [summary.incarnation, summary.version, flags] {
+        hash = mix(hash ^ value);
+    }
+    hash
+}
+
+/// Spreads every bit over all others.
+fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Whether a place stands below a node.
+pub(super) fn is_below(place: u64, depth: u8, prefix: u64) -> bool {
+    depth == 0 || place >> (u64::BITS - NIBBLE_BITS * u32::from(depth)) == prefix
+}
+
+/// Which part below a node at this depth a place belongs to.
+pub(super) fn part(place: u64, depth: u8) -> usize {
+    let shift = u64::BITS - NIBBLE_BITS * (u32::from(depth) + 1);
+    (place >> shift) as usize % TREE_FANOUT
+}
+
+/// The prefix of a part below a node.
+pub(super) fn child(prefix: u64, part: usize) -> u64 {
+    prefix << NIBBLE_BITS | part as u64
+}
--- /dev/null
+++ b/src/membership/first_view.rs
@@ -0,0 +1,130 @@
+//! The first view of a new daemon: the whole fleet, page by page, from several peers.
+
+use std::time::{Duration, Instant};
+
+use rand::seq::IteratorRandom;
+
+use super::budget::entry_bytes;
+use super::gossip::Purpose;
+use super::message::{CallTarget, MembersAnswer, MembersRequest};
+use super::state::MembershipState;
+use crate::link::{LinkError, PeerAnswer, PeerRequest};
+use crate::types::DaemonId;
+
+/// How far the first view has come.
+#[derive(Debug)]
+pub(super) struct FirstView {
+    /// The last daemon of the pages so far.
+    after: DaemonId,
+    /// When the next page is asked for.
+    at: Instant,
+    /// Whether a page is on its way.
+    asked: bool,
+}
+
+/// A page that is on its way needs no tick.
+const WAIT: Duration = Duration::from_secs(60);
+
+impl FirstView {
+    pub(super) fn new(now: Instant) -> FirstView {
+        FirstView {
+            after: "".into(),
+            at: now,
+            asked: false,
+        }
+    }
+
+    pub(super) fn next_at(&self) -> Instant {
+        match self.asked {
+            true => self.at + WAIT,
+            false => self.at,
+        }
+    }
+}
+
+impl MembershipState {
+    pub(super) fn ask_for_page(&mut self, now: Instant) {
+        let wait_ms = self.settings.page_ms;
+        let target = self.page_target();
+        let next_at = self.later(now, wait_ms);
+        let Some(first_view) = &mut self.first_view else {
+            return;
+        };
+        if now < first_view.next_at() {
+            return;
+        }
+        first_view.at = next_at;
+        let Some(target) = target else {
+            return;
+        };
+        first_view.asked = true;
+        let request = PeerRequest::Members(MembersRequest {
+            after: first_view.after.clone(),
+            limit_bytes: self.settings.page_bytes,
+        });
+        self.call(now, target, Purpose::Page, request);
+    }
+
+    /// A partner, so that the pages come from several; a seed where none is known.
+    fn page_target(&mut self) -> Option<CallTarget> {
+        if let Some(partner) = self.partners.iter().choose(&mut self.random) {
+            return Some(CallTarget::Daemon(partner.clone()));
+        }
+        let seeds = self.settings.seed_addresses.iter();
+        let seed = seeds.choose(&mut self.random);
+        seed.map(|address| CallTarget::Seed(*address))
+    }
+
+    /// A page came, or not.
+    pub(super) fn page(&mut self, now: Instant, result: Result<PeerAnswer, LinkError>) {
+        let at = self.later(now, self.settings.page_ms);
+        if let Some(first_view) = &mut self.first_view {
+            first_view.asked = false;
+            first_view.at = at;
+        }
+        let Ok(PeerAnswer::Members(page)) = result else {
+            return;
+        };
+        self.learn(now, &page.summaries, page.entries);
+        match page.complete {
+            true => self.first_view = None,
+            false => {
+                if let Some(first_view) = &mut self.first_view {
+                    first_view.after = page.next;
+                }
+            }
+        }
+    }
+
+    /// A page for a new daemon; none while the bytes for pages are spent.
+    pub(super) fn answer_page(
+        &mut self,
+        now: Instant,
+        request: &MembersRequest,
+    ) -> Option<PeerAnswer> {
+        let limit_bytes = request.limit_bytes.min(self.settings.page_bytes) as usize;
+        if self.page_budget.left_bytes(now) < limit_bytes {
+            self.count("membership.page.refused");
+            return None;
+        }
+        let mut page = MembersAnswer {
+            summaries: Vec::new(),
+            entries: Vec::new(),
+            next: request.after.clone(),
+            complete: true,
+        };
+        let mut bytes = 0;
+        for member in self.members.after(&request.after) {
+            if bytes >= limit_bytes {
+                page.complete = false;
+                break;
+            }
+            bytes += entry_bytes(&member.entry);
+            page.summaries.push(member.summary());
+            page.entries.push(member.entry.clone());
+            page.next = member.entry.daemon.clone();
+        }
+        self.page_budget.spend(bytes);
+        Some(PeerAnswer::Members(page))
+    }
+}
--- /dev/null
+++ b/src/membership/gossip.rs
@@ -0,0 +1,354 @@
+//! Exchanges of news with a few partners.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::seq::IteratorRandom;
+use rand::Rng;
+
+use super::budget::{entry_bytes, name_bytes, summary_bytes, EXCHANGE_BYTES};
+use super::message::{CallTarget, DaemonEntry, Gossip, MembershipAction, Summary, Ticket};
+use super::rumours::told_limit_count;
+use super::state::MembershipState;
+use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
+use crate::types::DaemonId;
+
+/// A call without an answer yet.
+#[derive(Debug, Clone)]
+pub(super) struct OpenCall {
+    pub(super) to: CallTarget,
+    pub(super) purpose: Purpose,
+    pub(super) sent_at: Instant,
+}
+
+/// Why a peer was called.
+#[derive(Debug, Clone)]
+pub(super) enum Purpose {
+    /// To exchange news.
+    Gossip,
+    /// To find what differs below a node of the digest tree.
+    Compare { depth: u8, prefix: u64 },
+    /// For a page of the first view.
+    Page,
+    /// To learn from a helper whether it reaches a daemon.
+    AskHelper(DaemonId),
+    /// For a peer that asked whether this daemon reaches another.
+    Help(Ticket),
+}
+
+/// Most summaries in one message.
+const SUMMARY_LIMIT_COUNT: usize = 48;
+/// Bytes of a summary with a name of usual length.
+const USUAL_SUMMARY_BYTES: usize = 64;
+/// A description that was asked for and did not come is asked for again after this.
+const WANT_AGAIN: Duration = Duration::from_millis(700);
+/// Every so many times a partner of any domain is taken, and otherwise a near one.
+const FAR_PARTNER_SHARE: f64 = 0.5;
+
+impl MembershipState {
+    /// News is told soon.
+    pub(super) fn add_rumour(&mut self, now: Instant, daemon: DaemonId) {
+        self.rumours.add(daemon);
+        let soonest = self.gossiped_at + Duration::from_millis(self.settings.gossip_ms);
+        self.gossip_at = self.gossip_at.min(soonest.max(now));
+    }
+
+    pub(super) fn gossip(&mut self, now: Instant) {
+        if now < self.gossip_at {
+            return;
+        }
+        let wait_ms = match self.rumours.is_empty() {
+            true => self.settings.idle_gossip_ms,
+            false => self.settings.gossip_ms,
+        };
+        self.gossip_at = self.later(now, wait_ms);
+        if self.budget.left_bytes(now) < 2 * EXCHANGE_BYTES {
+            self.count("membership.budget.spent");
+            return;
+        }
+        if self.partners.is_empty() {
+            return;
+        }
+        self.partners.rotate_left(1);
+        let partner = self.partners[0].clone();
+        self.gossiped_at = now;
+        self.exchange(now, partner);
+    }
+
+    /// Exchanges news with a peer.
+    pub(super) fn exchange(&mut self, now: Instant, to: DaemonId) {
+        let gossip = self.compose(now, &to);
+        self.send_gossip(now, CallTarget::Daemon(to), gossip);
+    }
+
+    pub(super) fn send_gossip(&mut self, now: Instant, to: CallTarget, gossip: Gossip) {
+        self.budget.spend(EXCHANGE_BYTES + gossip_bytes(&gossip));
+        self.call(now, to, Purpose::Gossip, PeerRequest::Gossip(gossip));
+    }
+
+    pub(super) fn call(
+        &mut self,
+        now: Instant,
+        to: CallTarget,
+        purpose: Purpose,
+        request: PeerRequest,
+    ) {
+        let ticket = self.new_ticket();
+        let open = OpenCall {
+            to: to.clone(),
+            purpose,
+            sent_at: now,
+        };
+        self.calls.insert(ticket, open);
+        self.actions.push(MembershipAction::Call {
+            ticket,
+            to,
+            request,
+        });
+    }
+
+    /// News for a peer, as far as the budget goes.
+    fn compose(&mut self, now: Instant, to: &DaemonId) -> Gossip {
+        let left_bytes = self.budget.left_bytes(now).saturating_sub(EXCHANGE_BYTES);
+        let count = (left_bytes / USUAL_SUMMARY_BYTES).min(SUMMARY_LIMIT_COUNT);
+        let limit_count = told_limit_count(self.members.count());
+        let mut summaries: Vec<Summary> = self.doubt_of(to).into_iter().collect();
+        for daemon in self.rumours.take(count, limit_count) {
+            summaries.extend(self.summary(&daemon));
+        }
+        Gossip {
+            summaries,
+            digest: self.members.digest(),
+            ..Default::default()
+        }
+    }
+
+    /// What a peer must hear of itself to refute it.
+    fn doubt_of(&self, peer: &DaemonId) -> Option<Summary> {
+        let Some(member) = self.members.get(peer) else {
+            return self.members.forgotten_summary(peer);
+        };
+        member.suspect.then(|| member.summary())
+    }
+
+    pub(super) fn summary(&self, daemon: &DaemonId) -> Option<Summary> {
+        self.members.get(daemon).map(|member| member.summary())
+    }
+
+    /// Descriptions of some daemons, as far as the budget goes.
+    pub(super) fn entries(&mut self, now: Instant, daemons: &[DaemonId]) -> Vec<Arc<DaemonEntry>> {
+        let mut left_bytes = self.budget.left_bytes(now);
+        let mut entries = Vec::new();
+        for daemon in daemons {
+            let Some(member) = self.members.get(daemon) else {
+                continue;
+            };
+            let bytes = entry_bytes(&member.entry);
+            if bytes > left_bytes {
+                break;
+            }
+            left_bytes -= bytes;
+            entries.push(member.entry.clone());
+        }
+        entries
+    }
+
+    /// Takes what a peer tells. Gives what to ask it for, and of what it knows too little.
+    pub(super) fn learn(
+        &mut self,
+        now: Instant,
+        summaries: &[Summary],
+        entries: Vec<Arc<DaemonEntry>>,
+    ) -> (Vec<DaemonId>, Vec<DaemonId>) {
+        for entry in entries {
+            if entry.daemon == self.own.daemon {
+                continue;
+            }
+            let daemon = entry.daemon.clone();
+            let summary = summaries.iter().find(|found| found.daemon == daemon);
+            if self.members.hear_entry(now, entry, summary) {
+                self.add_rumour(now, daemon);
+            }
+        }
+        let mut wanted = Vec::new();
+        let mut outdated = Vec::new();
+        for summary in summaries {
+            if summary.daemon == self.own.daemon {
+                self.told_of_self(now, summary);
+                continue;
+            }
+            let told = self.members.hear_summary(now, summary);
+            if told.changed {
+                self.add_rumour(now, summary.daemon.clone());
+            }
+            if told.outdated {
+                outdated.push(summary.daemon.clone());
+            }
+            if told.wanted && self.want(now, &summary.daemon) {
+                wanted.push(summary.daemon.clone());
+            }
+        }
+        (wanted, outdated)
+    }
+
+    fn want(&mut self, now: Instant, daemon: &DaemonId) -> bool {
+        let asked_at = self.wanted_at.get(daemon);
+        if asked_at.is_some_and(|at| now < *at + WANT_AGAIN) {
+            return false;
+        }
+        self.wanted_at.insert(daemon.clone(), now);
+        true
+    }
+
+    pub(super) fn asked(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        from: &PeerName,
+        request: PeerRequest,
+    ) {
+        self.contact(now, &from.daemon);
+        let answer = match request {
+            PeerRequest::Gossip(gossip) => Some(self.answer_gossip(now, &from.daemon, gossip)),
+            PeerRequest::Compare(compare) => self.answer_compare(&compare),
+            PeerRequest::Members(page) => self.answer_page(now, &page),
+            PeerRequest::Probe(daemon) => {
+                if daemon != self.own.daemon {
+                    return self.help(now, ticket, daemon);
+                }
+                Some(PeerAnswer::Probe(true))
+            }
+            _ => None,
+        };
+        self.actions
+            .push(MembershipAction::Reply { ticket, answer });
+    }
+
+    fn answer_gossip(&mut self, now: Instant, from: &DaemonId, gossip: Gossip) -> PeerAnswer {
+        let (mut wanted, outdated) = self.learn(now, &gossip.summaries, gossip.entries);
+        if self.members.get(from).is_none() && self.want(now, from) {
+            wanted.push(from.clone());
+        }
+        let mut answer = self.compose(now, from);
+        answer.entries = self.entries(now, &gossip.wanted);
+        answer.wanted = wanted;
+        self.accompany(&mut answer, &outdated);
+        self.budget.spend(gossip_bytes(&answer));
+        PeerAnswer::Gossip(answer)
+    }
+
+    /// Adds the standings of the descriptions in a message, and of some other daemons.
+    pub(super) fn accompany(&self, gossip: &mut Gossip, others: &[DaemonId]) {
+        let described = gossip.entries.iter().map(|entry| &entry.daemon);
+        for daemon in described.chain(others) {
+            if gossip.summaries.iter().any(|found| found.daemon == *daemon) {
+                continue;
+            }
+            gossip.summaries.extend(self.summary(daemon));
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        result: Result<PeerAnswer, LinkError>,
+    ) {
+        let Some(call) = self.calls.remove(&ticket) else {
+            return;
+        };
+        if let (CallTarget::Daemon(daemon), true) = (&call.to, answers(&result)) {
+            let daemon = daemon.clone();
+            self.contact(now, &daemon);
+        }
+        match (call.purpose.clone(), result) {
+            (Purpose::Gossip, Ok(PeerAnswer::Gossip(gossip))) => {
+                self.follow_up(now, call.to, gossip);
+            }
+            (Purpose::Compare { depth, prefix }, Ok(PeerAnswer::Compare(answer))) => {
+                self.compared(now, call.to, (depth, prefix), &answer);
+            }
+            (Purpose::Page, result) => self.page(now, result),
+            (Purpose::AskHelper(daemon), result) => self.helped(now, daemon, &result),
+            (Purpose::Help(ticket), result) => {
+                let answer = Some(PeerAnswer::Probe(answers(&result)));
+                self.actions
+                    .push(MembershipAction::Reply { ticket, answer });
+            }
+            (Purpose::Gossip, Err(LinkError::Unreachable | LinkError::Silent)) => {
+                self.unanswered(now, &call);
+            }
+            _ => {}
+        }
+    }
+
+    /// Goes on with a peer after its answer: gives and asks what is wanted, or compares.
+    fn follow_up(&mut self, now: Instant, to: CallTarget, answer: Gossip) {
+        let (wanted, outdated) = self.learn(now, &answer.summaries, answer.entries);
+        let entries = self.entries(now, &answer.wanted);
+        if wanted.is_empty() && outdated.is_empty() && entries.is_empty() {
+            if answer.digest != self.members.digest() {
+                self.compare(now, to);
+            }
+            return;
+        }
+        let mut gossip = Gossip {
+            entries,
+            wanted,
+            digest: self.members.digest(),
+            ..Default::default()
+        };
+        self.accompany(&mut gossip, &outdated);
+        self.send_gossip(now, to, gossip);
+    }
+
+    /// Chooses partners anew where some are gone, and one of them now and then.
+    pub(super) fn refresh_partners(&mut self, now: Instant) {
+        if now >= self.partner_at {
+            self.partner_at = self.later(now, self.settings.partner_ms);
+            if self.partners.len() >= self.settings.partner_count {
+                let index = self.random.random_range(0..self.partners.len());
+                self.partners.remove(index);
+            }
+        }
+        let members = &self.members;
+        let present = |daemon: &DaemonId| members.get(daemon).is_some_and(|m| m.is_present());
+        self.partners.retain(present);
+        // This daemon itself is among the members.
+        let wanted_count = self.settings.partner_count.min(self.members.count() - 1);
+        while self.partners.len() < wanted_count {
+            let far = self.random.random_bool(FAR_PARTNER_SHARE);
+            let Some(daemon) = self.choose(|domain, own| far || domain == own) else {
+                break;
+            };
+            self.partners.push(daemon);
+        }
+    }
+
+    /// A present daemon that is no partner yet; of any domain where none fits.
+    fn choose(&mut self, fits: impl Fn(&str, &str) -> bool) -> Option<DaemonId> {
+        let free = self.members.iter().filter(|member| {
+            let daemon = &member.entry.daemon;
+            member.is_present() && *daemon != self.own.daemon && !self.partners.contains(daemon)
+        });
+        let fitting = free
+            .clone()
+            .filter(|member| fits(&member.entry.domain, &self.own.domain));
+        let chosen = fitting
+            .choose(&mut self.random)
+            .or_else(|| free.choose(&mut self.random));
+        chosen.map(|member| member.entry.daemon.clone())
+    }
+}
+
+/// Whether the peer answered, if only with a refusal.
+pub(super) fn answers(result: &Result<PeerAnswer, LinkError>) -> bool {
+    matches!(result, Ok(_) | Err(LinkError::Refused))
+}
+
+fn gossip_bytes(gossip: &Gossip) -> usize {
+    let summaries: usize = gossip.summaries.iter().map(summary_bytes).sum();
+    let entries: usize = gossip.entries.iter().map(|entry| entry_bytes(entry)).sum();
+    let wanted: usize = gossip.wanted.iter().map(|name| name_bytes(name)).sum();
+    summaries + entries + wanted
+}
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -6,6 +6,7 @@
 use imbl::OrdMap;
 use serde::{Deserialize, Serialize};
 
+use crate::link::{LinkError, PeerAnswer, PeerName, PeerReply, PeerRequest};
 use crate::types::{BackendServerId, DaemonId, DomainId, Incarnation, ServiceId};
 
 /// A backend server beside a daemon, as other daemons know it.
@@ -74,8 +75,26 @@
         /// The share, in thousandths.
         share_permille: u16,
     },
-    /// A daemon described itself.
+    /// A daemon described itself in the platform's log.
     Heard(DaemonEntry),
+    /// A peer asks.
+    Asked {
+        /// Names the request.
+        ticket: Ticket,
+        /// The peer.
+        from: PeerName,
+        /// The request.
+        request: PeerRequest,
+    },
+    /// A call ended.
+    Answered {
+        /// Names the call.
+        ticket: Ticket,
+        /// The answer.
+        result: Result<PeerAnswer, LinkError>,
+    },
+    /// The time of `next_tick_at` has come.
+    Tick,
     /// This daemon leaves.
     Leave,
     /// The daemon stops.
@@ -85,10 +104,60 @@
 /// What membership does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum MembershipAction {
-    /// Tells the fleet about this daemon.
+    /// Appends the description of this daemon to the platform's log.
     Publish(DaemonEntry),
     /// Gives a new snapshot to the duties of this daemon.
     Changed(Arc<Fleet>),
+    /// Calls a peer; `Answered` with the same ticket follows.
+    Call {
+        /// Names the call.
+        ticket: Ticket,
+        /// The peer.
+        to: CallTarget,
+        /// The request.
+        request: PeerRequest,
+    },
+    /// Answers the request that came with this ticket; none refuses it.
+    Reply {
+        /// Names the request.
+        ticket: Ticket,
+        /// The answer.
+        answer: Option<PeerAnswer>,
+    },
+    /// Counts something.
+    Count(&'static str),
+}
+
+/// What comes to the membership duty from the link.
+pub enum MembershipCall {
+    /// A peer asks.
+    Asked {
+        /// The peer.
+        from: PeerName,
+        /// The request.
+        request: PeerRequest,
+        /// Takes the answer.
+        reply: PeerReply,
+    },
+    /// A call ended.
+    Answered {
+        /// Names the call.
+        ticket: Ticket,
+        /// The answer.
+        result: Result<PeerAnswer, LinkError>,
+    },
+}
+
+/// Names a call or a request until it is answered. Both kinds are counted apart.
+pub type Ticket = u64;
+
+/// Whom membership calls.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallTarget {
+    /// A daemon.
+    Daemon(DaemonId),
+    /// Whichever daemon answers at a seed address.
+    Seed(SocketAddr),
 }
 
 /// Names one state of a daemon, without its description.
@@ -106,25 +175,16 @@
     pub suspect: bool,
 }
 
-/// What changed among the daemons, as one daemon tells another.
+/// What one daemon tells another of the fleet, in both directions.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct GossipRequest {
+pub struct Gossip {
     /// What changed of late.
     pub summaries: Vec<Summary>,
-    /// Descriptions that the peer asked for.
-    pub entries: Vec<DaemonEntry>,
-    /// Digest of all that the sender knows.
-    pub digest: u64,
-}
-
-/// The answer to gossip.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct GossipAnswer {
-    /// What changed of late, as the answerer knows.
-    pub summaries: Vec<Summary>,
-    /// Daemons whose newer descriptions the answerer lacks.
+    /// Descriptions that the peer lacks.
+    pub entries: Vec<Arc<DaemonEntry>>,
+    /// Daemons whose descriptions the sender lacks.
     pub wanted: Vec<DaemonId>,
-    /// Digest of all that the answerer knows.
+    /// Digest of all that the sender knows.
     pub digest: u64,
 }
 
@@ -144,6 +204,8 @@
 pub struct CompareAnswer {
     /// All that the answerer knows in differing parts with few daemons.
     pub summaries: Vec<Summary>,
+    /// Bit `n` is set where part `n` differs and is listed whole in `summaries`.
+    pub listed: u16,
     /// Bit `n` is set where part `n` differs and has too many daemons to list.
     pub deeper: u16,
 }
@@ -163,7 +225,7 @@
     /// One summary for each description.
     pub summaries: Vec<Summary>,
     /// The descriptions.
-    pub entries: Vec<DaemonEntry>,
+    pub entries: Vec<Arc<DaemonEntry>>,
     /// Where the next page begins.
     pub next: DaemonId,
     /// Whether this is the last page.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -3,10 +3,21 @@
 pub mod duty;
 pub mod message;
 pub mod state;
+pub mod virtual_fleet;
+
+mod budget;
+mod compare;
+mod digest;
+mod first_view;
+mod gossip;
+mod members;
+mod rumours;
+mod suspicion;
 
 pub use message::{
-    CompareAnswer, CompareRequest, DaemonEntry, Fleet, GossipAnswer, GossipRequest, MembersAnswer,
-    MembersRequest, MembershipAction, MembershipEvent, ServerEntry, Summary, FULL_SHARE_PERMILLE,
+    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, Fleet, Gossip, MembersAnswer,
+    MembersRequest, MembershipAction, MembershipCall, MembershipEvent, ServerEntry, Summary,
+    Ticket, FULL_SHARE_PERMILLE,
 };
 
 #[cfg(test)]
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -1,54 +1,221 @@
-//! Decisions of membership: which description of a daemon is the newest.
+//! Decisions of membership: who is there, who is suspected, and what is told to whom.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use super::message::{
-    DaemonEntry, Fleet, MembershipAction, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE,
-};
-use crate::types::BackendServerId;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::budget::ByteBudget;
+use super::first_view::FirstView;
+use super::gossip::OpenCall;
+use super::members::Members;
+use super::message::{DaemonEntry, MembershipAction, MembershipEvent, ServerEntry, Summary};
+use super::message::{Ticket, FULL_SHARE_PERMILLE};
+use super::rumours::Rumours;
+use super::suspicion::Trouble;
+use crate::link::LinkError;
+use crate::settings::membership::MembershipSettings;
+use crate::types::{BackendServerId, DaemonId};
 
 /// State of membership.
 pub struct MembershipState {
+    pub(super) settings: MembershipSettings,
+    pub(super) random: ChaCha8Rng,
     /// This daemon, as it describes itself.
-    own: DaemonEntry,
-    fleet: Fleet,
-    /// Shares that health set for the servers beside this daemon; the others serve in full.
+    pub(super) own: DaemonEntry,
+    /// Shares that health set, for servers that are beside this daemon now.
     shares: BTreeMap<BackendServerId, u16>,
+    /// All daemons known, this one among them.
+    pub(super) members: Members,
+    pub(super) rumours: Rumours,
+    pub(super) budget: ByteBudget,
+    pub(super) page_budget: ByteBudget,
+    /// Calls without an answer yet.
+    pub(super) calls: BTreeMap<Ticket, OpenCall>,
+    next_ticket: Ticket,
+    /// Daemons that gossip is exchanged with, in turn.
+    pub(super) partners: Vec<DaemonId>,
+    /// When a description was last asked of a peer.
+    pub(super) wanted_at: BTreeMap<DaemonId, Instant>,
+    /// Daemons that did not answer.
+    pub(super) troubles: BTreeMap<DaemonId, Trouble>,
+    /// The first view, until it is whole.
+    pub(super) first_view: Option<FirstView>,
+    pub(super) gossiped_at: Instant,
+    pub(super) gossip_at: Instant,
+    pub(super) partner_at: Instant,
+    pub(super) heal_at: Instant,
+    pub(super) compare_at: Instant,
+    publish_at: Instant,
+    sweep_at: Instant,
+    snapshot_at: Instant,
+    /// Calls sent before this tell nothing: this daemon was paused.
+    pub(super) awake_at: Instant,
+    /// When a peer last answered or asked.
+    pub(super) contact_at: Instant,
+    /// Another, later life of this daemon is known.
+    superseded: bool,
+    pub(super) actions: Vec<MembershipAction>,
 }
 
+/// A tick this late means that the process was paused.
+const PAUSE: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_secs(60);
+
 impl MembershipState {
     /// Membership of a daemon that knows only itself.
-    pub fn new(own: DaemonEntry) -> MembershipState {
+    pub fn new(
+        settings: MembershipSettings,
+        own: DaemonEntry,
+        random: ChaCha8Rng,
+        now: Instant,
+    ) -> MembershipState {
+        let mut members = Members::default();
+        members.hear_entry(now, Arc::new(own.clone()), None);
+        let burst_bytes = settings.gossip_burst_bytes;
+        let page_burst_bytes = settings
+            .page_bytes_per_s
+            .max(u64::from(settings.page_bytes));
         MembershipState {
+            budget: ByteBudget::new(settings.gossip_bytes_per_s, burst_bytes, now),
+            page_budget: ByteBudget::new(settings.page_bytes_per_s, page_burst_bytes, now),
+            settings,
+            random,
             own,
-            fleet: Fleet::default(),
             shares: BTreeMap::new(),
+            members,
+            rumours: Rumours::default(),
+            calls: BTreeMap::new(),
+            next_ticket: 0,
+            partners: Vec::new(),
+            wanted_at: BTreeMap::new(),
+            troubles: BTreeMap::new(),
+            first_view: Some(FirstView::new(now)),
+            gossiped_at: now,
+            gossip_at: now,
+            partner_at: now,
+            heal_at: now,
+            compare_at: now,
+            publish_at: now,
+            sweep_at: now + SWEEP,
+            snapshot_at: now,
+            awake_at: now,
+            contact_at: now,
+            superseded: false,
+            actions: Vec::new(),
         }
     }
 
+    /// Digest of all that this daemon knows; equal on daemons that know the same.
+    pub fn digest(&self) -> u64 {
+        self.members.digest()
+    }
+
+    /// This daemon, as it describes itself.
+    pub fn own(&self) -> &DaemonEntry {
+        &self.own
+    }
+
     /// Takes one event and gives what is to be done.
-    pub fn handle(&mut self, _now: Instant, event: MembershipEvent) -> Vec<MembershipAction> {
+    pub fn handle(&mut self, now: Instant, event: MembershipEvent) -> Vec<MembershipAction> {
+        self.notice_pause(now);
         match event {
-            MembershipEvent::Local(servers) => self.local(servers),
+            MembershipEvent::Local(servers) => self.local(now, servers),
             MembershipEvent::Share {
                 server,
                 share_permille,
             } => {
                 self.shares.insert(server, share_permille);
-                self.local(self.own.servers.clone())
-            }
-            MembershipEvent::Leave => {
-                self.own.leaving = true;
-                self.publish()
+                self.local(now, self.own.servers.clone());
             }
-            MembershipEvent::Heard(entry) => self.heard(entry),
-            MembershipEvent::Stop => Vec::new(),
+            MembershipEvent::Heard(entry) => self.heard_from_log(now, entry),
+            MembershipEvent::Leave => self.leave(now),
+            MembershipEvent::Asked {
+                ticket,
+                from,
+                request,
+            } => self.asked(now, ticket, &from, request),
+            MembershipEvent::Answered { ticket, result } => self.answered(now, ticket, result),
+            MembershipEvent::Tick => self.tick(now),
+            MembershipEvent::Stop => {}
+        }
+        self.take_snapshot(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When the next tick has something to do.
+    pub fn next_tick_at(&self) -> Instant {
+        let mut next = self.gossip_at.min(self.partner_at).min(self.heal_at);
+        next = next.min(self.publish_at).min(self.sweep_at);
+        if let Some(first_view) = &self.first_view {
+            next = next.min(first_view.next_at());
         }
+        if let Some(lapse_at) = self.members.next_lapse_at(self.suspect_limit()) {
+            next = next.min(lapse_at);
+        }
+        if self.members.is_changed() {
+            next = next.min(self.snapshot_at);
+        }
+        next
+    }
+
+    fn notice_pause(&mut self, now: Instant) {
+        let late = now.saturating_duration_since(self.next_tick_at());
+        if late < PAUSE {
+            return;
+        }
+        self.awake_at = now;
+        self.members.postpone(late);
+        self.count("membership.pause");
     }
 
-    fn local(&mut self, mut servers: Vec<ServerEntry>) -> Vec<MembershipAction> {
+    fn tick(&mut self, now: Instant) {
+        let limit = self.suspect_limit();
+        for _ in self.members.lapse(now, limit) {
+            self.count("membership.gone");
+        }
+        if now >= self.publish_at && !self.superseded {
+            self.publish(now);
+        }
+        if now >= self.sweep_at {
+            self.sweep_at = now + SWEEP;
+            let forget = Duration::from_millis(self.settings.forget_ms);
+            self.members.forget(now, &self.own.daemon, forget);
+            self.wanted_at.clear();
+            self.expire_calls(now);
+        }
+        self.refresh_partners(now);
+        self.ask_for_page(now);
+        self.heal(now);
+        self.gossip(now);
+    }
+
+    /// Ends calls whose answer was lost on its way here.
+    fn expire_calls(&mut self, now: Instant) {
+        let expired: Vec<Ticket> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| now >= call.sent_at + SWEEP)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in expired {
+            self.answered(now, ticket, Err(LinkError::Silent));
+        }
+    }
+
+    fn take_snapshot(&mut self, now: Instant) {
+        if now < self.snapshot_at {
+            return;
+        }
+        if let Some(fleet) = self.members.take_changed() {
+            self.snapshot_at = now + Duration::from_millis(self.settings.snapshot_ms);
+            self.actions.push(MembershipAction::Changed(fleet));
+        }
+    }
+
+    fn local(&mut self, now: Instant, mut servers: Vec<ServerEntry>) {
         self.shares
             .retain(|name, _| servers.iter().any(|server| server.server == *name));
         for server in &mut servers {
@@ -56,37 +223,92 @@
             server.share_permille = share_permille.unwrap_or(FULL_SHARE_PERMILLE);
         }
         if servers == self.own.servers {
-            return Vec::new();
+            return;
         }
         self.own.servers = servers;
-        self.publish()
+        self.describe(now);
     }
 
-    fn publish(&mut self) -> Vec<MembershipAction> {
+    /// Tells the fleet of a change of this daemon itself.
+    fn describe(&mut self, now: Instant) {
         self.own.version += 1;
+        let entry = Arc::new(self.own.clone());
+        self.members.hear_entry(now, entry, None);
+        self.add_rumour(now, self.own.daemon.clone());
+    }
+
+    fn leave(&mut self, now: Instant) {
+        self.own.leaving = true;
+        self.describe(now);
+        self.publish(now);
+        for partner in self.partners.clone() {
+            self.exchange(now, partner);
+        }
+    }
+
+    fn publish(&mut self, now: Instant) {
+        self.publish_at = self.later(now, self.settings.publish_retry_ms);
         let own = self.own.clone();
-        self.fleet
-            .daemons
-            .insert(own.daemon.clone(), Arc::new(own.clone()));
-        vec![MembershipAction::Publish(own), self.changed()]
+        self.actions.push(MembershipAction::Publish(own));
     }
 
-    fn heard(&mut self, entry: DaemonEntry) -> Vec<MembershipAction> {
+    fn heard_from_log(&mut self, now: Instant, entry: DaemonEntry) {
         if entry.daemon == self.own.daemon {
-            return Vec::new();
+            let same_life = entry.incarnation == self.own.incarnation;
+            if same_life && entry.leaving == self.own.leaving {
+                self.publish_at = self.later(now, self.settings.publish_ms);
+            }
+            let summary = Summary {
+                daemon: entry.daemon,
+                incarnation: entry.incarnation,
+                version: entry.version,
+                round: 0,
+                suspect: false,
+            };
+            self.told_of_self(now, &summary);
+            return;
+        }
+        let daemon = entry.daemon.clone();
+        if self.members.hear_entry(now, Arc::new(entry), None) {
+            self.add_rumour(now, daemon);
         }
-        if let Some(known) = self.fleet.daemons.get(&entry.daemon) {
-            if (known.incarnation, known.version) >= (entry.incarnation, entry.version) {
-                return Vec::new();
+    }
+
+    /// What a peer believes of this daemon: a suspicion is refuted.
+    pub(super) fn told_of_self(&mut self, now: Instant, summary: &Summary) {
+        if summary.incarnation > self.own.incarnation {
+            if !std::mem::replace(&mut self.superseded, true) {
+                self.count("membership.superseded");
             }
+            return;
+        }
+        if summary.incarnation < self.own.incarnation || self.superseded {
+            return;
         }
-        self.fleet
-            .daemons
-            .insert(entry.daemon.clone(), Arc::new(entry));
-        vec![self.changed()]
+        let round = self
+            .members
+            .get(&self.own.daemon)
+            .map_or(0, |own| own.round);
+        if summary.suspect && summary.round >= round {
+            self.members.refute(&self.own.daemon, summary.round);
+            self.add_rumour(now, self.own.daemon.clone());
+            self.count("membership.refuted");
+        }
+    }
+
+    pub(super) fn count(&mut self, name: &'static str) {
+        self.actions.push(MembershipAction::Count(name));
+    }
+
+    pub(super) fn new_ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        self.next_ticket
     }
 
-    fn changed(&self) -> MembershipAction {
-        MembershipAction::Changed(Arc::new(self.fleet.clone()))
+    /// A time in the future, spread by a quarter so that daemons do not act in step.
+    pub(super) fn later(&mut self, now: Instant, wait_ms: u64) -> Instant {
+        let spread_ms = wait_ms / 4;
+        let wait_ms = wait_ms - spread_ms / 2 + self.random.random_range(0..=spread_ms);
+        now + Duration::from_millis(wait_ms)
     }
 }
--- /dev/null
+++ b/src/membership/suspicion.rs
@@ -0,0 +1,186 @@
+//! From a call without an answer to a suspicion, with the evidence of other daemons.
+//!
+//! One failed call proves a bad path at most. Only where helpers answer that they can't reach the
+//! daemon either is it suspected before the fleet, and any later sign of life refutes that.
+
+use std::time::{Duration, Instant};
+
+use rand::seq::IteratorRandom;
+use rand::Rng;
+
+use super::budget::EXCHANGE_BYTES;
+use super::gossip::{OpenCall, Purpose};
+use super::message::{CallTarget, Gossip, Ticket};
+use super::state::MembershipState;
+use crate::link::{LinkError, PeerAnswer, PeerRequest};
+use crate::types::DaemonId;
+
+/// What is known of a daemon that did not answer.
+#[derive(Debug, Default)]
+pub(super) struct Trouble {
+    /// Calls in a row without an answer.
+    failed_count: u32,
+    /// Helpers that have not answered.
+    open_count: u32,
+    /// Helpers that can't reach it either.
+    denied_count: u32,
+}
+
+/// Calls without an answer, each on a connection of its own, before helpers are asked.
+const FAILED_LIMIT_COUNT: u32 = 2;
+/// Without a word of any peer for this long, this daemon may itself be cut off.
+const ALONE: Duration = Duration::from_secs(2);
+/// A fleet of this size takes the suspicion time of the settings; larger ones take longer.
+const USUAL_FLEET_DOUBLINGS: u32 = 6;
+/// Of so many attempts to heal one goes to a seed.
+const SEED_SHARE: f64 = 0.1;
+
+impl MembershipState {
+    /// How long a suspicion waits for its refutation.
+    pub(super) fn suspect_limit(&self) -> Duration {
+        let count = self.members.count().max(1);
+        let doublings = count.ilog2().max(USUAL_FLEET_DOUBLINGS);
+        Duration::from_millis(self.settings.suspect_ms) * doublings / USUAL_FLEET_DOUBLINGS
+    }
+
+    /// A daemon showed that it lives.
+    pub(super) fn contact(&mut self, now: Instant, daemon: &DaemonId) {
+        if now > self.contact_at + ALONE {
+            self.members.clear_unheard(now);
+        }
+        self.contact_at = now;
+        self.troubles.remove(daemon);
+        let Some(member) = self.members.get(daemon) else {
+            return;
+        };
+        if member.since.is_some() || member.gone_at.is_some() {
+            self.members.heard(now, daemon);
+        }
+    }
+
+    /// A call got no answer.
+    pub(super) fn unanswered(&mut self, now: Instant, call: &OpenCall) {
+        let CallTarget::Daemon(daemon) = &call.to else {
+            return;
+        };
+        let present = self
+            .members
+            .get(daemon)
+            .is_some_and(|found| found.is_present());
+        if call.sent_at < self.awake_at || !present {
+            return;
+        }
+        let trouble = self.troubles.entry(daemon.clone()).or_default();
+        trouble.failed_count += 1;
+        if trouble.failed_count < FAILED_LIMIT_COUNT {
+            let again = Gossip {
+                digest: self.members.digest(),
+                ..Default::default()
+            };
+            return self.send_gossip(now, call.to.clone(), again);
+        }
+        if trouble.open_count == 0 {
+            self.ask_helpers(now, daemon);
+        }
+    }
+
+    fn ask_helpers(&mut self, now: Instant, daemon: &DaemonId) {
+        let helper_count = self.settings.helper_count;
+        let helpers: Vec<DaemonId> = self
+            .partners
+            .iter()
+            .filter(|partner| *partner != daemon && !self.troubles.contains_key(*partner))
+            .cloned()
+            .choose_multiple(&mut self.random, helper_count);
+        if helpers.is_empty() {
+            self.troubles.remove(daemon);
+            self.members.mark_unheard(now, daemon);
+            return;
+        }
+        if let Some(trouble) = self.troubles.get_mut(daemon) {
+            trouble.open_count = helpers.len() as u32;
+            trouble.denied_count = 0;
+        }
+        for helper in helpers {
+            self.budget.spend(EXCHANGE_BYTES);
+            let purpose = Purpose::AskHelper(daemon.clone());
+            let request = PeerRequest::Probe(daemon.clone());
+            self.call(now, CallTarget::Daemon(helper), purpose, request);
+        }
+    }
+
+    /// A helper answered, or did not.
+    pub(super) fn helped(
+        &mut self,
+        now: Instant,
+        daemon: DaemonId,
+        result: &Result<PeerAnswer, LinkError>,
+    ) {
+        let Some(trouble) = self.troubles.get_mut(&daemon) else {
+            return;
+        };
+        match result {
+            Ok(PeerAnswer::Probe(true)) => {
+                // Only the path from here is bad: others take this place.
+                self.troubles.remove(&daemon);
+                self.partners.retain(|partner| *partner != daemon);
+                return self.count("membership.path.bad");
+            }
+            Ok(PeerAnswer::Probe(false)) => trouble.denied_count += 1,
+            _ => {}
+        }
+        trouble.open_count -= 1;
+        if trouble.open_count > 0 {
+            return;
+        }
+        let denied = trouble.denied_count > 0;
+        self.troubles.remove(&daemon);
+        if !denied {
+            return self.members.mark_unheard(now, &daemon);
+        }
+        self.members.suspect(now, &daemon);
+        self.add_rumour(now, daemon);
+        self.count("membership.suspect");
+    }
+
+    /// Tries to reach a daemon for a peer that can't.
+    pub(super) fn help(&mut self, now: Instant, ticket: Ticket, daemon: DaemonId) {
+        self.budget.spend(EXCHANGE_BYTES);
+        let request = PeerRequest::Probe(daemon.clone());
+        self.call(
+            now,
+            CallTarget::Daemon(daemon),
+            Purpose::Help(ticket),
+            request,
+        );
+    }
+
+    /// Tries a daemon that counts as gone, or a seed, so that halves of a fleet meet again.
+    pub(super) fn heal(&mut self, now: Instant) {
+        if now < self.heal_at {
+            return;
+        }
+        self.heal_at = self.later(now, self.settings.heal_ms);
+        if self.random.random_bool(SEED_SHARE) {
+            let seeds = self.settings.seed_addresses.iter();
+            if let Some(seed) = seeds.choose(&mut self.random).copied() {
+                let gossip = Gossip {
+                    summaries: self.summary(&self.own.daemon).into_iter().collect(),
+                    digest: self.members.digest(),
+                    ..Default::default()
+                };
+                return self.send_gossip(now, CallTarget::Seed(seed), gossip);
+            }
+        }
+        let gone = self.members.iter().filter(|member| {
+            let planned = member.entry.leaving;
+            !planned && !member.is_present() && member.entry.daemon != self.own.daemon
+        });
+        let daemon = gone
+            .choose(&mut self.random)
+            .map(|member| member.entry.daemon.clone());
+        if let Some(daemon) = daemon {
+            self.exchange(now, daemon);
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/virtual_fleet.rs
@@ -0,0 +1,408 @@
+//! Many membership states under virtual time, for scenarios and measurements.
+//!
+//! Messages take a fixed time; paths can be cut, daemons paused, killed and replaced, and the
+//! platform's log taken away. Everything follows from the seed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{CallTarget, DaemonEntry, Fleet, MembershipAction, MembershipEvent, Ticket};
+use super::state::MembershipState;
+use crate::link::codec::{answer_bytes, request_bytes};
+use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
+use crate::settings::membership::MembershipSettings;
+use crate::types::{DaemonId, Incarnation};
+
+/// One way between two daemons.
+const DELAY: Duration = Duration::from_millis(1);
+/// From an append until the record is read.
+const LOG_DELAY: Duration = Duration::from_millis(50);
+/// Until a call that nobody answers ends.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Frames of a call and its release, without the request.
+pub const CALL_FRAME_BYTES: u64 = 136;
+/// Frame of an answer, without the answer.
+pub const ANSWER_FRAME_BYTES: u64 = 48;
+
+/// Index of a daemon in the order of their starts; a replacement has its own.
+type Index = usize;
+
+/// One daemon's membership.
+struct VirtualDaemon {
+    state: MembershipState,
+    fleet: Arc<Fleet>,
+    alive: bool,
+    /// Events that wait for the end of a pause.
+    paused: Option<Vec<MembershipEvent>>,
+    /// The tick that counts; earlier ones in the queue are void.
+    tick_at: Instant,
+    traffic: Traffic,
+}
+
+/// What one daemon sent and received.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Calls made.
+    pub calls_count: u64,
+}
+
+enum Happening {
+    Tick,
+    Event(MembershipEvent),
+    Request {
+        from: Index,
+        ticket: Ticket,
+        request: PeerRequest,
+    },
+}
+
+/// A fleet under virtual time.
+pub struct VirtualFleet {
+    start: Instant,
+    now: Instant,
+    settings: MembershipSettings,
+    seed: u64,
+    daemons: Vec<VirtualDaemon>,
+    by_name: HashMap<DaemonId, Index>,
+    queue: BinaryHeap<Reverse<(Instant, u64)>>,
+    happenings: HashMap<u64, (Index, Happening)>,
+    next_number: u64,
+    /// Requests at an answerer, by its ticket: the caller and its ticket.
+    requests: HashMap<(Index, Ticket), (Index, Ticket)>,
+    next_request: Ticket,
+    /// Ordered pairs of names whose packets are lost.
+    cuts: BTreeSet<(DaemonId, DaemonId)>,
+    log: Option<Vec<DaemonEntry>>,
+    kept_log: Vec<DaemonEntry>,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl VirtualFleet {
+    /// An empty fleet whose log answers.
+    pub fn new(settings: MembershipSettings, seed: u64) -> VirtualFleet {
+        let start = Instant::now();
+        VirtualFleet {
+            start,
+            now: start,
+            settings,
+            seed,
+            daemons: Vec::new(),
+            by_name: HashMap::new(),
+            queue: BinaryHeap::new(),
+            happenings: HashMap::new(),
+            next_number: 0,
+            requests: HashMap::new(),
+            next_request: 0,
+            cuts: BTreeSet::new(),
+            log: Some(Vec::new()),
+            kept_log: Vec::new(),
+            counts: BTreeMap::new(),
+        }
+    }
+
+    /// Time since the fleet began.
+    pub fn elapsed(&self) -> Duration {
+        self.now - self.start
+    }
+
+    /// Address of the peer link of the daemon started as number `index`.
+    pub fn address(index: usize) -> SocketAddr {
+        let [_, a, b, c] = (index as u32 + 1).to_be_bytes();
+        SocketAddr::new(Ipv4Addr::new(10, a, b, c).into(), 8083)
+    }
+
+    /// Starts a daemon, or a later life of one. Seeds are names of daemons started before.
+    pub fn start(&mut self, daemon: &str, domain: &str, seeds: &[&str]) {
+        let name = DaemonId::from(daemon);
+        if let Some(old) = self.by_name.get(&name).copied() {
+            self.daemons[old].alive = false;
+        }
+        let index = self.daemons.len();
+        let incarnation = 1 + self.elapsed().as_millis() as Incarnation;
+        let own = DaemonEntry {
+            daemon: name.clone(),
+            incarnation,
+            version: 0,
+            domain: domain.into(),
+            guard_address: Self::address(index),
+            link_address: Self::address(index),
+            leaving: false,
+            servers: Vec::new(),
+        };
+        let mut settings = self.settings.clone();
+        for seed in seeds {
+            let seed = self.by_name[&DaemonId::from(*seed)];
+            settings.seed_addresses.push(Self::address(seed));
+        }
+        let random = ChaCha8Rng::seed_from_u64(self.seed ^ (index as u64) << 32);
+        let state = MembershipState::new(settings, own, random, self.now);
+        self.daemons.push(VirtualDaemon {
+            state,
+            fleet: Arc::default(),
+            alive: true,
+            paused: None,
+            tick_at: self.now,
+            traffic: Traffic::default(),
+        });
+        self.by_name.insert(name, index);
+        self.push(self.now, index, Happening::Tick);
+        for entry in self.log.clone().unwrap_or_default() {
+            let event = MembershipEvent::Heard(entry);
+            self.push(self.now + LOG_DELAY, index, Happening::Event(event));
+        }
+    }
+
+    /// Kills a daemon without warning.
+    pub fn kill(&mut self, daemon: &str) {
+        let index = self.index(daemon);
+        self.daemons[index].alive = false;
+    }
+
+    /// Stops a daemon where it stands.
+    pub fn pause(&mut self, daemon: &str) {
+        let index = self.index(daemon);
+        self.daemons[index].paused.get_or_insert_with(Vec::new);
+    }
+
+    /// Lets a paused daemon go on.
+    pub fn resume(&mut self, daemon: &str) {
+        let index = self.index(daemon);
+        let held = self.daemons[index].paused.take().unwrap_or_default();
+        // The duty takes what is in its ring before it looks at its timer.
+        for event in held {
+            self.push(self.now, index, Happening::Event(event));
+        }
+        self.daemons[index].tick_at = self.now;
+        self.push(self.now, index, Happening::Tick);
+    }
+
+    /// Loses all packets from one daemon to another.
+    pub fn cut(&mut self, from: &str, to: &str) {
+        self.cuts.insert((from.into(), to.into()));
+    }
+
+    /// Mends all cuts.
+    pub fn mend(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Takes the platform's log away or brings it back.
+    pub fn set_log(&mut self, up: bool) {
+        match (up, self.log.take()) {
+            (true, Some(log)) => self.log = Some(log),
+            (true, None) => self.log = Some(std::mem::take(&mut self.kept_log)),
+            (false, Some(log)) => self.kept_log = log,
+            (false, None) => {}
+        }
+    }
+
+    /// Gives an event to a daemon now.
+    pub fn give(&mut self, daemon: &str, event: MembershipEvent) {
+        let index = self.index(daemon);
+        self.push(self.now, index, Happening::Event(event));
+    }
+
+    /// Runs everything up to a time since the beginning.
+    pub fn run_until(&mut self, elapsed: Duration) {
+        let until = self.start + elapsed;
+        while let Some(Reverse((at, number))) = self.queue.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some((index, happening)) = self.happenings.remove(&number) {
+                self.happen(index, happening);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Names of all daemons that live.
+    pub fn alive(&self) -> Vec<DaemonId> {
+        let mut names: Vec<DaemonId> = self
+            .by_name
+            .iter()
+            .filter(|(_, index)| self.daemons[**index].alive)
+            .map(|(name, _)| name.clone())
+            .collect();
+        names.sort();
+        names
+    }
+
+    /// The snapshot that the duties of a daemon have.
+    pub fn view(&self, daemon: &str) -> Arc<Fleet> {
+        self.daemons[self.index(daemon)].fleet.clone()
+    }
+
+    /// Digest of what a daemon knows.
+    pub fn digest(&self, daemon: &str) -> u64 {
+        self.daemons[self.index(daemon)].state.digest()
+    }
+
+    /// What a daemon sent and received.
+    pub fn traffic(&self, daemon: &str) -> Traffic {
+        self.daemons[self.index(daemon)].traffic
+    }
+
+    /// A counter, over all daemons.
+    pub fn counted(&self, name: &str) -> u64 {
+        self.counts.get(name).copied().unwrap_or(0)
+    }
+
+    fn index(&self, daemon: &str) -> Index {
+        self.by_name[&DaemonId::from(daemon)]
+    }
+
+    fn push(&mut self, at: Instant, index: Index, happening: Happening) {
+        self.next_number += 1;
+        self.happenings.insert(self.next_number, (index, happening));
+        self.queue.push(Reverse((at, self.next_number)));
+    }
+
+    fn happen(&mut self, index: Index, happening: Happening) {
+        if !self.daemons[index].alive {
+            return;
+        }
+        match happening {
+            Happening::Tick => {
+                let daemon = &self.daemons[index];
+                if daemon.tick_at == self.now && daemon.paused.is_none() {
+                    self.handle(index, MembershipEvent::Tick);
+                }
+            }
+            Happening::Event(event) => self.handle(index, event),
+            Happening::Request {
+                from,
+                ticket,
+                request,
+            } => {
+                self.next_request += 1;
+                self.requests
+                    .insert((index, self.next_request), (from, ticket));
+                let from = self.name(from);
+                let event = MembershipEvent::Asked {
+                    ticket: self.next_request,
+                    from,
+                    request,
+                };
+                self.handle(index, event);
+            }
+        }
+    }
+
+    fn name(&self, index: Index) -> PeerName {
+        let own = self.daemons[index].state.own();
+        PeerName {
+            daemon: own.daemon.clone(),
+            incarnation: own.incarnation,
+        }
+    }
+
+    fn handle(&mut self, index: Index, event: MembershipEvent) {
+        let now = self.now;
+        let daemon = &mut self.daemons[index];
+        if let Some(held) = &mut daemon.paused {
+            return held.push(event);
+        }
+        let actions = daemon.state.handle(now, event);
+        for action in actions {
+            self.carry_out(index, action);
+        }
+        let daemon = &mut self.daemons[index];
+        let tick_at = daemon.state.next_tick_at().max(now);
+        if tick_at != daemon.tick_at || tick_at == now {
+            daemon.tick_at = tick_at;
+            self.push(tick_at, index, Happening::Tick);
+        }
+    }
+
+    fn carry_out(&mut self, index: Index, action: MembershipAction) {
+        match action {
+            MembershipAction::Publish(entry) => self.append(entry),
+            MembershipAction::Changed(fleet) => self.daemons[index].fleet = fleet,
+            MembershipAction::Call {
+                ticket,
+                to,
+                request,
+            } => self.call(index, ticket, &to, request),
+            MembershipAction::Reply { ticket, answer } => self.reply(index, ticket, answer),
+            MembershipAction::Count(name) => *self.counts.entry(name).or_default() += 1,
+        }
+    }
+
+    fn append(&mut self, entry: DaemonEntry) {
+        let Some(log) = &mut self.log else {
+            return;
+        };
+        log.push(entry.clone());
+        for index in 0..self.daemons.len() {
+            let event = MembershipEvent::Heard(entry.clone());
+            self.push(self.now + LOG_DELAY, index, Happening::Event(event));
+        }
+    }
+
+    fn call(&mut self, from: Index, ticket: Ticket, to: &CallTarget, request: PeerRequest) {
+        let bytes = CALL_FRAME_BYTES + request_bytes(&request) as u64;
+        let traffic = &mut self.daemons[from].traffic;
+        traffic.sent_bytes += bytes;
+        traffic.calls_count += 1;
+        let target = match to {
+            CallTarget::Daemon(name) => self.by_name.get(name).copied(),
+            CallTarget::Seed(address) => {
+                (0..self.daemons.len()).find(|index| Self::address(*index) == *address)
+            }
+        };
+        let alive = target.filter(|target| self.daemons[*target].alive);
+        let Some(target) = alive else {
+            return self.end_call(from, ticket, DELAY * 2, Err(LinkError::Unreachable));
+        };
+        // A connection needs both directions.
+        let names = (self.name(from).daemon, self.name(target).daemon);
+        let reversed = (names.1.clone(), names.0.clone());
+        let cut = self.cuts.contains(&names) || self.cuts.contains(&reversed);
+        if cut || self.daemons[target].paused.is_some() {
+            return self.end_call(from, ticket, CALL_TIMEOUT, Err(LinkError::Silent));
+        }
+        self.daemons[target].traffic.received_bytes += bytes;
+        let happening = Happening::Request {
+            from,
+            ticket,
+            request,
+        };
+        self.push(self.now + DELAY, target, happening);
+    }
+
+    fn end_call(
+        &mut self,
+        caller: Index,
+        ticket: Ticket,
+        wait: Duration,
+        result: Result<PeerAnswer, LinkError>,
+    ) {
+        let event = MembershipEvent::Answered { ticket, result };
+        self.push(self.now + wait, caller, Happening::Event(event));
+    }
+
+    fn reply(&mut self, index: Index, ticket: Ticket, answer: Option<PeerAnswer>) {
+        let Some((caller, ticket)) = self.requests.remove(&(index, ticket)) else {
+            return;
+        };
+        let content = answer.as_ref().map_or(0, answer_bytes) as u64;
+        let bytes = ANSWER_FRAME_BYTES + content;
+        self.daemons[index].traffic.sent_bytes += bytes;
+        self.daemons[caller].traffic.received_bytes += bytes;
+        let result = answer.ok_or(LinkError::Refused);
+        self.end_call(caller, ticket, DELAY, result);
+    }
+}
--- a/src/settings/membership.rs
+++ b/src/settings/membership.rs
@@ -1,4 +1,7 @@
 //! Daemons and the servers beside them.
+
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::Checker;
@@ -9,23 +12,110 @@
 pub struct MembershipSettings {
     /// Events that may wait for the membership duty.
     pub ring_count: usize,
+    /// Peer links of some daemons, for a start while the platform's log is down.
+    pub seed_addresses: Vec<SocketAddr>,
+    /// Wait between two exchanges while there is something to tell.
+    pub gossip_ms: u64,
+    /// Wait between two exchanges while there is nothing to tell.
+    pub idle_gossip_ms: u64,
+    /// Most bytes that gossip sends a second, over a longer time.
+    pub gossip_bytes_per_s: u64,
+    /// Most bytes that gossip sends at once.
+    pub gossip_burst_bytes: u64,
+    /// Peers that this daemon exchanges gossip with.
+    pub partner_count: usize,
+    /// After this long one partner is replaced.
+    pub partner_ms: u64,
+    /// Peers that are asked whether they reach a daemon that does not answer.
+    pub helper_count: usize,
+    /// A suspected daemon that does not refute in this time counts as gone; grows with the fleet.
+    pub suspect_ms: u64,
+    /// A daemon that is gone this long is forgotten.
+    pub forget_ms: u64,
+    /// Wait between two attempts to reach a daemon that counts as gone.
+    pub heal_ms: u64,
+    /// Least wait between two comparisons of the whole view with a peer.
+    pub compare_ms: u64,
+    /// Wait between two own descriptions in the platform's log.
+    pub publish_ms: u64,
+    /// Wait before an own description that was not read back is appended again.
+    pub publish_retry_ms: u64,
+    /// Least wait between two snapshots for the other duties.
+    pub snapshot_ms: u64,
+    /// Descriptions in one page of a first view.
+    pub page_bytes: u32,
+    /// Wait between two pages of a first view.
+    pub page_ms: u64,
+    /// Most bytes of pages that this daemon sends a second.
+    pub page_bytes_per_s: u64,
 }
 
 impl Default for MembershipSettings {
     fn default() -> Self {
-        MembershipSettings { ring_count: 1024 }
+        MembershipSettings {
+            ring_count: 1024,
+            seed_addresses: Vec::new(),
+            gossip_ms: 100,
+            idle_gossip_ms: 500,
+            gossip_bytes_per_s: 1_800,
+            gossip_burst_bytes: 32_768,
+            partner_count: 8,
+            partner_ms: 30_000,
+            helper_count: 3,
+            suspect_ms: 2_000,
+            forget_ms: 7_200_000,
+            heal_ms: 5_000,
+            compare_ms: 2_000,
+            publish_ms: 1_800_000,
+            publish_retry_ms: 10_000,
+            snapshot_ms: 50,
+            page_bytes: 65_536,
+            page_ms: 250,
+            page_bytes_per_s: 262_144,
+        }
     }
 }
 
 impl MembershipSettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        let ring_count_holds = (1..=65536).contains(&self.ring_count);
-        checker.require(
-            ring_count_holds,
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
-        );
+        let ring_holds = (1..=65_536).contains(&self.ring_count);
+        let problem = "must be from 1 to 65536";
+        checker.require(ring_holds, "ring_count", self.ring_count, problem);
+        let small_counts = [
+            ("partner_count", self.partner_count),
+            ("helper_count", self.helper_count),
+        ];
+        for (field, value) in small_counts {
+            let holds = (1..=64).contains(&value);
+            checker.require(holds, field, value, "must be from 1 to 64");
+        }
+        let times_ms = [
+            ("gossip_ms", self.gossip_ms),
+            ("idle_gossip_ms", self.idle_gossip_ms),
+            ("partner_ms", self.partner_ms),
+            ("suspect_ms", self.suspect_ms),
+            ("forget_ms", self.forget_ms),
+            ("heal_ms", self.heal_ms),
+            ("compare_ms", self.compare_ms),
+            ("publish_ms", self.publish_ms),
+            ("publish_retry_ms", self.publish_retry_ms),
+            ("snapshot_ms", self.snapshot_ms),
+            ("page_ms", self.page_ms),
+        ];
+        for (field, value) in times_ms {
+            let holds = (10..=86_400_000).contains(&value);
+            checker.require(holds, field, value, "must be from 10 to 86400000");
+        }
+        let sizes_bytes = [
+            ("gossip_bytes_per_s", self.gossip_bytes_per_s),
+            ("gossip_burst_bytes", self.gossip_burst_bytes),
+            ("page_bytes", u64::from(self.page_bytes)),
+            ("page_bytes_per_s", self.page_bytes_per_s),
+        ];
+        for (field, value) in sizes_bytes {
+            let holds = (1_024..=16_777_216).contains(&value);
+            checker.require(holds, field, value, "must be from 1024 to 16777216");
+        }
     }
 }
--- /dev/null
+++ b/tests/membership_scenarios.rs
@@ -0,0 +1,155 @@
+//! Scripted scenarios of membership under virtual time.
+//!
+//! A line is `at 3s <what>`, in order of time. What happens: `start a b in north [seeds c]`,
+//! `kill a`, `pause a`, `resume a`, `leave a`, `serve s1 beside a`, `cut a from b` (packets from a
+//! to b are lost; a domain's name stands for its daemons), `mend`, `log down`, `log up`. What is
+//! shown: `show view of a` (a daemon that takes no new work stands in brackets), `show digests`,
+//! `show count suspect`, `show servers of a`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use banyanbeam::membership::virtual_fleet::VirtualFleet;
+use banyanbeam::membership::{MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE};
+use banyanbeam::settings::membership::MembershipSettings;
+
+const SEED: u64 = 7;
+
+struct Scenario {
+    fleet: VirtualFleet,
+    domains: BTreeMap<String, Vec<String>>,
+    output: String,
+}
+
+#[test]
+fn scenarios_end_as_written() {
+    datadriven::walk("tests/scenarios/membership", |file| {
+        file.run(|case| {
+            assert_eq!(case.directive, "scenario");
+            run(&case.input)
+        });
+    });
+}
+
+fn run(input: &str) -> String {
+    let mut scenario = Scenario {
+        fleet: VirtualFleet::new(MembershipSettings::default(), SEED),
+        domains: BTreeMap::new(),
+        output: String::new(),
+    };
+    for line in input.lines() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let ["at", time, rest @ ..] = &words[..] else {
+            panic!("{line:?} does not begin with a time");
+        };
+        let elapsed = time.strip_suffix('s').expect("a time in seconds");
+        let elapsed: f64 = elapsed.parse().expect("a time in seconds");
+        scenario.fleet.run_until(Duration::from_secs_f64(elapsed));
+        scenario.step(time, rest);
+    }
+    scenario.output
+}
+
+impl Scenario {
+    fn step(&mut self, time: &str, words: &[&str]) {
+        match words {
+            ["start", rest @ ..] => self.start(rest),
+            ["kill", daemon] => self.fleet.kill(daemon),
+            ["pause", daemon] => self.fleet.pause(daemon),
+            ["resume", daemon] => self.fleet.resume(daemon),
+            ["leave", daemon] => self.fleet.give(daemon, MembershipEvent::Leave),
+            ["serve", server, "beside", daemon] => self.serve(server, daemon),
+            ["cut", from, "from", to] => self.cut(from, to),
+            ["mend"] => self.fleet.mend(),
+            ["log", state] => self.fleet.set_log(*state == "up"),
+            ["show", what @ ..] => {
+                let shown = self.show(what);
+                self.output.push_str(&format!("{time}: {shown}\n"));
+            }
+            _ => panic!("{words:?} is no step"),
+        }
+    }
+
+    fn start(&mut self, words: &[&str]) {
+        let place = words
+            .iter()
+            .position(|word| *word == "in")
+            .expect("a domain");
+        let domain = words[place + 1];
+        let seeds = match words.get(place + 2) {
+            Some(_) => &words[place + 3..],
+            None => &[],
+        };
+        for daemon in &words[..place] {
+            self.fleet.start(daemon, domain, seeds);
+            let names = self.domains.entry(domain.to_owned()).or_default();
+            names.push((*daemon).to_owned());
+        }
+    }
+
+    fn serve(&mut self, server: &str, daemon: &str) {
+        let entry = ServerEntry {
+            server: server.into(),
+            service: "workshop".into(),
+            slots_count: 5,
+            cold: false,
+            draining: false,
+            share_permille: FULL_SHARE_PERMILLE,
+        };
+        self.fleet.give(daemon, MembershipEvent::Local(vec![entry]));
+    }
+
+    fn cut(&mut self, from: &str, to: &str) {
+        let names = |name: &str| {
+            let daemons = self.domains.get(name).cloned();
+            daemons.unwrap_or_else(|| vec![name.to_owned()])
+        };
+        let (from, to) = (names(from), names(to));
+        for from in &from {
+            for to in &to {
+                self.fleet.cut(from, to);
+            }
+        }
+    }
+
+    fn show(&self, what: &[&str]) -> String {
+        match what {
+            ["view", "of", daemon] => self.view(daemon),
+            ["servers", "of", daemon] => self.servers(daemon),
+            ["digests"] => self.digests(),
+            ["count", name] => {
+                let full_name = format!("membership.{name}");
+                format!("{name} {}", self.fleet.counted(&full_name))
+            }
+            _ => panic!("{what:?} can't be shown"),
+        }
+    }
+
+    fn view(&self, daemon: &str) -> String {
+        let mut names = Vec::new();
+        for (name, entry) in &self.fleet.view(daemon).daemons {
+            names.push(match entry.leaving {
+                true => format!("[{name}]"),
+                false => name.to_string(),
+            });
+        }
+        format!("{daemon} sees {}", names.join(" "))
+    }
+
+    fn servers(&self, daemon: &str) -> String {
+        let mut names = Vec::new();
+        for (_, entry) in &self.fleet.view(daemon).daemons {
+            names.extend(entry.servers.iter().map(|found| found.server.to_string()));
+        }
+        format!("{daemon} knows servers {}", names.join(" "))
+    }
+
+    fn digests(&self) -> String {
+        let names = self.fleet.alive();
+        let digests: BTreeSet<u64> = names.iter().map(|name| self.fleet.digest(name)).collect();
+        match digests.len() {
+            1 => "all digests are equal".to_owned(),
+            count => format!("{count} different digests"),
+        }
+    }
+}
