Let operators publish contracts, grant and withdraw keys, and ask why

A contract file is refused whole with every wrong field. A domain whose leaving breaks a floor stays in service unless the operator overrides, which the trail shows.

--- a/src/audit/mod.rs
+++ b/src/audit/mod.rs
@@ -1,11 +1,12 @@
 //! The trail of changes and decisions, which `explain` and `audit` read.
 
+pub mod duty;
 pub mod message;
 pub mod state;
 
-pub use message::{Decision, Subject};
+pub use message::{AuditEvent, ChangeEntry, Decision, Subject, Trail, TrailQuery};
 
-/// Takes decisions. Never waits and never fails: when full, the oldest are dropped and counted.
+/// Takes decisions. Never waits and never fails: a decision without room is lost and counted.
 pub trait AuditSink: Send + Sync {
     /// Records a decision with its rule and evidence.
     fn decision(&self, decision: Decision);
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -33,8 +33,11 @@
     let grace = Duration::from_millis(settings.daemon.stop_grace_ms);
     let daemon = daemon::start(settings)?;
     println!(
-        "front {} guard {} announce {}",
-        daemon.front_address, daemon.guard_address, daemon.announce_address
+        "front {} guard {} announce {} operator {}",
+        daemon.front_address,
+        daemon.guard_address,
+        daemon.announce_address,
+        daemon.operator_address
     );
     if let Some(signal) = signals.forever().next() {
         log::info!("signal {signal}: stopping");
--- a/src/daemon/common.rs
+++ b/src/daemon/common.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::audit::AuditSink;
+use crate::audit::{AuditEvent, AuditSink};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
+use crate::ring::RingSender;
 use crate::settings::Settings;
 use crate::types::Incarnation;
 use crate::wire::proof::FleetKey;
@@ -17,6 +18,8 @@
     pub(super) metrics: Metrics,
     /// Trail of decisions.
     pub(super) audit: Arc<dyn AuditSink>,
+    /// The ring of the audit duty.
+    pub(super) trail: RingSender<AuditEvent>,
     /// This life of the daemon.
     pub(super) incarnation: Incarnation,
 }
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -20,6 +20,7 @@
 use crate::link::{self, LinkMessage, PeerName, PeerRequest};
 use crate::membership::duty::{FleetReader, Peers};
 use crate::membership::{self, CallTarget, DaemonEntry, MembershipCall, MembershipEvent, Ticket};
+use crate::operator::{OperatorEvent, OperatorMessage};
 use crate::ring::{spawn_duty, RingSender};
 use crate::routing::{RoutingEvent, RoutingMessage};
 
@@ -86,6 +87,7 @@
     let allowance = rings.allowance.clone();
     let idempotency = rings.idempotency.clone();
     let guard = rings.guard.clone();
+    let operator = rings.operator.clone();
     vec![
         Box::new(move |fleet| journal.offer(JournalEvent::Fleet(fleet.clone())).is_ok()),
         Box::new(move |fleet| {
@@ -105,6 +107,10 @@
             let message = IdempotencyMessage::Fleet(fleet.clone());
             idempotency.offer(message).is_ok()
         }),
+        Box::new(move |fleet| {
+            let event = OperatorEvent::Fleet(fleet.clone());
+            operator.offer(OperatorMessage::Event(event)).is_ok()
+        }),
         Box::new(move |fleet| guard.offer(GuardMessage::Fleet(fleet.clone())).is_ok()),
     ]
 }
@@ -161,6 +167,8 @@
         front: rings.front.clone(),
         allowance: rings.allowance.clone(),
         routing: rings.routing.clone(),
+        operator: rings.operator.clone(),
+        trail: common.trail.clone(),
         membership: rings.membership.clone(),
         guard: rings.guard.clone(),
         domain: common.settings.daemon.domain.clone(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod entry;
 mod fleet;
 mod health;
+mod operator;
 mod peers;
 mod readers;
 mod rings;
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -4,17 +4,19 @@
 use std::time::Instant;
 
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
-use crate::contract::View;
+use crate::audit::AuditEvent;
+use crate::contract::{AppliedChange, View};
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::journal::duty::JournalReader;
-use crate::journal::{LogRecord, Stream, ESCROW, MEMBERS};
+use crate::journal::{LogRecord, Stream, SubmitOutcome, ESCROW, MEMBERS};
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
+use crate::operator::{OperatorEvent, OperatorMessage};
 use crate::ring::RingSender;
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::types::DomainId;
-use crate::types::Offset;
+use crate::types::{Offset, OperationId};
 
 /// Everything that reads views.
 pub struct Readers {
@@ -24,6 +26,10 @@
     pub allowance: RingSender<AllowanceMessage>,
     /// Routing.
     pub routing: RingSender<RoutingMessage>,
+    /// The operators' API.
+    pub operator: RingSender<OperatorMessage>,
+    /// The trail.
+    pub trail: RingSender<AuditEvent>,
     /// Membership.
     pub membership: RingSender<MembershipEvent>,
     /// The guard.
@@ -36,8 +42,15 @@
     pub metrics: Metrics,
 }
 
+impl Readers {
+    fn tell_operator(&self, event: OperatorEvent) {
+        self.operator.deliver(OperatorMessage::Event(event));
+    }
+}
+
 impl JournalReader for Readers {
     fn view(&self, view: Arc<View>) {
+        self.tell_operator(OperatorEvent::View(view.clone()));
         let out = view.domains_out.contains(&self.domain);
         self.guard
             .deliver(GuardMessage::Event(GuardEvent::Domain { out }));
@@ -49,7 +62,26 @@
             .deliver(FrontMessage::Event(FrontEvent::View(view)));
     }
 
+    fn changed(&self, change: &AppliedChange) {
+        let event = AuditEvent::Change(Box::new(change.clone()));
+        if self.trail.offer(event).is_err() {
+            self.metrics.count("audit.change.lost");
+        }
+    }
+
+    fn resolved(&self, operation: OperationId, outcome: &SubmitOutcome) {
+        self.tell_operator(OperatorEvent::Resolved {
+            operation,
+            outcome: outcome.clone(),
+        });
+    }
+
+    fn reachable(&self, reachable: bool) {
+        self.tell_operator(OperatorEvent::Reachable(reachable));
+    }
+
     fn usable(&self, usable: bool) {
+        self.tell_operator(OperatorEvent::Usable(usable));
         self.front
             .deliver(FrontMessage::Event(FrontEvent::Usable(usable)));
     }
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -11,6 +11,7 @@
 use crate::journal::JournalEvent;
 use crate::link::LinkMessage;
 use crate::membership::{MembershipCall, MembershipEvent};
+use crate::operator::OperatorMessage;
 use crate::ring::{ring, RingSender};
 use crate::routing::RoutingMessage;
 
@@ -26,6 +27,7 @@
     pub(super) journal: RingSender<JournalEvent>,
     pub(super) link: RingSender<LinkMessage>,
     pub(super) idempotency: RingSender<IdempotencyMessage>,
+    pub(super) operator: RingSender<OperatorMessage>,
 }
 
 pub(super) struct Receivers {
@@ -39,6 +41,7 @@
     pub(super) journal: Receiver<JournalEvent>,
     pub(super) link: Receiver<LinkMessage>,
     pub(super) idempotency: Receiver<IdempotencyMessage>,
+    pub(super) operator: Receiver<OperatorMessage>,
 }
 
 pub(super) fn make_rings(common: &Common) -> (Rings, Receivers) {
@@ -56,6 +59,7 @@
     let idempotency_count = settings.idempotency.ring_count;
     let (idempotency, idempotency_end) = ring("idempotency", idempotency_count, metrics);
     let (link, link_end) = ring("link", settings.link.ring_count, metrics);
+    let (operator, operator_end) = ring("operator", settings.operator.ring_count, metrics);
     let rings = Rings {
         front,
         allowance,
@@ -67,6 +71,7 @@
         journal,
         link,
         idempotency,
+        operator,
     };
     let receivers = Receivers {
         front: front_end,
@@ -79,6 +84,7 @@
         journal: journal_end,
         link: link_end,
         idempotency: idempotency_end,
+        operator: operator_end,
     };
     (rings, receivers)
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -15,9 +15,11 @@
     start_idempotency, start_journal, start_link, start_membership, FleetAddresses,
 };
 use super::health::start_health;
+use super::operator::{start_audit, start_operator};
 use super::rings::{make_rings, Receivers, Rings};
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
-use crate::audit::NoAudit;
+use crate::audit::duty::AuditRing;
+use crate::audit::AuditEvent;
 use crate::clock::{epoch_ms, Clock, SystemClock};
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
@@ -27,7 +29,9 @@
 use crate::link::{self, LinkMessage};
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
+use crate::operator::OperatorMessage;
 use crate::ring::spawn_duty;
+use crate::ring::{ring, RingSender};
 use crate::routing::RoutingMessage;
 use crate::settings::Settings;
 use crate::wire::exchange::HttpListener;
@@ -43,8 +47,11 @@
     pub announce_address: SocketAddr,
     /// Where other daemons come in for control.
     pub link_address: SocketAddr,
+    /// Where operators come in.
+    pub operator_address: SocketAddr,
     /// Counters.
     pub metrics: Metrics,
+    trail: RingSender<AuditEvent>,
     listeners: Vec<Arc<HttpListener>>,
     rings: Rings,
     stopping: Arc<AtomicBool>,
@@ -55,17 +62,25 @@
 
 /// Starts a daemon with these settings.
 pub fn start(settings: Settings) -> eyre::Result<Daemon> {
+    let metrics = Metrics::from_settings(&settings.metrics)?;
+    let (trail, trail_end) = ring("audit", settings.audit.ring_count, &metrics);
+    let audit = AuditRing {
+        events: trail.clone(),
+        metrics: metrics.clone(),
+    };
     let common = Common {
         key: FleetKey::new(&settings.daemon.fleet_secret),
         clock: Arc::new(SystemClock),
-        metrics: Metrics::from_settings(&settings.metrics)?,
-        audit: Arc::new(NoAudit),
+        metrics,
+        audit: Arc::new(audit),
+        trail,
         incarnation: epoch_ms(SystemClock.wall()),
         settings,
     };
     let front_listener = Arc::new(HttpListener::bind(common.settings.front.address)?);
     let guard_listener = Arc::new(HttpListener::bind(common.settings.guard.address)?);
     let announce_listener = Arc::new(HttpListener::bind(common.settings.guard.announce_address)?);
+    let operator_listener = Arc::new(HttpListener::bind(common.settings.operator.address)?);
     let link_listener = link::duty::bind(common.settings.link.address)?;
     let link_address = link_listener.local_addr()?;
     let (rings, receivers) = make_rings(&common);
@@ -81,6 +96,7 @@
         journal,
         link,
         idempotency,
+        operator,
     } = receivers;
     let addresses = FleetAddresses {
         guard: guard_listener.address(),
@@ -113,14 +129,28 @@
     ));
     threads.extend(start_journal(&common, &rings, journal, &stopping));
     threads.push(start_idempotency(&common, idempotency));
+    threads.extend(start_operator(
+        &common,
+        &rings,
+        &operator_listener,
+        operator,
+    ));
+    threads.push(start_audit(&common, &rings, trail_end));
     threads.push(start_link(&common, &rings, link_listener, link));
     Ok(Daemon {
         front_address: front_listener.address(),
         guard_address: guard_listener.address(),
         announce_address: announce_listener.address(),
         link_address,
+        operator_address: operator_listener.address(),
         metrics: common.metrics,
-        listeners: vec![front_listener, guard_listener, announce_listener],
+        trail: common.trail,
+        listeners: vec![
+            front_listener,
+            guard_listener,
+            announce_listener,
+            operator_listener,
+        ],
         rings,
         stopping,
         drained: vec![entry_drained_end, guard_drained_end],
@@ -138,6 +168,7 @@
             stopping,
             drained,
             threads,
+            trail,
             ..
         } = self;
         let ends_at = Instant::now() + limit;
@@ -163,6 +194,8 @@
         rings.membership.deliver(MembershipEvent::Stop);
         rings.idempotency.deliver(IdempotencyMessage::Stop);
         rings.journal.deliver(JournalEvent::Stop);
+        rings.operator.deliver(OperatorMessage::Stop);
+        trail.deliver(AuditEvent::Stop);
         rings.link.deliver(LinkMessage::Stop);
         drop(rings);
         join_until(threads, ends_at.max(Instant::now() + LAST_ANSWERS));
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -17,6 +17,7 @@
 use crate::settings::guard::GuardSettings;
 use crate::settings::journal::JournalSettings;
 use crate::settings::link::LinkSettings;
+use crate::settings::operator::OperatorSettings;
 use crate::settings::Settings;
 use crate::standin::backend_server::{self, BackendServerOptions, RanReport};
 use crate::standin::platform_log;
@@ -191,6 +192,10 @@
             worker_count: WORKER_COUNT,
             ..Default::default()
         },
+        operator: OperatorSettings {
+            address: any_port(),
+            ..Default::default()
+        },
         link: LinkSettings {
             address: any_port(),
             ..Default::default()
--- a/src/error.rs
+++ b/src/error.rs
@@ -105,6 +105,14 @@
     DuplicateRequest = "duplicate_request", 409, No, "A request with this idempotency key was already taken.";
     /// The request was fenced before its start.
     Fenced = "fenced", 503, No, "The request was withdrawn before its start.";
+    /// The operator's token is missing or not known.
+    OperatorUnknown = "operator_unknown", 401, No, "The operator's token is missing or not known.";
+    /// The operators' API has no such path.
+    PathUnknown = "path_unknown", 404, No, "The operators' API has no such path and method.";
+    /// A change does not hold what it must; its fields are named.
+    ChangeInvalid = "change_invalid", 422, No, "The change is refused whole; its wrong fields are named.";
+    /// Taking the failure domain out would push services below their floor.
+    FloorBroken = "floor_broken", 409, No, "Services would fall below their floor.";
     /// A backend server may have run the request.
     OutcomeUnknown = "outcome_unknown", 504, Unknown, "The outcome of the request is not known.";
     /// The server's answer was short or malformed.
--- a/src/journal/message.rs
+++ b/src/journal/message.rs
@@ -123,6 +123,8 @@
     Repeated,
     /// Not appended: the platform's log does not answer.
     LogDown,
+    /// Not appended: this daemon is overloaded.
+    Busy,
     /// Sent to the log, and not seen there yet. The same operation may be sent again.
     Unknown {
         /// Offset up to which the log was read.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod load;
 pub mod membership;
 pub mod metrics;
+pub mod operator;
 pub mod ring;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/src/operator/accept.rs
@@ -0,0 +1,106 @@
+//! The thread that takes operators' requests, authenticates them and reads their bodies.
+
+use std::io::Read;
+use std::sync::Arc;
+
+use subtle::ConstantTimeEq;
+
+use super::message::{OperatorAnswer, OperatorMessage, Refusal};
+use crate::error::ErrorKind;
+use crate::metrics::Metrics;
+use crate::ring::RingSender;
+use crate::settings::operator::{OperatorEntry, OperatorSettings};
+use crate::wire::exchange::{Exchange, HttpListener, RawHead};
+use crate::wire::hex;
+use crate::wire::http::header;
+use crate::wire::operator::{decode, encode};
+use crate::wire::proof::hash_key;
+
+/// What the thread needs of the world.
+pub struct AcceptContext {
+    /// Its settings.
+    pub settings: OperatorSettings,
+    /// Where operators come in.
+    pub listener: Arc<HttpListener>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The operator duty.
+    pub operator: RingSender<OperatorMessage>,
+}
+
+/// Takes requests until the listener is closed.
+pub fn run(context: &AcceptContext) {
+    while let Some((head, exchange)) = context.listener.next() {
+        if let Err((exchange, refusal)) = take(context, &head, exchange) {
+            let name = format!("operator.refused.{}", refusal.kind.code());
+            context.metrics.count(&name);
+            exchange.answer(encode(&OperatorAnswer::Refused(refusal)));
+        }
+    }
+}
+
+type Refused = (Box<dyn Exchange>, Refusal);
+
+fn take(
+    context: &AcceptContext,
+    head: &RawHead,
+    mut exchange: Box<dyn Exchange>,
+) -> Result<(), Refused> {
+    let token =
+        header(&head.headers, "authorization").and_then(|held| held.strip_prefix("Bearer "));
+    let Some(operator) = token.and_then(|token| authenticate(&context.settings.operators, token))
+    else {
+        return Err((exchange, Refusal::of(ErrorKind::OperatorUnknown)));
+    };
+    let body = match read_body(&mut *exchange, head, context.settings.body_limit_bytes) {
+        Ok(body) => body,
+        Err(kind) => return Err((exchange, Refusal::of(kind))),
+    };
+    let request = match decode(&head.method, &head.target, &body) {
+        Ok(request) => request,
+        Err(refusal) => return Err((exchange, refusal)),
+    };
+    let message = OperatorMessage::Arrived {
+        operator: operator.to_owned(),
+        request,
+        exchange,
+    };
+    match context.operator.offer(message) {
+        Err(OperatorMessage::Arrived { exchange, .. }) => {
+            Err((exchange, Refusal::of(ErrorKind::Busy)))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// The operator whose token it is. Every entry is compared, each in constant time.
+pub(super) fn authenticate<'a>(operators: &'a [OperatorEntry], token: &str) -> Option<&'a str> {
+    let hash = hash_key(token);
+    let mut found = None;
+    for operator in operators {
+        let Some(held) = hex::decode_32(&operator.token_sha256) else {
+            continue;
+        };
+        if bool::from(held.ct_eq(&hash)) {
+            found = Some(operator.name.as_str());
+        }
+    }
+    found
+}
+
+fn read_body(
+    exchange: &mut dyn Exchange,
+    head: &RawHead,
+    limit_bytes: u64,
+) -> Result<Vec<u8>, ErrorKind> {
+    let mut body = Vec::new();
+    let read = exchange.body().take(limit_bytes + 1).read_to_end(&mut body);
+    read.map_err(|_| ErrorKind::ShortUpload)?;
+    if body.len() as u64 > limit_bytes {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    match head.body_bytes {
+        Some(length) if length != body.len() as u64 => Err(ErrorKind::ShortUpload),
+        _ => Ok(body),
+    }
+}
--- /dev/null
+++ b/src/operator/duty.rs
@@ -0,0 +1,117 @@
+//! The operator thread.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use crossbeam::channel::Receiver;
+
+use super::message::{OperatorAction, OperatorAnswer, OperatorEvent, OperatorMessage, Refusal};
+use super::state::OperatorState;
+use crate::audit::{AuditEvent, AuditSink};
+use crate::clock::{epoch_ms, Clock};
+use crate::error::ErrorKind;
+use crate::journal::{JournalEvent, SubmitOutcome};
+use crate::metrics::Metrics;
+use crate::ring::RingSender;
+use crate::types::{DaemonId, Incarnation};
+use crate::wire::exchange::Exchange;
+use crate::wire::operator::encode;
+
+/// What the operator duty needs of the world.
+pub struct OperatorContext {
+    /// This daemon.
+    pub daemon: DaemonId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The journal.
+    pub journal: RingSender<JournalEvent>,
+    /// The trail.
+    pub trail: RingSender<AuditEvent>,
+    /// Takes decisions.
+    pub audit: Arc<dyn AuditSink>,
+}
+
+type Exchanges = HashMap<u64, Box<dyn Exchange>>;
+
+/// Runs the duty until it is told to stop.
+pub fn run(context: &OperatorContext, messages: &Receiver<OperatorMessage>) {
+    let mut state = OperatorState::new(context.daemon.clone(), context.incarnation);
+    let mut exchanges = Exchanges::new();
+    let mut next_ticket = 0;
+    for message in messages {
+        let event = match message {
+            OperatorMessage::Stop => return,
+            OperatorMessage::Event(event) => event,
+            OperatorMessage::Arrived {
+                operator,
+                request,
+                exchange,
+            } => {
+                next_ticket += 1;
+                exchanges.insert(next_ticket, exchange);
+                OperatorEvent::Arrived {
+                    ticket: next_ticket,
+                    operator,
+                    at_ms: epoch_ms(context.clock.wall()),
+                    request,
+                }
+            }
+        };
+        let mut actions = VecDeque::from(state.handle(event));
+        while let Some(action) = actions.pop_front() {
+            if let Some(event) = carry_out(context, &mut exchanges, action) {
+                actions.extend(state.handle(event));
+            }
+        }
+    }
+}
+
+/// Carries an action out, and gives the event that follows at once, if one does.
+fn carry_out(
+    context: &OperatorContext,
+    exchanges: &mut Exchanges,
+    action: OperatorAction,
+) -> Option<OperatorEvent> {
+    match action {
+        OperatorAction::Decide(decision) => context.audit.decision(decision),
+        OperatorAction::Submit(record) => {
+            let operation = record.operation;
+            if context.journal.offer(JournalEvent::Submit(record)).is_err() {
+                let outcome = SubmitOutcome::Busy;
+                return Some(OperatorEvent::Resolved { operation, outcome });
+            }
+        }
+        OperatorAction::Ask { ticket, query } => {
+            let event = AuditEvent::Query { ticket, query };
+            if context.trail.offer(event).is_err() {
+                let busy = OperatorAnswer::Refused(Refusal::of(ErrorKind::Busy));
+                reply(context, exchanges, ticket, busy);
+            }
+        }
+        OperatorAction::Answer { ticket, answer } => reply(context, exchanges, ticket, answer),
+    }
+    None
+}
+
+fn reply(
+    context: &OperatorContext,
+    exchanges: &mut Exchanges,
+    ticket: u64,
+    answer: OperatorAnswer,
+) {
+    let Some(exchange) = exchanges.remove(&ticket) else {
+        return;
+    };
+    let answer = match answer {
+        OperatorAnswer::Status(mut status) => {
+            status.counts = context.metrics.counts();
+            OperatorAnswer::Status(status)
+        }
+        answer => answer,
+    };
+    exchange.answer(encode(&answer));
+}
--- /dev/null
+++ b/src/operator/floor.rs
@@ -0,0 +1,55 @@
+//! Which services a failure domain's leaving would push below their floor.
+
+use std::collections::BTreeSet;
+
+use super::message::ServiceStatus;
+use crate::contract::View;
+use crate::membership::Fleet;
+use crate::types::DomainId;
+
+/// Every service of the view with its servers, as if exactly these domains were out of service.
+pub fn services(
+    view: &View,
+    fleet: &Fleet,
+    domains_out: &BTreeSet<DomainId>,
+) -> Vec<ServiceStatus> {
+    let mut services = Vec::with_capacity(view.services.len());
+    for (service, contract) in &view.services {
+        services.push(ServiceStatus {
+            service: service.clone(),
+            server_count: 0,
+            serving_count: 0,
+            floor_count: 0,
+        });
+        let status = services.last_mut().expect("just pushed");
+        for daemon in fleet.daemons.values() {
+            let out = daemon.leaving || domains_out.contains(&daemon.domain);
+            for server in &daemon.servers {
+                if server.service != *service {
+                    continue;
+                }
+                status.server_count += 1;
+                if !out && !server.draining && server.share_permille > 0 {
+                    status.serving_count += 1;
+                }
+            }
+        }
+        status.floor_count = floor_count(contract.floor_share, status.server_count);
+    }
+    services.sort_by(|a, b| a.service.cmp(&b.service));
+    services
+}
+
+/// Services that would be below their floor with one more domain out of service.
+pub fn broken_by(view: &View, fleet: &Fleet, domain: &DomainId) -> Vec<ServiceStatus> {
+    let mut domains_out = view.domains_out.clone();
+    domains_out.insert(domain.clone());
+    let mut broken = services(view, fleet, &domains_out);
+    broken.retain(|status| status.serving_count < status.floor_count);
+    broken
+}
+
+/// Least servers of so many that a floor keeps in service.
+fn floor_count(floor_share: f64, server_count: usize) -> usize {
+    (floor_share * server_count as f64).ceil() as usize
+}
--- /dev/null
+++ b/src/operator/publish.rs
@@ -0,0 +1,109 @@
+//! Turns a contract file into changes, or names every field that is wrong.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sha2::{Digest, Sha256};
+
+use super::message::ContractFile;
+use crate::contract::{check_change, Change, ContractError, ObjectId, ObjectState, View};
+use crate::types::{OperationId, RouteId, ServiceId};
+
+/// Every change of the file, services first, whether or not the object already holds it.
+pub fn changes(file: &ContractFile) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for contract in &file.services {
+        let contract = contract.clone();
+        changes.push(Change::PublishService { contract });
+    }
+    for contract in &file.organisations {
+        let contract = contract.clone();
+        changes.push(Change::PublishOrganisation { contract });
+    }
+    changes
+}
+
+/// Every wrong field of the file; empty for a good one.
+pub fn check(view: &View, file: &ContractFile) -> Vec<ContractError> {
+    let mut errors = Vec::new();
+    let mut objects = BTreeSet::new();
+    for change in changes(file) {
+        errors.extend(check_change(&change));
+        let object = ObjectId::of(&change).to_string();
+        if !objects.insert(object.clone()) {
+            errors.push(error(&object, &object, "stands twice in the file"));
+        }
+    }
+    check_routes(view, file, &mut errors);
+    errors
+}
+
+/// Whether the object already holds what the change asks for.
+pub fn is_in_force(view: &View, change: &Change) -> bool {
+    let held = view.object(&ObjectId::of(change));
+    match (change, held) {
+        (Change::PublishOrganisation { contract }, ObjectState::Organisation(held)) => {
+            *contract == *held
+        }
+        (Change::PublishService { contract }, ObjectState::Service(held)) => *contract == *held,
+        _ => false,
+    }
+}
+
+/// The operation of one object of a request: the same request gives the same operations.
+pub fn operation_of(request: OperationId, object: &ObjectId) -> OperationId {
+    let mut hash = Sha256::new();
+    hash.update(request.to_be_bytes());
+    hash.update(object.to_string().as_bytes());
+    let digest: [u8; 32] = hash.finalize().into();
+    let mut id = [0; 16];
+    id.copy_from_slice(&digest[..16]);
+    uuid::Builder::from_random_bytes(id).into_uuid().as_u128()
+}
+
+/// Routes are named once in the fleet, and an organisation names only routes that exist.
+fn check_routes(view: &View, file: &ContractFile, errors: &mut Vec<ContractError>) {
+    let replaced: BTreeSet<&ServiceId> = file.services.iter().map(|held| &held.service).collect();
+    let mut owners: BTreeMap<&RouteId, &ServiceId> = BTreeMap::new();
+    let mut places: BTreeMap<(&str, &str), &ServiceId> = BTreeMap::new();
+    for contract in view.services.values() {
+        if replaced.contains(&contract.service) {
+            continue;
+        }
+        for route in &contract.routes {
+            owners.insert(&route.route, &contract.service);
+            places.insert((&route.method, &route.path_prefix), &contract.service);
+        }
+    }
+    for contract in &file.services {
+        for route in &contract.routes {
+            let field = format!("service/{}.routes.{}", contract.service, route.route);
+            let owner = owners.insert(&route.route, &contract.service);
+            if owner.is_some_and(|owner| *owner != contract.service) {
+                errors.push(error(&field, &route.route, "is a route of another service"));
+            }
+            let place = (route.method.as_str(), route.path_prefix.as_str());
+            let owner = places.insert(place, &contract.service);
+            if owner.is_some_and(|owner| *owner != contract.service) {
+                let value = format!("{} {}", route.method, route.path_prefix);
+                errors.push(error(&field, &value, "is a path of another service"));
+            }
+        }
+    }
+    for contract in &file.organisations {
+        for route in &contract.routes {
+            if owners.contains_key(route) {
+                continue;
+            }
+            let field = format!("organisation/{}.routes", contract.organisation);
+            errors.push(error(&field, route, "is a route of no service"));
+        }
+    }
+}
+
+fn error(field: &str, value: &str, problem: &str) -> ContractError {
+    ContractError {
+        field: field.to_owned(),
+        value: format!("{value:?}"),
+        problem: problem.to_owned(),
+    }
+}
--- /dev/null
+++ b/src/operator/tests.rs
@@ -0,0 +1,278 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::accept::authenticate;
+use super::message::*;
+use super::state::OperatorState;
+use crate::contract::{
+    Change, ObjectId, OrganisationContract, Record, RouteContract, ServiceContract, View,
+};
+use crate::error::ErrorKind;
+use crate::journal::SubmitOutcome;
+use crate::membership::{DaemonEntry, Fleet, ServerEntry, FULL_SHARE_PERMILLE};
+use crate::settings::operator::OperatorEntry;
+use crate::wire::hex;
+use crate::wire::proof::hash_key;
+
+fn service(floor_share: f64) -> ServiceContract {
+    ServiceContract {
+        service: "workshop".into(),
+        floor_share,
+        routes: vec![RouteContract {
+            route: "sheets".into(),
+            path_prefix: "/sheets".to_owned(),
+            ..Default::default()
+        }],
+        ..Default::default()
+    }
+}
+
+fn organisation(rate_per_s: f64, route: &str) -> OrganisationContract {
+    OrganisationContract {
+        organisation: "optician-1".into(),
+        rate_per_s,
+        routes: vec![route.into()],
+        ..Default::default()
+    }
+}
+
+fn apply(view: &mut View, changes: Vec<Change>) {
+    for change in changes {
+        let offset = view.next;
+        let record = Record {
+            operation: u128::from(offset) + 1,
+            base: view.base_of(&change),
+            author: "earlier".to_owned(),
+            at_ms: 0,
+            change,
+        };
+        view.apply(offset, &record);
+    }
+}
+
+/// A view with one service and one organisation, and three domains of one server each.
+fn state(floor_share: f64) -> OperatorState {
+    let mut view = View::default();
+    let contract = service(floor_share);
+    let tenant = organisation(1.0, "sheets");
+    apply(
+        &mut view,
+        vec![
+            Change::PublishService { contract },
+            Change::PublishOrganisation { contract: tenant },
+        ],
+    );
+    let mut state = OperatorState::new("north-1".into(), 7);
+    state.handle(OperatorEvent::View(Arc::new(view)));
+    state.handle(OperatorEvent::Usable(true));
+    let mut fleet = Fleet::default();
+    for domain in ["north", "south", "west"] {
+        let server = ServerEntry {
+            server: format!("{domain}-s").as_str().into(),
+            service: "workshop".into(),
+            slots_count: 5,
+            cold: false,
+            draining: false,
+            share_permille: FULL_SHARE_PERMILLE,
+        };
+        let entry = DaemonEntry {
+            daemon: format!("{domain}-1").as_str().into(),
+            incarnation: 1,
+            version: 1,
+            domain: domain.into(),
+            guard_address: "127.0.0.1:1".parse().unwrap(),
+            link_address: "127.0.0.1:2".parse().unwrap(),
+            leaving: false,
+            servers: vec![server],
+        };
+        fleet.daemons.insert(entry.daemon.clone(), Arc::new(entry));
+    }
+    state.handle(OperatorEvent::Fleet(Arc::new(fleet)));
+    state
+}
+
+fn ask(state: &mut OperatorState, request: OperatorRequest) -> Vec<OperatorAction> {
+    state.handle(OperatorEvent::Arrived {
+        ticket: 1,
+        operator: "ndapewa".to_owned(),
+        at_ms: 5,
+        request,
+    })
+}
+
+fn publish(contracts: ContractFile) -> OperatorRequest {
+    OperatorRequest::Publish(PublishRequest {
+        operation: 9,
+        contracts,
+        bases: BTreeMap::new(),
+    })
+}
+
+fn refusal(actions: &[OperatorAction]) -> &Refusal {
+    match actions.last() {
+        Some(OperatorAction::Answer {
+            answer: OperatorAnswer::Refused(refusal),
+            ..
+        }) => refusal,
+        other => panic!("a refusal, not {other:?}"),
+    }
+}
+
+fn submitted(actions: &[OperatorAction]) -> Vec<&Record> {
+    let records = actions.iter().filter_map(|action| match action {
+        OperatorAction::Submit(record) => Some(&**record),
+        _ => None,
+    });
+    records.collect()
+}
+
+#[test]
+fn a_bad_contract_file_is_refused_whole_with_every_wrong_field() {
+    // Arrange
+    let mut state = state(0.5);
+    let file = ContractFile {
+        services: vec![service(0.5)],
+        organisations: vec![organisation(-2.0, "nowhere")],
+    };
+
+    // Act
+    let actions = ask(&mut state, publish(file));
+
+    // Assert
+    let errors: Vec<String> = refusal(&actions)
+        .errors
+        .iter()
+        .map(|e| e.to_string())
+        .collect();
+    assert_eq!(
+        errors,
+        [
+            "organisation/optician-1.rate_per_s: -2 must be above 0 and at most 10000000",
+            "organisation/optician-1.routes: \"nowhere\" is a route of no service",
+        ]
+    );
+    assert!(submitted(&actions).is_empty());
+}
+
+#[test]
+fn only_objects_that_change_are_submitted_and_the_answer_waits_for_them() {
+    // Arrange
+    let mut state = state(0.5);
+    let file = ContractFile {
+        services: vec![service(0.5)],
+        organisations: vec![organisation(8.0, "sheets")],
+    };
+
+    // Act
+    let actions = ask(&mut state, publish(file));
+    let record = submitted(&actions)[0].clone();
+    let outcome = SubmitOutcome::Accepted { offset: 2 };
+    let answers = state.handle(OperatorEvent::Resolved {
+        operation: record.operation,
+        outcome: outcome.clone(),
+    });
+
+    // Assert
+    assert_eq!(actions.len(), 1);
+    assert_eq!((record.base, record.author.as_str()), (Some(1), "ndapewa"));
+    let OperatorAction::Answer {
+        answer: OperatorAnswer::Results(results),
+        ..
+    } = &answers[0]
+    else {
+        panic!("results, not {answers:?}");
+    };
+    let outcomes: Vec<_> = results
+        .iter()
+        .map(|result| result.outcome.clone())
+        .collect();
+    assert_eq!(outcomes, [None, Some(outcome)]);
+}
+
+#[test]
+fn the_same_request_gives_the_same_operations() {
+    let object = ObjectId::Organisation("o".into());
+    let first = super::publish::operation_of(9, &object);
+    assert_eq!(first, super::publish::operation_of(9, &object));
+    assert_ne!(first, super::publish::operation_of(10, &object));
+}
+
+fn out(override_floor: bool) -> OperatorRequest {
+    OperatorRequest::DomainOut {
+        operation: 3,
+        domain: "north".into(),
+        override_floor,
+    }
+}
+
+#[test]
+fn a_domain_stays_in_service_when_a_service_would_fall_below_its_floor() {
+    // Arrange
+    let mut state = state(0.9);
+
+    // Act
+    let actions = ask(&mut state, out(false));
+
+    // Assert
+    assert_eq!(refusal(&actions).kind, ErrorKind::FloorBroken);
+    assert!(submitted(&actions).is_empty());
+    let OperatorAction::Decide(decision) = &actions[0] else {
+        panic!("a decision, not {actions:?}");
+    };
+    assert_eq!(decision.verdict, "refused");
+    let value = "2 of 3 in service, floor 3".to_owned();
+    assert_eq!(decision.evidence[1], ("service/workshop".to_owned(), value));
+}
+
+#[test]
+fn an_override_takes_the_domain_out_and_the_trail_shows_it() {
+    // Arrange
+    let mut state = state(0.9);
+
+    // Act
+    let actions = ask(&mut state, out(true));
+
+    // Assert
+    assert_eq!(submitted(&actions).len(), 1);
+    assert!(matches!(&actions[0], OperatorAction::Decide(decision)
+        if decision.verdict == "out-below-floor"));
+}
+
+#[test]
+fn a_domain_above_the_floor_is_taken_out() {
+    let mut state = state(0.5);
+    assert_eq!(submitted(&ask(&mut state, out(false))).len(), 1);
+}
+
+#[test]
+fn a_key_is_granted_only_to_an_organisation_with_a_contract() {
+    // Arrange
+    let mut state = state(0.5);
+
+    // Act
+    let actions = ask(
+        &mut state,
+        OperatorRequest::Grant {
+            operation: 1,
+            organisation: "stranger".into(),
+            key_hash: [1; 32],
+        },
+    );
+
+    // Assert
+    assert_eq!(refusal(&actions).kind, ErrorKind::ChangeInvalid);
+}
+
+#[test]
+fn only_the_token_of_an_operator_authenticates() {
+    // Arrange
+    let operators = [OperatorEntry {
+        name: "ndapewa".to_owned(),
+        token_sha256: hex::encode(&hash_key("token-1")),
+    }];
+
+    // Act and assert
+    assert_eq!(authenticate(&operators, "token-1"), Some("ndapewa"));
+    assert_eq!(authenticate(&operators, "token-2"), None);
+    assert_eq!(authenticate(&[], "token-1"), None);
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! The settings of one daemon: JSON, typed and checked. One file a duty.
 
 pub mod allowance;
+pub mod audit;
 pub mod daemon;
 pub mod front;
 pub mod guard;
@@ -11,6 +12,7 @@
 pub mod log;
 pub mod membership;
 pub mod metrics;
+pub mod operator;
 pub mod routing;
 
 use std::fmt;
@@ -41,6 +43,10 @@
     pub link: link::LinkSettings,
     /// Detection and ejection of failing backend servers.
     pub health: health::HealthSettings,
+    /// The operators' HTTP API.
+    pub operator: operator::OperatorSettings,
+    /// The trail of changes and decisions.
+    pub audit: audit::AuditSettings,
     /// Choice of server and retries.
     pub routing: routing::RoutingSettings,
     /// Counters and timings.
@@ -171,6 +177,14 @@
             section: "health",
             errors: &mut errors,
         });
+        self.operator.check(&mut Checker {
+            section: "operator",
+            errors: &mut errors,
+        });
+        self.audit.check(&mut Checker {
+            section: "audit",
+            errors: &mut errors,
+        });
         self.routing.check(&mut Checker {
             section: "routing",
             errors: &mut errors,
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,75 @@
+//! The operators' HTTP API.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::Checker;
+use crate::wire::hex;
+
+/// The operators' HTTP API.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// Address that operators reach.
+    pub address: SocketAddr,
+    /// Who may operate the fleet; without entries every operator is refused.
+    pub operators: Vec<OperatorEntry>,
+    /// Most bytes of a request's body.
+    pub body_limit_bytes: u64,
+    /// Requests that may wait for the operator duty.
+    pub ring_count: usize,
+}
+
+/// One operator.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OperatorEntry {
+    /// Name in the audit trail.
+    pub name: String,
+    /// SHA-256 of the operator's token, in hexadecimal.
+    pub token_sha256: String,
+}
+
+impl Default for OperatorSettings {
+    fn default() -> Self {
+        OperatorSettings {
+            address: "127.0.0.1:8084".parse().expect("a literal address"),
+            operators: Vec::new(),
+            body_limit_bytes: 16_777_216,
+            ring_count: 256,
+        }
+    }
+}
+
+impl OperatorSettings {
+    /// Checks every value against its bounds.
+    pub fn check(&self, checker: &mut Checker<'_>) {
+        for (index, operator) in self.operators.iter().enumerate() {
+            checker.require(
+                !operator.name.is_empty(),
+                &format!("operators[{index}].name"),
+                format!("{:?}", operator.name),
+                "must not be empty",
+            );
+            checker.require(
+                hex::decode_32(&operator.token_sha256).is_some(),
+                &format!("operators[{index}].token_sha256"),
+                format!("{:?}", operator.token_sha256),
+                "must be 64 hexadecimal digits",
+            );
+        }
+        checker.require(
+            (1_024..=268_435_456).contains(&self.body_limit_bytes),
+            "body_limit_bytes",
+            self.body_limit_bytes,
+            "must be from 1024 to 268435456",
+        );
+        checker.require(
+            (1..=65_536).contains(&self.ring_count),
+            "ring_count",
+            self.ring_count,
+            "must be from 1 to 65536",
+        );
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,4 +5,5 @@
 pub mod forward;
 pub mod hex;
 pub mod http;
+pub mod operator;
 pub mod proof;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -95,6 +95,7 @@
     settings.guard.address = any;
     settings.guard.announce_address = any;
     settings.link.address = any;
+    settings.operator.address = any;
     settings.journal.address = log;
     settings
 }
