Measure detection, false ejections, fairness and domain moves under virtual time

Cause: the policy had no figures. Change: banyanbeam measure gray, fairness, domains and all drive the states of routing, guard and health of a whole deployment, with fakes of servers, links, tokens and permits at their borders; round robin without ejection and fixed thresholds run beside the sequential test on the same seeds. Tests: 1 new, a run repeats exactly with its seed.

--- a/src/cli/measure.rs
+++ b/src/cli/measure.rs
@@ -5,6 +5,7 @@
 use clap::{Args, Subcommand};
 
 use super::measure_allowance::{self, MeasureAllowanceArguments};
+use super::measure_fleet::{self, MeasureFleetArguments};
 
 /// Arguments of `measure`.
 #[derive(Debug, Args)]
@@ -17,11 +18,23 @@
 enum Matter {
     /// Rate and burst over the fleet, beside fixed shares and one home with a lease.
     Allowance(MeasureAllowanceArguments),
+    /// Detection time and false ejections, beside round robin and fixed thresholds.
+    Gray(MeasureFleetArguments),
+    /// The worst-served organisation and refusals within the rate.
+    Fairness(MeasureFleetArguments),
+    /// Service while a failure domain leaves and returns.
+    Domains(MeasureFleetArguments),
+    /// Gray failures, fairness and domain moves in one table.
+    All(MeasureFleetArguments),
 }
 
 /// Runs the measurement.
 pub fn run(arguments: &MeasureArguments) -> eyre::Result<ExitCode> {
     match &arguments.matter {
         Matter::Allowance(arguments) => measure_allowance::run(arguments),
+        Matter::Gray(arguments) => measure_fleet::run(arguments, measure_fleet::GRAY),
+        Matter::Fairness(arguments) => measure_fleet::run(arguments, measure_fleet::FAIRNESS),
+        Matter::Domains(arguments) => measure_fleet::run(arguments, measure_fleet::DOMAINS),
+        Matter::All(arguments) => measure_fleet::run(arguments, measure_fleet::ALL),
     }
 }
--- /dev/null
+++ b/src/cli/measure_fleet.rs
@@ -0,0 +1,57 @@
+//! `banyanbeam measure gray`, `fairness`, `domains` and `all`.
+
+use std::process::ExitCode;
+
+use clap::Args;
+
+use crate::demo::DeploymentName;
+use crate::measure::report::{self, Row, Scope};
+use crate::measure::table;
+
+/// Arguments of the measures that run a whole fleet.
+#[derive(Debug, Args)]
+pub struct MeasureFleetArguments {
+    /// Seeds, from 1 on.
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// Which deployment; both without.
+    #[arg(long, value_enum)]
+    deployment: Option<DeploymentName>,
+    /// Rows as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Runs one measure, or several.
+pub fn run(
+    arguments: &MeasureFleetArguments,
+    measures: &[fn(&Scope) -> Vec<Row>],
+) -> eyre::Result<ExitCode> {
+    let deployments = match arguments.deployment {
+        Some(deployment) => vec![deployment],
+        None => vec![DeploymentName::Nangolo, DeploymentName::Atlas],
+    };
+    let scope = Scope {
+        deployments,
+        seed_count: arguments.seeds.max(1),
+    };
+    let mut rows = Vec::new();
+    for measure in measures {
+        rows.extend(measure(&scope));
+    }
+    if arguments.json {
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+    } else {
+        print!("{}", table::render(&rows));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Detection time and false ejections.
+pub const GRAY: &[fn(&Scope) -> Vec<Row>] = &[report::gray];
+/// Fairness.
+pub const FAIRNESS: &[fn(&Scope) -> Vec<Row>] = &[report::fairness];
+/// Moves of failure domains.
+pub const DOMAINS: &[fn(&Scope) -> Vec<Row>] = &[report::domains];
+/// All of them.
+pub const ALL: &[fn(&Scope) -> Vec<Row>] = &[report::gray, report::fairness, report::domains];
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod logging;
 mod measure;
 mod measure_allowance;
+mod measure_fleet;
 mod operate;
 mod serve;
 mod settings;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod journal;
 pub mod link;
 pub mod load;
+pub mod measure;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
--- /dev/null
+++ b/src/measure/mod.rs
@@ -0,0 +1,23 @@
+//! Measures the policy under load and faults, under virtual time.
+//!
+//! The states of routing, guard and health are those that run in `serve`. Servers, links, the
+//! spread of descriptions, ejection permits and the organisations' tokens are fakes at their
+//! interfaces: exact, in one place, with the delays named in `world`.
+
+pub mod deployment;
+pub mod node;
+pub mod permits;
+pub mod policy;
+pub mod report;
+pub mod round_robin;
+pub mod runs;
+pub mod server;
+mod steps;
+pub mod table;
+pub mod tally;
+pub mod timeline;
+pub mod traffic;
+pub mod world;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/measure/permits.rs
@@ -0,0 +1,67 @@
+//! Ejection permits in one place, exact: the fake of the allowance's border.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::types::{BackendServerId, ServiceId};
+
+/// How long a permit holds without renewal.
+const PERMIT_TIME: Duration = Duration::from_secs(10);
+
+/// Permits of one service.
+#[derive(Debug, Default)]
+struct ServicePermits {
+    /// Servers whose ejection leaves the service at its floor.
+    limit_count: usize,
+    held: BTreeSet<BackendServerId>,
+    /// Most held at once.
+    peak_count: usize,
+    denied_count: u64,
+}
+
+/// Permits of all services.
+#[derive(Debug, Default)]
+pub struct PermitBook {
+    services: BTreeMap<ServiceId, ServicePermits>,
+}
+
+impl PermitBook {
+    /// Sets how many servers of a service may be out at once.
+    pub fn limit(&mut self, service: &ServiceId, limit_count: usize) {
+        self.services
+            .entry(service.clone())
+            .or_default()
+            .limit_count = limit_count;
+    }
+
+    /// Grants or renews a permit, or refuses it.
+    pub fn ask(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        server: &BackendServerId,
+    ) -> Option<Instant> {
+        let permits = self.services.get_mut(service)?;
+        if !permits.held.contains(server) && permits.held.len() >= permits.limit_count {
+            permits.denied_count += 1;
+            return None;
+        }
+        permits.held.insert(server.clone());
+        permits.peak_count = permits.peak_count.max(permits.held.len());
+        Some(now + PERMIT_TIME)
+    }
+
+    /// Takes a permit back.
+    pub fn give_up(&mut self, service: &ServiceId, server: &BackendServerId) {
+        if let Some(permits) = self.services.get_mut(service) {
+            permits.held.remove(server);
+        }
+    }
+
+    /// Most permits of any service that were held beyond its limit; 0 while the floor holds.
+    pub fn most_over_limit(&self) -> usize {
+        let over =
+            |permits: &ServicePermits| permits.peak_count.saturating_sub(permits.limit_count);
+        self.services.values().map(over).max().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/measure/report.rs
@@ -0,0 +1,304 @@
+//! Runs every case over the seeds and sums it up, one row a case and policy.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::policy::Policy;
+use super::runs::{self, GrayCase, GrayRun, SharedCase};
+use crate::demo::DeploymentName;
+
+/// Threads that run seeds side by side.
+const THREAD_COUNT: usize = 4;
+
+/// What is run.
+#[derive(Debug, Clone)]
+pub struct Scope {
+    /// The deployments.
+    pub deployments: Vec<DeploymentName>,
+    /// Seeds from 1 to this.
+    pub seed_count: u64,
+}
+
+/// One row: a figure over all seeds.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Row {
+    /// The measure.
+    pub measure: &'static str,
+    /// The deployment.
+    pub deployment: &'static str,
+    /// The case.
+    pub case: String,
+    /// The policy.
+    pub policy: &'static str,
+    /// What the figures are, with their unit.
+    pub figure: &'static str,
+    /// Best seed.
+    pub min: Option<f64>,
+    /// Median seed.
+    pub median: Option<f64>,
+    /// Worst seed; none where a seed gave no figure, as an ejection that did not come.
+    pub worst: Option<f64>,
+    /// The target, in words.
+    pub target: &'static str,
+    /// Seeds that met it, of all.
+    pub met_count: u64,
+    /// Seeds.
+    pub seed_count: u64,
+    /// Anything else.
+    pub note: String,
+}
+
+/// Name of a deployment in tables.
+pub fn deployment_name(deployment: DeploymentName) -> &'static str {
+    match deployment {
+        DeploymentName::Nangolo => "nangolo",
+        DeploymentName::Atlas => "atlas",
+    }
+}
+
+/// Runs `run` for each seed, several at a time; the results are in the order of seeds.
+fn over_seeds<T, F>(seed_count: u64, run: F) -> Vec<T>
+where
+    T: Send,
+    F: Fn(u64) -> T + Sync,
+{
+    let next = AtomicUsize::new(0);
+    let results: Mutex<Vec<(usize, T)>> = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREAD_COUNT {
+            scope.spawn(|| loop {
+                let index = next.fetch_add(1, Ordering::Relaxed);
+                if index as u64 >= seed_count {
+                    return;
+                }
+                let result = run(index as u64 + 1);
+                results
+                    .lock()
+                    .expect("no panic while adding")
+                    .push((index, result));
+            });
+        }
+    });
+    let mut results = results.into_inner().expect("no panic while adding");
+    results.sort_by_key(|(index, _)| *index);
+    results.into_iter().map(|(_, result)| result).collect()
+}
+
+/// Figures over seeds, lower is better; a missing one is the worst.
+fn spread(mut figures: Vec<Option<f64>>) -> (Option<f64>, Option<f64>, Option<f64>) {
+    let worth = |figure: &Option<f64>| figure.unwrap_or(f64::INFINITY);
+    figures.sort_by(|a, b| worth(a).total_cmp(&worth(b)));
+    let median = figures.get(figures.len() / 2).copied().flatten();
+    (
+        figures.first().copied().flatten(),
+        median,
+        figures.last().copied().flatten(),
+    )
+}
+
+fn ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
+
+struct RowName {
+    measure: &'static str,
+    deployment: DeploymentName,
+    case: String,
+    policy: &'static str,
+}
+
+fn row(
+    name: RowName,
+    figure: &'static str,
+    figures: Vec<Option<f64>>,
+    (target, met_count): (&'static str, usize),
+    note: String,
+) -> Row {
+    let seed_count = figures.len() as u64;
+    let (min, median, worst) = spread(figures);
+    Row {
+        measure: name.measure,
+        deployment: deployment_name(name.deployment),
+        case: name.case,
+        policy: name.policy,
+        figure,
+        min,
+        median,
+        worst,
+        target,
+        met_count: met_count as u64,
+        seed_count,
+        note,
+    }
+}
+
+/// Detection time and false ejections.
+pub fn gray(scope: &Scope) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for deployment in &scope.deployments {
+        for case in runs::gray_cases() {
+            for policy in Policy::all() {
+                rows.push(gray_row(*deployment, &policy, &case, scope.seed_count));
+            }
+        }
+        for case in runs::shared_cases() {
+            for policy in [Policy::fixed(), Policy::standard()] {
+                rows.push(quiet_row(*deployment, &policy, &case, scope.seed_count));
+            }
+        }
+    }
+    rows
+}
+
+fn gray_row(deployment: DeploymentName, policy: &Policy, case: &GrayCase, seeds: u64) -> Row {
+    let results = over_seeds(seeds, |seed| runs::gray(deployment, policy, case, seed));
+    let figures = results
+        .iter()
+        .map(|run| run.detected_after.map(ms))
+        .collect();
+    let met_count = results.iter().filter(|run| run.in_time()).count();
+    let mean = |value: fn(&GrayRun) -> f64| {
+        results.iter().map(value).sum::<f64>() / results.len().max(1) as f64
+    };
+    let false_count: u64 = results.iter().map(|run| run.false_count).sum();
+    let over_limit = results.iter().map(|run| run.over_limit_count).max();
+    let note = format!(
+        "{:.0} requests there, {:.2}% of all bad, {false_count} others ejected, {} below floor",
+        mean(|run| run.all_started_count as f64),
+        100.0 * mean(|run| run.bad_share),
+        over_limit.unwrap_or(0),
+    );
+    let name = RowName {
+        measure: "detection",
+        deployment,
+        case: case.name.to_owned(),
+        policy: policy.name,
+    };
+    let target = ("1 s or 20 requests", met_count);
+    row(name, "ms until ejected", figures, target, note)
+}
+
+fn quiet_row(deployment: DeploymentName, policy: &Policy, case: &SharedCase, seeds: u64) -> Row {
+    let results = over_seeds(seeds, |seed| runs::quiet(deployment, policy, case, seed));
+    let figures = results
+        .iter()
+        .map(|run| Some(run.ejected_count as f64))
+        .collect();
+    let met_count = results.iter().filter(|run| run.ejected_count == 0).count();
+    let request_count: u64 = results.iter().map(|run| run.request_count).sum();
+    let servers = results.first().map_or(0, |run| run.server_count);
+    let asked = results.first().map_or(0.0, |run| run.asked_per_s);
+    let note = format!(
+        "{request_count} requests, {servers} servers, {asked:.1} questions a second and daemon"
+    );
+    let name = RowName {
+        measure: "false ejections",
+        deployment,
+        case: case.name.to_owned(),
+        policy: policy.name,
+    };
+    row(name, "ejections", figures, ("0", met_count), note)
+}
+
+/// The organisation that fares worst, and refusals within the rate.
+pub fn fairness(scope: &Scope) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for deployment in &scope.deployments {
+        for large in [true, false] {
+            for policy in [Policy::round_robin(), Policy::standard()] {
+                rows.extend(fairness_rows(*deployment, &policy, large, scope.seed_count));
+            }
+        }
+    }
+    rows
+}
+
+fn fairness_rows(deployment: DeploymentName, policy: &Policy, large: bool, seeds: u64) -> [Row; 2] {
+    let results = over_seeds(seeds, |seed| {
+        runs::fairness(deployment, policy, large, seed)
+    });
+    let size = if large { "large" } else { "small" };
+    let name = |measure| RowName {
+        measure,
+        deployment,
+        case: format!("{size} organisation at 5 times its rate"),
+        policy: policy.name,
+    };
+    let missed = results
+        .iter()
+        .map(|run| Some(100.0 * (1.0 - run.worst_share)));
+    let met = results.iter().filter(|run| run.worst_share >= 0.99).count();
+    let refused = results.iter().map(|run| Some(100.0 * run.refused_share));
+    let met_refused = results.iter().filter(|run| run.refused_share <= 0.001);
+    let met_refused = met_refused.count();
+    [
+        row(
+            name("worst-served organisation"),
+            "% within rate not answered in time",
+            missed.collect(),
+            ("1% at most", met),
+            String::new(),
+        ),
+        row(
+            name("refused within rate"),
+            "% refused",
+            refused.collect(),
+            ("0.1% at most", met_refused),
+            String::new(),
+        ),
+    ]
+}
+
+/// Service while a failure domain leaves and returns.
+pub fn domains(scope: &Scope) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for deployment in &scope.deployments {
+        for policy in [Policy::round_robin(), Policy::standard()] {
+            rows.extend(domain_rows(*deployment, &policy, scope.seed_count));
+        }
+    }
+    rows
+}
+
+fn domain_rows(deployment: DeploymentName, policy: &Policy, seeds: u64) -> [Row; 2] {
+    let results = over_seeds(seeds, |seed| runs::domains(deployment, policy, seed));
+    let name = |case: &str| RowName {
+        measure: "domain moves",
+        deployment,
+        case: case.to_owned(),
+        policy: policy.name,
+    };
+    let request_count: u64 = results.iter().map(|run| run.request_count).sum();
+    let bad = results.iter().map(|run| Some(run.bad_count as f64));
+    let met_bad = results.iter().filter(|run| run.bad_count == 0).count();
+    let ratio = |run: &runs::DomainRun| ms(run.away.max(run.back)) / ms(run.before);
+    let ratios = results.iter().map(|run| Some(ratio(run)));
+    let met_ratio = results.iter().filter(|run| ratio(run) <= 1.5).count();
+    let middle = results.get(results.len() / 2).copied().unwrap_or_default();
+    let note = format!(
+        "seed {}: {:.0} ms before, {:.0} ms away, {:.0} ms back",
+        results.len() / 2 + 1,
+        ms(middle.before),
+        ms(middle.away),
+        ms(middle.back)
+    );
+    [
+        row(
+            name("requests not answered well"),
+            "requests",
+            bad.collect(),
+            ("0", met_bad),
+            format!("of {request_count}"),
+        ),
+        row(
+            name("p99, away or back against before"),
+            "ratio",
+            ratios.collect(),
+            ("1.5 at most", met_ratio),
+            note,
+        ),
+    ]
+}
--- /dev/null
+++ b/src/measure/round_robin.rs
@@ -0,0 +1,71 @@
+//! Servers in turn, whatever they do: a baseline.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::contract::View;
+use crate::membership::Fleet;
+use crate::routing::candidates::Candidates;
+use crate::routing::choice::ServerChoice;
+use crate::routing::{AttemptOutcome, RequestPlan, Target};
+use crate::types::{BackendServerId, DomainId, ServiceId};
+
+/// Servers in turn.
+pub struct RoundRobin {
+    candidates: Candidates,
+    turns: HashMap<ServiceId, usize>,
+    first_turn: usize,
+}
+
+impl RoundRobin {
+    /// Turns that begin at `first_turn`, so that entries do not go in step.
+    pub fn new(own_domain: DomainId, first_turn: usize) -> RoundRobin {
+        RoundRobin {
+            candidates: Candidates::new(own_domain),
+            turns: HashMap::new(),
+            first_turn,
+        }
+    }
+}
+
+impl ServerChoice for RoundRobin {
+    fn pick(
+        &mut self,
+        _now: Instant,
+        plan: &RequestPlan,
+        tried: &[BackendServerId],
+    ) -> Option<Target> {
+        let service = self.candidates.of(&plan.service)?;
+        let first_turn = self.first_turn;
+        let turn = self.turns.entry(plan.service.clone()).or_insert(first_turn);
+        for _ in 0..service.all.len() {
+            *turn += 1;
+            let candidate = &service.all[*turn % service.all.len()];
+            if !tried.contains(&candidate.target.server) {
+                return Some(candidate.target.clone());
+            }
+        }
+        None
+    }
+
+    fn sent(&mut self, _now: Instant, _plan: &RequestPlan, _target: &Target) {}
+
+    fn ended(
+        &mut self,
+        _now: Instant,
+        _plan: &RequestPlan,
+        _target: &Target,
+        _outcome: &AttemptOutcome,
+        _elapsed: Duration,
+    ) {
+    }
+
+    fn view(&mut self, view: Arc<View>) {
+        self.candidates.view(view);
+    }
+
+    fn fleet(&mut self, fleet: Arc<Fleet>) {
+        self.candidates.fleet(fleet);
+    }
+}
--- /dev/null
+++ b/src/measure/table.rs
@@ -0,0 +1,56 @@
+//! Rows as a table for people.
+
+use comfy_table::presets::ASCII_MARKDOWN;
+use comfy_table::{CellAlignment, Table};
+
+use super::report::Row;
+
+/// One line a row.
+pub fn render(rows: &[Row]) -> String {
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN);
+    table.set_header([
+        "measure",
+        "deployment",
+        "case",
+        "policy",
+        "figure",
+        "min",
+        "median",
+        "worst",
+        "target",
+        "met",
+        "note",
+    ]);
+    for row in rows {
+        table.add_row([
+            row.measure.to_owned(),
+            row.deployment.to_owned(),
+            row.case.clone(),
+            row.policy.to_owned(),
+            row.figure.to_owned(),
+            number(row.min),
+            number(row.median),
+            number(row.worst),
+            row.target.to_owned(),
+            format!("{}/{}", row.met_count, row.seed_count),
+            row.note.clone(),
+        ]);
+    }
+    for index in NUMBER_COLUMNS {
+        if let Some(column) = table.column_mut(index) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+    }
+    format!("{table}\n")
+}
+
+const NUMBER_COLUMNS: std::ops::Range<usize> = 5..8;
+
+fn number(figure: Option<f64>) -> String {
+    match figure {
+        None => "never".to_owned(),
+        Some(figure) if figure >= 100.0 || figure.fract() == 0.0 => format!("{figure:.0}"),
+        Some(figure) => format!("{figure:.2}"),
+    }
+}
--- /dev/null
+++ b/src/measure/world.rs
@@ -0,0 +1,363 @@
+//! The whole fleet under virtual time.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::deployment::Site;
+use super::node::{Node, NodeName};
+use super::permits::PermitBook;
+use super::policy::Policy;
+use super::server::{FakeServer, Fault, Noise};
+use super::tally::{Decided, Tally};
+use super::timeline::Timeline;
+use super::traffic::Traffic;
+use crate::demo::DeploymentName;
+use crate::guard::message::{AttemptKey, GuardRequest, ServerOutcome};
+use crate::guard::GuardEvent;
+use crate::health::{HealthEvent, ServerSummary};
+use crate::membership::Fleet;
+use crate::routing::{AttemptOutcome, RoutingEvent};
+use crate::types::{Attempt, BackendServerId, DaemonId, DomainId, RequestId, ServiceId};
+
+/// One way between two daemons.
+pub(super) const LINK_DELAY: Duration = Duration::from_micros(500);
+
+/// A new connection to a guard.
+pub(super) const CONNECT_TIME: Duration = Duration::from_millis(1);
+
+/// An answer of the permit desk.
+pub(super) const PERMIT_DELAY: Duration = Duration::from_millis(5);
+
+/// Time until all daemons know of a change in one.
+const SPREAD_DELAY: Duration = Duration::from_millis(500);
+
+/// Time between two announcements of a server.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(600);
+
+/// What happens in the fleet.
+pub(super) enum Event {
+    Call {
+        stream: usize,
+    },
+    Arrive {
+        at: usize,
+        from: usize,
+        request: GuardRequest,
+        sent_at: Instant,
+    },
+    ServerEnds {
+        at: usize,
+        key: AttemptKey,
+        outcome: ServerOutcome,
+    },
+    Answer {
+        at: usize,
+        request: RequestId,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        sent_at: Instant,
+    },
+    Fence {
+        at: usize,
+        from: usize,
+        fence: crate::link::FenceRequest,
+    },
+    GuardTick {
+        at: usize,
+    },
+    HealthTick {
+        at: usize,
+    },
+    Ask {
+        from: usize,
+        to: usize,
+        service: ServiceId,
+    },
+    Summary {
+        to: usize,
+        from: DaemonId,
+        service: ServiceId,
+        servers: Vec<ServerSummary>,
+    },
+    Permit {
+        to: usize,
+        service: ServiceId,
+        server: BackendServerId,
+    },
+    Announce {
+        at: usize,
+    },
+    Spread,
+    Pause {
+        at: usize,
+    },
+}
+
+/// A request of a caller.
+pub(super) struct Flight {
+    pub(super) stream: usize,
+    pub(super) arrived_at: Instant,
+    pub(super) deadline_at: Instant,
+}
+
+/// What a world is made of.
+#[derive(Debug, Clone)]
+pub struct WorldOptions {
+    /// The deployment.
+    pub deployment: DeploymentName,
+    /// The policy.
+    pub policy: Policy,
+    /// What each organisation sends, as a multiple of its rate.
+    pub load_factor: f64,
+    /// Trouble of healthy servers.
+    pub noise: Noise,
+    /// Seed of everything.
+    pub seed: u64,
+}
+
+/// The whole fleet.
+pub struct World {
+    pub(super) now: Instant,
+    /// When the world began.
+    pub began_at: Instant,
+    pub(super) timeline: Timeline<Event>,
+    pub(super) random: ChaCha8Rng,
+    pub(super) site: Site,
+    /// The requests of organisations.
+    pub traffic: Traffic,
+    /// One node a server.
+    pub nodes: Vec<Node>,
+    pub(super) names: HashMap<DaemonId, usize>,
+    /// Ejection permits.
+    pub permits: PermitBook,
+    pub(super) flights: HashMap<RequestId, Flight>,
+    pub(super) request_count: u128,
+    pub(super) spread_due: bool,
+    /// Pairs of entry and guard that do not reach each other.
+    pub blocked: BTreeSet<(usize, usize)>,
+    /// What became of requests.
+    pub tally: Tally,
+    /// Decisions of health.
+    pub decided: Vec<Decided>,
+    /// Questions of daemons to each other for summaries.
+    pub asked_count: u64,
+}
+
+impl World {
+    /// A fleet whose servers have just announced themselves.
+    pub fn new(options: &WorldOptions) -> World {
+        let now = Instant::now();
+        let site = Site::named(options.deployment);
+        let traffic = Traffic::new(&site, now, options.load_factor);
+        let mut world = World {
+            now,
+            began_at: now,
+            timeline: Timeline::default(),
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+            traffic,
+            nodes: Vec::new(),
+            names: HashMap::new(),
+            permits: PermitBook::default(),
+            flights: HashMap::new(),
+            request_count: 0,
+            spread_due: false,
+            blocked: BTreeSet::new(),
+            tally: Tally::default(),
+            decided: Vec::new(),
+            asked_count: 0,
+            site,
+        };
+        world.make_nodes(options);
+        world.take_domain_out(None);
+        for stream in 0..world.traffic.streams.len() {
+            let gap = world.traffic.gap(stream, &mut world.random);
+            world.timeline.add(now + gap, Event::Call { stream });
+        }
+        world
+    }
+
+    fn make_nodes(&mut self, options: &WorldOptions) {
+        let services = self.site.deployment.services.clone();
+        let domains = self.site.deployment.domains.clone();
+        for service in services {
+            let floor = service.contract.floor_share * service.server_count as f64;
+            let limit_count = service.server_count - floor.ceil() as usize;
+            self.permits.limit(&service.contract.service, limit_count);
+            for number in 0..service.server_count {
+                let name = NodeName {
+                    index: self.nodes.len(),
+                    domain: domains[number % domains.len()].clone(),
+                    service: service.contract.service.clone(),
+                };
+                let server = FakeServer {
+                    work: Duration::from_millis(service.work_ms),
+                    noise: options.noise,
+                    fault: None,
+                    paused_until: None,
+                    cold_until: None,
+                };
+                self.add_node(Node::new(name, &options.policy, server, options.seed));
+            }
+        }
+    }
+
+    fn add_node(&mut self, node: Node) {
+        let at = self.nodes.len();
+        self.names.insert(node.entry.daemon.clone(), at);
+        let pauses = node.server.noise.pause_every.is_some();
+        self.nodes.push(node);
+        self.timeline.add(self.now, Event::Announce { at });
+        if pauses {
+            self.plan_pause(at);
+        }
+    }
+
+    /// Runs on for a time.
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some((at, event)) = self.timeline.next_before(end) {
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    /// Time since the world began.
+    pub fn passed(&self) -> Duration {
+        self.now - self.began_at
+    }
+
+    /// Makes a server fail from now on, or mends it.
+    pub fn set_fault(&mut self, at: usize, fault: Option<Fault>) {
+        self.nodes[at].server.fault = fault.map(|fault| (self.now, fault));
+    }
+
+    /// Takes one failure domain out of service, or all back in.
+    pub fn take_domain_out(&mut self, domain: Option<&DomainId>) {
+        let view = self.site.view(domain);
+        for at in 0..self.nodes.len() {
+            self.nodes[at].view(self.now, &view);
+            let out = domain.is_some_and(|domain| *domain == self.nodes[at].entry.domain);
+            self.guard_event(at, GuardEvent::Domain { out });
+        }
+    }
+
+    /// The failure domains.
+    pub fn domains(&self) -> &[DomainId] {
+        &self.site.deployment.domains
+    }
+
+    /// Forgets what became of requests so far.
+    pub fn restart_tally(&mut self) -> Tally {
+        std::mem::take(&mut self.tally)
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Call { stream } => self.call(stream),
+            Event::Arrive {
+                at,
+                from,
+                request,
+                sent_at,
+            } => self.arrive(at, from, request, sent_at),
+            Event::ServerEnds { at, key, outcome } => self.server_ends(at, key, outcome),
+            Event::Answer {
+                at,
+                request,
+                attempt,
+                outcome,
+                sent_at,
+            } => {
+                let event = RoutingEvent::Attempted {
+                    request,
+                    attempt,
+                    outcome,
+                    elapsed: self.now - sent_at,
+                    resendable: true,
+                };
+                self.routing_event(at, event);
+            }
+            Event::Fence { at, from, fence } => self.fence(at, from, fence),
+            Event::GuardTick { at } => self.guard_tick(at),
+            Event::HealthTick { at } => self.health_tick(at),
+            Event::Ask { from, to, service } => self.asked(from, to, service),
+            Event::Summary {
+                to,
+                from,
+                service,
+                servers,
+            } => self.health_event(
+                to,
+                HealthEvent::Summary {
+                    from,
+                    service,
+                    servers,
+                },
+            ),
+            Event::Permit {
+                to,
+                service,
+                server,
+            } => {
+                let holds_until = self.permits.ask(self.now, &service, &server);
+                self.health_event(
+                    to,
+                    HealthEvent::Permit {
+                        service,
+                        server,
+                        holds_until,
+                    },
+                );
+            }
+            Event::Announce { at } => {
+                let announcement = self.nodes[at].announcement();
+                self.guard_event(at, GuardEvent::Announced(announcement));
+                let next_at = self.now + ANNOUNCE_PERIOD;
+                self.timeline.add(next_at, Event::Announce { at });
+            }
+            Event::Spread => self.spread(),
+            Event::Pause { at } => {
+                let limit = self.nodes[at].server.noise.pause_limit;
+                let pause = limit.mul_f64(self.random.random::<f64>());
+                self.nodes[at].server.paused_until = Some(self.now + pause);
+                self.plan_pause(at);
+            }
+        }
+    }
+
+    fn plan_pause(&mut self, at: usize) {
+        let Some(every) = self.nodes[at].server.noise.pause_every else {
+            return;
+        };
+        let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
+        let gap = every.mul_f64(-uniform.ln());
+        self.timeline.add(self.now + gap, Event::Pause { at });
+    }
+
+    /// Plans that all daemons learn what has changed.
+    pub(super) fn plan_spread(&mut self) {
+        if std::mem::replace(&mut self.spread_due, true) {
+            return;
+        }
+        self.timeline.add(self.now + SPREAD_DELAY, Event::Spread);
+    }
+
+    fn spread(&mut self) {
+        self.spread_due = false;
+        let mut fleet = Fleet::default();
+        for node in &self.nodes {
+            let entry = Arc::new(node.entry.clone());
+            fleet.daemons.insert(entry.daemon.clone(), entry);
+        }
+        let fleet = Arc::new(fleet);
+        for at in 0..self.nodes.len() {
+            self.routing_event(at, RoutingEvent::Fleet(fleet.clone()));
+            self.health_event(at, HealthEvent::Fleet(fleet.clone()));
+        }
+    }
+}
