--- a/src/cli/measure.rs
+++ b/src/cli/measure.rs
@@ -6,6 +6,7 @@
 
 use super::measure_allowance::{self, MeasureAllowanceArguments};
 use super::measure_fleet::{self, MeasureFleetArguments};
+use super::measure_view::{self, MeasureViewArguments};
 
 /// Arguments of `measure`.
 #[derive(Debug, Args)]
@@ -26,6 +27,8 @@
     Domains(MeasureFleetArguments),
     /// Gray failures, fairness and domain moves in one table.
     All(MeasureFleetArguments),
+    /// Memory and time of the configuration in force, up to the size of the whole fleet.
+    View(MeasureViewArguments),
 }
 
 /// Runs the measurement.
@@ -36,5 +39,6 @@
         Matter::Fairness(arguments) => measure_fleet::run(arguments, measure_fleet::FAIRNESS),
         Matter::Domains(arguments) => measure_fleet::run(arguments, measure_fleet::DOMAINS),
         Matter::All(arguments) => measure_fleet::run(arguments, measure_fleet::ALL),
+        Matter::View(arguments) => measure_view::run(arguments),
     }
 }
--- a/src/contract/checkpoint.rs
+++ b/src/contract/checkpoint.rs
@@ -78,13 +78,13 @@
         };
         for (version, contract) in checkpoint.services {
             let id = contract.service.clone();
-            view.service_versions.insert(id.clone(), version);
-            view.routes.add_in_place_of(None, &contract);
-            view.services.insert(id, contract);
+            view.service_versions.insert(id, version);
+            view.put_service(contract);
         }
         for (version, contract) in checkpoint.organisations {
             let id = contract.organisation.clone();
             view.organisation_versions.insert(id.clone(), version);
+            let contract = Arc::new(view.with_shared_routes(Arc::unwrap_or_clone(contract)));
             view.organisations.insert(id, contract);
         }
         for (hash, organisation, version, withdrawn) in checkpoint.keys {
--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod check;
 pub mod checkpoint;
+pub mod measure;
 pub mod message;
 pub mod routes;
 pub mod state;
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -13,7 +13,7 @@
 pub use super::routes::RouteAnswer;
 use super::routes::RouteIndex;
 use crate::allowance::seat::{shard_count, ShardIndex};
-use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, ServiceId};
+use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, RouteId, ServiceId};
 
 /// What one prefix of the configuration stream puts in force. A clone shares what did not change.
 #[derive(Debug, Clone, Default)]
@@ -45,6 +45,8 @@
     /// The same operations, for lookups.
     pub(super) operations_seen: HashSet<OperationId>,
     pub(super) routes: RouteIndex,
+    /// Names of routes, so that every organisation that may use one shares its text.
+    pub(super) route_names: HashMap<RouteId, RouteId>,
 }
 
 /// Operations remembered. An older repetition is still void: its base is stale by then.
@@ -194,7 +196,8 @@
                 let id = contract.organisation.clone();
                 self.keep_shard_count(contract);
                 self.organisation_versions.insert(id.clone(), offset);
-                self.organisations.insert(id, Arc::new(contract.clone()));
+                let contract = Arc::new(self.with_shared_routes(contract.clone()));
+                self.organisations.insert(id, contract);
             }
             Change::PublishService { contract } => self.change_service(offset, contract),
             Change::GrantKey {
@@ -243,10 +246,32 @@
 
     fn change_service(&mut self, offset: Offset, contract: &ServiceContract) {
         let id = contract.service.clone();
-        self.service_versions.insert(id.clone(), offset);
+        self.service_versions.insert(id, offset);
+        self.put_service(Arc::new(contract.clone()));
+    }
+
+    /// Puts a service's routes and contract in force.
+    pub(super) fn put_service(&mut self, contract: Arc<ServiceContract>) {
+        let id = contract.service.clone();
         self.routes
-            .add_in_place_of(self.services.get(&id), contract);
-        self.services.insert(id, Arc::new(contract.clone()));
+            .add_in_place_of(self.services.get(&id), &contract);
+        for route in &contract.routes {
+            let name = route.route.clone();
+            self.route_names.insert(name.clone(), name);
+        }
+        self.services.insert(id, contract);
+    }
+
+    pub(super) fn with_shared_routes(
+        &self,
+        mut contract: OrganisationContract,
+    ) -> OrganisationContract {
+        for route in &mut contract.routes {
+            if let Some(shared) = self.route_names.get(route) {
+                *route = shared.clone();
+            }
+        }
+        contract
     }
 
     fn withdraw(&mut self, offset: Offset, key_hash: &KeyHash) {
