--- a/src/journal/peers.rs
+++ b/src/journal/peers.rs
@@ -26,6 +26,8 @@
     /// When the newest question was sent that the log or a peer answered to the end.
     contact_at: Option<Instant>,
     asked_at: Option<Instant>,
+    /// Whether the last read failed, so that there is nothing to wait for.
+    log_failed: bool,
     started_at: Option<Instant>,
 }
 
@@ -48,6 +50,7 @@
             log_at: None,
             contact_at: None,
             asked_at: None,
+            log_failed: false,
             started_at: None,
         }
     }
@@ -69,6 +72,11 @@
         self.contact_at = self.contact_at.max(Some(asked_at));
     }
 
+    /// Notes whether the last read of the log failed.
+    pub fn log_failed(&mut self, failed: bool) {
+        self.log_failed = failed;
+    }
+
     /// A peer with a usable view answered a question that was sent then.
     pub fn peer_answered(&mut self, asked_at: Instant) {
         self.contact_at = self.contact_at.max(Some(asked_at));
@@ -106,7 +114,10 @@
         if self.peers.is_empty() {
             return None;
         }
-        let silent_at = self.log_at.unwrap_or(started_at) + self.ask_after;
+        let silent_at = match self.log_failed {
+            true => started_at,
+            false => self.log_at.unwrap_or(started_at) + self.ask_after,
+        };
         let again_at = self.asked_at.map(|at| at + self.ask_every);
         Some(again_at.map_or(silent_at, |at| at.max(silent_at)))
     }
--- a/src/journal/state.rs
+++ b/src/journal/state.rs
@@ -187,6 +187,7 @@
         actions: &mut Vec<JournalAction>,
     ) {
         let reachable = matches!(result, Ok(_) | Err(LogError::Truncated(_)));
+        self.peers.log_failed(result.is_err());
         if reachable != self.reachable {
             self.reachable = reachable;
             if reachable {
