--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -33,11 +33,12 @@
     let grace = Duration::from_millis(settings.daemon.stop_grace_ms);
     let daemon = daemon::start(settings)?;
     println!(
-        "front {} guard {} announce {} operator {}",
+        "front {} guard {} announce {} operator {} link {}",
         daemon.front_address,
         daemon.guard_address,
         daemon.announce_address,
-        daemon.operator_address
+        daemon.operator_address,
+        daemon.link_address
     );
     if let Some(signal) = signals.forever().next() {
         log::info!("signal {signal}: stopping");
