--- a/src/cli/measure.rs
+++ b/src/cli/measure.rs
@@ -6,6 +6,7 @@
 
 use super::measure_allowance::{self, MeasureAllowanceArguments};
 use super::measure_fleet::{self, MeasureFleetArguments};
+use super::measure_membership::{self, MeasureMembershipArguments};
 use super::measure_view::{self, MeasureViewArguments};
 
 /// Arguments of `measure`.
@@ -29,6 +30,8 @@
     All(MeasureFleetArguments),
     /// Memory and time of the configuration in force, up to the size of the whole fleet.
     View(MeasureViewArguments),
+    /// Bytes, times and memory of membership by fleet size.
+    Membership(MeasureMembershipArguments),
 }
 
 /// Runs the measurement.
@@ -40,5 +43,6 @@
         Matter::Domains(arguments) => measure_fleet::run(arguments, measure_fleet::DOMAINS),
         Matter::All(arguments) => measure_fleet::run(arguments, measure_fleet::ALL),
         Matter::View(arguments) => measure_view::run(arguments),
+        Matter::Membership(arguments) => measure_membership::run(arguments),
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod measure;
 mod measure_allowance;
 mod measure_fleet;
+mod measure_membership;
 mod measure_view;
 mod operate;
 mod serve;
--- a/src/link/tests/calls.rs
+++ b/src/link/tests/calls.rs
@@ -2,8 +2,10 @@
 
 use crate::health::{RouteCounts, RouteSummary, ServerSummary};
 use crate::journal::LogRecord;
+use crate::link::codec::{answer_bytes, request_bytes};
 use crate::link::message::*;
 use crate::link::tests::support::*;
+use crate::membership::virtual_fleet::{ANSWER_FRAME_BYTES, CALL_FRAME_BYTES};
 use crate::membership::*;
 
 fn summary() -> Summary {
@@ -295,3 +297,35 @@
     // Assert
     assert_eq!(only_answer(&receiver), Ok(PeerAnswer::Done));
 }
+
+const RELEASE_BYTES: usize = 48;
+
+#[test]
+fn calls_take_the_bytes_that_measurements_count() {
+    // Arrange
+    let calls_count = 10;
+    let request = PeerRequest::Probe("c".into());
+    let answerer = start_link("b", SECRET, answer_done());
+    let relay = Relay::start(answerer.address);
+    let caller = start_link("a", SECRET, refuse_all());
+    caller.knows(&[("b", relay.address)]);
+    caller.ask("b", request.clone()).unwrap();
+    let before = (
+        relay.sent.lock().unwrap().len(),
+        relay.received.lock().unwrap().len(),
+    );
+
+    // Act
+    for _ in 0..calls_count {
+        caller.ask("b", request.clone()).unwrap();
+    }
+
+    // Assert
+    let sent = relay.sent.lock().unwrap().len() - before.0;
+    let received = relay.received.lock().unwrap().len() - before.1;
+    let call = CALL_FRAME_BYTES as usize + request_bytes(&request);
+    let answer = ANSWER_FRAME_BYTES as usize + answer_bytes(&PeerAnswer::Done);
+    assert_eq!(received, calls_count * answer);
+    // The release of the last answer may still be on its way, before and after.
+    assert!(sent.abs_diff(calls_count * call) <= RELEASE_BYTES, "{sent}");
+}
--- a/src/link/tests/support.rs
+++ b/src/link/tests/support.rs
@@ -176,6 +176,8 @@
     silent: Arc<AtomicBool>,
     /// All bytes that callers sent.
     pub(super) sent: Arc<Mutex<Vec<u8>>>,
+    /// All bytes that they received.
+    pub(super) received: Arc<Mutex<Vec<u8>>>,
 }
 
 impl Relay {
@@ -185,17 +187,19 @@
             address: listener.local_addr().unwrap(),
             silent: Arc::default(),
             sent: Arc::default(),
+            received: Arc::default(),
         };
         let all_silent = relay.silent.clone();
         let sent = relay.sent.clone();
+        let received = relay.received.clone();
         std::thread::spawn(move || {
             for caller in listener.incoming() {
                 let caller = caller.unwrap();
                 let answerer = TcpStream::connect(target).unwrap();
                 // Silence falls on the connections of its time; later ones work.
                 let silent = Arc::new(AtomicBool::new(false));
-                pass(&caller, &answerer, &all_silent, &silent, Some(sent.clone()));
-                pass(&answerer, &caller, &all_silent, &silent, None);
+                pass(&caller, &answerer, &all_silent, &silent, sent.clone());
+                pass(&answerer, &caller, &all_silent, &silent, received.clone());
             }
         });
         relay
@@ -217,7 +221,7 @@
     to: &TcpStream,
     all_silent: &Arc<AtomicBool>,
     silent: &Arc<AtomicBool>,
-    copy: Option<Arc<Mutex<Vec<u8>>>>,
+    copy: Arc<Mutex<Vec<u8>>>,
 ) {
     let mut from = from.try_clone().unwrap();
     let mut to = to.try_clone().unwrap();
@@ -235,9 +239,7 @@
             if silent.load(Ordering::SeqCst) {
                 continue;
             }
-            if let Some(copy) = &copy {
-                copy.lock().unwrap().extend_from_slice(&buffer[..count]);
-            }
+            copy.lock().unwrap().extend_from_slice(&buffer[..count]);
             if to.write_all(&buffer[..count]).is_err() {
                 break;
             }
--- /dev/null
+++ b/src/membership/measure.rs
@@ -0,0 +1,369 @@
+//! Measures membership under virtual time, with the lengths of the real encoding.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use comfy_table::{presets, Table};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{DaemonEntry, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE};
+use super::state::MembershipState;
+use super::virtual_fleet::VirtualFleet;
+use crate::settings::membership::MembershipSettings;
+use crate::types::DaemonId;
+
+/// What is measured.
+#[derive(Debug, Clone)]
+pub struct MeasureSettings {
+    /// Numbers of daemons.
+    pub daemon_counts: Vec<usize>,
+    /// Backend servers beside each daemon.
+    pub servers_count: usize,
+    /// Changes a second over the whole fleet.
+    pub changes_per_s: f64,
+    /// First seed.
+    pub seed: u64,
+}
+
+const DOMAIN_COUNT: usize = 6;
+/// Time from the start of the fleet until measurement begins.
+const SETTLE: Duration = Duration::from_secs(60);
+/// Time over which bytes are counted, without and with changes.
+const SPAN: Duration = Duration::from_secs(60);
+/// Longest time that a change or a first view is waited for.
+const PATIENCE: Duration = Duration::from_secs(300);
+const STEP: Duration = Duration::from_millis(100);
+
+/// Figures of one fleet size.
+struct Figures {
+    idle_bytes_per_s: Spread,
+    busy_bytes_per_s: Spread,
+    change_s: Spread,
+    first_view_s: f64,
+    first_view_bytes: u64,
+    processor_share_percent: f64,
+}
+
+/// Median and greatest of some values.
+#[derive(Default)]
+struct Spread {
+    median: f64,
+    greatest: f64,
+}
+
+impl Spread {
+    fn of(mut values: Vec<f64>) -> Spread {
+        values.sort_by(f64::total_cmp);
+        Spread {
+            median: values.get(values.len() / 2).copied().unwrap_or(f64::NAN),
+            greatest: values.last().copied().unwrap_or(f64::NAN),
+        }
+    }
+}
+
+/// Measures fleets of several sizes and gives a table.
+pub fn fleet_table(settings: &MeasureSettings) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "daemons",
+        "idle bytes/s, median / most",
+        "with changes",
+        "change everywhere s, median / last",
+        "first view s",
+        "first view bytes",
+        "processor of a daemon %",
+    ]);
+    for daemon_count in &settings.daemon_counts {
+        let found = measure(settings, *daemon_count);
+        table.add_row([
+            daemon_count.to_string(),
+            pair(&found.idle_bytes_per_s, 0),
+            pair(&found.busy_bytes_per_s, 0),
+            pair(&found.change_s, 1),
+            format!("{:.1}", found.first_view_s),
+            found.first_view_bytes.to_string(),
+            format!("{:.3}", found.processor_share_percent),
+        ]);
+    }
+    table.to_string()
+}
+
+fn pair(spread: &Spread, digits: usize) -> String {
+    format!(
+        "{:.*} / {:.*}",
+        digits, spread.median, digits, spread.greatest
+    )
+}
+
+fn daemon_name(index: usize) -> String {
+    format!("daemon-{index:05}")
+}
+
+fn domain_name(index: usize) -> String {
+    format!("domain-{}", index % DOMAIN_COUNT)
+}
+
+fn servers(index: usize, count: usize, slots_count: u32) -> Vec<ServerEntry> {
+    let server = |place: usize| ServerEntry {
+        server: format!("server-{index:05}-{place:02}").into(),
+        service: format!("service-{:04}", (index * count + place) % 3600).into(),
+        slots_count,
+        cold: false,
+        draining: false,
+        share_permille: FULL_SHARE_PERMILLE,
+    };
+    (0..count).map(server).collect()
+}
+
+fn measure(settings: &MeasureSettings, daemon_count: usize) -> Figures {
+    let mut fleet = VirtualFleet::new(MembershipSettings::default(), settings.seed);
+    for index in 0..daemon_count {
+        fleet.start(&daemon_name(index), &domain_name(index), &[]);
+        let local = MembershipEvent::Local(servers(index, settings.servers_count, 5));
+        fleet.give(&daemon_name(index), local);
+    }
+    fleet.run_until(SETTLE);
+    let began = Instant::now();
+    let idle_bytes_per_s = bytes_over(&mut fleet, SPAN);
+    let spent_s = began.elapsed().as_secs_f64();
+    let virtual_s = SPAN.as_secs_f64() * daemon_count as f64;
+    let (busy_bytes_per_s, change_s) = with_changes(&mut fleet, settings, daemon_count);
+    let (first_view_s, first_view_bytes) = first_view(&mut fleet, daemon_count);
+    Figures {
+        idle_bytes_per_s,
+        busy_bytes_per_s,
+        change_s,
+        first_view_s,
+        first_view_bytes,
+        processor_share_percent: 100.0 * spent_s / virtual_s,
+    }
+}
+
+fn traffic(fleet: &VirtualFleet) -> BTreeMap<DaemonId, u64> {
+    let names = fleet.alive();
+    let total = |name: &DaemonId| {
+        let traffic = fleet.traffic(name);
+        traffic.sent_bytes + traffic.received_bytes
+    };
+    names
+        .iter()
+        .map(|name| (name.clone(), total(name)))
+        .collect()
+}
+
+fn rates(
+    before: &BTreeMap<DaemonId, u64>,
+    after: &BTreeMap<DaemonId, u64>,
+    span: Duration,
+) -> Spread {
+    let rate =
+        |(name, total): (&DaemonId, &u64)| (total - before[name]) as f64 / span.as_secs_f64();
+    Spread::of(after.iter().map(rate).collect())
+}
+
+fn bytes_over(fleet: &mut VirtualFleet, span: Duration) -> Spread {
+    let before = traffic(fleet);
+    fleet.run_until(fleet.elapsed() + span);
+    rates(&before, &traffic(fleet), span)
+}
+
+/// A change of one daemon that not all know yet.
+struct OpenChange {
+    daemon: DaemonId,
+    slots_count: u32,
+    at: Duration,
+    /// Daemons that were seen to know it; the rest is looked at.
+    unknown_by: Vec<DaemonId>,
+}
+
+fn with_changes(
+    fleet: &mut VirtualFleet,
+    settings: &MeasureSettings,
+    daemon_count: usize,
+) -> (Spread, Spread) {
+    let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
+    let before = traffic(fleet);
+    let start = fleet.elapsed();
+    let mut open: Vec<OpenChange> = Vec::new();
+    let mut times_s = Vec::new();
+    let mut busy = Spread::default();
+    let mut next_at = start;
+    let mut slots_count = 5;
+    while fleet.elapsed() < start + SPAN || !open.is_empty() {
+        let now = fleet.elapsed();
+        while next_at <= now && now < start + SPAN {
+            next_at += Duration::from_secs_f64(1.0 / settings.changes_per_s);
+            slots_count += 1;
+            let index = random.random_range(0..daemon_count);
+            let local = MembershipEvent::Local(servers(index, settings.servers_count, slots_count));
+            let daemon = daemon_name(index);
+            fleet.give(&daemon, local);
+            open.retain(|change| *change.daemon != *daemon);
+            open.push(OpenChange {
+                daemon: daemon.as_str().into(),
+                slots_count,
+                at: now,
+                unknown_by: fleet.alive(),
+            });
+        }
+        fleet.run_until(now + STEP);
+        let now = fleet.elapsed();
+        if now >= start + SPAN && busy.median == 0.0 {
+            busy = rates(&before, &traffic(fleet), now - start);
+        }
+        for change in &mut open {
+            change
+                .unknown_by
+                .retain(|name| !knows(fleet, name, &change.daemon, change.slots_count));
+        }
+        open.retain(|change| {
+            let late = now > change.at + PATIENCE;
+            let done = change.unknown_by.is_empty();
+            if done {
+                times_s.push((now - change.at).as_secs_f64());
+            }
+            if late {
+                times_s.push(f64::INFINITY);
+            }
+            !done && !late
+        });
+    }
+    (busy, Spread::of(times_s))
+}
+
+fn knows(fleet: &VirtualFleet, observer: &DaemonId, daemon: &DaemonId, slots_count: u32) -> bool {
+    let view = fleet.view(observer);
+    let Some(entry) = view.daemons.get(daemon) else {
+        return false;
+    };
+    entry
+        .servers
+        .iter()
+        .all(|server| server.slots_count >= slots_count)
+}
+
+/// Time and bytes until a daemon that starts without the log knows all.
+fn first_view(fleet: &mut VirtualFleet, daemon_count: usize) -> (f64, u64) {
+    fleet.set_log(false);
+    let start = fleet.elapsed();
+    let seed = daemon_name(0);
+    fleet.start("newcomer", "domain-0", &[&seed]);
+    while fleet.elapsed() < start + PATIENCE {
+        fleet.run_until(fleet.elapsed() + STEP);
+        if fleet.view("newcomer").daemons.len() > daemon_count {
+            let took = (fleet.elapsed() - start).as_secs_f64();
+            return (took, fleet.traffic("newcomer").received_bytes);
+        }
+    }
+    (f64::INFINITY, fleet.traffic("newcomer").received_bytes)
+}
+
+/// What one daemon's state takes at some fleet sizes.
+pub fn state_table(settings: &MeasureSettings) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "daemons known",
+        "bytes of memory",
+        "change to snapshot us",
+        "digest walk us",
+    ]);
+    for daemon_count in &settings.daemon_counts {
+        let before = resident_bytes();
+        let (mut state, now) = filled_state(settings, *daemon_count);
+        let bytes = resident_bytes().saturating_sub(before);
+        let change_us = time_changes(&mut state, settings, now);
+        let walk_us = time_walks(&mut state, now);
+        table.add_row([
+            daemon_count.to_string(),
+            bytes.to_string(),
+            format!("{change_us:.1}"),
+            format!("{walk_us:.1}"),
+        ]);
+    }
+    table.to_string()
+}
+
+fn entry(index: usize, version: u64, servers: Vec<ServerEntry>) -> DaemonEntry {
+    DaemonEntry {
+        daemon: daemon_name(index).as_str().into(),
+        incarnation: 1,
+        version,
+        domain: domain_name(index).as_str().into(),
+        guard_address: VirtualFleet::address(index),
+        link_address: VirtualFleet::address(index),
+        leaving: false,
+        servers,
+    }
+}
+
+fn filled_state(settings: &MeasureSettings, daemon_count: usize) -> (MembershipState, Instant) {
+    let now = Instant::now();
+    let random = ChaCha8Rng::seed_from_u64(settings.seed);
+    let own = entry(daemon_count, 0, Vec::new());
+    let mut state = MembershipState::new(MembershipSettings::default(), own, random, now);
+    for index in 0..daemon_count {
+        let heard = entry(index, 1, servers(index, settings.servers_count, 5));
+        state.handle(now, MembershipEvent::Heard(heard));
+    }
+    (state, now)
+}
+
+const REPEAT_COUNT: u64 = 200;
+
+/// Mean time from a description to the snapshot that shows it.
+fn time_changes(state: &mut MembershipState, settings: &MeasureSettings, now: Instant) -> f64 {
+    let changes: Vec<DaemonEntry> = (0..REPEAT_COUNT)
+        .map(|turn| entry(0, turn + 2, servers(0, settings.servers_count, 6)))
+        .collect();
+    let step = Duration::from_millis(100);
+    let began = Instant::now();
+    let mut kept = Arc::default();
+    for (turn, change) in changes.into_iter().enumerate() {
+        let at = now + step * turn as u32;
+        for action in state.handle(at, MembershipEvent::Heard(change)) {
+            if let super::message::MembershipAction::Changed(fleet) = action {
+                kept = fleet;
+            }
+        }
+    }
+    drop(kept);
+    began.elapsed().as_secs_f64() * 1e6 / REPEAT_COUNT as f64
+}
+
+fn time_walks(state: &mut MembershipState, now: Instant) -> f64 {
+    let request = super::message::CompareRequest {
+        depth: 0,
+        prefix: 0,
+        digests: vec![0; 16],
+    };
+    let from = crate::link::PeerName {
+        daemon: daemon_name(0).as_str().into(),
+        incarnation: 1,
+    };
+    let began = Instant::now();
+    for ticket in 0..REPEAT_COUNT {
+        let asked = MembershipEvent::Asked {
+            ticket,
+            from: from.clone(),
+            request: crate::link::PeerRequest::Compare(request.clone()),
+        };
+        state.handle(now, asked);
+    }
+    began.elapsed().as_secs_f64() * 1e6 / REPEAT_COUNT as f64
+}
+
+const PAGE_BYTES: u64 = 4096;
+
+/// Memory of this process, as the kernel counts it; 0 where it does not tell.
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,6 +1,7 @@
 //! Which daemons are there, in which life, and which backend servers stand beside them.
 
 pub mod duty;
+pub mod measure;
 pub mod message;
 pub mod state;
 pub mod virtual_fleet;
--- a/src/membership/virtual_fleet.rs
+++ b/src/membership/virtual_fleet.rs
@@ -26,9 +26,9 @@
 /// Until a call that nobody answers ends.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Frames of a call and its release, without the request.
-pub const CALL_FRAME_BYTES: u64 = 136;
+pub const CALL_FRAME_BYTES: u64 = 112;
 /// Frame of an answer, without the answer.
-pub const ANSWER_FRAME_BYTES: u64 = 48;
+pub const ANSWER_FRAME_BYTES: u64 = 72;
 
 /// Index of a daemon in the order of their starts; a replacement has its own.
 type Index = usize;
