End news that peers know, ask again for missing descriptions, keep the budget

News now ends after two peers that knew it, missing descriptions are asked for in every exchange, walks need budget left, and a message carries at most 12 summaries.

--- a/src/membership/budget.rs
+++ b/src/membership/budget.rs
@@ -38,8 +38,10 @@
     }
 }
 
-/// Call, answer and release of one exchange without content.
-pub(super) const EXCHANGE_BYTES: usize = 224;
+/// Call and release of one exchange without content.
+pub(super) const EXCHANGE_BYTES: usize = 176;
+/// Answer of one exchange without content.
+pub(super) const ANSWER_BYTES: usize = 136;
 const WORD_BYTES: usize = 8;
 const SUMMARY_WORDS: usize = 5;
 const ENTRY_WORDS: usize = 18;
--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -6,19 +6,21 @@
 
 use super::budget::EXCHANGE_BYTES;
 use super::digest::{child, is_below, part, TREE_DEPTH_LIMIT, TREE_FANOUT};
-use super::gossip::Purpose;
+use super::gossip::{Purpose, WANTED_LIMIT_COUNT};
 use super::message::{CallTarget, CompareAnswer, CompareRequest, Gossip};
 use super::state::MembershipState;
 use crate::link::{PeerAnswer, PeerRequest};
 use crate::types::DaemonId;
 
+/// What must be left of the budget for a walk down the tree.
+const COMPARE_BYTES: usize = 2048;
 /// A part of the tree with at most this many daemons is listed.
 const LIST_LIMIT_COUNT: usize = 16;
 
 impl MembershipState {
     /// Begins to compare the whole view with a peer.
     pub(super) fn compare(&mut self, now: Instant, to: CallTarget) {
-        if now < self.compare_at {
+        if now < self.compare_at || self.budget.left_bytes(now) < COMPARE_BYTES {
             return;
         }
         self.compare_at = self.later(now, self.settings.compare_ms);
@@ -85,7 +87,7 @@
         (depth, prefix): (u8, u64),
         answer: &CompareAnswer,
     ) {
-        let (wanted, outdated) = self.learn(now, &answer.summaries, Vec::new());
+        let outdated = self.learn(now, &answer.summaries, Vec::new());
         let lacking: Vec<DaemonId> = self
             .members
             .iter()
@@ -100,6 +102,7 @@
             })
             .cloned()
             .collect();
+        let wanted = self.missing(now, WANTED_LIMIT_COUNT);
         if !(wanted.is_empty() && outdated.is_empty() && lacking.is_empty()) {
             let entries = self.entries(now, &lacking);
             let mut gossip = Gossip {
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -6,10 +6,10 @@
 use rand::seq::IteratorRandom;
 use rand::Rng;
 
-use super::budget::{entry_bytes, name_bytes, summary_bytes, EXCHANGE_BYTES};
+use super::budget::{entry_bytes, name_bytes, summary_bytes, ANSWER_BYTES, EXCHANGE_BYTES};
 use super::message::{CallTarget, DaemonEntry, Gossip, MembershipAction, Summary, Ticket};
 use super::rumours::told_limit_count;
-use super::state::MembershipState;
+use super::state::{MembershipState, USUAL_DOUBLINGS};
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
 use crate::types::DaemonId;
 
@@ -24,8 +24,8 @@
 /// Why a peer was called.
 #[derive(Debug, Clone)]
 pub(super) enum Purpose {
-    /// To exchange news.
-    Gossip,
+    /// To exchange news. The peer was told of these daemons.
+    Gossip { told: Vec<DaemonId> },
     /// To find what differs below a node of the digest tree.
     Compare { depth: u8, prefix: u64 },
     /// For a page of the first view.
@@ -37,7 +37,9 @@
 }
 
 /// Most summaries in one message.
-const SUMMARY_LIMIT_COUNT: usize = 48;
+const SUMMARY_LIMIT_COUNT: usize = 12;
+/// Most descriptions that are asked for at once.
+pub(super) const WANTED_LIMIT_COUNT: usize = 8;
 /// Bytes of a summary with a name of usual length.
 const USUAL_SUMMARY_BYTES: usize = 64;
 /// A description that was asked for and did not come is asked for again after this.
@@ -58,7 +60,7 @@
             return;
         }
         let wait_ms = match self.rumours.is_empty() {
-            true => self.settings.idle_gossip_ms,
+            true => self.idle_gossip_ms(),
             false => self.settings.gossip_ms,
         };
         self.gossip_at = self.later(now, wait_ms);
@@ -83,7 +85,14 @@
 
     pub(super) fn send_gossip(&mut self, now: Instant, to: CallTarget, gossip: Gossip) {
         self.budget.spend(EXCHANGE_BYTES + gossip_bytes(&gossip));
-        self.call(now, to, Purpose::Gossip, PeerRequest::Gossip(gossip));
+        let told = gossip.summaries.iter();
+        let told = told.map(|summary| summary.daemon.clone()).collect();
+        self.call(
+            now,
+            to,
+            Purpose::Gossip { told },
+            PeerRequest::Gossip(gossip),
+        );
     }
 
     pub(super) fn call(
@@ -118,11 +127,28 @@
         }
         Gossip {
             summaries,
+            wanted: self.missing(now, WANTED_LIMIT_COUNT),
             digest: self.members.digest(),
             ..Default::default()
         }
     }
 
+    /// Descriptions to ask for: known to be there, and not asked for of late.
+    pub(super) fn missing(&mut self, now: Instant, count: usize) -> Vec<DaemonId> {
+        let mut wanted = Vec::new();
+        for (daemon, asked_at) in &mut self.missing {
+            if wanted.len() == count {
+                break;
+            }
+            if asked_at.is_some_and(|at| now < at + WANT_AGAIN) {
+                continue;
+            }
+            *asked_at = Some(now);
+            wanted.push(daemon.clone());
+        }
+        wanted
+    }
+
     /// What a peer must hear of itself to refute it.
     fn doubt_of(&self, peer: &DaemonId) -> Option<Summary> {
         let Some(member) = self.members.get(peer) else {
@@ -153,24 +179,24 @@
         entries
     }
 
-    /// Takes what a peer tells. Gives what to ask it for, and of what it knows too little.
+    /// Takes what a peer tells. Gives the daemons of which the peer knows too little.
     pub(super) fn learn(
         &mut self,
         now: Instant,
         summaries: &[Summary],
         entries: Vec<Arc<DaemonEntry>>,
-    ) -> (Vec<DaemonId>, Vec<DaemonId>) {
+    ) -> Vec<DaemonId> {
         for entry in entries {
             if entry.daemon == self.own.daemon {
                 continue;
             }
             let daemon = entry.daemon.clone();
             let summary = summaries.iter().find(|found| found.daemon == daemon);
+            self.missing.remove(&daemon);
             if self.members.hear_entry(now, entry, summary) {
                 self.add_rumour(now, daemon);
             }
         }
-        let mut wanted = Vec::new();
         let mut outdated = Vec::new();
         for summary in summaries {
             if summary.daemon == self.own.daemon {
@@ -184,20 +210,11 @@
             if told.outdated {
                 outdated.push(summary.daemon.clone());
             }
-            if told.wanted && self.want(now, &summary.daemon) {
-                wanted.push(summary.daemon.clone());
+            if told.wanted {
+                self.missing.entry(summary.daemon.clone()).or_default();
             }
         }
-        (wanted, outdated)
-    }
-
-    fn want(&mut self, now: Instant, daemon: &DaemonId) -> bool {
-        let asked_at = self.wanted_at.get(daemon);
-        if asked_at.is_some_and(|at| now < *at + WANT_AGAIN) {
-            return false;
-        }
-        self.wanted_at.insert(daemon.clone(), now);
-        true
+        outdated
     }
 
     pub(super) fn asked(
@@ -225,15 +242,17 @@
     }
 
     fn answer_gossip(&mut self, now: Instant, from: &DaemonId, gossip: Gossip) -> PeerAnswer {
-        let (mut wanted, outdated) = self.learn(now, &gossip.summaries, gossip.entries);
-        if self.members.get(from).is_none() && self.want(now, from) {
-            wanted.push(from.clone());
+        let outdated = self.learn(now, &gossip.summaries, gossip.entries);
+        if self.members.get(from).is_none() {
+            self.missing.entry(from.clone()).or_default();
+        }
+        if gossip.digest == self.members.digest() {
+            self.rumours.all_known();
         }
         let mut answer = self.compose(now, from);
         answer.entries = self.entries(now, &gossip.wanted);
-        answer.wanted = wanted;
         self.accompany(&mut answer, &outdated);
-        self.budget.spend(gossip_bytes(&answer));
+        self.budget.spend(ANSWER_BYTES + gossip_bytes(&answer));
         PeerAnswer::Gossip(answer)
     }
 
@@ -262,7 +281,10 @@
             self.contact(now, &daemon);
         }
         match (call.purpose.clone(), result) {
-            (Purpose::Gossip, Ok(PeerAnswer::Gossip(gossip))) => {
+            (Purpose::Gossip { told }, Ok(PeerAnswer::Gossip(gossip))) => {
+                for daemon in told.iter().filter(|name| !gossip.wanted.contains(name)) {
+                    self.rumours.known(daemon);
+                }
                 self.follow_up(now, call.to, gossip);
             }
             (Purpose::Compare { depth, prefix }, Ok(PeerAnswer::Compare(answer))) => {
@@ -275,7 +297,7 @@
                 self.actions
                     .push(MembershipAction::Reply { ticket, answer });
             }
-            (Purpose::Gossip, Err(LinkError::Unreachable | LinkError::Silent)) => {
+            (Purpose::Gossip { .. }, Err(LinkError::Unreachable | LinkError::Silent)) => {
                 self.unanswered(now, &call);
             }
             _ => {}
@@ -284,11 +306,16 @@
 
     /// Goes on with a peer after its answer: gives and asks what is wanted, or compares.
     fn follow_up(&mut self, now: Instant, to: CallTarget, answer: Gossip) {
-        let (wanted, outdated) = self.learn(now, &answer.summaries, answer.entries);
+        let outdated = self.learn(now, &answer.summaries, answer.entries);
+        if self.budget.left_bytes(now) < EXCHANGE_BYTES {
+            return self.count("membership.budget.spent");
+        }
         let entries = self.entries(now, &answer.wanted);
+        let wanted = self.missing(now, WANTED_LIMIT_COUNT);
         if wanted.is_empty() && outdated.is_empty() && entries.is_empty() {
-            if answer.digest != self.members.digest() {
-                self.compare(now, to);
+            match answer.digest == self.members.digest() {
+                true => self.rumours.all_known(),
+                false => self.compare(now, to),
             }
             return;
         }
@@ -302,6 +329,10 @@
         self.send_gossip(now, to, gossip);
     }
 
+    fn idle_gossip_ms(&self) -> u64 {
+        self.settings.idle_gossip_ms * u64::from(self.doublings()) / u64::from(USUAL_DOUBLINGS)
+    }
+
     /// Chooses partners anew where some are gone, and one of them now and then.
     pub(super) fn refresh_partners(&mut self, now: Instant) {
         if now >= self.partner_at {
--- a/src/membership/measure.rs
+++ b/src/membership/measure.rs
@@ -28,16 +28,17 @@
 }
 
 const DOMAIN_COUNT: usize = 6;
-/// Time from the start of the fleet until measurement begins.
-const SETTLE: Duration = Duration::from_secs(60);
+/// Longest time until all daemons of a fleet that starts at once know the same.
+const SETTLE_LIMIT: Duration = Duration::from_secs(1_800);
 /// Time over which bytes are counted, without and with changes.
-const SPAN: Duration = Duration::from_secs(60);
+const SPAN: Duration = Duration::from_secs(120);
 /// Longest time that a change or a first view is waited for.
 const PATIENCE: Duration = Duration::from_secs(300);
 const STEP: Duration = Duration::from_millis(100);
 
 /// Figures of one fleet size.
 struct Figures {
+    settled_s: f64,
     idle_bytes_per_s: Spread,
     busy_bytes_per_s: Spread,
     change_s: Spread,
@@ -69,6 +70,7 @@
     table.load_preset(presets::ASCII_MARKDOWN);
     table.set_header([
         "daemons",
+        "all started at once: equal after s",
         "idle bytes/s, median / most",
         "with changes",
         "change everywhere s, median / last",
@@ -80,6 +82,7 @@
         let found = measure(settings, *daemon_count);
         table.add_row([
             daemon_count.to_string(),
+            format!("{:.0}", found.settled_s),
             pair(&found.idle_bytes_per_s, 0),
             pair(&found.busy_bytes_per_s, 0),
             pair(&found.change_s, 1),
@@ -125,7 +128,7 @@
         let local = MembershipEvent::Local(servers(index, settings.servers_count, 5));
         fleet.give(&daemon_name(index), local);
     }
-    fleet.run_until(SETTLE);
+    let settled_s = settle(&mut fleet);
     let began = Instant::now();
     let idle_bytes_per_s = bytes_over(&mut fleet, SPAN);
     let spent_s = began.elapsed().as_secs_f64();
@@ -133,6 +136,7 @@
     let (busy_bytes_per_s, change_s) = with_changes(&mut fleet, settings, daemon_count);
     let (first_view_s, first_view_bytes) = first_view(&mut fleet, daemon_count);
     Figures {
+        settled_s,
         idle_bytes_per_s,
         busy_bytes_per_s,
         change_s,
@@ -142,6 +146,19 @@
     }
 }
 
+/// Runs until all know the same; gives the time it took.
+fn settle(fleet: &mut VirtualFleet) -> f64 {
+    let names = fleet.alive();
+    while fleet.elapsed() < SETTLE_LIMIT {
+        fleet.run_until(fleet.elapsed() + Duration::from_secs(1));
+        let first = fleet.digest(&names[0]);
+        if names.iter().all(|name| fleet.digest(name) == first) {
+            return fleet.elapsed().as_secs_f64();
+        }
+    }
+    f64::INFINITY
+}
+
 fn traffic(fleet: &VirtualFleet) -> BTreeMap<DaemonId, u64> {
     let names = fleet.alive();
     let total = |name: &DaemonId| {
--- a/src/membership/rumours.rs
+++ b/src/membership/rumours.rs
@@ -4,41 +4,67 @@
 
 use crate::types::DaemonId;
 
-/// News to tell.
+/// How often one piece of news was told.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Telling {
+    told_count: u32,
+    /// To peers that knew it already.
+    known_count: u32,
+}
+
+/// News to tell. It ends after peers that knew it already, or after a bound.
 #[derive(Debug, Default)]
 pub(super) struct Rumours {
-    /// How often the news of a daemon was told.
-    told_counts: BTreeMap<DaemonId, u32>,
+    tellings: BTreeMap<DaemonId, Telling>,
 }
 
 impl Rumours {
     /// There is news of a daemon.
     pub(super) fn add(&mut self, daemon: DaemonId) {
-        self.told_counts.insert(daemon, 0);
+        self.tellings.insert(daemon, Telling::default());
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.told_counts.is_empty()
+        self.tellings.is_empty()
     }
 
     /// Names to tell now, and counts them as told. `limit_count` bounds how often each is told.
     pub(super) fn take(&mut self, count: usize, limit_count: u32) -> Vec<DaemonId> {
-        let mut names: Vec<(u32, DaemonId)> = self
-            .told_counts
+        let mut names: Vec<(Telling, DaemonId)> = self
+            .tellings
             .iter()
-            .map(|(daemon, told)| (*told, daemon.clone()))
+            .map(|(daemon, telling)| (*telling, daemon.clone()))
             .collect();
         names.sort();
         names.truncate(count);
-        for (told, daemon) in &names {
-            if told + 1 >= limit_count {
-                self.told_counts.remove(daemon);
-            } else {
-                self.told_counts.insert(daemon.clone(), told + 1);
+        for (telling, daemon) in &names {
+            if telling.told_count + 1 >= limit_count {
+                self.tellings.remove(daemon);
+            } else if let Some(telling) = self.tellings.get_mut(daemon) {
+                telling.told_count += 1;
             }
         }
         names.into_iter().map(|(_, daemon)| daemon).collect()
     }
+
+    /// A peer knew this news already.
+    pub(super) fn known(&mut self, daemon: &DaemonId) {
+        let Some(telling) = self.tellings.get_mut(daemon) else {
+            return;
+        };
+        telling.known_count += 1;
+        if telling.known_count >= KNOWN_LIMIT_COUNT {
+            self.tellings.remove(daemon);
+        }
+    }
+
+    /// A peer knows all that this daemon knows.
+    pub(super) fn all_known(&mut self) {
+        let names: Vec<DaemonId> = self.tellings.keys().cloned().collect();
+        for daemon in names {
+            self.known(&daemon);
+        }
+    }
 }
 
 /// How often news is told in a fleet of this size.
@@ -48,3 +74,5 @@
 }
 
 const TOLD_PER_DOUBLING: u32 = 2;
+/// News ends after this many peers that knew it already.
+const KNOWN_LIMIT_COUNT: u32 = 2;
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -37,8 +37,8 @@
     next_ticket: Ticket,
     /// Daemons that gossip is exchanged with, in turn.
     pub(super) partners: Vec<DaemonId>,
-    /// When a description was last asked of a peer.
-    pub(super) wanted_at: BTreeMap<DaemonId, Instant>,
+    /// Descriptions that peers have and this daemon lacks, and when each was last asked for.
+    pub(super) missing: BTreeMap<DaemonId, Option<Instant>>,
     /// Daemons that did not answer.
     pub(super) troubles: BTreeMap<DaemonId, Trouble>,
     /// The first view, until it is whole.
@@ -63,6 +63,8 @@
 /// A tick this late means that the process was paused.
 const PAUSE: Duration = Duration::from_secs(1);
 const SWEEP: Duration = Duration::from_secs(60);
+/// Doublings of a fleet for which the times of the settings hold; larger fleets take longer.
+pub(super) const USUAL_DOUBLINGS: u32 = 6;
 
 impl MembershipState {
     /// Membership of a daemon that knows only itself.
@@ -90,7 +92,7 @@
             calls: BTreeMap::new(),
             next_ticket: 0,
             partners: Vec::new(),
-            wanted_at: BTreeMap::new(),
+            missing: BTreeMap::new(),
             troubles: BTreeMap::new(),
             first_view: Some(FirstView::new(now)),
             gossiped_at: now,
@@ -183,7 +185,7 @@
             self.sweep_at = now + SWEEP;
             let forget = Duration::from_millis(self.settings.forget_ms);
             self.members.forget(now, &self.own.daemon, forget);
-            self.wanted_at.clear();
+            self.missing.clear();
             self.expire_calls(now);
         }
         self.refresh_partners(now);
@@ -296,6 +298,11 @@
         }
     }
 
+    /// How often the fleet doubled from one daemon, no less than usual.
+    pub(super) fn doublings(&self) -> u32 {
+        self.members.count().max(1).ilog2().max(USUAL_DOUBLINGS)
+    }
+
     pub(super) fn count(&mut self, name: &'static str) {
         self.actions.push(MembershipAction::Count(name));
     }
--- a/src/membership/suspicion.rs
+++ b/src/membership/suspicion.rs
@@ -11,7 +11,7 @@
 use super::budget::EXCHANGE_BYTES;
 use super::gossip::{OpenCall, Purpose};
 use super::message::{CallTarget, Gossip, Ticket};
-use super::state::MembershipState;
+use super::state::{MembershipState, USUAL_DOUBLINGS};
 use crate::link::{LinkError, PeerAnswer, PeerRequest};
 use crate::types::DaemonId;
 
@@ -30,17 +30,13 @@
 const FAILED_LIMIT_COUNT: u32 = 2;
 /// Without a word of any peer for this long, this daemon may itself be cut off.
 const ALONE: Duration = Duration::from_secs(2);
-/// A fleet of this size takes the suspicion time of the settings; larger ones take longer.
-const USUAL_FLEET_DOUBLINGS: u32 = 6;
 /// Of so many attempts to heal one goes to a seed.
 const SEED_SHARE: f64 = 0.1;
 
 impl MembershipState {
     /// How long a suspicion waits for its refutation.
     pub(super) fn suspect_limit(&self) -> Duration {
-        let count = self.members.count().max(1);
-        let doublings = count.ilog2().max(USUAL_FLEET_DOUBLINGS);
-        Duration::from_millis(self.settings.suspect_ms) * doublings / USUAL_FLEET_DOUBLINGS
+        Duration::from_millis(self.settings.suspect_ms) * self.doublings() / USUAL_DOUBLINGS
     }
 
     /// A daemon showed that it lives.
