--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod check;
 pub mod duty;
+pub mod hangup;
 pub mod message;
 pub mod state;
 
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -16,6 +16,7 @@
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
 use crate::front::duty::AnswerJob;
+use crate::front::hangup::state::HangupEvent;
 use crate::link::{
     ClaimRequest, ClaimStep, FenceRequest, PeerAnswer, PeerCaller, PeerReply, PeerRequest,
 };
@@ -40,6 +41,8 @@
     pub uploads: RingSender<ForwardJob>,
     /// The threads that write answers.
     pub answers: RingSender<AnswerJob>,
+    /// Watches callers for hang-ups.
+    pub hangups: RingSender<HangupEvent>,
     /// Guards and homes of idempotency keys.
     pub peers: Arc<dyn PeerCaller>,
     /// Where peers' answers come in: this duty's own ring.
@@ -77,6 +80,13 @@
                 head,
                 exchange,
             } => {
+                if let Some(peer) = head.peer {
+                    duty.watch(HangupEvent::Opened {
+                        request: plan.request,
+                        peer,
+                        ends_at: plan.deadline_at + WATCH_GRACE,
+                    });
+                }
                 let held = HeldRequest {
                     head,
                     exchange,
@@ -98,7 +108,15 @@
     }
 }
 
+/// How long after its deadline a request has ended for certain.
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
 impl RoutingDuty<'_> {
+    /// A full ring loses the watch on a caller; the ring counts it.
+    fn watch(&self, event: HangupEvent) {
+        let _ = self.context.hangups.offer(event);
+    }
+
     fn decide(&mut self, event: RoutingEvent) {
         let mut events = vec![event];
         while let Some(event) = events.pop() {
@@ -135,6 +153,7 @@
                 None
             }
             RoutingAction::Finish { request, outcome } => {
+                self.watch(HangupEvent::Closed(request));
                 if let Some(held) = self.held.remove(&request) {
                     finish(self.context, request, *held, outcome);
                 }
--- a/src/standin/backend_server/faults.rs
+++ b/src/standin/backend_server/faults.rs
@@ -39,6 +39,9 @@
 pub struct RanReport {
     /// Runs by request id.
     pub runs: BTreeMap<String, u64>,
+    /// Runs by path.
+    #[serde(default)]
+    pub runs_by_path: BTreeMap<String, u64>,
     /// Runs by the caller's idempotency key.
     #[serde(default)]
     pub runs_by_key: BTreeMap<String, u64>,
--- a/src/standin/backend_server/run.rs
+++ b/src/standin/backend_server/run.rs
@@ -167,6 +167,9 @@
     let key = header(request, "idempotency-key");
     let mut ran = shared.ran.lock().expect("no panic while locked");
     *ran.runs.entry(id.to_owned()).or_default() += 1;
+    *ran.runs_by_path
+        .entry(request.url().to_owned())
+        .or_default() += 1;
     if let Some(key) = key {
         *ran.runs_by_key.entry(key).or_default() += 1;
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Processes of the binary on loopback, for tests of the whole path.
 #![allow(dead_code)]
 
+pub mod faults;
+
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
