--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -56,6 +56,11 @@
             .expect("an address")
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal, such as "TERM", "KILL", "STOP" or "CONT".
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
@@ -156,11 +161,17 @@
 
 /// One organisation, one service with two routes, and the key "key-1".
 pub fn publish_basics(log: SocketAddr) {
+    publish_limits(log, 1000, RouteContract::default().body_limit_bytes);
+}
+
+/// The same with this rate and burst, and this limit of bodies.
+pub fn publish_limits(log: SocketAddr, rate_per_s: u32, body_limit_bytes: u64) {
     let route = |route: &str, method: &str, repeatable| RouteContract {
         route: route.into(),
         method: method.to_owned(),
         path_prefix: format!("/{route}"),
         repeatable,
+        body_limit_bytes,
         ..Default::default()
     };
     let routes = vec![route("sheets", "GET", true), route("orders", "POST", false)];
@@ -179,8 +190,8 @@
         Change::PublishOrganisation {
             contract: OrganisationContract {
                 organisation: "optician-1".into(),
-                rate_per_s: 1000.0,
-                burst_count: 1000,
+                rate_per_s: f64::from(rate_per_s),
+                burst_count: rate_per_s,
                 routes: vec!["sheets".into(), "orders".into()],
                 ..Default::default()
             },
