Spend on a custodian's promise alone, and let loans lapse while others are made

Cause: a reclaimed seat waited for reads of the log to grow old, after its custodian had already let every promise run out; loans kept as one were carried on for as long as others followed, so a busy bucket's cap stayed lowered; a round ended though a holder had more tokens. Change: beside a custodian, fresh reads give no right, and a reclaim by the custodian starts after a loan's life and the margin; without a custodian reads count and a taker waits for them. Loans live 250 ms at most and lapse from the first of those kept as one. A holder that lent all it was asked for is asked again.

--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -21,6 +21,9 @@
 #[derive(Debug, Clone, PartialEq)]
 struct Lent {
     count: u32,
+    /// When the first of these loans has lapsed.
+    first_at: Instant,
+    /// When the last of them has.
     lapsed_at: Instant,
 }
 
@@ -70,11 +73,15 @@
         self.lent_count += count;
         let step = lapsed_at.saturating_duration_since(now) / LENT_STEPS;
         match self.lent.back_mut() {
-            Some(last) if last.lapsed_at + step >= lapsed_at => {
+            Some(last) if last.first_at + step >= lapsed_at => {
                 last.count += count;
                 last.lapsed_at = last.lapsed_at.max(lapsed_at);
             }
-            _ => self.lent.push_back(Lent { count, lapsed_at }),
+            _ => self.lent.push_back(Lent {
+                count,
+                first_at: lapsed_at,
+                lapsed_at,
+            }),
         }
         count
     }
--- a/src/allowance/custody.rs
+++ b/src/allowance/custody.rs
@@ -1,4 +1,5 @@
-//! The right to spend: from fresh reads of the log or a custodian's promise, and its end.
+//! The right to spend, and its end: a custodian's promise, or without a custodian a fresh read of
+//! the log.
 //!
 //! Small and pure, so that the model checker in `spec/` drives this very code.
 
@@ -25,8 +26,8 @@
     fn default() -> Self {
         EscrowTimes {
             right: Duration::from_secs(3),
-            loan: Duration::from_secs(1),
-            margin: Duration::from_millis(80),
+            loan: Duration::from_millis(250),
+            margin: Duration::from_millis(50),
         }
     }
 }
@@ -125,8 +126,15 @@
     }
 
     /// When the right to spend ends unless it is renewed.
+    ///
+    /// Beside a custodian fresh reads count for nothing: the custodian may reclaim once its
+    /// promises have run out, and its seats then start without waiting for reads to grow old.
     pub fn right_until(&self) -> Option<Instant> {
-        self.fresh_until.max(self.promised_until)
+        let entry = self.ledger.holders().get(&self.own)?;
+        match entry.custodian {
+            Some(_) => self.promised_until,
+            None => self.fresh_until.max(self.promised_until),
+        }
     }
 
     /// Takes the records of a read that was sent at `asked_at`.
@@ -169,8 +177,8 @@
         } = self.times;
         let wait = match moved.moved {
             Moved::Claimed => Duration::ZERO,
-            Moved::HandedOver => loan + margin,
-            Moved::Reclaimed => right + loan + margin,
+            Moved::HandedOver | Moved::Reclaimed => loan + margin,
+            Moved::Taken => right + loan + margin,
         };
         let start = Start {
             at: now + wait,
--- a/src/allowance/entry.rs
+++ b/src/allowance/entry.rs
@@ -7,11 +7,11 @@
 use smallvec::SmallVec;
 
 use super::calls::{OpenCall, Purpose};
-use super::loan::{Purse, Round, Waiting};
+use super::loan::{Pending, Purse, Round, Waiting, SHORTEST_ROUND, UNKNOWN_RETRY};
 use super::message::{AllowanceAction, CallId};
 use super::record::SeatId;
 use super::seat;
-use super::state::{AllowanceState, UNKNOWN_RETRY};
+use super::state::AllowanceState;
 use crate::contract::OrganisationContract;
 use crate::link::{BorrowAnswer, BorrowRequest, EscrowId, PeerName, PeerRequest};
 use crate::types::{DaemonId, OrganisationId, RequestId};
@@ -132,14 +132,7 @@
             }
         }
         if let Some(round) = &mut purse.round {
-            if round.pending.is_some_and(|(pending, _)| pending == call) {
-                round.pending = None;
-                let retry_after = lent.map_or(UNKNOWN_RETRY, |lent| match lent.count {
-                    0 => lent.retry_after,
-                    _ => SHORTEST_ROUND,
-                });
-                round.retry_after = round.retry_after.min(retry_after);
-            }
+            round.answered(call, lent.as_ref());
         }
         let view = self.view.clone();
         let Some(contract) = view.organisations.get(organisation) else {
@@ -210,7 +203,7 @@
         let Some(round) = &mut purse.round else {
             return;
         };
-        if round.pending.is_some_and(|(_, until)| now < until) {
+        if round.pending.as_ref().is_some_and(|p| now < p.until) {
             return;
         }
         let Some(to) = round.left.pop() else {
@@ -228,7 +221,12 @@
             sent_at: now,
             purpose: Purpose::Tokens(organisation.clone()),
         });
-        round.pending = Some((call, patience));
+        round.pending = Some(Pending {
+            call,
+            to: to.clone(),
+            count,
+            until: patience,
+        });
         self.entry.wake_at(patience, organisation);
         actions.push(AllowanceAction::Call {
             call,
@@ -309,6 +307,3 @@
         }
     }
 }
-
-/// Shortest time between two rounds of asking for one organisation.
-const SHORTEST_ROUND: Duration = Duration::from_millis(20);
--- a/src/allowance/loan.rs
+++ b/src/allowance/loan.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::message::CallId;
+use crate::link::BorrowAnswer;
 use crate::types::{DaemonId, RequestId};
 
 /// Tokens that a holder lent.
@@ -24,17 +25,61 @@
     pub until: Instant,
 }
 
+/// A call for tokens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pending {
+    /// The call.
+    pub call: CallId,
+    /// The holder.
+    pub to: DaemonId,
+    /// Tokens asked for.
+    pub count: u32,
+    /// When the next holder is asked instead.
+    pub until: Instant,
+}
+
 /// Holders that are asked one after the other.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Round {
     /// Holders not asked yet, the next one last.
     pub left: SmallVec<[DaemonId; 3]>,
-    /// The call that is waited for, and until when.
-    pub pending: Option<(CallId, Instant)>,
+    /// The call that is waited for.
+    pub pending: Option<Pending>,
     /// The soonest time that a holder named.
     pub retry_after: Duration,
 }
 
+impl Round {
+    /// Takes the answer to the pending call. A holder that lent all it was asked for may have
+    /// more, and is asked again if that is not enough.
+    pub fn answered(&mut self, call: CallId, lent: Option<&BorrowAnswer>) {
+        if self.pending.as_ref().is_none_or(|p| p.call != call) {
+            return;
+        }
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        let Some(lent) = lent else {
+            self.retry_after = self.retry_after.min(UNKNOWN_RETRY);
+            return;
+        };
+        if lent.count >= pending.count {
+            self.left.push(pending.to);
+            return;
+        }
+        let retry_after = match lent.count {
+            0 => lent.retry_after,
+            _ => SHORTEST_ROUND,
+        };
+        self.retry_after = self.retry_after.min(retry_after);
+    }
+}
+
+/// Shortest time between two rounds of asking for one organisation.
+pub const SHORTEST_ROUND: Duration = Duration::from_millis(20);
+/// When to ask again where nothing is known yet.
+pub const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
+
 /// What an entry has of one organisation's tokens.
 #[derive(Debug, Default)]
 pub struct Purse {
--- a/src/allowance/replay.rs
+++ b/src/allowance/replay.rs
@@ -33,8 +33,10 @@
     Claimed,
     /// From a holder that stopped spending before it sent the record.
     HandedOver,
-    /// From a holder that may still be spending.
+    /// By its custodian, which let every promise run out first.
     Reclaimed,
+    /// From a holder without custodian, which may still be spending after a read of the log.
+    Taken,
 }
 
 /// A seat that got a new holder.
@@ -169,11 +171,15 @@
         if entry.custody != custody || !allowed || holder == by {
             return Vec::new();
         }
+        let moved = match entry.custodian {
+            Some(_) => Moved::Reclaimed,
+            None => Moved::Taken,
+        };
         self.holders.remove(holder);
         let mut moves = Vec::new();
         for seat in 0..self.seats.len() as SeatId {
             if self.seat_is(seat, |seat| seat.holder.as_ref() == Some(holder)) {
-                moves.push(self.put(offset, seat, by, Moved::Reclaimed));
+                moves.push(self.put(offset, seat, by, moved));
             }
         }
         self.grow(offset, by, &None, moves.len());
--- a/src/allowance/state.rs
+++ b/src/allowance/state.rs
@@ -8,6 +8,7 @@
 use super::custody::{CustodyState, EscrowTimes};
 use super::entry::Entry;
 use super::lender::Lender;
+use super::loan::UNKNOWN_RETRY;
 use super::message::{AllowanceAction, AllowanceEvent, CallId};
 use super::permit::{self, PermitDesk, PermitLender};
 use super::record::SeatId;
@@ -358,5 +359,3 @@
 }
 
 const SWEEP: Duration = Duration::from_secs(10);
-/// When to ask again where nothing is known yet.
-pub(super) const UNKNOWN_RETRY: Duration = Duration::from_secs(1);
--- a/src/allowance/tests.rs
+++ b/src/allowance/tests.rs
@@ -48,3 +48,22 @@
     // Assert
     assert_eq!((lent, before, after), (8, 2, 10));
 }
+
+#[test]
+fn loans_lapse_while_others_are_made() {
+    // Arrange
+    let start = Instant::now();
+    let life = Duration::from_millis(250);
+    let step = Duration::from_millis(10);
+    let mut bucket = Bucket::full(start, 100.0, 100.0);
+
+    // Act
+    let lent = (0..1000).map(|turn| {
+        let now = start + step * turn;
+        bucket.lend(now, 1, now + life)
+    });
+    let lent: u32 = lent.sum();
+
+    // Assert
+    assert_eq!(lent, 1000);
+}
