--- a/src/daemon/beside.rs
+++ b/src/daemon/beside.rs
@@ -49,6 +49,7 @@
         answers,
         outcomes: Box::new(HealthFeed(rings.health.clone())),
         membership: rings.membership.clone(),
+        own: rings.guard.clone(),
         link: rings.link.clone(),
         drained,
     };
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -45,17 +45,6 @@
     let worker_count = settings.front.worker_count;
     let upload_count = settings.front.upload_worker_count;
     let (forwards, forwards_end) = ring("forward", worker_count, &common.metrics);
-    let (hangups, hangups_end) = ring("hangup", settings.front.ring_count, &common.metrics);
-    let hangup = front::hangup::duty::HangupContext {
-        every: Duration::from_millis(settings.front.hangup_every_ms),
-        local_port: listener.address().port(),
-        clock: common.clock.clone(),
-        metrics: common.metrics.clone(),
-        routing: rings.routing.clone(),
-    };
-    threads.push(spawn_duty("hangup", move || {
-        front::hangup::duty::run(&hangup, &hangups_end)
-    }));
     let (uploads, uploads_end) = ring("upload", upload_count, &common.metrics);
     for index in 0..ACCEPT_THREAD_COUNT {
         let context = front::accept::AcceptContext {
@@ -106,7 +95,6 @@
         forwards,
         uploads,
         answers,
-        hangups,
         peers: Arc::new(FleetCaller {
             own: settings.daemon.daemon.clone(),
             rings: rings.clone(),
--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -38,7 +38,6 @@
         deadline: deadline(&raw.headers)?,
         idempotency_key: single(&raw.headers, IDEMPOTENCY_KEY)?.map(str::to_owned),
         body_bytes: raw.body_bytes,
-        peer: raw.peer,
         chunked: single(&raw.headers, "transfer-encoding")?.is_some(),
     })
 }
--- a/src/front/message.rs
+++ b/src/front/message.rs
@@ -1,6 +1,5 @@
 //! Events and actions of the front.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,8 +31,6 @@
     pub idempotency_key: Option<String>,
     /// Length of the body, where known.
     pub body_bytes: Option<u64>,
-    /// The caller.
-    pub peer: Option<SocketAddr>,
     /// Whether the body comes in chunks.
     pub chunked: bool,
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -4,7 +4,6 @@
 pub mod answer;
 pub mod check;
 pub mod duty;
-pub mod hangup;
 pub mod message;
 pub mod state;
 
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -50,6 +50,8 @@
     pub outcomes: Box<dyn OutcomeReader>,
     /// Membership.
     pub membership: RingSender<MembershipEvent>,
+    /// Where hang-ups of entries come in: this duty's own ring.
+    pub own: RingSender<GuardMessage>,
     /// The link to other daemons.
     pub link: RingSender<LinkMessage>,
     /// Hears when a draining guard has nothing left to do.
@@ -137,13 +139,14 @@
         &mut self,
         head: ForwardHead,
         raw: RawHead,
-        exchange: Box<dyn Exchange>,
+        mut exchange: Box<dyn Exchange>,
         arrived_at: Instant,
     ) {
         let key = (head.request, head.attempt);
         if self.held.contains_key(&key) {
             return self.answer(exchange, key, ErrorKind::OutcomeUnknown, None);
         }
+        self.watch(key, &mut *exchange);
         let deadline_at = arrived_at + head.remaining;
         let event = GuardEvent::Arrived(describe(&head, deadline_at));
         let held = HeldRequest {
@@ -156,6 +159,14 @@
         self.decide(event);
     }
 
+    /// Hears if the entry leaves. A full ring loses that, counted; the request then runs on.
+    fn watch(&self, key: AttemptKey, exchange: &mut dyn Exchange) {
+        let own = self.context.own.clone();
+        exchange.watch(Box::new(move || {
+            let _ = own.offer(GuardMessage::Event(GuardEvent::Left(key)));
+        }));
+    }
+
     fn carry_out(&mut self, action: GuardAction) {
         match action {
             GuardAction::Start { key, address } => self.start(key, address),
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -12,6 +12,7 @@
 use crate::ring::RingSender;
 use crate::types::format_id;
 use crate::wire::call::{call, Call, CallError};
+use crate::wire::deadline::DeadlineReader;
 use crate::wire::exchange::{Exchange, RawHead, WholeAnswer};
 use crate::wire::forward::{ForwardHead, DEADLINE_MS, ORGANISATION, PREFIX, REQUEST};
 use crate::wire::http::{header, HeaderPair};
@@ -101,13 +102,14 @@
 
 fn start(context: &ForwardContext, job: &mut StartJob) -> Result<WholeAnswer, CallError> {
     let headers = server_headers(job);
+    let mut body = DeadlineReader::new(job.exchange.body(), job.deadline_at);
     let answer = context.backend.call(Call {
         address: job.address,
         method: &job.raw.method,
         target: &job.raw.target,
         headers: &headers,
         body_bytes: job.raw.body_bytes,
-        body: job.exchange.body(),
+        body: &mut body,
         connect_timeout: context.connect_timeout,
         deadline_at: job.deadline_at,
         answer_limit_bytes: context.answer_limit_bytes,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -134,6 +134,8 @@
     Fence(FenceRequest),
     /// The caller left; the request may end.
     Cancel(RequestId),
+    /// The entry left its connection; nobody waits for this attempt.
+    Left(AttemptKey),
     /// Another guard saw servers die.
     Poison {
         /// Its daemon.
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -86,6 +86,7 @@
             GuardEvent::Domain { out } => self.domain(now, out, &mut actions),
             GuardEvent::Fence(fence) => self.fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.cancel(now, request, &mut actions),
+            GuardEvent::Left(key) => self.left(now, key, &mut actions),
             GuardEvent::Poison { from, reports } => {
                 for report in &reports {
                     self.deaths.reported(now, &from, report);
--- a/src/guard/withdraw.rs
+++ b/src/guard/withdraw.rs
@@ -37,16 +37,26 @@
             self.remove_waiting(now, key, ErrorKind::Cancelled, actions);
         }
         for key in self.started.running(request) {
-            let Some(running) = self.running.get(&key) else {
-                continue;
-            };
-            if let Some(server) = self.servers.get(&running.server) {
-                actions.push(GuardAction::CancelServer {
-                    request,
-                    address: server.announcement.address,
-                });
-            }
+            actions.extend(self.cancel_running(key));
+        }
+    }
+
+    /// Nobody waits for this one attempt any more.
+    pub(super) fn left(&mut self, now: Instant, key: AttemptKey, actions: &mut Vec<GuardAction>) {
+        if self.running.contains_key(&key) {
+            actions.extend(self.cancel_running(key));
+            return;
         }
+        self.remove_waiting(now, key, ErrorKind::Cancelled, actions);
+    }
+
+    fn cancel_running(&self, key: AttemptKey) -> Option<GuardAction> {
+        let running = self.running.get(&key)?;
+        let server = self.servers.get(&running.server)?;
+        Some(GuardAction::CancelServer {
+            request: key.0,
+            address: server.announcement.address,
+        })
     }
 
     pub(super) fn remove_waiting(
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -16,7 +16,6 @@
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
 use crate::front::duty::AnswerJob;
-use crate::front::hangup::state::HangupEvent;
 use crate::link::{
     ClaimRequest, ClaimStep, FenceRequest, PeerAnswer, PeerCaller, PeerReply, PeerRequest,
 };
@@ -24,7 +23,7 @@
 use crate::ring::RingSender;
 use crate::settings::routing::RoutingSettings;
 use crate::types::{format_id, DaemonId, RequestId};
-use crate::wire::exchange::WholeAnswer;
+use crate::wire::exchange::{Exchange, WholeAnswer};
 use crate::wire::forward::{RAN, REQUEST};
 
 /// What routing needs of the world.
@@ -41,8 +40,6 @@
     pub uploads: RingSender<ForwardJob>,
     /// The threads that write answers.
     pub answers: RingSender<AnswerJob>,
-    /// Watches callers for hang-ups.
-    pub hangups: RingSender<HangupEvent>,
     /// Guards and homes of idempotency keys.
     pub peers: Arc<dyn PeerCaller>,
     /// Where peers' answers come in: this duty's own ring.
@@ -78,15 +75,9 @@
             RoutingMessage::Dispatch {
                 plan,
                 head,
-                exchange,
+                mut exchange,
             } => {
-                if let Some(peer) = head.peer {
-                    duty.watch(HangupEvent::Opened {
-                        request: plan.request,
-                        peer,
-                        ends_at: plan.deadline_at + WATCH_GRACE,
-                    });
-                }
+                duty.watch(plan.request, &mut *exchange);
                 let held = HeldRequest {
                     head,
                     exchange,
@@ -108,13 +99,15 @@
     }
 }
 
-/// How long after its deadline a request has ended for certain.
-const WATCH_GRACE: Duration = Duration::from_secs(2);
-
 impl RoutingDuty<'_> {
-    /// A full ring loses the watch on a caller; the ring counts it.
-    fn watch(&self, event: HangupEvent) {
-        let _ = self.context.hangups.offer(event);
+    /// Hears if the caller leaves. A full ring loses that, counted; the request then runs on.
+    fn watch(&self, request: RequestId, exchange: &mut dyn Exchange) {
+        let own = self.context.own.clone();
+        let metrics = self.context.metrics.clone();
+        exchange.watch(Box::new(move || {
+            metrics.count("routing.caller_left");
+            let _ = own.offer(RoutingMessage::Event(RoutingEvent::CallerLeft(request)));
+        }));
     }
 
     fn decide(&mut self, event: RoutingEvent) {
@@ -153,7 +146,6 @@
                 None
             }
             RoutingAction::Finish { request, outcome } => {
-                self.watch(HangupEvent::Closed(request));
                 if let Some(held) = self.held.remove(&request) {
                     finish(self.context, request, *held, outcome);
                 }
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -13,6 +13,7 @@
 use crate::ring::RingSender;
 use crate::types::{format_id, Attempt, Incarnation};
 use crate::wire::call::{call, Call, CallError};
+use crate::wire::deadline::DeadlineReader;
 use crate::wire::exchange::WholeAnswer;
 use crate::wire::forward::{self, ForwardHead};
 use crate::wire::http::header;
@@ -104,9 +105,10 @@
         .as_ref()
         .map(|body| body.len() as u64)
         .or(job.held.head.body_bytes);
+    let mut source = DeadlineReader::new(job.held.exchange.body(), job.plan.deadline_at);
     let body: &mut dyn Read = match kept {
         Some(_) => &mut kept_reader,
-        None => job.held.exchange.body(),
+        None => &mut source,
     };
     let result = call(Call {
         address: job.target.guard_address,
@@ -133,7 +135,8 @@
         None => job.plan.body_limit_bytes.min(CHUNKED_LIMIT_BYTES),
     };
     let mut body = Vec::new();
-    let mut reader = job.held.exchange.body().take(limit_bytes + 1);
+    let source = job.held.exchange.body();
+    let mut reader = DeadlineReader::new(source, job.plan.deadline_at).take(limit_bytes + 1);
     reader
         .read_to_end(&mut body)
         .map_err(|_| ErrorKind::ShortUpload)?;
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -13,6 +13,7 @@
     Attempt, BackendServerId, DaemonId, Incarnation, OrganisationId, RequestId, RouteId, ServiceId,
 };
 use crate::wire::exchange::{Exchange, WholeAnswer};
+use crate::wire::listener::EAGER_BODY_BYTES;
 
 /// An admitted request, as routing needs it.
 #[derive(Debug, Clone, PartialEq)]
@@ -211,9 +212,6 @@
     },
 }
 
-/// Bodies up to this size have come whole before the request is taken.
-const SHORT_BODY_BYTES: u64 = 1024;
-
 impl HeldRequest {
     /// Whether a body is left that its caller may send slowly.
     pub fn has_long_body(&self) -> bool {
@@ -221,7 +219,7 @@
         let long = self
             .head
             .body_bytes
-            .is_some_and(|bytes| bytes > SHORT_BODY_BYTES);
+            .is_some_and(|bytes| bytes > EAGER_BODY_BYTES);
         self.body.is_none() && (chunked || long)
     }
 }
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -17,8 +17,6 @@
     pub upload_worker_count: usize,
     /// Requests that may wait between two duties.
     pub ring_count: usize,
-    /// Callers of requests that run longer than this are watched for hang-ups, this often.
-    pub hangup_every_ms: u64,
     /// Most bytes of all headers of a request together.
     pub header_limit_bytes: usize,
     /// Most headers of a request.
@@ -38,7 +36,6 @@
             worker_count: 64,
             upload_worker_count: 16,
             ring_count: 1024,
-            hangup_every_ms: 250,
             header_limit_bytes: 16_384,
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
@@ -64,12 +61,6 @@
             self.upload_worker_count,
             "must be from 1 to 1024",
         );
-        checker.require(
-            (10..=60_000).contains(&self.hangup_every_ms),
-            "hangup_every_ms",
-            self.hangup_every_ms,
-            "must be from 10 to 60000",
-        );
         let ring_count_holds = (1..=65536).contains(&self.ring_count);
         checker.require(
             ring_count_holds,
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -16,7 +16,8 @@
     pub body: Vec<u8>,
 }
 
-/// A request that waits for its answer. Dropping it unanswered gives the caller an empty 500.
+/// A request that waits for its answer. One that is dropped unanswered is answered
+/// as a fault of this daemon, of which it is not known whether it ran.
 pub trait Exchange: Send {
     /// The rest of the body.
     fn body(&mut self) -> &mut dyn Read;
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use crossbeam::channel::Sender;
 use futures::channel::oneshot;
 use futures::future::{select, Either};
@@ -17,7 +17,9 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::exchange::{BodyPart, LeaveWatch, ListenerExchange};
-use super::Arrival;
+use super::{Arrival, EAGER_BODY_BYTES};
+use crate::error::ErrorKind;
+use crate::front::answer::refusal;
 use crate::wire::exchange::{RawHead, WholeAnswer};
 
 /// What a connection hands requests to.
@@ -32,6 +34,8 @@
 /// A head that is longer is answered with 431.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 const MAX_HEADER_COUNT: usize = 200;
+/// A short body that is not there by then is given up.
+const EAGER_BODY_LIMIT: Duration = Duration::from_secs(10);
 /// Parts of a body that are read ahead of the thread that takes them.
 const BODY_RING_COUNT: usize = 4;
 
@@ -66,10 +70,19 @@
         let (answer_sender, answer) = oneshot::channel();
         let (body_sender, body) = async_channel::bounded(BODY_RING_COUNT);
         let (watch, watched) = LeaveWatch::new();
-        let (head, incoming) = take_head(request, self.peer);
+        let (head, mut incoming) = take_head(request, self.peer);
+        if head
+            .body_bytes
+            .is_some_and(|bytes| (1..=EAGER_BODY_BYTES).contains(&bytes))
+        {
+            match read_short_body(&mut incoming).await {
+                Some(body) => drop(body_sender.try_send(Ok(body))),
+                None => return Ok(to_response(refusal(0, ErrorKind::ShortUpload, None))),
+            }
+        }
         let exchange = ListenerExchange::new(body, answer_sender, watched);
         if self.arrivals.try_send((head, Box::new(exchange))).is_err() {
-            return Ok(status_only(StatusCode::SERVICE_UNAVAILABLE));
+            return Ok(to_response(refusal(0, ErrorKind::Busy, None)));
         }
         let answering = std::pin::pin!(answer);
         let reading = std::pin::pin!(read_body(incoming, body_sender));
@@ -80,12 +93,23 @@
         watch.answered();
         // An exchange that was dropped unanswered is a fault of the daemon.
         Ok(answered.map_or_else(
-            |_| status_only(StatusCode::INTERNAL_SERVER_ERROR),
+            |_| to_response(refusal(0, ErrorKind::Internal, None)),
             to_response,
         ))
     }
 }
 
+/// Reads a short body whole before the request is handed out, so that a slow sender of one holds
+/// no thread. None if it does not come.
+async fn read_short_body(incoming: &mut Incoming) -> Option<Bytes> {
+    let body = std::pin::pin!(incoming.collect());
+    let late = std::pin::pin!(Timer::after(EAGER_BODY_LIMIT));
+    match select(body, late).await {
+        Either::Left((Ok(body), _)) => Some(body.to_bytes()),
+        Either::Left((Err(_), _)) | Either::Right(_) => None,
+    }
+}
+
 async fn read_body(mut incoming: Incoming, parts: async_channel::Sender<BodyPart>) {
     while let Some(frame) = incoming.frame().await {
         let part = match frame {
--- a/src/wire/listener/exchange.rs
+++ b/src/wire/listener/exchange.rs
@@ -2,8 +2,11 @@
 
 use std::io::Read;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
+use async_io::Timer;
 use futures::channel::oneshot;
+use futures::future::{select, Either};
 use hyper::body::Bytes;
 
 use crate::wire::exchange::{Exchange, WholeAnswer};
@@ -122,12 +125,33 @@
     current: Bytes,
 }
 
+impl BodyReader {
+    /// The next part; none after the last. A caller that sends nothing for long is an error.
+    fn next_part(&self) -> std::io::Result<Option<Bytes>> {
+        match self.parts.try_recv() {
+            Ok(part) => return part.map(Some),
+            Err(async_channel::TryRecvError::Closed) => return Ok(None),
+            Err(async_channel::TryRecvError::Empty) => {}
+        }
+        let part = std::pin::pin!(self.parts.recv());
+        let stalled = std::pin::pin!(Timer::after(STALL_LIMIT));
+        match async_io::block_on(select(part, stalled)) {
+            Either::Left((Ok(part), _)) => part.map(Some),
+            Either::Left((Err(_), _)) => Ok(None),
+            Either::Right(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        }
+    }
+}
+
+/// A caller that sends nothing of its body for this time has its upload given up.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
 impl Read for BodyReader {
     fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
         while self.current.is_empty() {
-            match self.parts.recv_blocking() {
-                Ok(part) => self.current = part?,
-                Err(_) => return Ok(0),
+            match self.next_part()? {
+                Some(part) => self.current = part,
+                None => return Ok(0),
             }
         }
         let count = buffer.len().min(self.current.len());
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -30,6 +30,8 @@
     close: async_channel::Sender<()>,
 }
 
+/// Bodies up to this size have come whole before their request is handed out.
+pub const EAGER_BODY_BYTES: u64 = 65_536;
 /// Requests that may wait to be taken from the listener; one more is refused as busy.
 const ARRIVAL_RING_COUNT: usize = 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/tests/front_http.rs
@@ -0,0 +1,133 @@
+//! Callers' HTTP through separate processes: what is refused before any decision, uploads,
+//! and callers that hang up.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use banyanbeam::standin::backend_server::ServerFaults;
+use support::faults::*;
+
+const NEVER: Duration = Duration::from_secs(20);
+const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
+
+/// Sends bytes as they are and gives the whole answer.
+fn send(front: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(front).expect("the front accepts");
+    stream
+        .set_read_timeout(Some(NEVER))
+        .expect("a timeout can be set");
+    stream.write_all(bytes).expect("the bytes are sent");
+    let mut answer = Vec::new();
+    // An answer may be followed by a reset, where the front did not read all that was sent.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn with_headers(path: &str, headers: &str) -> Vec<u8> {
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n");
+    format!("{head}{headers}\r\nhello").into_bytes()
+}
+
+#[test]
+fn ambiguous_requests_are_refused_and_never_reach_a_server() {
+    // Arrange
+    let fleet = Fleet::start("front-strict", 1, 1);
+    let key = "authorization: Bearer key-1\r\n";
+    let long = format!(
+        "{key}content-length: 5\r\nx-long: {}\r\n",
+        "a".repeat(20_000)
+    );
+    let cases = [
+        (
+            "both framings",
+            format!("{key}content-length: 5\r\ntransfer-encoding: chunked\r\n"),
+        ),
+        (
+            "two lengths",
+            format!("{key}content-length: 5\r\ncontent-length: 6\r\n"),
+        ),
+        ("a signed length", format!("{key}content-length: +5\r\n")),
+        ("two keys", format!("{key}{key}content-length: 5\r\n")),
+        (
+            "a folded header",
+            format!("{key}content-length: 5\r\nx-a: b\r\n c: d\r\n"),
+        ),
+        ("long headers", long),
+        (
+            "no deadline",
+            format!("{key}content-length: 5\r\nx-deadline-ms: soon\r\n"),
+        ),
+        ("no key", "content-length: 5\r\n".to_owned()),
+    ];
+
+    // Act
+    let mut statuses = Vec::new();
+    for (name, headers) in &cases {
+        let answer = send(fleet.front(0), &with_headers("/orders/strict", headers));
+        let status: u16 = answer.get(9..12).unwrap_or("0").parse().unwrap_or(0);
+        statuses.push((*name, status));
+    }
+
+    // Assert
+    for (name, status) in statuses {
+        assert!((400..500).contains(&status), "{name}: {status}");
+    }
+    assert_eq!(fleet.runs("/orders/strict"), 0);
+}
+
+#[test]
+fn a_large_upload_passes_whole_and_a_cut_one_never() {
+    // Arrange
+    let fleet = Fleet::start("front-upload", 1, 1);
+    let front = fleet.front(0);
+    let head = |path: &str| {
+        let lines = "host: x\r\nconnection: close\r\nauthorization: Bearer key-1";
+        format!("POST {path} HTTP/1.1\r\n{lines}\r\ncontent-length: {UPLOAD_BYTES}\r\n\r\n")
+    };
+
+    // Act
+    let mut cut = TcpStream::connect(front).expect("the front accepts");
+    cut.write_all(head("/scans/cut").as_bytes())
+        .expect("the head is sent");
+    cut.write_all(&vec![b'a'; UPLOAD_BYTES / 2])
+        .expect("half of the body is sent");
+    cut.shutdown(Shutdown::Both).expect("the connection ends");
+    let mut whole = head("/scans/whole").into_bytes();
+    whole.extend(vec![b'a'; UPLOAD_BYTES]);
+    let answer = send(front, &whole);
+
+    // Assert
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(
+        answer.contains(&format!("\"body_bytes\":{UPLOAD_BYTES}")),
+        "{answer}"
+    );
+    assert_eq!(fleet.runs("/scans/whole"), 1);
+    assert_eq!(fleet.runs("/scans/cut"), 0);
+}
+
+#[test]
+fn a_caller_that_hangs_up_ends_its_request_at_the_server() {
+    // Arrange
+    let fleet = Fleet::start("front-hangup", 1, 1);
+    let slow = ServerFaults {
+        slow_ms: 9_000,
+        ..Default::default()
+    };
+    fleet.fail(0, &slow);
+    let mut caller = TcpStream::connect(fleet.front(0)).expect("the front accepts");
+    let request = "GET /sheets/left HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-1\r\n\r\n";
+    caller
+        .write_all(request.as_bytes())
+        .expect("the request is sent");
+    fleet.wait_for_run(0, "/sheets/left");
+
+    // Act
+    drop(caller);
+
+    // Assert
+    wait_until("the cancelled run", || fleet.ran(0).cancelled_count == 1);
+}
