Check custody exhaustively over the real state, and break each rule on purpose

Change: spec/custody.rs explores a holder, its custodian and a third daemon breadth first over the real CustodyState: late, lost and doubled records, slow reads and messages, a slow clock, loans, naming, hand-over, a leaving and a returning custodian, custody without custodian.

--- /dev/null
+++ b/spec/custody/model.rs
@@ -0,0 +1,639 @@
+//! The world around the daemons' real states of custody.
+
+use std::time::{Duration, Instant};
+
+use banyanbeam::allowance::custody::{CustodyState, EscrowTimes, ENDLESS};
+use banyanbeam::allowance::record::EscrowRecord;
+use banyanbeam::allowance::replay::Ledger;
+use banyanbeam::link::{PeerName, PromiseAnswer};
+
+use super::mutation::Mutation;
+use super::support::{Interner, Model};
+
+/// What may happen, besides time passing.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Ticks.
+    pub horizon: u8,
+    /// A begins without a custodian.
+    pub open: bool,
+    /// A asks for promises.
+    pub asks: bool,
+    /// A's reads take time on both ways.
+    pub slow_reads: bool,
+    /// Ticks of a right to spend.
+    pub right_ticks: u8,
+    /// Life of a loan, and also the margin between clocks, in seconds.
+    pub loan_s: u64,
+    /// How often A names another custodian at most.
+    pub names: u8,
+    /// Custodians reclaim.
+    pub reclaims: bool,
+    /// Anyone takes seats of holders without custodian.
+    pub takes: bool,
+    /// Holders hand the seat over.
+    pub hands_over: bool,
+    /// B leaves on plan.
+    pub retires: bool,
+    /// B ends and comes back.
+    pub returns: bool,
+    /// Records are taken twice.
+    pub doubles: bool,
+    /// A has named C and then B again, and the first of these records arrives once more.
+    pub named_before: bool,
+    /// The broken rule.
+    pub mutation: Option<Mutation>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            horizon: 4,
+            open: false,
+            asks: false,
+            slow_reads: false,
+            right_ticks: 1,
+            loan_s: TICK_S,
+            names: 0,
+            reclaims: false,
+            takes: false,
+            hands_over: false,
+            retires: false,
+            returns: false,
+            doubles: false,
+            named_before: false,
+            mutation: None,
+        }
+    }
+}
+
+/// The daemons, by index.
+const A: usize = 0;
+const B: usize = 1;
+const C: usize = 2;
+const NAMES: [&str; 3] = ["A", "B", "C"];
+
+/// One state of the world. Numbers stand for interned values.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct World {
+    t: u8,
+    daemons: [u32; 3],
+    log: u32,
+    /// Records on their way, and records that may be taken once more.
+    pending: u32,
+    /// A's read: when it was sent, and how many records the log answered with.
+    read: Option<(u8, Option<u8>)>,
+    /// A's request for a promise: when it was sent and to whom.
+    ask: Option<(u8, u8)>,
+    /// The promise on its way: when it was asked for, whose, and whether it is without end.
+    reply: Option<(u8, u8, bool)>,
+    /// The last tick at which each daemon could spend, and so lend.
+    lent: [Option<u8>; 3],
+    /// B has come back.
+    returned: bool,
+    /// How often A has named a custodian.
+    named: u8,
+}
+
+type Pending = Vec<(EscrowRecord, bool)>;
+
+/// The model.
+pub struct Custody {
+    options: Options,
+    base: Instant,
+    daemons: Interner<CustodyState>,
+    logs: Interner<Vec<EscrowRecord>>,
+    pendings: Interner<Pending>,
+}
+
+const TICK_S: u64 = 10;
+/// A's clock and those of borrowers are slow.
+const SLOW_TICK_S: u64 = 9;
+/// Most records in the log.
+const LOG_LIMIT_COUNT: usize = 5;
+
+fn peer(index: usize, life: u64) -> PeerName {
+    PeerName {
+        daemon: NAMES[index].into(),
+        incarnation: life,
+    }
+}
+
+impl Custody {
+    /// A model with these options.
+    pub fn new(options: Options) -> Custody {
+        Custody {
+            options,
+            base: Instant::now(),
+            daemons: Interner::default(),
+            logs: Interner::default(),
+            pendings: Interner::default(),
+        }
+    }
+
+    fn is(&self, mutation: Mutation) -> bool {
+        self.options.mutation == Some(mutation)
+    }
+
+    fn times(&self, daemon: usize) -> EscrowTimes {
+        let mut times = EscrowTimes {
+            right: Duration::from_secs(u64::from(self.options.right_ticks) * TICK_S),
+            loan: Duration::from_secs(self.options.loan_s),
+            margin: Duration::from_secs(self.options.loan_s),
+        };
+        if daemon == A {
+            return times;
+        }
+        if self.is(Mutation::NoMargin) {
+            times.margin = Duration::ZERO;
+        }
+        if self.is(Mutation::NoWaitForLoans) {
+            times.loan = Duration::ZERO;
+            times.margin = Duration::ZERO;
+        }
+        if self.is(Mutation::NoWaitForReads) {
+            times.right /= 2;
+        }
+        times
+    }
+
+    /// The time of a daemon's clock.
+    fn clock(&self, daemon: usize, t: u8) -> Instant {
+        let tick_s = if daemon == A { SLOW_TICK_S } else { TICK_S };
+        self.base + Duration::from_secs(tick_s * u64::from(t))
+    }
+
+    fn daemon(&self, world: &World, daemon: usize) -> CustodyState {
+        (*self.daemons.get(world.daemons[daemon])).clone()
+    }
+
+    fn with_daemon(&self, world: &World, daemon: usize, state: CustodyState) -> World {
+        let mut next = *world;
+        next.daemons[daemon] = self.daemons.put(state);
+        self.noted(next)
+    }
+
+    fn with_record(&self, world: &World, record: EscrowRecord) -> World {
+        let mut pending = (*self.pendings.get(world.pending)).clone();
+        if !pending.iter().any(|(known, _)| *known == record) {
+            pending.push((record, false));
+            pending.sort();
+        }
+        World {
+            pending: self.pendings.put(pending),
+            ..*world
+        }
+    }
+
+    /// Notes who can spend, and so lend, now.
+    fn noted(&self, mut world: World) -> World {
+        for daemon in 0..NAMES.len() {
+            if self.may_spend(&world, daemon) {
+                world.lent[daemon] = Some(world.t);
+            }
+        }
+        world
+    }
+
+    fn may_spend(&self, world: &World, daemon: usize) -> bool {
+        let state = self.daemons.get(world.daemons[daemon]);
+        let now = self.clock(daemon, world.t);
+        let beside = self.is(Mutation::ReadsCountBesideCustodian)
+            && daemon == A
+            && state.is_fresh(now)
+            && state.starts().contains_key(&0);
+        beside || state.may_spend(now, 0)
+    }
+
+    /// Whether tokens that a daemon may spend or has lent are in use.
+    fn in_use(&self, world: &World, daemon: usize) -> bool {
+        let Some(last) = world.lent[daemon] else {
+            return false;
+        };
+        u64::from(world.t - last) * SLOW_TICK_S < self.options.loan_s
+    }
+
+    fn pass_time(&self, world: &World, next: &mut Vec<(String, World)>) {
+        if world.t < self.options.horizon {
+            let t = world.t + 1;
+            let later = self.noted(World { t, ..*world });
+            next.push((format!("time is {t}"), later));
+        }
+    }
+
+    fn take_records(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let pending = self.pendings.get(world.pending);
+        let log = self.logs.get(world.log);
+        let known = if self.options.named_before { 0 } else { 1 };
+        if log.len() + known >= LOG_LIMIT_COUNT {
+            return;
+        }
+        for (index, (record, taken)) in pending.iter().enumerate() {
+            let mut left = (*pending).clone();
+            if self.options.doubles && !taken {
+                left[index].1 = true;
+                left.sort();
+            } else {
+                left.remove(index);
+            }
+            let mut log = (*log).clone();
+            log.extend(self.as_taken(&log, record));
+            let after = World {
+                log: self.logs.put(log),
+                pending: self.pendings.put(left),
+                ..*world
+            };
+            next.push((format!("the log takes {record:?}"), after));
+        }
+    }
+
+    /// The records that stand for one record under a broken replay.
+    fn as_taken(&self, log: &[EscrowRecord], record: &EscrowRecord) -> Vec<EscrowRecord> {
+        let mut ledger = Ledger::new(1);
+        for (offset, record) in log.iter().enumerate() {
+            ledger.apply(offset as u64, record);
+        }
+        let mut record = record.clone();
+        match &mut record {
+            EscrowRecord::Name {
+                holder, custody, ..
+            } if self.is(Mutation::NameWithoutBase) => {
+                *custody = ledger.holders().get(holder).map_or(0, |h| h.custody);
+            }
+            EscrowRecord::HandOver { next, .. } if self.is(Mutation::HandOverWithoutBase) => {
+                *next = ledger.next;
+            }
+            EscrowRecord::Reclaim {
+                holder,
+                custody,
+                by,
+            } if self.is(Mutation::FormerCustodianReclaims) => {
+                let Some(entry) = ledger.holders().get(holder) else {
+                    return vec![record];
+                };
+                let forged = EscrowRecord::Name {
+                    holder: holder.clone(),
+                    custody: entry.custody,
+                    custodian: Some(by.clone()),
+                };
+                *custody = ledger.next;
+                return vec![forged, record];
+            }
+            _ => {}
+        }
+        vec![record]
+    }
+
+    fn read(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let log = self.logs.get(world.log);
+        match world.read {
+            None => {
+                let read = Some((world.t, None));
+                next.push(("A sends a read".to_owned(), World { read, ..*world }));
+            }
+            Some((sent, None)) => {
+                let read = Some((sent, Some(log.len() as u8)));
+                next.push(("the log answers A".to_owned(), World { read, ..*world }));
+            }
+            Some((sent, Some(length))) => {
+                let now = self.clock(A, world.t);
+                let asked_at = match self.is(Mutation::FreshFromArrival) {
+                    true => now,
+                    false => self.clock(A, sent),
+                };
+                let mut state = self.daemon(world, A);
+                let records = records(&state, &log[..usize::from(length)]);
+                state.read(now, asked_at, &records, true);
+                let after = self.with_daemon(world, A, state);
+                let after = World {
+                    read: None,
+                    ..after
+                };
+                next.push(("A has its read".to_owned(), after));
+            }
+        }
+    }
+
+    /// A read that takes long shows more than its age tells, and makes a daemon act later; so a
+    /// read at once stands for it.
+    fn read_at_once(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
+        let log = self.logs.get(world.log);
+        let mut state = self.daemon(world, daemon);
+        let is_new = state.ledger().next < log.len() as u64;
+        let custodian = |name| state.ledger().holders().get(name)?.custodian.clone();
+        let holds = !state.starts().is_empty() && custodian(&peer(daemon, 1)).is_none();
+        if !is_new && !holds {
+            return;
+        }
+        let now = self.clock(daemon, world.t);
+        let records = records(&state, &log);
+        state.read(now, now, &records, true);
+        let after = self.with_daemon(world, daemon, state);
+        if after != *world {
+            next.push((format!("{} reads the log", NAMES[daemon]), after));
+        }
+    }
+
+    fn ask(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let state = self.daemons.get(world.daemons[A]);
+        let Some(request) = state.ask() else {
+            return;
+        };
+        let to = NAMES
+            .iter()
+            .position(|name| **name == *request.custodian.daemon);
+        if let (None, None, Some(to)) = (world.ask, world.reply, to) {
+            let ask = Some((world.t, to as u8));
+            next.push((format!("A asks {}", NAMES[to]), World { ask, ..*world }));
+        }
+    }
+
+    fn promise(&self, world: &World, next: &mut Vec<(String, World)>) {
+        if let Some((sent, to)) = world.ask {
+            let to = usize::from(to);
+            let mut state = self.daemon(world, to);
+            let request = banyanbeam::link::PromiseRequest {
+                holder: peer(A, 1),
+                custodian: peer(to, 1),
+            };
+            let now = self.clock(to, world.t);
+            let answer = state.promise(now, &request);
+            let mut after = match self.is(Mutation::NoWaitForPromises) {
+                true => *world,
+                false => self.with_daemon(world, to, state),
+            };
+            after.ask = None;
+            if let Some(holds_for) = answer.holds_for {
+                after.reply = Some((sent, to as u8, holds_for == ENDLESS));
+                next.push((format!("{} promises", NAMES[to]), after));
+            }
+            next.push((
+                "A's request is lost".to_owned(),
+                World {
+                    ask: None,
+                    ..*world
+                },
+            ));
+        }
+        if let Some((sent, from, endless)) = world.reply {
+            let now = self.clock(A, world.t);
+            let sent_at = match self.is(Mutation::PromiseFromArrival) {
+                true => now,
+                false => self.clock(A, sent),
+            };
+            let holds_for = match endless {
+                true => ENDLESS,
+                false => self.times(A).right,
+            };
+            let answer = PromiseAnswer {
+                holds_for: Some(holds_for),
+            };
+            let mut state = self.daemon(world, A);
+            state.promised(sent_at, &peer(usize::from(from), 1), &answer);
+            let after = self.with_daemon(world, A, state);
+            let after = World {
+                reply: None,
+                ..after
+            };
+            next.push(("A has the promise".to_owned(), after));
+        }
+    }
+
+    fn name(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let mut state = self.daemon(world, A);
+        let current = state.ledger().holders().get(&peer(A, 1)).cloned();
+        let Some(current) = current.filter(|_| !state.is_naming()) else {
+            return;
+        };
+        let now = self.clock(A, world.t);
+        let target = match current.custodian {
+            Some(custodian) if custodian == peer(C, 1) => B,
+            _ => C,
+        };
+        let Some(record) = state.name(now, Some(peer(target, 1))) else {
+            return;
+        };
+        let mut after = self.with_record(world, record);
+        if !self.is(Mutation::CountOldCustodian) {
+            after = self.with_daemon(&after, A, state);
+        }
+        after.named += 1;
+        if after != *world {
+            next.push((format!("A names {}", NAMES[target]), after));
+        }
+    }
+
+    fn reclaim(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
+        let mut now = self.clock(daemon, world.t);
+        if self.is(Mutation::NewCustodianDoesNotWait) && daemon == C {
+            now += self.times(C).right;
+        }
+        let mut state = self.daemon(world, daemon);
+        for holder in state.due(now) {
+            let Some(record) = state.decide(now, &holder) else {
+                continue;
+            };
+            let mut after = self.with_record(world, record);
+            if !self.is(Mutation::PromiseAfterDecision) {
+                after = self.with_daemon(&after, daemon, state.clone());
+            }
+            if after != *world {
+                next.push((format!("{} decides to reclaim", NAMES[daemon]), after));
+            }
+        }
+        if self.is(Mutation::InheritedCustody) && daemon == C {
+            if let Some(entry) = state.ledger().holders().get(&peer(A, 1)) {
+                let inherited = EscrowRecord::Name {
+                    holder: peer(A, 1),
+                    custody: entry.custody,
+                    custodian: Some(peer(C, 1)),
+                };
+                let after = self.with_record(world, inherited);
+                next.push(("C takes B's place as custodian".to_owned(), after));
+            }
+        }
+    }
+
+    fn take_open(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
+        let state = self.daemons.get(world.daemons[daemon]);
+        for (holder, entry) in state.ledger().holders() {
+            if entry.custodian.is_some() || *holder == peer(daemon, 1) {
+                continue;
+            }
+            let record = EscrowRecord::Reclaim {
+                holder: holder.clone(),
+                custody: entry.custody,
+                by: peer(daemon, 1),
+            };
+            let after = self.with_record(world, record);
+            next.push((format!("{} takes the seat", NAMES[daemon]), after));
+        }
+    }
+
+    fn hand_over(&self, world: &World, from: usize, to: usize, next: &mut Vec<(String, World)>) {
+        let now = self.clock(from, world.t);
+        let mut state = self.daemon(world, from);
+        if state.is_given(0) {
+            return;
+        }
+        let Some(record) = state.hand_over(now, &peer(to, 1), &[0]) else {
+            return;
+        };
+        let mut after = self.with_record(world, record);
+        if !self.is(Mutation::SpendAfterHandOver) {
+            after = self.with_daemon(&after, from, state);
+        }
+        let text = format!("{} hands the seat to {}", NAMES[from], NAMES[to]);
+        next.push((text, after));
+    }
+
+    fn retire(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let mut state = self.daemon(world, B);
+        if state.is_retired() {
+            return;
+        }
+        let mut retired = state.clone();
+        retired.retire();
+        if self.is(Mutation::RetiredReclaims) {
+            // Promises without end are given, but the state forgets that it leaves.
+            if let Some((sent, to)) = world.ask.filter(|(_, to)| usize::from(*to) == B) {
+                state.promise(
+                    self.clock(B, world.t),
+                    &banyanbeam::link::PromiseRequest {
+                        holder: peer(A, 1),
+                        custodian: peer(B, 1),
+                    },
+                );
+                let mut after = self.with_daemon(world, B, state);
+                after.ask = None;
+                after.reply = Some((sent, to, true));
+                next.push(("B leaves, promises without end and stays".to_owned(), after));
+            }
+            return;
+        }
+        let after = self.with_daemon(world, B, retired);
+        next.push(("B begins to leave".to_owned(), after));
+    }
+
+    fn come_back(&self, world: &World, next: &mut Vec<(String, World)>) {
+        if world.returned {
+            return;
+        }
+        let life = match self.is(Mutation::LivesAreOne) {
+            true => 1,
+            false => 2,
+        };
+        let state = CustodyState::new(peer(B, life), self.times(B), 1);
+        let after = self.with_daemon(world, B, state);
+        let after = World {
+            returned: true,
+            ..after
+        };
+        next.push(("B ends and comes back".to_owned(), after));
+    }
+}
+
+/// The records that a daemon has not read yet.
+fn records(state: &CustodyState, log: &[EscrowRecord]) -> Vec<(u64, Option<EscrowRecord>)> {
+    let from = state.ledger().next as usize;
+    let records = log.iter().enumerate().skip(from);
+    records
+        .map(|(offset, record)| (offset as u64, Some(record.clone())))
+        .collect()
+}
+
+impl Model for Custody {
+    type World = World;
+
+    fn start(&self) -> World {
+        let claim = EscrowRecord::Claim {
+            holder: peer(A, 1),
+            custodian: (!self.options.open).then(|| peer(B, 1)),
+            seats: vec![0],
+        };
+        let mut log = vec![claim];
+        let mut pending = Vec::new();
+        if self.options.named_before {
+            let name = |custody, custodian| EscrowRecord::Name {
+                holder: peer(A, 1),
+                custody,
+                custodian: Some(peer(custodian, 1)),
+            };
+            log.extend([name(0, C), name(1, B)]);
+            pending.push((name(0, C), true));
+        }
+        let mut daemons = [0; 3];
+        for (index, daemon) in daemons.iter_mut().enumerate() {
+            let mut state = CustodyState::new(peer(index, 1), self.times(index), 1);
+            state.read(self.base, self.base, &records(&state, &log), true);
+            *daemon = self.daemons.put(state);
+        }
+        self.noted(World {
+            t: 0,
+            daemons,
+            log: self.logs.put(log),
+            pending: self.pendings.put(pending),
+            read: None,
+            ask: None,
+            reply: None,
+            lent: [None; 3],
+            returned: false,
+            named: 0,
+        })
+    }
+
+    fn next(&self, world: &World) -> Vec<(String, World)> {
+        let options = &self.options;
+        let mut next = Vec::new();
+        self.pass_time(world, &mut next);
+        self.take_records(world, &mut next);
+        self.read_at_once(world, B, &mut next);
+        self.read_at_once(world, C, &mut next);
+        if options.slow_reads {
+            self.read(world, &mut next);
+        } else {
+            self.read_at_once(world, A, &mut next);
+        }
+        if options.asks {
+            self.ask(world, &mut next);
+            self.promise(world, &mut next);
+        }
+        if world.named < options.names {
+            self.name(world, &mut next);
+        }
+        for daemon in [B, C] {
+            if options.reclaims {
+                self.reclaim(world, daemon, &mut next);
+            }
+            if options.takes && daemon == B {
+                self.take_open(world, daemon, &mut next);
+            }
+        }
+        if options.hands_over {
+            self.hand_over(world, A, C, &mut next);
+            self.hand_over(world, C, A, &mut next);
+        }
+        if options.retires {
+            self.retire(world, &mut next);
+        }
+        if options.returns {
+            self.come_back(world, &mut next);
+        }
+        next
+    }
+
+    fn violated(&self, world: &World) -> bool {
+        let spends = |daemon| self.may_spend(world, daemon);
+        for daemon in 0..NAMES.len() {
+            if !spends(daemon) {
+                continue;
+            }
+            for other in 0..NAMES.len() {
+                if other != daemon && self.in_use(world, other) {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+}
