Drive the real states through random failures, and count ejection permits in tests

Cause: the model checks custody of one seat; buckets, loans and contract changes need a check of their own. Change: a property test starts, crashes, pauses, partitions and cuts off daemons at random, loses, doubles and delays messages and records, and changes a contract; the in-memory network publishes contracts by the rule of replay. Permits: drained servers and domains out consume them, daemons together hold no more than there are, a new holder waits until those of the old one have lapsed.

--- a/src/allowance/measure/network.rs
+++ b/src/allowance/measure/network.rs
@@ -14,10 +14,10 @@
 use crate::allowance::message::{AllowanceAction, AllowanceEvent, CallId};
 use crate::allowance::seat::Candidate;
 use crate::allowance::EscrowRecord;
-use crate::contract::{OrganisationContract, View};
+use crate::contract::{Change, OrganisationContract, Record, View};
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
 use crate::membership::{DaemonEntry, Fleet};
-use crate::types::{DaemonId, DomainId, OrganisationId, RequestId};
+use crate::types::{DaemonId, DomainId, OperationId, OrganisationId, RequestId};
 
 /// Makes the state of one life of a daemon.
 pub type MakePolicy = Box<dyn Fn(Candidate) -> Box<dyn Policy>>;
@@ -132,6 +132,7 @@
     cuts: BTreeMap<(usize, usize), bool>,
     platform: Platform,
     view: View,
+    operation: OperationId,
     /// Requests that wait for a grant or refusal.
     open: HashMap<RequestId, (usize, Instant)>,
     next_request: RequestId,
@@ -184,6 +185,7 @@
             cuts: BTreeMap::new(),
             platform: Platform::default(),
             view: View::default(),
+            operation: 0,
             open: HashMap::new(),
             next_request: 1,
             replies: HashMap::new(),
@@ -323,9 +325,18 @@
     }
 
     fn put_contract(&mut self, contract: &OrganisationContract) {
-        self.view
-            .organisations
-            .insert(contract.organisation.clone(), Arc::new(contract.clone()));
+        let change = Change::PublishOrganisation {
+            contract: contract.clone(),
+        };
+        self.operation += 1;
+        let record = Record {
+            operation: self.operation,
+            base: self.view.base_of(&change),
+            author: "script".to_owned(),
+            at_ms: 0,
+            change,
+        };
+        self.view.apply(self.view.next, &record);
         let view = Arc::new(self.view.clone());
         for node in &mut self.nodes {
             node.view = view.clone();
--- a/src/allowance/tests.rs
+++ b/src/allowance/tests.rs
@@ -3,6 +3,8 @@
 use super::bucket::Bucket;
 
 mod ledger;
+mod network;
+mod permits;
 mod seats;
 
 #[test]
