--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use imbl::{HashMap, HashSet, Vector};
+use imbl::{HashMap, HashSet, OrdMap, Vector};
 
 use super::check::check_change;
 use super::message::{
@@ -21,7 +21,7 @@
     /// Offset after the last record applied. Never falls.
     pub next: Offset,
     /// Contracts of organisations.
-    pub organisations: HashMap<OrganisationId, Arc<OrganisationContract>>,
+    pub organisations: OrdMap<OrganisationId, Arc<OrganisationContract>>,
     /// Shard counts of organisations whose contract alone would give another one today.
     pub shard_counts: BTreeMap<OrganisationId, ShardIndex>,
     /// Contracts of services.
@@ -33,9 +33,9 @@
     pub domains_back: BTreeMap<DomainId, Offset>,
     /// Keys withdrawn without the log. Not part of the prefix; only leaves when the log has them.
     pub tombstones: HashSet<KeyHash>,
-    pub(super) keys: HashMap<KeyHash, KeyState>,
+    pub(super) keys: OrdMap<KeyHash, KeyState>,
     /// Offset of the record that last changed an organisation.
-    pub(super) organisation_versions: HashMap<OrganisationId, Offset>,
+    pub(super) organisation_versions: OrdMap<OrganisationId, Offset>,
     /// Offset of the record that last changed a service.
     pub(super) service_versions: HashMap<ServiceId, Offset>,
     /// Offset of the record that last changed any failure domain.
