--- a/src/cli/operate.rs
+++ b/src/cli/operate.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use clap::Args;
-use comfy_table::{presets, Table};
+use comfy_table::{presets, ContentArrangement, Table};
 use eyre::WrapErr;
 use serde::Serialize;
 
@@ -102,10 +102,15 @@
     }
 }
 
+/// Long cells are wrapped at this width.
+const TABLE_WIDTH_COLUMNS: u16 = 120;
+
 /// Prints a table with these headings.
 pub fn print_table(headings: &[&str], rows: Vec<Vec<String>>) {
     let mut table = Table::new();
     table.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    table.set_content_arrangement(ContentArrangement::Dynamic);
+    table.set_width(TABLE_WIDTH_COLUMNS);
     table.set_header(headings.to_vec());
     table.add_rows(rows);
     println!("{table}");
