--- a/src/guard/cold.rs
+++ b/src/guard/cold.rs
@@ -27,6 +27,8 @@
 const LEAST_SAMPLE_COUNT: u32 = 8;
 /// Steps are lengthened to at most this multiple after failures.
 const MAX_STEP_FACTOR: u32 = 8;
+/// Steps of a server that says it is cold and whose warm latency is not known are longer.
+const UNKNOWN_STEP_FACTOR: u32 = 4;
 /// Ratio that stands for a request without an answer in time.
 const LATE_RATIO: f64 = 10.0;
 
@@ -68,6 +70,9 @@
     limit_count: u32,
     /// When the limit last changed.
     changed_at: Instant,
+    /// The step without failures.
+    base_step: Duration,
+    /// The step at present.
     step: Duration,
     /// Median ratio of the last whole round.
     last_median: Option<f64>,
@@ -101,6 +106,19 @@
         matches!(self.phase, Phase::Cold(_))
     }
 
+    /// The server says that it is cold. Without a reference of its warm latency its growth can't
+    /// be told from strain, so the limit grows more slowly.
+    pub fn told_cold(&mut self, now: Instant) {
+        self.turn_cold(now);
+        let Phase::Cold(growth) = &mut self.phase else {
+            return;
+        };
+        if !self.warm_times.is_known(LEAST_SAMPLE_COUNT) {
+            growth.base_step = self.settings.step * UNKNOWN_STEP_FACTOR;
+            growth.step = growth.base_step;
+        }
+    }
+
     /// The server counts as cold from now on.
     pub fn turn_cold(&mut self, now: Instant) {
         self.ratios.clear();
@@ -109,6 +127,7 @@
         self.phase = Phase::Cold(Growth {
             limit_count: self.settings.first_count,
             changed_at: now,
+            base_step: self.settings.step,
             step: self.settings.step,
             last_median: None,
         });
@@ -140,11 +159,12 @@
         let Phase::Cold(growth) = self.phase else {
             return self.turn_cold(now);
         };
-        let longest = self.settings.step * MAX_STEP_FACTOR;
+        let longest = growth.base_step * MAX_STEP_FACTOR;
         self.ratios.clear();
         self.phase = Phase::Cold(Growth {
             limit_count: self.settings.first_count,
             changed_at: now,
+            base_step: growth.base_step,
             step: (growth.step * 2).min(longest),
             last_median: None,
         });
@@ -211,7 +231,8 @@
         self.phase = Phase::Cold(Growth {
             limit_count: (growth.limit_count / 2).max(self.settings.first_count),
             changed_at: now,
-            step: (growth.step * 2).min(self.settings.step * MAX_STEP_FACTOR),
+            base_step: growth.base_step,
+            step: (growth.step * 2).min(growth.base_step * MAX_STEP_FACTOR),
             last_median: None,
         });
     }
@@ -228,7 +249,8 @@
         self.phase = Phase::Cold(Growth {
             limit_count: growth.limit_count + 1,
             changed_at: now,
-            step: self.settings.step,
+            base_step: growth.base_step,
+            step: growth.base_step,
             last_median: None,
         });
     }
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -36,6 +36,10 @@
             step: Duration::from_millis(settings.cold_step_ms),
             patience: Duration::from_millis(settings.cold_patience_ms),
         };
+        let mut cold = ColdLimit::new(cold, now);
+        if announcement.cold {
+            cold.told_cold(now);
+        }
         ServerState {
             announcement,
             renewed_at: now,
@@ -43,7 +47,7 @@
             life_count: 1,
             running_count: 0,
             queue: FairQueue::new(settings.queue_count),
-            cold: ColdLimit::new(cold, now),
+            cold,
             times: RouteTimes::default(),
         }
     }
@@ -57,7 +61,9 @@
         if new_life {
             self.life_count += 1;
         }
-        if new_life || told_cold {
+        if told_cold || (new_life && announcement.cold) {
+            self.cold.told_cold(now);
+        } else if new_life {
             self.cold.turn_cold(now);
         }
         self.announcement = announcement;
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -101,6 +101,7 @@
         self.started.lapse(now);
         self.report_servers(&mut actions);
         if self.quiet_at().is_some_and(|at| now >= at) {
+            self.last_arrival_at = None;
             actions.push(GuardAction::Drained);
         }
         actions
--- a/src/guard/times.rs
+++ b/src/guard/times.rs
@@ -55,6 +55,11 @@
         self.all.mean_s
     }
 
+    /// Whether enough answers were seen on any route.
+    pub fn is_known(&self, least_sample_count: u32) -> bool {
+        self.all.sample_count >= least_sample_count
+    }
+
     /// Forgets all times.
     pub fn forget(&mut self) {
         *self = RouteTimes::default();
--- /dev/null
+++ b/tests/guard_queue.rs
@@ -0,0 +1,112 @@
+//! Properties of the guard's fair queue.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use banyanbeam::guard::message::GuardRequest;
+use banyanbeam::guard::queue::FairQueue;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const LIMIT_COUNT: usize = 16;
+const SEED: u64 = 7;
+
+fn config() -> Config {
+    Config {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn request(number: u128, organisation: usize, weight_share: u32, foreground: bool) -> GuardRequest {
+    GuardRequest {
+        request: number,
+        attempt: 1,
+        incarnation: 1,
+        organisation: format!("o{organisation}").as_str().into(),
+        weight_share,
+        route: "r".into(),
+        server: "s".into(),
+        repeatable: true,
+        foreground,
+        fingerprint: [0; 32],
+        deadline_at: Instant::now() + Duration::from_secs(1),
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn the_queue_is_bounded_and_loses_nothing(
+        steps in prop::collection::vec((0usize..5, 1u32..4, any::<bool>(), any::<bool>()), 1..200),
+    ) {
+        let mut queue = FairQueue::new(LIMIT_COUNT);
+        let mut inside = std::collections::BTreeSet::new();
+        for (number, (organisation, weight_share, foreground, pop)) in steps.into_iter().enumerate() {
+            let number = number as u128;
+            if pop {
+                if let Some(taken) = queue.pop() {
+                    prop_assert!(inside.remove(&taken.request));
+                }
+                continue;
+            }
+            inside.insert(number);
+            let shed = queue.push(request(number, organisation, weight_share, foreground));
+            if let Some(shed) = shed {
+                prop_assert!(inside.remove(&shed.request));
+            }
+            prop_assert!(queue.len() <= LIMIT_COUNT);
+            prop_assert_eq!(queue.len(), inside.len());
+        }
+        while let Some(taken) = queue.pop() {
+            prop_assert!(inside.remove(&taken.request));
+        }
+        prop_assert!(inside.is_empty());
+    }
+
+    #[test]
+    fn organisations_that_wait_get_their_weight_within_a_quantum(
+        weights in prop::collection::vec(1u32..6, 2..6),
+        pop_count in 1usize..200,
+    ) {
+        let mut queue = FairQueue::new(10_000);
+        for (organisation, weight) in weights.iter().enumerate() {
+            for number in 0..1_000 {
+                let number = (organisation * 1_000 + number) as u128;
+                queue.push(request(number, organisation, *weight, true));
+            }
+        }
+        let mut taken: BTreeMap<String, f64> = BTreeMap::new();
+        for _ in 0..pop_count {
+            let next = queue.pop().expect("all organisations still wait");
+            *taken.entry(next.organisation.to_string()).or_default() += 1.0;
+        }
+        let total: u32 = weights.iter().sum();
+        let most = f64::from(*weights.iter().max().unwrap());
+        for (organisation, weight) in weights.iter().enumerate() {
+            let got = taken.get(&format!("o{organisation}")).copied().unwrap_or(0.0);
+            let fair = pop_count as f64 * f64::from(*weight) / f64::from(total);
+            let quantum = most + f64::from(*weight);
+            prop_assert!((got - fair).abs() <= quantum, "{organisation}: {got} of {fair}");
+        }
+    }
+
+    #[test]
+    fn an_organisation_within_its_share_is_never_shed(
+        greedy_count in LIMIT_COUNT..100,
+        modest_count in 1usize..8,
+    ) {
+        let mut queue = FairQueue::new(LIMIT_COUNT);
+        for number in 0..greedy_count {
+            queue.push(request(number as u128, 0, 1, true));
+        }
+        for number in 0..modest_count {
+            let shed = queue.push(request(1_000 + number as u128, 1, 1, true));
+            let shed = shed.expect("the queue was full");
+            prop_assert_eq!(shed.organisation.as_ref(), "o0");
+        }
+    }
+}
