Tell the guard of a domain that left and came back within one view; test gaps

A view may jump over an out and an in together, after which the guard would have held its servers for warm. The offset at which the domain came back tells.

--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -1,5 +1,6 @@
 //! Starts what joins this daemon to the fleet: membership, journal and link.
 
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -167,6 +168,7 @@
         front: rings.front.clone(),
         allowance: rings.allowance.clone(),
         routing: rings.routing.clone(),
+        back_at: Cell::new(None),
         operator: rings.operator.clone(),
         trail: common.trail.clone(),
         membership: rings.membership.clone(),
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -1,5 +1,6 @@
 //! Hands views and records from the journal to the duties that read them.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -36,6 +37,9 @@
     pub guard: RingSender<GuardMessage>,
     /// The failure domain of this VM.
     pub domain: DomainId,
+    /// Offset at which the domain last came back, as the guard was told; none before the first
+    /// view.
+    pub back_at: Cell<Option<Option<Offset>>>,
     /// Most records of one read; a read with as many may have left some.
     pub batch_count: usize,
     /// Counters.
@@ -43,6 +47,21 @@
 }
 
 impl Readers {
+    /// Tells the guard whether its domain is out of service. One view may hold both an out and an
+    /// in; the guard is told both, so that it holds its servers for cold.
+    fn tell_guard(&self, view: &View) {
+        let out = view.domains_out.contains(&self.domain);
+        let back_at = view.domains_back.get(&self.domain).copied();
+        let known = self.back_at.replace(Some(back_at));
+        let came_back = known.is_some_and(|known| known != back_at);
+        if came_back && !out {
+            let event = GuardEvent::Domain { out: true };
+            self.guard.deliver(GuardMessage::Event(event));
+        }
+        self.guard
+            .deliver(GuardMessage::Event(GuardEvent::Domain { out }));
+    }
+
     fn tell_operator(&self, event: OperatorEvent) {
         self.operator.deliver(OperatorMessage::Event(event));
     }
@@ -51,9 +70,7 @@
 impl JournalReader for Readers {
     fn view(&self, view: Arc<View>) {
         self.tell_operator(OperatorEvent::View(view.clone()));
-        let out = view.domains_out.contains(&self.domain);
-        self.guard
-            .deliver(GuardMessage::Event(GuardEvent::Domain { out }));
+        self.tell_guard(&view);
         self.allowance
             .deliver(AllowanceMessage::Event(AllowanceEvent::View(view.clone())));
         self.routing
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -151,3 +151,21 @@
     let again = crate::contract::View::from_checkpoint(&expected).unwrap();
     assert_eq!(again.to_checkpoint(), expected);
 }
+
+#[test]
+fn records_after_a_gap_are_not_taken_and_are_asked_for_again() {
+    // Arrange
+    let mut journal = Journal::new("a");
+    journal.read(0, Vec::new(), 0);
+
+    // Act
+    let actions = journal.read(3, records(3, &[publish(1, None, "o")]), 4);
+
+    // Assert
+    assert!(counts(&actions).contains(&"journal.read.gap"));
+    let from_zero = ReaderCommand::Read {
+        from: 0,
+        pause: false,
+    };
+    assert_eq!(command(&actions), Some(from_zero));
+}
