Part long files of the allowance's measurement and specification; count seat records

Change: faults and options, delivery of messages, and the actions of the model's daemons are files of their own; counters allowance.claim.sent, allowance.custodian.named, allowance.reclaim.sent and allowance.hand_over.sent. Tests: unchanged.

--- a/spec/custody.rs
+++ b/spec/custody.rs
@@ -9,10 +9,13 @@
 mod model;
 #[path = "custody/mutation.rs"]
 mod mutation;
+#[path = "custody/options.rs"]
+mod options;
 mod support;
 
-use model::{Custody, Options};
+use model::Custody;
 use mutation::Mutation;
+use options::Options;
 use support::{expect_safe, expect_violation};
 
 fn mutated(options: Options, mutation: Mutation) -> Custody {
--- /dev/null
+++ b/spec/custody/actions.rs
@@ -0,0 +1,214 @@
+//! What the daemons of the model do.
+
+use banyanbeam::allowance::custody::{CustodyState, ENDLESS};
+use banyanbeam::allowance::record::EscrowRecord;
+use banyanbeam::link::{PromiseAnswer, PromiseRequest};
+
+use super::super::mutation::Mutation;
+use super::{peer, Custody, World, A, B, C, NAMES};
+
+impl Custody {
+    pub(super) fn ask(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let state = self.daemons.get(world.daemons[A]);
+        let Some(request) = state.ask() else {
+            return;
+        };
+        let to = NAMES
+            .iter()
+            .position(|name| **name == *request.custodian.daemon);
+        if let (None, None, Some(to)) = (world.ask, world.reply, to) {
+            let ask = Some((world.t, to as u8));
+            next.push((format!("A asks {}", NAMES[to]), World { ask, ..*world }));
+        }
+    }
+
+    pub(super) fn promise(&self, world: &World, next: &mut Vec<(String, World)>) {
+        if let Some((sent, to)) = world.ask {
+            let to = usize::from(to);
+            let mut state = self.daemon(world, to);
+            let request = PromiseRequest {
+                holder: peer(A, 1),
+                custodian: peer(to, 1),
+            };
+            let now = self.clock(to, world.t);
+            let answer = state.promise(now, &request);
+            let mut after = match self.is(Mutation::NoWaitForPromises) {
+                true => *world,
+                false => self.with_daemon(world, to, state),
+            };
+            after.ask = None;
+            if let Some(holds_for) = answer.holds_for {
+                after.reply = Some((sent, to as u8, holds_for == ENDLESS));
+                next.push((format!("{} promises", NAMES[to]), after));
+            }
+            next.push((
+                "A's request is lost".to_owned(),
+                World {
+                    ask: None,
+                    ..*world
+                },
+            ));
+        }
+        if let Some((sent, from, endless)) = world.reply {
+            let now = self.clock(A, world.t);
+            let sent_at = match self.is(Mutation::PromiseFromArrival) {
+                true => now,
+                false => self.clock(A, sent),
+            };
+            let holds_for = match endless {
+                true => ENDLESS,
+                false => self.times(A).right,
+            };
+            let answer = PromiseAnswer {
+                holds_for: Some(holds_for),
+            };
+            let mut state = self.daemon(world, A);
+            state.promised(sent_at, &peer(usize::from(from), 1), &answer);
+            let after = self.with_daemon(world, A, state);
+            let after = World {
+                reply: None,
+                ..after
+            };
+            next.push(("A has the promise".to_owned(), after));
+        }
+    }
+
+    pub(super) fn name(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let mut state = self.daemon(world, A);
+        let current = state.ledger().holders().get(&peer(A, 1)).cloned();
+        let Some(current) = current.filter(|_| !state.is_naming()) else {
+            return;
+        };
+        let now = self.clock(A, world.t);
+        let target = match current.custodian {
+            Some(custodian) if custodian == peer(C, 1) => B,
+            _ => C,
+        };
+        let Some(record) = state.name(now, Some(peer(target, 1))) else {
+            return;
+        };
+        let mut after = self.with_record(world, record);
+        if !self.is(Mutation::CountOldCustodian) {
+            after = self.with_daemon(&after, A, state);
+        }
+        after.named += 1;
+        if after != *world {
+            next.push((format!("A names {}", NAMES[target]), after));
+        }
+    }
+
+    pub(super) fn reclaim(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
+        let mut now = self.clock(daemon, world.t);
+        if self.is(Mutation::NewCustodianDoesNotWait) && daemon == C {
+            now += self.times(C).right;
+        }
+        let mut state = self.daemon(world, daemon);
+        for holder in state.due(now) {
+            let Some(record) = state.decide(now, &holder) else {
+                continue;
+            };
+            let mut after = self.with_record(world, record);
+            if !self.is(Mutation::PromiseAfterDecision) {
+                after = self.with_daemon(&after, daemon, state.clone());
+            }
+            if after != *world {
+                next.push((format!("{} decides to reclaim", NAMES[daemon]), after));
+            }
+        }
+        if self.is(Mutation::InheritedCustody) && daemon == C {
+            if let Some(entry) = state.ledger().holders().get(&peer(A, 1)) {
+                let inherited = EscrowRecord::Name {
+                    holder: peer(A, 1),
+                    custody: entry.custody,
+                    custodian: Some(peer(C, 1)),
+                };
+                let after = self.with_record(world, inherited);
+                next.push(("C takes B's place as custodian".to_owned(), after));
+            }
+        }
+    }
+
+    pub(super) fn take_open(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
+        let state = self.daemons.get(world.daemons[daemon]);
+        for (holder, entry) in state.ledger().holders() {
+            if entry.custodian.is_some() || *holder == peer(daemon, 1) {
+                continue;
+            }
+            let record = EscrowRecord::Reclaim {
+                holder: holder.clone(),
+                custody: entry.custody,
+                by: peer(daemon, 1),
+            };
+            let after = self.with_record(world, record);
+            next.push((format!("{} takes the seat", NAMES[daemon]), after));
+        }
+    }
+
+    pub(super) fn hand_over(
+        &self,
+        world: &World,
+        from: usize,
+        to: usize,
+        next: &mut Vec<(String, World)>,
+    ) {
+        let now = self.clock(from, world.t);
+        let mut state = self.daemon(world, from);
+        if state.is_given(0) {
+            return;
+        }
+        let Some(record) = state.hand_over(now, &peer(to, 1), &[0]) else {
+            return;
+        };
+        let mut after = self.with_record(world, record);
+        if !self.is(Mutation::SpendAfterHandOver) {
+            after = self.with_daemon(&after, from, state);
+        }
+        let text = format!("{} hands the seat to {}", NAMES[from], NAMES[to]);
+        next.push((text, after));
+    }
+
+    pub(super) fn retire(&self, world: &World, next: &mut Vec<(String, World)>) {
+        let mut state = self.daemon(world, B);
+        if state.is_retired() {
+            return;
+        }
+        let mut retired = state.clone();
+        retired.retire();
+        if self.is(Mutation::RetiredReclaims) {
+            // Promises without end are given, but the state forgets that it leaves.
+            if let Some((sent, to)) = world.ask.filter(|(_, to)| usize::from(*to) == B) {
+                state.promise(
+                    self.clock(B, world.t),
+                    &PromiseRequest {
+                        holder: peer(A, 1),
+                        custodian: peer(B, 1),
+                    },
+                );
+                let mut after = self.with_daemon(world, B, state);
+                after.ask = None;
+                after.reply = Some((sent, to, true));
+                next.push(("B leaves, promises without end and stays".to_owned(), after));
+            }
+            return;
+        }
+        let after = self.with_daemon(world, B, retired);
+        next.push(("B begins to leave".to_owned(), after));
+    }
+
+    pub(super) fn come_back(&self, world: &World, next: &mut Vec<(String, World)>) {
+        if world.returned {
+            return;
+        }
+        let life = match self.is(Mutation::LivesAreOne) {
+            true => 1,
+            false => 2,
+        };
+        let state = CustodyState::new(peer(B, life), self.times(B), 1);
+        let after = self.with_daemon(world, B, state);
+        let after = World {
+            returned: true,
+            ..after
+        };
+        next.push(("B ends and comes back".to_owned(), after));
+    }
+}
--- a/spec/custody/model.rs
+++ b/spec/custody/model.rs
@@ -1,72 +1,18 @@
 //! The world around the daemons' real states of custody.
 
+mod actions;
+
 use std::time::{Duration, Instant};
 
-use banyanbeam::allowance::custody::{CustodyState, EscrowTimes, ENDLESS};
+use banyanbeam::allowance::custody::{CustodyState, EscrowTimes};
 use banyanbeam::allowance::record::EscrowRecord;
 use banyanbeam::allowance::replay::Ledger;
-use banyanbeam::link::{PeerName, PromiseAnswer};
+use banyanbeam::link::PeerName;
 
 use super::mutation::Mutation;
+use super::options::Options;
 use super::support::{Interner, Model};
 
-/// What may happen, besides time passing.
-#[derive(Debug, Clone, Copy)]
-pub struct Options {
-    /// Ticks.
-    pub horizon: u8,
-    /// A begins without a custodian.
-    pub open: bool,
-    /// A asks for promises.
-    pub asks: bool,
-    /// A's reads take time on both ways.
-    pub slow_reads: bool,
-    /// Ticks of a right to spend.
-    pub right_ticks: u8,
-    /// Life of a loan, and also the margin between clocks, in seconds.
-    pub loan_s: u64,
-    /// How often A names another custodian at most.
-    pub names: u8,
-    /// Custodians reclaim.
-    pub reclaims: bool,
-    /// Anyone takes seats of holders without custodian.
-    pub takes: bool,
-    /// Holders hand the seat over.
-    pub hands_over: bool,
-    /// B leaves on plan.
-    pub retires: bool,
-    /// B ends and comes back.
-    pub returns: bool,
-    /// Records are taken twice.
-    pub doubles: bool,
-    /// A has named C and then B again, and the first of these records arrives once more.
-    pub named_before: bool,
-    /// The broken rule.
-    pub mutation: Option<Mutation>,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Options {
-            horizon: 4,
-            open: false,
-            asks: false,
-            slow_reads: false,
-            right_ticks: 1,
-            loan_s: TICK_S,
-            names: 0,
-            reclaims: false,
-            takes: false,
-            hands_over: false,
-            retires: false,
-            returns: false,
-            doubles: false,
-            named_before: false,
-            mutation: None,
-        }
-    }
-}
-
 /// The daemons, by index.
 const A: usize = 0;
 const B: usize = 1;
@@ -106,7 +52,8 @@
     pendings: Interner<Pending>,
 }
 
-const TICK_S: u64 = 10;
+/// Seconds of a tick by an exact clock.
+pub const TICK_S: u64 = 10;
 /// A's clock and those of borrowers are slow.
 const SLOW_TICK_S: u64 = 9;
 /// Most records in the log.
@@ -333,204 +280,6 @@
             next.push((format!("{} reads the log", NAMES[daemon]), after));
         }
     }
-
-    fn ask(&self, world: &World, next: &mut Vec<(String, World)>) {
-        let state = self.daemons.get(world.daemons[A]);
-        let Some(request) = state.ask() else {
-            return;
-        };
-        let to = NAMES
-            .iter()
-            .position(|name| **name == *request.custodian.daemon);
-        if let (None, None, Some(to)) = (world.ask, world.reply, to) {
-            let ask = Some((world.t, to as u8));
-            next.push((format!("A asks {}", NAMES[to]), World { ask, ..*world }));
-        }
-    }
-
-    fn promise(&self, world: &World, next: &mut Vec<(String, World)>) {
-        if let Some((sent, to)) = world.ask {
-            let to = usize::from(to);
-            let mut state = self.daemon(world, to);
-            let request = banyanbeam::link::PromiseRequest {
-                holder: peer(A, 1),
-                custodian: peer(to, 1),
-            };
-            let now = self.clock(to, world.t);
-            let answer = state.promise(now, &request);
-            let mut after = match self.is(Mutation::NoWaitForPromises) {
-                true => *world,
-                false => self.with_daemon(world, to, state),
-            };
-            after.ask = None;
-            if let Some(holds_for) = answer.holds_for {
-                after.reply = Some((sent, to as u8, holds_for == ENDLESS));
-                next.push((format!("{} promises", NAMES[to]), after));
-            }
-            next.push((
-                "A's request is lost".to_owned(),
-                World {
-                    ask: None,
-                    ..*world
-                },
-            ));
-        }
-        if let Some((sent, from, endless)) = world.reply {
-            let now = self.clock(A, world.t);
-            let sent_at = match self.is(Mutation::PromiseFromArrival) {
-                true => now,
-                false => self.clock(A, sent),
-            };
-            let holds_for = match endless {
-                true => ENDLESS,
-                false => self.times(A).right,
-            };
-            let answer = PromiseAnswer {
-                holds_for: Some(holds_for),
-            };
-            let mut state = self.daemon(world, A);
-            state.promised(sent_at, &peer(usize::from(from), 1), &answer);
-            let after = self.with_daemon(world, A, state);
-            let after = World {
-                reply: None,
-                ..after
-            };
-            next.push(("A has the promise".to_owned(), after));
-        }
-    }
-
-    fn name(&self, world: &World, next: &mut Vec<(String, World)>) {
-        let mut state = self.daemon(world, A);
-        let current = state.ledger().holders().get(&peer(A, 1)).cloned();
-        let Some(current) = current.filter(|_| !state.is_naming()) else {
-            return;
-        };
-        let now = self.clock(A, world.t);
-        let target = match current.custodian {
-            Some(custodian) if custodian == peer(C, 1) => B,
-            _ => C,
-        };
-        let Some(record) = state.name(now, Some(peer(target, 1))) else {
-            return;
-        };
-        let mut after = self.with_record(world, record);
-        if !self.is(Mutation::CountOldCustodian) {
-            after = self.with_daemon(&after, A, state);
-        }
-        after.named += 1;
-        if after != *world {
-            next.push((format!("A names {}", NAMES[target]), after));
-        }
-    }
-
-    fn reclaim(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
-        let mut now = self.clock(daemon, world.t);
-        if self.is(Mutation::NewCustodianDoesNotWait) && daemon == C {
-            now += self.times(C).right;
-        }
-        let mut state = self.daemon(world, daemon);
-        for holder in state.due(now) {
-            let Some(record) = state.decide(now, &holder) else {
-                continue;
-            };
-            let mut after = self.with_record(world, record);
-            if !self.is(Mutation::PromiseAfterDecision) {
-                after = self.with_daemon(&after, daemon, state.clone());
-            }
-            if after != *world {
-                next.push((format!("{} decides to reclaim", NAMES[daemon]), after));
-            }
-        }
-        if self.is(Mutation::InheritedCustody) && daemon == C {
-            if let Some(entry) = state.ledger().holders().get(&peer(A, 1)) {
-                let inherited = EscrowRecord::Name {
-                    holder: peer(A, 1),
-                    custody: entry.custody,
-                    custodian: Some(peer(C, 1)),
-                };
-                let after = self.with_record(world, inherited);
-                next.push(("C takes B's place as custodian".to_owned(), after));
-            }
-        }
-    }
-
-    fn take_open(&self, world: &World, daemon: usize, next: &mut Vec<(String, World)>) {
-        let state = self.daemons.get(world.daemons[daemon]);
-        for (holder, entry) in state.ledger().holders() {
-            if entry.custodian.is_some() || *holder == peer(daemon, 1) {
-                continue;
-            }
-            let record = EscrowRecord::Reclaim {
-                holder: holder.clone(),
-                custody: entry.custody,
-                by: peer(daemon, 1),
-            };
-            let after = self.with_record(world, record);
-            next.push((format!("{} takes the seat", NAMES[daemon]), after));
-        }
-    }
-
-    fn hand_over(&self, world: &World, from: usize, to: usize, next: &mut Vec<(String, World)>) {
-        let now = self.clock(from, world.t);
-        let mut state = self.daemon(world, from);
-        if state.is_given(0) {
-            return;
-        }
-        let Some(record) = state.hand_over(now, &peer(to, 1), &[0]) else {
-            return;
-        };
-        let mut after = self.with_record(world, record);
-        if !self.is(Mutation::SpendAfterHandOver) {
-            after = self.with_daemon(&after, from, state);
-        }
-        let text = format!("{} hands the seat to {}", NAMES[from], NAMES[to]);
-        next.push((text, after));
-    }
-
-    fn retire(&self, world: &World, next: &mut Vec<(String, World)>) {
-        let mut state = self.daemon(world, B);
-        if state.is_retired() {
-            return;
-        }
-        let mut retired = state.clone();
-        retired.retire();
-        if self.is(Mutation::RetiredReclaims) {
-            // Promises without end are given, but the state forgets that it leaves.
-            if let Some((sent, to)) = world.ask.filter(|(_, to)| usize::from(*to) == B) {
-                state.promise(
-                    self.clock(B, world.t),
-                    &banyanbeam::link::PromiseRequest {
-                        holder: peer(A, 1),
-                        custodian: peer(B, 1),
-                    },
-                );
-                let mut after = self.with_daemon(world, B, state);
-                after.ask = None;
-                after.reply = Some((sent, to, true));
-                next.push(("B leaves, promises without end and stays".to_owned(), after));
-            }
-            return;
-        }
-        let after = self.with_daemon(world, B, retired);
-        next.push(("B begins to leave".to_owned(), after));
-    }
-
-    fn come_back(&self, world: &World, next: &mut Vec<(String, World)>) {
-        if world.returned {
-            return;
-        }
-        let life = match self.is(Mutation::LivesAreOne) {
-            true => 1,
-            false => 2,
-        };
-        let state = CustodyState::new(peer(B, life), self.times(B), 1);
-        let after = self.with_daemon(world, B, state);
-        let after = World {
-            returned: true,
-            ..after
-        };
-        next.push(("B ends and comes back".to_owned(), after));
-    }
 }
 
 /// The records that a daemon has not read yet.
--- a/src/allowance/measure/mod.rs
+++ b/src/allowance/measure/mod.rs
@@ -4,6 +4,7 @@
 //! a function of its seed.
 
 pub mod baselines;
+pub mod fault;
 pub mod load;
 pub mod network;
 pub mod platform;
--- a/src/allowance/measure/network.rs
+++ b/src/allowance/measure/network.rs
@@ -1,5 +1,7 @@
 //! Daemons, messages and the log in memory, under virtual time.
 
+mod delivery;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::sync::Arc;
@@ -8,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::fault::{Fault, NetworkOptions};
 use super::platform::{Platform, Reader};
 use super::score::Score;
 use super::Policy;
@@ -15,75 +18,12 @@
 use crate::allowance::seat::Candidate;
 use crate::allowance::EscrowRecord;
 use crate::contract::{Change, OrganisationContract, Record, View};
-use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
-use crate::membership::{DaemonEntry, Fleet};
+use crate::link::{PeerAnswer, PeerName, PeerRequest};
 use crate::types::{DaemonId, DomainId, OperationId, OrganisationId, RequestId};
 
 /// Makes the state of one life of a daemon.
 pub type MakePolicy = Box<dyn Fn(Candidate) -> Box<dyn Policy>>;
 
-/// What a script does to the fleet.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Fault {
-    /// A daemon starts, in a new life.
-    Start(usize),
-    /// A daemon ends without a word.
-    Crash(usize),
-    /// A daemon begins a planned stop.
-    Leave(usize),
-    /// A daemon is stopped by the machine for a while, and goes on.
-    Pause(usize, Duration),
-    /// The log stops answering, or answers again.
-    LogDown(bool),
-    /// Messages between two daemons are lost, or pass again.
-    Cut(usize, usize, bool),
-    /// Messages of one daemon to another are lost, or pass again.
-    CutOneWay(usize, usize, bool),
-    /// A daemon can't reach the log, or can again.
-    LogCut(usize, bool),
-    /// A contract is published; daemons read it one after the other.
-    Publish(OrganisationContract),
-}
-
-/// How messages fare.
-#[derive(Debug, Clone)]
-pub struct NetworkOptions {
-    /// Seed of every choice.
-    pub seed: u64,
-    /// Failure domains; daemons go round.
-    pub domain_count: usize,
-    /// Daemons at most.
-    pub daemon_count: usize,
-    /// Shortest and longest way of a message between daemons.
-    pub delay: (Duration, Duration),
-    /// Shortest and longest way to the log.
-    pub log_delay: (Duration, Duration),
-    /// Share of messages lost.
-    pub loss_share: f64,
-    /// Share of messages and records that arrive twice.
-    pub double_share: f64,
-    /// Share of records that arrive late, by up to `late`.
-    pub late_share: f64,
-    /// How late.
-    pub late: Duration,
-}
-
-impl Default for NetworkOptions {
-    fn default() -> Self {
-        NetworkOptions {
-            seed: 1,
-            domain_count: 3,
-            daemon_count: 9,
-            delay: (Duration::from_micros(100), Duration::from_micros(900)),
-            log_delay: (Duration::from_millis(2), Duration::from_millis(20)),
-            loss_share: 0.0,
-            double_share: 0.0,
-            late_share: 0.0,
-            late: Duration::from_secs(8),
-        }
-    }
-}
-
 enum Happening {
     Fault(Fault),
     Event(usize, u64, AllowanceEvent),
@@ -367,35 +307,6 @@
         self.tell_fleet(Duration::ZERO);
     }
 
-    fn tell_fleet(&mut self, after: Duration) {
-        for daemon in 0..self.nodes.len() {
-            if self.nodes[daemon].policy.is_none() {
-                continue;
-            }
-            let at = self.now + after + self.between(HEAR.0, HEAR.1);
-            self.schedule(at, Happening::Fleet(daemon, self.nodes[daemon].life));
-        }
-    }
-
-    fn fleet(&self) -> Fleet {
-        let address = "127.0.0.1:1".parse().expect("a literal address");
-        let mut fleet = Fleet::default();
-        for node in self.nodes.iter().filter(|node| node.seen) {
-            let entry = DaemonEntry {
-                daemon: node.name.clone(),
-                incarnation: node.life,
-                version: 1,
-                domain: node.domain.clone(),
-                guard_address: address,
-                link_address: address,
-                leaving: node.leaving,
-                servers: Vec::new(),
-            };
-            fleet.daemons.insert(node.name.clone(), Arc::new(entry));
-        }
-        fleet
-    }
-
     fn arrive(&mut self, daemon: usize, organisation: usize) {
         let count = self.nodes.len();
         let takes = |index: &usize| {
@@ -467,155 +378,6 @@
         }
     }
 
-    fn call(&mut self, daemon: usize, call: CallId, to: &DaemonId, request: PeerRequest) {
-        self.message_count += 1;
-        let life = self.nodes[daemon].life;
-        let answered = |answer| AllowanceEvent::Answered { call, answer };
-        let target = self.nodes.iter().position(|node| node.name == *to);
-        let Some(to) = target.filter(|to| self.nodes[*to].policy.is_some()) else {
-            let at = self.now + self.options.delay.1;
-            let event = answered(Err(LinkError::Unreachable));
-            return self.schedule(at, Happening::Event(daemon, life, event));
-        };
-        let event = answered(Err(LinkError::Silent));
-        self.schedule(
-            self.now + CALL_TIMEOUT,
-            Happening::Event(daemon, life, event),
-        );
-        let name = PeerName {
-            daemon: self.nodes[daemon].name.clone(),
-            incarnation: life,
-        };
-        let copies = self.copies(daemon, to);
-        for _ in 0..copies {
-            let at = self.now + self.between(self.options.delay.0, self.options.delay.1);
-            let happening = Happening::Asked {
-                to,
-                from: (daemon, life, name.clone()),
-                call,
-                request: request.clone(),
-            };
-            self.schedule(at, happening);
-        }
-    }
-
-    fn asked(
-        &mut self,
-        to: usize,
-        (from, life, name): (usize, u64, PeerName),
-        call: CallId,
-        request: PeerRequest,
-    ) {
-        let reply = self.next_reply;
-        self.next_reply += 1;
-        self.replies.insert(reply, (from, life, call));
-        let event = match request {
-            PeerRequest::Borrow(request) => AllowanceEvent::Borrow {
-                call: reply,
-                from: name,
-                request,
-            },
-            PeerRequest::Promise(request) => AllowanceEvent::Promise {
-                call: reply,
-                request,
-            },
-            _ => return,
-        };
-        self.event(to, self.nodes[to].life, event);
-    }
-
-    fn reply(&mut self, daemon: usize, call: CallId, answer: PeerAnswer) {
-        let Some((to, life, call)) = self.replies.remove(&call) else {
-            return;
-        };
-        self.message_count += 1;
-        for _ in 0..self.copies(daemon, to) {
-            let at = self.now + self.between(self.options.delay.0, self.options.delay.1);
-            let event = AllowanceEvent::Answered {
-                call,
-                answer: Ok(answer.clone()),
-            };
-            self.schedule(at, Happening::Event(to, life, event));
-        }
-    }
-
-    fn append(&mut self, daemon: usize, record: EscrowRecord) {
-        if self.nodes[daemon].log_cut {
-            return;
-        }
-        let doubled = self.rng.random_bool(self.options.double_share);
-        for _ in 0..1 + usize::from(doubled) {
-            let mut way = self.between(self.options.log_delay.0, self.options.log_delay.1);
-            if self.rng.random_bool(self.options.late_share) {
-                way += self.between(Duration::ZERO, self.options.late);
-            }
-            self.schedule(self.now + way, Happening::Appended(record.clone()));
-        }
-    }
-
-    fn send_read(&mut self, daemon: usize, life: u64) {
-        let node = &self.nodes[daemon];
-        if node.life != life || node.policy.is_none() {
-            return;
-        }
-        if self.now < node.paused_until {
-            let at = node.paused_until;
-            return self.schedule(at, Happening::ReadSent(daemon, life));
-        }
-        let way = self.between(self.options.log_delay.0, self.options.log_delay.1);
-        let reader = Reader {
-            daemon,
-            life,
-            from: self.nodes[daemon].next,
-            asked_at: self.now,
-            until: self.now + way + READ_WAIT,
-        };
-        self.schedule(self.now + way, Happening::ReadArrives(reader));
-    }
-
-    fn read_arrives(&mut self, reader: Reader) {
-        if self.platform.down || self.nodes[reader.daemon].log_cut {
-            let again = Happening::ReadSent(reader.daemon, reader.life);
-            return self.schedule(self.now + READ_RETRY, again);
-        }
-        if self.platform.has(reader.from) {
-            return self.answer_read(reader);
-        }
-        self.platform.wait(reader.clone());
-        self.schedule(reader.until, Happening::ReadOver(reader));
-    }
-
-    fn answer_read(&mut self, reader: Reader) {
-        let Reader { daemon, life, .. } = reader;
-        if self.nodes[daemon].life != life {
-            return;
-        }
-        let at = self.now + self.between(self.options.log_delay.0, self.options.log_delay.1);
-        let again = Happening::ReadSent(daemon, life);
-        if self.platform.down || self.nodes[daemon].log_cut {
-            return self.schedule(at + READ_RETRY, again);
-        }
-        let records = self.platform.read(reader.from);
-        if let Some((last, _)) = records.last() {
-            self.nodes[daemon].next = last + 1;
-        }
-        let event = AllowanceEvent::Read {
-            asked_at: reader.asked_at,
-            records,
-            whole: true,
-        };
-        self.schedule(at, Happening::Event(daemon, life, event));
-        self.schedule(at, again);
-    }
-
-    fn copies(&mut self, from: usize, to: usize) -> usize {
-        let cut = self.cuts.get(&(from, to)).copied().unwrap_or(false);
-        if cut || self.rng.random_bool(self.options.loss_share) {
-            return 0;
-        }
-        1 + usize::from(self.rng.random_bool(self.options.double_share))
-    }
-
     fn between(&mut self, low: Duration, high: Duration) -> Duration {
         self.rng.random_range(low..=high)
     }
--- a/src/allowance/measure/report.rs
+++ b/src/allowance/measure/report.rs
@@ -4,7 +4,8 @@
 
 use comfy_table::{presets, Table};
 
-use super::network::{Network, NetworkOptions};
+use super::fault::NetworkOptions;
+use super::network::Network;
 use super::scenarios::{self, Scenario, Way};
 use super::score::quantile;
 
--- a/src/allowance/measure/scenarios.rs
+++ b/src/allowance/measure/scenarios.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::baselines::{FixedShares, HomeLease};
+use super::fault::{Fault, NetworkOptions};
 use super::load::{Load, Spread};
-use super::network::{Fault, MakePolicy, Network, NetworkOptions};
+use super::network::{MakePolicy, Network};
 use crate::allowance::state::{AllowanceOptions, AllowanceState};
 use crate::contract::OrganisationContract;
 use crate::settings::allowance::AllowanceSettings;
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -52,3 +52,15 @@
         seats: Vec<SeatId>,
     },
 }
+
+impl EscrowRecord {
+    /// Name of the counter of records of this kind that a daemon sends.
+    pub fn counter(&self) -> &'static str {
+        match self {
+            EscrowRecord::Claim { .. } => "allowance.claim.sent",
+            EscrowRecord::Name { .. } => "allowance.custodian.named",
+            EscrowRecord::Reclaim { .. } => "allowance.reclaim.sent",
+            EscrowRecord::HandOver { .. } => "allowance.hand_over.sent",
+        }
+    }
+}
--- a/src/allowance/state.rs
+++ b/src/allowance/state.rs
@@ -179,6 +179,7 @@
     ) {
         let (to, request, purpose) = match action {
             AssignmentAction::Append(record) => {
+                actions.push(AllowanceAction::Count(record.counter()));
                 actions.push(AllowanceAction::Append(record));
                 return;
             }
--- a/src/allowance/tests/network.rs
+++ b/src/allowance/tests/network.rs
@@ -5,8 +5,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRng, TestRunner};
 
+use crate::allowance::measure::fault::{Fault, NetworkOptions};
 use crate::allowance::measure::load::{Load, Spread};
-use crate::allowance::measure::network::{Fault, Network, NetworkOptions};
+use crate::allowance::measure::network::Network;
 use crate::allowance::measure::scenarios::{self, Way};
 use crate::contract::OrganisationContract;
 
