Find servers that are slower all along by the whole distribution of times

Cause: a mark at 1.5 times the peers' 90th percentile lies above most requests of a server that takes three times as long. Change: one more sum, over request times: log likelihood ratio of the peers' times three buckets (2.8 times) later against the peers' times. Slowness of a server that is cold since it came into service is no evidence; one that turns cold in service is slow like any other.

--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -12,6 +12,7 @@
 pub mod reference;
 pub mod running;
 pub mod sequential;
+pub mod shift;
 pub mod standing;
 pub mod state;
 pub mod watch;
--- a/src/health/reference.rs
+++ b/src/health/reference.rs
@@ -5,6 +5,7 @@
 
 use super::histogram::{bucket_bound, bucket_of, quantile_bucket};
 use super::message::ServerSummary;
+use super::shift::Shift;
 use super::window::Counts;
 use crate::types::{BackendServerId, RouteId};
 
@@ -22,6 +23,8 @@
     pub slow_bucket: Option<usize>,
     /// Time above which a request that still runs is stuck.
     pub stuck_after: Option<Duration>,
+    /// What each request time says.
+    pub shift: Shift,
 }
 
 impl Default for Expected {
@@ -32,6 +35,7 @@
             stuck_share: STUCK_FLOOR_SHARE * 2.0,
             slow_bucket: None,
             stuck_after: None,
+            shift: Shift::default(),
         }
     }
 }
@@ -47,6 +51,7 @@
 const FAILED_FLOOR_SHARE: f64 = 0.01;
 const SLOW_FLOOR_SHARE: f64 = 0.02;
 const STUCK_FLOOR_SHARE: f64 = 0.002;
+const SHIFT_FLOOR_SHARE: f64 = 0.05;
 
 /// Requests that a share is smoothed with, so that a few requests give no share near 0.
 const SMOOTHING_COUNT: f64 = 50.0;
@@ -139,6 +144,7 @@
             stuck_share: median_share(&others, |c| c.stuck).max(STUCK_FLOOR_SHARE),
             slow_bucket: Some(slow_bucket),
             stuck_after: Some(stuck.max(STUCK_FLOOR)),
+            shift: floored(Shift::from_peers(&others)),
         }
     }
 
@@ -155,10 +161,15 @@
         let failed_share = raw_median_share(&met, |c| c.failed);
         let slow_share = raw_median_share(&met, slow);
         let stuck_share = raw_median_share(&met, |c| c.stuck);
+        let shift_share = median(met.iter().map(|c| expected.shift.met_share(c)));
         Expected {
             failed_share: expected.failed_share.max(failed_share),
             slow_share: expected.slow_share.max(slow_share),
             stuck_share: expected.stuck_share.max(stuck_share),
+            shift: Shift {
+                share: expected.shift.share.max(shift_share),
+                ..expected.shift
+            },
             ..expected
         }
     }
@@ -204,6 +215,13 @@
     }
 }
 
+fn floored(shift: Shift) -> Shift {
+    Shift {
+        share: shift.share.max(SHIFT_FLOOR_SHARE),
+        ..shift
+    }
+}
+
 /// Median over servers of the time below which the given share of requests ends.
 fn quantile(servers: &[&Counts], share: f64) -> Duration {
     let mut buckets: Vec<usize> = servers
--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -7,12 +7,16 @@
 use std::time::{Duration, Instant};
 
 use super::detector::{Alarm, Detector};
+use super::histogram::bucket_of;
 use super::reference::Expected;
 use super::window::Observation;
 
 /// Shares of troubled requests that the sums test for.
 const MIXES: [f64; 3] = [0.5, 0.15, 0.05];
 
+/// Share of requests that must speak for a shift when it is checked.
+const SHIFT_MIX: f64 = 0.5;
+
 /// Requests within this time of each other are taken as one event.
 const INTERVAL: Duration = Duration::from_millis(200);
 
@@ -24,9 +28,12 @@
     Failed,
     Slow,
     Stuck,
+    /// All times are later, however little each of them.
+    Shifted,
 }
 
-const KINDS: [Kind; 3] = [Kind::Failed, Kind::Slow, Kind::Stuck];
+/// Kinds of trouble that a share of requests meets.
+const SHARE_KINDS: [Kind; 3] = [Kind::Failed, Kind::Slow, Kind::Stuck];
 
 impl Kind {
     fn as_str(self) -> &'static str {
@@ -34,14 +41,16 @@
             Kind::Failed => "failed",
             Kind::Slow => "slow",
             Kind::Stuck => "stuck",
+            Kind::Shifted => "shifted",
         }
     }
 
-    fn met(self, observation: &Observation) -> bool {
+    fn met(self, observation: &Observation, expected: &Expected) -> bool {
         match self {
             Kind::Failed => observation.failed,
             Kind::Slow => observation.slow,
             Kind::Stuck => observation.stuck,
+            Kind::Shifted => expected.shift.is_met(bucket_of(observation.elapsed)),
         }
     }
 
@@ -50,11 +59,21 @@
             Kind::Failed => expected.failed_share,
             Kind::Slow => expected.slow_share,
             Kind::Stuck => expected.stuck_share,
+            Kind::Shifted => expected.shift.share,
+        }
+    }
+
+    /// Log likelihood ratio of one request.
+    fn ratio(self, mix: f64, observation: &Observation, expected: &Expected) -> f64 {
+        if self == Kind::Shifted {
+            return expected.shift.ratios[bucket_of(observation.elapsed)];
         }
+        let share = self.expected_share(expected).min(MAX_SHARE);
+        ratio(mix, share, self.met(observation, expected))
     }
 }
 
-/// Log likelihood ratio of one request.
+/// Log likelihood ratio of one request that meets trouble or not.
 fn ratio(mix: f64, expected_share: f64, met: bool) -> f64 {
     if met {
         (1.0 - mix + mix / expected_share).ln()
@@ -91,18 +110,17 @@
     }
 
     fn observe(&mut self, observation: &Observation, expected: &Expected, limit: f64) {
-        let met = self.kind.met(observation);
-        if observation.again && !met {
+        let met = self.kind.met(observation, expected);
+        if observation.again && (!met || self.kind == Kind::Shifted) {
             return;
         }
-        let share = self.kind.expected_share(expected).min(MAX_SHARE);
         let is_over = |from: Instant| observation.at.saturating_duration_since(from) >= INTERVAL;
         if self.interval_at.is_none_or(is_over) {
             self.interval_at = Some(observation.at);
             self.interval_base = self.value;
         }
         let ceiling = self.interval_base + limit / SPREAD_COUNT;
-        let value = self.value + ratio(self.mix, share, met);
+        let value = self.value + self.kind.ratio(self.mix, observation, expected);
         self.value = value.min(ceiling).min(limit * OVERSHOOT);
         self.seen_count += 1;
         self.met_count += u32::from(met);
@@ -141,11 +159,12 @@
     /// A test that raises its alarm when a sum reaches `limit`.
     pub fn new(limit: f64) -> SequentialTest {
         let mut sums = Vec::new();
-        for kind in KINDS {
+        for kind in SHARE_KINDS {
             for mix in MIXES {
                 sums.push(Sum::new(kind, mix));
             }
         }
+        sums.push(Sum::new(Kind::Shifted, SHIFT_MIX));
         SequentialTest { limit, sums }
     }
 
--- a/src/health/state.rs
+++ b/src/health/state.rs
@@ -364,23 +364,20 @@
         actions: &mut Vec<HealthAction>,
     ) {
         for watch in self.watches.values_mut() {
-            let present = servers.iter().any(|entry| entry.server == watch.server);
-            if watch.present && !present {
-                watch.returned_at = Some(now);
-            }
-            watch.present = present;
+            let entry = servers.iter().find(|entry| entry.server == watch.server);
+            watch.told(now, entry);
         }
         for entry in servers {
             let name = entry.server.clone();
-            let known = self.watches.contains_key(&name);
-            let watch = self
-                .watches
-                .entry(name)
-                .or_insert_with(|| Watch::new(&self.settings, entry.server, entry.service));
-            watch.cold = entry.cold;
-            if known && watch.standing.needs_permit() {
-                actions.push(share(&self.settings, watch));
+            if let Some(watch) = self.watches.get(&name) {
+                if watch.standing.needs_permit() {
+                    actions.push(share(&self.settings, watch));
+                }
+                continue;
             }
+            let mut watch = Watch::new(&self.settings, name.clone(), entry.service.clone());
+            watch.told(now, Some(&entry));
+            self.watches.insert(name, watch);
         }
         self.forget(now);
         let service = |watch: &Watch| watch.service.clone();
--- a/src/health/watch.rs
+++ b/src/health/watch.rs
@@ -6,8 +6,10 @@
 use super::detector::{make_detector, Detector};
 use super::message::{FailureKind, RequestEnd, RouteSummary, ServerSummary};
 use super::reference::{Expected, Reference};
+use super::shift::Shift;
 use super::standing::{Charge, Standing};
 use super::window::{Observation, RouteWindow};
+use crate::membership::ServerEntry;
 use crate::settings::health::HealthSettings;
 use crate::types::{BackendServerId, RouteId, ServiceId};
 
@@ -46,8 +48,11 @@
     pub service: ServiceId,
     /// Whether it is beside this daemon now; the watch is kept for a while after it left.
     pub present: bool,
-    /// Whether its guard holds it for cold: slowness is then no evidence.
+    /// Whether it has been cold since it came into service: slowness is then no evidence. A
+    /// server that turns cold later is slow next to its peers like any other.
     pub cold: bool,
+    /// Whether it takes no new work.
+    pub draining: bool,
     /// Where it stands.
     pub standing: Standing,
     /// Its permit, while it has one.
@@ -77,7 +82,8 @@
             server,
             service,
             present: true,
-            cold: false,
+            cold: true,
+            draining: false,
             standing: Standing::InService,
             permit: None,
             ejection_count: 0,
@@ -92,6 +98,21 @@
         }
     }
 
+    /// Takes what the guard tells of the server, or that it is not there.
+    pub fn told(&mut self, now: Instant, entry: Option<&ServerEntry>) {
+        let Some(entry) = entry else {
+            if self.present {
+                self.returned_at = Some(now);
+            }
+            self.present = false;
+            return;
+        };
+        let comes_into_service = !self.present || (self.draining && !entry.draining);
+        self.cold = entry.cold && (self.cold || comes_into_service);
+        self.present = true;
+        self.draining = entry.draining;
+    }
+
     /// Takes the word of a health or load endpoint.
     pub fn suspect(&mut self, now: Instant) {
         self.suspicion_until = Some(now + SUSPICION_TIME);
@@ -137,12 +158,14 @@
         if !self.standing.is_watched() {
             return;
         }
-        let observation = Observation {
-            slow: observation.slow && !self.cold,
-            ..*observation
-        };
-        track.detector.observe(&observation, &track.expected);
-        self.overall.observe(&observation, &track.expected);
+        let mut observation = *observation;
+        let mut expected = track.expected;
+        if self.cold {
+            observation.slow = false;
+            expected.shift = Shift::default();
+        }
+        track.detector.observe(&observation, &expected);
+        self.overall.observe(&observation, &expected);
     }
 
     fn make_room(&mut self, route: &RouteId) {
@@ -190,34 +213,34 @@
                 let fresh = reference.fresh(&self.server, Some(route), track.expected);
                 track.detector.confirm(&fresh)
             }
-            None => {
-                let expected = self.mean_expected();
-                let fresh = reference.fresh(&self.server, None, expected);
-                self.overall.confirm(&fresh)
-            }
+            None => self.overall.confirm(&self.mean_fresh(reference)),
         }
     }
 
     /// Mean over routes, by their requests.
-    fn mean_expected(&self) -> Expected {
+    fn mean_fresh(&self, reference: &Reference) -> Expected {
+        let total: f64 = self.tracks.values().map(|t| t.window.weight()).sum();
+        if total <= 0.0 {
+            return Expected::default();
+        }
         let mut mean = Expected {
             failed_share: 0.0,
             slow_share: 0.0,
             stuck_share: 0.0,
+            shift: Shift {
+                share: 0.0,
+                ..Default::default()
+            },
             ..Default::default()
         };
-        let total: f64 = self.tracks.values().map(|t| t.window.weight()).sum();
-        if total <= 0.0 {
-            return Expected::default();
-        }
-        for track in self.tracks.values() {
+        for (route, track) in &self.tracks {
             let weight = track.window.weight() / total;
-            mean.failed_share += track.expected.failed_share * weight;
-            mean.slow_share += track.expected.slow_share * weight;
-            mean.stuck_share += track.expected.stuck_share * weight;
+            let fresh = reference.fresh(&self.server, Some(route), track.expected);
+            mean.failed_share += fresh.failed_share * weight;
+            mean.slow_share += fresh.slow_share * weight;
+            mean.stuck_share += fresh.stuck_share * weight;
+            mean.shift.share += fresh.shift.share * weight;
         }
-        let slow = |t: &Track| t.expected.slow_bucket;
-        mean.slow_bucket = self.tracks.values().filter_map(slow).max();
         mean
     }
 
