--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -28,6 +28,10 @@
 /// A cold server counts as this much more loaded than it is.
 const COLD_FACTOR: f64 = 2.0;
 
+/// Part of its drawn requests that an idle cold server takes for each slot, whatever the others'
+/// load: without requests it never warms.
+const COLD_SLOT_SHARE: f64 = 0.05;
+
 /// A server in a domain where the request failed counts as this much more loaded.
 const TRIED_DOMAIN_FACTOR: f64 = 1.5;
 
@@ -161,6 +165,14 @@
             || self.random.random_range(0..FULL_SHARE_PERMILLE) < share_permille
     }
 
+    /// Whether an idle cold server takes this request to get warm.
+    fn warms_next(&mut self, candidate: &Candidate) -> bool {
+        let learned = self.learned.get(&candidate.target.server);
+        let idle = learned.is_none_or(|learned| learned.outstanding_count == 0);
+        let share = COLD_SLOT_SHARE * f64::from(candidate.slots_count);
+        candidate.cold && idle && self.random.random_bool(share.min(1.0))
+    }
+
     fn pick_from(
         &mut self,
         wish: &Wish<'_>,
@@ -180,7 +192,11 @@
             {
                 continue;
             }
-            keep_better(&mut best, self.load(wish, candidate), candidate);
+            let load = match self.warms_next(candidate) {
+                true => 0.0,
+                false => self.load(wish, candidate),
+            };
+            keep_better(&mut best, load, candidate);
         }
         if best.is_none() {
             best = self.scan(wish, all);
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -322,3 +322,19 @@
     assert_eq!(names, ["s3", "s4", "s5"]);
     assert_eq!(below_it.len(), 6, "{below_it:?}");
 }
+
+#[test]
+fn a_cold_server_gets_a_few_requests_while_warm_ones_are_idle() {
+    // Arrange
+    let mut entries: Vec<DaemonEntry> = all().collect();
+    entries[1].servers[0].cold = true;
+    entries[1].servers[0].slots_count = 1;
+    let mut bench = Bench::new(entries);
+
+    // Act
+    let picked = bench.picks(2_000, false);
+
+    // Assert
+    let cold = picked.get("s1").copied().unwrap_or(0);
+    assert!((20..=200).contains(&cold), "{picked:?}");
+}
