Let what peers met lately raise what is expected of a server

Cause: the longer window of peers follows a change in 10 s; until then a trouble that all servers met raised alarm after alarm, and a check against a few requests let some through. Change: expected shares are raised at every summary by the peers' newest requests, taken with one deviation of their count; the median of an even number is the mean of the two.

--- a/src/health/reference.rs
+++ b/src/health/reference.rs
@@ -158,10 +158,10 @@
     ) -> Expected {
         let met = self.met(server, route);
         let slow = |c: &Counts| expected.slow_bucket.map_or(0.0, |bucket| c.above(bucket));
-        let failed_share = raw_median_share(&met, |c| c.failed);
-        let slow_share = raw_median_share(&met, slow);
-        let stuck_share = raw_median_share(&met, |c| c.stuck);
-        let shift_share = median(met.iter().map(|c| expected.shift.met_share(c)));
+        let failed_share = likely_share(&met, |c| c.failed);
+        let slow_share = likely_share(&met, slow);
+        let stuck_share = likely_share(&met, |c| c.stuck);
+        let shift_share = likely_share(&met, |c| expected.shift.met_share(c) * c.seen);
         Expected {
             failed_share: expected.failed_share.max(failed_share),
             slow_share: expected.slow_share.max(slow_share),
@@ -242,12 +242,20 @@
     )
 }
 
-fn raw_median_share(servers: &[Counts], count: impl Fn(&Counts) -> f64) -> f64 {
-    median(servers.iter().map(|c| (count(c) / c.seen).min(1.0)))
+/// A share that the median server may have by its few requests: its mean and one deviation.
+fn likely_share(servers: &[Counts], count: impl Fn(&Counts) -> f64) -> f64 {
+    let share = median(servers.iter().map(|c| (count(c) / c.seen).min(1.0)));
+    let seen = median(servers.iter().map(|c| c.seen)).max(1.0);
+    (share + (share * (1.0 - share) / seen).sqrt()).min(1.0)
 }
 
 fn median(values: impl Iterator<Item = f64>) -> f64 {
     let mut values: Vec<f64> = values.collect();
     values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(0.0)
+    let middle = values.len() / 2;
+    match values.len() {
+        0 => 0.0,
+        count if count % 2 == 0 => (values[middle - 1] + values[middle]) / 2.0,
+        _ => values[middle],
+    }
 }
--- a/src/health/watch.rs
+++ b/src/health/watch.rs
@@ -248,7 +248,8 @@
     pub fn renew_expected(&mut self, reference: &Reference) {
         for (route, track) in &mut self.tracks {
             let kept_bucket = track.expected.slow_bucket;
-            track.expected = reference.expected(&self.server, route, kept_bucket);
+            let expected = reference.expected(&self.server, route, kept_bucket);
+            track.expected = reference.fresh(&self.server, Some(route), expected);
             if track.expected.slow_bucket == kept_bucket {
                 continue;
             }
