Take one long request for one event

Cause: a single request that stayed stuck was evidence every 200 ms; four times made an alarm against a healthy server while all were slower. Change: a stuck request is evidence again only while another one is stuck too.

--- a/src/health/running.rs
+++ b/src/health/running.rs
@@ -7,7 +7,7 @@
 use super::window::Observation;
 use crate::types::{BackendServerId, RouteId};
 
-/// A request that stays stuck is evidence again after this time.
+/// Requests that stay stuck are evidence again after this time.
 const STUCK_REPEAT: Duration = Duration::from_millis(200);
 
 /// A request that runs.
@@ -36,11 +36,24 @@
         }
     }
 
-    /// What the request says while it runs; none while it is younger than the marks.
-    pub fn look(&mut self, now: Instant, expected: &Expected) -> Option<Observation> {
+    /// Whether it is older than the stuck mark.
+    pub fn is_stuck(&self, now: Instant, expected: &Expected) -> bool {
+        let age = now.saturating_duration_since(self.started_at);
+        is_over(age, expected.stuck_after)
+    }
+
+    /// What the request says while it runs; none while it is younger than the marks. One long
+    /// request is one event: only one `with_others` is evidence again while it stays stuck.
+    pub fn look(
+        &mut self,
+        now: Instant,
+        expected: &Expected,
+        with_others: bool,
+    ) -> Option<Observation> {
         let age = now.saturating_duration_since(self.started_at);
         let slow = is_over(age, expected.slow_after()) && !self.counted;
-        let repeats = |at: Instant| now.saturating_duration_since(at) >= STUCK_REPEAT;
+        let repeats =
+            |at: Instant| with_others && now.saturating_duration_since(at) >= STUCK_REPEAT;
         let stuck = is_over(age, expected.stuck_after) && self.stuck_at.is_none_or(repeats);
         if !slow && !stuck {
             return None;
--- a/src/health/state.rs
+++ b/src/health/state.rs
@@ -324,12 +324,14 @@
     /// Requests that run longer than the marks are evidence before they end.
     fn look_at_running(&mut self, now: Instant, actions: &mut Vec<HealthAction>) {
         let mut seen = Vec::new();
+        let stuck = self.count_stuck(now);
         for running in self.running.values_mut() {
             let Some(watch) = self.watches.get(&running.server) else {
                 continue;
             };
             let expected = watch.expected(&running.route);
-            let Some(observation) = running.look(now, &expected) else {
+            let with_others = stuck.get(&running.server).is_some_and(|count| *count > 1);
+            let Some(observation) = running.look(now, &expected, with_others) else {
                 continue;
             };
             seen.push((running.server.clone(), running.route.clone(), observation));
@@ -341,6 +343,19 @@
         }
     }
 
+    fn count_stuck(&self, now: Instant) -> BTreeMap<BackendServerId, usize> {
+        let mut stuck = BTreeMap::new();
+        for running in self.running.values() {
+            let Some(watch) = self.watches.get(&running.server) else {
+                continue;
+            };
+            if running.is_stuck(now, &watch.expected(&running.route)) {
+                *stuck.entry(running.server.clone()).or_default() += 1;
+            }
+        }
+        stuck
+    }
+
     fn ask_round(&mut self, now: Instant, actions: &mut Vec<HealthAction>) {
         let mut services: Vec<ServiceId> = Vec::new();
         for watch in self.watches.values() {
--- a/src/health/tests.rs
+++ b/src/health/tests.rs
@@ -413,3 +413,23 @@
     // Assert
     assert!(bench.verdicts.is_empty(), "{:?}", bench.verdicts);
 }
+
+#[test]
+fn one_long_request_ejects_nobody() {
+    // Arrange
+    let mut bench = Bench::new(6, 3, 11);
+    bench.run(WARM_UP);
+    let long = StartedRequest {
+        key: (1_000_000, 1),
+        server: "s0".into(),
+        service: SERVICE.into(),
+        route: "look-up".into(),
+    };
+
+    // Act
+    bench.handle(0, HealthEvent::Started(long));
+    bench.run(Duration::from_secs(20));
+
+    // Assert
+    assert!(bench.verdicts.is_empty(), "{:?}", bench.verdicts);
+}
