--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -20,8 +20,12 @@
 /// Requests within this time of each other are taken as one event.
 const INTERVAL: Duration = Duration::from_millis(200);
 
-/// Intervals that the evidence must be spread over at least.
-const SPREAD_COUNT: f64 = 4.0;
+/// Intervals that evidence of times must be spread over at least: a pause makes many requests
+/// slow at once.
+const TIME_SPREAD_COUNT: f64 = 4.0;
+
+/// Intervals that evidence of failures must be spread over at least.
+const FAILURE_SPREAD_COUNT: f64 = 3.0;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
@@ -63,6 +67,13 @@
         }
     }
 
+    fn spread_count(self) -> f64 {
+        match self {
+            Kind::Failed => FAILURE_SPREAD_COUNT,
+            _ => TIME_SPREAD_COUNT,
+        }
+    }
+
     /// Log likelihood ratio of one request.
     fn ratio(self, mix: f64, observation: &Observation, expected: &Expected) -> f64 {
         if self == Kind::Shifted {
@@ -119,7 +130,7 @@
             self.interval_at = Some(observation.at);
             self.interval_base = self.value;
         }
-        let ceiling = self.interval_base + limit / SPREAD_COUNT;
+        let ceiling = self.interval_base + limit / self.kind.spread_count();
         let value = self.value + self.kind.ratio(self.mix, observation, expected);
         self.value = value.min(ceiling).min(limit * OVERSHOOT);
         self.seen_count += 1;
--- /dev/null
+++ b/src/measure/callers.rs
@@ -0,0 +1,187 @@
+//! The side of entries: callers, routing, and what becomes of requests.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::world::{Event, Flight, World, CONNECT_TIME, LINK_DELAY};
+use crate::error::{ErrorKind, Ran};
+use crate::guard::message::GuardRequest;
+use crate::guard::GuardEvent;
+use crate::routing::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent};
+use crate::types::{DaemonId, RequestId};
+
+/// Longest wait for a connection to a guard.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Lowest status that counts as a failure.
+const FAILURE_STATUS: u16 = 500;
+
+impl World {
+    /// A caller's request arrives at an entry.
+    pub(super) fn call(&mut self, stream: usize) {
+        let now = self.now;
+        let gap = self.traffic.gap(stream, &mut self.random);
+        self.timeline.add(now + gap, Event::Call { stream });
+        let route_index = self.random.random_range(0..self.traffic.routes.len());
+        let entry = self.random.random_range(0..self.nodes.len());
+        let sender = &mut self.traffic.streams[stream];
+        let tally = self
+            .tally
+            .organisations
+            .entry(sender.organisation.clone())
+            .or_default();
+        if sender.tokens.take(now, 1.0).is_err() {
+            tally.over_count += 1;
+            return;
+        }
+        tally.within_count += 1;
+        let request = self.new_request();
+        let sender = &self.traffic.streams[stream];
+        let used = &self.traffic.routes[route_index];
+        let deadline_at = now + Duration::from_millis(used.route.deadline_ms);
+        let plan = RequestPlan {
+            request,
+            organisation: sender.organisation.clone(),
+            weight_share: sender.weight_share,
+            service: used.service.clone(),
+            route: used.route.route.clone(),
+            repeatable: used.route.repeatable,
+            foreground: used.route.foreground,
+            body_limit_bytes: 0,
+            idempotency_key: None,
+            deadline_at,
+        };
+        let flight = Flight {
+            stream,
+            arrived_at: now,
+            deadline_at,
+        };
+        self.flights.insert(request, flight);
+        self.routing_event(entry, RoutingEvent::Dispatch(plan));
+    }
+
+    /// An id that sorts by virtual time, as those of `serve` by time.
+    fn new_request(&mut self) -> RequestId {
+        self.request_count += 1;
+        let passed_ms = FIRST_ID_MS + self.passed().as_millis();
+        (passed_ms << ID_TIME_SHIFT) | self.request_count
+    }
+
+    pub(super) fn routing_event(&mut self, at: usize, event: RoutingEvent) {
+        for action in self.nodes[at].routing.handle(self.now, event) {
+            self.routing_action(at, action);
+        }
+    }
+
+    fn routing_action(&mut self, at: usize, action: RoutingAction) {
+        match action {
+            RoutingAction::Send {
+                plan,
+                attempt,
+                target,
+                incarnation,
+            } => {
+                self.tally.attempt_count += 1;
+                let request = GuardRequest {
+                    request: plan.request,
+                    attempt,
+                    incarnation,
+                    organisation: plan.organisation.clone(),
+                    weight_share: plan.weight_share,
+                    route: plan.route.clone(),
+                    server: target.server,
+                    repeatable: plan.repeatable,
+                    foreground: plan.foreground,
+                    fingerprint: fingerprint(plan.request),
+                    deadline_at: plan.deadline_at,
+                };
+                self.send(at, &target.daemon, request);
+            }
+            RoutingAction::Finish { request, outcome } => self.finish(request, &outcome),
+            RoutingAction::Cancel { to, request } => {
+                let to = self.names[&to];
+                if !self.is_blocked(at, to) {
+                    self.guard_event(to, GuardEvent::Cancel(request));
+                }
+            }
+            RoutingAction::Fence { to, fence } => {
+                let to = self.names[&to];
+                let event = Event::Fence {
+                    at: to,
+                    from: at,
+                    fence,
+                };
+                self.timeline.add(self.now + LINK_DELAY, event);
+            }
+            RoutingAction::Claim { .. } => {}
+        }
+    }
+
+    pub(super) fn is_blocked(&self, from: usize, to: usize) -> bool {
+        self.blocked.contains(&(from, to)) || self.blocked.contains(&(to, from))
+    }
+
+    fn send(&mut self, from: usize, to: &DaemonId, request: GuardRequest) {
+        let to = self.names[to];
+        let sent_at = self.now;
+        if self.is_blocked(from, to) {
+            let event = Event::Answer {
+                at: from,
+                request: request.request,
+                attempt: request.attempt,
+                outcome: AttemptOutcome::NotRun {
+                    kind: ErrorKind::NoServer,
+                    retry_after: None,
+                    by_guard: false,
+                },
+                sent_at,
+            };
+            self.timeline.add(sent_at + CONNECT_TIMEOUT, event);
+            return;
+        }
+        let event = Event::Arrive {
+            at: to,
+            from,
+            request,
+            sent_at,
+        };
+        self.timeline
+            .add(sent_at + CONNECT_TIME + LINK_DELAY, event);
+    }
+
+    fn finish(&mut self, request: RequestId, outcome: &Outcome) {
+        let Some(flight) = self.flights.remove(&request) else {
+            return;
+        };
+        let organisation = &self.traffic.streams[flight.stream].organisation;
+        let tally = self.tally.organisations.entry(organisation.clone());
+        let tally = tally.or_default();
+        match outcome {
+            Outcome::Answered(answer) if answer.status >= FAILURE_STATUS => {
+                tally.failed_count += 1;
+            }
+            Outcome::Answered(_) if self.now > flight.deadline_at => tally.failed_count += 1,
+            Outcome::Answered(_) => {
+                tally.good_count += 1;
+                let elapsed = self.now - flight.arrived_at + self.site.client_delay * 2;
+                self.tally.took(elapsed);
+            }
+            Outcome::Failed { kind, .. } if kind.ran() == Ran::No => tally.refused_count += 1,
+            Outcome::Failed { .. } => tally.failed_count += 1,
+        }
+    }
+}
+
+/// Time of the first ids.
+const FIRST_ID_MS: u128 = 1_000_000;
+
+/// Place of the time in an id.
+const ID_TIME_SHIFT: u32 = 80;
+
+/// No two requests of a run are equal.
+fn fingerprint(request: RequestId) -> [u8; 32] {
+    let mut fingerprint = [0; 32];
+    fingerprint[..16].copy_from_slice(&request.to_le_bytes());
+    fingerprint
+}
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -4,7 +4,10 @@
 //! spread of descriptions, ejection permits and the organisations' tokens are fakes at their
 //! interfaces: exact, in one place, with the delays named in `world`.
 
+mod callers;
 pub mod deployment;
+mod detection;
+mod guards;
 pub mod node;
 pub mod permits;
 pub mod policy;
@@ -12,7 +15,6 @@
 pub mod round_robin;
 pub mod runs;
 pub mod server;
-mod steps;
 pub mod table;
 pub mod tally;
 pub mod timeline;
--- a/src/measure/permits.rs
+++ b/src/measure/permits.rs
@@ -14,14 +14,13 @@
     /// Servers whose ejection leaves the service at its floor.
     limit_count: usize,
     held: BTreeSet<BackendServerId>,
-    /// Most held at once.
-    peak_count: usize,
-    denied_count: u64,
 }
 
 /// Permits of all services.
 #[derive(Debug, Default)]
 pub struct PermitBook {
+    /// Whether nobody gets an answer.
+    pub out_of_reach: bool,
     services: BTreeMap<ServiceId, ServicePermits>,
 }
 
@@ -43,11 +42,9 @@
     ) -> Option<Instant> {
         let permits = self.services.get_mut(service)?;
         if !permits.held.contains(server) && permits.held.len() >= permits.limit_count {
-            permits.denied_count += 1;
             return None;
         }
         permits.held.insert(server.clone());
-        permits.peak_count = permits.peak_count.max(permits.held.len());
         Some(now + PERMIT_TIME)
     }
 
@@ -58,10 +55,10 @@
         }
     }
 
-    /// Most permits of any service that were held beyond its limit; 0 while the floor holds.
-    pub fn most_over_limit(&self) -> usize {
-        let over =
-            |permits: &ServicePermits| permits.peak_count.saturating_sub(permits.limit_count);
-        self.services.values().map(over).max().unwrap_or(0)
+    /// Servers of a service that may be out at once.
+    pub fn limit_count(&self, service: &ServiceId) -> usize {
+        self.services
+            .get(service)
+            .map_or(0, |permits| permits.limit_count)
     }
 }
--- a/src/measure/report.rs
+++ b/src/measure/report.rs
@@ -164,12 +164,12 @@
         results.iter().map(value).sum::<f64>() / results.len().max(1) as f64
     };
     let false_count: u64 = results.iter().map(|run| run.false_count).sum();
-    let over_limit = results.iter().map(|run| run.over_limit_count).max();
+    let below_floor = results.iter().map(|run| run.below_floor_count).max();
     let note = format!(
         "{:.0} requests there, {:.2}% of all bad, {false_count} others ejected, {} below floor",
         mean(|run| run.all_started_count as f64),
         100.0 * mean(|run| run.bad_share),
-        over_limit.unwrap_or(0),
+        below_floor.unwrap_or(0),
     );
     let name = RowName {
         measure: "detection",
@@ -191,8 +191,9 @@
     let request_count: u64 = results.iter().map(|run| run.request_count).sum();
     let servers = results.first().map_or(0, |run| run.server_count);
     let asked = results.first().map_or(0.0, |run| run.asked_per_s);
+    let bytes = results.first().map_or(0.0, |run| run.asked_bytes_per_s);
     let note = format!(
-        "{request_count} requests, {servers} servers, {asked:.1} questions a second and daemon"
+        "{request_count} requests, {servers} servers, {asked:.1} questions and {bytes:.0} bytes a second and daemon"
     );
     let name = RowName {
         measure: "false ejections",
--- a/src/measure/runs.rs
+++ b/src/measure/runs.rs
@@ -41,6 +41,8 @@
     slow_share: 0.0,
     pause_every: None,
     pause_limit: Duration::ZERO,
+    blip_every: None,
+    blip_limit: Duration::ZERO,
 };
 
 /// One case of a failing server.
@@ -98,8 +100,8 @@
     pub false_count: u64,
     /// Share of requests within the rate that were not answered well.
     pub bad_share: f64,
-    /// Permits held beyond the floor.
-    pub over_limit_count: usize,
+    /// Most servers by which a service fell below its floor.
+    pub below_floor_count: usize,
 }
 
 impl GrayRun {
@@ -151,7 +153,7 @@
     world.run_for(FAULT_TIME);
     let mut run = GrayRun {
         all_started_count: world.nodes[target].started_count - started_before,
-        over_limit_count: world.permits.most_over_limit(),
+        below_floor_count: world.most_below_floor_count,
         ..Default::default()
     };
     for decided in &world.decided {
@@ -183,6 +185,8 @@
     pub server_count: usize,
     /// Questions for summaries, a second and daemon.
     pub asked_per_s: f64,
+    /// Bytes of those questions and their answers, a second and daemon.
+    pub asked_bytes_per_s: f64,
 }
 
 /// What all servers meet at once.
@@ -234,6 +238,7 @@
         ejected_count: world.decided.iter().filter(ejected).count() as u64,
         server_count: world.nodes.len(),
         asked_per_s: world.asked_count as f64 / daemon_seconds,
+        asked_bytes_per_s: world.asked_bytes as f64 / daemon_seconds,
     }
 }
 
--- a/src/measure/server.rs
+++ b/src/measure/server.rs
@@ -59,6 +59,10 @@
     pub pause_every: Option<Duration>,
     /// Longest pause.
     pub pause_limit: Duration,
+    /// Mean time between two short times in which every request fails; none without.
+    pub blip_every: Option<Duration>,
+    /// Longest of those times.
+    pub blip_limit: Duration,
 }
 
 impl Noise {
@@ -68,6 +72,8 @@
         slow_share: 0.005,
         pause_every: None,
         pause_limit: Duration::ZERO,
+        blip_every: None,
+        blip_limit: Duration::ZERO,
     };
 
     /// A noisy healthy server.
@@ -76,6 +82,8 @@
         slow_share: 0.02,
         pause_every: Some(Duration::from_secs(20)),
         pause_limit: Duration::from_millis(400),
+        blip_every: Some(Duration::from_secs(30)),
+        blip_limit: Duration::from_millis(150),
     };
 }
 
@@ -102,6 +110,8 @@
     pub fault: Option<(Instant, Fault)>,
     /// Until when it stands still.
     pub paused_until: Option<Instant>,
+    /// Until when it fails every request, as healthy servers do now and then.
+    pub blip_until: Option<Instant>,
     /// Until when it is cold: slower, and down if it gets more than it bears.
     pub cold_until: Option<Instant>,
 }
@@ -125,6 +135,9 @@
         if random.random_bool(self.noise.failed_share) {
             outcome = ServerOutcome::Answered(500);
         }
+        if self.blip_until.is_some_and(|until| now < until) {
+            outcome = ServerOutcome::Answered(500);
+        }
         if let Some((since, fault)) = &self.fault {
             apply(fault, now, *since, route, random, (&mut time, &mut outcome));
         }
--- a/src/measure/tally.rs
+++ b/src/measure/tally.rs
@@ -32,6 +32,8 @@
     pub server: BackendServerId,
     /// What.
     pub verdict: Verdict,
+    /// What the rule saw, as name and value.
+    pub evidence: Vec<(&'static str, String)>,
     /// Requests that the server had started by then.
     pub started_count: u64,
 }
--- a/src/measure/world.rs
+++ b/src/measure/world.rs
@@ -95,6 +95,9 @@
     Pause {
         at: usize,
     },
+    Blip {
+        at: usize,
+    },
 }
 
 /// A request of a caller.
@@ -145,6 +148,10 @@
     pub decided: Vec<Decided>,
     /// Questions of daemons to each other for summaries.
     pub asked_count: u64,
+    /// Bytes of those questions and their answers.
+    pub asked_bytes: u64,
+    /// Most servers by which a service fell below its floor through ejections.
+    pub most_below_floor_count: usize,
 }
 
 impl World {
@@ -169,6 +176,8 @@
             tally: Tally::default(),
             decided: Vec::new(),
             asked_count: 0,
+            asked_bytes: 0,
+            most_below_floor_count: 0,
             site,
         };
         world.make_nodes(options);
@@ -198,6 +207,7 @@
                     noise: options.noise,
                     fault: None,
                     paused_until: None,
+                    blip_until: None,
                     cold_until: None,
                 };
                 self.add_node(Node::new(name, &options.policy, server, options.seed));
@@ -208,12 +218,10 @@
     fn add_node(&mut self, node: Node) {
         let at = self.nodes.len();
         self.names.insert(node.entry.daemon.clone(), at);
-        let pauses = node.server.noise.pause_every.is_some();
         self.nodes.push(node);
         self.timeline.add(self.now, Event::Announce { at });
-        if pauses {
-            self.plan_pause(at);
-        }
+        self.plan_pause(at);
+        self.plan_blip(at);
     }
 
     /// Runs on for a time.
@@ -304,6 +312,9 @@
                 service,
                 server,
             } => {
+                if self.permits.out_of_reach {
+                    return;
+                }
                 let holds_until = self.permits.ask(self.now, &service, &server);
                 self.health_event(
                     to,
@@ -327,16 +338,31 @@
                 self.nodes[at].server.paused_until = Some(self.now + pause);
                 self.plan_pause(at);
             }
+            Event::Blip { at } => {
+                let limit = self.nodes[at].server.noise.blip_limit;
+                let blip = limit.mul_f64(self.random.random::<f64>());
+                self.nodes[at].server.blip_until = Some(self.now + blip);
+                self.plan_blip(at);
+            }
         }
     }
 
     fn plan_pause(&mut self, at: usize) {
-        let Some(every) = self.nodes[at].server.noise.pause_every else {
-            return;
-        };
+        if let Some(gap) = self.gap(self.nodes[at].server.noise.pause_every) {
+            self.timeline.add(self.now + gap, Event::Pause { at });
+        }
+    }
+
+    fn plan_blip(&mut self, at: usize) {
+        if let Some(gap) = self.gap(self.nodes[at].server.noise.blip_every) {
+            self.timeline.add(self.now + gap, Event::Blip { at });
+        }
+    }
+
+    /// A random time with this mean.
+    fn gap(&mut self, mean: Option<Duration>) -> Option<Duration> {
         let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
-        let gap = every.mul_f64(-uniform.ln());
-        self.timeline.add(self.now + gap, Event::Pause { at });
+        mean.map(|mean| mean.mul_f64(-uniform.ln()))
     }
 
     /// Plans that all daemons learn what has changed.
--- /dev/null
+++ b/tests/health_scenarios.rs
@@ -0,0 +1,214 @@
+//! Scripted scenarios of failing servers under virtual time, on the states that run in `serve`.
+//!
+//! The directive is `scenario deployment=nangolo seed=1`. A line is `at 8s <what>`, in order of
+//! time. What happens: `server-3 fails 50%`, `server-3 answers 20% slow`, `server-3 slows 3 times`,
+//! `server-3 hangs 20%`, `server-3 is silent`, `server-3 cuts 30% short`, `server-3 flaps each 2s`,
+//! `server-3 fails route frames`, `server-3 mends`; `all` stands for every server;
+//! `endpoint of server-3 complains`; `cut daemon-1 from daemon-3` and `mend links`;
+//! `permits out of reach` and `permits in reach`.
+//! What is asked: `expect ejected server-3 before 10s`, `expect refused server-3 before 10s` (no
+//! permit), `expect full service of server-3 before 40s`, `expect nobody ejected until 30s`,
+//! `expect nobody else than server-3 ejected until 30s`, `expect 99% answered` (since the last
+//! `at`), `expect floors kept`.
+
+use std::time::Duration;
+
+use banyanbeam::demo::DeploymentName;
+use banyanbeam::health::Verdict;
+use banyanbeam::measure::policy::Policy;
+use banyanbeam::measure::server::{Fault, Noise};
+use banyanbeam::measure::world::{World, WorldOptions};
+use banyanbeam::membership::FULL_SHARE_PERMILLE;
+
+#[test]
+fn scenarios_end_as_written() {
+    datadriven::walk("tests/scenarios/health", |file| {
+        file.run(|case| {
+            assert_eq!(case.directive, "scenario");
+            let argument = |name: &str| case.args[name][0].clone();
+            let deployment = match argument("deployment").as_str() {
+                "nangolo" => DeploymentName::Nangolo,
+                "atlas" => DeploymentName::Atlas,
+                other => panic!("{other:?} is no deployment"),
+            };
+            let seed = argument("seed").parse().expect("a number as seed");
+            run(deployment, seed, &case.input)
+        });
+    });
+}
+
+fn run(deployment: DeploymentName, seed: u64, input: &str) -> String {
+    let mut scenario = Scenario {
+        world: World::new(&WorldOptions {
+            deployment,
+            policy: Policy::standard(),
+            load_factor: 0.6,
+            noise: Noise::CALM,
+            seed,
+        }),
+        output: String::new(),
+    };
+    for line in input.lines() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match &words[..] {
+            ["at", time, what @ ..] => {
+                scenario.run_until(time);
+                scenario.step(what);
+            }
+            ["expect", what @ ..] => scenario.expect(what),
+            _ => panic!("{line:?} is no line of a scenario"),
+        }
+    }
+    scenario.output
+}
+
+struct Scenario {
+    world: World,
+    output: String,
+}
+
+fn seconds(word: &str) -> Duration {
+    let number = word.strip_suffix('s').expect("a time in seconds");
+    Duration::from_secs_f64(number.parse().expect("a time in seconds"))
+}
+
+fn share(word: &str) -> f64 {
+    let number = word.strip_suffix('%').expect("a share in percent");
+    number.parse::<f64>().expect("a share in percent") / 100.0
+}
+
+fn index(word: &str) -> usize {
+    let (_, number) = word.split_once('-').expect("a name with a number");
+    number.parse().expect("a name with a number")
+}
+
+impl Scenario {
+    fn run_until(&mut self, time: &str) {
+        let left = seconds(time).saturating_sub(self.world.passed());
+        self.world.run_for(left);
+    }
+
+    fn step(&mut self, words: &[&str]) {
+        match words {
+            ["permits", "out", "of", "reach"] => self.world.permits.out_of_reach = true,
+            ["permits", "in", "reach"] => self.world.permits.out_of_reach = false,
+            ["endpoint", "of", server, "complains"] => self.world.suspect(index(server)),
+            ["cut", one, "from", other] => {
+                self.world.blocked.insert((index(one), index(other)));
+            }
+            ["mend", "links"] => self.world.blocked.clear(),
+            ["all", conduct @ ..] => {
+                for at in 0..self.world.nodes.len() {
+                    self.world.set_fault(at, fault(conduct));
+                }
+            }
+            [server, conduct @ ..] => self.world.set_fault(index(server), fault(conduct)),
+            [] => panic!("an empty step"),
+        }
+        self.world.restart_tally();
+    }
+
+    fn expect(&mut self, words: &[&str]) {
+        let answer = match words {
+            ["ejected", server, "before", time] => {
+                self.run_until(time);
+                match self.was(server, Verdict::Ejected) {
+                    true => "yes".to_owned(),
+                    false => "no".to_owned(),
+                }
+            }
+            ["refused", server, "before", time] => {
+                self.run_until(time);
+                match self.was(server, Verdict::PermitDenied) {
+                    true => format!("yes, its share is {}", self.share_permille(server)),
+                    false => "no".to_owned(),
+                }
+            }
+            ["nobody", "ejected", "until", time] => {
+                self.run_until(time);
+                self.others_ejected("")
+            }
+            ["nobody", "else", "than", server, "ejected", "until", time] => {
+                self.run_until(time);
+                self.others_ejected(server)
+            }
+            ["full", "service", "of", server, "before", time] => {
+                self.run_until(time);
+                match self.share_permille(server) {
+                    FULL_SHARE_PERMILLE => "yes".to_owned(),
+                    share => format!("no, its share is {share}"),
+                }
+            }
+            [least, "answered"] => self.answered(share(least)),
+            ["floors", "kept"] => match self.world.most_below_floor_count {
+                0 => "yes".to_owned(),
+                count => format!("no, {count} servers too many were out"),
+            },
+            _ => panic!("{words:?} can't be expected"),
+        };
+        self.output
+            .push_str(&format!("{}: {answer}\n", words.join(" ")));
+    }
+
+    fn share_permille(&self, server: &str) -> u16 {
+        self.world.nodes[index(server)].share_permille
+    }
+
+    fn was(&self, server: &str, verdict: Verdict) -> bool {
+        let mut decided = self.world.decided.iter();
+        decided.any(|one| &*one.server == server && one.verdict == verdict)
+    }
+
+    fn others_ejected(&self, expected: &str) -> String {
+        let mut names: Vec<String> = Vec::new();
+        for one in &self.world.decided {
+            if one.verdict == Verdict::Ejected && &*one.server != expected {
+                names.push(one.server.to_string());
+            }
+        }
+        match names.is_empty() {
+            true => "yes".to_owned(),
+            false => format!("no, {}", names.join(" ")),
+        }
+    }
+
+    fn answered(&self, least: f64) -> String {
+        let tally = &self.world.tally;
+        let answered = tally.good_count() as f64 / tally.within_count().max(1) as f64;
+        match answered >= least {
+            true => "yes".to_owned(),
+            false => format!("no, {:.2}%", 100.0 * answered),
+        }
+    }
+}
+
+fn fault(words: &[&str]) -> Option<Fault> {
+    match words {
+        ["mends"] => None,
+        ["fails", "route", route] => Some(Fault::RouteFails {
+            route: (*route).into(),
+        }),
+        ["fails", failed] => Some(Fault::Errors {
+            share: share(failed),
+        }),
+        ["answers", slow, "slow"] => Some(Fault::SlowTail {
+            share: share(slow),
+            factor: 8.0,
+        }),
+        ["slows", factor, "times"] => Some(Fault::SlowTail {
+            share: 1.0,
+            factor: factor.parse().expect("a factor"),
+        }),
+        ["hangs", stuck] => Some(Fault::Stuck {
+            share: share(stuck),
+        }),
+        ["is", "silent"] => Some(Fault::Silent),
+        ["cuts", short, "short"] => Some(Fault::ShortAnswers {
+            share: share(short),
+        }),
+        ["flaps", "each", period] => Some(Fault::Flaps {
+            period: seconds(period),
+        }),
+        _ => panic!("{words:?} is nothing a server does"),
+    }
+}
