Probe a server whose service has no route that may run twice

Cause: only requests that may run twice probed a server; on a service of orders alone an ejected server got none and stayed out for good (scenario fails_partly: share still 20 thousandths at 60 s). Change: where no route of the service may run twice, its other requests probe. A probed server gets 5% of its usual requests, 2% before.

--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -75,6 +75,14 @@
         (share * candidates.known_count as f64).ceil() as usize
     }
 
+    /// Whether any route of a service takes requests that may run twice.
+    pub fn has_repeatable(&self, service: &ServiceId) -> bool {
+        let Some(contract) = self.view.services.get(service) else {
+            return false;
+        };
+        contract.routes.iter().any(|route| route.repeatable)
+    }
+
     /// Takes a new view.
     pub fn view(&mut self, view: Arc<View>) {
         let same_domains = view.domains_out == self.view.domains_out;
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -116,7 +116,9 @@
     fn may_probe(&self, wish: &Wish<'_>) -> bool {
         let left = wish.plan.deadline_at.saturating_duration_since(wish.now);
         let usual = self.routes.usual(&wish.plan.route);
-        wish.plan.repeatable && wish.tried.is_empty() && left >= usual * PROBE_TIMES
+        // A service of orders alone would otherwise never get a server back.
+        let bearable = wish.plan.repeatable || !self.candidates.has_repeatable(&wish.plan.service);
+        bearable && wish.tried.is_empty() && left >= usual * PROBE_TIMES
     }
 
     fn is_busy(&self, now: Instant, candidate: &Candidate) -> bool {
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::contract::{Change, Record, ServiceContract, View};
+use crate::contract::{Change, Record, RouteContract, ServiceContract, View};
 use crate::error::ErrorKind;
 use crate::membership::{DaemonEntry, Fleet, ServerEntry, FULL_SHARE_PERMILLE};
 use crate::routing::choice::ServerChoice;
@@ -46,9 +46,20 @@
 }
 
 fn view(floor_share: f64, domain_out: Option<&str>) -> Arc<View> {
+    view_of(floor_share, domain_out, true)
+}
+
+fn view_of(floor_share: f64, domain_out: Option<&str>, repeatable: bool) -> Arc<View> {
+    let route = RouteContract {
+        route: "look-up".into(),
+        path_prefix: "/look-up".to_owned(),
+        repeatable,
+        ..Default::default()
+    };
     let contract = ServiceContract {
         service: "workshop".into(),
         floor_share,
+        routes: vec![route],
         ..Default::default()
     };
     let mut changes = vec![Change::PublishService { contract }];
@@ -338,3 +349,19 @@
     let cold = picked.get("s1").copied().unwrap_or(0);
     assert!((20..=200).contains(&cold), "{picked:?}");
 }
+
+#[test]
+fn where_no_route_may_run_twice_other_requests_probe() {
+    // Arrange
+    let entries = (0..6).map(|index| entry(index, if index == 0 { 20 } else { 1000 }));
+    let mut bench = Bench::new(entries);
+    bench.choice.view(view_of(0.5, None, false));
+    bench.plan.repeatable = false;
+
+    // Act
+    let picked = bench.picks(5_000, false);
+
+    // Assert
+    let probes = picked.get("s0").copied().unwrap_or(0);
+    assert!((10..=200).contains(&probes), "{probes} probes");
+}
--- a/src/settings/health.rs
+++ b/src/settings/health.rs
@@ -63,7 +63,7 @@
             backoff_ms: 5_000,
             backoff_limit_ms: 300_000,
             probe_count: 10,
-            probe_share_permille: 20,
+            probe_share_permille: 50,
         }
     }
 }
