--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -52,6 +52,8 @@
       entries @16 :List(DaemonEntry);
       digest @17 :UInt64;
       wanted @27 :List(Text);
+      deltas @28 :List(Delta);
+      known @29 :UInt64;
     }
     compare :group {
       depth @18 :UInt8;
@@ -94,6 +96,8 @@
       wanted @13 :List(Text);
       digest @14 :UInt64;
       entries @23 :List(DaemonEntry);
+      deltas @25 :List(Delta);
+      known @26 :UInt64;
     }
     compare :group {
       summaries @15 :List(Summary);
@@ -167,6 +171,16 @@
   servers @7 :List(ServerEntry);
 }
 
+struct Delta {
+  daemon @0 :Text;
+  incarnation @1 :UInt64;
+  fromVersion @2 :UInt64;
+  version @3 :UInt64;
+  leaving @4 :Bool;
+  servers @5 :List(ServerEntry);
+  removed @6 :List(Text);
+}
+
 struct Summary {
   daemon @0 :Text;
   incarnation @1 :UInt64;
--- a/src/link/codec/answer.rs
+++ b/src/link/codec/answer.rs
@@ -5,7 +5,8 @@
 use capnp::Error;
 
 use super::member::{
-    read_entries, read_names, read_summaries, write_entries, write_names, write_summaries,
+    read_deltas, read_entries, read_names, read_summaries, write_deltas, write_entries,
+    write_names, write_summaries,
 };
 use super::summary::{read_servers, write_servers};
 use super::{read_id, to_ms};
@@ -47,7 +48,10 @@
             let count = gossip.entries.len() as u32;
             write_entries(&gossip.entries, group.reborrow().init_entries(count));
             let count = gossip.wanted.len() as u32;
-            write_names(&gossip.wanted, group.init_wanted(count));
+            write_names(&gossip.wanted, group.reborrow().init_wanted(count));
+            group.set_known(gossip.known);
+            let count = gossip.deltas.len() as u32;
+            write_deltas(&gossip.deltas, group.init_deltas(count));
         }
         PeerAnswer::Compare(compare) => {
             let mut group = out.init_compare();
@@ -128,7 +132,9 @@
         answer::Gossip(group) => PeerAnswer::Gossip(Gossip {
             summaries: read_summaries(group.get_summaries()?)?,
             entries: read_entries(group.get_entries()?)?,
+            deltas: read_deltas(group.get_deltas()?)?,
             wanted: read_names(group.get_wanted()?)?,
+            known: group.get_known(),
             digest: group.get_digest(),
         }),
         answer::Compare(group) => PeerAnswer::Compare(CompareAnswer {
--- a/src/link/codec/member.rs
+++ b/src/link/codec/member.rs
@@ -6,8 +6,8 @@
 use capnp::{struct_list, text_list, Error};
 
 use super::malformed;
-use crate::link::peer_capnp::{address, daemon_entry, server_entry, summary};
-use crate::membership::{DaemonEntry, ServerEntry, Summary};
+use crate::link::peer_capnp::{address, daemon_entry, delta, server_entry, summary};
+use crate::membership::{DaemonEntry, Delta, ServerEntry, Summary};
 use crate::types::DaemonId;
 
 pub(super) fn write_entry(entry: &DaemonEntry, mut out: daemon_entry::Builder<'_>) {
@@ -41,10 +41,49 @@
     out.set_port(value.port());
 }
 
-fn read_entry(entry: daemon_entry::Reader<'_>) -> Result<DaemonEntry, Error> {
-    let mut servers = Vec::new();
-    for server in entry.get_servers()? {
-        servers.push(ServerEntry {
+pub(super) fn write_deltas(deltas: &[Arc<Delta>], mut out: struct_list::Builder<'_, delta::Owned>) {
+    for (index, delta) in deltas.iter().enumerate() {
+        let mut item = out.reborrow().get(index as u32);
+        item.set_daemon(&*delta.daemon);
+        item.set_incarnation(delta.incarnation);
+        item.set_from_version(delta.from_version);
+        item.set_version(delta.version);
+        item.set_leaving(delta.leaving);
+        let mut servers = item.reborrow().init_servers(delta.servers.len() as u32);
+        for (index, server) in delta.servers.iter().enumerate() {
+            write_server(server, servers.reborrow().get(index as u32));
+        }
+        write_names(
+            &delta.removed,
+            item.init_removed(delta.removed.len() as u32),
+        );
+    }
+}
+
+pub(super) fn read_deltas(
+    deltas: struct_list::Reader<'_, delta::Owned>,
+) -> Result<Vec<Arc<Delta>>, Error> {
+    let mut found = Vec::new();
+    for delta in deltas {
+        found.push(Arc::new(Delta {
+            daemon: delta.get_daemon()?.to_str()?.into(),
+            incarnation: delta.get_incarnation(),
+            from_version: delta.get_from_version(),
+            version: delta.get_version(),
+            leaving: delta.get_leaving(),
+            servers: read_server_entries(delta.get_servers()?)?,
+            removed: read_names(delta.get_removed()?)?,
+        }));
+    }
+    Ok(found)
+}
+
+fn read_server_entries(
+    servers: struct_list::Reader<'_, server_entry::Owned>,
+) -> Result<Vec<ServerEntry>, Error> {
+    let mut found = Vec::new();
+    for server in servers {
+        found.push(ServerEntry {
             server: server.get_server()?.to_str()?.into(),
             service: server.get_service()?.to_str()?.into(),
             slots_count: server.get_slots_count(),
@@ -53,6 +92,10 @@
             share_permille: server.get_share_permille(),
         });
     }
+    Ok(found)
+}
+
+fn read_entry(entry: daemon_entry::Reader<'_>) -> Result<DaemonEntry, Error> {
     Ok(DaemonEntry {
         daemon: entry.get_daemon()?.to_str()?.into(),
         incarnation: entry.get_incarnation(),
@@ -61,7 +104,7 @@
         guard_address: read_address(entry.get_guard_address()?)?,
         link_address: read_address(entry.get_link_address()?)?,
         leaving: entry.get_leaving(),
-        servers,
+        servers: read_server_entries(entry.get_servers()?)?,
     })
 }
 
--- a/src/link/codec/request.rs
+++ b/src/link/codec/request.rs
@@ -5,7 +5,8 @@
 use capnp::{struct_list, Error};
 
 use super::member::{
-    read_entries, read_names, read_summaries, write_entries, write_names, write_summaries,
+    read_deltas, read_entries, read_names, read_summaries, write_deltas, write_entries,
+    write_names, write_summaries,
 };
 use super::{read_hash, read_id, read_name, to_ms, write_name};
 use crate::link::message::{
@@ -104,7 +105,10 @@
     let count = gossip.entries.len() as u32;
     write_entries(&gossip.entries, out.reborrow().init_entries(count));
     let count = gossip.wanted.len() as u32;
-    write_names(&gossip.wanted, out.init_wanted(count));
+    write_names(&gossip.wanted, out.reborrow().init_wanted(count));
+    out.set_known(gossip.known);
+    let count = gossip.deltas.len() as u32;
+    write_deltas(&gossip.deltas, out.init_deltas(count));
 }
 
 /// Decodes a request.
@@ -143,7 +147,9 @@
         request::Gossip(group) => PeerRequest::Gossip(Gossip {
             summaries: read_summaries(group.get_summaries()?)?,
             entries: read_entries(group.get_entries()?)?,
+            deltas: read_deltas(group.get_deltas()?)?,
             wanted: read_names(group.get_wanted()?)?,
+            known: group.get_known(),
             digest: group.get_digest(),
         }),
         request::Compare(group) => PeerRequest::Compare(CompareRequest {
--- a/src/link/peer_capnp.rs
+++ b/src/link/peer_capnp.rs
@@ -2310,7 +2310,7 @@
 
   pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
   impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
   }
   impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
     const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2451,6 +2451,8 @@
       self.builder.reborrow().get_pointer_field(1).clear();
       self.builder.set_data_field::<u64>(1, 0u64);
       self.builder.reborrow().get_pointer_field(2).clear();
+      self.builder.reborrow().get_pointer_field(3).clear();
+      self.builder.set_data_field::<u64>(2, 0u64);
       self.builder.into()
     }
     #[inline]
@@ -2583,9 +2585,9 @@
     pub static ENCODED_NODE: [::capnp::Word; 165] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-      ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+      ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
       ::capnp::word(53, 76, 14, 210, 169, 247, 198, 177),
-      ::capnp::word(3, 0, 7, 0, 0, 0, 13, 0),
+      ::capnp::word(4, 0, 7, 0, 0, 0, 13, 0),
       ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
@@ -2874,7 +2876,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2965,9 +2967,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 47] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(227, 130, 253, 212, 249, 0, 184, 150),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3115,7 +3117,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3217,9 +3219,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 48] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(128, 145, 233, 232, 181, 109, 193, 169),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3368,7 +3370,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3464,9 +3466,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 63] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(142, 41, 109, 123, 89, 232, 83, 241),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3643,7 +3645,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3763,9 +3765,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 79] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(35, 146, 6, 146, 102, 135, 81, 240),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3947,7 +3949,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4043,9 +4045,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 63] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(238, 141, 30, 144, 118, 20, 184, 191),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4218,11 +4220,23 @@
       pub fn has_wanted(&self) -> bool {
         !self.reader.get_pointer_field(2).is_null()
       }
+      #[inline]
+      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::delta::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_deltas(&self) -> bool {
+        !self.reader.get_pointer_field(3).is_null()
+      }
+      #[inline]
+      pub fn get_known(self) -> u64 {
+        self.reader.get_data_field::<u64>(2)
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4328,6 +4342,30 @@
       pub fn has_wanted(&self) -> bool {
         !self.builder.is_pointer_field_null(2)
       }
+      #[inline]
+      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_deltas(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::delta::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+      }
+      #[inline]
+      pub fn init_deltas(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+      }
+      #[inline]
+      pub fn has_deltas(&self) -> bool {
+        !self.builder.is_pointer_field_null(3)
+      }
+      #[inline]
+      pub fn get_known(self) -> u64 {
+        self.builder.get_data_field::<u64>(2)
+      }
+      #[inline]
+      pub fn set_known(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(2, value);
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4339,52 +4377,66 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 90] = [
+      pub static ENCODED_NODE: [::capnp::Word; 124] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(237, 189, 82, 246, 0, 44, 169, 144),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
         ::capnp::word(115, 116, 46, 103, 111, 115, 115, 105),
         ::capnp::word(112, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -4430,6 +4482,26 @@
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(100, 101, 108, 116, 97, 115, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(216, 73, 135, 98, 243, 116, 201, 170),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
@@ -4437,6 +4509,8 @@
           1 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
           2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           3 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+          4 => <::capnp::struct_list::Owned<crate::link::peer_capnp::delta::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -4449,9 +4523,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+      pub static MEMBERS_BY_NAME : &[u16] = &[4,2,1,5,0,3];
       pub const TYPE_ID: u64 = 0x90a9_2c00_f652_bded;
     }
   }
@@ -4537,7 +4611,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4633,9 +4707,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 66] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(179, 55, 140, 73, 69, 189, 78, 150),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4799,7 +4873,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4887,9 +4961,9 @@
       pub static ENCODED_NODE: [::capnp::Word; 48] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(237, 3, 243, 153, 228, 228, 226, 161),
-        ::capnp::word(19, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5091,7 +5165,7 @@
 
   pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
   impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
   }
   impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
     const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5187,6 +5261,8 @@
       self.builder.reborrow().get_pointer_field(1).clear();
       self.builder.set_data_field::<u64>(1, 0u64);
       self.builder.reborrow().get_pointer_field(2).clear();
+      self.builder.reborrow().get_pointer_field(3).clear();
+      self.builder.set_data_field::<u64>(2, 0u64);
       self.builder.into()
     }
     #[inline]
@@ -5303,7 +5379,7 @@
       ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
       ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
       ::capnp::word(53, 76, 14, 210, 169, 247, 198, 177),
-      ::capnp::word(3, 0, 7, 0, 0, 0, 11, 0),
+      ::capnp::word(4, 0, 7, 0, 0, 0, 11, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
@@ -5560,7 +5636,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5650,7 +5726,7 @@
         ::capnp::word(105, 191, 231, 220, 255, 14, 216, 227),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5808,7 +5884,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5890,7 +5966,7 @@
         ::capnp::word(70, 243, 152, 143, 226, 238, 170, 145),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6035,7 +6111,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6125,7 +6201,7 @@
         ::capnp::word(184, 86, 123, 93, 55, 84, 160, 185),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6276,7 +6352,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6382,7 +6458,7 @@
         ::capnp::word(90, 145, 110, 3, 248, 186, 82, 211),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6559,11 +6635,23 @@
       pub fn has_entries(&self) -> bool {
         !self.reader.get_pointer_field(2).is_null()
       }
+      #[inline]
+      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::delta::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_deltas(&self) -> bool {
+        !self.reader.get_pointer_field(3).is_null()
+      }
+      #[inline]
+      pub fn get_known(self) -> u64 {
+        self.reader.get_data_field::<u64>(2)
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6669,6 +6757,30 @@
       pub fn has_entries(&self) -> bool {
         !self.builder.is_pointer_field_null(2)
       }
+      #[inline]
+      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_deltas(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::delta::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+      }
+      #[inline]
+      pub fn init_deltas(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+      }
+      #[inline]
+      pub fn has_deltas(&self) -> bool {
+        !self.builder.is_pointer_field_null(3)
+      }
+      #[inline]
+      pub fn get_known(self) -> u64 {
+        self.builder.get_data_field::<u64>(2)
+      }
+      #[inline]
+      pub fn set_known(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(2, value);
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6680,52 +6792,66 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 90] = [
+      pub static ENCODED_NODE: [::capnp::Word; 124] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(10, 3, 118, 65, 39, 88, 148, 213),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
         ::capnp::word(114, 46, 103, 111, 115, 115, 105, 112),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(121, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6771,6 +6897,26 @@
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(100, 101, 108, 116, 97, 115, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(216, 73, 135, 98, 243, 116, 201, 170),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
@@ -6778,6 +6924,8 @@
           1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
           2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           3 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          4 => <::capnp::struct_list::Owned<crate::link::peer_capnp::delta::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6790,9 +6938,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+      pub static MEMBERS_BY_NAME : &[u16] = &[4,2,3,5,0,1];
       pub const TYPE_ID: u64 = 0xd594_5827_4176_030a;
     }
   }
@@ -6878,7 +7026,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6976,7 +7124,7 @@
         ::capnp::word(67, 229, 114, 89, 221, 241, 132, 192),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7157,7 +7305,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
       const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7279,7 +7427,7 @@
         ::capnp::word(99, 224, 112, 144, 79, 230, 171, 163),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
-        ::capnp::word(3, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9369,6 +9517,414 @@
   }
 }
 
+pub mod delta {
+  #[derive(Copy, Clone)]
+  pub struct Owned(());
+  impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
+  impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+  impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+  impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+  pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+  impl <> ::core::marker::Copy for Reader<'_,>  {}
+  impl <> ::core::clone::Clone for Reader<'_,>  {
+    fn clone(&self) -> Self { *self }
+  }
+
+  impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+    const TYPE_ID: u64 = _private::TYPE_ID;
+  }
+  impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+    fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+      Self { reader,  }
+    }
+  }
+
+  impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+    fn from(reader: Reader<'a,>) -> Self {
+      Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+    }
+  }
+
+  impl <> ::core::fmt::Debug for Reader<'_,>  {
+    fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+      core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+    }
+  }
+
+  impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+    fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+      ::core::result::Result::Ok(reader.get_struct(default)?.into())
+    }
+  }
+
+  impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+    fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+      self.reader
+    }
+  }
+
+  impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+    fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+      self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+    }
+  }
+
+  impl <'a,> Reader<'a,>  {
+    pub fn reborrow(&self) -> Reader<'_,> {
+      Self { .. *self }
+    }
+
+    pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+      self.reader.total_size()
+    }
+    #[inline]
+    pub fn get_daemon(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+      ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn has_daemon(&self) -> bool {
+      !self.reader.get_pointer_field(0).is_null()
+    }
+    #[inline]
+    pub fn get_incarnation(self) -> u64 {
+      self.reader.get_data_field::<u64>(0)
+    }
+    #[inline]
+    pub fn get_from_version(self) -> u64 {
+      self.reader.get_data_field::<u64>(1)
+    }
+    #[inline]
+    pub fn get_version(self) -> u64 {
+      self.reader.get_data_field::<u64>(2)
+    }
+    #[inline]
+    pub fn get_leaving(self) -> bool {
+      self.reader.get_bool_field(192)
+    }
+    #[inline]
+    pub fn get_servers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::server_entry::Owned>> {
+      ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn has_servers(&self) -> bool {
+      !self.reader.get_pointer_field(1).is_null()
+    }
+    #[inline]
+    pub fn get_removed(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+      ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn has_removed(&self) -> bool {
+      !self.reader.get_pointer_field(2).is_null()
+    }
+  }
+
+  pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+  impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+  }
+  impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+    const TYPE_ID: u64 = _private::TYPE_ID;
+  }
+  impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+    fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+      Self { builder,  }
+    }
+  }
+
+  impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+    fn from(builder: Builder<'a,>) -> Self {
+      Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+    }
+  }
+
+  impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+    fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+      self.builder.imbue(::capnp::private::layout::CapTableBuilder::Plain(cap_table))
+    }
+  }
+
+  impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+    fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+      builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+    }
+    fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+      ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+    }
+  }
+
+  impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+    fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+  }
+
+  impl <'a,> Builder<'a,>  {
+    pub fn into_reader(self) -> Reader<'a,> {
+      self.builder.into_reader().into()
+    }
+    pub fn reborrow(&mut self) -> Builder<'_,> {
+      Builder { builder: self.builder.reborrow() }
+    }
+    pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+      self.builder.as_reader().into()
+    }
+
+    pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+      self.builder.as_reader().total_size()
+    }
+    #[inline]
+    pub fn get_daemon(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+      ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn set_daemon(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+      ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+    }
+    #[inline]
+    pub fn init_daemon(self, size: u32) -> ::capnp::text::Builder<'a> {
+      self.builder.get_pointer_field(0).init_text(size)
+    }
+    #[inline]
+    pub fn has_daemon(&self) -> bool {
+      !self.builder.is_pointer_field_null(0)
+    }
+    #[inline]
+    pub fn get_incarnation(self) -> u64 {
+      self.builder.get_data_field::<u64>(0)
+    }
+    #[inline]
+    pub fn set_incarnation(&mut self, value: u64)  {
+      self.builder.set_data_field::<u64>(0, value);
+    }
+    #[inline]
+    pub fn get_from_version(self) -> u64 {
+      self.builder.get_data_field::<u64>(1)
+    }
+    #[inline]
+    pub fn set_from_version(&mut self, value: u64)  {
+      self.builder.set_data_field::<u64>(1, value);
+    }
+    #[inline]
+    pub fn get_version(self) -> u64 {
+      self.builder.get_data_field::<u64>(2)
+    }
+    #[inline]
+    pub fn set_version(&mut self, value: u64)  {
+      self.builder.set_data_field::<u64>(2, value);
+    }
+    #[inline]
+    pub fn get_leaving(self) -> bool {
+      self.builder.get_bool_field(192)
+    }
+    #[inline]
+    pub fn set_leaving(&mut self, value: bool)  {
+      self.builder.set_bool_field(192, value);
+    }
+    #[inline]
+    pub fn get_servers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::server_entry::Owned>> {
+      ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn set_servers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::server_entry::Owned>) -> ::capnp::Result<()> {
+      ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+    }
+    #[inline]
+    pub fn init_servers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::server_entry::Owned> {
+      ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+    }
+    #[inline]
+    pub fn has_servers(&self) -> bool {
+      !self.builder.is_pointer_field_null(1)
+    }
+    #[inline]
+    pub fn get_removed(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+      ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn set_removed(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+      ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+    }
+    #[inline]
+    pub fn init_removed(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+      ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+    }
+    #[inline]
+    pub fn has_removed(&self) -> bool {
+      !self.builder.is_pointer_field_null(2)
+    }
+  }
+
+  pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+  impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+    fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+      Self { _typeless: typeless,  }
+    }
+  }
+  impl Pipeline  {
+  }
+  mod _private {
+    pub static ENCODED_NODE: [::capnp::Word; 132] = [
+      ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+      ::capnp::word(216, 73, 135, 98, 243, 116, 201, 170),
+      ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+      ::capnp::word(53, 76, 14, 210, 169, 247, 198, 177),
+      ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+      ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+      ::capnp::word(110, 112, 58, 68, 101, 108, 116, 97),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+      ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(193, 0, 0, 0, 98, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
+      ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+      ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(102, 114, 111, 109, 86, 101, 114, 115),
+      ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(115, 101, 114, 118, 101, 114, 115, 0),
+      ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(153, 85, 233, 220, 12, 239, 60, 213),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(114, 101, 109, 111, 118, 101, 100, 0),
+      ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ];
+    pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+      match index {
+        0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+        1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+        2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+        3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+        4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+        5 => <::capnp::struct_list::Owned<crate::link::peer_capnp::server_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+        6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+        _ => ::capnp::introspect::panic_invalid_field_index(index),
+      }
+    }
+    pub fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+      ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+    }
+    pub static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema {
+      encoded_node: &ENCODED_NODE,
+      nonunion_members: NONUNION_MEMBERS,
+      members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
+      members_by_name: MEMBERS_BY_NAME,
+    };
+    pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+    pub static MEMBERS_BY_NAME : &[u16] = &[0,2,1,4,6,5,3];
+    pub const TYPE_ID: u64 = 0xaac9_74f3_6287_49d8;
+  }
+}
+
 pub mod summary {
   #[derive(Copy, Clone)]
   pub struct Owned(());
--- a/src/link/tests/calls.rs
+++ b/src/link/tests/calls.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::health::{RouteCounts, RouteSummary, ServerSummary};
@@ -111,8 +112,18 @@
     }]);
     let told = Gossip {
         summaries: vec![summary()],
+        deltas: vec![Arc::new(Delta {
+            daemon: "c".into(),
+            incarnation: 3,
+            from_version: 7,
+            version: 9,
+            leaving: true,
+            servers: entry().servers,
+            removed: vec!["t".into()],
+        })],
         entries: vec![entry().into()],
         wanted: vec!["c".into()],
+        known: 5,
         digest: u64::MAX,
     };
     let gossip = PeerRequest::Gossip(told.clone());
--- a/src/membership/budget.rs
+++ b/src/membership/budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::message::{DaemonEntry, Summary};
+use super::message::{DaemonEntry, Delta, Summary};
 
 /// Bytes that may be sent: a rate, and a burst for what comes at once.
 #[derive(Debug)]
@@ -46,6 +46,7 @@
 const SUMMARY_WORDS: usize = 5;
 const ENTRY_WORDS: usize = 18;
 const SERVER_WORDS: usize = 4;
+const DELTA_WORDS: usize = 8;
 
 fn text_words(text: &str) -> usize {
     (text.len() + 1).div_ceil(WORD_BYTES)
@@ -61,6 +62,16 @@
     (SUMMARY_WORDS + text_words(&summary.daemon)) * WORD_BYTES
 }
 
+/// Bytes of a delta in a list.
+pub(super) fn delta_bytes(delta: &Delta) -> usize {
+    let mut words = DELTA_WORDS + text_words(&delta.daemon);
+    for server in &delta.servers {
+        words += SERVER_WORDS + text_words(&server.server) + text_words(&server.service);
+    }
+    let removed: usize = delta.removed.iter().map(|name| name_bytes(name)).sum();
+    words * WORD_BYTES + removed
+}
+
 /// Bytes of a description in a list.
 pub(super) fn entry_bytes(entry: &DaemonEntry) -> usize {
     let mut words = ENTRY_WORDS + text_words(&entry.daemon) + text_words(&entry.domain);
--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -87,7 +87,8 @@
         (depth, prefix): (u8, u64),
         answer: &CompareAnswer,
     ) {
-        let outdated = self.learn(now, &answer.summaries, Vec::new());
+        let learnt = self.learn(now, &answer.summaries, &[], Vec::new());
+        let outdated = learnt.outdated;
         let lacking: Vec<DaemonId> = self
             .members
             .iter()
--- a/src/membership/first_view.rs
+++ b/src/membership/first_view.rs
@@ -22,6 +22,10 @@
     asked: bool,
 }
 
+/// With so many descriptions missing the whole view is asked for again.
+const MUCH_MISSING_COUNT: usize = 32;
+/// Least time between two whole views.
+const VIEW_AGAIN: Duration = Duration::from_secs(30);
 /// A page that is on its way needs no tick.
 const WAIT: Duration = Duration::from_secs(60);
 
@@ -43,7 +47,19 @@
 }
 
 impl MembershipState {
+    /// Begins a new view where so much is missing that pages cost less than gossip.
+    fn begin_again(&mut self, now: Instant) {
+        let much = self.missing.len() >= MUCH_MISSING_COUNT;
+        if self.first_view.is_some() || !much || now < self.view_again_at {
+            return;
+        }
+        self.view_again_at = now + VIEW_AGAIN;
+        self.first_view = Some(FirstView::new(now));
+        self.count("membership.view.again");
+    }
+
     pub(super) fn ask_for_page(&mut self, now: Instant) {
+        self.begin_again(now);
         let wait_ms = self.settings.page_ms;
         let target = self.page_target();
         let next_at = self.later(now, wait_ms);
@@ -85,7 +101,7 @@
         let Ok(PeerAnswer::Members(page)) = result else {
             return;
         };
-        self.learn(now, &page.summaries, page.entries);
+        self.learn(now, &page.summaries, &[], page.entries);
         match page.complete {
             true => self.first_view = None,
             false => {
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -5,9 +5,13 @@
 
 use rand::seq::IteratorRandom;
 use rand::Rng;
+use smallvec::SmallVec;
 
-use super::budget::{entry_bytes, name_bytes, summary_bytes, ANSWER_BYTES, EXCHANGE_BYTES};
-use super::message::{CallTarget, DaemonEntry, Gossip, MembershipAction, Summary, Ticket};
+use super::budget::{
+    delta_bytes, entry_bytes, name_bytes, summary_bytes, ANSWER_BYTES, EXCHANGE_BYTES,
+};
+use super::members::Told;
+use super::message::{CallTarget, DaemonEntry, Delta, Gossip, MembershipAction, Summary, Ticket};
 use super::rumours::told_limit_count;
 use super::state::{MembershipState, USUAL_DOUBLINGS};
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
@@ -36,12 +40,21 @@
     Help(Ticket),
 }
 
+/// What was learnt of a peer's message.
+#[derive(Debug, Default)]
+pub(super) struct Learnt {
+    /// Daemons of which the peer knows too little.
+    pub(super) outdated: Vec<DaemonId>,
+    /// Bit `n` is set where summary `n` was no news.
+    pub(super) known: u64,
+}
+
 /// Most summaries in one message.
 const SUMMARY_LIMIT_COUNT: usize = 12;
 /// Most descriptions that are asked for at once.
 pub(super) const WANTED_LIMIT_COUNT: usize = 8;
-/// Bytes of a summary with a name of usual length.
-const USUAL_SUMMARY_BYTES: usize = 64;
+/// Bytes of a summary and a delta with names of usual length.
+const USUAL_NEWS_BYTES: usize = 192;
 /// A description that was asked for and did not come is asked for again after this.
 const WANT_AGAIN: Duration = Duration::from_millis(700);
 /// Every so many times a partner of any domain is taken, and otherwise a near one.
@@ -119,14 +132,20 @@
     /// News for a peer, as far as the budget goes.
     fn compose(&mut self, now: Instant, to: &DaemonId) -> Gossip {
         let left_bytes = self.budget.left_bytes(now).saturating_sub(EXCHANGE_BYTES);
-        let count = (left_bytes / USUAL_SUMMARY_BYTES).min(SUMMARY_LIMIT_COUNT);
+        let count = (left_bytes / USUAL_NEWS_BYTES).min(SUMMARY_LIMIT_COUNT);
         let limit_count = told_limit_count(self.members.count());
         let mut summaries: Vec<Summary> = self.doubt_of(to).into_iter().collect();
+        let mut deltas = Vec::new();
         for daemon in self.rumours.take(count, limit_count) {
-            summaries.extend(self.summary(&daemon));
+            let Some(member) = self.members.get(&daemon) else {
+                continue;
+            };
+            summaries.push(member.summary());
+            deltas.extend(member.delta.clone());
         }
         Gossip {
             summaries,
+            deltas,
             wanted: self.missing(now, WANTED_LIMIT_COUNT),
             digest: self.members.digest(),
             ..Default::default()
@@ -179,13 +198,16 @@
         entries
     }
 
-    /// Takes what a peer tells. Gives the daemons of which the peer knows too little.
+    /// Takes what a peer tells.
     pub(super) fn learn(
         &mut self,
         now: Instant,
         summaries: &[Summary],
+        deltas: &[Arc<Delta>],
         entries: Vec<Arc<DaemonEntry>>,
-    ) -> Vec<DaemonId> {
+    ) -> Learnt {
+        let mut learnt = Learnt::default();
+        let mut fresh: SmallVec<[DaemonId; 4]> = SmallVec::new();
         for entry in entries {
             if entry.daemon == self.own.daemon {
                 continue;
@@ -194,11 +216,19 @@
             let summary = summaries.iter().find(|found| found.daemon == daemon);
             self.missing.remove(&daemon);
             if self.members.hear_entry(now, entry, summary) {
-                self.add_rumour(now, daemon);
+                self.add_rumour(now, daemon.clone());
+                fresh.push(daemon);
             }
         }
-        let mut outdated = Vec::new();
-        for summary in summaries {
+        for delta in deltas {
+            let is_own = delta.daemon == self.own.daemon;
+            if !is_own && self.members.hear_delta(now, delta) {
+                self.missing.remove(&delta.daemon);
+                self.add_rumour(now, delta.daemon.clone());
+                fresh.push(delta.daemon.clone());
+            }
+        }
+        for (index, summary) in summaries.iter().enumerate() {
             if summary.daemon == self.own.daemon {
                 self.told_of_self(now, summary);
                 continue;
@@ -207,14 +237,17 @@
             if told.changed {
                 self.add_rumour(now, summary.daemon.clone());
             }
+            if told == Told::default() && !fresh.contains(&summary.daemon) {
+                learnt.known |= 1_u64.checked_shl(index as u32).unwrap_or(0);
+            }
             if told.outdated {
-                outdated.push(summary.daemon.clone());
+                learnt.outdated.push(summary.daemon.clone());
             }
             if told.wanted {
                 self.missing.entry(summary.daemon.clone()).or_default();
             }
         }
-        outdated
+        learnt
     }
 
     pub(super) fn asked(
@@ -242,7 +275,7 @@
     }
 
     fn answer_gossip(&mut self, now: Instant, from: &DaemonId, gossip: Gossip) -> PeerAnswer {
-        let outdated = self.learn(now, &gossip.summaries, gossip.entries);
+        let learnt = self.learn(now, &gossip.summaries, &gossip.deltas, gossip.entries);
         if self.members.get(from).is_none() {
             self.missing.entry(from.clone()).or_default();
         }
@@ -251,7 +284,8 @@
         }
         let mut answer = self.compose(now, from);
         answer.entries = self.entries(now, &gossip.wanted);
-        self.accompany(&mut answer, &outdated);
+        answer.known = learnt.known;
+        self.accompany(&mut answer, &learnt.outdated);
         self.budget.spend(ANSWER_BYTES + gossip_bytes(&answer));
         PeerAnswer::Gossip(answer)
     }
@@ -282,8 +316,10 @@
         }
         match (call.purpose.clone(), result) {
             (Purpose::Gossip { told }, Ok(PeerAnswer::Gossip(gossip))) => {
-                for daemon in told.iter().filter(|name| !gossip.wanted.contains(name)) {
-                    self.rumours.known(daemon);
+                for (index, daemon) in told.iter().enumerate() {
+                    if gossip.known.checked_shr(index as u32).unwrap_or(0) & 1 == 1 {
+                        self.rumours.known(daemon);
+                    }
                 }
                 self.follow_up(now, call.to, gossip);
             }
@@ -291,7 +327,9 @@
                 self.compared(now, call.to, (depth, prefix), &answer);
             }
             (Purpose::Page, result) => self.page(now, result),
-            (Purpose::AskHelper(daemon), result) => self.helped(now, daemon, &result),
+            (Purpose::AskHelper(daemon), result) => {
+                self.helped(now, (daemon, call.sent_at), &result)
+            }
             (Purpose::Help(ticket), result) => {
                 let answer = Some(PeerAnswer::Probe(answers(&result)));
                 self.actions
@@ -306,7 +344,8 @@
 
     /// Goes on with a peer after its answer: gives and asks what is wanted, or compares.
     fn follow_up(&mut self, now: Instant, to: CallTarget, answer: Gossip) {
-        let outdated = self.learn(now, &answer.summaries, answer.entries);
+        let learnt = self.learn(now, &answer.summaries, &answer.deltas, answer.entries);
+        let outdated = learnt.outdated;
         if self.budget.left_bytes(now) < EXCHANGE_BYTES {
             return self.count("membership.budget.spent");
         }
@@ -381,5 +420,6 @@
     let summaries: usize = gossip.summaries.iter().map(summary_bytes).sum();
     let entries: usize = gossip.entries.iter().map(|entry| entry_bytes(entry)).sum();
     let wanted: usize = gossip.wanted.iter().map(|name| name_bytes(name)).sum();
-    summaries + entries + wanted
+    let deltas: usize = gossip.deltas.iter().map(|delta| delta_bytes(delta)).sum();
+    summaries + entries + wanted + deltas
 }
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::delta::{applies, apply, difference, join};
 use super::digest::{digest, place};
-use super::message::{DaemonEntry, Fleet, Summary};
+use super::message::{DaemonEntry, Delta, Fleet, Summary};
 use crate::types::{DaemonId, Incarnation};
 
 /// One daemon.
@@ -26,6 +27,8 @@
     pub(super) since: Option<Instant>,
     /// Since when it counts as gone, for want of a refutation or because it leaves.
     pub(super) gone_at: Option<Instant>,
+    /// What led to the present version, where it is little.
+    pub(super) delta: Option<Arc<Delta>>,
     pub(super) place: u64,
     digest: u64,
 }
@@ -40,6 +43,7 @@
             unheard: false,
             since: None,
             gone_at: None,
+            delta: None,
             place,
             digest: 0,
         };
@@ -199,7 +203,9 @@
         self.update(&daemon, |member| {
             if entry.incarnation > member.entry.incarnation {
                 *member = Member::new(entry);
-            } else {
+            } else if entry.version > member.entry.version {
+                let change = difference(&member.entry, &entry);
+                member.delta = join(member.delta.as_deref(), change);
                 member.entry = entry;
             }
             if (round, suspect) > (member.round, member.suspect) {
@@ -212,6 +218,24 @@
         true
     }
 
+    /// Takes a change of a description. Says whether it was news.
+    pub(super) fn hear_delta(&mut self, now: Instant, delta: &Arc<Delta>) -> bool {
+        let Some(member) = self.members.get(&delta.daemon) else {
+            return false;
+        };
+        if !applies(delta, &member.entry) {
+            return false;
+        }
+        self.update(&delta.daemon, |member| {
+            member.entry = Arc::new(apply(delta, &member.entry));
+            member.delta = join(member.delta.as_deref(), (**delta).clone());
+            if member.entry.leaving && member.gone_at.is_none() {
+                member.gone_at = Some(now);
+            }
+        });
+        true
+    }
+
     /// Takes a summary of a peer.
     pub(super) fn hear_summary(&mut self, now: Instant, summary: &Summary) -> Told {
         let Some(member) = self.members.get(&summary.daemon) else {
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -175,15 +175,39 @@
     pub suspect: bool,
 }
 
+/// What changed of a description. It leads to `version` from each version that is at least
+/// `from_version`, since it names all servers that changed after that one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Delta {
+    /// The daemon.
+    pub daemon: DaemonId,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// The first version that it leads on from.
+    pub from_version: u64,
+    /// The version that it leads to.
+    pub version: u64,
+    /// Whether the daemon is leaving.
+    pub leaving: bool,
+    /// Servers that are new or changed.
+    pub servers: Vec<ServerEntry>,
+    /// Servers that are no longer beside the daemon.
+    pub removed: Vec<BackendServerId>,
+}
+
 /// What one daemon tells another of the fleet, in both directions.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Gossip {
     /// What changed of late.
     pub summaries: Vec<Summary>,
+    /// What leads to the versions in `summaries`, where it is little.
+    pub deltas: Vec<Arc<Delta>>,
     /// Descriptions that the peer lacks.
     pub entries: Vec<Arc<DaemonEntry>>,
     /// Daemons whose descriptions the sender lacks.
     pub wanted: Vec<DaemonId>,
+    /// In an answer: bit `n` is set where summary `n` of the request was no news.
+    pub known: u64,
     /// Digest of all that the sender knows.
     pub digest: u64,
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,6 +8,7 @@
 
 mod budget;
 mod compare;
+mod delta;
 mod digest;
 mod first_view;
 mod gossip;
@@ -16,7 +17,7 @@
 mod suspicion;
 
 pub use message::{
-    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, Fleet, Gossip, MembersAnswer,
+    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, Delta, Fleet, Gossip, MembersAnswer,
     MembersRequest, MembershipAction, MembershipCall, MembershipEvent, ServerEntry, Summary,
     Ticket, FULL_SHARE_PERMILLE,
 };
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -43,6 +43,8 @@
     pub(super) troubles: BTreeMap<DaemonId, Trouble>,
     /// The first view, until it is whole.
     pub(super) first_view: Option<FirstView>,
+    /// No whole view is asked for again before this.
+    pub(super) view_again_at: Instant,
     pub(super) gossiped_at: Instant,
     pub(super) gossip_at: Instant,
     pub(super) partner_at: Instant,
@@ -95,6 +97,7 @@
             missing: BTreeMap::new(),
             troubles: BTreeMap::new(),
             first_view: Some(FirstView::new(now)),
+            view_again_at: now,
             gossiped_at: now,
             gossip_at: now,
             partner_at: now,
--- a/src/membership/suspicion.rs
+++ b/src/membership/suspicion.rs
@@ -20,6 +20,8 @@
 pub(super) struct Trouble {
     /// Calls in a row without an answer.
     failed_count: u32,
+    /// When helpers were asked; answers of earlier helpers no longer count.
+    asked_at: Option<Instant>,
     /// Helpers that have not answered.
     open_count: u32,
     /// Helpers that can't reach it either.
@@ -94,6 +96,7 @@
             return;
         }
         if let Some(trouble) = self.troubles.get_mut(daemon) {
+            trouble.asked_at = Some(now);
             trouble.open_count = helpers.len() as u32;
             trouble.denied_count = 0;
         }
@@ -109,10 +112,11 @@
     pub(super) fn helped(
         &mut self,
         now: Instant,
-        daemon: DaemonId,
+        (daemon, asked_at): (DaemonId, Instant),
         result: &Result<PeerAnswer, LinkError>,
     ) {
-        let Some(trouble) = self.troubles.get_mut(&daemon) else {
+        let trouble = self.troubles.get_mut(&daemon);
+        let Some(trouble) = trouble.filter(|found| found.asked_at == Some(asked_at)) else {
             return;
         };
         match result {
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,3 +1,6 @@
+mod convergence;
+mod rules;
+
 use std::time::Instant;
 
 use super::message::{DaemonEntry, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE};
--- /dev/null
+++ b/src/membership/tests/convergence.rs
@@ -0,0 +1,124 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use crate::membership::virtual_fleet::VirtualFleet;
+use crate::membership::{MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE};
+use crate::settings::membership::MembershipSettings;
+
+const DAEMON_COUNT: usize = 6;
+const CASES_COUNT: u32 = 48;
+/// Longer than a suspicion, a walk down the tree and the wait for a daemon that counts as gone.
+const QUIET: Duration = Duration::from_secs(120);
+
+#[derive(Debug, Clone)]
+enum Step {
+    Serve(usize),
+    Pause(usize),
+    Resume(usize),
+    Replace(usize),
+    Cut(usize, usize),
+    Mend,
+    Log(bool),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let daemon = || 0..DAEMON_COUNT;
+    let step = prop_oneof![
+        4 => daemon().prop_map(Step::Serve),
+        2 => daemon().prop_map(Step::Pause),
+        2 => daemon().prop_map(Step::Resume),
+        1 => daemon().prop_map(Step::Replace),
+        3 => (daemon(), daemon()).prop_map(|(from, to)| Step::Cut(from, to)),
+        1 => Just(Step::Mend),
+        1 => any::<bool>().prop_map(Step::Log),
+        6 => (10..8_000_u64).prop_map(Step::Wait),
+    ];
+    prop::collection::vec(step, 1..40)
+}
+
+fn name(index: usize) -> String {
+    format!("daemon-{index}")
+}
+
+fn domain(index: usize) -> String {
+    format!("domain-{}", index % 3)
+}
+
+fn server(slots_count: u32) -> ServerEntry {
+    ServerEntry {
+        server: "s".into(),
+        service: "workshop".into(),
+        slots_count,
+        cold: false,
+        draining: false,
+        share_permille: FULL_SHARE_PERMILLE,
+    }
+}
+
+fn take(fleet: &mut VirtualFleet, number: u32, step: &Step) {
+    match step {
+        Step::Serve(index) => {
+            fleet.give(&name(*index), MembershipEvent::Local(vec![server(number)]));
+        }
+        Step::Pause(index) => fleet.pause(&name(*index)),
+        Step::Resume(index) => fleet.resume(&name(*index)),
+        Step::Replace(index) => fleet.start(&name(*index), &domain(*index), &["daemon-0"]),
+        Step::Cut(from, to) => fleet.cut(&name(*from), &name(*to)),
+        Step::Mend => fleet.mend(),
+        Step::Log(up) => fleet.set_log(*up),
+        Step::Wait(ms) => fleet.run_until(fleet.elapsed() + Duration::from_millis(*ms)),
+    }
+}
+
+fn run(seed: u64, steps: &[Step]) -> VirtualFleet {
+    let mut fleet = VirtualFleet::new(MembershipSettings::default(), seed);
+    for index in 0..DAEMON_COUNT {
+        fleet.start(&name(index), &domain(index), &[]);
+    }
+    fleet.run_until(Duration::from_secs(1));
+    for (number, step) in steps.iter().enumerate() {
+        take(&mut fleet, number as u32 + 1, step);
+    }
+    fleet.mend();
+    fleet.set_log(true);
+    for index in 0..DAEMON_COUNT {
+        fleet.resume(&name(index));
+    }
+    fleet.run_until(fleet.elapsed() + QUIET);
+    fleet
+}
+
+#[test]
+fn connected_daemons_end_with_equal_digests_and_all_of_them_in_service() {
+    // Arrange
+    let config = Config {
+        cases: CASES_COUNT,
+        failure_persistence: None,
+        ..Default::default()
+    };
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, random);
+
+    let result = runner.run(&(any::<u64>(), steps()), |(seed, steps)| {
+        // Act
+        let fleet = run(seed, &steps);
+
+        // Assert
+        let first = fleet.digest("daemon-0");
+        for index in 0..DAEMON_COUNT {
+            let daemon = name(index);
+            prop_assert_eq!(fleet.digest(&daemon), first, "{} differs", daemon);
+            let view = fleet.view(&daemon);
+            prop_assert_eq!(view.daemons.len(), DAEMON_COUNT);
+            let leaving = view.daemons.values().find(|entry| entry.leaving);
+            prop_assert!(leaving.is_none(), "{daemon} misses {leaving:?}");
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- /dev/null
+++ b/src/membership/tests/rules.rs
@@ -0,0 +1,227 @@
+use std::time::{Duration, Instant};
+
+use super::{entry, state_of};
+use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
+use crate::membership::state::MembershipState;
+use crate::membership::{
+    CallTarget, Delta, Gossip, MembershipAction, MembershipEvent, ServerEntry, Summary, Ticket,
+};
+
+fn summary(daemon: &str, round: u32, suspect: bool) -> Summary {
+    Summary {
+        daemon: daemon.into(),
+        incarnation: 1,
+        version: 1,
+        round,
+        suspect,
+    }
+}
+
+fn gossip(state: &mut MembershipState, now: Instant, gossip: Gossip) -> Gossip {
+    let asked = MembershipEvent::Asked {
+        ticket: 1,
+        from: PeerName {
+            daemon: "b".into(),
+            incarnation: 1,
+        },
+        request: PeerRequest::Gossip(gossip),
+    };
+    for action in state.handle(now, asked) {
+        if let MembershipAction::Reply {
+            answer: Some(PeerAnswer::Gossip(answer)),
+            ..
+        } = action
+        {
+            return answer;
+        }
+    }
+    panic!("gossip is answered at once");
+}
+
+fn calls(actions: &[MembershipAction]) -> Vec<(Ticket, String, &PeerRequest)> {
+    let mut found = Vec::new();
+    for action in actions {
+        if let MembershipAction::Call {
+            ticket,
+            to: CallTarget::Daemon(to),
+            request,
+        } = action
+        {
+            found.push((*ticket, to.to_string(), request));
+        }
+    }
+    found
+}
+
+/// Ticks until the state calls a daemon, and gives the ticket.
+fn next_call(state: &mut MembershipState, now: &mut Instant, daemon: &str) -> Ticket {
+    for _ in 0..1000 {
+        *now = state.next_tick_at().max(*now);
+        let actions = state.handle(*now, MembershipEvent::Tick);
+        let to = calls(&actions)
+            .into_iter()
+            .find(|(_, to, request)| to == daemon && matches!(request, PeerRequest::Gossip(_)));
+        if let Some((ticket, _, _)) = to {
+            return ticket;
+        }
+    }
+    panic!("{daemon} is never called");
+}
+
+#[test]
+fn a_suspicion_of_this_daemon_is_refuted_by_a_greater_round() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state_of("a");
+    let told = Gossip {
+        summaries: vec![Summary {
+            version: 0,
+            ..summary("a", 4, true)
+        }],
+        ..Default::default()
+    };
+
+    // Act
+    let answer = gossip(&mut state, now, told);
+
+    // Assert
+    let own = answer.summaries.iter().find(|found| &*found.daemon == "a");
+    assert!(
+        own.is_some_and(|own| own.round == 5 && !own.suspect),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn a_daemon_that_only_this_one_misses_is_not_told_as_suspect() {
+    // Arrange
+    let mut now = Instant::now();
+    let mut state = state_of("a");
+    for daemon in ["b", "c", "d"] {
+        state.handle(now, MembershipEvent::Heard(entry(daemon, 1, 1)));
+    }
+    let silent = |ticket| MembershipEvent::Answered {
+        ticket,
+        result: Err(LinkError::Silent),
+    };
+    let first = next_call(&mut state, &mut now, "b");
+    let again = state.handle(now, silent(first));
+    let second = calls(&again)[0].0;
+    let asked = state.handle(now, silent(second));
+
+    // Act
+    for (ticket, _, request) in calls(&asked) {
+        assert_eq!(*request, PeerRequest::Probe("b".into()));
+        let result = Ok(PeerAnswer::Probe(true));
+        state.handle(now, MembershipEvent::Answered { ticket, result });
+    }
+
+    // Assert
+    assert_eq!(calls(&asked).len(), 2);
+    let answer = gossip(&mut state, now, Gossip::default());
+    assert!(
+        answer.summaries.iter().all(|found| !found.suspect),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn a_daemon_that_helpers_miss_too_is_told_as_suspect() {
+    // Arrange
+    let mut now = Instant::now();
+    let mut state = state_of("a");
+    for daemon in ["b", "c", "d"] {
+        state.handle(now, MembershipEvent::Heard(entry(daemon, 1, 1)));
+    }
+    let silent = |ticket| MembershipEvent::Answered {
+        ticket,
+        result: Err(LinkError::Silent),
+    };
+    let first = next_call(&mut state, &mut now, "c");
+    let again = state.handle(now, silent(first));
+    let second = calls(&again)[0].0;
+    let asked = state.handle(now, silent(second));
+
+    // Act
+    for (ticket, _, _) in calls(&asked) {
+        let result = Ok(PeerAnswer::Probe(false));
+        state.handle(now, MembershipEvent::Answered { ticket, result });
+    }
+
+    // Assert
+    let answer = gossip(&mut state, now, Gossip::default());
+    let told = answer.summaries.iter().find(|found| &*found.daemon == "c");
+    assert!(told.is_some_and(|told| told.suspect), "{answer:?}");
+}
+
+#[test]
+fn a_forgotten_daemon_is_not_brought_back_by_old_news() {
+    // Arrange
+    let mut now = Instant::now();
+    let mut state = state_of("a");
+    let mut left = entry("b", 1, 1);
+    left.leaving = true;
+    state.handle(now, MembershipEvent::Heard(left));
+    now += Duration::from_secs(7_201);
+    state.handle(now, MembershipEvent::Tick);
+
+    // Act
+    let old = MembershipEvent::Heard(entry("b", 1, 9));
+    state.handle(now + Duration::from_secs(1), old);
+    let after_old = state.digest();
+    state.handle(
+        now + Duration::from_secs(1),
+        MembershipEvent::Heard(entry("b", 2, 1)),
+    );
+
+    // Assert
+    assert_eq!(after_old, state_of("a").digest());
+    assert_ne!(state.digest(), after_old);
+}
+
+#[test]
+fn a_delta_leads_on_only_from_a_version_that_it_covers() {
+    // Arrange
+    let now = Instant::now();
+    let server = |slots_count| ServerEntry {
+        server: "s".into(),
+        service: "v".into(),
+        slots_count,
+        cold: false,
+        draining: false,
+        share_permille: 1000,
+    };
+    let delta = |from_version, version| {
+        std::sync::Arc::new(Delta {
+            daemon: "b".into(),
+            incarnation: 1,
+            from_version,
+            version,
+            leaving: false,
+            servers: vec![server(version as u32)],
+            removed: Vec::new(),
+        })
+    };
+    let tell = |state: &mut MembershipState, delta: std::sync::Arc<Delta>| {
+        let summaries = vec![Summary {
+            version: delta.version,
+            ..summary("b", 0, false)
+        }];
+        let told = Gossip {
+            summaries,
+            deltas: vec![delta],
+            ..Default::default()
+        };
+        gossip(state, now, told)
+    };
+    let mut state = state_of("a");
+    state.handle(now, MembershipEvent::Heard(entry("b", 1, 3)));
+
+    // Act
+    let covered = tell(&mut state, delta(2, 5));
+    let with_gap = tell(&mut state, delta(6, 7));
+
+    // Assert
+    assert!(covered.wanted.is_empty(), "{covered:?}");
+    assert_eq!(with_gap.wanted, ["b".into()]);
+}
