Make three rules of membership fail when broken, fetch pages where much differs

New tests cover the contact after a cut from all, and calls from before a pause.

A walk that finds 12 of 16 parts different asks for the whole view, and descriptions leave some of the budget for news and walks.

--- a/src/membership/compare.rs
+++ b/src/membership/compare.rs
@@ -12,15 +12,15 @@
 use crate::link::{PeerAnswer, PeerRequest};
 use crate::types::DaemonId;
 
-/// What must be left of the budget for a walk down the tree.
-const COMPARE_BYTES: usize = 2048;
+/// With so many differing parts of the whole tree, pages cost less than walks.
+const MUCH_DIFFERS_COUNT: u32 = 12;
 /// A part of the tree with at most this many daemons is listed.
 const LIST_LIMIT_COUNT: usize = 16;
 
 impl MembershipState {
     /// Begins to compare the whole view with a peer.
     pub(super) fn compare(&mut self, now: Instant, to: CallTarget) {
-        if now < self.compare_at || self.budget.left_bytes(now) < COMPARE_BYTES {
+        if now < self.compare_at || self.budget.left_bytes(now) < 2 * EXCHANGE_BYTES {
             return;
         }
         self.compare_at = self.later(now, self.settings.compare_ms);
@@ -87,6 +87,10 @@
         (depth, prefix): (u8, u64),
         answer: &CompareAnswer,
     ) {
+        let differing_count = (answer.listed | answer.deeper).count_ones();
+        if depth == 0 && differing_count >= MUCH_DIFFERS_COUNT {
+            return self.view_again(now);
+        }
         let learnt = self.learn(now, &answer.summaries, &[], Vec::new());
         let outdated = learnt.outdated;
         let lacking: Vec<DaemonId> = self
--- a/src/membership/first_view.rs
+++ b/src/membership/first_view.rs
@@ -25,7 +25,7 @@
 /// With so many descriptions missing the whole view is asked for again.
 const MUCH_MISSING_COUNT: usize = 32;
 /// Least time between two whole views.
-const VIEW_AGAIN: Duration = Duration::from_secs(30);
+const VIEW_AGAIN: Duration = Duration::from_secs(10);
 /// A page that is on its way needs no tick.
 const WAIT: Duration = Duration::from_secs(60);
 
@@ -48,9 +48,8 @@
 
 impl MembershipState {
     /// Begins a new view where so much is missing that pages cost less than gossip.
-    fn begin_again(&mut self, now: Instant) {
-        let much = self.missing.len() >= MUCH_MISSING_COUNT;
-        if self.first_view.is_some() || !much || now < self.view_again_at {
+    pub(super) fn view_again(&mut self, now: Instant) {
+        if self.first_view.is_some() || now < self.view_again_at {
             return;
         }
         self.view_again_at = now + VIEW_AGAIN;
@@ -59,7 +58,9 @@
     }
 
     pub(super) fn ask_for_page(&mut self, now: Instant) {
-        self.begin_again(now);
+        if self.missing.len() >= MUCH_MISSING_COUNT {
+            self.view_again(now);
+        }
         let wait_ms = self.settings.page_ms;
         let target = self.page_target();
         let next_at = self.later(now, wait_ms);
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -53,6 +53,8 @@
 const SUMMARY_LIMIT_COUNT: usize = 12;
 /// Most descriptions that are asked for at once.
 pub(super) const WANTED_LIMIT_COUNT: usize = 8;
+/// What descriptions leave of the budget for news and walks.
+const RESERVE_BYTES: usize = 2 * EXCHANGE_BYTES;
 /// Bytes of a summary and a delta with names of usual length.
 const USUAL_NEWS_BYTES: usize = 192;
 /// A description that was asked for and did not come is asked for again after this.
@@ -182,7 +184,7 @@
 
     /// Descriptions of some daemons, as far as the budget goes.
     pub(super) fn entries(&mut self, now: Instant, daemons: &[DaemonId]) -> Vec<Arc<DaemonEntry>> {
-        let mut left_bytes = self.budget.left_bytes(now);
+        let mut left_bytes = self.budget.left_bytes(now).saturating_sub(RESERVE_BYTES);
         let mut entries = Vec::new();
         for daemon in daemons {
             let Some(member) = self.members.get(daemon) else {
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,9 +1,11 @@
 mod convergence;
 mod rules;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use super::message::{DaemonEntry, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE};
+use super::message::{
+    DaemonEntry, MembershipAction, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE,
+};
 use super::state::MembershipState;
 use crate::settings::membership::MembershipSettings;
 use rand::SeedableRng;
@@ -38,11 +40,20 @@
     let mut state = state_of("a");
     state.handle(now, MembershipEvent::Heard(entry("b", 5, 1)));
 
+    let before = state.digest();
+
     // Act
-    let actions = state.handle(now, MembershipEvent::Heard(entry("b", 4, 9)));
+    let earlier = state.handle(now, MembershipEvent::Heard(entry("b", 4, 9)));
+    let later = state.handle(now + Duration::from_secs(1), MembershipEvent::Tick);
 
     // Assert
-    assert!(actions.is_empty());
+    assert!(earlier.is_empty());
+    assert_eq!(state.digest(), before);
+    let shown = later.iter().find_map(|action| match action {
+        MembershipAction::Changed(fleet) => fleet.daemons.get("b").map(|found| found.incarnation),
+        _ => None,
+    });
+    assert_eq!(shown, Some(5));
 }
 
 #[test]
--- a/src/membership/tests/rules.rs
+++ b/src/membership/tests/rules.rs
@@ -4,7 +4,8 @@
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
 use crate::membership::state::MembershipState;
 use crate::membership::{
-    CallTarget, Delta, Gossip, MembershipAction, MembershipEvent, ServerEntry, Summary, Ticket,
+    CallTarget, Delta, Fleet, Gossip, MembershipAction, MembershipEvent, ServerEntry, Summary,
+    Ticket,
 };
 
 fn summary(daemon: &str, round: u32, suspect: bool) -> Summary {
@@ -100,10 +101,6 @@
     for daemon in ["b", "c", "d"] {
         state.handle(now, MembershipEvent::Heard(entry(daemon, 1, 1)));
     }
-    let silent = |ticket| MembershipEvent::Answered {
-        ticket,
-        result: Err(LinkError::Silent),
-    };
     let first = next_call(&mut state, &mut now, "b");
     let again = state.handle(now, silent(first));
     let second = calls(&again)[0].0;
@@ -133,10 +130,6 @@
     for daemon in ["b", "c", "d"] {
         state.handle(now, MembershipEvent::Heard(entry(daemon, 1, 1)));
     }
-    let silent = |ticket| MembershipEvent::Answered {
-        ticket,
-        result: Err(LinkError::Silent),
-    };
     let first = next_call(&mut state, &mut now, "c");
     let again = state.handle(now, silent(first));
     let second = calls(&again)[0].0;
@@ -225,3 +218,81 @@
     assert!(covered.wanted.is_empty(), "{covered:?}");
     assert_eq!(with_gap.wanted, ["b".into()]);
 }
+
+fn silent(ticket: Ticket) -> MembershipEvent {
+    MembershipEvent::Answered {
+        ticket,
+        result: Err(LinkError::Silent),
+    }
+}
+
+/// Lets every call go unanswered for some seconds, and gives the last snapshot.
+fn run_cut_off(state: &mut MembershipState, now: &mut Instant) -> std::sync::Arc<Fleet> {
+    let until = *now + Duration::from_secs(20);
+    let mut fleet = std::sync::Arc::default();
+    while *now < until {
+        *now = state.next_tick_at().max(*now);
+        let mut actions = state.handle(*now, MembershipEvent::Tick);
+        while let Some(action) = actions.pop() {
+            match action {
+                MembershipAction::Call { ticket, .. } => {
+                    actions.extend(state.handle(*now, silent(ticket)));
+                }
+                MembershipAction::Changed(changed) => fleet = changed,
+                _ => {}
+            }
+        }
+    }
+    fleet
+}
+
+#[test]
+fn a_daemon_cut_off_from_all_trusts_the_others_again_at_the_first_contact() {
+    // Arrange
+    let mut now = Instant::now();
+    let mut state = state_of("a");
+    for daemon in ["b", "c", "d"] {
+        state.handle(now, MembershipEvent::Heard(entry(daemon, 1, 1)));
+    }
+    let cut_off = run_cut_off(&mut state, &mut now);
+
+    // Act
+    now += Duration::from_millis(100);
+    let asked = MembershipEvent::Asked {
+        ticket: 1,
+        from: PeerName {
+            daemon: "b".into(),
+            incarnation: 1,
+        },
+        request: PeerRequest::Gossip(Gossip::default()),
+    };
+    let actions = state.handle(now, asked);
+
+    // Assert
+    let gone = |fleet: &Fleet| fleet.daemons.values().filter(|found| found.leaving).count();
+    assert_eq!(gone(&cut_off), 3);
+    let back = actions.iter().find_map(|action| match action {
+        MembershipAction::Changed(fleet) => Some(gone(fleet)),
+        _ => None,
+    });
+    assert_eq!(back, Some(0), "{actions:?}");
+}
+
+#[test]
+fn a_call_from_before_a_pause_of_this_daemon_is_no_evidence() {
+    // Arrange
+    let mut now = Instant::now();
+    let mut state = state_of("a");
+    for daemon in ["b", "c", "d"] {
+        state.handle(now, MembershipEvent::Heard(entry(daemon, 1, 1)));
+    }
+    let before = next_call(&mut state, &mut now, "b");
+    let awake = now + Duration::from_secs(30);
+    state.handle(awake, MembershipEvent::Tick);
+
+    // Act
+    let actions = state.handle(awake, silent(before));
+
+    // Assert
+    assert_eq!(calls(&actions), []);
+}
