Explain why a request was refused at the front

The front records each refusal with rule, method, path and the short hash of the key. Decisions about requests are kept apart, so that many refusals push out no other decision. tests/operator.rs asks for a refused request's reason.

--- a/src/audit/state.rs
+++ b/src/audit/state.rs
@@ -12,6 +12,9 @@
     change_limit_count: usize,
     /// Oldest first; never longer than the limit.
     decisions: VecDeque<Decision>,
+    /// Decisions about requests, apart so that many refusals push out no other decision. Oldest
+    /// first; never longer than the limit.
+    request_decisions: VecDeque<Decision>,
     /// Oldest first; never longer than the limit.
     changes: VecDeque<AppliedChange>,
     dropped_count: u64,
@@ -24,6 +27,7 @@
             decision_limit_count,
             change_limit_count,
             decisions: VecDeque::new(),
+            request_decisions: VecDeque::new(),
             changes: VecDeque::new(),
             dropped_count: 0,
         }
@@ -31,11 +35,15 @@
 
     /// Records a decision; the oldest makes room.
     pub fn record(&mut self, decision: Decision) {
-        if self.decisions.len() >= self.decision_limit_count {
-            self.decisions.pop_front();
+        let decisions = match decision.subject {
+            Subject::Request(_) => &mut self.request_decisions,
+            _ => &mut self.decisions,
+        };
+        if decisions.len() >= self.decision_limit_count {
+            decisions.pop_front();
             self.dropped_count += 1;
         }
-        self.decisions.push_back(decision);
+        decisions.push_back(decision);
     }
 
     /// Records a change; the oldest makes room and stays in the platform's log.
@@ -49,14 +57,19 @@
     /// Decisions and changes that the question is about, newest first.
     pub fn query(&self, query: &TrailQuery) -> Trail {
         let subject = query.subject.as_ref();
-        let decisions = self.decisions.iter().rev();
         let changes = self.changes.iter().rev();
+        let kept = self
+            .decisions
+            .iter()
+            .rev()
+            .chain(self.request_decisions.iter().rev());
+        let mut decisions: Vec<&Decision> = kept
+            .filter(|decision| subject.is_none_or(|wanted| decision.subject == *wanted))
+            .collect();
+        decisions.sort_by_key(|decision| std::cmp::Reverse(decision.at_ms));
+        decisions.truncate(query.limit_count);
         Trail {
-            decisions: decisions
-                .filter(|decision| subject.is_none_or(|wanted| decision.subject == *wanted))
-                .take(query.limit_count)
-                .cloned()
-                .collect(),
+            decisions: decisions.into_iter().cloned().collect(),
             changes: changes
                 .filter(|change| subject.is_none_or(|wanted| concerns(change, wanted)))
                 .take(query.limit_count)
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -61,6 +61,7 @@
     let context = front::duty::FrontContext {
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
+        audit: common.audit.clone(),
         allowance: rings.allowance.clone(),
         routing: rings.routing.clone(),
         answers: answers.clone(),
--- a/src/front/duty.rs
+++ b/src/front/duty.rs
@@ -9,7 +9,9 @@
 use super::message::{FrontAction, FrontEvent, FrontMessage, RequestHead};
 use super::state::FrontState;
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
-use crate::clock::Clock;
+use crate::audit::{AuditSink, Decision, Subject};
+use crate::clock::{epoch_ms, Clock};
+use crate::contract::short_hash;
 use crate::error::ErrorKind;
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
@@ -31,6 +33,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counters.
     pub metrics: Metrics,
+    /// Trail of decisions.
+    pub audit: Arc<dyn AuditSink>,
     /// The allowance.
     pub allowance: RingSender<AllowanceMessage>,
     /// Routing.
@@ -116,11 +120,29 @@
     context
         .metrics
         .count(&format!("front.refused.{}", kind.code()));
-    if let Some((_, exchange)) = held.remove(&request) {
+    if let Some((head, exchange)) = held.remove(&request) {
+        record(context, &head, kind);
         answer(context, exchange, refusal(request, kind, retry_after));
     }
 }
 
+/// Records why a request was refused.
+fn record(context: &FrontContext, head: &RequestHead, kind: ErrorKind) {
+    let path = head.target.split('?').next().unwrap_or_default();
+    let key = head.key_hash.as_ref().map_or("none".to_owned(), short_hash);
+    context.audit.decision(Decision {
+        at_ms: epoch_ms(context.clock.wall()),
+        subject: Subject::Request(head.request),
+        verdict: "refused".to_owned(),
+        rule: format!("front.{}", kind.code()),
+        evidence: vec![
+            ("method".to_owned(), head.method.clone()),
+            ("path".to_owned(), path.to_owned()),
+            ("key".to_owned(), key),
+        ],
+    });
+}
+
 fn answer(context: &FrontContext, exchange: Box<dyn Exchange>, answer: WholeAnswer) {
     if let Err(job) = context.answers.offer(AnswerJob { exchange, answer }) {
         context.metrics.count("front.answer.inline");
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -145,6 +145,11 @@
     assert_eq!(newest["before"]["key"]["withdrawn"], false);
     assert_eq!(newest["after"]["key"]["withdrawn"], true);
     assert!(!audit.text.contains(&key), "the key is never recorded");
+    let request = refused.body["request"].as_str().expect("a request id");
+    let subject = format!("request:{request}");
+    let explained = verb("ndapewa", &daemon, &["explain", &subject, "--json"]);
+    let decision = &explained.json["trail"]["decisions"][0];
+    assert_eq!(decision["rule"], "front.key_withdrawn");
 }
 
 #[test]
