Refuse the default secret where other machines reach a daemon

Cause: a fleet brought up from the defaults would trust anyone who read them. A deadline setting had no reader.

Change: check refuses the default secret unless guard and link listen on loopback; the setting without a reader is gone.

--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -25,8 +25,6 @@
     pub answer_limit_bytes: usize,
     /// Bodies up to this size are kept so that a retry can send them again.
     pub retry_body_limit_bytes: usize,
-    /// Deadline of a request that names none on a route that names none, in milliseconds.
-    pub default_deadline_ms: u64,
 }
 
 impl Default for FrontSettings {
@@ -40,7 +38,6 @@
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
             retry_body_limit_bytes: 65_536,
-            default_deadline_ms: 10_000,
         }
     }
 }
@@ -96,12 +93,5 @@
             self.retry_body_limit_bytes,
             "must be from 0 to 16777216",
         );
-        let default_deadline_ms_holds = (1..=3600000).contains(&self.default_deadline_ms);
-        checker.require(
-            default_deadline_ms_holds,
-            "default_deadline_ms",
-            self.default_deadline_ms,
-            "must be from 1 to 3600000",
-        );
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -16,6 +16,7 @@
 pub mod routing;
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
@@ -193,6 +194,7 @@
             section: "log",
             errors: &mut errors,
         });
+        self.check_secret(&mut errors);
         if errors.is_empty() {
             return Ok(());
         }
@@ -200,5 +202,22 @@
     }
 }
 
+impl Settings {
+    /// The secret that stands in the defaults is for one machine only.
+    fn check_secret(&self, errors: &mut Vec<SettingsError>) {
+        let open = |address: &SocketAddr| !address.ip().is_loopback();
+        let reachable = open(&self.guard.address) || open(&self.link.address);
+        let known = self.daemon.fleet_secret == daemon::DaemonSettings::default().fleet_secret;
+        if !(reachable && known) {
+            return;
+        }
+        errors.push(SettingsError {
+            field: "daemon.fleet_secret".to_owned(),
+            value: "(the default)".to_owned(),
+            problem: "must be changed where other machines reach this daemon".to_owned(),
+        });
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -31,3 +31,21 @@
     let error = serde_json::from_str::<Settings>(r#"{"front": {"prot": 1}}"#).unwrap_err();
     assert!(error.to_string().contains("prot"), "{error}");
 }
+
+#[test]
+fn the_default_secret_is_refused_where_other_machines_reach_the_daemon() {
+    // Arrange
+    let settings = Settings {
+        link: link::LinkSettings {
+            address: "0.0.0.0:8083".parse().unwrap(),
+            ..Default::default()
+        },
+        ..Default::default()
+    };
+
+    // Act
+    let error = settings.check().unwrap_err().to_string();
+
+    // Assert
+    assert!(error.contains("daemon.fleet_secret"), "{error}");
+}
