Print the slopes of each role by one command

Change: banyanbeam measure capacity: choice of server, membership and the configuration in force by size; one reader of resident memory instead of two.

--- a/src/cli/measure.rs
+++ b/src/cli/measure.rs
@@ -5,6 +5,7 @@
 use clap::{Args, Subcommand};
 
 use super::measure_allowance::{self, MeasureAllowanceArguments};
+use super::measure_capacity::{self, MeasureCapacityArguments};
 use super::measure_fleet::{self, MeasureFleetArguments};
 use super::measure_membership::{self, MeasureMembershipArguments};
 use super::measure_view::{self, MeasureViewArguments};
@@ -20,6 +21,8 @@
 enum Matter {
     /// Rate and burst over the fleet, beside fixed shares and one home with a lease.
     Allowance(MeasureAllowanceArguments),
+    /// Memory and time of each role by size, for docs/CAPACITY.md.
+    Capacity(MeasureCapacityArguments),
     /// Detection time and false ejections, beside round robin and fixed thresholds.
     Gray(MeasureFleetArguments),
     /// The worst-served organisation and refusals within the rate.
@@ -38,6 +41,7 @@
 pub fn run(arguments: &MeasureArguments) -> eyre::Result<ExitCode> {
     match &arguments.matter {
         Matter::Allowance(arguments) => measure_allowance::run(arguments),
+        Matter::Capacity(arguments) => measure_capacity::run(arguments),
         Matter::Gray(arguments) => measure_fleet::run(arguments, measure_fleet::GRAY),
         Matter::Fairness(arguments) => measure_fleet::run(arguments, measure_fleet::FAIRNESS),
         Matter::Domains(arguments) => measure_fleet::run(arguments, measure_fleet::DOMAINS),
--- a/src/cli/measure_view.rs
+++ b/src/cli/measure_view.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use clap::Args;
+use comfy_table::Table;
 
 use crate::contract::measure::{measure, table, ViewSize};
 
@@ -22,7 +23,8 @@
     service_count: 3_600,
     route_count: 94_000,
 };
-const DIVISORS: [usize; 4] = [64, 16, 4, 1];
+/// Shares of the full size that are measured, the largest last.
+pub const DIVISORS: [usize; 4] = [64, 16, 4, 1];
 
 /// Prints what a view costs at growing sizes.
 pub fn run(arguments: &MeasureViewArguments) -> eyre::Result<ExitCode> {
@@ -30,6 +32,13 @@
         Some(divisor) => vec![divisor.max(1)],
         None => DIVISORS.to_vec(),
     };
+    println!("seed {}", arguments.seed);
+    println!("{}", measure_divisors(&divisors, arguments.seed));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Measures these shares of the full size.
+pub fn measure_divisors(divisors: &[usize], seed: u64) -> Table {
     let mut costs = Vec::with_capacity(divisors.len());
     for divisor in divisors {
         let size = ViewSize {
@@ -37,9 +46,7 @@
             service_count: (FULL.service_count / divisor).max(1),
             route_count: (FULL.route_count / divisor).max(1),
         };
-        costs.push(measure(size, arguments.seed));
+        costs.push(measure(size, seed));
     }
-    println!("seed {}", arguments.seed);
-    println!("{}", table(&costs));
-    Ok(ExitCode::SUCCESS)
+    table(&costs)
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod logging;
 mod measure;
 mod measure_allowance;
+mod measure_capacity;
 mod measure_fleet;
 mod measure_membership;
 mod measure_view;
--- a/src/contract/measure.rs
+++ b/src/contract/measure.rs
@@ -10,6 +10,7 @@
 use super::{
     Change, KeyAnswer, OrganisationContract, Record, RouteContract, ServiceContract, View,
 };
+use crate::measure::memory::resident_bytes;
 use crate::types::{KeyHash, Offset, RouteId};
 use crate::wire::proof::hash_key;
 
@@ -284,11 +285,3 @@
         (state >> 33) as usize % count
     })
 }
-
-/// Resident memory of this process; 0 where the machine does not tell.
-fn resident_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
-    let kib = line.and_then(|line| line.split_whitespace().nth(1));
-    kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1024
-}
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 mod detection;
 mod guards;
+pub mod memory;
 pub mod node;
 pub mod permits;
 pub mod policy;
--- a/src/membership/measure.rs
+++ b/src/membership/measure.rs
@@ -11,6 +11,7 @@
 use super::message::{DaemonEntry, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE};
 use super::state::MembershipState;
 use super::virtual_fleet::VirtualFleet;
+use crate::measure::memory::resident_bytes;
 use crate::settings::membership::MembershipSettings;
 use crate::types::DaemonId;
 
@@ -374,15 +375,3 @@
     }
     began.elapsed().as_secs_f64() * 1e6 / REPEAT_COUNT as f64
 }
-
-const PAGE_BYTES: u64 = 4096;
-
-/// Memory of this process, as the kernel counts it; 0 where it does not tell.
-fn resident_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text
-        .split_whitespace()
-        .nth(1)
-        .and_then(|pages| pages.parse().ok());
-    pages.unwrap_or(0) * PAGE_BYTES
-}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -7,6 +7,7 @@
 pub mod fingerprint;
 pub mod forward;
 pub mod least_loaded;
+pub mod measure;
 pub mod message;
 pub mod paths;
 pub mod speed;
