Keep what was measured, so that the next size does not seem smaller

Cause: resident memory of a larger size came out below its share, since the allocator reused the memory of the smaller one (membership showed 0 bytes).

Change: measured states are kept to the end of the tool.

--- a/src/contract/measure.rs
+++ b/src/contract/measure.rs
@@ -66,7 +66,7 @@
     let build_record = started_at.elapsed() / view.next as u32;
     let memory_bytes = resident_bytes().saturating_sub(before_bytes);
     let (checkpoint_bytes, checkpoint_write, checkpoint_read) = time_checkpoint(&view);
-    ViewCost {
+    let cost = ViewCost {
         size,
         memory_bytes,
         build_record,
@@ -78,7 +78,10 @@
         checkpoint_bytes,
         checkpoint_write,
         checkpoint_read,
-    }
+    };
+    // Kept, so that the next size does not reuse its memory and seem smaller.
+    std::mem::forget(view);
+    cost
 }
 
 /// The costs as a table.
--- a/src/membership/measure.rs
+++ b/src/membership/measure.rs
@@ -297,6 +297,8 @@
         let bytes = resident_bytes().saturating_sub(before);
         let change_us = time_changes(&mut state, settings, now);
         let walk_us = time_walks(&mut state, now);
+        // Kept, so that the next size does not reuse its memory and seem smaller.
+        std::mem::forget(state);
         table.add_row([
             daemon_count.to_string(),
             bytes.to_string(),
--- a/src/routing/measure.rs
+++ b/src/routing/measure.rs
@@ -57,6 +57,8 @@
     let memory_bytes = resident_bytes().saturating_sub(before_bytes);
     let change = time_changes(&mut choice, &mut fleet, daemon_count);
     let pick = time_picks(&mut choice, daemon_count);
+    // Kept, so that the next size does not reuse its memory and seem smaller.
+    std::mem::forget((choice, fleet));
     vec![
         daemon_count.to_string(),
         (daemon_count * SERVERS_EACH_COUNT).to_string(),
