Give seats back to later lives when holder and custodian died together

Cause: only a holder or its custodian could move a seat, so a fleet that was killed at once refused every keyed request for good (rate_exceeded).

Ruled out: letting a later life take its seats at once, or whenever its custodian came back: a holder that is cut off may still be promised by a living custodian, or hold the endless promise of one that left on plan.

Change: a later life of a custodian renounces its earlier life in the log; a later life of a holder reclaims its own seats once its custodian's life was renounced. Both rest on a later life of a daemon starting after the earlier one ended.

Three rules of the ledger in unit tests.

Names that never come back still need an operator's word, which is not built.

--- a/src/allowance/assignment.rs
+++ b/src/allowance/assignment.rs
@@ -7,6 +7,7 @@
 
 use super::custody::{CustodyState, EscrowTimes};
 use super::record::{EscrowRecord, SeatId};
+use super::replay::is_later_life;
 use super::seat::{Candidate, Candidates, SHARD_COUNT};
 use crate::link::{PeerName, PromiseRequest};
 use crate::types::DaemonId;
@@ -50,6 +51,7 @@
 struct Sent {
     claim: Option<Instant>,
     name: Option<Instant>,
+    succeed: Option<Instant>,
     move_seats: Option<Instant>,
     reclaims: BTreeMap<PeerName, Instant>,
 }
@@ -145,6 +147,7 @@
         }
         actions.extend(self.claim(now, custody));
         actions.extend(self.name(now, custody));
+        actions.extend(self.succeed(now, custody));
         self.reclaim(now, custody, &mut actions);
         self.reclaim_open(now, custody, &mut actions);
         if custody.is_retired() {
@@ -205,6 +208,35 @@
         Some(AssignmentAction::Append(record))
     }
 
+    /// Tells that this daemon's earlier life is a custodian no more, and reclaims what its earlier
+    /// life held once that life's custodian has ended too. A holder and a custodian that died
+    /// together would keep their seats for good otherwise.
+    fn succeed(&mut self, now: Instant, custody: &CustodyState) -> Option<AssignmentAction> {
+        if custody.is_retired() || !self.is_due(now, self.sent.succeed) {
+            return None;
+        }
+        let own = &self.own.name;
+        let holders = custody.ledger().holders();
+        let custodians = holders.values().filter(|entry| !entry.custodian_ended);
+        let mut custodians = custodians.filter_map(|entry| entry.custodian.as_ref());
+        let mut held = holders.iter().filter(|(_, entry)| entry.custodian_ended);
+        let record = if let Some(earlier) = custodians.find(|named| is_later_life(own, named)) {
+            EscrowRecord::Renounce {
+                custodian: earlier.clone(),
+                by: own.clone(),
+            }
+        } else {
+            let (earlier, entry) = held.find(|(holder, _)| is_later_life(own, holder))?;
+            EscrowRecord::Reclaim {
+                holder: earlier.clone(),
+                custody: entry.custody,
+                by: own.clone(),
+            }
+        };
+        self.sent.succeed = Some(now);
+        Some(AssignmentAction::Append(record))
+    }
+
     /// Whether a custodian has left or has not promised for half of what a promise lasts.
     fn is_silent(&mut self, now: Instant, named: &PeerName) -> bool {
         let known = self.candidates.iter().any(|c| c.name == *named);
--- a/src/allowance/record.rs
+++ b/src/allowance/record.rs
@@ -37,7 +37,8 @@
         holder: PeerName,
         /// Offset of the record that made the custody which this one ends.
         custody: Offset,
-        /// Who takes the seats: the custodian, or anyone where the holder names none.
+        /// Who takes the seats: the custodian; anyone where the holder names none; a later life of
+        /// the holder where the custodian's life has ended.
         by: PeerName,
     },
     /// A holder gives seats to another daemon.
@@ -51,6 +52,14 @@
         /// The seats.
         seats: Vec<SeatId>,
     },
+    /// A later life of a custodian tells that its earlier life has ended. With it a later life of
+    /// a holder may reclaim what its own earlier life held.
+    Renounce {
+        /// The earlier life.
+        custodian: PeerName,
+        /// The later life.
+        by: PeerName,
+    },
 }
 
 impl EscrowRecord {
@@ -61,6 +70,7 @@
             EscrowRecord::Name { .. } => "allowance.custodian.named",
             EscrowRecord::Reclaim { .. } => "allowance.reclaim.sent",
             EscrowRecord::HandOver { .. } => "allowance.hand_over.sent",
+            EscrowRecord::Renounce { .. } => "allowance.custody.renounced",
         }
     }
 }
--- a/src/allowance/replay.rs
+++ b/src/allowance/replay.rs
@@ -22,6 +22,8 @@
     pub custodian: Option<PeerName>,
     /// Offset of the record that made this custody. Differs for every custody.
     pub custody: Offset,
+    /// Whether a later life of the custodian has told that this one ended.
+    pub custodian_ended: bool,
     /// Never 0: a holder without seats is forgotten.
     pub seat_count: usize,
 }
@@ -120,6 +122,19 @@
                 to,
                 seats,
             } => self.hand_over(offset, holder, *next, (to, seats)),
+            EscrowRecord::Renounce { custodian, by } => {
+                self.renounce(custodian, by);
+                Vec::new()
+            }
+        }
+    }
+
+    fn renounce(&mut self, custodian: &PeerName, by: &PeerName) {
+        if !is_later_life(by, custodian) {
+            return;
+        }
+        for entry in self.holders.values_mut() {
+            entry.custodian_ended |= entry.custodian.as_ref() == Some(custodian);
         }
     }
 
@@ -154,6 +169,7 @@
             return;
         }
         entry.custodian.clone_from(custodian);
+        entry.custodian_ended = false;
         entry.custody = offset;
     }
 
@@ -167,13 +183,14 @@
         let Some(entry) = self.holders.get(holder) else {
             return Vec::new();
         };
-        let allowed = entry.custodian.as_ref().is_none_or(|named| named == by);
+        let succeeds = entry.custodian_ended && is_later_life(by, holder);
+        let allowed = succeeds || entry.custodian.as_ref().is_none_or(|named| named == by);
         if entry.custody != custody || !allowed || holder == by {
             return Vec::new();
         }
         let moved = match entry.custodian {
-            Some(_) => Moved::Reclaimed,
-            None => Moved::Taken,
+            Some(_) if !succeeds => Moved::Reclaimed,
+            _ => Moved::Taken,
         };
         self.holders.remove(holder);
         let mut moves = Vec::new();
@@ -245,8 +262,16 @@
             .or_insert_with(|| Holder {
                 custodian: custodian.clone().filter(|named| named != holder),
                 custody: offset,
+                custodian_ended: false,
                 seat_count: 0,
             });
         entry.seat_count += seat_count;
     }
 }
+
+/// Whether one name is a later life of the same daemon.
+///
+/// A daemon's later life starts only after the earlier one has ended.
+pub fn is_later_life(later: &PeerName, earlier: &PeerName) -> bool {
+    later.daemon == earlier.daemon && later.incarnation > earlier.incarnation
+}
--- a/src/allowance/tests/ledger.rs
+++ b/src/allowance/tests/ledger.rs
@@ -143,3 +143,43 @@
     assert_eq!(moves.len(), 2);
     assert_eq!(ledger.holders()[&peer("d")].custodian, None);
 }
+
+fn life(name: &str, incarnation: u64) -> PeerName {
+    PeerName {
+        incarnation,
+        ..peer(name)
+    }
+}
+
+fn succession(custodian_ended: bool, by: PeerName) -> Vec<usize> {
+    let mut records = vec![claim("a", "b")];
+    if custodian_ended {
+        records.push(EscrowRecord::Renounce {
+            custodian: peer("b"),
+            by: life("b", peer("b").incarnation + 1),
+        });
+    }
+    records.push(EscrowRecord::Reclaim {
+        holder: peer("a"),
+        custody: 0,
+        by,
+    });
+    replay(&records).1
+}
+
+#[test]
+fn a_later_life_gets_its_seats_back_once_the_custodian_has_ended_too() {
+    let later = life("a", peer("a").incarnation + 1);
+    assert!(*succession(true, later).last().unwrap() > 0);
+}
+
+#[test]
+fn a_later_life_takes_nothing_while_the_custodian_may_promise() {
+    let later = life("a", peer("a").incarnation + 1);
+    assert_eq!(succession(false, later).last(), Some(&0));
+}
+
+#[test]
+fn nobody_else_takes_seats_whose_custodian_has_ended() {
+    assert_eq!(succession(true, peer("c")).last(), Some(&0));
+}
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -160,3 +160,27 @@
     // Assert
     ask_until(after.address("front"), "/sheets/1", Some("key-1"), 200);
 }
+
+#[test]
+fn a_fleet_that_was_killed_at_once_serves_again_under_its_names() {
+    // Arrange
+    let log = start_log();
+    let log_address = log.address("listening");
+    let (before, servers) = start_fleet("at-once", log_address);
+    publish_basics(log_address);
+    for daemon in &before {
+        ask_until(daemon.address("front"), "/sheets/1", Some("key-1"), 200);
+    }
+
+    // Act
+    for daemon in &before {
+        daemon.signal("KILL");
+    }
+    drop((before, servers));
+    let (daemons, _servers) = start_fleet("at-once", log_address);
+
+    // Assert
+    for daemon in &daemons {
+        ask_until(daemon.address("front"), "/sheets/1", Some("key-1"), 200);
+    }
+}
