Give up an unanswered attempt that may repeat while there is time for another

Cause: a request sent to a frozen daemon waited for its answer to its deadline, although it may repeat and other servers were free.

Change: an attempt of a request that may repeat and whose body is kept is given up after ten times the usual time of its route, one second at least, if as much time is left for another attempt, attempts are left and the service has another server. The server learns the shorter deadline.

--- a/spec/at_most_once/world.rs
+++ b/spec/at_most_once/world.rs
@@ -309,6 +309,7 @@
                 attempt,
                 target,
                 incarnation,
+                ..
             } => {
                 let message = Message::Attempt {
                     entry,
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -81,6 +81,7 @@
                 attempt,
                 target,
                 incarnation,
+                until,
             } => {
                 self.tally.attempt_count += 1;
                 let request = GuardRequest {
@@ -94,7 +95,7 @@
                     repeatable: plan.repeatable,
                     foreground: plan.foreground,
                     fingerprint: fingerprint(plan.request),
-                    deadline_at: plan.deadline_at,
+                    deadline_at: until,
                 };
                 self.send(at, &target.daemon, request);
             }
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -31,6 +31,12 @@
         elapsed: Duration,
     );
 
+    /// After this time without an answer an attempt may be given up for another server; none
+    /// waits to the deadline.
+    fn patience(&self, _plan: &RequestPlan) -> Option<Duration> {
+        None
+    }
+
     /// A new view is in force.
     fn view(&mut self, view: Arc<View>);
 
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -127,6 +127,7 @@
                 attempt,
                 target,
                 incarnation,
+                until,
             } => {
                 let held = self.held.remove(&plan.request)?;
                 self.send(ForwardJob {
@@ -134,6 +135,7 @@
                     attempt,
                     target,
                     incarnation,
+                    until,
                     held,
                 })
             }
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -31,6 +31,8 @@
     pub target: Target,
     /// The life of the daemon there.
     pub incarnation: Incarnation,
+    /// When it is given up there, if its body can be sent again.
+    pub until: Instant,
     /// Head, exchange and body.
     pub held: Box<HeldRequest>,
 }
@@ -75,10 +77,11 @@
     if let Err(kind) = keep_body(context, job) {
         return not_run(kind);
     }
-    let remaining = job
-        .plan
-        .deadline_at
-        .saturating_duration_since(Instant::now());
+    let until = match job.held.body {
+        Some(_) => job.until,
+        None => job.plan.deadline_at,
+    };
+    let remaining = until.saturating_duration_since(Instant::now());
     if remaining.is_zero() {
         return not_run(ErrorKind::DeadlineUnmeetable);
     }
@@ -118,7 +121,7 @@
         body,
         body_bytes,
         connect_timeout: context.connect_timeout,
-        deadline_at: job.plan.deadline_at + context.answer_grace,
+        deadline_at: until + context.answer_grace,
         answer_limit_bytes: context.answer_limit_bytes,
     });
     outcome_of(job, result)
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -20,6 +20,9 @@
 use crate::types::{BackendServerId, DomainId, RouteId};
 
 /// A server is held for busy for this long after it refused, unless its guard says when to retry.
+/// An attempt that takes this many times the usual is given up, if it may run twice.
+const PATIENCE_TIMES: u32 = 10;
+const SHORTEST_PATIENCE: Duration = Duration::from_secs(1);
 const BUSY_TIME: Duration = Duration::from_millis(20);
 
 /// Longest time for which one refusal holds a server for busy.
@@ -360,6 +363,15 @@
         }
     }
 
+    fn patience(&self, plan: &RequestPlan) -> Option<Duration> {
+        let candidates = self.candidates.of(&plan.service)?;
+        if candidates.all.len() < 2 {
+            return None;
+        }
+        let usual = self.routes.usual(&plan.route);
+        Some((usual * PATIENCE_TIMES).max(SHORTEST_PATIENCE))
+    }
+
     fn view(&mut self, view: Arc<View>) {
         self.candidates.view(view);
     }
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -181,6 +181,8 @@
         target: Target,
         /// The life of the daemon there.
         incarnation: Incarnation,
+        /// When a short request is given up there; never after its deadline.
+        until: Instant,
     },
     /// Asks a guard to keep an attempt from starting.
     Fence {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -210,6 +210,7 @@
             attempt: state.attempt,
             target: target.clone(),
             incarnation,
+            until: self.attempt_until(now, &state),
         };
         state.phase = Phase::Sent {
             target,
@@ -219,6 +220,18 @@
         smallvec![action]
     }
 
+    /// When an attempt is given up, so that there is time left for another.
+    fn attempt_until(&self, now: Instant, state: &RequestState) -> Instant {
+        let deadline_at = state.plan.deadline_at;
+        if !state.plan.repeatable || !self.has_attempt_left(now, state) {
+            return deadline_at;
+        }
+        match self.choice.patience(&state.plan) {
+            Some(patience) if now + patience * 2 <= deadline_at => now + patience,
+            _ => deadline_at,
+        }
+    }
+
     fn attempted(
         &mut self,
         now: Instant,
--- a/tests/fleet_failures.rs
+++ b/tests/fleet_failures.rs
@@ -153,3 +153,27 @@
     assert!(report.is_true(), "{:?}", report.problems);
     assert!(report.answered_count() > 0);
 }
+
+#[test]
+fn a_request_that_may_repeat_is_answered_while_one_daemon_is_frozen() {
+    // Arrange
+    let fleet = start_fleet("frozen");
+    fleet.vms[4].daemon.signal("STOP");
+    let url = format!("http://{}/sheets/7", fleet.vms[0].daemon.address("front"));
+
+    // Act
+    let mut failed = Vec::new();
+    for _ in 0..40 {
+        let request = attohttpc::get(&url)
+            .bearer_auth("key-1")
+            .header("x-deadline-ms", "6000");
+        let response = request.send().expect("the front answers");
+        if !response.is_success() {
+            failed.push(response.text().expect("the answer is text"));
+        }
+    }
+    fleet.vms[4].daemon.signal("CONT");
+
+    // Assert
+    assert!(failed.is_empty(), "{failed:?}");
+}
