--- a/src/settings/allowance.rs
+++ b/src/settings/allowance.rs
@@ -37,20 +37,8 @@
 impl AllowanceSettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        let ring_count_holds = (1..=65536).contains(&self.ring_count);
-        checker.require(
-            ring_count_holds,
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
-        );
-        let waiting_holds = (1..=65536).contains(&self.waiting_limit_count);
-        checker.require(
-            waiting_holds,
-            "waiting_limit_count",
-            self.waiting_limit_count,
-            "must be from 1 to 65536",
-        );
+        checker.range("ring_count", self.ring_count, 1..=65536);
+        checker.range("waiting_limit_count", self.waiting_limit_count, 1..=65536);
         let mut time = |field, value_ms| {
             let holds = (1..=10_000).contains(&value_ms);
             checker.require(holds, field, value_ms, "must be from 1 to 10000");
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -12,8 +12,6 @@
     pub daemon: DaemonId,
     /// Failure domain of this VM.
     pub domain: DomainId,
-    /// Region of this VM.
-    pub region: String,
     /// Secret that every daemon of the fleet shares; at least 16 characters. Never sent.
     pub fleet_secret: String,
     /// Longest graceful shutdown, in milliseconds.
@@ -25,7 +23,6 @@
         DaemonSettings {
             daemon: "daemon-1".into(),
             domain: "domain-1".into(),
-            region: "region-1".to_owned(),
             fleet_secret: "change-me-change-me-change-me-32".to_owned(),
             stop_grace_ms: 30_000,
         }
@@ -47,12 +44,6 @@
             format!("{:?}", self.domain),
             "must not be empty",
         );
-        checker.require(
-            !self.region.is_empty(),
-            "region",
-            format!("{:?}", self.region),
-            "must not be empty",
-        );
         let secret_holds = self.fleet_secret.len() >= SECRET_MIN_BYTES;
         checker.require(
             secret_holds,
@@ -60,13 +51,7 @@
             "(hidden)",
             "must have at least 16 characters",
         );
-        let stop_grace_ms_holds = (0..=600000).contains(&self.stop_grace_ms);
-        checker.require(
-            stop_grace_ms_holds,
-            "stop_grace_ms",
-            self.stop_grace_ms,
-            "must be from 0 to 600000",
-        );
+        checker.range("stop_grace_ms", self.stop_grace_ms, 0..=600000);
     }
 }
 
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -45,53 +45,20 @@
 impl FrontSettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        let worker_count_holds = (1..=1024).contains(&self.worker_count);
-        checker.require(
-            worker_count_holds,
-            "worker_count",
-            self.worker_count,
-            "must be from 1 to 1024",
-        );
-        checker.require(
-            (1..=1024).contains(&self.upload_worker_count),
-            "upload_worker_count",
-            self.upload_worker_count,
-            "must be from 1 to 1024",
-        );
-        let ring_count_holds = (1..=65536).contains(&self.ring_count);
-        checker.require(
-            ring_count_holds,
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
-        );
-        let header_limit_bytes_holds = (512..=1048576).contains(&self.header_limit_bytes);
-        checker.require(
-            header_limit_bytes_holds,
-            "header_limit_bytes",
-            self.header_limit_bytes,
-            "must be from 512 to 1048576",
-        );
-        let header_limit_count_holds = (1..=1000).contains(&self.header_limit_count);
-        checker.require(
-            header_limit_count_holds,
-            "header_limit_count",
-            self.header_limit_count,
-            "must be from 1 to 1000",
-        );
-        let answer_limit_bytes_holds = (1024..=1073741824).contains(&self.answer_limit_bytes);
-        checker.require(
-            answer_limit_bytes_holds,
+        checker.range("worker_count", self.worker_count, 1..=1024);
+        checker.range("upload_worker_count", self.upload_worker_count, 1..=1024);
+        checker.range("ring_count", self.ring_count, 1..=65536);
+        checker.range("header_limit_bytes", self.header_limit_bytes, 512..=1048576);
+        checker.range("header_limit_count", self.header_limit_count, 1..=1000);
+        checker.range(
             "answer_limit_bytes",
             self.answer_limit_bytes,
-            "must be from 1024 to 1073741824",
+            1024..=1073741824,
         );
-        let retry_body_limit_bytes_holds = (0..=16777216).contains(&self.retry_body_limit_bytes);
-        checker.require(
-            retry_body_limit_bytes_holds,
+        checker.range(
             "retry_body_limit_bytes",
             self.retry_body_limit_bytes,
-            "must be from 0 to 16777216",
+            0..=16777216,
         );
     }
 }
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -69,102 +69,31 @@
 impl GuardSettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        let worker_count_holds = (1..=1024).contains(&self.worker_count);
-        checker.require(
-            worker_count_holds,
-            "worker_count",
-            self.worker_count,
-            "must be from 1 to 1024",
-        );
-        let ring_count_holds = (1..=65536).contains(&self.ring_count);
-        checker.require(
-            ring_count_holds,
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
-        );
-        let queue_count_holds = (0..=4096).contains(&self.queue_count);
-        checker.require(
-            queue_count_holds,
-            "queue_count",
-            self.queue_count,
-            "must be from 0 to 4096",
-        );
-        let announcement_ttl_ms_holds = (100..=60000).contains(&self.announcement_ttl_ms);
-        checker.require(
-            announcement_ttl_ms_holds,
-            "announcement_ttl_ms",
-            self.announcement_ttl_ms,
-            "must be from 100 to 60000",
-        );
-        let cold_limit_count_holds = (1..=1000).contains(&self.cold_limit_count);
-        checker.require(
-            cold_limit_count_holds,
-            "cold_limit_count",
-            self.cold_limit_count,
-            "must be from 1 to 1000",
-        );
+        checker.range("worker_count", self.worker_count, 1..=1024);
+        checker.range("ring_count", self.ring_count, 1..=65536);
+        checker.range("queue_count", self.queue_count, 0..=4096);
+        checker.range("announcement_ttl_ms", self.announcement_ttl_ms, 100..=60000);
+        checker.range("cold_limit_count", self.cold_limit_count, 1..=1000);
         self.check_cold(checker);
         self.check_records(checker);
-        let connect_timeout_ms_holds = (1..=60000).contains(&self.connect_timeout_ms);
-        checker.require(
-            connect_timeout_ms_holds,
-            "connect_timeout_ms",
-            self.connect_timeout_ms,
-            "must be from 1 to 60000",
-        );
+        checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
     }
+
     fn check_cold(&self, checker: &mut Checker<'_>) {
-        checker.require(
-            (1..=60_000).contains(&self.cold_step_ms),
-            "cold_step_ms",
-            self.cold_step_ms,
-            "must be from 1 to 60000",
-        );
-        checker.require(
-            (100..=3_600_000).contains(&self.cold_patience_ms),
-            "cold_patience_ms",
-            self.cold_patience_ms,
-            "must be from 100 to 3600000",
-        );
+        checker.range("cold_step_ms", self.cold_step_ms, 1..=60_000);
+        checker.range("cold_patience_ms", self.cold_patience_ms, 100..=3_600_000);
     }
 
     fn check_records(&self, checker: &mut Checker<'_>) {
-        checker.require(
-            (1_000..=3_600_000).contains(&self.started_keep_ms),
-            "started_keep_ms",
-            self.started_keep_ms,
-            "must be from 1000 to 3600000",
-        );
-        checker.require(
-            (100..=10_000_000).contains(&self.started_limit_count),
+        checker.range("started_keep_ms", self.started_keep_ms, 1_000..=3_600_000);
+        checker.range(
             "started_limit_count",
             self.started_limit_count,
-            "must be from 100 to 10000000",
-        );
-        checker.require(
-            (1..=10).contains(&self.poison_death_count),
-            "poison_death_count",
-            self.poison_death_count,
-            "must be from 1 to 10",
-        );
-        checker.require(
-            (1_000..=86_400_000).contains(&self.poison_hold_ms),
-            "poison_hold_ms",
-            self.poison_hold_ms,
-            "must be from 1000 to 86400000",
-        );
-        checker.require(
-            (0..=60_000).contains(&self.quiet_ms),
-            "quiet_ms",
-            self.quiet_ms,
-            "must be from 0 to 60000",
-        );
-        checker.require(
-            (100..=600_000).contains(&self.death_window_ms),
-            "death_window_ms",
-            self.death_window_ms,
-            "must be from 100 to 600000",
+            100..=10_000_000,
         );
+        checker.range("poison_death_count", self.poison_death_count, 1..=10);
+        checker.range("poison_hold_ms", self.poison_hold_ms, 1_000..=86_400_000);
+        checker.range("quiet_ms", self.quiet_ms, 0..=60_000);
+        checker.range("death_window_ms", self.death_window_ms, 100..=600_000);
     }
 }
--- a/src/settings/idempotency.rs
+++ b/src/settings/idempotency.rs
@@ -32,29 +32,9 @@
 impl IdempotencySettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        checker.require(
-            (1..=65_536).contains(&self.ring_count),
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
-        );
-        checker.require(
-            (1_000..=86_400_000).contains(&self.keep_ms),
-            "keep_ms",
-            self.keep_ms,
-            "must be from 1000 to 86400000",
-        );
-        checker.require(
-            (1..=10_000_000).contains(&self.limit_count),
-            "limit_count",
-            self.limit_count,
-            "must be from 1 to 10000000",
-        );
-        checker.require(
-            (100..=600_000).contains(&self.margin_ms),
-            "margin_ms",
-            self.margin_ms,
-            "must be from 100 to 600000",
-        );
+        checker.range("ring_count", self.ring_count, 1..=65_536);
+        checker.range("keep_ms", self.keep_ms, 1_000..=86_400_000);
+        checker.range("limit_count", self.limit_count, 1..=10_000_000);
+        checker.range("margin_ms", self.margin_ms, 100..=600_000);
     }
 }
--- a/src/settings/journal.rs
+++ b/src/settings/journal.rs
@@ -61,47 +61,20 @@
 impl JournalSettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        let wait_ms_holds = (10..=60000).contains(&self.wait_ms);
-        checker.require(
-            wait_ms_holds,
-            "wait_ms",
-            self.wait_ms,
-            "must be from 10 to 60000",
-        );
-        let timeout_ms_holds = (10..=60000).contains(&self.timeout_ms);
-        checker.require(
-            timeout_ms_holds,
-            "timeout_ms",
-            self.timeout_ms,
-            "must be from 10 to 60000",
-        );
-        let retry_ms_holds = (10..=60000).contains(&self.retry_ms);
-        checker.require(
-            retry_ms_holds,
-            "retry_ms",
-            self.retry_ms,
-            "must be from 10 to 60000",
-        );
-        let batch_count_holds = (1..=10000).contains(&self.batch_count);
-        checker.require(
-            batch_count_holds,
-            "batch_count",
-            self.batch_count,
-            "must be from 1 to 10000",
-        );
+        checker.range("wait_ms", self.wait_ms, 10..=60000);
+        checker.range("timeout_ms", self.timeout_ms, 10..=60000);
+        checker.range("retry_ms", self.retry_ms, 10..=60000);
+        checker.range("batch_count", self.batch_count, 1..=10000);
         self.check_waits(checker);
-        let limit_holds = (1_024..=67_108_864).contains(&self.peer_checkpoint_limit_bytes);
-        checker.require(
-            limit_holds,
+        checker.range(
             "peer_checkpoint_limit_bytes",
             self.peer_checkpoint_limit_bytes,
-            "must be from 1024 to 67108864",
+            1_024..=67_108_864,
         );
-        checker.require(
-            (1..=1_000_000).contains(&self.checkpoint_every_count),
+        checker.range(
             "checkpoint_every_count",
             self.checkpoint_every_count,
-            "must be from 1 to 1000000",
+            1..=1_000_000,
         );
     }
 
@@ -117,11 +90,10 @@
             let holds = (10..=600_000).contains(&value_ms);
             checker.require(holds, field, value_ms, "must be from 10 to 600000");
         }
-        checker.require(
-            (1_000..=86_400_000).contains(&self.checkpoint_every_ms),
+        checker.range(
             "checkpoint_every_ms",
             self.checkpoint_every_ms,
-            "must be from 1000 to 86400000",
+            1_000..=86_400_000,
         );
     }
 }
--- a/src/settings/link.rs
+++ b/src/settings/link.rs
@@ -94,12 +94,10 @@
             let holds = (100..=3_600_000).contains(&value);
             checker.require(holds, field, value, "must be from 100 to 3600000");
         }
-        let message_holds = (4_096..=67_108_864).contains(&self.message_limit_bytes);
-        checker.require(
-            message_holds,
+        checker.range(
             "message_limit_bytes",
             self.message_limit_bytes,
-            "must be from 4096 to 67108864",
+            4_096..=67_108_864,
         );
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -17,6 +17,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
@@ -108,6 +109,15 @@
 }
 
 impl Checker<'_> {
+    /// Notes that `field` with `value` is out of its bounds.
+    pub fn range<T>(&mut self, field: &str, value: T, bounds: RangeInclusive<T>)
+    where
+        T: PartialOrd + fmt::Display,
+    {
+        let problem = format!("must be from {} to {}", bounds.start(), bounds.end());
+        self.require(bounds.contains(&value), field, value, &problem);
+    }
+
     /// Notes that `field` with `value` does not hold what it must.
     pub fn require(&mut self, holds: bool, field: &str, value: impl fmt::Display, problem: &str) {
         if holds {
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -59,17 +59,11 @@
                 "must be 64 hexadecimal digits",
             );
         }
-        checker.require(
-            (1_024..=268_435_456).contains(&self.body_limit_bytes),
+        checker.range(
             "body_limit_bytes",
             self.body_limit_bytes,
-            "must be from 1024 to 268435456",
-        );
-        checker.require(
-            (1..=65_536).contains(&self.ring_count),
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
+            1_024..=268_435_456,
         );
+        checker.range("ring_count", self.ring_count, 1..=65_536);
     }
 }
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -46,39 +46,16 @@
 impl RoutingSettings {
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
-        let ring_count_holds = (1..=65536).contains(&self.ring_count);
-        checker.require(
-            ring_count_holds,
-            "ring_count",
-            self.ring_count,
-            "must be from 1 to 65536",
-        );
-        let attempt_limit_count_holds = (1..=10).contains(&self.attempt_limit_count);
-        checker.require(
-            attempt_limit_count_holds,
-            "attempt_limit_count",
-            self.attempt_limit_count,
-            "must be from 1 to 10",
-        );
-        checker.require(
-            (0..=10_000).contains(&self.answer_grace_ms),
-            "answer_grace_ms",
-            self.answer_grace_ms,
-            "must be from 0 to 10000",
-        );
+        checker.range("ring_count", self.ring_count, 1..=65536);
+        checker.range("attempt_limit_count", self.attempt_limit_count, 1..=10);
+        checker.range("answer_grace_ms", self.answer_grace_ms, 0..=10_000);
         checker.require(
             (0.0..=1.0).contains(&self.retry_share),
             "retry_share",
             self.retry_share,
             "must be from 0 to 1",
         );
-        let draw_count_holds = (1..=8).contains(&self.draw_count);
-        checker.require(
-            draw_count_holds,
-            "draw_count",
-            self.draw_count,
-            "must be from 1 to 8",
-        );
+        checker.range("draw_count", self.draw_count, 1..=8);
         let far_factor_holds = (1.0..=100.0).contains(&self.far_factor);
         checker.require(
             far_factor_holds,
@@ -87,22 +64,14 @@
             "must be from 1 to 100",
         );
         self.check_backoff(checker);
-        let connect_timeout_ms_holds = (1..=60000).contains(&self.connect_timeout_ms);
-        checker.require(
-            connect_timeout_ms_holds,
-            "connect_timeout_ms",
-            self.connect_timeout_ms,
-            "must be from 1 to 60000",
-        );
+        checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
     }
 
     fn check_backoff(&self, checker: &mut Checker<'_>) {
-        let limit_holds = (10..=3_600_000).contains(&self.path_backoff_limit_ms);
-        checker.require(
-            limit_holds,
+        checker.range(
             "path_backoff_limit_ms",
             self.path_backoff_limit_ms,
-            "must be from 10 to 3600000",
+            10..=3_600_000,
         );
         let backoff_holds = (10..=self.path_backoff_limit_ms).contains(&self.path_backoff_ms);
         checker.require(
