--- a/src/allowance/entry.rs
+++ b/src/allowance/entry.rs
@@ -36,11 +36,6 @@
         self.purses.retain(|_, purse| !purse.is_idle(now));
     }
 
-    /// Organisations with requests lately.
-    pub fn purse_count(&self) -> usize {
-        self.purses.len()
-    }
-
     fn purse(&mut self, organisation: &OrganisationId) -> &mut Purse {
         self.purses.entry(organisation.clone()).or_default()
     }
--- a/src/allowance/lender.rs
+++ b/src/allowance/lender.rs
@@ -98,11 +98,6 @@
             .retain(|_, shard| starts.contains(&shard.start) && !shard.bucket.is_full(now));
     }
 
-    /// Buckets in memory.
-    pub fn bucket_count(&self) -> usize {
-        self.shards.len()
-    }
-
     fn bucket(
         &mut self,
         now: Instant,
--- a/src/allowance/state.rs
+++ b/src/allowance/state.rs
@@ -101,11 +101,6 @@
         &self.custody
     }
 
-    /// Buckets in memory and organisations with requests lately, for measurements.
-    pub fn held_counts(&self) -> (usize, usize) {
-        (self.lender.bucket_count(), self.entry.purse_count())
-    }
-
     /// Takes one event and gives what is to be done.
     pub fn handle(&mut self, now: Instant, event: AllowanceEvent) -> Vec<AllowanceAction> {
         let mut actions = Vec::new();
--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -37,8 +37,7 @@
         key_hash: key(&raw.headers)?.map(hash_key),
         deadline: deadline(&raw.headers)?,
         idempotency_key: single(&raw.headers, IDEMPOTENCY_KEY)?.map(str::to_owned),
-        body_bytes: raw.body_bytes,
-        chunked: single(&raw.headers, "transfer-encoding")?.is_some(),
+        body_bytes: raw.body_bytes.unwrap_or(0),
     })
 }
 
--- a/src/front/message.rs
+++ b/src/front/message.rs
@@ -29,10 +29,8 @@
     pub deadline: Option<Duration>,
     /// The caller's idempotency key.
     pub idempotency_key: Option<String>,
-    /// Length of the body, where known.
-    pub body_bytes: Option<u64>,
-    /// Whether the body comes in chunks.
-    pub chunked: bool,
+    /// Length of the body; a body without one was refused.
+    pub body_bytes: u64,
 }
 
 /// What happens to the front.
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -95,10 +95,7 @@
             RouteAnswer::Unknown => return Err(ErrorKind::RouteUnknown),
         };
         let (organisation, weight_share) = self.organisation(view, head, route)?;
-        if head
-            .body_bytes
-            .is_some_and(|bytes| bytes > route.body_limit_bytes)
-        {
+        if head.body_bytes > route.body_limit_bytes {
             return Err(ErrorKind::BodyTooLarge);
         }
         let longest = Duration::from_millis(route.deadline_ms);
--- a/src/routing/fingerprint.rs
+++ b/src/routing/fingerprint.rs
@@ -14,7 +14,7 @@
     }
     match &held.body {
         Some(body) => hash.update(body),
-        None => hash.update(held.head.body_bytes.unwrap_or(u64::MAX).to_le_bytes()),
+        None => hash.update(held.head.body_bytes.to_le_bytes()),
     }
     hash.finalize().into()
 }
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -104,10 +104,6 @@
     job.held.body_spent = job.held.body.is_none();
     let kept = job.held.body.clone();
     let mut kept_reader = kept.as_deref().unwrap_or_default();
-    let body_bytes = kept
-        .as_ref()
-        .map(|body| body.len() as u64)
-        .or(job.held.head.body_bytes);
     let mut source = DeadlineReader::new(job.held.exchange.body(), job.plan.deadline_at);
     let body: &mut dyn Read = match kept {
         Some(_) => &mut kept_reader,
@@ -119,7 +115,7 @@
         target: &job.held.head.target,
         headers: &headers,
         body,
-        body_bytes,
+        body_bytes: Some(job.held.head.body_bytes),
         connect_timeout: context.connect_timeout,
         deadline_at: until + context.answer_grace,
         answer_limit_bytes: context.answer_limit_bytes,
@@ -132,35 +128,23 @@
     if job.held.body.is_some() {
         return Ok(());
     }
-    let limit_bytes = match job.held.head.body_bytes {
-        Some(bytes) if bytes > context.retry_body_limit_bytes as u64 => return Ok(()),
-        Some(bytes) => bytes,
-        None => job.plan.body_limit_bytes.min(CHUNKED_LIMIT_BYTES),
-    };
+    let length_bytes = job.held.head.body_bytes;
+    if length_bytes > context.retry_body_limit_bytes as u64 {
+        return Ok(());
+    }
     let mut body = Vec::new();
     let source = job.held.exchange.body();
-    let mut reader = DeadlineReader::new(source, job.plan.deadline_at).take(limit_bytes + 1);
+    let mut reader = DeadlineReader::new(source, job.plan.deadline_at).take(length_bytes);
     reader
         .read_to_end(&mut body)
         .map_err(|_| ErrorKind::ShortUpload)?;
-    if body.len() as u64 > limit_bytes {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    if job
-        .held
-        .head
-        .body_bytes
-        .is_some_and(|bytes| bytes != body.len() as u64)
-    {
+    if body.len() as u64 != length_bytes {
         return Err(ErrorKind::ShortUpload);
     }
     job.held.body = Some(body.into());
     Ok(())
 }
 
-/// Longest body without a length; longer ones need a `Content-Length`.
-const CHUNKED_LIMIT_BYTES: u64 = 1_048_576;
-
 fn outcome_of(job: &ForwardJob, result: Result<WholeAnswer, CallError>) -> AttemptOutcome {
     match result {
         Ok(answer) => answered(job, answer),
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -217,11 +217,6 @@
 impl HeldRequest {
     /// Whether a body is left that its caller may send slowly.
     pub fn has_long_body(&self) -> bool {
-        let chunked = self.head.chunked && self.head.body_bytes.is_none();
-        let long = self
-            .head
-            .body_bytes
-            .is_some_and(|bytes| bytes > EAGER_BODY_BYTES);
-        self.body.is_none() && (chunked || long)
+        self.body.is_none() && self.head.body_bytes > EAGER_BODY_BYTES
     }
 }
--- a/src/wire/http.rs
+++ b/src/wire/http.rs
@@ -44,8 +44,3 @@
         .find(|(key, _)| key.eq_ignore_ascii_case(name))
         .map(|(_, value)| value.as_str())
 }
-
-/// A tiny_http header of known-good parts; a part that HTTP can't carry gives none.
-pub fn reply_header(name: &str, value: &str) -> Option<tiny_http::Header> {
-    tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
-}
