--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -178,6 +178,8 @@
             server: format!("s{guard}").as_str().into(),
             repeatable: false,
             foreground: true,
+            rank: 0,
+            no_wait: false,
             fingerprint: [0; 32],
             deadline_at: *NOW + Duration::from_secs(10),
         };
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -14,7 +14,7 @@
 mod measure_membership;
 mod measure_view;
 mod operate;
-mod serve;
+pub mod serve;
 mod settings;
 mod standin;
 mod status;
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use clap::Args;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use super::{logging, EXIT_USAGE};
-use crate::daemon;
+use crate::daemon::{self, Borders};
 use crate::settings::Settings;
 
 /// Arguments of `serve`.
@@ -28,10 +28,20 @@
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
-    logging::start(&settings.log)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    run_with(settings, Borders::own)
+}
+
+/// Runs a daemon with other borders than the product's own until a signal asks it to stop. The
+/// borders are made once logging has started.
+pub fn run_with(
+    settings: Settings,
+    borders: impl FnOnce(&Settings) -> Borders,
+) -> eyre::Result<ExitCode> {
+    let lines = logging::start(&settings.log)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let grace = Duration::from_millis(settings.daemon.stop_grace_ms);
-    let daemon = daemon::start(settings)?;
+    let borders = borders(&settings);
+    let daemon = daemon::start_with(settings, borders)?;
     println!(
         "front {} guard {} announce {} operator {} link {}",
         daemon.front_address,
@@ -40,9 +50,18 @@
         daemon.operator_address,
         daemon.link_address
     );
-    if let Some(signal) = signals.forever().next() {
-        log::info!("signal {signal}: stopping");
+    lines.write();
+    log::info!(front = daemon.front_address.to_string(); "daemon_started");
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            log::info!(signal; "daemon_stopping");
+            break;
+        }
+        // What may change while a daemon runs comes with the configuration.
+        log::info!(signal; "daemon_reload_unneeded");
     }
     daemon.stop(grace);
+    log::info!("daemon_stopped");
+    log::logger().flush();
     Ok(ExitCode::SUCCESS)
 }
--- a/src/contract/check.rs
+++ b/src/contract/check.rs
@@ -105,6 +105,18 @@
         contract.floor_share,
         "must be from 0 to 1",
     );
+    checker.require(
+        (0.0..=RATE_LIMIT_PER_S).contains(&contract.cold_rate_per_s),
+        "cold_rate_per_s",
+        contract.cold_rate_per_s,
+        "must be from 0 to 10000000",
+    );
+    checker.require(
+        contract.health_path.is_empty() || contract.health_path.starts_with('/'),
+        "health_path",
+        quoted(&contract.health_path),
+        "must be empty or a path that starts with /",
+    );
     checker.require(
         (1..=SLOTS_LIMIT_COUNT).contains(&contract.slots_count),
         "slots_count",
@@ -124,10 +136,10 @@
             "must be named once",
         );
         checker.require(
-            places.insert((&route.method, &route.path_prefix)),
+            places.insert((&route.host, &route.method, &route.path_prefix)),
             &format!("{field}.path_prefix"),
             quoted(&route.path_prefix),
-            "must be given once for its method",
+            "must be given once for its host and method",
         );
     }
     checker.errors
@@ -135,13 +147,31 @@
 
 fn check_route(checker: &mut Checker, field: &str, route: &RouteContract) {
     checker.name(&format!("{field}.route"), &route.route);
-    let method_holds = (1..=METHOD_LIMIT_BYTES).contains(&route.method.len())
+    let method_holds = route.method.len() <= METHOD_LIMIT_BYTES
         && route.method.bytes().all(|byte| byte.is_ascii_uppercase());
     checker.require(
         method_holds,
         &format!("{field}.method"),
         quoted(&route.method),
-        "must be a method in upper case",
+        "must be a method in upper case, or empty",
+    );
+    let host_holds = route.host.len() <= NAME_LIMIT_BYTES && route.host.bytes().all(is_name_byte);
+    checker.require(
+        host_holds,
+        &format!("{field}.host"),
+        quoted(&route.host),
+        "must be at most 128 letters, digits, dots, colons, hyphens or underscores",
+    );
+    let split_weight: u64 = route
+        .split
+        .iter()
+        .map(|part| u64::from(part.weight_share))
+        .sum();
+    checker.require(
+        route.split.is_empty() || split_weight > 0,
+        &format!("{field}.split"),
+        format!("{} parts", route.split.len()),
+        "must have a part with a weight above 0",
     );
     let prefix_holds = route.path_prefix.starts_with('/')
         && route.path_prefix.len() <= PREFIX_LIMIT_BYTES
--- a/src/contract/measure.rs
+++ b/src/contract/measure.rs
@@ -244,7 +244,10 @@
     let paths = paths(size, seed);
     let started_at = Instant::now();
     for path in &paths {
-        assert!(matches!(view.route("GET", path), RouteAnswer::Found(..)));
+        assert!(matches!(
+            view.route("", "GET", path),
+            RouteAnswer::Found(..)
+        ));
     }
     started_at.elapsed() / LOOKUP_COUNT as u32
 }
--- a/src/contract/message.rs
+++ b/src/contract/message.rs
@@ -22,6 +22,12 @@
     pub weight_share: u32,
     /// Routes it may use besides the open ones.
     pub routes: Vec<RouteId>,
+    /// Whether it may use every route, `routes` or not.
+    pub all_routes: bool,
+    /// Whether `rate_per_s` and `burst_count` do not bind.
+    pub unlimited: bool,
+    /// Urgency of its requests in place of their route's, 0 being the greatest.
+    pub rank: Option<u8>,
 }
 
 impl Default for OrganisationContract {
@@ -32,6 +38,9 @@
             burst_count: 1,
             weight_share: 1,
             routes: Vec::new(),
+            all_routes: false,
+            unlimited: false,
+            rank: None,
         }
     }
 }
@@ -46,6 +55,10 @@
     pub floor_share: f64,
     /// Slots of one backend server.
     pub slots_count: u32,
+    /// Requests a second that one backend server bears in cold start; 0 where it is not known.
+    pub cold_rate_per_s: f64,
+    /// Path at which a backend server tells its health; empty where it has none.
+    pub health_path: String,
     /// Its routes.
     pub routes: Vec<RouteContract>,
 }
@@ -56,6 +69,8 @@
             service: "".into(),
             floor_share: 0.5,
             slots_count: 5,
+            cold_rate_per_s: 0.0,
+            health_path: String::new(),
             routes: Vec::new(),
         }
     }
@@ -67,7 +82,9 @@
 pub struct RouteContract {
     /// The route, unique in the fleet.
     pub route: RouteId,
-    /// HTTP method, in capitals.
+    /// Host that callers name; empty takes every host.
+    pub host: String,
+    /// HTTP method, in capitals; empty takes every method.
     pub method: String,
     /// Start of the paths that it takes.
     pub path_prefix: String,
@@ -81,12 +98,31 @@
     pub deadline_ms: u64,
     /// Most bytes of a body.
     pub body_limit_bytes: u64,
+    /// Time after which an answer has lost most of its worth to the caller; 0 where none is given.
+    pub target_ms: u64,
+    /// Most backend servers that one request may reach; 0 leaves it to the daemon's settings.
+    pub attempts_limit_count: u32,
+    /// Urgency of its requests, 0 being the greatest.
+    pub rank: u8,
+    /// Services that share its requests by weight; empty sends all to the route's own service.
+    pub split: Vec<SplitPart>,
+}
+
+/// One service's part of a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SplitPart {
+    /// The service.
+    pub service: ServiceId,
+    /// Its part of the requests, relative to the other parts.
+    pub weight_share: u32,
 }
 
 impl Default for RouteContract {
     fn default() -> Self {
         RouteContract {
             route: "".into(),
+            host: String::new(),
             method: "GET".to_owned(),
             path_prefix: "/".to_owned(),
             repeatable: false,
@@ -94,6 +130,10 @@
             foreground: true,
             deadline_ms: 10_000,
             body_limit_bytes: 1_048_576,
+            target_ms: 0,
+            attempts_limit_count: 0,
+            rank: 1,
+            split: Vec::new(),
         }
     }
 }
--- a/src/contract/mod.rs
+++ b/src/contract/mod.rs
@@ -6,15 +6,17 @@
 
 pub mod check;
 pub mod checkpoint;
+pub mod document;
 pub mod measure;
 pub mod message;
 pub mod routes;
 pub mod state;
 
 pub use check::{check_change, ContractError};
+pub use document::{CallerLimits, Document};
 pub use message::{
     short_hash, AppliedChange, Change, KeyAnswer, ObjectId, ObjectState, OrganisationContract,
-    Record, RouteContract, ServiceContract, Verdict,
+    Record, RouteContract, ServiceContract, SplitPart, Verdict,
 };
 pub use state::View;
 
--- a/src/contract/routes.rs
+++ b/src/contract/routes.rs
@@ -8,10 +8,17 @@
 use super::message::{RouteContract, ServiceContract};
 use crate::types::ServiceId;
 
-/// Every route by its path prefix. A lookup costs one probe for each length of prefix in use
-/// that the path is long enough for.
+/// Every route by its host and path prefix. A lookup costs one probe for each length of prefix in
+/// use at the host that the path is long enough for.
 #[derive(Debug, Clone, Default)]
 pub struct RouteIndex {
+    /// Routes of each host; those that take every host stand under the empty one.
+    hosts: HashMap<Arc<str>, HostRoutes>,
+}
+
+/// The routes of one host.
+#[derive(Debug, Clone, Default)]
+struct HostRoutes {
     /// Routes at a prefix, in order of service and position.
     prefixes: HashMap<Arc<str>, Places>,
     /// How many routes have a prefix of this length; no entry is 0.
@@ -45,11 +52,13 @@
                 service: contract.service.clone(),
                 index: index as u32,
             };
+            let host: Arc<str> = host_name(&route.host).to_ascii_lowercase().into();
+            let routes = self.hosts.entry(host).or_default();
             let prefix: Arc<str> = route.path_prefix.as_str().into();
-            let places = self.prefixes.entry(prefix).or_default();
+            let places = routes.prefixes.entry(prefix).or_default();
             let position = places.binary_search(&place).unwrap_or_else(|free| free);
             places.insert(position, place);
-            *self.lengths.entry(route.path_prefix.len()).or_default() += 1;
+            *routes.lengths.entry(route.path_prefix.len()).or_default() += 1;
         }
     }
 
@@ -67,25 +76,57 @@
 
     fn remove(&mut self, contract: &ServiceContract) {
         for route in &contract.routes {
+            let host = host_name(&route.host).to_ascii_lowercase();
+            let Some(routes) = self.hosts.get_mut(host.as_str()) else {
+                continue;
+            };
             let prefix = route.path_prefix.as_str();
-            if let Some(places) = self.prefixes.get_mut(prefix) {
+            if let Some(places) = routes.prefixes.get_mut(prefix) {
                 places.retain(|place| place.service != contract.service);
                 if places.is_empty() {
-                    self.prefixes.remove(prefix);
+                    routes.prefixes.remove(prefix);
                 }
             }
             let length = route.path_prefix.len();
-            if let Some(count) = self.lengths.get_mut(&length) {
+            if let Some(count) = routes.lengths.get_mut(&length) {
                 *count -= 1;
                 if *count == 0 {
-                    self.lengths.remove(&length);
+                    routes.lengths.remove(&length);
                 }
             }
         }
     }
 
-    /// The route with the longest prefix that takes the method; of equals, the first service.
+    /// The route with the longest prefix that takes host and method; of equals, the first
+    /// service. Routes that name the host go before those that take every host.
     pub fn find<'a>(
+        &self,
+        services: &'a HashMap<ServiceId, Arc<ServiceContract>>,
+        host: &str,
+        method: &str,
+        path: &str,
+    ) -> RouteAnswer<'a> {
+        let host = host_name(host).to_ascii_lowercase();
+        let mut answer = RouteAnswer::Unknown;
+        for name in [host.as_str(), ""] {
+            let Some(routes) = self.hosts.get(name) else {
+                continue;
+            };
+            match routes.find(services, method, path) {
+                RouteAnswer::Unknown => {}
+                RouteAnswer::OtherMethod => answer = RouteAnswer::OtherMethod,
+                found => return found,
+            }
+            if name.is_empty() {
+                break;
+            }
+        }
+        answer
+    }
+}
+
+impl HostRoutes {
+    fn find<'a>(
         &self,
         services: &'a HashMap<ServiceId, Arc<ServiceContract>>,
         method: &str,
@@ -104,7 +145,7 @@
                     continue;
                 };
                 let route = &service.routes[place.index as usize];
-                if route.method == method {
+                if route.method.is_empty() || route.method == method {
                     return RouteAnswer::Found(service, route);
                 }
                 answer = RouteAnswer::OtherMethod;
@@ -113,3 +154,11 @@
         answer
     }
 }
+
+/// A host without its port.
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -6,6 +6,7 @@
 use imbl::{HashMap, HashSet, OrdMap, Vector};
 
 use super::check::check_change;
+use super::document::CallerLimits;
 use super::message::{
     Change, KeyAnswer, ObjectId, ObjectState, OrganisationContract, Record, ServiceContract,
     Verdict,
@@ -33,6 +34,8 @@
     pub domains_back: BTreeMap<DomainId, Offset>,
     /// Keys withdrawn without the log. Not part of the prefix; only leaves when the log has them.
     pub tombstones: HashSet<KeyHash>,
+    /// What callers may send and how long they may take.
+    pub limits: CallerLimits,
     pub(super) keys: OrdMap<KeyHash, KeyState>,
     /// Offset of the record that last changed an organisation.
     pub(super) organisation_versions: OrdMap<OrganisationId, Offset>,
@@ -161,9 +164,9 @@
         by_log || self.tombstones.contains(key_hash)
     }
 
-    /// The route with the longest path prefix that takes this method and path.
-    pub fn route(&self, method: &str, path: &str) -> RouteAnswer<'_> {
-        self.routes.find(&self.services, method, path)
+    /// The route with the longest path prefix that takes this host, method and path.
+    pub fn route(&self, host: &str, method: &str, path: &str) -> RouteAnswer<'_> {
+        self.routes.find(&self.services, host, method, path)
     }
 
     pub(super) fn remember(&mut self, operation: OperationId) -> bool {
--- a/src/contract/tests.rs
+++ b/src/contract/tests.rs
@@ -210,7 +210,7 @@
 }
 
 fn found(view: &View, method: &str, path: &str) -> String {
-    match view.route(method, path) {
+    match view.route("", method, path) {
         RouteAnswer::Found(service, route) => format!("{} {}", service.service, route.path_prefix),
         RouteAnswer::OtherMethod => "other method".to_owned(),
         RouteAnswer::Unknown => "unknown".to_owned(),
--- a/src/daemon/beside.rs
+++ b/src/daemon/beside.rs
@@ -10,8 +10,10 @@
 use super::entry::{start_answers, ACCEPT_THREAD_COUNT};
 use super::health::HealthFeed;
 use super::rings::Rings;
+use crate::guard::announce::AnnouncementDialect;
 use crate::guard::{self, GuardMessage};
 use crate::ring::{ring, spawn_duty};
+use crate::wire::client::HttpClient;
 use crate::wire::listener::HttpListener;
 
 pub(super) fn start_guard(
@@ -22,7 +24,6 @@
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &common.settings;
-    let (starts, starts_end) = ring("start", settings.guard.ring_count, &common.metrics);
     let (answers, answers_end) = ring("refuse", settings.guard.ring_count, &common.metrics);
     let (cancels, cancels_end) = ring("cancel", CANCEL_RING_COUNT, &common.metrics);
     let mut threads = Vec::new();
@@ -33,6 +34,7 @@
             clock: common.clock.clone(),
             metrics: common.metrics.clone(),
             guard: rings.guard.clone(),
+            feed: rings.feed.clone(),
         };
         threads.push(spawn_duty(&format!("guard-in-{index}"), move || {
             guard::accept::run(&context)
@@ -44,7 +46,14 @@
         incarnation: common.incarnation,
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
-        starts,
+        caller: Arc::new(HttpClient::start("call")),
+        forward: guard::forward::ForwardContext {
+            dialect: common.dialect.clone(),
+            connect_timeout: Duration::from_millis(settings.guard.connect_timeout_ms),
+            answer_limit_bytes: settings.front.answer_limit_bytes,
+            reuse_idle: Duration::from_millis(settings.guard.reuse_idle_ms),
+            reuse_idle_once: Duration::from_millis(settings.guard.reuse_idle_once_ms),
+        },
         cancels,
         answers,
         outcomes: Box::new(HealthFeed(rings.health.clone())),
@@ -56,19 +65,6 @@
     threads.push(spawn_duty("guard", move || {
         guard::duty::run(&context, &messages)
     }));
-    let context = guard::forward::ForwardContext {
-        backend: Arc::new(guard::forward::HttpBackend),
-        connect_timeout: Duration::from_millis(settings.guard.connect_timeout_ms),
-        answer_limit_bytes: settings.front.answer_limit_bytes,
-        guard: rings.guard.clone(),
-    };
-    for index in 0..settings.guard.worker_count {
-        let context = context.clone();
-        let jobs = starts_end.clone();
-        threads.push(spawn_duty(&format!("call-{index}"), move || {
-            guard::forward::run(&context, &jobs)
-        }));
-    }
     let metrics = common.metrics.clone();
     threads.push(spawn_duty("cancel", move || {
         guard::cancel::run(&metrics, &cancels_end)
@@ -79,8 +75,15 @@
 
 const CANCEL_RING_COUNT: usize = 256;
 
-pub(super) fn start_announce(rings: &Rings, listener: &Arc<HttpListener>) -> JoinHandle<()> {
+pub(super) fn start_announce(
+    rings: &Rings,
+    listener: &Arc<HttpListener>,
+    dialect: &Arc<dyn AnnouncementDialect>,
+) -> JoinHandle<()> {
     let listener = listener.clone();
+    let dialect = dialect.clone();
     let guard = rings.guard.clone();
-    spawn_duty("announce", move || guard::announce::run(&listener, &guard))
+    spawn_duty("announce", move || {
+        guard::announce::run(&listener, &*dialect, &guard)
+    })
 }
--- a/src/daemon/common.rs
+++ b/src/daemon/common.rs
@@ -8,6 +8,7 @@
 use crate::ring::RingSender;
 use crate::settings::Settings;
 use crate::types::Incarnation;
+use crate::wire::dialect::Dialect;
 use crate::wire::proof::FleetKey;
 
 /// What the parts of one daemon share.
@@ -20,6 +21,8 @@
     pub(super) audit: Arc<dyn AuditSink>,
     /// The ring of the audit duty.
     pub(super) trail: RingSender<AuditEvent>,
+    /// How callers and backend servers are spoken to.
+    pub(super) dialect: Arc<dyn Dialect>,
     /// This life of the daemon.
     pub(super) incarnation: Incarnation,
 }
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -1,4 +1,4 @@
-//! Starts the entry: front, allowance, routing and the threads that carry attempts.
+//! Starts the entry: front, allowance and routing.
 
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -18,18 +18,16 @@
 use crate::front::{self, FrontMessage};
 use crate::link::PeerName;
 use crate::ring::{ring, spawn_duty};
+use crate::routing::forward::ForwardContext;
 use crate::routing::least_loaded::LeastLoaded;
 use crate::routing::{self, RoutingMessage};
+use crate::wire::client::HttpClient;
 use crate::wire::listener::HttpListener;
 
 const ANSWER_THREAD_COUNT: usize = 16;
 pub(super) const ACCEPT_THREAD_COUNT: usize = 2;
 
-pub(super) type EntryReceivers = (
-    Receiver<FrontMessage>,
-    Receiver<AllowanceMessage>,
-    Receiver<RoutingMessage>,
-);
+pub(super) type EntryReceivers = (Receiver<FrontMessage>, Receiver<RoutingMessage>);
 
 pub(super) fn start_entry(
     common: &Common,
@@ -39,19 +37,16 @@
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &common.settings;
-    let (front_end, allowance_end, routing_end) = receivers;
+    let (front_end, routing_end) = receivers;
     let mut threads = Vec::new();
     let (answers, answers_end) = ring("answer", settings.front.ring_count, &common.metrics);
-    let worker_count = settings.front.worker_count;
-    let upload_count = settings.front.upload_worker_count;
-    let (forwards, forwards_end) = ring("forward", worker_count, &common.metrics);
-    let (uploads, uploads_end) = ring("upload", upload_count, &common.metrics);
     for index in 0..ACCEPT_THREAD_COUNT {
         let context = front::accept::AcceptContext {
             settings: settings.front.clone(),
             listener: listener.clone(),
             clock: common.clock.clone(),
             metrics: common.metrics.clone(),
+            dialect: common.dialect.clone(),
             front: rings.front.clone(),
         };
         threads.push(spawn_duty(&format!("accept-{index}"), move || {
@@ -62,6 +57,7 @@
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
         audit: common.audit.clone(),
+        dialect: common.dialect.clone(),
         allowance: rings.allowance.clone(),
         routing: rings.routing.clone(),
         answers: answers.clone(),
@@ -69,32 +65,24 @@
     threads.push(spawn_duty("front", move || {
         front::duty::run(&context, &front_end)
     }));
-    let own = Candidate {
-        name: PeerName {
-            daemon: settings.daemon.daemon.clone(),
-            incarnation: common.incarnation,
-        },
-        domain: settings.daemon.domain.clone(),
-    };
-    let context = allowance::duty::AllowanceContext {
-        options: AllowanceOptions::new(own, settings.allowance.clone()),
-        clock: common.clock.clone(),
-        metrics: common.metrics.clone(),
-        front: rings.front.clone(),
-        permits: Box::new(HealthFeed(rings.health.clone())),
-        journal: rings.journal.clone(),
-        link: rings.link.clone(),
-        own: rings.allowance.clone(),
-    };
-    threads.push(spawn_duty("allowance", move || {
-        allowance::duty::run(context, &allowance_end)
-    }));
     let context = routing::duty::RoutingContext {
         settings: settings.routing.clone(),
+        daemon: settings.daemon.daemon.clone(),
+        origin: settings.daemon.service.clone(),
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
-        forwards,
-        uploads,
+        dialect: common.dialect.clone(),
+        caller: Arc::new(HttpClient::start("forward")),
+        forward: ForwardContext {
+            daemon: settings.daemon.daemon.clone(),
+            key: common.key.clone(),
+            connect_timeout: Duration::from_millis(settings.routing.connect_timeout_ms),
+            answer_grace: Duration::from_millis(settings.routing.answer_grace_ms),
+            answer_limit_bytes: settings.front.answer_limit_bytes,
+            reuse_idle: Duration::from_millis(settings.routing.reuse_idle_ms),
+        },
+        call_limit_count: settings.front.worker_count,
+        upload_limit_count: settings.front.upload_worker_count,
         answers,
         peers: Arc::new(FleetCaller {
             own: settings.daemon.daemon.clone(),
@@ -111,44 +99,37 @@
     threads.push(spawn_duty("routing", move || {
         routing::duty::run(&context, choice, &routing_end)
     }));
-    let context = routing::forward::ForwardContext {
-        key: common.key.clone(),
-        connect_timeout: Duration::from_millis(settings.routing.connect_timeout_ms),
-        answer_grace: Duration::from_millis(settings.routing.answer_grace_ms),
-        answer_limit_bytes: settings.front.answer_limit_bytes,
-        retry_body_limit_bytes: settings.front.retry_body_limit_bytes,
-        routing: rings.routing.clone(),
-    };
-    threads.extend(start_forwards(
-        "forward",
-        worker_count,
-        &context,
-        &forwards_end,
-    ));
-    threads.extend(start_forwards(
-        "upload",
-        upload_count,
-        &context,
-        &uploads_end,
-    ));
     threads.extend(start_answers("answer", &answers_end));
     threads
 }
 
-fn start_forwards(
-    name: &str,
-    count: usize,
-    context: &routing::forward::ForwardContext,
-    jobs: &Receiver<routing::forward::ForwardJob>,
-) -> Vec<JoinHandle<()>> {
-    let start = |index: usize| {
-        let context = context.clone();
-        let jobs = jobs.clone();
-        spawn_duty(&format!("{name}-{index}"), move || {
-            routing::forward::run(&context, &jobs);
-        })
+/// Starts the allowance that is cut into seats by the platform's log.
+pub(super) fn start_allowance(
+    common: &Common,
+    rings: &Rings,
+    allowance_end: Receiver<AllowanceMessage>,
+) -> JoinHandle<()> {
+    let settings = &common.settings;
+    let own = Candidate {
+        name: PeerName {
+            daemon: settings.daemon.daemon.clone(),
+            incarnation: common.incarnation,
+        },
+        domain: settings.daemon.domain.clone(),
+    };
+    let context = allowance::duty::AllowanceContext {
+        options: AllowanceOptions::new(own, settings.allowance.clone()),
+        clock: common.clock.clone(),
+        metrics: common.metrics.clone(),
+        front: rings.front.clone(),
+        permits: Box::new(HealthFeed(rings.health.clone())),
+        journal: rings.journal.clone(),
+        link: rings.link.clone(),
+        own: rings.allowance.clone(),
     };
-    (0..count).map(start).collect()
+    spawn_duty("allowance", move || {
+        allowance::duty::run(context, &allowance_end)
+    })
 }
 
 pub(super) fn start_answers(
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -1,6 +1,5 @@
 //! Starts what joins this daemon to the fleet: membership, journal and link.
 
-use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -9,15 +8,15 @@
 use crossbeam::channel::Receiver;
 
 use super::common::Common;
+use super::newest::view_readers;
 use super::peers::PeerDispatch;
-use super::readers::Readers;
 use super::rings::Rings;
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
+use crate::feed::{FeedEvent, FeedMessage};
 use crate::guard::GuardMessage;
 use crate::health::{HealthEvent, HealthMessage};
 use crate::idempotency::{self, IdempotencyMessage};
-use crate::journal::client::HttpLog;
-use crate::journal::{self, JournalEvent, MEMBERS};
+use crate::journal::{self, JournalEvent, PlatformLog, MEMBERS};
 use crate::link::{self, LinkMessage, PeerName, PeerRequest};
 use crate::membership::duty::{FleetReader, Peers};
 use crate::membership::{self, CallTarget, DaemonEntry, MembershipCall, MembershipEvent, Ticket};
@@ -25,6 +24,9 @@
 use crate::ring::{spawn_duty, RingSender};
 use crate::routing::{RoutingEvent, RoutingMessage};
 
+/// Makes the description of this daemon known.
+pub(super) type Publish = Box<dyn Fn(&DaemonEntry) + Send>;
+
 /// Where other daemons reach this one.
 #[derive(Clone, Copy)]
 pub(super) struct FleetAddresses {
@@ -38,6 +40,7 @@
     common: &Common,
     rings: &Rings,
     addresses: FleetAddresses,
+    (publish, readers): (Publish, Vec<FleetReader>),
     (events, calls): (Receiver<MembershipEvent>, Receiver<MembershipCall>),
 ) -> JoinHandle<()> {
     let own = DaemonEntry {
@@ -50,25 +53,12 @@
         leaving: false,
         servers: Vec::new(),
     };
-    let journal = rings.journal.clone();
-    let metrics = common.metrics.clone();
     let context = membership::duty::MembershipContext {
         settings: common.settings.membership.clone(),
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
-        publish: Box::new(move |entry| {
-            let body = serde_json::to_string(entry).expect("plain values become JSON");
-            if journal
-                .offer(JournalEvent::Append {
-                    stream: MEMBERS,
-                    body,
-                })
-                .is_err()
-            {
-                metrics.count("membership.publish.refused");
-            }
-        }),
-        readers: fleet_readers(rings),
+        publish,
+        readers,
         peers: Box::new(LinkPeers {
             link: rings.link.clone(),
             calls: rings.membership_calls.clone(),
@@ -79,31 +69,65 @@
     })
 }
 
-/// Who reads snapshots of the fleet. Each may be full: membership waits for none of them.
-fn fleet_readers(rings: &Rings) -> Vec<FleetReader> {
+/// Makes this daemon known through the platform's log.
+pub(super) fn publish_in_log(common: &Common, rings: &Rings) -> Publish {
     let journal = rings.journal.clone();
+    let metrics = common.metrics.clone();
+    Box::new(move |entry| {
+        let body = serde_json::to_string(entry).expect("plain values become JSON");
+        let append = JournalEvent::Append {
+            stream: MEMBERS,
+            body,
+        };
+        if journal.offer(append).is_err() {
+            metrics.count("membership.publish.refused");
+        }
+    })
+}
+
+/// Makes this daemon known through the newest record of its name.
+pub(super) fn publish_newest(common: &Common, notices: RingSender<DaemonEntry>) -> Publish {
+    let metrics = common.metrics.clone();
+    Box::new(move |entry| {
+        if notices.offer(entry.clone()).is_err() {
+            metrics.count("membership.publish.refused");
+        }
+    })
+}
+
+/// Who reads snapshots of the fleet, whatever the platform keeps. Each may be full: membership
+/// waits for none of them.
+pub(super) fn fleet_readers(rings: &Rings) -> Vec<FleetReader> {
     let routing = rings.routing.clone();
     let link = rings.link.clone();
-    let health = rings.health.clone();
     let allowance = rings.allowance.clone();
-    let idempotency = rings.idempotency.clone();
     let guard = rings.guard.clone();
-    let operator = rings.operator.clone();
     vec![
-        Box::new(move |fleet| journal.offer(JournalEvent::Fleet(fleet.clone())).is_ok()),
         Box::new(move |fleet| {
             let event = RoutingEvent::Fleet(fleet.clone());
             routing.offer(RoutingMessage::Event(event)).is_ok()
         }),
         Box::new(move |fleet| link.offer(LinkMessage::Fleet(fleet.clone())).is_ok()),
-        Box::new(move |fleet| {
-            let event = HealthEvent::Fleet(fleet.clone());
-            health.offer(HealthMessage::Event(event)).is_ok()
-        }),
         Box::new(move |fleet| {
             let event = AllowanceEvent::Fleet(fleet.clone());
             allowance.offer(AllowanceMessage::Event(event)).is_ok()
         }),
+        Box::new(move |fleet| guard.offer(GuardMessage::Fleet(fleet.clone())).is_ok()),
+    ]
+}
+
+/// Who reads snapshots of the fleet besides, with the platform's log.
+pub(super) fn log_fleet_readers(rings: &Rings) -> Vec<FleetReader> {
+    let journal = rings.journal.clone();
+    let health = rings.health.clone();
+    let idempotency = rings.idempotency.clone();
+    let operator = rings.operator.clone();
+    vec![
+        Box::new(move |fleet| journal.offer(JournalEvent::Fleet(fleet.clone())).is_ok()),
+        Box::new(move |fleet| {
+            let event = HealthEvent::Fleet(fleet.clone());
+            health.offer(HealthMessage::Event(event)).is_ok()
+        }),
         Box::new(move |fleet| {
             let message = IdempotencyMessage::Fleet(fleet.clone());
             idempotency.offer(message).is_ok()
@@ -112,10 +136,18 @@
             let event = OperatorEvent::Fleet(fleet.clone());
             operator.offer(OperatorMessage::Event(event)).is_ok()
         }),
-        Box::new(move |fleet| guard.offer(GuardMessage::Fleet(fleet.clone())).is_ok()),
     ]
 }
 
+/// Who reads snapshots of the fleet besides, with a store of newest records.
+pub(super) fn newest_fleet_readers(rings: &Rings) -> Vec<FleetReader> {
+    let feed = rings.feed.clone();
+    vec![Box::new(move |fleet| {
+        let event = FeedEvent::Fleet(fleet.clone());
+        feed.offer(FeedMessage::Event(event)).is_ok()
+    })]
+}
+
 /// Calls of membership, carried by the link.
 struct LinkPeers {
     link: RingSender<LinkMessage>,
@@ -161,31 +193,19 @@
 pub(super) fn start_journal(
     common: &Common,
     rings: &Rings,
+    log: Arc<dyn PlatformLog>,
     events: Receiver<JournalEvent>,
     stopping: &Arc<AtomicBool>,
 ) -> Vec<JoinHandle<()>> {
-    let readers = Readers {
-        front: rings.front.clone(),
-        allowance: rings.allowance.clone(),
-        routing: rings.routing.clone(),
-        back_at: Cell::new(None),
-        operator: rings.operator.clone(),
-        trail: common.trail.clone(),
-        membership: rings.membership.clone(),
-        guard: rings.guard.clone(),
-        domain: common.settings.daemon.domain.clone(),
-        batch_count: common.settings.journal.batch_count,
-        metrics: common.metrics.clone(),
-    };
     let context = journal::duty::JournalContext {
         settings: common.settings.journal.clone(),
         own: common.settings.daemon.daemon.clone(),
         seed: common.incarnation,
-        log: Arc::new(HttpLog::new(&common.settings.journal)),
+        log,
         clock: common.clock.clone(),
         metrics: common.metrics.clone(),
         link: rings.link.clone(),
-        readers: vec![Box::new(readers)],
+        readers: vec![Box::new(view_readers(common, rings))],
     };
     journal::duty::start(context, (rings.journal.clone(), events), stopping.clone())
 }
@@ -195,6 +215,7 @@
     rings: &Rings,
     listener: TcpListener,
     messages: Receiver<LinkMessage>,
+    reads_feed: bool,
 ) -> JoinHandle<()> {
     let context = link::duty::LinkContext {
         settings: common.settings.link.clone(),
@@ -206,6 +227,7 @@
         metrics: common.metrics.clone(),
         handler: Arc::new(PeerDispatch {
             rings: rings.clone(),
+            reads_feed,
         }),
     };
     spawn_duty("link", move || {
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -2,6 +2,7 @@
 
 use super::rings::Rings;
 use crate::allowance::AllowanceMessage;
+use crate::feed::FeedMessage;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::health::HealthMessage;
 use crate::idempotency::IdempotencyMessage;
@@ -15,6 +16,8 @@
 /// Knows which duty answers which request.
 pub(super) struct PeerDispatch {
     pub(super) rings: Rings,
+    /// Whether the configuration is read from a feed and not from the log.
+    pub(super) reads_feed: bool,
 }
 
 impl PeerHandler for PeerDispatch {
@@ -44,6 +47,13 @@
                 reply(guard(GuardEvent::Poison { from, reports }));
             }
             PeerRequest::Records(request) => {
+                if self.reads_feed {
+                    let message = FeedMessage::Asked { request, reply };
+                    if let Err(FeedMessage::Asked { reply, .. }) = self.rings.feed.offer(message) {
+                        reply(Err(LinkError::Refused));
+                    }
+                    return;
+                }
                 let event = JournalEvent::PeerAsked {
                     from: from.clone(),
                     request,
--- a/src/daemon/readers.rs
+++ b/src/daemon/readers.rs
@@ -14,6 +14,7 @@
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
 use crate::operator::{OperatorEvent, OperatorMessage};
+use crate::ready::ReadyEvent;
 use crate::ring::RingSender;
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::types::DomainId;
@@ -35,6 +36,8 @@
     pub membership: RingSender<MembershipEvent>,
     /// The guard.
     pub guard: RingSender<GuardMessage>,
+    /// Readiness.
+    pub ready: RingSender<ReadyEvent>,
     /// The failure domain of this VM.
     pub domain: DomainId,
     /// Offset at which the domain last came back, as the guard was told; none before the first
@@ -71,6 +74,8 @@
     fn view(&self, view: Arc<View>) {
         self.tell_operator(OperatorEvent::View(view.clone()));
         self.tell_guard(&view);
+        self.guard
+            .deliver(GuardMessage::Event(GuardEvent::View(view.clone())));
         self.allowance
             .deliver(AllowanceMessage::Event(AllowanceEvent::View(view.clone())));
         self.routing
@@ -99,6 +104,8 @@
 
     fn usable(&self, usable: bool) {
         self.tell_operator(OperatorEvent::Usable(usable));
+        // Readiness that nobody serves takes no events.
+        let _ = self.ready.offer(ReadyEvent::Usable(usable));
         self.front
             .deliver(FrontMessage::Event(FrontEvent::Usable(usable)));
     }
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -4,6 +4,7 @@
 
 use super::common::Common;
 use crate::allowance::AllowanceMessage;
+use crate::feed::FeedMessage;
 use crate::front::FrontMessage;
 use crate::guard::GuardMessage;
 use crate::health::HealthMessage;
@@ -12,6 +13,7 @@
 use crate::link::LinkMessage;
 use crate::membership::{MembershipCall, MembershipEvent};
 use crate::operator::OperatorMessage;
+use crate::ready::ReadyEvent;
 use crate::ring::{ring, RingSender};
 use crate::routing::RoutingMessage;
 
@@ -28,6 +30,8 @@
     pub(super) link: RingSender<LinkMessage>,
     pub(super) idempotency: RingSender<IdempotencyMessage>,
     pub(super) operator: RingSender<OperatorMessage>,
+    pub(super) feed: RingSender<FeedMessage>,
+    pub(super) ready: RingSender<ReadyEvent>,
 }
 
 pub(super) struct Receivers {
@@ -42,6 +46,8 @@
     pub(super) link: Receiver<LinkMessage>,
     pub(super) idempotency: Receiver<IdempotencyMessage>,
     pub(super) operator: Receiver<OperatorMessage>,
+    pub(super) feed: Receiver<FeedMessage>,
+    pub(super) ready: Receiver<ReadyEvent>,
 }
 
 pub(super) fn make_rings(common: &Common) -> (Rings, Receivers) {
@@ -60,6 +66,8 @@
     let (idempotency, idempotency_end) = ring("idempotency", idempotency_count, metrics);
     let (link, link_end) = ring("link", settings.link.ring_count, metrics);
     let (operator, operator_end) = ring("operator", settings.operator.ring_count, metrics);
+    let (feed, feed_end) = ring("feed", settings.feed.ring_count, metrics);
+    let (ready, ready_end) = ring("ready", READY_RING_COUNT, metrics);
     let rings = Rings {
         front,
         allowance,
@@ -72,6 +80,8 @@
         link,
         idempotency,
         operator,
+        feed,
+        ready,
     };
     let receivers = Receivers {
         front: front_end,
@@ -85,8 +95,12 @@
         link: link_end,
         idempotency: idempotency_end,
         operator: operator_end,
+        feed: feed_end,
+        ready: ready_end,
     };
     (rings, receivers)
 }
 
 pub(super) const JOURNAL_RING_COUNT: usize = 1024;
+
+const READY_RING_COUNT: usize = 1024;
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -6,17 +6,21 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{bounded, Receiver};
+use crossbeam::channel::{bounded, Receiver, Sender};
 
 use super::beside::{start_announce, start_guard};
+use super::borders::{Borders, Store};
 use super::common::Common;
-use super::entry::start_entry;
+use super::entry::{start_allowance, start_entry};
 use super::fleet::{
+    fleet_readers, log_fleet_readers, newest_fleet_readers, publish_in_log, publish_newest,
     start_idempotency, start_journal, start_link, start_membership, FleetAddresses,
 };
 use super::health::start_health;
+use super::listeners::Listeners;
+use super::newest::{start_newest, start_quota};
 use super::operator::{start_audit, start_operator};
-use super::rings::{make_rings, Receivers, Rings};
+use super::rings::{make_rings, Rings};
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::audit::duty::AuditRing;
 use crate::audit::AuditEvent;
@@ -26,12 +30,12 @@
 use crate::health::HealthMessage;
 use crate::idempotency::IdempotencyMessage;
 use crate::journal::JournalEvent;
-use crate::link::{self, LinkMessage};
+use crate::link::LinkMessage;
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
 use crate::operator::OperatorMessage;
-use crate::ring::spawn_duty;
-use crate::ring::{ring, RingSender};
+use crate::ready::{self, ReadyEvent};
+use crate::ring::{ring, spawn_duty, RingSender};
 use crate::routing::RoutingMessage;
 use crate::settings::Settings;
 use crate::wire::listener::HttpListener;
@@ -51,17 +55,27 @@
     pub operator_address: SocketAddr,
     /// Counters.
     pub metrics: Metrics,
+    linger: Duration,
     trail: RingSender<AuditEvent>,
+    front: Arc<HttpListener>,
     listeners: Vec<Arc<HttpListener>>,
     rings: Rings,
     stopping: Arc<AtomicBool>,
+    /// Dropping it ends the waits of readers.
+    pause: Option<Sender<()>>,
     /// Each hears once that a part of the daemon has nothing left to do.
     drained: Vec<Receiver<()>>,
     threads: Vec<JoinHandle<()>>,
 }
 
-/// Starts a daemon with these settings.
+/// Starts a daemon with these settings and the product's own interfaces.
 pub fn start(settings: Settings) -> eyre::Result<Daemon> {
+    let borders = Borders::own(&settings);
+    start_with(settings, borders)
+}
+
+/// Starts a daemon with these settings and borders.
+pub fn start_with(settings: Settings, borders: Borders) -> eyre::Result<Daemon> {
     let metrics = Metrics::from_settings(&settings.metrics)?;
     let (trail, trail_end) = ring("audit", settings.audit.ring_count, &metrics);
     let audit = AuditRing {
@@ -74,33 +88,16 @@
         metrics,
         audit: Arc::new(audit),
         trail,
-        incarnation: epoch_ms(SystemClock.wall()),
+        dialect: borders.dialect,
+        incarnation: epoch_ms(SystemClock.wall()).max(borders.last_life + 1),
         settings,
     };
-    let front_listener = Arc::new(HttpListener::bind(common.settings.front.address)?);
-    let guard_listener = Arc::new(HttpListener::bind(common.settings.guard.address)?);
-    let announce_listener = Arc::new(HttpListener::bind(common.settings.guard.announce_address)?);
-    let operator_listener = Arc::new(HttpListener::bind(common.settings.operator.address)?);
-    let link_listener = link::duty::bind(common.settings.link.address)?;
-    let link_address = link_listener.local_addr()?;
+    let listeners = Listeners::bind(&common)?;
     let (rings, receivers) = make_rings(&common);
     let stopping = Arc::new(AtomicBool::new(false));
-    let Receivers {
-        front,
-        allowance,
-        routing,
-        guard,
-        health,
-        membership,
-        membership_calls,
-        journal,
-        link,
-        idempotency,
-        operator,
-    } = receivers;
     let addresses = FleetAddresses {
-        guard: guard_listener.address(),
-        link: link_address,
+        guard: listeners.guard.address(),
+        link: listeners.link_address,
     };
     let (guard_drained, guard_drained_end) = bounded(1);
     let (entry_drained, entry_drained_end) = bounded(1);
@@ -108,51 +105,96 @@
     threads.extend(start_entry(
         &common,
         &rings,
-        &front_listener,
-        (front, allowance, routing),
+        &listeners.front,
+        (receivers.front, receivers.routing),
         entry_drained,
     ));
     threads.extend(start_guard(
         &common,
         &rings,
-        &guard_listener,
-        guard,
+        &listeners.guard,
+        receivers.guard,
         guard_drained,
     ));
-    threads.push(start_health(&common, &rings, health));
-    threads.push(start_announce(&rings, &announce_listener));
+    let announce = start_announce(&rings, &listeners.announce, &borders.announcements);
+    threads.push(announce);
+    let mut readers = fleet_readers(&rings);
+    let mut pause = None;
+    let reads_feed = matches!(borders.store, Store::Newest(_));
+    let publish = match borders.store {
+        Store::Log(log) => {
+            let allowance = start_allowance(&common, &rings, receivers.allowance);
+            threads.push(allowance);
+            threads.push(start_health(&common, &rings, receivers.health));
+            let journal = start_journal(&common, &rings, log, receivers.journal, &stopping);
+            threads.extend(journal);
+            threads.push(start_idempotency(&common, receivers.idempotency));
+            let operator = &listeners.operator;
+            threads.extend(start_operator(
+                &common,
+                &rings,
+                operator,
+                receivers.operator,
+            ));
+            readers.extend(log_fleet_readers(&rings));
+            publish_in_log(&common, &rings)
+        }
+        Store::Newest(store) => {
+            threads.push(start_quota(&common, &rings, receivers.allowance));
+            let newest = start_newest(&common, &rings, store, receivers.feed, &stopping);
+            // Its readers may wait for the platform; nothing is lost when they end with the process.
+            pause = Some(newest.pause);
+            readers.extend(newest_fleet_readers(&rings));
+            publish_newest(&common, newest.notices)
+        }
+    };
     threads.push(start_membership(
         &common,
         &rings,
         addresses,
-        (membership, membership_calls),
+        (publish, readers),
+        (receivers.membership, receivers.membership_calls),
     ));
-    threads.extend(start_journal(&common, &rings, journal, &stopping));
-    threads.push(start_idempotency(&common, idempotency));
-    threads.extend(start_operator(
+    threads.push(start_audit(&common, &rings, trail_end));
+    let link = listeners.link;
+    threads.push(start_link(
         &common,
         &rings,
-        &operator_listener,
-        operator,
+        link,
+        receivers.link,
+        reads_feed,
     ));
-    threads.push(start_audit(&common, &rings, trail_end));
-    threads.push(start_link(&common, &rings, link_listener, link));
+    for listener in &listeners.ready {
+        let listener = listener.clone();
+        let events = receivers.ready.clone();
+        let metrics = common.metrics.clone();
+        threads.push(spawn_duty("ready", move || {
+            ready::duty::run(&listener, &events, &metrics);
+        }));
+    }
     Ok(Daemon {
-        front_address: front_listener.address(),
-        guard_address: guard_listener.address(),
-        announce_address: announce_listener.address(),
-        link_address,
-        operator_address: operator_listener.address(),
+        front_address: listeners.front.address(),
+        guard_address: listeners.guard.address(),
+        announce_address: listeners.announce.address(),
+        link_address: listeners.link_address,
+        operator_address: listeners.operator.address(),
         metrics: common.metrics,
+        linger: Duration::from_millis(common.settings.daemon.linger_ms),
         trail: common.trail,
-        listeners: vec![
-            front_listener,
-            guard_listener,
-            announce_listener,
-            operator_listener,
-        ],
+        front: listeners.front.clone(),
+        listeners: [
+            vec![
+                listeners.front,
+                listeners.guard,
+                listeners.announce,
+                listeners.operator,
+            ],
+            listeners.ready,
+        ]
+        .concat(),
         rings,
         stopping,
+        pause,
         drained: vec![entry_drained_end, guard_drained_end],
         threads,
     })
@@ -169,20 +211,27 @@
             drained,
             threads,
             trail,
+            linger,
+            front,
+            pause,
             ..
         } = self;
         let ends_at = Instant::now() + limit;
+        let _ = rings.ready.offer(ReadyEvent::Drain);
+        front.wind_down();
+        rings.membership.deliver(MembershipEvent::Leave);
+        std::thread::sleep(linger);
         rings.front.deliver(FrontMessage::Event(FrontEvent::Drain));
         rings.guard.deliver(GuardMessage::Event(GuardEvent::Drain));
         let leave = AllowanceMessage::Event(AllowanceEvent::Leave);
         rings.allowance.deliver(leave);
-        rings.membership.deliver(MembershipEvent::Leave);
         for part in &drained {
             if part.recv_deadline(ends_at).is_err() {
                 log::warn!("requests still run after the longest stop");
             }
         }
         stopping.store(true, Ordering::Relaxed);
+        drop(pause);
         for listener in &listeners {
             listener.close();
         }
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -179,6 +179,7 @@
         floor_share: FLOOR_SHARE,
         slots_count: SLOTS_COUNT,
         routes: routes.collect(),
+        ..Default::default()
     };
     DemoService {
         contract,
@@ -197,6 +198,7 @@
             burst_count: if large { 800 } else { 200 },
             weight_share: if large { 4 } else { 1 },
             routes: routes.iter().map(|route| (*route).into()).collect(),
+            ..Default::default()
         }
     };
     (1..=ORGANISATION_COUNT).map(contract).collect()
--- a/src/error.rs
+++ b/src/error.rs
@@ -107,6 +107,10 @@
     DuplicateRequest = "duplicate_request", 409, No, "A request with this idempotency key was already taken.";
     /// The request was fenced before its start.
     Fenced = "fenced", 503, No, "The request was withdrawn before its start.";
+    /// The backend server refused the request before it ran it.
+    ServerShed = "server_shed", 503, No, "The backend server took no more requests.";
+    /// Another backend server has the address, and did not run the request.
+    ServerReplaced = "server_replaced", 503, No, "The backend server was replaced by another one.";
     /// The operator's token is missing or not known.
     OperatorUnknown = "operator_unknown", 401, No, "The operator's token is missing or not known.";
     /// The operators' API has no such path.
--- /dev/null
+++ b/src/feed/duty.rs
@@ -0,0 +1,138 @@
+//! The configuration thread of daemons that read a feed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{FeedAction, FeedEvent, FeedMessage, Snapshot};
+use super::state::FeedState;
+use crate::clock::Clock;
+use crate::journal::duty::JournalReader;
+use crate::journal::CONFIGURATION;
+use crate::link::{
+    LinkError, LinkMessage, PeerAnswer, PeerReply, PeerRequest, RecordsAnswer, RecordsRequest,
+};
+use crate::metrics::Metrics;
+use crate::ring::RingSender;
+use crate::settings::feed::FeedSettings;
+use crate::types::{DaemonId, Offset};
+
+/// What the configuration duty needs of the world.
+pub struct FeedContext {
+    /// Its settings.
+    pub settings: FeedSettings,
+    /// This daemon.
+    pub own: DaemonId,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Calls peers.
+    pub link: RingSender<LinkMessage>,
+    /// Where peers' answers come in: this duty's own ring.
+    pub answers: RingSender<FeedMessage>,
+    /// Takes new views.
+    pub reader: Box<dyn JournalReader>,
+}
+
+/// Runs the duty until it is told to stop.
+pub fn run(context: &FeedContext, messages: &Receiver<FeedMessage>) {
+    let random = ChaCha8Rng::from_rng(&mut rand::rng());
+    let mut state = FeedState::new(context.settings.clone(), context.own.clone(), random);
+    let mut usable = false;
+    loop {
+        let now = context.clock.now();
+        let wait = state
+            .next_tick_at()
+            .map_or(IDLE, |at| at.saturating_duration_since(now));
+        let event = match messages.recv_timeout(wait) {
+            Ok(FeedMessage::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Timeout) => FeedEvent::Tick,
+            Ok(FeedMessage::Event(event)) => event,
+            Ok(FeedMessage::Asked { request, reply }) => {
+                answer(&state, &request, reply);
+                continue;
+            }
+        };
+        for action in state.handle(context.clock.now(), event) {
+            usable |= matches!(action, FeedAction::View(_));
+            carry_out(context, action, usable);
+        }
+    }
+}
+
+const IDLE: Duration = Duration::from_secs(60);
+
+fn answer(state: &FeedState, request: &RecordsRequest, reply: PeerReply) {
+    let snapshot = state.snapshot();
+    if request.stream != CONFIGURATION || snapshot.next <= request.from {
+        return reply(Err(LinkError::Refused));
+    }
+    let text = serde_json::to_string(&**snapshot).expect("plain values become JSON");
+    reply(Ok(PeerAnswer::Records(RecordsAnswer {
+        checkpoint: Some(text),
+        records: Vec::new(),
+        next: snapshot.next,
+    })));
+}
+
+fn carry_out(context: &FeedContext, action: FeedAction, usable: bool) {
+    match action {
+        FeedAction::View(view) => {
+            log::info!(next = view.next, domains_out = view.domains_out.len(); "view_in_force");
+            context.reader.view(view);
+            context.reader.usable(usable);
+        }
+        FeedAction::Ask { peer, from } => ask(context, peer, from),
+        FeedAction::Reachable(reachable) => {
+            log::info!(reachable; "store_reachable");
+            context.reader.reachable(reachable);
+        }
+        FeedAction::Unreadable { key, problem } => {
+            context.metrics.count("feed.record.unreadable");
+            log::warn!(key, problem; "configuration_record_unreadable");
+        }
+    }
+}
+
+fn ask(context: &FeedContext, peer: DaemonId, from: Offset) {
+    context.metrics.count("feed.peer.asked");
+    let answers = context.answers.clone();
+    let metrics = context.metrics.clone();
+    let request = PeerRequest::Records(RecordsRequest {
+        stream: CONFIGURATION.to_owned(),
+        from,
+        limit_count: 0,
+    });
+    let reply: PeerReply = Box::new(move |result| {
+        let told = match result {
+            Ok(PeerAnswer::Records(answer)) => parse(&metrics, answer),
+            _ => None,
+        };
+        answers.deliver(FeedMessage::Event(FeedEvent::PeerTold(told)));
+    });
+    let call = LinkMessage::Call {
+        to: peer,
+        request,
+        reply,
+    };
+    if context.link.offer(call).is_err() {
+        let event = FeedEvent::PeerTold(None);
+        context.answers.deliver(FeedMessage::Event(event));
+    }
+}
+
+fn parse(metrics: &Metrics, answer: RecordsAnswer) -> Option<Snapshot> {
+    let text = answer.checkpoint?;
+    match serde_json::from_str(&text) {
+        Ok(snapshot) => Some(snapshot),
+        Err(error) => {
+            metrics.count("feed.peer.malformed");
+            log::warn!(error:%; "peer_snapshot_unreadable");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/feed/reader.rs
@@ -0,0 +1,78 @@
+//! The thread that reads one feed: its newest items first, then what follows.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::message::FeedRead;
+use super::{Feed, FeedError};
+use crate::settings::feed::FeedSettings;
+
+/// Takes what was read; on the reader's thread.
+pub type ReadSink<T> = Box<dyn Fn(FeedRead<T>) + Send>;
+
+/// What a reader needs of the world.
+pub struct FeedReader<T> {
+    /// Its settings.
+    pub settings: FeedSettings,
+    /// The feed.
+    pub feed: Box<dyn Feed<T>>,
+    /// Takes what was read.
+    pub sink: ReadSink<T>,
+    /// Waits; a daemon that stops ends the wait.
+    pub pause: crossbeam::channel::Receiver<()>,
+    /// Whether the daemon stops.
+    pub stopping: Arc<AtomicBool>,
+}
+
+impl<T> FeedReader<T> {
+    /// Reads until the daemon stops.
+    pub fn run(mut self) {
+        let wait = Duration::from_millis(self.settings.wait_ms);
+        let mut from = None;
+        let mut failed_count: u32 = 0;
+        while !self.stopping.load(Ordering::Relaxed) {
+            let began_at = Instant::now();
+            let read = match from {
+                None => self.feed.newest(),
+                Some(from) => self.feed.follow(from, wait),
+            };
+            match read {
+                Ok(page) => {
+                    failed_count = 0;
+                    let followed = from.replace(page.next).is_some();
+                    (self.sink)(match followed {
+                        true => FeedRead::Followed(page),
+                        false => FeedRead::Newest(page),
+                    });
+                }
+                Err(error) => {
+                    if error != FeedError::Truncated {
+                        failed_count += 1;
+                    }
+                    // Records may have been missed, or dropped for newer ones.
+                    if !matches!(error, FeedError::Unavailable(_)) {
+                        from = None;
+                    }
+                    (self.sink)(FeedRead::Failed(error));
+                    self.back_off(failed_count, began_at);
+                }
+            }
+        }
+    }
+
+    /// Waits after failures in a row, longer each time; every call to the platform has a price.
+    fn back_off(&self, failed_count: u32, began_at: Instant) {
+        if failed_count == 0 {
+            return;
+        }
+        let doublings = (failed_count - 1).min(MAX_DOUBLINGS);
+        let wait_ms = self.settings.retry_ms << doublings;
+        let wait = Duration::from_millis(wait_ms.min(self.settings.retry_limit_ms));
+        let left = wait.saturating_sub(began_at.elapsed());
+        // A closed channel means that the daemon stops.
+        let _ = self.pause.recv_timeout(left);
+    }
+}
+
+const MAX_DOUBLINGS: u32 = 10;
--- /dev/null
+++ b/src/feed/tests.rs
@@ -0,0 +1,161 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
+use super::{FeedError, FeedState, Page};
+use crate::contract::{Document, ServiceContract, View};
+use crate::settings::feed::FeedSettings;
+
+fn state() -> FeedState {
+    let random = ChaCha8Rng::seed_from_u64(1);
+    FeedState::new(FeedSettings::default(), "own".into(), random)
+}
+
+fn document(service: &str) -> Arc<Document> {
+    Arc::new(Document {
+        services: vec![ServiceContract {
+            service: service.into(),
+            ..Default::default()
+        }],
+        ..Default::default()
+    })
+}
+
+fn page(next: u64, items: Vec<ConfigurationItem>) -> Page<ConfigurationItem> {
+    Page { items, next }
+}
+
+fn newest(next: u64, service: &str) -> FeedEvent {
+    let items = vec![ConfigurationItem::Document(document(service))];
+    FeedEvent::Read(FeedRead::Newest(page(next, items)))
+}
+
+fn failed() -> FeedEvent {
+    FeedEvent::Read(FeedRead::Failed(FeedError::Unavailable("down".to_owned())))
+}
+
+fn view_of(actions: &[FeedAction]) -> Option<&View> {
+    actions.iter().find_map(|action| match action {
+        FeedAction::View(view) => Some(&**view),
+        _ => None,
+    })
+}
+
+fn asked(actions: &[FeedAction]) -> Option<&str> {
+    actions.iter().find_map(|action| match action {
+        FeedAction::Ask { peer, .. } => Some(&**peer),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_read_that_lags_behind_never_takes_the_configuration_back() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    state.handle(now, newest(8, "new"));
+
+    // Act
+    let actions = state.handle(now, newest(5, "old"));
+
+    // Assert
+    assert!(view_of(&actions).is_none());
+    assert_eq!(state.snapshot().next, 8);
+}
+
+#[test]
+fn a_newest_read_without_the_configuration_keeps_the_one_in_force() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    state.handle(now, newest(3, "s"));
+
+    // Act
+    let read = FeedRead::Newest(page(9, vec![ConfigurationItem::DomainOut("north".into())]));
+    let actions = state.handle(now, FeedEvent::Read(read));
+
+    // Assert
+    let view = view_of(&actions).expect("a view");
+    assert!(view.services.contains_key("s"));
+    assert!(view.domains_out.contains("north"));
+}
+
+#[test]
+fn a_domain_that_came_back_while_nothing_was_read_is_back_after_the_newest_read() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let out = vec![
+        ConfigurationItem::Document(document("s")),
+        ConfigurationItem::DomainOut("north".into()),
+    ];
+    state.handle(now, FeedEvent::Read(FeedRead::Newest(page(3, out))));
+
+    // Act
+    let actions = state.handle(now, newest(7, "s"));
+
+    // Assert
+    assert!(view_of(&actions).expect("a view").domains_out.is_empty());
+}
+
+#[test]
+fn a_peer_that_has_read_further_is_asked_after_a_moment() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    state.handle(now, newest(3, "s"));
+
+    // Act
+    let ahead = FeedEvent::PeerAhead {
+        peer: "other".into(),
+        next: 4,
+    };
+    let at_once = state.handle(now, ahead);
+    let later = state.handle(now + Duration::from_millis(200), FeedEvent::Tick);
+
+    // Assert
+    assert_eq!(asked(&at_once), None);
+    assert_eq!(asked(&later), Some("other"));
+}
+
+#[test]
+fn a_daemon_without_the_platform_takes_what_a_peer_has_in_force() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    state.handle(now, failed());
+
+    // Act
+    let told = Snapshot {
+        document: Some(document("s")),
+        next: 6,
+        ..Default::default()
+    };
+    let actions = state.handle(now, FeedEvent::PeerTold(Some(told)));
+
+    // Assert
+    assert_eq!(view_of(&actions).expect("a view").next, 6);
+}
+
+#[test]
+fn losing_and_regaining_the_platform_is_told_once_each() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let mut told = Vec::new();
+
+    // Act
+    for event in [failed(), failed(), newest(1, "s"), newest(2, "s")] {
+        for action in state.handle(now, event) {
+            if let FeedAction::Reachable(reachable) = action {
+                told.push(reachable);
+            }
+        }
+    }
+
+    // Assert
+    assert_eq!(told, vec![false, true]);
+}
--- a/src/front/accept.rs
+++ b/src/front/accept.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use super::answer::refusal;
 use super::check::check;
 use super::message::FrontMessage;
 use crate::clock::Clock;
@@ -10,7 +9,10 @@
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::settings::front::FrontSettings;
-use crate::types::new_request_id;
+use crate::types::{new_request_id, RequestId};
+use crate::wire::dialect::{AnswerTo, Dialect};
+use crate::wire::exchange::{RawHead, WholeAnswer};
+use crate::wire::http::header;
 use crate::wire::listener::HttpListener;
 
 /// What the thread needs of the world.
@@ -23,6 +25,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counters.
     pub metrics: Metrics,
+    /// Words refusals.
+    pub dialect: Arc<dyn Dialect>,
     /// The front.
     pub front: RingSender<FrontMessage>,
 }
@@ -31,20 +35,40 @@
 pub fn run(context: &AcceptContext) {
     while let Some((raw, exchange)) = context.listener.next() {
         let request = new_request_id();
-        match check(&context.settings, request, context.clock.now(), &raw) {
+        match check(
+            &context.settings,
+            &*context.dialect,
+            request,
+            context.clock.now(),
+            &raw,
+        ) {
             Ok(head) => {
                 let message = FrontMessage::Arrived(Arc::new(head), exchange);
                 if let Err(FrontMessage::Arrived(_, exchange)) = context.front.offer(message) {
                     context.metrics.count("front.refused.busy");
-                    exchange.answer(refusal(request, ErrorKind::Busy, None));
+                    exchange.answer(refuse(context, request, &raw, ErrorKind::Busy));
                 }
             }
             Err(kind) => {
                 context
                     .metrics
                     .count(&format!("front.refused.{}", kind.code()));
-                exchange.answer(refusal(request, kind, None));
+                exchange.answer(refuse(context, request, &raw, kind));
             }
         }
     }
 }
+
+fn refuse(
+    context: &AcceptContext,
+    request: RequestId,
+    raw: &RawHead,
+    kind: ErrorKind,
+) -> WholeAnswer {
+    let name = context.dialect.caller_names().request;
+    let to = AnswerTo {
+        request,
+        caller_id: name.and_then(|name| header(&raw.headers, name)),
+    };
+    context.dialect.refusal(to, kind, None)
+}
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -36,6 +36,8 @@
     if let Some(after) = retry_after {
         let seconds = after.as_secs_f64().ceil().clamp(1.0, MAX_RETRY_AFTER_S);
         headers.push(("retry-after".to_owned(), format!("{seconds:.0}")));
+        let wait_ms = after.as_millis().to_string();
+        headers.push((forward::WAIT_MS.to_owned(), wait_ms));
     }
     let body = serde_json::to_vec(&body).expect("plain values become JSON");
     WholeAnswer {
--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -6,37 +6,38 @@
 use crate::error::ErrorKind;
 use crate::settings::front::FrontSettings;
 use crate::types::RequestId;
+use crate::wire::dialect::Dialect;
 use crate::wire::exchange::RawHead;
-use crate::wire::forward;
+use crate::wire::forward::PREFIX;
 use crate::wire::http::{is_hop_header, HeaderPair};
 use crate::wire::proof::hash_key;
 
-/// Header with the deadline that a caller asks for, in milliseconds.
-pub const CALLER_DEADLINE_MS: &str = "x-deadline-ms";
-/// Header with the caller's idempotency key.
-pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-
 /// Takes a well-formed request, or names what is wrong with it.
 pub fn check(
     settings: &FrontSettings,
+    dialect: &dyn Dialect,
     request: RequestId,
     arrived_at: Instant,
     raw: &RawHead,
 ) -> Result<RequestHead, ErrorKind> {
     check_size(settings, &raw.headers)?;
-    check_framing(&raw.headers)?;
+    check_framing(settings, &raw.headers)?;
     if !raw.target.starts_with('/') {
         return Err(ErrorKind::BadRequest);
     }
+    let names = dialect.caller_names();
+    let own = |name| single(&raw.headers, name).map(|value| value.map(str::to_owned));
     Ok(RequestHead {
         request,
+        caller_id: names.request.map(own).transpose()?.flatten(),
+        host: single(&raw.headers, "host")?.unwrap_or_default().to_owned(),
         arrived_at,
         method: raw.method.clone(),
         target: raw.target.clone(),
-        headers: passed_on(&raw.headers),
+        headers: passed_on(dialect, &raw.headers),
         key_hash: key(&raw.headers)?.map(hash_key),
-        deadline: deadline(&raw.headers)?,
-        idempotency_key: single(&raw.headers, IDEMPOTENCY_KEY)?.map(str::to_owned),
+        deadline: deadline(names.deadline_ms, &raw.headers)?,
+        idempotency_key: names.idempotency_key.map(own).transpose()?.flatten(),
         body_bytes: raw.body_bytes.unwrap_or(0),
     })
 }
@@ -52,14 +53,15 @@
     Ok(())
 }
 
-fn check_framing(headers: &[HeaderPair]) -> Result<(), ErrorKind> {
+fn check_framing(settings: &FrontSettings, headers: &[HeaderPair]) -> Result<(), ErrorKind> {
     let length = single(headers, "content-length").map_err(|_| ErrorKind::BadFraming)?;
     let encoding = single(headers, "transfer-encoding").map_err(|_| ErrorKind::BadFraming)?;
     if length.is_some() && encoding.is_some() {
         return Err(ErrorKind::BadFraming);
     }
     // The HTTP library drops a length that follows an encoding, so an encoding alone may hide one.
-    if encoding.is_some() {
+    // Where chunks are taken, the body is read by them and sent on with its length.
+    if encoding.is_some() && !settings.chunked_bodies {
         return Err(ErrorKind::LengthRequired);
     }
     let digits = |value: &str| !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
@@ -80,9 +82,8 @@
     Ok(Some(key.trim()))
 }
 
-fn deadline(headers: &[HeaderPair]) -> Result<Option<Duration>, ErrorKind> {
-    let Some(value) = single(headers, CALLER_DEADLINE_MS).map_err(|_| ErrorKind::BadDeadline)?
-    else {
+fn deadline(name: &str, headers: &[HeaderPair]) -> Result<Option<Duration>, ErrorKind> {
+    let Some(value) = single(headers, name).map_err(|_| ErrorKind::BadDeadline)? else {
         return Ok(None);
     };
     match value.parse::<u64>() {
@@ -107,20 +108,17 @@
     Ok(first)
 }
 
-fn passed_on(headers: &[HeaderPair]) -> Vec<HeaderPair> {
+fn passed_on(dialect: &dyn Dialect, headers: &[HeaderPair]) -> Vec<HeaderPair> {
+    let deadline_ms = dialect.caller_names().deadline_ms;
     let mut kept = Vec::with_capacity(headers.len());
     for (name, value) in headers {
-        let own = name.len() >= forward::PREFIX.len()
-            && name.as_bytes()[..forward::PREFIX.len()]
-                .eq_ignore_ascii_case(forward::PREFIX.as_bytes());
-        if own || is_hop_header(name) || is_consumed(name) {
+        let lower = name.to_ascii_lowercase();
+        let consumed = lower == "authorization" || lower == deadline_ms;
+        let reserved = lower.starts_with(PREFIX) || dialect.is_reserved(&lower);
+        if consumed || reserved || is_hop_header(&lower) {
             continue;
         }
         kept.push((name.clone(), value.clone()));
     }
     kept
 }
-
-fn is_consumed(name: &str) -> bool {
-    name.eq_ignore_ascii_case("authorization") || name.eq_ignore_ascii_case(CALLER_DEADLINE_MS)
-}
--- a/src/front/duty.rs
+++ b/src/front/duty.rs
@@ -5,7 +5,6 @@
 
 use crossbeam::channel::Receiver;
 
-use super::answer::refusal;
 use super::message::{FrontAction, FrontEvent, FrontMessage, RequestHead};
 use super::state::FrontState;
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
@@ -17,6 +16,7 @@
 use crate::ring::RingSender;
 use crate::routing::RoutingMessage;
 use crate::types::RequestId;
+use crate::wire::dialect::Dialect;
 use crate::wire::exchange::{Exchange, WholeAnswer};
 
 /// An answer to be written.
@@ -35,6 +35,8 @@
     pub metrics: Metrics,
     /// Trail of decisions.
     pub audit: Arc<dyn AuditSink>,
+    /// Words refusals.
+    pub dialect: Arc<dyn Dialect>,
     /// The allowance.
     pub allowance: RingSender<AllowanceMessage>,
     /// Routing.
@@ -89,14 +91,16 @@
             let Some((head, exchange)) = held.remove(&plan.request) else {
                 return;
             };
-            let request = plan.request;
+            let refused = context
+                .dialect
+                .refusal(head.answer_to(), ErrorKind::Busy, None);
             let message = RoutingMessage::Dispatch {
                 plan,
                 head,
                 exchange,
             };
             if let Err(RoutingMessage::Dispatch { exchange, .. }) = context.routing.offer(message) {
-                answer(context, exchange, refusal(request, ErrorKind::Busy, None));
+                answer(context, exchange, refused);
             }
         }
         FrontAction::Drained => context.routing.deliver(RoutingMessage::Drain),
@@ -121,8 +125,18 @@
         .metrics
         .count(&format!("front.refused.{}", kind.code()));
     if let Some((head, exchange)) = held.remove(&request) {
+        let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
+        log::info!(
+            request = head.name(),
+            kind = kind.code(),
+            host = head.host,
+            target = head.target,
+            retry_after_ms;
+            "request_refused"
+        );
         record(context, &head, kind);
-        answer(context, exchange, refusal(request, kind, retry_after));
+        let refused = context.dialect.refusal(head.answer_to(), kind, retry_after);
+        answer(context, exchange, refused);
     }
 }
 
--- a/src/front/message.rs
+++ b/src/front/message.rs
@@ -6,7 +6,8 @@
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::routing::RequestPlan;
-use crate::types::{KeyHash, OrganisationId, RequestId};
+use crate::types::{format_id, KeyHash, OrganisationId, RequestId};
+use crate::wire::dialect::AnswerTo;
 use crate::wire::exchange::Exchange;
 use crate::wire::http::HeaderPair;
 
@@ -15,6 +16,10 @@
 pub struct RequestHead {
     /// The request.
     pub request: RequestId,
+    /// The caller's own id of it.
+    pub caller_id: Option<String>,
+    /// Host that the caller names.
+    pub host: String,
     /// When it arrived.
     pub arrived_at: Instant,
     /// Method.
@@ -33,6 +38,22 @@
     pub body_bytes: u64,
 }
 
+impl RequestHead {
+    /// The name of the request in logs: the caller's own id of it where there is one.
+    pub fn name(&self) -> String {
+        let own = || format_id(self.request);
+        self.caller_id.clone().unwrap_or_else(own)
+    }
+
+    /// Whom an answer is for.
+    pub fn answer_to(&self) -> AnswerTo<'_> {
+        AnswerTo {
+            request: self.request,
+            caller_id: self.caller_id.as_deref(),
+        }
+    }
+}
+
 /// What happens to the front.
 #[derive(Debug, Clone)]
 pub enum FrontEvent {
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -8,10 +8,10 @@
 
 use super::message::{FrontAction, FrontEvent, RequestHead};
 use crate::contract::state::RouteAnswer;
-use crate::contract::{KeyAnswer, RouteContract, View};
+use crate::contract::{KeyAnswer, RouteContract, ServiceContract, View};
 use crate::error::ErrorKind;
 use crate::routing::RequestPlan;
-use crate::types::{OrganisationId, RequestId};
+use crate::types::{OrganisationId, RequestId, ServiceId};
 
 /// State of the front.
 #[derive(Default)]
@@ -89,13 +89,17 @@
         let view = self.view.as_ref().filter(|_| self.usable);
         let view = view.ok_or(ErrorKind::NoView)?;
         let path = head.target.split('?').next().unwrap_or_default();
-        let (service, route) = match view.route(&head.method, path) {
+        let (service, route) = match view.route(&head.host, &head.method, path) {
             RouteAnswer::Found(service, route) => (service, route),
             RouteAnswer::OtherMethod => return Err(ErrorKind::MethodUnknown),
             RouteAnswer::Unknown => return Err(ErrorKind::RouteUnknown),
         };
-        let (organisation, weight_share) = self.organisation(view, head, route)?;
-        if head.body_bytes > route.body_limit_bytes {
+        let (organisation, weight_share, rank) = self.organisation(view, head, route)?;
+        let body_limit_bytes = match view.limits.body_limit_bytes {
+            0 => route.body_limit_bytes,
+            limit_bytes => limit_bytes.min(route.body_limit_bytes),
+        };
+        if head.body_bytes > body_limit_bytes {
             return Err(ErrorKind::BodyTooLarge);
         }
         let longest = Duration::from_millis(route.deadline_ms);
@@ -104,10 +108,16 @@
             request: head.request,
             organisation,
             weight_share,
-            service: service.service.clone(),
+            service: split_service(head.request, service, route),
             route: route.route.clone(),
             repeatable: route.repeatable,
             foreground: route.foreground,
+            rank: match route.open {
+                true => OPEN_RANK,
+                false => rank.unwrap_or(route.rank).saturating_add(OPEN_RANK + 1),
+            },
+            attempts_limit_count: route.attempts_limit_count,
+            body_bytes: head.body_bytes,
             body_limit_bytes: route.body_limit_bytes,
             idempotency_key: head.idempotency_key.clone(),
             deadline_at: head.arrived_at + deadline,
@@ -119,9 +129,9 @@
         view: &View,
         head: &RequestHead,
         route: &RouteContract,
-    ) -> Result<(OrganisationId, u32), ErrorKind> {
+    ) -> Result<(OrganisationId, u32, Option<u8>), ErrorKind> {
         if route.open {
-            return Ok(("".into(), 1));
+            return Ok(("".into(), 1, None));
         }
         let key_hash = head.key_hash.as_ref().ok_or(ErrorKind::KeyMissing)?;
         let organisation = match view.key(key_hash) {
@@ -133,10 +143,10 @@
             .organisations
             .get(&organisation)
             .ok_or(ErrorKind::RouteForbidden)?;
-        if !contract.routes.contains(&route.route) {
+        if !contract.all_routes && !contract.routes.contains(&route.route) {
             return Err(ErrorKind::RouteForbidden);
         }
-        Ok((organisation, contract.weight_share))
+        Ok((organisation, contract.weight_share, contract.rank))
     }
 
     fn limited(
@@ -153,3 +163,33 @@
         })
     }
 }
+
+/// Rank of requests on open routes. Backend servers call each other on these, and a request that
+/// waits for such a call holds a slot.
+const OPEN_RANK: u8 = 0;
+
+/// The service that takes a request, by the weights of its route. The random part of the
+/// request's id decides.
+fn split_service(
+    request: RequestId,
+    service: &ServiceContract,
+    route: &RouteContract,
+) -> ServiceId {
+    let weights = route.split.iter().map(|part| u128::from(part.weight_share));
+    let total: u128 = weights.sum();
+    if total == 0 {
+        return service.service.clone();
+    }
+    let mut place = (request & ID_RANDOM_MASK) % total;
+    for part in &route.split {
+        let weight = u128::from(part.weight_share);
+        if place < weight {
+            return part.service.clone();
+        }
+        place -= weight;
+    }
+    service.service.clone()
+}
+
+/// Bits of a request id that are random.
+const ID_RANDOM_MASK: u128 = (1 << 60) - 1;
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -3,6 +3,7 @@
 use super::check::check;
 use crate::error::ErrorKind;
 use crate::settings::front::FrontSettings;
+use crate::wire::dialect::FleetDialect;
 use crate::wire::exchange::RawHead;
 
 fn raw(headers: &[(&str, &str)]) -> RawHead {
@@ -19,7 +20,14 @@
 }
 
 fn refused(headers: &[(&str, &str)]) -> Option<ErrorKind> {
-    check(&FrontSettings::default(), 1, Instant::now(), &raw(headers)).err()
+    check(
+        &FrontSettings::default(),
+        &FleetDialect,
+        1,
+        Instant::now(),
+        &raw(headers),
+    )
+    .err()
 }
 
 #[test]
@@ -53,7 +61,14 @@
     ];
 
     // Act
-    let head = check(&FrontSettings::default(), 1, Instant::now(), &raw(&headers)).unwrap();
+    let head = check(
+        &FrontSettings::default(),
+        &FleetDialect,
+        1,
+        Instant::now(),
+        &raw(&headers),
+    )
+    .unwrap();
 
     // Assert
     assert_eq!(
--- a/src/guard/accept.rs
+++ b/src/guard/accept.rs
@@ -5,10 +5,14 @@
 use super::message::GuardMessage;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
+use crate::feed::{FeedEvent, FeedMessage};
 use crate::front::answer::refusal;
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
-use crate::wire::forward::ForwardHead;
+use crate::types::Offset;
+use crate::wire::exchange::RawHead;
+use crate::wire::forward::{ForwardHead, ENTRY, VIEW};
+use crate::wire::http::header;
 use crate::wire::listener::HttpListener;
 use crate::wire::proof::FleetKey;
 
@@ -24,10 +28,13 @@
     pub metrics: Metrics,
     /// The guard.
     pub guard: RingSender<GuardMessage>,
+    /// Hears of entries that have read further in the configuration.
+    pub feed: RingSender<FeedMessage>,
 }
 
 /// Takes requests until the listener is closed.
 pub fn run(context: &AcceptContext) {
+    let mut furthest = 0;
     while let Some((raw, exchange)) = context.listener.next() {
         let head = match ForwardHead::decode(&raw.headers, &context.key) {
             Ok(head) => head,
@@ -39,6 +46,7 @@
             }
         };
         let request = head.request;
+        tell_ahead(context, &raw, &mut furthest);
         let arrived_at = context.clock.now();
         let message = GuardMessage::Arrived {
             head,
@@ -51,3 +59,21 @@
         }
     }
 }
+
+/// Tells the configuration duty of an entry that has read further than all before.
+fn tell_ahead(context: &AcceptContext, raw: &RawHead, furthest: &mut Offset) {
+    let next = header(&raw.headers, VIEW).and_then(|value| value.parse().ok());
+    let peer = header(&raw.headers, ENTRY);
+    let (Some(next), Some(peer)) = (next, peer) else {
+        return;
+    };
+    if next <= *furthest {
+        return;
+    }
+    *furthest = next;
+    let peer = peer.into();
+    // Without room the next request of that entry tells it, or the feed itself.
+    let _ = context
+        .feed
+        .offer(FeedMessage::Event(FeedEvent::PeerAhead { peer, next }));
+}
--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -1,50 +1,50 @@
 //! The thread that takes announcements of the backend servers on this VM.
-//!
-//! `POST /announce` with an `Announcement`; `DELETE /announce/SERVER` withdraws it.
 
-use std::io::Read;
 use std::sync::Arc;
 
 use super::message::{Announcement, GuardEvent, GuardMessage};
 use crate::ring::RingSender;
-use crate::wire::exchange::{Exchange, WholeAnswer};
+use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
 use crate::wire::listener::HttpListener;
 
-/// Takes announcements until the listener is closed.
-pub fn run(listener: &Arc<HttpListener>, guard: &RingSender<GuardMessage>) {
-    while let Some((raw, mut exchange)) = listener.next() {
-        let event = match (raw.method.as_str(), raw.target.as_str()) {
-            ("POST", "/announce") => read(&mut *exchange).map(GuardEvent::Announced),
+/// Reads announcements, however they are worded.
+pub trait AnnouncementDialect: Send + Sync {
+    /// What the server says, or what is wrong with it.
+    fn read(&self, head: &RawHead, body: &[u8]) -> Result<GuardEvent, String>;
+
+    /// The answer to an announcement that was taken.
+    fn taken(&self) -> WholeAnswer;
+}
+
+/// The product's own wording: `POST /announce` with an `Announcement`; `DELETE /announce/SERVER`
+/// withdraws it.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct FleetAnnouncements;
+
+impl AnnouncementDialect for FleetAnnouncements {
+    fn read(&self, head: &RawHead, body: &[u8]) -> Result<GuardEvent, String> {
+        match (head.method.as_str(), head.target.as_str()) {
+            ("POST", "/announce") => parse(body).map(GuardEvent::Announced),
             ("DELETE", target) => match target.strip_prefix("/announce/") {
                 Some(server) => Ok(GuardEvent::Withdrawn(server.into())),
                 None => Err("no such path".to_owned()),
             },
             _ => Err("POST /announce or DELETE /announce/SERVER".to_owned()),
-        };
-        let (status, text) = match event {
-            Ok(event) => {
-                guard.deliver(GuardMessage::Event(event));
-                (200, "{}".to_owned())
-            }
-            Err(problem) => (400, problem),
-        };
-        exchange.answer(WholeAnswer {
-            status,
-            body: text.into_bytes(),
+        }
+    }
+
+    fn taken(&self) -> WholeAnswer {
+        WholeAnswer {
+            status: 200,
+            body: b"{}".to_vec(),
             ..Default::default()
-        });
+        }
     }
 }
 
-const ANNOUNCEMENT_LIMIT_BYTES: u64 = 16 * 1024;
-
-fn read(exchange: &mut dyn Exchange) -> Result<Announcement, String> {
-    let mut text = String::new();
-    let mut body = exchange.body().take(ANNOUNCEMENT_LIMIT_BYTES);
-    body.read_to_string(&mut text)
-        .map_err(|error| error.to_string())?;
+fn parse(body: &[u8]) -> Result<Announcement, String> {
     let announcement: Announcement =
-        serde_json::from_str(&text).map_err(|error| error.to_string())?;
+        serde_json::from_slice(body).map_err(|error| error.to_string())?;
     if announcement.server.is_empty() || announcement.service.is_empty() {
         return Err("server and service must not be empty".to_owned());
     }
@@ -53,3 +53,30 @@
     }
     Ok(announcement)
 }
+
+/// Takes announcements until the listener is closed. The guard knows of one before it is
+/// acknowledged.
+pub fn run(
+    listener: &Arc<HttpListener>,
+    dialect: &dyn AnnouncementDialect,
+    guard: &RingSender<GuardMessage>,
+) {
+    while let Some((head, exchange)) = listener.next() {
+        let event = match exchange.body() {
+            RequestBody::Whole(body) => dialect.read(&head, &body),
+            RequestBody::Parts(_) => Err("the announcement is too long".to_owned()),
+        };
+        let answer = match event {
+            Ok(event) => {
+                guard.deliver(GuardMessage::Event(event));
+                dialect.taken()
+            }
+            Err(problem) => WholeAnswer {
+                status: 400,
+                body: problem.into_bytes(),
+                ..Default::default()
+            },
+        };
+        exchange.answer(answer);
+    }
+}
--- a/src/guard/cancel.rs
+++ b/src/guard/cancel.rs
@@ -7,17 +7,14 @@
 use crossbeam::channel::Receiver;
 
 use crate::metrics::Metrics;
-use crate::types::{format_id, RequestId};
 use crate::wire::http::client;
 
-/// Path under which a backend server takes cancellations, by `DELETE`.
-pub const CANCEL_PATH: &str = "/banyanbeam/requests/";
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A request that may end.
 pub struct CancelJob {
-    /// The request.
-    pub request: RequestId,
+    /// Path that names the request.
+    pub path: String,
     /// Where its server takes requests.
     pub address: SocketAddr,
 }
@@ -25,11 +22,7 @@
 /// Tells servers until the ring closes.
 pub fn run(metrics: &Metrics, jobs: &Receiver<CancelJob>) {
     for job in jobs {
-        let url = format!(
-            "http://{}{CANCEL_PATH}{}",
-            job.address,
-            format_id(job.request)
-        );
+        let url = format!("http://{}{}", job.address, job.path);
         let told = client(Method::DELETE, &url, CANCEL_TIMEOUT, CANCEL_TIMEOUT).send();
         let name = if told.is_ok() {
             "guard.cancel.told"
--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -12,6 +12,19 @@
 const SERVER_MEMORY: Duration = Duration::from_secs(600);
 
 impl GuardState {
+    /// A server withdrew its announcement.
+    pub(super) fn withdrawn(
+        &mut self,
+        now: Instant,
+        name: &BackendServerId,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.leaves();
+        }
+        self.gone(now, name, actions);
+    }
+
     pub(super) fn gone(
         &mut self,
         now: Instant,
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 
 use super::cancel::CancelJob;
-use super::forward::StartJob;
+use super::forward::{self, ForwardContext, StartJob};
 use super::message::{
     AttemptKey, GuardAction, GuardEvent, GuardMessage, GuardRequest, ServerOutcome,
 };
@@ -19,12 +19,12 @@
 use crate::health::{request_end, OutcomeReader, StartedRequest};
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, LinkMessage, PeerAnswer, PeerReply, PeerRequest};
-use crate::membership::{Fleet, MembershipEvent};
+use crate::membership::{Fleet, MembershipEvent, ServerEntry};
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::settings::guard::GuardSettings;
-use crate::types::{DaemonId, Incarnation, ServiceId};
-use crate::wire::call::CallError;
+use crate::types::{format_id, DaemonId, Incarnation, ServiceId};
+use crate::wire::client::{CallHandle, Caller};
 use crate::wire::exchange::{Exchange, RawHead};
 use crate::wire::forward::ForwardHead;
 
@@ -40,8 +40,10 @@
     pub clock: Arc<dyn Clock>,
     /// Counters.
     pub metrics: Metrics,
-    /// The threads that call servers.
-    pub starts: RingSender<StartJob>,
+    /// Calls servers.
+    pub caller: Arc<dyn Caller>,
+    /// What calls to servers need.
+    pub forward: ForwardContext,
     /// The thread that cancels at servers.
     pub cancels: RingSender<CancelJob>,
     /// The threads that write refusals.
@@ -70,6 +72,8 @@
     context: &'a GuardContext,
     state: GuardState,
     held: HashMap<AttemptKey, HeldRequest>,
+    /// Calls that run; dropping one ends it.
+    calls: HashMap<AttemptKey, CallHandle>,
     fleet: Arc<Fleet>,
     /// Who waits for the fence of the event in hand.
     fence_reply: Option<PeerReply>,
@@ -81,6 +85,7 @@
         state: GuardState::new(context.settings.clone(), context.incarnation),
         context,
         held: HashMap::new(),
+        calls: HashMap::new(),
         fleet: Arc::default(),
         fence_reply: None,
     };
@@ -127,6 +132,8 @@
             elapsed,
         } = &event
         {
+            self.calls.remove(key);
+            log_end(*key, *outcome, *elapsed);
             let end = request_end(*outcome);
             self.context.outcomes.finished(*key, end, *elapsed);
         }
@@ -180,17 +187,17 @@
                 }
             }
             GuardAction::Servers(servers) => {
+                log_servers(&servers);
                 self.context.outcomes.servers(&servers);
                 let event = MembershipEvent::Local(servers);
                 self.context.membership.deliver(event);
             }
             GuardAction::FenceAnswered(answer) => self.fence_answered(answer),
-            GuardAction::CancelServer { request, address } => {
-                let job = CancelJob { request, address };
-                if self.context.cancels.offer(job).is_err() {
-                    self.context.metrics.count("guard.cancel.dropped");
-                }
-            }
+            GuardAction::CancelServer {
+                key,
+                address,
+                repeatable,
+            } => self.cancel(key, address, repeatable),
             GuardAction::Report { service, reports } => self.report(&service, &reports),
             GuardAction::Drained => {
                 // One word is enough; a full channel holds it already.
@@ -213,19 +220,71 @@
             head: held.head,
             raw: held.raw,
             exchange: held.exchange,
-            address,
             deadline_at: held.deadline_at,
         };
-        if let Err(job) = self.context.starts.offer(job) {
-            self.answer(job.exchange, key, ErrorKind::Busy, None);
-            self.decide(GuardEvent::Finished {
+        if self.calls.len() >= self.context.settings.worker_count {
+            self.context.metrics.count("guard.call.limit");
+            return self.unstarted(key, Some(job.exchange));
+        }
+        let headers = forward::passed_headers(&job.raw);
+        let call = forward::prepare(&self.context.forward, &job, &headers, address);
+        let dialect = self.context.forward.dialect.clone();
+        let own = self.context.own.clone();
+        let clock = self.context.clock.clone();
+        let started_at = clock.now();
+        let StartJob { head, exchange, .. } = job;
+        let done = Box::new(move |result| {
+            let (outcome, answer) = forward::settle(&*dialect, &head, &headers, result);
+            let elapsed = clock.now().saturating_duration_since(started_at);
+            exchange.answer(answer);
+            own.deliver(GuardMessage::Event(GuardEvent::Finished {
                 key,
-                outcome: ServerOutcome::Failed(CallError::Unwritable),
-                elapsed: Duration::ZERO,
-            });
+                outcome,
+                elapsed,
+            }));
+        });
+        match self.context.caller.call(call, done) {
+            Ok(handle) => {
+                self.calls.insert(key, handle);
+            }
+            // Dropping the callback drops the exchange, whose entry then hears of a fault.
+            Err(_) => self.unstarted(key, None),
         }
     }
 
+    /// A request that was started and whose call could not be made.
+    fn unstarted(&mut self, key: AttemptKey, exchange: Option<Box<dyn Exchange>>) {
+        if let Some(exchange) = exchange {
+            self.answer(exchange, key, ErrorKind::Busy, None);
+        }
+        self.decide(GuardEvent::Finished {
+            key,
+            outcome: ServerOutcome::Abandoned,
+            elapsed: Duration::ZERO,
+        });
+    }
+
+    /// Ends a request that runs and for which nobody waits. Without a word for it in the dialect
+    /// the connection is closed, and only for requests that do no harm when they are cut.
+    fn cancel(&mut self, key: AttemptKey, address: std::net::SocketAddr, repeatable: bool) {
+        if let Some(path) = self.context.forward.dialect.cancel_path(key.0) {
+            let job = CancelJob { path, address };
+            if self.context.cancels.offer(job).is_err() {
+                self.context.metrics.count("guard.cancel.dropped");
+            }
+            return;
+        }
+        if !repeatable || self.calls.remove(&key).is_none() {
+            return;
+        }
+        self.context.metrics.count("guard.cancel.closed");
+        self.decide(GuardEvent::Finished {
+            key,
+            outcome: ServerOutcome::Abandoned,
+            elapsed: Duration::ZERO,
+        });
+    }
+
     fn fence_answered(&mut self, answer: FenceAnswer) {
         self.context
             .metrics
@@ -265,6 +324,14 @@
     ) {
         let metrics = &self.context.metrics;
         metrics.count(&format!("guard.refused.{}", kind.code()));
+        let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
+        log::info!(
+            id = format_id(key.0),
+            attempt = key.1,
+            kind = kind.code(),
+            retry_after_ms;
+            "guard_refused"
+        );
         let answer = refusal(key.0, kind, retry_after);
         if let Err(job) = self.context.answers.offer(AnswerJob { exchange, answer }) {
             metrics.count("guard.answer.inline");
@@ -284,7 +351,39 @@
         server: head.server.clone(),
         repeatable: head.repeatable,
         foreground: head.foreground,
+        rank: head.rank,
+        no_wait: head.no_wait,
         fingerprint: head.fingerprint,
         deadline_at,
     }
 }
+
+/// One line for each call that did not end with a good answer.
+fn log_end(key: AttemptKey, outcome: ServerOutcome, elapsed: Duration) {
+    if matches!(outcome, ServerOutcome::Answered(status) if status < FAILURE_STATUS) {
+        return;
+    }
+    let elapsed_ms = elapsed.as_millis() as u64;
+    let outcome = format!("{outcome:?}");
+    log::info!(id = format_id(key.0), attempt = key.1, outcome, elapsed_ms; "call_failed");
+}
+
+/// Lowest status that tells of a server's failure.
+const FAILURE_STATUS: u16 = 500;
+
+/// One line for each change of the servers on this VM.
+fn log_servers(servers: &[ServerEntry]) {
+    for server in servers {
+        log::info!(
+            server = &*server.server,
+            service = &*server.service,
+            cold = server.cold,
+            draining = server.draining,
+            slots_count = server.slots_count;
+            "server_state"
+        );
+    }
+    if servers.is_empty() {
+        log::info!("server_absent");
+    }
+}
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -1,21 +1,17 @@
-//! The threads that call backend servers and write their answers.
+//! One call to a backend server, and what its answer means.
 
-use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::Receiver;
-
-use super::message::{GuardEvent, GuardMessage, ServerOutcome};
+use super::message::ServerOutcome;
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
-use crate::ring::RingSender;
-use crate::types::format_id;
-use crate::wire::call::{call, Call, CallError};
-use crate::wire::deadline::DeadlineReader;
-use crate::wire::exchange::{Exchange, RawHead, WholeAnswer};
-use crate::wire::forward::{ForwardHead, DEADLINE_MS, ORGANISATION, PREFIX, REQUEST};
-use crate::wire::http::{header, HeaderPair};
+use crate::types::{format_id, RequestId};
+use crate::wire::client::{Call, CallError, OutBody};
+use crate::wire::dialect::{Dialect, ServerCall, ServerWord};
+use crate::wire::exchange::{Exchange, RawHead, RequestBody, WholeAnswer};
+use crate::wire::forward::{ForwardHead, PREFIX, REQUEST};
+use crate::wire::http::HeaderPair;
 
 /// A request that starts.
 pub struct StartJob {
@@ -25,125 +21,129 @@
     pub raw: RawHead,
     /// The entry's exchange.
     pub exchange: Box<dyn Exchange>,
-    /// The server's address.
-    pub address: SocketAddr,
     /// When the answer must be there.
     pub deadline_at: Instant,
 }
 
-/// Calls a backend server.
-pub trait BackendClient: Send + Sync {
-    /// Runs the request and gives the whole answer.
-    fn call(&self, request: Call<'_>) -> Result<WholeAnswer, CallError>;
-
-    /// Whether the server takes connections; no only if it refuses one.
-    fn is_up(&self, address: SocketAddr) -> bool;
-}
-
-/// Backend servers over HTTP.
-pub struct HttpBackend;
-
-impl BackendClient for HttpBackend {
-    fn call(&self, request: Call<'_>) -> Result<WholeAnswer, CallError> {
-        call(request)
-    }
-
-    fn is_up(&self, address: SocketAddr) -> bool {
-        match TcpStream::connect_timeout(&address, UP_TIMEOUT) {
-            Ok(_) => true,
-            Err(error) => error.kind() != std::io::ErrorKind::ConnectionRefused,
-        }
-    }
-}
-
-const UP_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// What the threads need of the world.
+/// What calls to servers need of the world.
 #[derive(Clone)]
 pub struct ForwardContext {
-    /// The servers.
-    pub backend: Arc<dyn BackendClient>,
+    /// Words calls.
+    pub dialect: Arc<dyn Dialect>,
     /// Longest wait for a connection.
     pub connect_timeout: Duration,
     /// Most bytes of an answer.
     pub answer_limit_bytes: usize,
-    /// The guard.
-    pub guard: RingSender<GuardMessage>,
+    /// Kept connections are used again after at most this long.
+    pub reuse_idle: Duration,
+    /// The same for requests that may not run twice.
+    pub reuse_idle_once: Duration,
 }
 
-/// Calls servers until the ring closes.
-pub fn run(context: &ForwardContext, jobs: &Receiver<StartJob>) {
-    for mut job in jobs {
-        let started_at = Instant::now();
-        let result = start(context, &mut job);
-        let outcome = match &result {
-            Ok(answer) => ServerOutcome::Answered(answer.status),
-            Err(CallError::Broken) if !context.backend.is_up(job.address) => ServerOutcome::Died,
-            Err(error) => ServerOutcome::Failed(*error),
-        };
-        let request = job.head.request;
-        let elapsed = started_at.elapsed();
-        context
-            .guard
-            .deliver(GuardMessage::Event(GuardEvent::Finished {
-                key: (request, job.head.attempt),
-                outcome,
-                elapsed,
-            }));
-        job.exchange.answer(match result {
-            Ok(answer) => served(&job.head, answer),
-            Err(_) if outcome == ServerOutcome::Died => {
-                refusal(request, ErrorKind::ServerDied, None)
-            }
-            Err(error) => refusal(request, kind_of(error), None),
-        });
-    }
+/// The caller's headers among those of an entry.
+pub fn passed_headers(raw: &RawHead) -> Vec<HeaderPair> {
+    let own = |name: &str| name.to_ascii_lowercase().starts_with(PREFIX);
+    raw.headers
+        .iter()
+        .filter(|(name, _)| !own(name))
+        .cloned()
+        .collect()
 }
 
-fn start(context: &ForwardContext, job: &mut StartJob) -> Result<WholeAnswer, CallError> {
-    let headers = server_headers(job);
-    let mut body = DeadlineReader::new(job.exchange.body(), job.deadline_at);
-    let answer = context.backend.call(Call {
-        address: job.address,
-        method: &job.raw.method,
-        target: &job.raw.target,
-        headers: &headers,
-        body_bytes: job.raw.body_bytes,
-        body: &mut body,
+/// The call of a request to its server.
+pub fn prepare(
+    context: &ForwardContext,
+    job: &StartJob,
+    headers: &[HeaderPair],
+    address: std::net::SocketAddr,
+) -> Call {
+    let remaining = job.deadline_at.saturating_duration_since(Instant::now());
+    let call = ServerCall {
+        head: &job.head,
+        headers,
+        remaining,
+    };
+    let host = job
+        .raw
+        .headers
+        .iter()
+        .find(|(name, _)| name.eq_ignore_ascii_case("host"));
+    let host = host.map(|(_, value)| value.clone());
+    let body = match job.exchange.body() {
+        RequestBody::Whole(body) => OutBody::Whole(body),
+        RequestBody::Parts(parts) => OutBody::Parts {
+            length_bytes: job.raw.body_bytes,
+            parts,
+        },
+    };
+    Call {
+        address,
+        method: job.raw.method.clone(),
+        target: job.raw.target.clone(),
+        host: host.filter(|_| context.dialect.keeps_host()),
+        headers: context.dialect.server_headers(call),
+        body,
         connect_timeout: context.connect_timeout,
         deadline_at: job.deadline_at,
         answer_limit_bytes: context.answer_limit_bytes,
-    })?;
-    let own_id = format_id(job.head.request);
-    if header(&answer.headers, REQUEST).is_some_and(|id| id != own_id) {
-        return Err(CallError::ShortAnswer);
+        reuse_idle: match job.head.repeatable {
+            true => context.reuse_idle,
+            false => context.reuse_idle_once,
+        },
+        knock: true,
     }
-    Ok(answer)
 }
 
-/// The caller's headers, and what the server may know of the request.
-fn server_headers(job: &StartJob) -> Vec<HeaderPair> {
-    let left = job.deadline_at.saturating_duration_since(Instant::now());
-    let mut headers = vec![
-        (REQUEST.to_owned(), format_id(job.head.request)),
-        (ORGANISATION.to_owned(), job.head.organisation.to_string()),
-        (DEADLINE_MS.to_owned(), left.as_millis().to_string()),
-    ];
-    for (name, value) in &job.raw.headers {
-        if name.to_ascii_lowercase().starts_with(PREFIX) {
-            continue;
+/// What the end of a call means for the guard, and the answer for the entry.
+pub fn settle(
+    dialect: &dyn Dialect,
+    head: &ForwardHead,
+    headers: &[HeaderPair],
+    result: Result<WholeAnswer, CallError>,
+) -> (ServerOutcome, WholeAnswer) {
+    let request = head.request;
+    let answer = match result {
+        Ok(answer) => answer,
+        Err(CallError::Died) => {
+            let answer = refusal(request, ErrorKind::ServerDied, None);
+            return (ServerOutcome::Died, answer);
+        }
+        Err(error) => {
+            let answer = refusal(request, kind_of(error), None);
+            return (ServerOutcome::Failed(error), answer);
+        }
+    };
+    let call = ServerCall {
+        head,
+        headers,
+        remaining: Duration::ZERO,
+    };
+    match dialect.server_word(call, &answer) {
+        ServerWord::Ran => {
+            let outcome = ServerOutcome::Answered(answer.status);
+            (outcome, served(request, answer))
+        }
+        ServerWord::NotRun { retry_after } => {
+            let answer = refusal(request, ErrorKind::ServerShed, retry_after);
+            (ServerOutcome::Shed, answer)
+        }
+        ServerWord::OtherServer => {
+            let answer = refusal(request, ErrorKind::ServerReplaced, None);
+            (ServerOutcome::Replaced, answer)
+        }
+        ServerWord::Foreign => {
+            let answer = refusal(request, ErrorKind::BadAnswer, None);
+            (ServerOutcome::Failed(CallError::ShortAnswer), answer)
         }
-        headers.push((name.clone(), value.clone()));
     }
-    headers
 }
 
 /// The server's answer with the request id that the entry checks.
-fn served(head: &ForwardHead, mut answer: WholeAnswer) -> WholeAnswer {
+fn served(request: RequestId, mut answer: WholeAnswer) -> WholeAnswer {
     answer.headers.retain(|(name, _)| !name.starts_with(PREFIX));
     answer
         .headers
-        .push((REQUEST.to_owned(), format_id(head.request)));
+        .push((REQUEST.to_owned(), format_id(request)));
     answer
 }
 
@@ -153,6 +153,7 @@
         CallError::Unwritable => ErrorKind::BadRequest,
         CallError::ShortBody => ErrorKind::ShortUpload,
         CallError::Late | CallError::Broken => ErrorKind::OutcomeUnknown,
+        CallError::Died => ErrorKind::ServerDied,
         CallError::ShortAnswer => ErrorKind::BadAnswer,
         CallError::AnswerTooLarge => ErrorKind::AnswerTooLarge,
     }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, FenceRequest, PeerReply};
@@ -15,7 +16,7 @@
     Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, OrganisationId, RequestId,
     RouteId, ServiceId,
 };
-use crate::wire::call::CallError;
+use crate::wire::client::CallError;
 use crate::wire::exchange::{Exchange, RawHead};
 use crate::wire::forward::ForwardHead;
 
@@ -41,6 +42,8 @@
     pub load_share: f64,
     /// When its present life began, in milliseconds since the epoch; 0 where it does not say.
     pub started_at_ms: u64,
+    /// Grows with each announcement of one life; 0 where the server does not count them.
+    pub sequence: u64,
 }
 
 impl Default for Announcement {
@@ -55,6 +58,7 @@
             draining: false,
             load_share: 0.0,
             started_at_ms: 0,
+            sequence: 0,
         }
     }
 }
@@ -83,6 +87,10 @@
     pub repeatable: bool,
     /// Whether a person waits for the answer.
     pub foreground: bool,
+    /// Urgency among those, 0 being the greatest.
+    pub rank: u8,
+    /// Whether it is refused rather than let wait for a slot.
+    pub no_wait: bool,
     /// Tells equal requests.
     pub fingerprint: Fingerprint,
     /// When its answer must be there.
@@ -105,6 +113,12 @@
     Failed(CallError),
     /// The connection broke, and the server takes no new one.
     Died,
+    /// The server refused the request before it ran it.
+    Shed,
+    /// Another server has the address.
+    Replaced,
+    /// Nobody waited any more, and the call was ended.
+    Abandoned,
 }
 
 /// What happens to the guard.
@@ -145,6 +159,8 @@
     },
     /// The time asked for has come.
     Tick,
+    /// A new view is in force.
+    View(Arc<View>),
     /// The daemon takes no new work.
     Drain,
 }
@@ -200,10 +216,12 @@
     FenceAnswered(FenceAnswer),
     /// Tells a server that nobody waits for a request any more.
     CancelServer {
-        /// The request.
-        request: RequestId,
+        /// The attempt.
+        key: AttemptKey,
         /// The server's address.
         address: SocketAddr,
+        /// Whether the request may run more than once.
+        repeatable: bool,
     },
     /// Tells the other guards of a service of deaths.
     Report {
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 pub mod announce;
+pub mod breaker;
 pub mod cancel;
 pub mod cold;
 mod deaths;
@@ -12,6 +13,7 @@
 pub mod poison;
 pub mod queue;
 mod server;
+pub mod start_rate;
 pub mod started;
 pub mod state;
 pub mod times;
--- a/src/guard/queue.rs
+++ b/src/guard/queue.rs
@@ -1,12 +1,14 @@
-//! The fair queue of one backend server: deficit round robin over organisations in two lanes.
+//! The fair queue of one backend server: deficit round robin over organisations
+//! in lanes of urgency.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::ops::Bound;
 use std::time::Instant;
 
 use super::message::{AttemptKey, GuardRequest};
 use crate::types::OrganisationId;
 
-/// Foreground requests taken in a row while background requests wait.
+/// Requests taken in a row from the most urgent lane while others wait.
 const FOREGROUND_RUN_COUNT: u32 = 7;
 /// What one request costs of a deficit.
 const REQUEST_COST: u64 = 1;
@@ -16,10 +18,20 @@
     limit_count: usize,
     /// Never above `limit_count`.
     length_count: usize,
-    foreground: Lane,
-    background: Lane,
-    /// Foreground requests taken since the last background one.
-    foreground_run_count: u32,
+    /// Lanes in order of urgency, the background last.
+    lanes: BTreeMap<LaneId, Lane>,
+    /// Requests taken from the most urgent lane since the last one of another lane.
+    urgent_run_count: u32,
+}
+
+/// Place of a lane: background or not, then rank.
+type LaneId = (bool, u8);
+
+fn lane_id(request: &GuardRequest) -> LaneId {
+    match request.foreground {
+        true => (false, request.rank),
+        false => (true, 0),
+    }
 }
 
 impl FairQueue {
@@ -28,9 +40,8 @@
         FairQueue {
             limit_count,
             length_count: 0,
-            foreground: Lane::default(),
-            background: Lane::default(),
-            foreground_run_count: 0,
+            lanes: BTreeMap::new(),
+            urgent_run_count: 0,
         }
     }
 
@@ -45,95 +56,83 @@
     }
 
     /// Adds a request. A full queue sheds the newest request of the organisation that holds the
-    /// most for its weight, which may be the one that came.
+    /// most for its weight, which may be the one that came; the least urgent one goes first.
     pub fn push(&mut self, request: GuardRequest) -> Option<GuardRequest> {
-        self.lane(request.foreground).push(request);
+        let lane = self.lanes.entry(lane_id(&request)).or_default();
+        lane.push(request);
         self.length_count += 1;
         if self.length_count <= self.limit_count {
             return None;
         }
         let over_share = self.most_over_share()?;
-        let shed = self
-            .background
-            .pop_newest(&over_share)
-            .or_else(|| self.foreground.pop_newest(&over_share));
+        let mut lanes = self.lanes.values_mut().rev();
+        let shed = lanes.find_map(|lane| lane.pop_newest(&over_share));
         self.length_count -= usize::from(shed.is_some());
         shed
     }
 
     /// Takes the next request.
     pub fn pop(&mut self) -> Option<GuardRequest> {
-        let background_due = self.foreground_run_count >= FOREGROUND_RUN_COUNT;
-        let from_background =
-            self.foreground.is_empty() || (background_due && !self.background.is_empty());
-        let taken = self.lane(!from_background).pop()?;
+        let mut waiting = self.lanes.iter().filter(|(_, lane)| !lane.is_empty());
+        let urgent = *waiting.next()?.0;
+        let other = waiting.next_back().map(|(id, _)| *id);
+        let other_due = self.urgent_run_count >= FOREGROUND_RUN_COUNT;
+        let from = other.filter(|_| other_due).unwrap_or(urgent);
+        let taken = self.lanes.get_mut(&from)?.pop()?;
         self.length_count -= 1;
-        self.foreground_run_count = if from_background {
-            0
-        } else {
-            self.foreground_run_count.saturating_add(1)
+        self.urgent_run_count = match from == urgent {
+            true => self.urgent_run_count.saturating_add(1),
+            false => 0,
         };
         Some(taken)
     }
 
     /// Takes a request out of turn.
     pub fn remove(&mut self, key: AttemptKey) -> Option<GuardRequest> {
-        let removed = self
-            .foreground
-            .remove_where(|request| request.key() == key)
-            .or_else(|| self.background.remove_where(|request| request.key() == key));
-        self.length_count -= usize::from(removed.is_some());
-        removed
+        self.remove_where(|request| request.key() == key)
     }
 
     /// Takes one request whose deadline has come.
     pub fn pop_expired(&mut self, now: Instant) -> Option<GuardRequest> {
-        let removed = self
-            .foreground
-            .remove_where(|request| request.deadline_at <= now)
-            .or_else(|| {
-                self.background
-                    .remove_where(|request| request.deadline_at <= now)
-            });
+        self.remove_where(|request| request.deadline_at <= now)
+    }
+
+    fn remove_where(&mut self, matches: impl Fn(&GuardRequest) -> bool) -> Option<GuardRequest> {
+        let mut lanes = self.lanes.values_mut();
+        let removed = lanes.find_map(|lane| lane.remove_where(&matches));
         self.length_count -= usize::from(removed.is_some());
         removed
     }
 
     /// The earliest deadline of those that wait.
     pub fn next_deadline_at(&self) -> Option<Instant> {
-        let lanes = [&self.foreground, &self.background];
-        lanes
-            .iter()
-            .flat_map(|lane| lane.requests())
+        self.lanes
+            .values()
+            .flat_map(Lane::requests)
             .map(|request| request.deadline_at)
             .min()
     }
 
     /// How many requests would start before this one.
     pub fn ahead_count(&self, request: &GuardRequest) -> usize {
-        if request.foreground {
-            let ahead = self.foreground.ahead_count(request);
-            let background = ahead / FOREGROUND_RUN_COUNT as usize;
-            return ahead + background.min(self.background.len());
-        }
-        let ahead = self.background.ahead_count(request);
-        let foreground = (ahead + 1) * FOREGROUND_RUN_COUNT as usize;
-        ahead + foreground.min(self.foreground.len())
-    }
-
-    fn lane(&mut self, foreground: bool) -> &mut Lane {
-        if foreground {
-            &mut self.foreground
-        } else {
-            &mut self.background
-        }
+        let own = lane_id(request);
+        let ahead_of = |lane: &Lane| lane.ahead_count(request);
+        let ahead = self.lanes.get(&own).map_or(0, ahead_of);
+        let more_urgent: usize = self.lanes.range(..own).map(|(_, lane)| lane.len()).sum();
+        let less_urgent: usize = self
+            .lanes
+            .range((Bound::Excluded(own), Bound::Unbounded))
+            .map(|(_, lane)| lane.len())
+            .sum();
+        let run_count = FOREGROUND_RUN_COUNT as usize;
+        ahead + more_urgent.min((ahead + 1) * run_count) + less_urgent.min(ahead / run_count)
     }
 
     fn most_over_share(&self) -> Option<OrganisationId> {
         let mut most: Option<(f64, &OrganisationId)> = None;
-        for (organisation, queue) in self.foreground.queues.iter().chain(&self.background.queues) {
-            let count =
-                self.foreground.held_by(organisation) + self.background.held_by(organisation);
+        for (organisation, queue) in self.lanes.values().flat_map(|lane| &lane.queues) {
+            let held_by = |lane: &Lane| lane.held_by(organisation);
+            let count: usize = self.lanes.values().map(held_by).sum();
             let share = count as f64 / f64::from(queue.weight_share);
             let greater = most.is_none_or(|(most_share, name)| {
                 share > most_share || (share == most_share && organisation > name)
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -2,13 +2,16 @@
 
 use std::time::{Duration, Instant};
 
+use super::breaker::{Breaker, CallEnd};
 use super::cold::{ColdLimit, ColdSettings};
-use super::message::{Announcement, GuardRequest};
+use super::message::{Announcement, GuardRequest, ServerOutcome};
 use super::queue::FairQueue;
+use super::start_rate::StartRate;
 use super::times::RouteTimes;
 use crate::membership::message::FULL_SHARE_PERMILLE;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
+use crate::wire::client::CallError;
 
 /// Answers before waits are foretold.
 const LEAST_SAMPLE_COUNT: u32 = 8;
@@ -26,6 +29,16 @@
     pub(super) running_count: u32,
     pub(super) queue: FairQueue,
     pub(super) cold: ColdLimit,
+    pub(super) breaker: Breaker,
+    /// The life of the server that has said it leaves. Announcements of that life that are late or
+    /// cross the departure do not bring it back.
+    left_life_ms: Option<u64>,
+    departures_final: bool,
+    pub(super) start_rate: StartRate,
+    /// Requests a second that it bears while it is cold; 0 where its service does not say.
+    pub(super) cold_rate_per_s: f64,
+    cold_rate_factor: f64,
+    cold_rate_slack_count: u32,
     times: RouteTimes,
 }
 
@@ -48,6 +61,13 @@
             running_count: 0,
             queue: FairQueue::new(settings.queue_count),
             cold,
+            left_life_ms: None,
+            departures_final: settings.departures_final,
+            breaker: Breaker::new(Duration::from_millis(settings.breaker_open_ms)),
+            start_rate: StartRate::default(),
+            cold_rate_per_s: 0.0,
+            cold_rate_factor: settings.cold_rate_factor,
+            cold_rate_slack_count: settings.cold_rate_slack_count,
             times: RouteTimes::default(),
         }
     }
@@ -72,8 +92,38 @@
         new_life
     }
 
+    /// Whether a later announcement than this one was taken.
+    pub(super) fn has_said_later(&self, announcement: &Announcement) -> bool {
+        let held = &self.announcement;
+        let named = announcement.started_at_ms != 0;
+        if named && announcement.started_at_ms != held.started_at_ms {
+            return announcement.started_at_ms < held.started_at_ms;
+        }
+        announcement.sequence != 0 && announcement.sequence < held.sequence
+    }
+
+    /// The server says that it leaves, by its announcement or by withdrawing it.
+    pub(super) fn leaves(&mut self) {
+        let life_ms = self.announcement.started_at_ms;
+        let held = self.departures_final && life_ms != 0;
+        self.left_life_ms = held.then_some(life_ms);
+    }
+
+    /// Holds a server to its word that it leaves, for the rest of its life.
+    pub(super) fn keep_leaving(&mut self) {
+        if self.announcement.draining {
+            self.leaves();
+        }
+        if self.left_life_ms == Some(self.announcement.started_at_ms) {
+            self.announcement.draining = true;
+        }
+    }
+
     /// Requests at a time, at present.
     pub(super) fn limit_count(&self) -> u32 {
+        if self.has_cold_rate() {
+            return self.announcement.slots_count;
+        }
         self.cold.limit_count(self.announcement.slots_count)
     }
 
@@ -82,8 +132,60 @@
         !self.gone && !self.announcement.draining
     }
 
-    pub(super) fn has_free_slot(&self) -> bool {
+    pub(super) fn has_free_slot(&self, now: Instant) -> bool {
         self.running_count < self.limit_count()
+            && self
+                .start_limit_count()
+                .is_none_or(|limit_count| self.start_rate.admits(now, limit_count))
+    }
+
+    /// Whether its starts are limited by the rate that it bears while cold, and not by a number
+    /// of slots that is found out.
+    fn has_cold_rate(&self) -> bool {
+        self.cold_rate_per_s > 0.0 && self.cold_rate_factor > 0.0
+    }
+
+    /// Requests that may start within a second. One that does not say it is cold may have turned
+    /// cold since.
+    fn start_limit_count(&self) -> Option<usize> {
+        if !self.has_cold_rate() {
+            return None;
+        }
+        if self.announcement.cold {
+            return Some((self.cold_rate_per_s as usize).max(1));
+        }
+        let most = self.cold_rate_per_s * self.cold_rate_factor;
+        let most = most as usize + self.cold_rate_slack_count as usize;
+        Some(most.saturating_sub(START_MARGIN_COUNT).max(1))
+    }
+
+    /// When a start becomes possible for a request that waits with slots free.
+    pub(super) fn rate_free_at(&self) -> Option<Instant> {
+        if self.queue.is_empty() || self.running_count >= self.limit_count() {
+            return None;
+        }
+        self.start_rate.free_at(self.start_limit_count()?)
+    }
+
+    /// Tells the breaker how a call ended.
+    pub(super) fn judge(&mut self, now: Instant, outcome: ServerOutcome) {
+        let end = match outcome {
+            ServerOutcome::Answered(status) if status < FAILURE_STATUS => CallEnd::Good,
+            ServerOutcome::Answered(_) | ServerOutcome::Shed => CallEnd::FailedAnswer,
+            ServerOutcome::Failed(CallError::Late | CallError::ShortAnswer) => {
+                CallEnd::FailedAnswer
+            }
+            ServerOutcome::Died
+            | ServerOutcome::Replaced
+            | ServerOutcome::Failed(CallError::NotSent | CallError::Broken | CallError::Died) => {
+                CallEnd::Broken
+            }
+            ServerOutcome::Abandoned
+            | ServerOutcome::Failed(
+                CallError::Unwritable | CallError::ShortBody | CallError::AnswerTooLarge,
+            ) => return self.breaker.ended_neutral(),
+        };
+        self.breaker.ended(now, end);
     }
 
     /// Takes the time of a whole answer.
@@ -111,8 +213,15 @@
 
     /// The server as other daemons know it.
     pub(super) fn entry(&self, takes_work: bool) -> ServerEntry {
-        let cold = self.cold.is_cold();
-        let cold_count = self.cold.limit_count(1).max(1);
+        let by_rate = self.has_cold_rate();
+        let cold = match by_rate {
+            true => self.announcement.cold,
+            false => self.cold.is_cold(),
+        };
+        let cold_count = match by_rate {
+            true => (self.announcement.slots_count / COLD_SLOTS_DIVISOR).max(1),
+            false => self.cold.limit_count(1).max(1),
+        };
         ServerEntry {
             server: self.announcement.server.clone(),
             service: self.announcement.service.clone(),
@@ -129,3 +238,12 @@
 }
 
 const MAX_WAIT_S: f64 = 3600.0;
+
+/// Lowest status that tells of a server's failure.
+const FAILURE_STATUS: u16 = 500;
+
+/// Starts that stay below what a cold server bears, for requests that bunch on their way.
+const START_MARGIN_COUNT: usize = 2;
+
+/// A cold server counts for this part of its slots where entries compare servers.
+const COLD_SLOTS_DIVISOR: u32 = 2;
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -1,6 +1,7 @@
 //! Decisions of the guard: which request starts, waits or is refused.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::deaths::{BrokenCall, DeathWatch};
@@ -9,11 +10,12 @@
 };
 use super::server::ServerState;
 use super::started::StartedRecord;
+use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
-use crate::types::{BackendServerId, Incarnation};
-use crate::wire::call::CallError;
+use crate::types::{BackendServerId, Incarnation, ServiceId};
+use crate::wire::client::CallError;
 
 /// State of the guard.
 pub struct GuardState {
@@ -27,6 +29,7 @@
     pub(super) deaths: DeathWatch,
     pub(super) draining: bool,
     pub(super) domain_out: bool,
+    pub(super) view: Arc<View>,
     /// When the last request came, or the drain began.
     last_arrival_at: Option<Instant>,
     /// What membership was told last.
@@ -46,6 +49,7 @@
             running: HashMap::new(),
             draining: false,
             domain_out: false,
+            view: Arc::default(),
             last_arrival_at: None,
             reported: Vec::new(),
         }
@@ -56,9 +60,13 @@
         let mut next = self.quiet_at();
         for server in self.servers.values() {
             let lapses_at = (!server.gone).then(|| server.renewed_at + self.ttl());
-            for at in [lapses_at, server.queue.next_deadline_at()]
-                .into_iter()
-                .flatten()
+            for at in [
+                lapses_at,
+                server.queue.next_deadline_at(),
+                server.rate_free_at(),
+            ]
+            .into_iter()
+            .flatten()
             {
                 next = Some(next.map_or(at, |known| known.min(at)));
             }
@@ -82,7 +90,7 @@
             GuardEvent::Announced(announcement) => {
                 self.announced(now, announcement, &mut actions);
             }
-            GuardEvent::Withdrawn(server) => self.gone(now, &server, &mut actions),
+            GuardEvent::Withdrawn(server) => self.withdrawn(now, &server, &mut actions),
             GuardEvent::Domain { out } => self.domain(now, out, &mut actions),
             GuardEvent::Fence(fence) => self.fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.cancel(now, request, &mut actions),
@@ -92,6 +100,7 @@
                     self.deaths.reported(now, &from, report);
                 }
             }
+            GuardEvent::View(view) => self.view_changed(view),
             GuardEvent::Tick => self.tick(now, &mut actions),
             GuardEvent::Drain => {
                 self.draining = true;
@@ -151,7 +160,15 @@
         if !server.takes_work() {
             return refuse(ErrorKind::NoServer, None);
         }
-        let must_wait = !server.has_free_slot() || !server.queue.is_empty();
+        if !server.breaker.admits(now, request.repeatable) {
+            let open_for = server.breaker.open_for(now);
+            return refuse(ErrorKind::Busy, open_for);
+        }
+        let must_wait = !server.has_free_slot(now) || !server.queue.is_empty();
+        if must_wait && request.no_wait {
+            let wait = server.expected_wait(&request);
+            return refuse(ErrorKind::Busy, Some(wait));
+        }
         if must_wait && !server.can_meet_deadline(now, &request) {
             let wait = server.expected_wait(&request);
             return refuse(ErrorKind::DeadlineUnmeetable, Some(wait));
@@ -161,7 +178,7 @@
         }
         let name = request.server.clone();
         if !must_wait {
-            return self.start(&name, request, actions);
+            return self.start(now, &name, request, actions);
         }
         if let Some(shed) = server.queue.push(request) {
             let wait = server.expected_wait(&shed);
@@ -172,6 +189,7 @@
 
     fn start(
         &mut self,
+        now: Instant,
         name: &BackendServerId,
         request: GuardRequest,
         actions: &mut Vec<GuardAction>,
@@ -181,6 +199,8 @@
         };
         let key = request.key();
         server.running_count += 1;
+        server.breaker.started();
+        server.start_rate.started(now);
         self.started.started(key);
         actions.push(GuardAction::Start {
             key,
@@ -217,7 +237,7 @@
             let Some(server) = self.servers.get_mut(name) else {
                 return;
             };
-            if !server.has_free_slot() {
+            if !server.has_free_slot(now) {
                 return;
             }
             let Some(next) = server.queue.pop() else {
@@ -243,7 +263,7 @@
                 );
                 continue;
             }
-            self.start(name, next, actions);
+            self.start(now, name, next, actions);
         }
     }
 
@@ -264,6 +284,8 @@
             return;
         };
         server.running_count = server.running_count.saturating_sub(1);
+        server.judge(now, outcome);
+        let broken = !server.breaker.admits(now, false);
         match outcome {
             ServerOutcome::Answered(SHED_STATUS) => server.cold.failed(now),
             ServerOutcome::Answered(_) => {
@@ -277,13 +299,18 @@
                 let call = BrokenCall::new(now, server, &request);
                 self.deaths.broken(now, call);
             }
-            ServerOutcome::Died => {
+            ServerOutcome::Shed => server.cold.failed(now),
+            ServerOutcome::Replaced => self.gone(now, &name, actions),
+            ServerOutcome::Died | ServerOutcome::Failed(CallError::Died) => {
                 server.cold.failed(now);
                 let call = BrokenCall::new(now, server, &request);
                 actions.push(self.deaths.died(now, call));
                 self.gone(now, &name, actions);
             }
-            ServerOutcome::Failed(_) => {}
+            ServerOutcome::Failed(_) | ServerOutcome::Abandoned => {}
+        }
+        if broken {
+            self.refuse_waiting(now, &name, ErrorKind::NoServer, actions);
         }
         self.pump(now, &name, actions);
     }
@@ -295,12 +322,21 @@
         actions: &mut Vec<GuardAction>,
     ) {
         let name = announcement.server.clone();
+        if self.is_outdated(now, &announcement) {
+            return;
+        }
+        self.replace_others(now, &announcement, actions);
+        let cold_rate_per_s = self.cold_rate_per_s(&announcement.service);
         let Some(server) = self.servers.get_mut(&name) else {
-            let state = ServerState::new(&self.settings, announcement, now);
+            let mut state = ServerState::new(&self.settings, announcement, now);
+            state.keep_leaving();
+            state.cold_rate_per_s = cold_rate_per_s;
             self.servers.insert(name, state);
             return;
         };
+        server.cold_rate_per_s = cold_rate_per_s;
         let new_life = server.renew(now, announcement);
+        server.keep_leaving();
         let draining = server.announcement.draining;
         if new_life {
             actions.extend(self.deaths.confirm(now, &name));
@@ -311,6 +347,65 @@
         self.pump(now, &name, actions);
     }
 
+    /// Whether the announcement is older than what is known: an earlier one of the same life, or
+    /// one of a server whose address another server has since taken.
+    fn is_outdated(&self, now: Instant, announcement: &Announcement) -> bool {
+        let own = self.servers.get(&announcement.server);
+        let repeated = own.is_some_and(|known| known.has_said_later(announcement));
+        let replaced = self.servers.values().any(|other| {
+            let held = &other.announcement;
+            held.address == announcement.address
+                && held.server != announcement.server
+                && !other.gone
+                && announcement.started_at_ms < held.started_at_ms
+                && now.saturating_duration_since(other.renewed_at) < self.ttl()
+        });
+        repeated || replaced
+    }
+
+    /// A server that took another's address ends the other one.
+    fn replace_others(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        if announcement.started_at_ms == 0 {
+            return;
+        }
+        let others = self.servers.iter().filter(|(name, other)| {
+            **name != announcement.server
+                && !other.gone
+                && other.announcement.address == announcement.address
+        });
+        let others: Vec<BackendServerId> = others.map(|(name, _)| name.clone()).collect();
+        for other in others {
+            self.gone(now, &other, actions);
+        }
+    }
+
+    fn cold_rate_per_s(&self, service: &ServiceId) -> f64 {
+        let contract = self.view.services.get(service);
+        contract.map_or(0.0, |contract| contract.cold_rate_per_s)
+    }
+
+    fn view_changed(&mut self, view: Arc<View>) {
+        self.view = view;
+        let rates: Vec<(BackendServerId, f64)> = self
+            .servers
+            .iter()
+            .map(|(name, server)| {
+                let rate_per_s = self.cold_rate_per_s(&server.announcement.service);
+                (name.clone(), rate_per_s)
+            })
+            .collect();
+        for (name, rate_per_s) in rates {
+            if let Some(server) = self.servers.get_mut(&name) {
+                server.cold_rate_per_s = rate_per_s;
+            }
+        }
+    }
+
     fn report_servers(&mut self, actions: &mut Vec<GuardAction>) {
         let takes_work = self.takes_work();
         let present = self.servers.values().filter(|server| !server.gone);
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -27,6 +27,8 @@
         server: "s".into(),
         repeatable: false,
         foreground: true,
+        rank: 0,
+        no_wait: false,
         fingerprint: [number as u8; 32],
         deadline_at: now + Duration::from_secs(1),
     }
@@ -319,8 +321,9 @@
     assert_eq!(refusal_of(&waiting, 2), Some(ErrorKind::Cancelled));
     let address = announcement().address;
     let told = GuardAction::CancelServer {
-        request: id(1, 1),
+        key: (id(1, 1), 1),
         address,
+        repeatable: false,
     };
     assert_eq!(running, vec![told]);
 }
@@ -406,3 +409,62 @@
     // Assert
     assert!(starts(&actions, 4));
 }
+
+#[test]
+fn a_server_that_left_is_not_brought_back_by_an_announcement_of_the_same_life() {
+    // Arrange
+    let now = Instant::now();
+    let settings = GuardSettings {
+        departures_final: true,
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    let ready = |started_at_ms, sequence| {
+        GuardEvent::Announced(Announcement {
+            started_at_ms,
+            sequence,
+            ..announcement()
+        })
+    };
+    state.handle(now, ready(5, 1));
+    state.handle(now, GuardEvent::Withdrawn("s".into()));
+
+    // Act
+    state.handle(now, ready(5, 2));
+    let same_life = state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, ready(6, 1));
+    let next_life = state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&same_life, 1), Some(ErrorKind::NoServer));
+    assert_eq!(refusal_of(&next_life, 2), None);
+}
+
+#[test]
+fn an_older_server_does_not_take_its_address_back() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = GuardState::new(GuardSettings::default(), LIFE);
+    let named = |server: &str, started_at_ms| {
+        GuardEvent::Announced(Announcement {
+            server: server.into(),
+            started_at_ms,
+            ..announcement()
+        })
+    };
+    state.handle(now, named("old", 5));
+    state.handle(now, named("s", 6));
+
+    // Act
+    state.handle(now, named("old", 5));
+    let to_old = GuardRequest {
+        server: "old".into(),
+        ..request(1, now)
+    };
+    let to_old = state.handle(now, GuardEvent::Arrived(to_old));
+    let to_new = state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&to_old, 1), Some(ErrorKind::NoServer));
+    assert_eq!(refusal_of(&to_new, 2), None);
+}
--- a/src/guard/withdraw.rs
+++ b/src/guard/withdraw.rs
@@ -54,8 +54,9 @@
         let running = self.running.get(&key)?;
         let server = self.servers.get(&running.server)?;
         Some(GuardAction::CancelServer {
-            request: key.0,
+            key,
             address: server.announcement.address,
+            repeatable: running.repeatable,
         })
     }
 
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -2,7 +2,7 @@
 
 use super::message::{FailureKind, RequestEnd};
 use crate::guard::message::ServerOutcome;
-use crate::wire::call::CallError;
+use crate::wire::client::CallError;
 
 /// Lowest status that counts as a failure of the server.
 const FAILURE_STATUS: u16 = 500;
@@ -14,7 +14,9 @@
             RequestEnd::Failed(FailureKind::Status)
         }
         ServerOutcome::Answered(_) => RequestEnd::Good,
-        ServerOutcome::Died => RequestEnd::Died,
+        ServerOutcome::Died | ServerOutcome::Failed(CallError::Died) => RequestEnd::Died,
+        ServerOutcome::Shed => RequestEnd::Failed(FailureKind::Status),
+        ServerOutcome::Replaced | ServerOutcome::Abandoned => RequestEnd::Neutral,
         ServerOutcome::Failed(error) => failed_end(error),
     }
 }
@@ -22,7 +24,7 @@
 fn failed_end(error: CallError) -> RequestEnd {
     match error {
         CallError::NotSent => RequestEnd::Failed(FailureKind::Connect),
-        CallError::Broken => RequestEnd::Failed(FailureKind::Broken),
+        CallError::Broken | CallError::Died => RequestEnd::Failed(FailureKind::Broken),
         CallError::ShortAnswer => RequestEnd::Failed(FailureKind::ShortAnswer),
         CallError::Late => RequestEnd::Late,
         CallError::Unwritable | CallError::ShortBody | CallError::AnswerTooLarge => {
--- a/src/load/duty.rs
+++ b/src/load/duty.rs
@@ -1,6 +1,5 @@
 //! The threads that send requests.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,9 +10,9 @@
 use super::message::{LoadPlan, LoadRequest, LoadResult, Verdict};
 use super::report::LoadReport;
 use super::state::{judge, request_of};
-use crate::front::check::CALLER_DEADLINE_MS;
 use crate::types::{format_id, new_request_id};
-use crate::wire::call::{call, Call};
+use crate::wire::client::{call_and_wait, Call, HttpClient, OutBody};
+use crate::wire::dialect::CALLER_DEADLINE_MS;
 use crate::wire::forward::{ORGANISATION, REQUEST};
 
 /// One request that is due.
@@ -26,13 +25,14 @@
 /// Sends the whole load and waits for its end.
 pub fn run(plan: &LoadPlan) -> LoadReport {
     let started_at = Instant::now();
+    let client = &HttpClient::start("load");
     let (due_sender, due_receiver) = bounded::<Due>(plan.worker_count);
     let (result_sender, result_receiver) = bounded::<LoadResult>(plan.worker_count);
     std::thread::scope(|scope| {
         for _ in 0..plan.worker_count {
             let due = due_receiver.clone();
             let results = result_sender.clone();
-            scope.spawn(move || work(plan, &due, &results));
+            scope.spawn(move || work(plan, client, &due, &results));
         }
         drop((due_receiver, result_sender));
         scope.spawn(move || pace(plan, started_at, &due_sender));
@@ -70,7 +70,7 @@
     }
 }
 
-fn work(plan: &LoadPlan, due: &Receiver<Due>, results: &Sender<LoadResult>) {
+fn work(plan: &LoadPlan, client: &HttpClient, due: &Receiver<Due>, results: &Sender<LoadResult>) {
     for job in due {
         // With a rate the wait for a free worker counts, so that slow answers are not left out.
         let from = if plan.rate_per_s.is_some() {
@@ -79,7 +79,7 @@
             Instant::now()
         };
         let sent = &plan.mix[job.kind_index];
-        let (request, verdict) = send(plan, sent, job.front);
+        let (request, verdict) = send(plan, client, sent, job.front);
         let elapsed = from.elapsed();
         let result = LoadResult {
             kind_index: job.kind_index,
@@ -93,7 +93,12 @@
     }
 }
 
-fn send(plan: &LoadPlan, sent: &LoadRequest, front: SocketAddr) -> (Option<u128>, Verdict) {
+fn send(
+    plan: &LoadPlan,
+    client: &HttpClient,
+    sent: &LoadRequest,
+    front: SocketAddr,
+) -> (Option<u128>, Verdict) {
     let mut headers = vec![(
         CALLER_DEADLINE_MS.to_owned(),
         plan.deadline.as_millis().to_string(),
@@ -104,17 +109,20 @@
     } else if !sent.key.is_empty() {
         headers.push(("authorization".to_owned(), format!("Bearer {}", sent.key)));
     }
-    let result = call(Call {
+    let call = Call {
         address: front,
-        method: &sent.method,
-        target: &sent.target,
-        headers: &headers,
-        body: &mut std::io::repeat(b'x').take(sent.body_bytes),
-        body_bytes: Some(sent.body_bytes),
+        method: sent.method.clone(),
+        target: sent.target.clone(),
+        host: None,
+        headers,
+        body: OutBody::Whole(vec![b'x'; sent.body_bytes as usize].into()),
         connect_timeout: plan.deadline,
         deadline_at: Instant::now() + plan.deadline + ANSWER_GRACE,
         answer_limit_bytes: ANSWER_LIMIT_BYTES,
-    });
+        reuse_idle: Duration::ZERO,
+        knock: false,
+    };
+    let result = call_and_wait(client, call);
     match result {
         Ok(answer) => (request_of(&answer), judge(sent, &answer)),
         Err(_) => (None, Verdict::Silent),
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -48,6 +48,9 @@
             route: used.route.route.clone(),
             repeatable: used.route.repeatable,
             foreground: used.route.foreground,
+            rank: 0,
+            attempts_limit_count: 0,
+            body_bytes: 0,
             body_limit_bytes: 0,
             idempotency_key: None,
             deadline_at,
@@ -82,6 +85,7 @@
                 target,
                 incarnation,
                 until,
+                no_wait,
             } => {
                 self.tally.attempt_count += 1;
                 let request = GuardRequest {
@@ -94,6 +98,8 @@
                     server: target.server,
                     repeatable: plan.repeatable,
                     foreground: plan.foreground,
+                    rank: plan.rank,
+                    no_wait,
                     fingerprint: fingerprint(plan.request),
                     deadline_at: until,
                 };
--- a/src/measure/guards.rs
+++ b/src/measure/guards.rs
@@ -10,7 +10,7 @@
 use crate::health::{request_end, HealthEvent, StartedRequest};
 use crate::link::{FenceAnswer, FenceRequest};
 use crate::routing::{AttemptOutcome, RoutingEvent};
-use crate::wire::call::CallError;
+use crate::wire::client::CallError;
 use crate::wire::exchange::WholeAnswer;
 
 impl World {
--- a/src/measure/server.rs
+++ b/src/measure/server.rs
@@ -7,7 +7,7 @@
 
 use crate::guard::message::ServerOutcome;
 use crate::types::RouteId;
-use crate::wire::call::CallError;
+use crate::wire::client::CallError;
 
 /// How a server fails.
 #[derive(Debug, Clone, PartialEq)]
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -64,6 +64,16 @@
         let _ = self.client.time(name, elapsed);
     }
 
+    /// The counters as text, one a line: name and value.
+    pub fn text(&self) -> String {
+        let counts = self.counts();
+        let lines = counts.iter().map(|(name, value)| {
+            let name = name.replace(['.', '-'], "_");
+            format!("{PREFIX}_{name} {value}\n")
+        });
+        lines.collect()
+    }
+
     /// The counters now, by name.
     pub fn counts(&self) -> BTreeMap<String, u64> {
         self.counts.lock().expect("no panic while counting").clone()
--- a/src/operator/accept.rs
+++ b/src/operator/accept.rs
@@ -1,8 +1,8 @@
 //! The thread that takes operators' requests, authenticates them and reads their bodies.
 
-use std::io::Read;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use subtle::ConstantTimeEq;
 
 use super::message::{OperatorAnswer, OperatorMessage, Refusal};
@@ -10,7 +10,7 @@
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::settings::operator::{OperatorEntry, OperatorSettings};
-use crate::wire::exchange::{Exchange, RawHead};
+use crate::wire::exchange::{Exchange, RawHead, RequestBody};
 use crate::wire::hex;
 use crate::wire::http::header;
 use crate::wire::listener::HttpListener;
@@ -45,7 +45,7 @@
 fn take(
     context: &AcceptContext,
     head: &RawHead,
-    mut exchange: Box<dyn Exchange>,
+    exchange: Box<dyn Exchange>,
 ) -> Result<(), Refused> {
     let token =
         header(&head.headers, "authorization").and_then(|held| held.strip_prefix("Bearer "));
@@ -53,7 +53,7 @@
     else {
         return Err((exchange, Refusal::of(ErrorKind::OperatorUnknown)));
     };
-    let body = match read_body(&mut *exchange, head, context.settings.body_limit_bytes) {
+    let body = match read_body(&*exchange, context.settings.body_limit_bytes) {
         Ok(body) => body,
         Err(kind) => return Err((exchange, Refusal::of(kind))),
     };
@@ -89,19 +89,10 @@
     found
 }
 
-fn read_body(
-    exchange: &mut dyn Exchange,
-    head: &RawHead,
-    limit_bytes: u64,
-) -> Result<Vec<u8>, ErrorKind> {
-    let mut body = Vec::new();
-    let read = exchange.body().take(limit_bytes + 1).read_to_end(&mut body);
-    read.map_err(|_| ErrorKind::ShortUpload)?;
-    if body.len() as u64 > limit_bytes {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    match head.body_bytes {
-        Some(length) if length != body.len() as u64 => Err(ErrorKind::ShortUpload),
-        _ => Ok(body),
+/// The body; the listener reads those up to the limit whole.
+fn read_body(exchange: &dyn Exchange, limit_bytes: u64) -> Result<Bytes, ErrorKind> {
+    match exchange.body() {
+        RequestBody::Whole(body) if body.len() as u64 <= limit_bytes => Ok(body),
+        RequestBody::Whole(_) | RequestBody::Parts(_) => Err(ErrorKind::BodyTooLarge),
     }
 }
--- /dev/null
+++ b/src/quota/duty.rs
@@ -0,0 +1,185 @@
+//! The quota thread.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+
+use super::message::{CallId, Loan, QuotaAction, QuotaEvent};
+use super::state::QuotaState;
+use crate::allowance::{AllowanceEvent, AllowanceMessage};
+use crate::clock::Clock;
+use crate::front::{FrontEvent, FrontMessage};
+use crate::link::{
+    BorrowAnswer, BorrowRequest, EscrowId, LinkError, LinkMessage, PeerAnswer, PeerReply,
+    PeerRequest,
+};
+use crate::metrics::Metrics;
+use crate::ring::RingSender;
+use crate::settings::quota::QuotaSettings;
+use crate::types::{DaemonId, OrganisationId};
+
+/// What the quota needs of the world.
+pub struct QuotaContext {
+    /// Its settings.
+    pub settings: QuotaSettings,
+    /// This daemon.
+    pub own: DaemonId,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Where answers go.
+    pub front: RingSender<FrontMessage>,
+    /// Calls homes.
+    pub link: RingSender<LinkMessage>,
+    /// Where homes' answers come in: this duty's own ring.
+    pub answers: RingSender<QuotaEvent>,
+}
+
+struct Duty {
+    context: QuotaContext,
+    state: QuotaState,
+    /// Peers that wait for an answer.
+    replies: HashMap<CallId, PeerReply>,
+    next_call: CallId,
+}
+
+/// Runs the duty until it is told to stop.
+pub fn run(
+    context: QuotaContext,
+    messages: &Receiver<AllowanceMessage>,
+    answers: &Receiver<QuotaEvent>,
+) {
+    let mut duty = Duty {
+        state: QuotaState::new(context.settings.clone(), context.own.clone()),
+        context,
+        replies: HashMap::new(),
+        next_call: 0,
+    };
+    loop {
+        let event = crossbeam::select! {
+            recv(answers) -> answer => match answer {
+                Ok(event) => Some(event),
+                Err(_) => return,
+            },
+            recv(messages) -> message => match message {
+                Ok(AllowanceMessage::Stop) | Err(_) => return,
+                Ok(message) => duty.event_of(message),
+            },
+        };
+        let Some(event) = event else {
+            continue;
+        };
+        let now = duty.context.clock.now();
+        for action in duty.state.handle(now, event) {
+            duty.carry_out(action);
+        }
+    }
+}
+
+impl Duty {
+    fn event_of(&mut self, message: AllowanceMessage) -> Option<QuotaEvent> {
+        match message {
+            AllowanceMessage::Event(AllowanceEvent::Take {
+                request,
+                organisation,
+            }) => Some(QuotaEvent::Take {
+                request,
+                organisation,
+            }),
+            AllowanceMessage::Event(AllowanceEvent::View(view)) => Some(QuotaEvent::View(view)),
+            AllowanceMessage::Event(AllowanceEvent::Fleet(fleet)) => Some(QuotaEvent::Fleet(fleet)),
+            AllowanceMessage::Asked {
+                request:
+                    PeerRequest::Borrow(BorrowRequest {
+                        escrow: EscrowId::Organisation(organisation),
+                        count,
+                    }),
+                reply,
+                ..
+            } => {
+                self.next_call += 1;
+                self.replies.insert(self.next_call, reply);
+                Some(QuotaEvent::Borrow {
+                    call: self.next_call,
+                    organisation,
+                    count,
+                })
+            }
+            AllowanceMessage::Asked { reply, .. } => {
+                reply(Err(LinkError::Refused));
+                None
+            }
+            AllowanceMessage::Event(_) | AllowanceMessage::Stop => None,
+        }
+    }
+
+    fn carry_out(&mut self, action: QuotaAction) {
+        let context = &self.context;
+        match action {
+            QuotaAction::Grant { request } => {
+                let event = FrontEvent::Granted { request };
+                context.front.deliver(FrontMessage::Event(event));
+            }
+            QuotaAction::Refuse {
+                request,
+                kind,
+                retry_after,
+            } => {
+                let event = FrontEvent::Limited {
+                    request,
+                    kind,
+                    retry_after,
+                };
+                context.front.deliver(FrontMessage::Event(event));
+            }
+            QuotaAction::Borrow {
+                to,
+                organisation,
+                count,
+            } => self.borrow(to, organisation, count),
+            QuotaAction::Lend { call, loan } => {
+                if let Some(reply) = self.replies.remove(&call) {
+                    reply(Ok(PeerAnswer::Borrow(BorrowAnswer {
+                        count: loan.count,
+                        lapses_after: Duration::from_millis(context.settings.loan_ms),
+                        retry_after: loan.retry_after,
+                    })));
+                }
+            }
+            QuotaAction::Count(name) => context.metrics.count(name),
+        }
+    }
+
+    fn borrow(&self, to: DaemonId, organisation: OrganisationId, count: u32) {
+        let answers = self.context.answers.clone();
+        let asked = organisation.clone();
+        let request = PeerRequest::Borrow(BorrowRequest {
+            escrow: EscrowId::Organisation(organisation.clone()),
+            count,
+        });
+        let reply: PeerReply = Box::new(move |answer| {
+            let loan = match answer {
+                Ok(PeerAnswer::Borrow(lent)) => Some(Loan {
+                    count: lent.count,
+                    retry_after: lent.retry_after,
+                }),
+                _ => None,
+            };
+            answers.deliver(QuotaEvent::Borrowed {
+                organisation: asked,
+                loan,
+            });
+        });
+        let call = LinkMessage::Call { to, request, reply };
+        if self.context.link.offer(call).is_err() {
+            self.context.metrics.count("quota.borrow.dropped");
+            self.context.answers.deliver(QuotaEvent::Borrowed {
+                organisation,
+                loan: None,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/quota/share.rs
@@ -0,0 +1,74 @@
+//! What one entry holds of one organisation's tokens.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::types::RequestId;
+
+/// Demand is measured over this time.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+
+/// Tokens on loan, and the requests that wait for more.
+#[derive(Debug, Default)]
+pub struct Share {
+    /// Tokens on loan; worth nothing after `lapses_at`.
+    token_count: u32,
+    lapses_at: Option<Instant>,
+    /// Requests that wait for the home's answer.
+    waiting: VecDeque<RequestId>,
+    /// Whether the home was asked and has not answered.
+    pub asking: bool,
+    /// Requests of late, oldest first.
+    demand: VecDeque<Instant>,
+}
+
+impl Share {
+    /// Notes a request, and takes a token for it if one is there.
+    pub fn take(&mut self, now: Instant) -> bool {
+        while self
+            .demand
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) >= DEMAND_WINDOW)
+        {
+            self.demand.pop_front();
+        }
+        self.demand.push_back(now);
+        let good = self.lapses_at.is_some_and(|at| now < at);
+        if !good || self.token_count == 0 {
+            return false;
+        }
+        self.token_count -= 1;
+        true
+    }
+
+    /// Lets a request wait for the home's answer.
+    pub fn wait(&mut self, request: RequestId) {
+        self.waiting.push_back(request);
+    }
+
+    /// How many tokens to ask for: those that requests wait for, and those that may be wanted
+    /// while a loan lives.
+    pub fn wanted_count(&self, loan_time: Duration) -> u32 {
+        let per_s = self.demand.len() as f64 / DEMAND_WINDOW.as_secs_f64();
+        let ahead = (per_s * loan_time.as_secs_f64()) as u32;
+        self.waiting.len() as u32 + ahead
+    }
+
+    /// Takes a loan; gives the requests that have their token by it.
+    pub fn lent(&mut self, now: Instant, count: u32, loan_time: Duration) -> Vec<RequestId> {
+        let granted_count = self.waiting.len().min(count as usize);
+        self.token_count = count - granted_count as u32;
+        self.lapses_at = Some(now + loan_time);
+        self.waiting.drain(..granted_count).collect()
+    }
+
+    /// Takes all requests that wait.
+    pub fn take_waiting(&mut self) -> Vec<RequestId> {
+        self.waiting.drain(..).collect()
+    }
+
+    /// Whether requests wait.
+    pub fn is_waited_for(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/src/quota/state.rs
@@ -0,0 +1,291 @@
+//! Decisions of the quota: which request has its token.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::message::{CallId, Loan, QuotaAction, QuotaEvent};
+use super::share::Share;
+use crate::allowance::bucket::Bucket;
+use crate::contract::{OrganisationContract, View};
+use crate::error::ErrorKind;
+use crate::idempotency::home::claim_key;
+use crate::idempotency::HomeMap;
+use crate::membership::Fleet;
+use crate::settings::quota::QuotaSettings;
+use crate::types::{DaemonId, OrganisationId, RequestId};
+
+/// State of the quota at one daemon, as an entry and as a home.
+pub struct QuotaState {
+    settings: QuotaSettings,
+    own: DaemonId,
+    view: Arc<View>,
+    homes: HomeMap,
+    /// As an entry: what is on loan here.
+    shares: HashMap<OrganisationId, Share>,
+    /// As a home: one bucket an organisation.
+    buckets: HashMap<OrganisationId, HomeBucket>,
+    /// Without the home: this daemon's own part of the rate.
+    fallbacks: HashMap<OrganisationId, Bucket>,
+}
+
+struct HomeBucket {
+    bucket: Bucket,
+    /// The rate and burst that the bucket was made for.
+    contract: (f64, u32),
+}
+
+impl QuotaState {
+    /// The quota at `own`, which knows no contract yet.
+    pub fn new(settings: QuotaSettings, own: DaemonId) -> QuotaState {
+        QuotaState {
+            settings,
+            own,
+            view: Arc::default(),
+            homes: HomeMap::default(),
+            shares: HashMap::new(),
+            buckets: HashMap::new(),
+            fallbacks: HashMap::new(),
+        }
+    }
+
+    /// Takes one event and gives what is to be done.
+    pub fn handle(&mut self, now: Instant, event: QuotaEvent) -> Vec<QuotaAction> {
+        match event {
+            QuotaEvent::Take {
+                request,
+                organisation,
+            } => self.take(now, request, &organisation),
+            QuotaEvent::Borrow {
+                call,
+                organisation,
+                count,
+            } => vec![self.lend(now, call, &organisation, count)],
+            QuotaEvent::Borrowed { organisation, loan } => self.borrowed(now, &organisation, loan),
+            QuotaEvent::View(view) => {
+                self.view = view;
+                self.open_buckets(now);
+                Vec::new()
+            }
+            QuotaEvent::Fleet(fleet) => {
+                self.fleet(now, &fleet);
+                Vec::new()
+            }
+        }
+    }
+
+    fn fleet(&mut self, now: Instant, fleet: &Fleet) {
+        let homes = HomeMap::new(fleet);
+        if homes == self.homes {
+            return;
+        }
+        self.homes = homes;
+        self.fallbacks.clear();
+        self.open_buckets(now);
+    }
+
+    /// Opens a bucket for every organisation whose home this daemon has become, and closes those
+    /// of the others.
+    fn open_buckets(&mut self, now: Instant) {
+        let view = self.view.clone();
+        let mut kept = HashMap::new();
+        for contract in view.organisations.values() {
+            if contract.unlimited || !self.is_home(&contract.organisation) {
+                continue;
+            }
+            let terms = (contract.rate_per_s, contract.burst_count);
+            let held = self.buckets.remove(&contract.organisation);
+            // What the last home lent is not known here, so a new bucket is empty.
+            let mut bucket = held.unwrap_or_else(|| HomeBucket {
+                bucket: Bucket::empty(now, terms.0, f64::from(terms.1)),
+                contract: terms,
+            });
+            if bucket.contract != terms {
+                bucket.bucket.resize(now, terms.0, f64::from(terms.1));
+                bucket.contract = terms;
+            }
+            kept.insert(contract.organisation.clone(), bucket);
+        }
+        self.buckets = kept;
+    }
+
+    fn is_home(&self, organisation: &OrganisationId) -> bool {
+        self.home(organisation) == Some(&self.own)
+    }
+
+    fn home(&self, organisation: &OrganisationId) -> Option<&DaemonId> {
+        self.homes.home(&claim_key(organisation, ""))
+    }
+
+    fn limited(&self, organisation: &OrganisationId) -> Option<Arc<OrganisationContract>> {
+        let contract = self.view.organisations.get(organisation)?;
+        (!contract.unlimited).then(|| contract.clone())
+    }
+
+    fn take(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        organisation: &OrganisationId,
+    ) -> Vec<QuotaAction> {
+        if self.limited(organisation).is_none() {
+            return vec![QuotaAction::Grant { request }];
+        }
+        if self.is_home(organisation) {
+            return vec![self.take_at_home(now, request, organisation)];
+        }
+        let share = self.shares.entry(organisation.clone()).or_default();
+        if share.take(now) {
+            return vec![QuotaAction::Grant { request }];
+        }
+        share.wait(request);
+        self.ask(now, organisation)
+    }
+
+    fn take_at_home(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        organisation: &OrganisationId,
+    ) -> QuotaAction {
+        let taken = match self.buckets.get_mut(organisation) {
+            Some(held) => held.bucket.take(now, 1.0),
+            None => Err(self.loan_time()),
+        };
+        match taken {
+            Ok(()) => QuotaAction::Grant { request },
+            Err(retry_after) => QuotaAction::Refuse {
+                request,
+                kind: ErrorKind::RateExceeded,
+                retry_after,
+            },
+        }
+    }
+
+    /// Asks the home, unless it is being asked already.
+    fn ask(&mut self, now: Instant, organisation: &OrganisationId) -> Vec<QuotaAction> {
+        let Some(home) = self.home(organisation).cloned() else {
+            return self.fall_back(now, organisation);
+        };
+        let loan_time = self.loan_time();
+        let Some(share) = self.shares.get_mut(organisation) else {
+            return Vec::new();
+        };
+        if share.asking {
+            return Vec::new();
+        }
+        share.asking = true;
+        vec![QuotaAction::Borrow {
+            to: home,
+            organisation: organisation.clone(),
+            count: share.wanted_count(loan_time),
+        }]
+    }
+
+    fn borrowed(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        loan: Option<Loan>,
+    ) -> Vec<QuotaAction> {
+        let loan_time = self.loan_time();
+        let Some(share) = self.shares.get_mut(organisation) else {
+            return Vec::new();
+        };
+        share.asking = false;
+        let Some(loan) = loan else {
+            return self.fall_back(now, organisation);
+        };
+        let granted = share.lent(now, loan.count, loan_time);
+        let mut actions: Vec<QuotaAction> = granted
+            .into_iter()
+            .map(|request| QuotaAction::Grant { request })
+            .collect();
+        if !share.is_waited_for() {
+            return actions;
+        }
+        if loan.count > 0 {
+            actions.extend(self.ask(now, organisation));
+            return actions;
+        }
+        let refused = share.take_waiting().into_iter();
+        actions.extend(refused.map(|request| QuotaAction::Refuse {
+            request,
+            kind: ErrorKind::RateExceeded,
+            retry_after: loan.retry_after,
+        }));
+        actions
+    }
+
+    /// Serves those that wait from this daemon's own part of the rate.
+    fn fall_back(&mut self, now: Instant, organisation: &OrganisationId) -> Vec<QuotaAction> {
+        let mut actions = vec![QuotaAction::Count("quota.home.unreachable")];
+        let waiting = self
+            .shares
+            .get_mut(organisation)
+            .map(Share::take_waiting)
+            .unwrap_or_default();
+        let Some(contract) = self.limited(organisation) else {
+            let granted = waiting.into_iter();
+            actions.extend(granted.map(|request| QuotaAction::Grant { request }));
+            return actions;
+        };
+        let daemon_count = self.homes.daemons().count().max(1) as f64;
+        let part = self.settings.fallback_share / daemon_count;
+        let bucket = self
+            .fallbacks
+            .entry(organisation.clone())
+            .or_insert_with(|| Bucket::full(now, contract.rate_per_s * part, 1.0));
+        for request in waiting {
+            actions.push(match bucket.take(now, 1.0) {
+                Ok(()) => QuotaAction::Grant { request },
+                Err(retry_after) => QuotaAction::Refuse {
+                    request,
+                    kind: ErrorKind::AllowanceUnreachable,
+                    retry_after,
+                },
+            });
+        }
+        actions
+    }
+
+    /// Answers a peer, whether this daemon still counts itself as the home or not: a peer that
+    /// asks knows of no better one.
+    fn lend(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        organisation: &OrganisationId,
+        count: u32,
+    ) -> QuotaAction {
+        let loan = match self.buckets.get_mut(organisation) {
+            Some(held) => lend_from(&mut held.bucket, now, count),
+            None => Loan {
+                count: 0,
+                retry_after: self.loan_time(),
+            },
+        };
+        QuotaAction::Lend { call, loan }
+    }
+
+    fn loan_time(&self) -> Duration {
+        Duration::from_millis(self.settings.loan_ms)
+    }
+}
+
+/// Takes as many whole tokens as there are, `count` at most.
+fn lend_from(bucket: &mut Bucket, now: Instant, count: u32) -> Loan {
+    for lent in (1..=count).rev() {
+        if bucket.take(now, f64::from(lent)).is_ok() {
+            return Loan {
+                count: lent,
+                retry_after: Duration::ZERO,
+            };
+        }
+    }
+    let retry_after = bucket.take(now, 1.0).err().unwrap_or_default();
+    Loan {
+        count: 0,
+        retry_after,
+    }
+}
--- /dev/null
+++ b/src/quota/tests.rs
@@ -0,0 +1,197 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::message::{Loan, QuotaAction, QuotaEvent};
+use super::QuotaState;
+use crate::contract::{Document, OrganisationContract, View};
+use crate::error::ErrorKind;
+use crate::idempotency::home::claim_key;
+use crate::idempotency::HomeMap;
+use crate::membership::{DaemonEntry, Fleet};
+use crate::settings::quota::QuotaSettings;
+use crate::types::DaemonId;
+
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn view(rate_per_s: f64, burst_count: u32) -> Arc<View> {
+    let document = Document {
+        organisations: vec![OrganisationContract {
+            organisation: "o".into(),
+            rate_per_s,
+            burst_count,
+            all_routes: true,
+            ..Default::default()
+        }],
+        ..Default::default()
+    };
+    Arc::new(View::of_document(1, &document, BTreeSet::new()))
+}
+
+fn fleet(names: &[&str]) -> Arc<Fleet> {
+    let mut fleet = Fleet::default();
+    for name in names {
+        let any = "127.0.0.1:1".parse().expect("a literal address");
+        let entry = DaemonEntry {
+            daemon: (*name).into(),
+            incarnation: 1,
+            version: 0,
+            domain: "north".into(),
+            guard_address: any,
+            link_address: any,
+            leaving: false,
+            servers: Vec::new(),
+        };
+        fleet.daemons.insert((*name).into(), Arc::new(entry));
+    }
+    Arc::new(fleet)
+}
+
+fn home() -> DaemonId {
+    let homes = HomeMap::new(&fleet(&NAMES));
+    homes.home(&claim_key("o", "")).expect("a home").clone()
+}
+
+fn state(own: &str, now: Instant, rate_per_s: f64, burst_count: u32) -> QuotaState {
+    let mut state = QuotaState::new(QuotaSettings::default(), own.into());
+    state.handle(now, QuotaEvent::Fleet(fleet(&NAMES)));
+    state.handle(now, QuotaEvent::View(view(rate_per_s, burst_count)));
+    state
+}
+
+fn take(state: &mut QuotaState, now: Instant, request: u128) -> Vec<QuotaAction> {
+    state.handle(
+        now,
+        QuotaEvent::Take {
+            request,
+            organisation: "o".into(),
+        },
+    )
+}
+
+fn granted_count(actions: &[QuotaAction]) -> usize {
+    let granted = |action: &&QuotaAction| matches!(action, QuotaAction::Grant { .. });
+    actions.iter().filter(granted).count()
+}
+
+#[test]
+fn the_home_lends_no_more_than_rate_and_burst_to_all_entries_together() {
+    // Arrange
+    let begin = Instant::now();
+    let mut home = state(&home(), begin, 10.0, 5);
+    let mut lent_count = 0;
+
+    // Act
+    for step in 0..400 {
+        let now = begin + Duration::from_millis(10 * step);
+        let borrow = QuotaEvent::Borrow {
+            call: step,
+            organisation: "o".into(),
+            count: 3,
+        };
+        for action in home.handle(now, borrow) {
+            if let QuotaAction::Lend { loan, .. } = action {
+                lent_count += loan.count;
+            }
+        }
+    }
+
+    // Assert: a bucket that starts empty gives the rate over four seconds, and no burst on top.
+    assert!((38..=40).contains(&lent_count), "{lent_count}");
+}
+
+#[test]
+fn an_entry_asks_the_home_once_for_all_that_wait() {
+    // Arrange
+    let now = Instant::now();
+    let own = NAMES
+        .iter()
+        .find(|name| **name != &*home())
+        .expect("another");
+    let mut entry = state(own, now, 10.0, 5);
+
+    // Act
+    let first = take(&mut entry, now, 1);
+    let second = take(&mut entry, now, 2);
+    let loan = Some(Loan {
+        count: 2,
+        retry_after: Duration::ZERO,
+    });
+    let organisation = "o".into();
+    let answered = entry.handle(now, QuotaEvent::Borrowed { organisation, loan });
+
+    // Assert
+    assert!(matches!(&first[..], [QuotaAction::Borrow { to, .. }] if *to == home()));
+    assert!(second.is_empty());
+    assert_eq!(granted_count(&answered), 2);
+}
+
+#[test]
+fn a_home_without_tokens_refuses_with_the_time_of_the_next() {
+    // Arrange
+    let now = Instant::now();
+    let own = NAMES
+        .iter()
+        .find(|name| **name != &*home())
+        .expect("another");
+    let mut entry = state(own, now, 10.0, 5);
+    take(&mut entry, now, 1);
+
+    // Act
+    let retry_after = Duration::from_millis(70);
+    let loan = Some(Loan {
+        count: 0,
+        retry_after,
+    });
+    let organisation = "o".into();
+    let actions = entry.handle(now, QuotaEvent::Borrowed { organisation, loan });
+
+    // Assert
+    let kind = ErrorKind::RateExceeded;
+    let refused = QuotaAction::Refuse {
+        request: 1,
+        kind,
+        retry_after,
+    };
+    assert_eq!(actions, vec![refused]);
+}
+
+#[test]
+fn without_the_home_an_entry_gives_out_less_than_its_even_share() {
+    // Arrange
+    let begin = Instant::now();
+    let own = NAMES
+        .iter()
+        .find(|name| **name != &*home())
+        .expect("another");
+    let mut entry = state(own, begin, 40.0, 5);
+    let mut count = 0;
+
+    // Act
+    for step in 0..1_000 {
+        let now = begin + Duration::from_millis(10 * step);
+        take(&mut entry, now, u128::from(step));
+        let organisation = "o".into();
+        let unanswered = QuotaEvent::Borrowed {
+            organisation,
+            loan: None,
+        };
+        count += granted_count(&entry.handle(now, unanswered));
+    }
+
+    // Assert: half of a quarter of the rate over ten seconds.
+    assert!((45..=51).contains(&count), "{count}");
+}
+
+#[test]
+fn an_organisation_without_limits_needs_no_token() {
+    // Arrange
+    let now = Instant::now();
+    let mut entry = QuotaState::new(QuotaSettings::default(), "a".into());
+
+    // Act
+    let actions = take(&mut entry, now, 1);
+
+    // Assert
+    assert_eq!(actions, vec![QuotaAction::Grant { request: 1 }]);
+}
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -7,37 +7,48 @@
 use crossbeam::channel::{Receiver, Sender};
 
 use super::choice::ServerChoice;
-use super::forward::ForwardJob;
+use super::forward::{self, Attempted, ForwardContext};
 use super::message::{
     AttemptOutcome, HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage,
 };
 use super::state::RoutingState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
-use crate::front::answer::refusal;
 use crate::front::duty::AnswerJob;
+use crate::front::RequestHead;
 use crate::link::{
     ClaimRequest, ClaimStep, FenceRequest, PeerAnswer, PeerCaller, PeerReply, PeerRequest,
 };
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::settings::routing::RoutingSettings;
-use crate::types::{format_id, DaemonId, RequestId};
-use crate::wire::exchange::{Exchange, WholeAnswer};
-use crate::wire::forward::{RAN, REQUEST};
+use crate::types::{Attempt, DaemonId, Offset, RequestId, ServiceId};
+use crate::wire::client::Caller;
+use crate::wire::dialect::Dialect;
+use crate::wire::exchange::Exchange;
 
 /// What routing needs of the world.
 pub struct RoutingContext {
     /// Its settings.
     pub settings: RoutingSettings,
+    /// This daemon.
+    pub daemon: DaemonId,
+    /// Service of the backend server on this VM, until one announces itself.
+    pub origin: ServiceId,
     /// Time.
     pub clock: Arc<dyn Clock>,
     /// Counters.
     pub metrics: Metrics,
-    /// The threads that carry attempts.
-    pub forwards: RingSender<ForwardJob>,
-    /// The threads that carry attempts with long bodies, which their callers may send slowly.
-    pub uploads: RingSender<ForwardJob>,
+    /// Words answers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Calls guards.
+    pub caller: Arc<dyn Caller>,
+    /// What calls to guards need.
+    pub forward: ForwardContext,
+    /// Requests in flight at this entry.
+    pub call_limit_count: usize,
+    /// Requests in flight whose bodies are too long to be kept.
+    pub upload_limit_count: usize,
     /// The threads that write answers.
     pub answers: RingSender<AnswerJob>,
     /// Guards and homes of idempotency keys.
@@ -53,6 +64,14 @@
     context: &'a RoutingContext,
     state: RoutingState,
     held: HashMap<RequestId, Box<HeldRequest>>,
+    /// Calls to guards that have not ended.
+    call_count: usize,
+    /// Those among them whose bodies are too long to be kept.
+    upload_count: usize,
+    /// Service of the backend server on this VM; empty where there is none.
+    origin: ServiceId,
+    /// Up to where the configuration was read.
+    view: Offset,
 }
 
 /// Runs the duty until it is told to stop.
@@ -65,13 +84,20 @@
         context,
         state: RoutingState::new(context.settings.clone(), choice),
         held: HashMap::new(),
+        call_count: 0,
+        upload_count: 0,
+        origin: context.origin.clone(),
+        view: 0,
     };
     let mut draining = false;
     for message in messages {
         match message {
             RoutingMessage::Stop => return,
             RoutingMessage::Drain => draining = true,
-            RoutingMessage::Event(event) => duty.decide(event),
+            RoutingMessage::Event(event) => {
+                duty.notice(&event);
+                duty.decide(event);
+            }
             RoutingMessage::Dispatch {
                 plan,
                 head,
@@ -83,14 +109,11 @@
                     exchange,
                     body: None,
                     body_spent: false,
+                    call: None,
                 };
                 duty.held.insert(plan.request, Box::new(held));
                 duty.decide(RoutingEvent::Dispatch(plan));
             }
-            RoutingMessage::Attempted { event, held } => {
-                duty.held.insert(held.head.request, held);
-                duty.decide(event);
-            }
         }
         if draining && duty.state.open_count() == 0 {
             // One word is enough; a full channel holds it already.
@@ -100,6 +123,42 @@
 }
 
 impl RoutingDuty<'_> {
+    /// Takes from an event what the calls themselves need.
+    fn notice(&mut self, event: &RoutingEvent) {
+        match event {
+            RoutingEvent::Attempted {
+                request,
+                attempt,
+                outcome,
+                elapsed,
+                ..
+            } => {
+                self.call_ended(*request);
+                if let Some(held) = self.held.get(request) {
+                    log_attempt(&held.head, *attempt, outcome, *elapsed);
+                }
+            }
+            RoutingEvent::View(view) => self.view = view.next,
+            RoutingEvent::Fleet(fleet) => {
+                let own = fleet.daemons.get(&self.context.daemon);
+                if let Some(server) = own.and_then(|own| own.servers.first()) {
+                    self.origin = server.service.clone();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn call_ended(&mut self, request: RequestId) {
+        let Some(held) = self.held.get_mut(&request) else {
+            return;
+        };
+        if held.call.take().is_some() {
+            self.call_count -= 1;
+            self.upload_count -= usize::from(held.body.is_none());
+        }
+    }
+
     /// Hears if the caller leaves. A full ring loses that, counted; the request then runs on.
     fn watch(&self, request: RequestId, exchange: &mut dyn Exchange) {
         let own = self.context.own.clone();
@@ -128,17 +187,15 @@
                 target,
                 incarnation,
                 until,
-            } => {
-                let held = self.held.remove(&plan.request)?;
-                self.send(ForwardJob {
-                    plan,
-                    attempt,
-                    target,
-                    incarnation,
-                    until,
-                    held,
-                })
-            }
+                no_wait,
+            } => self.send(Attempted {
+                plan,
+                attempt,
+                target,
+                incarnation,
+                until,
+                no_wait,
+            }),
             RoutingAction::Fence { to, fence } => self.fence(&to, fence),
             RoutingAction::Claim { to, claim } => self.claim(&to, claim),
             RoutingAction::Cancel { to, request } => {
@@ -156,27 +213,60 @@
         }
     }
 
-    /// Hands an attempt to the threads that carry it. Without a free one it did not run.
-    fn send(&mut self, job: ForwardJob) -> Option<RoutingEvent> {
-        let ring = if job.held.has_long_body() {
-            &self.context.uploads
-        } else {
-            &self.context.forwards
-        };
-        let job = ring.offer(job).err()?;
-        let event = RoutingEvent::Attempted {
-            request: job.plan.request,
-            attempt: job.attempt,
-            outcome: AttemptOutcome::NotRun {
-                kind: ErrorKind::Busy,
-                retry_after: None,
-                by_guard: false,
-            },
+    /// Makes the call of an attempt; gives its end where it can't be made.
+    fn send(&mut self, job: Attempted) -> Option<RoutingEvent> {
+        let request = job.plan.request;
+        let attempt = job.attempt;
+        let failed = |kind| RoutingEvent::Attempted {
+            request,
+            attempt,
+            outcome: forward::not_run(kind),
             elapsed: Duration::ZERO,
             resendable: false,
         };
-        self.held.insert(job.plan.request, job.held);
-        Some(event)
+        let held = self.held.get_mut(&request)?;
+        log::info!(
+            request = held.head.name(),
+            attempt,
+            server = &*job.target.server,
+            daemon = &*job.target.daemon,
+            no_wait = job.no_wait;
+            "attempt_sent"
+        );
+        let context = &self.context.forward;
+        let call = match forward::prepare(context, &job, held, &self.origin, self.view) {
+            Ok(call) => call,
+            Err(kind) => return Some(failed(kind)),
+        };
+        let uploads = held.body.is_none();
+        let full = self.call_count >= self.context.call_limit_count
+            || (uploads && self.upload_count >= self.context.upload_limit_count);
+        if full {
+            self.context.metrics.count("routing.call.limit");
+            return Some(failed(ErrorKind::Busy));
+        }
+        let own = self.context.own.clone();
+        let clock = self.context.clock.clone();
+        let started_at = clock.now();
+        let resendable = !held.body_spent;
+        let done = Box::new(move |result| {
+            own.deliver(RoutingMessage::Event(RoutingEvent::Attempted {
+                request,
+                attempt,
+                outcome: forward::outcome_of(request, result),
+                elapsed: clock.now().saturating_duration_since(started_at),
+                resendable,
+            }));
+        });
+        match self.context.caller.call(call, done) {
+            Ok(handle) => {
+                held.call = Some(handle);
+                self.call_count += 1;
+                self.upload_count += usize::from(uploads);
+                None
+            }
+            Err(_) => Some(failed(ErrorKind::Busy)),
+        }
     }
 
     fn fence(&self, to: &DaemonId, fence: FenceRequest) -> Option<RoutingEvent> {
@@ -226,13 +316,16 @@
 }
 
 fn finish(context: &RoutingContext, request: RequestId, held: HeldRequest, outcome: Outcome) {
+    log_end(context, &held, &outcome);
     let answer = match outcome {
-        Outcome::Answered(answer) => served(request, answer),
+        Outcome::Answered(answer) => context.dialect.served(request, answer),
         Outcome::Failed { kind, retry_after } => {
             context
                 .metrics
                 .count(&format!("routing.failed.{}", kind.code()));
-            refusal(request, kind, retry_after)
+            context
+                .dialect
+                .refusal(held.head.answer_to(), kind, retry_after)
         }
     };
     context.metrics.time(
@@ -246,14 +339,37 @@
     }
 }
 
-/// The server's answer with the request id and the word that it ran.
-fn served(request: RequestId, mut answer: WholeAnswer) -> WholeAnswer {
-    answer
-        .headers
-        .retain(|(name, _)| !name.starts_with(crate::wire::forward::PREFIX));
-    answer
-        .headers
-        .push((REQUEST.to_owned(), format_id(request)));
-    answer.headers.push((RAN.to_owned(), "yes".to_owned()));
-    answer
+/// One line for each request that routing took.
+fn log_end(context: &RoutingContext, held: &HeldRequest, outcome: &Outcome) {
+    let head = &held.head;
+    let elapsed = context
+        .clock
+        .now()
+        .saturating_duration_since(head.arrived_at);
+    let elapsed_ms = elapsed.as_millis() as u64;
+    let request = head.name();
+    match outcome {
+        Outcome::Answered(answer) => {
+            let status = answer.status;
+            log::info!(request, status, elapsed_ms; "request_answered");
+        }
+        Outcome::Failed { kind, retry_after } => {
+            let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
+            let kind = kind.code();
+            log::info!(request, kind, elapsed_ms, retry_after_ms; "request_failed");
+        }
+    }
+}
+
+/// One line for each attempt that did not bring the server's answer.
+fn log_attempt(head: &RequestHead, attempt: Attempt, outcome: &AttemptOutcome, elapsed: Duration) {
+    let (kind, by_guard, ran) = match outcome {
+        AttemptOutcome::Answered(_) => return,
+        AttemptOutcome::NotRun { kind, by_guard, .. } => (kind, *by_guard, "no"),
+        AttemptOutcome::Unknown { kind, by_guard } => (kind, *by_guard, "unknown"),
+    };
+    let request = head.name();
+    let elapsed_ms = elapsed.as_millis() as u64;
+    let kind = kind.code();
+    log::info!(request, attempt, kind, ran, by_guard, elapsed_ms; "attempt_failed");
 }
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -1,28 +1,20 @@
-//! The threads that carry attempts to guards.
+//! One attempt at a request: the call to a guard, and what its answer means.
 
-use std::io::Read;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::Receiver;
-
-use super::message::{
-    AttemptOutcome, HeldRequest, RequestPlan, RoutingEvent, RoutingMessage, Target,
-};
-use crate::error::ErrorKind;
-use crate::ring::RingSender;
-use crate::types::{format_id, Attempt, Incarnation};
-use crate::wire::call::{call, Call, CallError};
-use crate::wire::deadline::DeadlineReader;
-use crate::wire::exchange::WholeAnswer;
+use super::fingerprint::fingerprint;
+use super::message::{AttemptOutcome, HeldRequest, RequestPlan, Target};
+use crate::error::{ErrorKind, Ran};
+use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId, ServiceId};
+use crate::wire::client::{Call, CallError, OutBody};
+use crate::wire::exchange::{RequestBody, WholeAnswer};
 use crate::wire::forward::{self, ForwardHead};
 use crate::wire::http::header;
 use crate::wire::proof::FleetKey;
 
-use super::fingerprint::fingerprint;
-
 /// An attempt to be made.
-pub struct ForwardJob {
+pub struct Attempted {
     /// The plan.
     pub plan: Arc<RequestPlan>,
     /// The attempt.
@@ -33,13 +25,15 @@
     pub incarnation: Incarnation,
     /// When it is given up there, if its body can be sent again.
     pub until: Instant,
-    /// Head, exchange and body.
-    pub held: Box<HeldRequest>,
+    /// Whether the guard refuses it rather than let it wait.
+    pub no_wait: bool,
 }
 
-/// What the threads need of the world.
+/// What calls to guards need of the world.
 #[derive(Clone)]
 pub struct ForwardContext {
+    /// This daemon.
+    pub daemon: DaemonId,
     /// Signs heads.
     pub key: FleetKey,
     /// Longest wait for a connection to a guard.
@@ -48,42 +42,26 @@
     pub answer_grace: Duration,
     /// Most bytes of an answer.
     pub answer_limit_bytes: usize,
-    /// Bodies up to this size are kept for retries.
-    pub retry_body_limit_bytes: usize,
-    /// Where ends of attempts go.
-    pub routing: RingSender<RoutingMessage>,
-}
-
-/// Makes attempts until the ring closes.
-pub fn run(context: &ForwardContext, jobs: &Receiver<ForwardJob>) {
-    for mut job in jobs {
-        let started_at = Instant::now();
-        let outcome = attempt(context, &mut job);
-        let event = RoutingEvent::Attempted {
-            request: job.plan.request,
-            attempt: job.attempt,
-            outcome,
-            elapsed: started_at.elapsed(),
-            resendable: !job.held.body_spent,
-        };
-        context.routing.deliver(RoutingMessage::Attempted {
-            event,
-            held: job.held,
-        });
-    }
+    /// Kept connections are used again after at most this long.
+    pub reuse_idle: Duration,
 }
 
-fn attempt(context: &ForwardContext, job: &mut ForwardJob) -> AttemptOutcome {
-    if let Err(kind) = keep_body(context, job) {
-        return not_run(kind);
-    }
-    let until = match job.held.body {
+/// The call of an attempt, or why it can't be made.
+pub fn prepare(
+    context: &ForwardContext,
+    job: &Attempted,
+    held: &mut HeldRequest,
+    origin: &ServiceId,
+    view: Offset,
+) -> Result<Call, ErrorKind> {
+    keep_body(held)?;
+    let until = match held.body {
         Some(_) => job.until,
         None => job.plan.deadline_at,
     };
     let remaining = until.saturating_duration_since(Instant::now());
     if remaining.is_zero() {
-        return not_run(ErrorKind::DeadlineUnmeetable);
+        return Err(ErrorKind::DeadlineUnmeetable);
     }
     let head = ForwardHead {
         request: job.plan.request,
@@ -95,82 +73,80 @@
         weight_share: job.plan.weight_share,
         repeatable: job.plan.repeatable,
         foreground: job.plan.foreground,
+        origin: origin.clone(),
+        rank: job.plan.rank,
+        no_wait: job.no_wait,
         incarnation: job.incarnation,
-        fingerprint: fingerprint(&job.plan, &job.held),
+        fingerprint: fingerprint(&job.plan, held),
         remaining,
     };
     let mut headers = head.encode(&context.key);
-    headers.extend_from_slice(&job.held.head.headers);
-    job.held.body_spent = job.held.body.is_none();
-    let kept = job.held.body.clone();
-    let mut kept_reader = kept.as_deref().unwrap_or_default();
-    let mut source = DeadlineReader::new(job.held.exchange.body(), job.plan.deadline_at);
-    let body: &mut dyn Read = match kept {
-        Some(_) => &mut kept_reader,
-        None => &mut source,
-    };
-    let result = call(Call {
+    headers.push((forward::VIEW.to_owned(), view.to_string()));
+    headers.push((forward::ENTRY.to_owned(), context.daemon.to_string()));
+    headers.extend_from_slice(&held.head.headers);
+    Ok(Call {
         address: job.target.guard_address,
-        method: &job.held.head.method,
-        target: &job.held.head.target,
-        headers: &headers,
-        body,
-        body_bytes: Some(job.held.head.body_bytes),
+        method: held.head.method.clone(),
+        target: held.head.target.clone(),
+        host: Some(held.head.host.clone()).filter(|host| !host.is_empty()),
+        headers,
+        body: out_body(held),
         connect_timeout: context.connect_timeout,
         deadline_at: until + context.answer_grace,
         answer_limit_bytes: context.answer_limit_bytes,
-    });
-    outcome_of(job, result)
+        reuse_idle: context.reuse_idle,
+        knock: false,
+    })
 }
 
-/// Reads a short body whole, so that a retry can send it again.
-fn keep_body(context: &ForwardContext, job: &mut ForwardJob) -> Result<(), ErrorKind> {
-    if job.held.body.is_some() {
-        return Ok(());
-    }
-    let length_bytes = job.held.head.body_bytes;
-    if length_bytes > context.retry_body_limit_bytes as u64 {
+/// Keeps a body that has come whole, so that a retry can send it again.
+fn keep_body(held: &mut HeldRequest) -> Result<(), ErrorKind> {
+    if held.body.is_some() {
         return Ok(());
     }
-    let mut body = Vec::new();
-    let source = job.held.exchange.body();
-    let mut reader = DeadlineReader::new(source, job.plan.deadline_at).take(length_bytes);
-    reader
-        .read_to_end(&mut body)
-        .map_err(|_| ErrorKind::ShortUpload)?;
-    if body.len() as u64 != length_bytes {
-        return Err(ErrorKind::ShortUpload);
+    if let RequestBody::Whole(body) = held.exchange.body() {
+        if body.len() as u64 != held.head.body_bytes {
+            return Err(ErrorKind::ShortUpload);
+        }
+        held.body = Some(body);
     }
-    job.held.body = Some(body.into());
     Ok(())
 }
 
-fn outcome_of(job: &ForwardJob, result: Result<WholeAnswer, CallError>) -> AttemptOutcome {
-    match result {
-        Ok(answer) => answered(job, answer),
-        Err(CallError::NotSent | CallError::Unwritable) => AttemptOutcome::NotRun {
-            kind: ErrorKind::NoServer,
-            retry_after: None,
-            by_guard: false,
+fn out_body(held: &mut HeldRequest) -> OutBody {
+    if let Some(body) = &held.body {
+        return OutBody::Whole(body.clone());
+    }
+    held.body_spent = true;
+    match held.exchange.body() {
+        RequestBody::Whole(body) => OutBody::Whole(body),
+        RequestBody::Parts(parts) => OutBody::Parts {
+            length_bytes: Some(held.head.body_bytes),
+            parts,
         },
+    }
+}
+
+/// What the end of the call means for the request.
+pub fn outcome_of(request: RequestId, result: Result<WholeAnswer, CallError>) -> AttemptOutcome {
+    let lost = |kind| AttemptOutcome::Unknown {
+        kind,
+        by_guard: false,
+    };
+    match result {
+        Ok(answer) => answered(request, answer),
+        Err(CallError::NotSent | CallError::Unwritable) => not_run(ErrorKind::NoServer),
         Err(CallError::ShortBody) => not_run(ErrorKind::ShortUpload),
-        Err(CallError::AnswerTooLarge) => AttemptOutcome::Unknown {
-            kind: ErrorKind::AnswerTooLarge,
-            by_guard: false,
-        },
-        Err(CallError::ShortAnswer) => AttemptOutcome::Unknown {
-            kind: ErrorKind::BadAnswer,
-            by_guard: false,
-        },
-        Err(CallError::Late | CallError::Broken) => AttemptOutcome::Unknown {
-            kind: ErrorKind::OutcomeUnknown,
-            by_guard: false,
-        },
+        Err(CallError::AnswerTooLarge) => lost(ErrorKind::AnswerTooLarge),
+        Err(CallError::ShortAnswer) => lost(ErrorKind::BadAnswer),
+        Err(CallError::Late | CallError::Broken | CallError::Died) => {
+            lost(ErrorKind::OutcomeUnknown)
+        }
     }
 }
 
-fn answered(job: &ForwardJob, answer: WholeAnswer) -> AttemptOutcome {
-    if header(&answer.headers, forward::REQUEST) != Some(format_id(job.plan.request).as_str()) {
+fn answered(request: RequestId, answer: WholeAnswer) -> AttemptOutcome {
+    if header(&answer.headers, forward::REQUEST) != Some(format_id(request).as_str()) {
         return AttemptOutcome::Unknown {
             kind: ErrorKind::BadAnswer,
             by_guard: false,
@@ -180,21 +156,22 @@
         return AttemptOutcome::Answered(answer);
     };
     let kind = ErrorKind::from_code(code).unwrap_or(ErrorKind::Internal);
-    if kind.ran() != crate::error::Ran::No {
+    if kind.ran() != Ran::No {
         return AttemptOutcome::Unknown {
             kind,
             by_guard: true,
         };
     }
-    let retry_after = header(&answer.headers, "retry-after").and_then(|value| value.parse().ok());
+    let wait_ms = header(&answer.headers, forward::WAIT_MS).and_then(|value| value.parse().ok());
     AttemptOutcome::NotRun {
         kind,
-        retry_after: retry_after.map(Duration::from_secs),
+        retry_after: wait_ms.map(Duration::from_millis),
         by_guard: true,
     }
 }
 
-fn not_run(kind: ErrorKind) -> AttemptOutcome {
+/// The outcome of an attempt that was not sent.
+pub fn not_run(kind: ErrorKind) -> AttemptOutcome {
     AttemptOutcome::NotRun {
         kind,
         retry_after: None,
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -28,6 +28,10 @@
 /// Longest time for which one refusal holds a server for busy.
 const BUSY_LIMIT: Duration = Duration::from_millis(200);
 
+/// A server whose guard takes nothing for it is left alone for this long; by then the fleet knows
+/// whether it leaves.
+const CLOSED_TIME: Duration = Duration::from_secs(1);
+
 /// A cold server counts as this much more loaded than it is.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -55,6 +59,8 @@
     outstanding_count: u32,
     speed: ServerSpeed,
     busy_until: Option<Instant>,
+    /// When its guard expected the next slot to be free for a request that it refused.
+    slot_at: Option<Instant>,
 }
 
 /// The least loaded of a few servers drawn at random, near ones first.
@@ -135,14 +141,15 @@
     fn load(&self, wish: &Wish<'_>, candidate: &Candidate) -> f64 {
         let learned = self.learned.get(&candidate.target.server);
         let outstanding = learned.map_or(0, |learned| learned.outstanding_count);
+        let backlog = learned.map_or(0.0, |learned| self.backlog(wish, learned));
         let slowness = learned.map_or(1.0, |learned| learned.speed.slowness(wish.now));
         let mut load = f64::from(outstanding + 1) / f64::from(candidate.slots_count.max(1));
-        load *= slowness;
+        load = load * slowness + backlog;
         if candidate.cold {
             load *= COLD_FACTOR;
         }
         if wish.own_domain != candidate.domain {
-            load *= self.settings.far_factor;
+            load *= self.settings.far_factor * self.far_body_factor(wish.plan);
         }
         if wish.tried_domains.contains(&candidate.domain) {
             load *= TRIED_DOMAIN_FACTOR;
@@ -150,6 +157,24 @@
         load
     }
 
+    /// How much more a long body weighs on its way to another failure domain.
+    fn far_body_factor(&self, plan: &RequestPlan) -> f64 {
+        match self.settings.far_body_bytes {
+            0 => 1.0,
+            unit_bytes => 1.0 + plan.body_bytes as f64 / unit_bytes as f64,
+        }
+    }
+
+    /// The wait for a slot by its guard's word, in usual times of the route.
+    fn backlog(&self, wish: &Wish<'_>, learned: &Learned) -> f64 {
+        let Some(slot_at) = learned.slot_at else {
+            return 0.0;
+        };
+        let wait = slot_at.saturating_duration_since(wish.now).as_secs_f64();
+        let usual = self.routes.usual(&wish.plan.route).as_secs_f64();
+        wait / usual.max(LEAST_USUAL_S)
+    }
+
     /// Draws a few servers: half of them near, the rest from all.
     fn draw(&mut self, count: usize, near_count: usize) -> SmallVec<[usize; 8]> {
         let mut drawn = SmallVec::new();
@@ -227,7 +252,7 @@
             keep_better(&mut best, load, candidate);
         }
         // A retry is not for servers that have just refused; a first attempt may ask them.
-        let first = wish.tried.is_empty();
+        let first = wish.tried.is_empty() || self.settings.free_slot_tries_count > 0;
         best.or(best_busy.filter(|_| first))
     }
 
@@ -252,11 +277,17 @@
                 let usual = self.routes.take(route, *elapsed);
                 learned.speed.take(now, *elapsed, usual);
                 learned.busy_until = None;
+                learned.slot_at = None;
             }
             Met::Failure => learned.speed.failed(now),
             Met::Busy(retry_after) => {
                 let time = retry_after.unwrap_or(BUSY_TIME).min(BUSY_LIMIT);
                 learned.busy_until = Some(now + time);
+                learned.slot_at = retry_after.map(|wait| now + wait);
+            }
+            Met::Closed => {
+                learned.busy_until = Some(now + CLOSED_TIME);
+                learned.slot_at = learned.busy_until;
             }
             Met::Nothing => {}
         }
@@ -268,6 +299,7 @@
     Time(Duration),
     Failure,
     Busy(Option<Duration>),
+    Closed,
     Nothing,
 }
 
@@ -276,6 +308,11 @@
         AttemptOutcome::Answered(answer) if answer.status >= FAILURE_STATUS => Met::Failure,
         AttemptOutcome::Answered(_) => Met::Time(elapsed),
         AttemptOutcome::Unknown { by_guard: true, .. } => Met::Failure,
+        AttemptOutcome::NotRun {
+            kind: ErrorKind::Stopping | ErrorKind::NoServer,
+            by_guard: true,
+            ..
+        } => Met::Closed,
         AttemptOutcome::NotRun {
             kind: ErrorKind::Busy | ErrorKind::DeadlineUnmeetable,
             retry_after,
@@ -285,6 +322,9 @@
     }
 }
 
+/// Times of a route that are not known yet count for at least this.
+const LEAST_USUAL_S: f64 = 0.02;
+
 /// Lowest status that counts as a failure of the server.
 const FAILURE_STATUS: u16 = 500;
 
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::front::RequestHead;
@@ -12,8 +14,8 @@
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Incarnation, OrganisationId, RequestId, RouteId, ServiceId,
 };
+use crate::wire::client::CallHandle;
 use crate::wire::exchange::{Exchange, WholeAnswer};
-use crate::wire::listener::EAGER_BODY_BYTES;
 
 /// An admitted request, as routing needs it.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,6 +34,12 @@
     pub repeatable: bool,
     /// Whether a person waits for the answer.
     pub foreground: bool,
+    /// Urgency, 0 being the greatest.
+    pub rank: u8,
+    /// Most backend servers that it may reach; 0 leaves it to the settings.
+    pub attempts_limit_count: u32,
+    /// Bytes of its body.
+    pub body_bytes: u64,
     /// Most bytes of its body.
     pub body_limit_bytes: u64,
     /// The caller's idempotency key.
@@ -141,13 +149,6 @@
         /// Its exchange.
         exchange: Box<dyn Exchange>,
     },
-    /// An attempt ended.
-    Attempted {
-        /// The event.
-        event: RoutingEvent,
-        /// What the attempt used.
-        held: Box<HeldRequest>,
-    },
     /// Any other event.
     Event(RoutingEvent),
     /// The daemon stops; routing tells when nothing is left to do.
@@ -163,9 +164,11 @@
     /// The caller's exchange.
     pub exchange: Box<dyn Exchange>,
     /// The body, once it was read whole; only then can it be sent again.
-    pub body: Option<Arc<[u8]>>,
+    pub body: Option<Bytes>,
     /// Whether a body that is not kept was sent in part.
     pub body_spent: bool,
+    /// Ends the call of the present attempt when it is dropped.
+    pub call: Option<CallHandle>,
 }
 
 /// What routing does.
@@ -183,6 +186,8 @@
         incarnation: Incarnation,
         /// When a short request is given up there; never after its deadline.
         until: Instant,
+        /// Whether the guard refuses it rather than let it wait for a slot.
+        no_wait: bool,
     },
     /// Asks a guard to keep an attempt from starting.
     Fence {
@@ -213,10 +218,3 @@
         outcome: Outcome,
     },
 }
-
-impl HeldRequest {
-    /// Whether a body is left that its caller may send slowly.
-    pub fn has_long_body(&self) -> bool {
-        self.body.is_none() && self.head.body_bytes > EAGER_BODY_BYTES
-    }
-}
