--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -21,6 +21,7 @@
 use crate::membership::Fleet;
 use crate::settings::routing::RoutingSettings;
 use crate::types::{Attempt, BackendServerId, DaemonId, Incarnation, RequestId};
+use crate::wire::exchange::WholeAnswer;
 
 /// Actions of one event.
 pub type RoutingActions = SmallVec<[RoutingAction; 2]>;
@@ -42,7 +43,16 @@
     phase: Phase,
     /// The last attempt; 0 before the first.
     attempt: Attempt,
+    /// Servers that get no further attempt.
     tried: SmallVec<[BackendServerId; 4]>,
+    /// Servers that had no free slot.
+    busy: SmallVec<[BackendServerId; 4]>,
+    /// Whether the present attempt is refused rather than let wait.
+    no_wait: bool,
+    /// Attempts that reached a server, or may have.
+    arrived_count: u32,
+    /// A server's answer that tells of its failure, until a better one comes.
+    failed_answer: Option<WholeAnswer>,
     /// The home that granted the idempotency key.
     claimed_at: Option<DaemonId>,
     /// Whether an attempt may have started. Never returns to false.
@@ -106,6 +116,7 @@
             }
             RoutingEvent::Fleet(fleet) => {
                 self.fleet = fleet.clone();
+                self.share_reserve();
                 self.homes = None;
                 self.choice.fleet(fleet);
                 SmallVec::new()
@@ -113,19 +124,33 @@
         }
     }
 
+    /// Takes this daemon's part of the retries that the fleet holds in reserve.
+    fn share_reserve(&mut self) {
+        if self.settings.retry_fleet_reserve_count == 0 {
+            return;
+        }
+        let daemon_count = self.fleet.daemons.len().max(1) as f64;
+        let reserve_count = f64::from(self.settings.retry_fleet_reserve_count) / daemon_count;
+        self.budget.set_reserve(reserve_count);
+    }
+
     /// Requests that have not ended.
     pub fn open_count(&self) -> usize {
         self.requests.len()
     }
 
     fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingActions {
-        self.budget.dispatched();
+        self.budget.dispatched(&plan.service);
         let request = plan.request;
         let state = RequestState {
             plan: Arc::new(plan),
             phase: Phase::New,
             attempt: 0,
             tried: SmallVec::new(),
+            busy: SmallVec::new(),
+            no_wait: false,
+            arrived_count: 0,
+            failed_answer: None,
             claimed_at: None,
             may_have_run: false,
             death_count: 0,
@@ -197,9 +222,10 @@
         mut state: RequestState,
         kind: ErrorKind,
     ) -> RoutingActions {
-        let Some(target) = self.choice.pick(now, &state.plan, &state.tried) else {
+        let Some((target, no_wait)) = self.pick(now, &state) else {
             return self.finish_failed(request, state, kind, None);
         };
+        state.no_wait = no_wait;
         let daemon = self.fleet.daemons.get(&target.daemon);
         let incarnation = daemon.map_or(0, |daemon| daemon.incarnation);
         state.attempt += 1;
@@ -211,6 +237,7 @@
             target: target.clone(),
             incarnation,
             until: self.attempt_until(now, &state),
+            no_wait,
         };
         state.phase = Phase::Sent {
             target,
@@ -220,6 +247,20 @@
         smallvec![action]
     }
 
+    /// The next server, and whether it is to take the request only with a free slot. When several
+    /// had none, the request waits at the one that seems best.
+    fn pick(&mut self, now: Instant, state: &RequestState) -> Option<(Target, bool)> {
+        if state.busy.len() < self.settings.free_slot_tries_count {
+            let mut passed = state.tried.clone();
+            passed.extend(state.busy.iter().cloned());
+            if let Some(target) = self.choice.pick(now, &state.plan, &passed) {
+                return Some((target, true));
+            }
+        }
+        let target = self.choice.pick(now, &state.plan, &state.tried)?;
+        Some((target, false))
+    }
+
     /// When an attempt is given up, so that there is time left for another.
     fn attempt_until(&self, now: Instant, state: &RequestState) -> Instant {
         let deadline_at = state.plan.deadline_at;
@@ -259,12 +300,28 @@
             .ended(now, &state.plan, &target, &outcome, elapsed);
         match outcome {
             AttemptOutcome::Answered(answer) => {
+                state.arrived_count += 1;
+                let failed = answer.status >= FAILURE_STATUS;
+                if failed && state.plan.repeatable && self.settings.retry_failed_answers {
+                    state.may_have_run = true;
+                    state.failed_answer = Some(answer);
+                    return self.repeat(now, request, state, ErrorKind::OutcomeUnknown);
+                }
                 let outcome = Outcome::Answered(answer);
                 smallvec![RoutingAction::Finish { request, outcome }]
             }
             AttemptOutcome::NotRun {
-                kind, retry_after, ..
+                kind,
+                retry_after,
+                by_guard,
             } => {
+                if state.no_wait && by_guard && kind == ErrorKind::Busy {
+                    state.busy.extend(state.tried.pop());
+                    return self.send(now, request, state, kind);
+                }
+                if has_arrived(kind) {
+                    state.arrived_count += 1;
+                }
                 if self.may_go_elsewhere(now, &state, kind) {
                     return self.send(now, request, state, kind);
                 }
@@ -275,6 +332,7 @@
                     return self.fence(request, state, &target, incarnation, kind);
                 }
                 state.may_have_run = true;
+                state.arrived_count += 1;
                 state.death_count += u32::from(kind == ErrorKind::ServerDied);
                 let mut actions = self.repeat(now, request, state, kind);
                 if !by_guard {
@@ -371,18 +429,30 @@
                 | ErrorKind::Stopping
                 | ErrorKind::Fenced
                 | ErrorKind::DeadlineUnmeetable
+                | ErrorKind::ServerShed
+                | ErrorKind::ServerReplaced
         );
-        retried && self.has_attempt_left(now, state) && self.budget.take()
+        // What no server saw multiplies no overload.
+        let free = !has_arrived(kind);
+        retried
+            && self.has_attempt_left(now, state)
+            && (free || self.budget.take(&state.plan.service))
     }
 
     fn may_repeat(&mut self, now: Instant, state: &RequestState) -> bool {
         state.death_count < MAX_DEATH_COUNT
             && self.has_attempt_left(now, state)
-            && self.budget.take()
+            && self.budget.take(&state.plan.service)
     }
 
     fn has_attempt_left(&self, now: Instant, state: &RequestState) -> bool {
-        state.attempt < self.settings.attempt_limit_count
+        let arrived_limit_count = match state.plan.attempts_limit_count {
+            0 => self.settings.attempt_limit_count,
+            limit_count => limit_count,
+        };
+        let attempt_limit_count = arrived_limit_count + self.settings.refusals_limit_count;
+        state.arrived_count < arrived_limit_count
+            && state.attempt < attempt_limit_count
             && now < state.plan.deadline_at
             && state.resendable
             && !state.abandoned
@@ -397,12 +467,18 @@
         kind: ErrorKind,
         retry_after: Option<Duration>,
     ) -> RoutingActions {
+        if let Some(answer) = state.failed_answer {
+            let outcome = Outcome::Answered(answer);
+            return smallvec![RoutingAction::Finish { request, outcome }];
+        }
         let not_run = kind.ran() == Ran::No;
         let kind = if state.may_have_run && not_run {
             ErrorKind::OutcomeUnknown
         } else {
             kind
         };
+        let usual = Some(self.settings.retry_after_ms).filter(|ms| *ms > 0);
+        let retry_after = retry_after.or(usual.map(Duration::from_millis));
         let outcome = Outcome::Failed { kind, retry_after };
         let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
         if kind.ran() != Ran::No {
@@ -421,5 +497,13 @@
     }
 }
 
+/// Whether a server saw the request that was not run.
+fn has_arrived(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::ServerShed | ErrorKind::ServerReplaced)
+}
+
+/// Lowest status that tells of a server's failure.
+const FAILURE_STATUS: u16 = 500;
+
 /// A request that has met this many deaths is not sent again.
 const MAX_DEATH_COUNT: u32 = 2;
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Checker;
-use crate::types::{DaemonId, DomainId};
+use crate::types::{DaemonId, DomainId, ServiceId};
 
 /// Who this daemon is and where it runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -12,10 +12,16 @@
     pub daemon: DaemonId,
     /// Failure domain of this VM.
     pub domain: DomainId,
+    /// Service of the backend server on this VM, until one announces itself; empty where there is
+    /// none.
+    pub service: ServiceId,
     /// Secret that every daemon of the fleet shares; at least 16 characters. Never sent.
     pub fleet_secret: String,
     /// Longest graceful shutdown, in milliseconds.
     pub stop_grace_ms: u64,
+    /// For how long a daemon that stops still takes requests, while callers and other daemons turn
+    /// away from it, in milliseconds.
+    pub linger_ms: u64,
 }
 
 impl Default for DaemonSettings {
@@ -23,8 +29,10 @@
         DaemonSettings {
             daemon: "daemon-1".into(),
             domain: "domain-1".into(),
+            service: "".into(),
             fleet_secret: "change-me-change-me-change-me-32".to_owned(),
             stop_grace_ms: 30_000,
+            linger_ms: 0,
         }
     }
 }
--- /dev/null
+++ b/src/settings/feed.rs
@@ -0,0 +1,60 @@
+//! Reading configuration and members from a platform that keeps the newest record of each key.
+use serde::{Deserialize, Serialize};
+
+use super::Checker;
+
+/// Reading configuration and members from a platform that keeps the newest record of each key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FeedSettings {
+    /// Events that may wait for the duty.
+    pub ring_count: usize,
+    /// Longest wait of one read for a new record, in milliseconds.
+    pub wait_ms: u64,
+    /// Longest wait of one read for a new member, in milliseconds. Gossip tells of most changes.
+    pub members_wait_ms: u64,
+    /// Longest wait for an answer beyond the read's own wait, in milliseconds.
+    pub timeout_ms: u64,
+    /// Wait after a failed read, in milliseconds; doubles up to `retry_limit_ms`.
+    pub retry_ms: u64,
+    /// Longest wait after a failed read, in milliseconds.
+    pub retry_limit_ms: u64,
+    /// Wait between two questions to peers while the platform does not answer, in milliseconds.
+    pub peer_ask_ms: u64,
+    /// How long the feed may take to show what a peer has seen already, in milliseconds.
+    pub peer_patience_ms: u64,
+}
+
+impl Default for FeedSettings {
+    fn default() -> Self {
+        FeedSettings {
+            ring_count: 1024,
+            wait_ms: 5_000,
+            members_wait_ms: 20_000,
+            timeout_ms: 1_000,
+            retry_ms: 200,
+            retry_limit_ms: 2_000,
+            peer_ask_ms: 500,
+            peer_patience_ms: 150,
+        }
+    }
+}
+
+impl FeedSettings {
+    /// Checks every value against its bounds.
+    pub fn check(&self, checker: &mut Checker<'_>) {
+        checker.range("ring_count", self.ring_count, 1..=65_536);
+        let times_ms = [
+            ("wait_ms", self.wait_ms),
+            ("members_wait_ms", self.members_wait_ms),
+            ("timeout_ms", self.timeout_ms),
+            ("retry_ms", self.retry_ms),
+            ("retry_limit_ms", self.retry_limit_ms),
+            ("peer_ask_ms", self.peer_ask_ms),
+            ("peer_patience_ms", self.peer_patience_ms),
+        ];
+        for (field, value) in times_ms {
+            checker.range(field, value, 1..=30_000);
+        }
+    }
+}
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -25,6 +25,8 @@
     pub answer_limit_bytes: usize,
     /// Bodies up to this size are kept so that a retry can send them again.
     pub retry_body_limit_bytes: usize,
+    /// Whether bodies may come in chunks. Such a body has to fit `retry_body_limit_bytes`.
+    pub chunked_bodies: bool,
 }
 
 impl Default for FrontSettings {
@@ -38,6 +40,7 @@
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
             retry_body_limit_bytes: 65_536,
+            chunked_bodies: false,
         }
     }
 }
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -41,6 +41,21 @@
     pub quiet_ms: u64,
     /// Longest wait for a connection to a backend server.
     pub connect_timeout_ms: u64,
+    /// Whether a server that said it leaves does so for the rest of its life, whatever it announces
+    /// later.
+    pub departures_final: bool,
+    /// Open time of the breaker after a server's first failure, in milliseconds; 0 switches the
+    /// breaker off.
+    pub breaker_open_ms: u64,
+    /// Starts a second that a server may get, relative to its service's `cold_rate_per_s`, since
+    /// any server may turn cold unannounced; 0 sets no such limit.
+    pub cold_rate_factor: f64,
+    /// Starts a second beyond that.
+    pub cold_rate_slack_count: u32,
+    /// Kept connections to servers are used again after at most this long, in milliseconds.
+    pub reuse_idle_ms: u64,
+    /// The same for requests that may not run twice, in milliseconds.
+    pub reuse_idle_once_ms: u64,
 }
 
 impl Default for GuardSettings {
@@ -62,6 +77,12 @@
             death_window_ms: 5_000,
             quiet_ms: 500,
             connect_timeout_ms: 1_000,
+            departures_final: false,
+            breaker_open_ms: 0,
+            cold_rate_factor: 0.0,
+            cold_rate_slack_count: 0,
+            reuse_idle_ms: 0,
+            reuse_idle_once_ms: 0,
         }
     }
 }
@@ -77,6 +98,10 @@
         self.check_cold(checker);
         self.check_records(checker);
         checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
+        checker.range("breaker_open_ms", self.breaker_open_ms, 0..=60_000);
+        checker.range("cold_rate_factor", self.cold_rate_factor, 0.0..=1000.0);
+        checker.range("reuse_idle_ms", self.reuse_idle_ms, 0..=600_000);
+        checker.range("reuse_idle_once_ms", self.reuse_idle_once_ms, 0..=600_000);
     }
 
     fn check_cold(&self, checker: &mut Checker<'_>) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 pub mod allowance;
 pub mod audit;
 pub mod daemon;
+pub mod feed;
 pub mod front;
 pub mod guard;
 pub mod health;
@@ -13,6 +14,8 @@
 pub mod membership;
 pub mod metrics;
 pub mod operator;
+pub mod quota;
+pub mod ready;
 pub mod routing;
 
 use std::fmt;
@@ -37,6 +40,12 @@
     pub journal: journal::JournalSettings,
     /// Rate and burst of organisations.
     pub allowance: allowance::AllowanceSettings,
+    /// The same where one daemon counts the tokens of an organisation.
+    pub quota: quota::QuotaSettings,
+    /// Configuration and members where the platform keeps the newest record of each key.
+    pub feed: feed::FeedSettings,
+    /// Readiness and metrics.
+    pub ready: ready::ReadySettings,
     /// Daemons and the servers beside them.
     pub membership: membership::MembershipSettings,
     /// Callers' idempotency keys.
@@ -172,6 +181,14 @@
             section: "allowance",
             errors: &mut errors,
         });
+        self.quota.check(&mut Checker {
+            section: "quota",
+            errors: &mut errors,
+        });
+        self.feed.check(&mut Checker {
+            section: "feed",
+            errors: &mut errors,
+        });
         self.membership.check(&mut Checker {
             section: "membership",
             errors: &mut errors,
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -19,10 +19,29 @@
     pub draw_count: usize,
     /// A server in another failure domain counts as this much more loaded.
     pub far_factor: f64,
+    /// Bytes of a body by which a server in another failure domain seems as much more loaded again;
+    /// 0 leaves bodies out of it.
+    pub far_body_bytes: u64,
     /// First time for which a path to a guard in trouble is avoided.
     pub path_backoff_ms: u64,
     /// Longest time for which such a path is avoided.
     pub path_backoff_limit_ms: u64,
+    /// Servers that are asked for a free slot before a request waits for one; 0 lets it wait at
+    /// the first.
+    pub free_slot_tries_count: usize,
+    /// Attempts that guards may refuse beyond those that may reach a server.
+    pub refusals_limit_count: u32,
+    /// Whether an answer that tells of the server's failure leads to a retry of a request that may
+    /// run more than once.
+    pub retry_failed_answers: bool,
+    /// Retries that all daemons together hold in reserve for each service; 0 gives each daemon a
+    /// reserve of its own.
+    pub retry_fleet_reserve_count: u32,
+    /// When a refused caller is told to come back where nothing better is known, in milliseconds;
+    /// 0 tells nothing.
+    pub retry_after_ms: u64,
+    /// Kept connections to guards are used again after at most this long, in milliseconds.
+    pub reuse_idle_ms: u64,
     /// Longest wait for a connection to a guard.
     pub connect_timeout_ms: u64,
 }
@@ -36,8 +55,15 @@
             retry_share: 0.2,
             draw_count: 4,
             far_factor: 1.2,
+            far_body_bytes: 0,
             path_backoff_ms: 250,
             path_backoff_limit_ms: 30_000,
+            free_slot_tries_count: 0,
+            refusals_limit_count: 0,
+            retry_failed_answers: false,
+            retry_fleet_reserve_count: 0,
+            retry_after_ms: 0,
+            reuse_idle_ms: 10_000,
             connect_timeout_ms: 500,
         }
     }
@@ -63,6 +89,10 @@
             self.far_factor,
             "must be from 1 to 100",
         );
+        checker.range("free_slot_tries_count", self.free_slot_tries_count, 0..=64);
+        checker.range("refusals_limit_count", self.refusals_limit_count, 0..=64);
+        checker.range("retry_after_ms", self.retry_after_ms, 0..=60_000);
+        checker.range("reuse_idle_ms", self.reuse_idle_ms, 0..=600_000);
         self.check_backoff(checker);
         checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
     }
--- a/src/standin/backend_server/mod.rs
+++ b/src/standin/backend_server/mod.rs
@@ -19,10 +19,10 @@
 use run::{respond, run, Shared};
 
 use crate::clock::{epoch_ms, Clock, SystemClock};
-use crate::guard::cancel::CANCEL_PATH;
 use crate::guard::Announcement;
 use crate::ring::spawn_duty;
 use crate::types::{BackendServerId, ServiceId};
+use crate::wire::dialect::CANCEL_PATH;
 use crate::wire::http::client;
 
 /// What a stand-in server is.
--- /dev/null
+++ b/src/wire/client/connection.rs
@@ -0,0 +1,93 @@
+//! One connection of the client.
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures::future::{select, Either};
+use hyper::client::conn::http1::{self, SendRequest};
+use smol_hyper::rt::FuturesIo;
+use socket2::{SockRef, TcpKeepalive};
+
+use super::body::SentBody;
+
+/// Sent bytes that stay unacknowledged for this long end the connection.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
+const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBE_COUNT: u32 = 3;
+/// Longest head of an answer.
+const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+
+/// A connection; dropping it closes its socket.
+pub(super) struct Connection {
+    pub(super) sender: SendRequest<SentBody>,
+    /// Since when no call uses it.
+    pub(super) idle_since: Instant,
+    /// How long the receiver keeps it open while it is idle, where it says so.
+    pub(super) idle_limit: Option<Duration>,
+    /// Whether the receiver closes it after its last answer.
+    pub(super) closes: bool,
+    /// Whether it carried a call before.
+    pub(super) used: bool,
+    _task: Task<()>,
+}
+
+impl Connection {
+    /// Makes a connection; none without one in time.
+    pub(super) async fn open(
+        executor: &LocalExecutor<'static>,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Option<Connection> {
+        let connecting = std::pin::pin!(Async::<TcpStream>::connect(address));
+        let late = std::pin::pin!(Timer::after(timeout));
+        let stream = match select(connecting, late).await {
+            Either::Left((Ok(stream), _)) => stream,
+            _ => return None,
+        };
+        set_options(&stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(HEAD_LIMIT_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .ok()?;
+        let task = executor.spawn(async move {
+            // The call that uses the connection learns of its end.
+            let _ = connection.await;
+        });
+        Some(Connection {
+            sender,
+            idle_since: Instant::now(),
+            idle_limit: None,
+            closes: false,
+            used: false,
+            _task: task,
+        })
+    }
+
+    /// Whether a call may use it that takes connections idle for no longer than `limit`.
+    pub(super) fn may_reuse(&self, now: Instant, limit: Duration) -> bool {
+        let limit = self.idle_limit.map_or(limit, |own| own.min(limit));
+        let idle = now.saturating_duration_since(self.idle_since);
+        idle <= limit && self.sender.is_ready() && !self.sender.is_closed()
+    }
+}
+
+/// Small messages leave at once, and a peer that went silent is noticed.
+fn set_options(stream: &Async<TcpStream>) {
+    let socket = SockRef::from(stream.get_ref());
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_EVERY)
+        .with_retries(KEEPALIVE_PROBE_COUNT);
+    let results = [
+        socket.set_tcp_nodelay(true),
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)),
+        socket.set_tcp_keepalive(&keepalive),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!("an option of a connection can't be set: {error}");
+    }
+}
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -1,8 +1,9 @@
 //! One request taken from a listener, with the means to read its body and to answer it.
 
-use std::io::Read;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+
 use super::http::HeaderPair;
 
 /// A whole answer: status, headers and body.
@@ -16,11 +17,23 @@
     pub body: Vec<u8>,
 }
 
+/// Parts of a body as they come; an error after the last one of a body that was cut.
+pub type BodyParts = async_channel::Receiver<std::io::Result<Bytes>>;
+
+/// The body of a request.
+#[derive(Debug, Clone)]
+pub enum RequestBody {
+    /// It has come whole.
+    Whole(Bytes),
+    /// It still comes.
+    Parts(BodyParts),
+}
+
 /// A request that waits for its answer. One that is dropped unanswered is answered
 /// as a fault of this daemon, of which it is not known whether it ran.
 pub trait Exchange: Send {
-    /// The rest of the body.
-    fn body(&mut self) -> &mut dyn Read;
+    /// The body. Parts can be taken once.
+    fn body(&self) -> RequestBody;
     /// Calls `left` once if the caller leaves before its answer, from a thread that must not wait.
     fn watch(&mut self, left: Box<dyn FnOnce() + Send>);
     /// Sends a whole answer and ends the exchange.
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -29,6 +29,15 @@
 const WEIGHT: &str = "x-banyanbeam-weight";
 const REPEATABLE: &str = "x-banyanbeam-repeatable";
 const FOREGROUND: &str = "x-banyanbeam-foreground";
+const ORIGIN: &str = "x-banyanbeam-origin";
+const RANK: &str = "x-banyanbeam-rank";
+const NO_WAIT: &str = "x-banyanbeam-no-wait";
+/// Header with the time until a refused request would have its slot, in milliseconds.
+pub const WAIT_MS: &str = "x-banyanbeam-wait-ms";
+/// Header with the name of the daemon that sends the request on.
+pub const ENTRY: &str = "x-banyanbeam-entry";
+/// Header with the offset up to which the sender has read the configuration.
+pub const VIEW: &str = "x-banyanbeam-view";
 const INCARNATION: &str = "x-banyanbeam-incarnation";
 const FINGERPRINT: &str = "x-banyanbeam-fingerprint";
 const PROOF: &str = "x-banyanbeam-proof";
@@ -54,6 +63,12 @@
     pub repeatable: bool,
     /// Whether a person waits for the answer.
     pub foreground: bool,
+    /// Service of the backend server on the VM where the request began; empty where there is none.
+    pub origin: ServiceId,
+    /// Urgency, 0 being the greatest.
+    pub rank: u8,
+    /// Whether the guard refuses it rather than let it wait for a slot.
+    pub no_wait: bool,
     /// The life of the guard that the entry means; another life refuses the request.
     pub incarnation: Incarnation,
     /// Tells equal requests: hash of organisation, route, target and body.
@@ -75,6 +90,9 @@
             (WEIGHT.to_owned(), self.weight_share.to_string()),
             (REPEATABLE.to_owned(), self.repeatable.to_string()),
             (FOREGROUND.to_owned(), self.foreground.to_string()),
+            (ORIGIN.to_owned(), self.origin.to_string()),
+            (RANK.to_owned(), self.rank.to_string()),
+            (NO_WAIT.to_owned(), self.no_wait.to_string()),
             (INCARNATION.to_owned(), self.incarnation.to_string()),
             (FINGERPRINT.to_owned(), hex::encode(&self.fingerprint)),
             (
@@ -111,6 +129,9 @@
             weight_share: parse(headers, WEIGHT)?,
             repeatable: parse(headers, REPEATABLE)?,
             foreground: parse(headers, FOREGROUND)?,
+            origin: text(headers, ORIGIN)?.into(),
+            rank: parse(headers, RANK)?,
+            no_wait: parse(headers, NO_WAIT)?,
             incarnation: parse(headers, INCARNATION)?,
             fingerprint: header(headers, FINGERPRINT)
                 .and_then(hex::decode_32)
@@ -131,6 +152,9 @@
     WEIGHT,
     REPEATABLE,
     FOREGROUND,
+    ORIGIN,
+    RANK,
+    NO_WAIT,
     INCARNATION,
     FINGERPRINT,
     DEADLINE_MS,
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -2,31 +2,30 @@
 
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use crossbeam::channel::Sender;
 use futures::channel::oneshot;
 use futures::future::{select, Either};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use super::exchange::{BodyPart, LeaveWatch, ListenerExchange};
-use super::{Arrival, EAGER_BODY_BYTES};
+use super::exchange::{LeaveWatch, ListenerExchange};
+use super::Shared;
 use crate::error::ErrorKind;
-use crate::front::answer::refusal;
-use crate::wire::exchange::{RawHead, WholeAnswer};
+use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
 
-/// What a connection hands requests to.
+/// One accepted connection.
 pub(super) struct Connection {
     pub(super) peer: SocketAddr,
-    pub(super) arrivals: Sender<Arrival>,
-    pub(super) closed: async_channel::Receiver<()>,
+    pub(super) shared: Rc<Shared>,
 }
 
 /// A head that is not there by then ends the connection; an idle connection has no such limit.
@@ -34,8 +33,10 @@
 /// A head that is longer is answered with 431.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 const MAX_HEADER_COUNT: usize = 200;
-/// A short body that is not there by then is given up.
+/// A body that is read whole and is not there by then is given up.
 const EAGER_BODY_LIMIT: Duration = Duration::from_secs(10);
+/// A caller that sends nothing of its body for this time has its upload given up.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
 /// Parts of a body that are read ahead of the thread that takes them.
 const BODY_RING_COUNT: usize = 4;
 
@@ -50,7 +51,7 @@
             .max_buf_size(HEAD_LIMIT_BYTES)
             .max_headers(MAX_HEADER_COUNT)
             .serve_connection(FuturesIo::new(stream), service);
-        let ended = std::pin::pin!(self.closed.recv());
+        let ended = std::pin::pin!(self.shared.closed.recv());
         let result = match select(std::pin::pin!(serving), ended).await {
             Either::Left((result, _)) => result,
             Either::Right((_, mut serving)) => {
@@ -68,56 +69,98 @@
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (answer_sender, answer) = oneshot::channel();
-        let (body_sender, body) = async_channel::bounded(BODY_RING_COUNT);
         let (watch, watched) = LeaveWatch::new();
-        let (head, mut incoming) = take_head(request, self.peer);
-        if head
-            .body_bytes
-            .is_some_and(|bytes| (1..=EAGER_BODY_BYTES).contains(&bytes))
-        {
-            match read_short_body(&mut incoming).await {
-                Some(body) => drop(body_sender.try_send(Ok(body))),
-                None => return Ok(to_response(refusal(0, ErrorKind::ShortUpload, None))),
+        let (mut head, mut incoming) = take_head(request, self.peer);
+        let body = match self.whole_body(&mut head, &mut incoming).await {
+            Ok(body) => body,
+            Err(kind) => return Ok(self.refuse(&head, kind)),
+        };
+        let (body, reading) = match body {
+            Some(bytes) => (RequestBody::Whole(bytes), None),
+            None => {
+                let (sender, parts) = async_channel::bounded(BODY_RING_COUNT);
+                let reading = read_body(incoming, sender);
+                (RequestBody::Parts(parts), Some(reading))
             }
-        }
+        };
         let exchange = ListenerExchange::new(body, answer_sender, watched);
-        if self.arrivals.try_send((head, Box::new(exchange))).is_err() {
-            return Ok(to_response(refusal(0, ErrorKind::Busy, None)));
+        let arrival = (head.clone(), Box::new(exchange) as Box<_>);
+        if self.shared.arrivals.try_send(arrival).is_err() {
+            return Ok(self.refuse(&head, ErrorKind::Busy));
         }
         let answering = std::pin::pin!(answer);
-        let reading = std::pin::pin!(read_body(incoming, body_sender));
-        let answered = match select(answering, reading).await {
-            Either::Left((answered, _)) => answered,
-            Either::Right(((), answering)) => answering.await,
+        let answered = match reading {
+            None => answering.await,
+            Some(reading) => match select(answering, std::pin::pin!(reading)).await {
+                Either::Left((answered, _)) => answered,
+                Either::Right(((), answering)) => answering.await,
+            },
         };
         watch.answered();
         // An exchange that was dropped unanswered is a fault of the daemon.
-        Ok(answered.map_or_else(
-            |_| to_response(refusal(0, ErrorKind::Internal, None)),
-            to_response,
-        ))
+        Ok(match answered {
+            Ok(answer) => self.respond(answer),
+            Err(_) => self.refuse(&head, ErrorKind::Internal),
+        })
     }
-}
 
-/// Reads a short body whole before the request is handed out, so that a slow sender of one holds
-/// no thread. None if it does not come.
-async fn read_short_body(incoming: &mut Incoming) -> Option<Bytes> {
-    let body = std::pin::pin!(incoming.collect());
-    let late = std::pin::pin!(Timer::after(EAGER_BODY_LIMIT));
-    match select(body, late).await {
-        Either::Left((Ok(body), _)) => Some(body.to_bytes()),
-        Either::Left((Err(_), _)) | Either::Right(_) => None,
+    /// Reads a body whole before the request is handed out, so that a slow sender of one holds
+    /// nothing of the daemon. None leaves a longer body to be read in parts.
+    async fn whole_body(
+        &self,
+        head: &mut RawHead,
+        incoming: &mut Incoming,
+    ) -> Result<Option<Bytes>, ErrorKind> {
+        let options = &self.shared.options;
+        let limit_bytes = options.eager_body_limit_bytes;
+        match head.body_bytes {
+            Some(0) => return Ok(Some(Bytes::new())),
+            Some(length) if length > limit_bytes => return Ok(None),
+            None if !options.chunked_bodies => return Ok(None),
+            _ => {}
+        }
+        let limited = Limited::new(incoming, limit_bytes as usize);
+        let body = std::pin::pin!(limited.collect());
+        let late = std::pin::pin!(Timer::after(EAGER_BODY_LIMIT));
+        match select(body, late).await {
+            Either::Left((Ok(body), _)) => {
+                let bytes = body.to_bytes();
+                head.body_bytes = Some(bytes.len() as u64);
+                Ok(Some(bytes))
+            }
+            Either::Left((Err(error), _)) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(ErrorKind::BodyTooLarge)
+            }
+            Either::Left((Err(_), _)) | Either::Right(_) => Err(ErrorKind::ShortUpload),
+        }
+    }
+
+    fn refuse(&self, head: &RawHead, kind: ErrorKind) -> Response<Full<Bytes>> {
+        self.respond(self.shared.options.refusals.refuse(head, kind))
+    }
+
+    fn respond(&self, answer: WholeAnswer) -> Response<Full<Bytes>> {
+        let mut response = to_response(answer);
+        if self.shared.winding_down.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
     }
 }
 
-async fn read_body(mut incoming: Incoming, parts: async_channel::Sender<BodyPart>) {
-    while let Some(frame) = incoming.frame().await {
-        let part = match frame {
-            Ok(frame) => match frame.into_data() {
+/// Hands a body on part by part.
+async fn read_body(mut incoming: Incoming, parts: async_channel::Sender<std::io::Result<Bytes>>) {
+    loop {
+        let frame = std::pin::pin!(incoming.frame());
+        let part = match select(frame, std::pin::pin!(Timer::after(STALL_LIMIT))).await {
+            Either::Left((None, _)) => return,
+            Either::Left((Some(Ok(frame)), _)) => match frame.into_data() {
                 Ok(data) => Ok(data),
                 Err(_) => continue,
             },
-            Err(error) => Err(std::io::Error::other(error)),
+            Either::Left((Some(Err(error)), _)) => Err(std::io::Error::other(error)),
+            Either::Right(_) => Err(std::io::ErrorKind::TimedOut.into()),
         };
         let failed = part.is_err();
         if parts.send(part).await.is_err() || failed {
--- a/src/wire/listener/exchange.rs
+++ b/src/wire/listener/exchange.rs
@@ -1,18 +1,10 @@
-//! The daemon's side of a request: a body to be read by a thread, and one answer.
+//! The daemon's side of a request: its body, and one answer.
 
-use std::io::Read;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-use async_io::Timer;
 use futures::channel::oneshot;
-use futures::future::{select, Either};
-use hyper::body::Bytes;
 
-use crate::wire::exchange::{Exchange, WholeAnswer};
-
-/// Bytes of a body, or why there are no more.
-pub(super) type BodyPart = std::io::Result<Bytes>;
+use crate::wire::exchange::{Exchange, RequestBody, WholeAnswer};
 
 type LeftCallback = Box<dyn FnOnce() + Send>;
 
@@ -81,21 +73,17 @@
 
 /// One request of a connection.
 pub(super) struct ListenerExchange {
-    body: BodyReader,
+    body: RequestBody,
     answer: oneshot::Sender<WholeAnswer>,
     caller: WatchedCaller,
 }
 
 impl ListenerExchange {
     pub(super) fn new(
-        parts: async_channel::Receiver<BodyPart>,
+        body: RequestBody,
         answer: oneshot::Sender<WholeAnswer>,
         caller: WatchedCaller,
     ) -> ListenerExchange {
-        let body = BodyReader {
-            parts,
-            current: Bytes::new(),
-        };
         ListenerExchange {
             body,
             answer,
@@ -105,8 +93,8 @@
 }
 
 impl Exchange for ListenerExchange {
-    fn body(&mut self) -> &mut dyn Read {
-        &mut self.body
+    fn body(&self) -> RequestBody {
+        self.body.clone()
     }
 
     fn watch(&mut self, left: LeftCallback) {
@@ -118,44 +106,3 @@
         let _ = self.answer.send(answer);
     }
 }
-
-/// Reads a body part by part; waits for the caller.
-struct BodyReader {
-    parts: async_channel::Receiver<BodyPart>,
-    current: Bytes,
-}
-
-impl BodyReader {
-    /// The next part; none after the last. A caller that sends nothing for long is an error.
-    fn next_part(&self) -> std::io::Result<Option<Bytes>> {
-        match self.parts.try_recv() {
-            Ok(part) => return part.map(Some),
-            Err(async_channel::TryRecvError::Closed) => return Ok(None),
-            Err(async_channel::TryRecvError::Empty) => {}
-        }
-        let part = std::pin::pin!(self.parts.recv());
-        let stalled = std::pin::pin!(Timer::after(STALL_LIMIT));
-        match async_io::block_on(select(part, stalled)) {
-            Either::Left((Ok(part), _)) => part.map(Some),
-            Either::Left((Err(_), _)) => Ok(None),
-            Either::Right(_) => Err(std::io::ErrorKind::TimedOut.into()),
-        }
-    }
-}
-
-/// A caller that sends nothing of its body for this time has its upload given up.
-const STALL_LIMIT: Duration = Duration::from_secs(10);
-
-impl Read for BodyReader {
-    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        while self.current.is_empty() {
-            match self.next_part()? {
-                Some(part) => self.current = part,
-                None => return Ok(0),
-            }
-        }
-        let count = buffer.len().min(self.current.len());
-        buffer[..count].copy_from_slice(&self.current.split_to(count));
-        Ok(count)
-    }
-}
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -8,6 +8,9 @@
 mod sockets;
 
 use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -15,7 +18,9 @@
 use crossbeam::channel::{bounded, Receiver, Sender};
 use futures::future::{select, Either};
 
-use super::exchange::{Exchange, RawHead};
+use super::exchange::{Exchange, RawHead, WholeAnswer};
+use crate::error::ErrorKind;
+use crate::front::answer::refusal;
 use crate::ring::spawn_duty;
 use connection::Connection;
 
@@ -28,29 +33,81 @@
     arrivals: Receiver<Arrival>,
     /// Dropping the other end ends the thread.
     close: async_channel::Sender<()>,
+    winding_down: Arc<AtomicBool>,
+}
+
+/// How a listener treats requests.
+#[derive(Clone)]
+pub struct ListenerOptions {
+    /// Bodies up to this size have come whole before their request is handed out.
+    pub eager_body_limit_bytes: u64,
+    /// Whether bodies may come in chunks; such a body has to fit the limit above.
+    pub chunked_bodies: bool,
+    /// Answers of the listener itself.
+    pub refusals: Arc<dyn Refusals>,
+}
+
+impl Default for ListenerOptions {
+    fn default() -> Self {
+        ListenerOptions {
+            eager_body_limit_bytes: 65_536,
+            chunked_bodies: false,
+            refusals: Arc::new(FleetRefusals),
+        }
+    }
+}
+
+/// Words the answers that a listener gives on its own.
+pub trait Refusals: Send + Sync {
+    /// The answer to a request that is not handed out.
+    fn refuse(&self, head: &RawHead, kind: ErrorKind) -> WholeAnswer;
+}
+
+/// Answers as daemons give them to each other.
+struct FleetRefusals;
+
+impl Refusals for FleetRefusals {
+    fn refuse(&self, _head: &RawHead, kind: ErrorKind) -> WholeAnswer {
+        refusal(0, kind, None)
+    }
+}
+
+/// What all connections of a listener share.
+struct Shared {
+    options: ListenerOptions,
+    arrivals: Sender<Arrival>,
+    closed: async_channel::Receiver<()>,
+    winding_down: Arc<AtomicBool>,
 }
 
-/// Bodies up to this size have come whole before their request is handed out.
-pub const EAGER_BODY_BYTES: u64 = 65_536;
 /// Requests that may wait to be taken from the listener; one more is refused as busy.
 const ARRIVAL_RING_COUNT: usize = 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 impl HttpListener {
     /// Listens at an address; port 0 takes a free one.
-    pub fn bind(address: SocketAddr) -> eyre::Result<HttpListener> {
+    pub fn bind(address: SocketAddr, options: ListenerOptions) -> eyre::Result<HttpListener> {
         let listener = sockets::listen(address)
             .map_err(|error| eyre::eyre!("can't listen at {address}: {error}"))?;
         let address = listener.local_addr()?;
         let (sender, arrivals) = bounded(ARRIVAL_RING_COUNT);
         let (close, closed) = async_channel::bounded(1);
+        let winding_down = Arc::new(AtomicBool::new(false));
+        let told = winding_down.clone();
         spawn_duty(&format!("http-{}", address.port()), move || {
-            async_io::block_on(serve(listener, &sender, &closed));
+            let shared = Shared {
+                options,
+                arrivals: sender,
+                closed,
+                winding_down: told,
+            };
+            async_io::block_on(serve(listener, &Rc::new(shared)));
         });
         Ok(HttpListener {
             address,
             arrivals,
             close,
+            winding_down,
         })
     }
 
@@ -64,6 +121,11 @@
         self.arrivals.recv().ok()
     }
 
+    /// Ends each connection with its next answer, so that callers turn to other daemons.
+    pub fn wind_down(&self) {
+        self.winding_down.store(true, Ordering::Relaxed);
+    }
+
     /// Takes no more connections or requests; those that run are still answered.
     pub fn close(&self) {
         self.close.close();
@@ -71,17 +133,13 @@
 }
 
 /// Accepts connections until the listener is closed, then waits for those that still run.
-async fn serve(
-    listener: TcpListener,
-    arrivals: &Sender<Arrival>,
-    closed: &async_channel::Receiver<()>,
-) {
+async fn serve(listener: TcpListener, shared: &Rc<Shared>) {
     let listener = match Async::new(listener) {
         Ok(listener) => listener,
         Err(error) => return log::error!("the listener can't be watched: {error}"),
     };
     let connections = LocalExecutor::new();
-    let accepting = accept(&listener, &connections, arrivals, closed);
+    let accepting = accept(&listener, &connections, shared);
     connections.run(accepting).await;
     drop(listener);
     while !connections.is_empty() {
@@ -89,22 +147,20 @@
     }
 }
 
-async fn accept<'a>(
+async fn accept(
     listener: &Async<TcpListener>,
-    connections: &LocalExecutor<'a>,
-    arrivals: &Sender<Arrival>,
-    closed: &async_channel::Receiver<()>,
+    connections: &LocalExecutor<'_>,
+    shared: &Rc<Shared>,
 ) {
     loop {
         let accepted = std::pin::pin!(listener.accept());
-        let ended = std::pin::pin!(closed.recv());
+        let ended = std::pin::pin!(shared.closed.recv());
         match select(accepted, ended).await {
             Either::Right(_) => return,
             Either::Left((Ok((stream, peer)), _)) => {
                 let connection = Connection {
                     peer,
-                    arrivals: arrivals.clone(),
-                    closed: closed.clone(),
+                    shared: shared.clone(),
                 };
                 connections.spawn(connection.run(stream)).detach();
             }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,7 @@
 //! Encodings. Decisions never depend on them.
 
-pub mod call;
-pub mod deadline;
+pub mod client;
+pub mod dialect;
 pub mod exchange;
 pub mod forward;
 pub mod hex;
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use banyanbeam::wire::exchange::WholeAnswer;
-use banyanbeam::wire::listener::HttpListener;
+use banyanbeam::wire::exchange::{RequestBody, WholeAnswer};
+use banyanbeam::wire::listener::{HttpListener, ListenerOptions};
 
 /// Only a connection that is never served waits this long.
 const NEVER: Duration = Duration::from_secs(10);
@@ -16,7 +16,8 @@
 
 fn serving() -> Arc<HttpListener> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = Arc::new(HttpListener::bind(any).expect("a free port"));
+    let listener =
+        Arc::new(HttpListener::bind(any, ListenerOptions::default()).expect("a free port"));
     let served = listener.clone();
     std::thread::spawn(move || {
         while let Some((_, exchange)) = served.next() {
@@ -76,7 +77,7 @@
 fn a_caller_that_leaves_before_its_answer_is_noticed() {
     // Arrange
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = HttpListener::bind(any).expect("a free port");
+    let listener = HttpListener::bind(any, ListenerOptions::default()).expect("a free port");
     let mut caller = TcpStream::connect(listener.address()).expect("the listener accepts");
     caller
         .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
@@ -98,17 +99,27 @@
 fn an_upload_that_ends_early_is_an_error_and_not_a_whole_body() {
     // Arrange
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = HttpListener::bind(any).expect("a free port");
+    let listener = HttpListener::bind(any, ListenerOptions::default()).expect("a free port");
     let mut caller = TcpStream::connect(listener.address()).expect("the listener accepts");
     caller
         .write_all(b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 70000\r\n\r\nshort")
         .expect("the request is sent");
-    let (head, mut exchange) = listener.next().expect("the request arrives");
+    let (head, exchange) = listener.next().expect("the request arrives");
 
     // Act
     drop(caller);
-    let mut body = Vec::new();
-    let whole = exchange.body().read_to_end(&mut body).is_ok() && body.len() == 70_000;
+    let RequestBody::Parts(parts) = exchange.body() else {
+        panic!("a body over the limit comes in parts");
+    };
+    let mut bytes_count = 0;
+    let mut whole = true;
+    while let Ok(part) = parts.recv_blocking() {
+        match part {
+            Ok(bytes) => bytes_count += bytes.len(),
+            Err(_) => whole = false,
+        }
+    }
+    whole &= bytes_count == 70_000;
 
     // Assert
     assert_eq!(head.body_bytes, Some(70_000));
@@ -119,7 +130,7 @@
 fn a_short_upload_that_ends_early_is_never_handed_out() {
     // Arrange
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let listener = HttpListener::bind(any).expect("a free port");
+    let listener = HttpListener::bind(any, ListenerOptions::default()).expect("a free port");
     let mut cut = TcpStream::connect(listener.address()).expect("the listener accepts");
     cut.write_all(b"POST /cut HTTP/1.1\r\nhost: x\r\ncontent-length: 50\r\n\r\nshort")
         .expect("the request is sent");
@@ -130,16 +141,14 @@
         .expect("the request is sent");
 
     // Act
-    let (head, mut exchange) = listener.next().expect("a request arrives");
-    let mut body = Vec::new();
-    exchange
-        .body()
-        .read_to_end(&mut body)
-        .expect("the body is there");
+    let (head, exchange) = listener.next().expect("a request arrives");
+    let RequestBody::Whole(body) = exchange.body() else {
+        panic!("a short body comes whole");
+    };
 
     // Assert
     assert_eq!(head.target, "/whole");
-    assert_eq!(body, b"short");
+    assert_eq!(&body[..], b"short");
 }
 
 #[test]
--- a/tests/guard_queue.rs
+++ b/tests/guard_queue.rs
@@ -31,6 +31,8 @@
         server: "s".into(),
         repeatable: true,
         foreground,
+        rank: 0,
+        no_wait: false,
         fingerprint: [0; 32],
         deadline_at: Instant::now() + Duration::from_secs(1),
     }
--- a/tests/guard_scenarios/bench.rs
+++ b/tests/guard_scenarios/bench.rs
@@ -138,7 +138,7 @@
         self.life_count += 1;
         self.cold_since = self.now;
         self.break_all(ServerOutcome::Failed(
-            banyanbeam::wire::call::CallError::Broken,
+            banyanbeam::wire::client::CallError::Broken,
         ));
         self.renew();
     }
@@ -258,6 +258,8 @@
             server: "s".into(),
             repeatable: true,
             foreground: load.foreground,
+            rank: 0,
+            no_wait: false,
             fingerprint: fingerprint(load.kills, number),
             deadline_at: self.began_at + self.now + load.deadline,
         };
