Prove servers that a new life has not seen, and answer until the last connection ends

Change: a server that is new to this life is asked for its health, which names it, or has to announce itself twice; the one named by the settings is asked as soon as the configuration is there. Duties stop after the front's listener has ended.

--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -227,7 +227,7 @@
         rings.allowance.deliver(leave);
         for part in &drained {
             if part.recv_deadline(ends_at).is_err() {
-                log::warn!("requests still run after the longest stop");
+                log::warn!("requests_left_running");
             }
         }
         stopping.store(true, Ordering::Relaxed);
@@ -235,6 +235,10 @@
         for listener in &listeners {
             listener.close();
         }
+        // The duties answer until no connection of a caller is left.
+        if !front.wait_ended(ends_at.min(Instant::now() + LAST_ANSWERS)) {
+            log::warn!("connections_left_open");
+        }
         rings.front.deliver(FrontMessage::Stop);
         rings.allowance.deliver(AllowanceMessage::Stop);
         rings.routing.deliver(RoutingMessage::Stop);
@@ -266,6 +270,6 @@
         let _ = joined.send(());
     });
     if joined_end.recv_deadline(ends_at).is_err() {
-        log::warn!("threads still run after the longest stop");
+        log::warn!("threads_left_running");
     }
 }
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -24,8 +24,8 @@
 use crate::ring::RingSender;
 use crate::settings::guard::GuardSettings;
 use crate::types::{format_id, DaemonId, Incarnation, ServiceId};
-use crate::wire::client::{CallHandle, Caller};
-use crate::wire::exchange::{Exchange, RawHead};
+use crate::wire::client::{CallError, CallHandle, Caller};
+use crate::wire::exchange::{Exchange, RawHead, WholeAnswer};
 use crate::wire::forward::ForwardHead;
 
 /// What the guard needs of the world.
@@ -198,6 +198,7 @@
                 address,
                 repeatable,
             } => self.cancel(key, address, repeatable),
+            GuardAction::Inquire { address, path } => self.inquire(address, path),
             GuardAction::Report { service, reports } => self.report(&service, &reports),
             GuardAction::Drained => {
                 // One word is enough; a full channel holds it already.
@@ -285,6 +286,23 @@
         });
     }
 
+    /// Asks a server for its health.
+    fn inquire(&self, address: std::net::SocketAddr, path: String) {
+        self.context.metrics.count("guard.inquiry");
+        let own = self.context.own.clone();
+        let dialect = self.context.forward.dialect.clone();
+        let done = Box::new(move |result: Result<WholeAnswer, CallError>| {
+            let word = result.ok().and_then(|answer| dialect.health_word(&answer));
+            let event = GuardEvent::Inquired { address, word };
+            own.deliver(GuardMessage::Event(event));
+        });
+        let call = forward::inquiry(&self.context.forward, address, path);
+        match self.context.caller.call(call, done) {
+            Ok(handle) => handle.detach(),
+            Err(_) => self.context.metrics.count("guard.inquiry.dropped"),
+        }
+    }
+
     fn fence_answered(&mut self, answer: FenceAnswer) {
         self.context
             .metrics
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+
 use super::message::ServerOutcome;
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
@@ -94,6 +96,26 @@
     }
 }
 
+/// The call that asks a server for its health.
+pub fn inquiry(context: &ForwardContext, address: std::net::SocketAddr, path: String) -> Call {
+    Call {
+        address,
+        method: "GET".to_owned(),
+        target: path,
+        host: None,
+        headers: Vec::new(),
+        body: OutBody::Whole(Bytes::new()),
+        connect_timeout: context.connect_timeout,
+        deadline_at: Instant::now() + INQUIRY_TIMEOUT,
+        answer_limit_bytes: context.answer_limit_bytes,
+        reuse_idle: context.reuse_idle,
+        knock: false,
+    }
+}
+
+/// A server whose slots are all taken answers late.
+const INQUIRY_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What the end of a call means for the guard, and the answer for the entry.
 pub fn settle(
     dialect: &dyn Dialect,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -17,6 +17,7 @@
     RouteId, ServiceId,
 };
 use crate::wire::client::CallError;
+use crate::wire::dialect::HealthWord;
 use crate::wire::exchange::{Exchange, RawHead};
 use crate::wire::forward::ForwardHead;
 
@@ -159,6 +160,13 @@
     },
     /// The time asked for has come.
     Tick,
+    /// A backend server was asked for its health.
+    Inquired {
+        /// Where.
+        address: SocketAddr,
+        /// What it says; none without an answer.
+        word: Option<HealthWord>,
+    },
     /// A new view is in force.
     View(Arc<View>),
     /// The daemon takes no new work.
@@ -230,6 +238,13 @@
         /// The deaths.
         reports: Vec<PoisonReport>,
     },
+    /// Asks a server for its health.
+    Inquire {
+        /// Its address.
+        address: SocketAddr,
+        /// Path of its health.
+        path: String,
+    },
     /// After `Drain`: nothing runs or waits any more.
     Drained,
     /// Tells membership of the servers on this VM.
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -9,6 +9,7 @@
 mod drain;
 pub mod duty;
 pub mod forward;
+mod inquiry;
 pub mod message;
 pub mod poison;
 pub mod queue;
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -30,6 +30,8 @@
     pub(super) queue: FairQueue,
     pub(super) cold: ColdLimit,
     pub(super) breaker: Breaker,
+    /// Whether it waits for a proof that it is there; see `inquiry`.
+    pub(super) unproven: bool,
     /// The life of the server that has said it leaves. Announcements of that life that are late or
     /// cross the departure do not bring it back.
     left_life_ms: Option<u64>,
@@ -61,6 +63,7 @@
             running_count: 0,
             queue: FairQueue::new(settings.queue_count),
             cold,
+            unproven: false,
             left_life_ms: None,
             departures_final: settings.departures_final,
             breaker: Breaker::new(Duration::from_millis(settings.breaker_open_ms)),
@@ -129,7 +132,7 @@
 
     /// Whether it may be given new work, as far as it says itself.
     pub(super) fn takes_work(&self) -> bool {
-        !self.gone && !self.announcement.draining
+        !self.gone && !self.unproven && !self.announcement.draining
     }
 
     pub(super) fn has_free_slot(&self, now: Instant) -> bool {
@@ -231,7 +234,7 @@
                 self.announcement.slots_count
             },
             cold,
-            draining: self.announcement.draining || !takes_work,
+            draining: self.announcement.draining || self.unproven || !takes_work,
             share_permille: FULL_SHARE_PERMILLE,
         }
     }
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -30,6 +30,8 @@
     pub(super) draining: bool,
     pub(super) domain_out: bool,
     pub(super) view: Arc<View>,
+    /// Whether the server that the settings name was asked for its health.
+    pub(super) inquired: bool,
     /// When the last request came, or the drain began.
     last_arrival_at: Option<Instant>,
     /// What membership was told last.
@@ -50,6 +52,7 @@
             draining: false,
             domain_out: false,
             view: Arc::default(),
+            inquired: false,
             last_arrival_at: None,
             reported: Vec::new(),
         }
@@ -100,7 +103,13 @@
                     self.deaths.reported(now, &from, report);
                 }
             }
-            GuardEvent::View(view) => self.view_changed(view),
+            GuardEvent::View(view) => {
+                self.view_changed(view);
+                self.inquire_beside(&mut actions);
+            }
+            GuardEvent::Inquired { address, word } => {
+                self.inquired(now, address, word, &mut actions);
+            }
             GuardEvent::Tick => self.tick(now, &mut actions),
             GuardEvent::Drain => {
                 self.draining = true;
@@ -315,7 +324,7 @@
         self.pump(now, &name, actions);
     }
 
-    fn announced(
+    pub(super) fn announced(
         &mut self,
         now: Instant,
         announcement: Announcement,
@@ -330,11 +339,13 @@
         let Some(server) = self.servers.get_mut(&name) else {
             let mut state = ServerState::new(&self.settings, announcement, now);
             state.keep_leaving();
+            self.hold_back(&mut state, actions);
             state.cold_rate_per_s = cold_rate_per_s;
             self.servers.insert(name, state);
             return;
         };
         server.cold_rate_per_s = cold_rate_per_s;
+        server.unproven = false;
         let new_life = server.renew(now, announcement);
         server.keep_leaving();
         let draining = server.announcement.draining;
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,13 +1,16 @@
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::message::{Announcement, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
 use super::started::StartedRecord;
 use super::state::GuardState;
+use crate::contract::{Document, ServiceContract, View};
 use crate::error::ErrorKind;
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, FenceRequest};
 use crate::settings::guard::GuardSettings;
 use crate::types::RequestId;
+use crate::wire::dialect::HealthWord;
 
 const LIFE: u64 = 7;
 
@@ -468,3 +471,123 @@
     assert_eq!(refusal_of(&to_old, 1), Some(ErrorKind::NoServer));
     assert_eq!(refusal_of(&to_new, 2), None);
 }
+
+const HEALTH_PATH: &str = "/healthz";
+
+/// A view of a service that has a health path.
+fn proving_view() -> Arc<View> {
+    let document = Document {
+        services: vec![ServiceContract {
+            service: "v".into(),
+            health_path: HEALTH_PATH.to_owned(),
+            ..Default::default()
+        }],
+        ..Default::default()
+    };
+    Arc::new(View::of_document(1, &document, Default::default()))
+}
+
+/// A guard that proves servers, with a service that has a health path.
+fn proving_guard(now: Instant) -> GuardState {
+    let settings = GuardSettings {
+        inquire: true,
+        server_address: Some(announcement().address),
+        server_service: "v".into(),
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, GuardEvent::View(proving_view()));
+    state
+}
+
+fn health(server: &str, healthy: bool) -> GuardEvent {
+    GuardEvent::Inquired {
+        address: announcement().address,
+        word: Some(HealthWord {
+            server: server.into(),
+            healthy,
+            slots_count: Some(1),
+            cold: false,
+        }),
+    }
+}
+
+fn announced_as(service: &str, sequence: u64) -> GuardEvent {
+    GuardEvent::Announced(Announcement {
+        service: service.into(),
+        sequence,
+        started_at_ms: 5,
+        ..announcement()
+    })
+}
+
+#[test]
+fn a_server_that_this_life_has_not_seen_waits_for_its_health_or_a_second_announcement() {
+    // Arrange
+    let now = Instant::now();
+    let mut by_health = proving_guard(now);
+    let mut by_word = proving_guard(now);
+
+    // Act
+    by_health.handle(now, announced_as("v", 1));
+    let before = by_health.handle(now, GuardEvent::Arrived(request(1, now)));
+    by_health.handle(now, health("s", true));
+    let after = by_health.handle(now, GuardEvent::Arrived(request(2, now)));
+    by_word.handle(now, announced_as("v", 1));
+    by_word.handle(now, health("s", false));
+    by_word.handle(now, announced_as("v", 2));
+    let second = by_word.handle(now, GuardEvent::Arrived(request(3, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&before, 1), Some(ErrorKind::NoServer));
+    assert_eq!(refusal_of(&after, 2), None);
+    assert_eq!(refusal_of(&second, 3), None);
+}
+
+#[test]
+fn a_server_that_announces_itself_before_its_health_path_is_known_is_asked_with_the_view() {
+    // Arrange
+    let now = Instant::now();
+    let settings = GuardSettings {
+        inquire: true,
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, announced_as("v", 1));
+
+    // Act
+    let actions = state.handle(now, GuardEvent::View(proving_view()));
+
+    // Assert
+    let asked = |action: &GuardAction| matches!(action, GuardAction::Inquire { .. });
+    assert!(actions.iter().any(asked), "{actions:?}");
+}
+
+#[test]
+fn a_late_announcement_of_a_server_that_is_gone_gives_it_no_work() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+
+    // Act
+    state.handle(now, announced_as("v", 9));
+    state.handle(now, health("another", true));
+    let actions = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 1), Some(ErrorKind::NoServer));
+}
+
+#[test]
+fn a_daemon_that_starts_beside_a_living_server_asks_it_and_serves_before_its_announcement() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+
+    // Act
+    state.handle(now, health("s", true));
+    let actions = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 1), None);
+}
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Checker;
+use crate::types::ServiceId;
 
 /// The guard of the backend servers on this VM.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -41,6 +42,13 @@
     pub quiet_ms: u64,
     /// Longest wait for a connection to a backend server.
     pub connect_timeout_ms: u64,
+    /// Address of the backend server on this VM, where it is known before it announces itself.
+    pub server_address: Option<SocketAddr>,
+    /// Its service.
+    pub server_service: ServiceId,
+    /// Whether a server that is new to this life of the daemon gets work only after its health or
+    /// a second announcement has proven that it is there.
+    pub inquire: bool,
     /// Whether a server that said it leaves does so for the rest of its life, whatever it announces
     /// later.
     pub departures_final: bool,
@@ -77,6 +85,9 @@
             death_window_ms: 5_000,
             quiet_ms: 500,
             connect_timeout_ms: 1_000,
+            server_address: None,
+            server_service: "".into(),
+            inquire: false,
             departures_final: false,
             breaker_open_ms: 0,
             cold_rate_factor: 0.0,
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -86,7 +86,15 @@
 
 /// Dropping it ends the call and closes its connection.
 pub struct CallHandle {
-    _alive: async_channel::Sender<()>,
+    alive: async_channel::Sender<()>,
+}
+
+impl CallHandle {
+    /// Lets the call run to its end without the handle.
+    pub fn detach(self) {
+        // A call that has ended has closed the channel.
+        let _ = self.alive.try_send(());
+    }
 }
 
 /// Makes calls.
@@ -141,7 +149,7 @@
             alive: watched,
         };
         match self.jobs.try_send(job) {
-            Ok(()) => Ok(CallHandle { _alive: alive }),
+            Ok(()) => Ok(CallHandle { alive }),
             Err(refused) => Err(refused.into_inner().done),
         }
     }
@@ -159,7 +167,7 @@
     let deadline_at = call.deadline_at;
     let working = std::pin::pin!(answer::call(&pool, call));
     let late = std::pin::pin!(Timer::at(deadline_at));
-    let ended = std::pin::pin!(alive.recv());
+    let ended = std::pin::pin!(dropped(alive));
     let result = match select(working, select(late, ended)).await {
         Either::Left((result, _)) => result,
         Either::Right((Either::Left(_), _)) => Err(CallError::Late),
@@ -168,5 +176,12 @@
     done(result);
 }
 
+/// Ends when the handle is dropped, and never for one that was detached.
+async fn dropped(alive: async_channel::Receiver<()>) {
+    if alive.recv().await.is_ok() {
+        std::future::pending::<()>().await;
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -9,7 +9,7 @@
 use super::http::{header, HeaderPair};
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
-use crate::types::{format_id, RequestId};
+use crate::types::{format_id, BackendServerId, RequestId};
 
 /// Names of headers that callers send, in lower case.
 #[derive(Debug, Clone, Copy)]
@@ -58,6 +58,19 @@
     pub remaining: Duration,
 }
 
+/// What a backend server says of its health.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthWord {
+    /// The server that answered.
+    pub server: BackendServerId,
+    /// Whether it is well and not leaving.
+    pub healthy: bool,
+    /// Requests that it runs at a time, where it says so.
+    pub slots_count: Option<u32>,
+    /// Whether it says that it is cold.
+    pub cold: bool,
+}
+
 /// A way of speaking to callers and backend servers.
 pub trait Dialect: Send + Sync {
     /// Names of headers that callers send.
@@ -86,6 +99,9 @@
     /// What a backend server's answer says.
     fn server_word(&self, call: ServerCall<'_>, answer: &WholeAnswer) -> ServerWord;
 
+    /// What the answer of a backend server's health path says; none where it names no server.
+    fn health_word(&self, answer: &WholeAnswer) -> Option<HealthWord>;
+
     /// Path by which a backend server is told, with `DELETE`, that nobody waits for a request any
     /// more; none where closing the connection tells it.
     fn cancel_path(&self, request: RequestId) -> Option<String>;
@@ -159,6 +175,10 @@
         }
     }
 
+    fn health_word(&self, _answer: &WholeAnswer) -> Option<HealthWord> {
+        None
+    }
+
     fn cancel_path(&self, request: RequestId) -> Option<String> {
         Some(format!("{CANCEL_PATH}{}", format_id(request)))
     }
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -11,11 +11,11 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use crossbeam::channel::{bounded, Receiver, Sender};
+use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use futures::future::{select, Either};
 
 use super::exchange::{Exchange, RawHead, WholeAnswer};
@@ -34,6 +34,8 @@
     /// Dropping the other end ends the thread.
     close: async_channel::Sender<()>,
     winding_down: Arc<AtomicBool>,
+    /// Closed when the thread has ended.
+    ended: Receiver<()>,
 }
 
 /// How a listener treats requests.
@@ -94,6 +96,7 @@
         let (close, closed) = async_channel::bounded(1);
         let winding_down = Arc::new(AtomicBool::new(false));
         let told = winding_down.clone();
+        let (running, ended) = bounded::<()>(0);
         spawn_duty(&format!("http-{}", address.port()), move || {
             let shared = Shared {
                 options,
@@ -102,12 +105,14 @@
                 winding_down: told,
             };
             async_io::block_on(serve(listener, &Rc::new(shared)));
+            drop(running);
         });
         Ok(HttpListener {
             address,
             arrivals,
             close,
             winding_down,
+            ended,
         })
     }
 
@@ -130,6 +135,11 @@
     pub fn close(&self) {
         self.close.close();
     }
+
+    /// Waits until every connection has ended. Says whether that was so in time.
+    pub fn wait_ended(&self, ends_at: Instant) -> bool {
+        self.ended.recv_deadline(ends_at) == Err(RecvTimeoutError::Disconnected)
+    }
 }
 
 /// Accepts connections until the listener is closed, then waits for those that still run.
