--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -180,6 +180,7 @@
             foreground: true,
             rank: 0,
             no_wait: false,
+            may_probe: true,
             fingerprint: [0; 32],
             deadline_at: *NOW + Duration::from_secs(10),
         };
--- a/src/guard/breaker.rs
+++ b/src/guard/breaker.rs
@@ -1,8 +1,8 @@
 //! Keeps requests from a server that has just begun to fail.
 //!
 //! The guard sees every call to its server, so it notices within a few calls what takes a
-//! statistical test over the fleet seconds. While the breaker is open, requests that may not run
-//! twice are refused as not run; those that may run twice go on as probes, one at a time.
+//! statistical test over the fleet seconds. While the breaker is open, requests are refused as not
+//! run. After that, requests that can bear a failure go on as probes, one at a time.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -57,14 +57,14 @@
     }
 
     /// Whether a request may start now.
-    pub fn admits(&self, now: Instant, repeatable: bool) -> bool {
+    pub fn admits(&self, now: Instant, may_probe: bool) -> bool {
         let Some(open) = self.open else {
             return true;
         };
         if now < open.until || open.probing {
             return false;
         }
-        repeatable || now >= open.until + self.open_time * STARVED_FACTOR
+        may_probe || now >= open.until + self.open_time * STARVED_FACTOR
     }
 
     /// How long it stays open at least; none while it is closed.
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -371,6 +371,7 @@
         foreground: head.foreground,
         rank: head.rank,
         no_wait: head.no_wait,
+        may_probe: head.may_probe,
         fingerprint: head.fingerprint,
         deadline_at,
     }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -92,6 +92,8 @@
     pub rank: u8,
     /// Whether it is refused rather than let wait for a slot.
     pub no_wait: bool,
+    /// Whether it may go to a server of which it is not known whether it has mended.
+    pub may_probe: bool,
     /// Tells equal requests.
     pub fingerprint: Fingerprint,
     /// When its answer must be there.
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -169,9 +169,10 @@
         if !server.takes_work() {
             return refuse(ErrorKind::NoServer, None);
         }
-        if !server.breaker.admits(now, request.repeatable) {
+        if !server.breaker.admits(now, request.may_probe) {
             let open_for = server.breaker.open_for(now);
-            return refuse(ErrorKind::Busy, open_for);
+            let retry_after = open_for.map(|left| left.max(PROBE_WAIT));
+            return refuse(ErrorKind::NoServer, retry_after);
         }
         let must_wait = !server.has_free_slot(now) || !server.queue.is_empty();
         if must_wait && request.no_wait {
@@ -428,5 +429,8 @@
     }
 }
 
+/// When to ask again for a server whose probe is under way.
+const PROBE_WAIT: Duration = Duration::from_millis(150);
+
 /// Status by which servers shed load.
 const SHED_STATUS: u16 = 503;
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -32,6 +32,7 @@
         foreground: true,
         rank: 0,
         no_wait: false,
+        may_probe: true,
         fingerprint: [number as u8; 32],
         deadline_at: now + Duration::from_secs(1),
     }
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -86,6 +86,7 @@
                 incarnation,
                 until,
                 no_wait,
+                may_probe,
             } => {
                 self.tally.attempt_count += 1;
                 let request = GuardRequest {
@@ -100,6 +101,7 @@
                     foreground: plan.foreground,
                     rank: plan.rank,
                     no_wait,
+                    may_probe,
                     fingerprint: fingerprint(plan.request),
                     deadline_at: until,
                 };
--- a/src/quota/share.rs
+++ b/src/quota/share.rs
@@ -18,6 +18,10 @@
     waiting: VecDeque<RequestId>,
     /// Whether the home was asked and has not answered.
     pub asking: bool,
+    /// Whether the home gave less than it was asked for last.
+    short: bool,
+    /// Tokens that the home was asked for last.
+    asked_count: u32,
     /// Requests of late, oldest first.
     demand: VecDeque<Instant>,
 }
@@ -47,21 +51,33 @@
     }
 
     /// How many tokens to ask for: those that requests wait for, and those that may be wanted
-    /// while a loan lives.
-    pub fn wanted_count(&self, loan_time: Duration) -> u32 {
+    /// while a loan lives. A home that is short is asked for none ahead, since tokens that lapse
+    /// here are lost to others.
+    pub fn ask(&mut self, loan_time: Duration) -> u32 {
         let per_s = self.demand.len() as f64 / DEMAND_WINDOW.as_secs_f64();
-        let ahead = (per_s * loan_time.as_secs_f64()) as u32;
-        self.waiting.len() as u32 + ahead
+        let ahead = match self.short {
+            true => 0,
+            false => (per_s * loan_time.as_secs_f64()) as u32,
+        };
+        self.asking = true;
+        self.asked_count = self.waiting.len() as u32 + ahead;
+        self.asked_count
     }
 
     /// Takes a loan; gives the requests that have their token by it.
     pub fn lent(&mut self, now: Instant, count: u32, loan_time: Duration) -> Vec<RequestId> {
+        self.short = count < self.asked_count;
         let granted_count = self.waiting.len().min(count as usize);
         self.token_count = count - granted_count as u32;
         self.lapses_at = Some(now + loan_time);
         self.waiting.drain(..granted_count).collect()
     }
 
+    /// Whether the home gave less than it was asked for last.
+    pub fn is_short(&self) -> bool {
+        self.short
+    }
+
     /// Takes all requests that wait.
     pub fn take_waiting(&mut self) -> Vec<RequestId> {
         self.waiting.drain(..).collect()
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -174,11 +174,10 @@
         if share.asking {
             return Vec::new();
         }
-        share.asking = true;
         vec![QuotaAction::Borrow {
             to: home,
             organisation: organisation.clone(),
-            count: share.wanted_count(loan_time),
+            count: share.ask(loan_time),
         }]
     }
 
@@ -204,7 +203,9 @@
         if !share.is_waited_for() {
             return actions;
         }
-        if loan.count > 0 {
+        // Those that came while the home was asked may still have their turn; the home has said
+        // that it has no more for the others.
+        if loan.count > 0 && !share.is_short() {
             actions.extend(self.ask(now, organisation));
             return actions;
         }
@@ -212,7 +213,7 @@
         actions.extend(refused.map(|request| QuotaAction::Refuse {
             request,
             kind: ErrorKind::RateExceeded,
-            retry_after: loan.retry_after,
+            retry_after: loan.retry_after.max(loan_time),
         }));
         actions
     }
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -138,7 +138,7 @@
     take(&mut entry, now, 1);
 
     // Act
-    let retry_after = Duration::from_millis(70);
+    let retry_after = Duration::from_millis(700);
     let loan = Some(Loan {
         count: 0,
         retry_after,
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -18,6 +18,11 @@
         tried: &[BackendServerId],
     ) -> Option<Target>;
 
+    /// Whether a server that was picked has had no free slot of late.
+    fn is_busy(&self, _now: Instant, _target: &Target) -> bool {
+        false
+    }
+
     /// An attempt was sent.
     fn sent(&mut self, now: Instant, plan: &RequestPlan, target: &Target);
 
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -27,6 +27,8 @@
     pub until: Instant,
     /// Whether the guard refuses it rather than let it wait.
     pub no_wait: bool,
+    /// Whether it may go to a server of which its guard does not know whether it has mended.
+    pub may_probe: bool,
 }
 
 /// What calls to guards need of the world.
@@ -76,6 +78,7 @@
         origin: origin.clone(),
         rank: job.plan.rank,
         no_wait: job.no_wait,
+        may_probe: job.may_probe,
         incarnation: job.incarnation,
         fingerprint: fingerprint(&job.plan, held),
         remaining,
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -59,6 +59,8 @@
     outstanding_count: u32,
     speed: ServerSpeed,
     busy_until: Option<Instant>,
+    /// Until when its guard takes nothing for it, as far as is known.
+    closed_until: Option<Instant>,
     /// When its guard expected the next slot to be free for a request that it refused.
     slot_at: Option<Instant>,
 }
@@ -108,6 +110,11 @@
         if wish.tried.contains(&candidate.target.server) {
             return false;
         }
+        let learned = self.learned.get(&candidate.target.server);
+        let closed_until = learned.and_then(|learned| learned.closed_until);
+        if closed_until.is_some_and(|until| wish.now < until) {
+            return false;
+        }
         if candidate.share_permille < PROBE_BELOW_PERMILLE && !self.may_probe(wish) {
             return false;
         }
@@ -277,6 +284,7 @@
                 let usual = self.routes.take(route, *elapsed);
                 learned.speed.take(now, *elapsed, usual);
                 learned.busy_until = None;
+                learned.closed_until = None;
                 learned.slot_at = None;
             }
             Met::Failure => learned.speed.failed(now),
@@ -285,9 +293,9 @@
                 learned.busy_until = Some(now + time);
                 learned.slot_at = retry_after.map(|wait| now + wait);
             }
-            Met::Closed => {
-                learned.busy_until = Some(now + CLOSED_TIME);
-                learned.slot_at = learned.busy_until;
+            Met::Closed(retry_after) => {
+                let time = retry_after.map_or(CLOSED_TIME, |after| after.min(CLOSED_TIME));
+                learned.closed_until = Some(now + time);
             }
             Met::Nothing => {}
         }
@@ -299,7 +307,7 @@
     Time(Duration),
     Failure,
     Busy(Option<Duration>),
-    Closed,
+    Closed(Option<Duration>),
     Nothing,
 }
 
@@ -310,9 +318,9 @@
         AttemptOutcome::Unknown { by_guard: true, .. } => Met::Failure,
         AttemptOutcome::NotRun {
             kind: ErrorKind::Stopping | ErrorKind::NoServer,
+            retry_after,
             by_guard: true,
-            ..
-        } => Met::Closed,
+        } => Met::Closed(*retry_after),
         AttemptOutcome::NotRun {
             kind: ErrorKind::Busy | ErrorKind::DeadlineUnmeetable,
             retry_after,
@@ -380,6 +388,12 @@
         self.pick_from(&wish, &service.all, service.near_count)
     }
 
+    fn is_busy(&self, now: Instant, target: &Target) -> bool {
+        let learned = self.learned.get(&target.server);
+        let until = learned.and_then(|learned| learned.busy_until);
+        until.is_some_and(|until| now < until)
+    }
+
     fn sent(&mut self, _now: Instant, _plan: &RequestPlan, target: &Target) {
         let learned = self.learned.entry(target.server.clone()).or_default();
         learned.outstanding_count += 1;
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -132,6 +132,8 @@
     },
     /// The caller left.
     CallerLeft(RequestId),
+    /// The time of `next_tick_at` has come.
+    Tick,
     /// A new view is in force.
     View(Arc<View>),
     /// The fleet changed.
@@ -188,6 +190,8 @@
         until: Instant,
         /// Whether the guard refuses it rather than let it wait for a slot.
         no_wait: bool,
+        /// Whether it may go to a server of which its guard does not know whether it has mended.
+        may_probe: bool,
     },
     /// Asks a guard to keep an attempt from starting.
     Fence {
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -31,6 +31,7 @@
 const FOREGROUND: &str = "x-banyanbeam-foreground";
 const ORIGIN: &str = "x-banyanbeam-origin";
 const RANK: &str = "x-banyanbeam-rank";
+const MAY_PROBE: &str = "x-banyanbeam-may-probe";
 const NO_WAIT: &str = "x-banyanbeam-no-wait";
 /// Header with the time until a refused request would have its slot, in milliseconds.
 pub const WAIT_MS: &str = "x-banyanbeam-wait-ms";
@@ -69,6 +70,8 @@
     pub rank: u8,
     /// Whether the guard refuses it rather than let it wait for a slot.
     pub no_wait: bool,
+    /// Whether it may go to a server of which the guard does not know whether it has mended.
+    pub may_probe: bool,
     /// The life of the guard that the entry means; another life refuses the request.
     pub incarnation: Incarnation,
     /// Tells equal requests: hash of organisation, route, target and body.
@@ -93,6 +96,7 @@
             (ORIGIN.to_owned(), self.origin.to_string()),
             (RANK.to_owned(), self.rank.to_string()),
             (NO_WAIT.to_owned(), self.no_wait.to_string()),
+            (MAY_PROBE.to_owned(), self.may_probe.to_string()),
             (INCARNATION.to_owned(), self.incarnation.to_string()),
             (FINGERPRINT.to_owned(), hex::encode(&self.fingerprint)),
             (
@@ -132,6 +136,7 @@
             origin: text(headers, ORIGIN)?.into(),
             rank: parse(headers, RANK)?,
             no_wait: parse(headers, NO_WAIT)?,
+            may_probe: parse(headers, MAY_PROBE)?,
             incarnation: parse(headers, INCARNATION)?,
             fingerprint: header(headers, FINGERPRINT)
                 .and_then(hex::decode_32)
@@ -155,6 +160,7 @@
     ORIGIN,
     RANK,
     NO_WAIT,
+    MAY_PROBE,
     INCARNATION,
     FINGERPRINT,
     DEADLINE_MS,
--- a/src/wire/forward/tests.rs
+++ b/src/wire/forward/tests.rs
@@ -14,6 +14,7 @@
         origin: "orders".into(),
         rank: 2,
         no_wait: true,
+        may_probe: false,
         incarnation: 3,
         fingerprint: [5; 32],
         remaining: Duration::from_millis(500),
--- a/tests/guard_queue.rs
+++ b/tests/guard_queue.rs
@@ -33,6 +33,7 @@
         foreground,
         rank: 0,
         no_wait: false,
+        may_probe: true,
         fingerprint: [0; 32],
         deadline_at: Instant::now() + Duration::from_secs(1),
     }
--- a/tests/guard_scenarios/bench.rs
+++ b/tests/guard_scenarios/bench.rs
@@ -260,6 +260,7 @@
             foreground: load.foreground,
             rank: 0,
             no_wait: false,
+            may_probe: true,
             fingerprint: fingerprint(load.kills, number),
             deadline_at: self.began_at + self.now + load.deadline,
         };
