--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, Sender};
 
 use super::choice::ServerChoice;
 use super::forward::{self, Attempted, ForwardContext};
@@ -90,17 +90,7 @@
         view: 0,
     };
     let mut draining = false;
-    loop {
-        let now = context.clock.now();
-        let wait = duty
-            .state
-            .next_tick_at()
-            .map_or(IDLE, |at| at.saturating_duration_since(now));
-        let message = match messages.recv_timeout(wait) {
-            Ok(message) => message,
-            Err(RecvTimeoutError::Timeout) => RoutingMessage::Event(RoutingEvent::Tick),
-            Err(RecvTimeoutError::Disconnected) => return,
-        };
+    for message in messages {
         match message {
             RoutingMessage::Stop => return,
             RoutingMessage::Drain => draining = true,
@@ -132,8 +122,6 @@
     }
 }
 
-const IDLE: Duration = Duration::from_secs(60);
-
 impl RoutingDuty<'_> {
     /// Takes from an event what the calls themselves need.
     fn notice(&mut self, event: &RoutingEvent) {
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -132,8 +132,6 @@
     },
     /// The caller left.
     CallerLeft(RequestId),
-    /// The time of `next_tick_at` has come.
-    Tick,
     /// A new view is in force.
     View(Arc<View>),
     /// The fleet changed.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -5,7 +5,7 @@
 //! never starts lets the request go on. An idempotency key is claimed at its home before the
 //! first attempt, and given back only when no attempt can have started.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -36,8 +36,6 @@
     homes: Option<HomeMap>,
     budget: RetryBudget,
     requests: HashMap<RequestId, RequestState>,
-    /// Parked requests, in the order in which they are tried again.
-    parked: VecDeque<(Instant, RequestId)>,
 }
 
 struct RequestState {
@@ -45,8 +43,6 @@
     phase: Phase,
     /// The last attempt; 0 before the first.
     attempt: Attempt,
-    /// The last attempt before it was parked; 0 where it was not.
-    attempt_base: Attempt,
     /// Servers that get no further attempt.
     tried: SmallVec<[BackendServerId; 4]>,
     /// Servers that had no free slot.
@@ -57,8 +53,6 @@
     arrived_count: u32,
     /// A server's answer that tells of its failure, until a better one comes.
     failed_answer: Option<WholeAnswer>,
-    /// When it is no longer kept for another try; none before it was parked first.
-    park_ends_at: Option<Instant>,
     /// The home that granted the idempotency key.
     claimed_at: Option<DaemonId>,
     /// Whether an attempt may have started. Never returns to false.
@@ -81,8 +75,6 @@
         target: Target,
         incarnation: Incarnation,
     },
-    /// No server took it; it is tried again at this time.
-    Parked { until: Instant },
     /// The guard of a lost attempt is asked to fence it.
     Fencing { kind: ErrorKind },
 }
@@ -97,7 +89,6 @@
             fleet: Arc::default(),
             homes: None,
             requests: HashMap::new(),
-            parked: VecDeque::new(),
         }
     }
 
@@ -119,7 +110,6 @@
             } => self.fenced(now, request, attempt, answer),
             RoutingEvent::Claimed { request, answer } => self.claimed(now, request, answer),
             RoutingEvent::CallerLeft(request) => self.caller_left(request),
-            RoutingEvent::Tick => self.tick(now),
             RoutingEvent::View(view) => {
                 self.choice.view(view);
                 SmallVec::new()
@@ -156,13 +146,11 @@
             plan: Arc::new(plan),
             phase: Phase::New,
             attempt: 0,
-            attempt_base: 0,
             tried: SmallVec::new(),
             busy: SmallVec::new(),
             no_wait: false,
             arrived_count: 0,
             failed_answer: None,
-            park_ends_at: None,
             claimed_at: None,
             may_have_run: false,
             death_count: 0,
@@ -235,7 +223,7 @@
         kind: ErrorKind,
     ) -> RoutingActions {
         let Some((target, no_wait)) = self.pick(now, &state) else {
-            return self.give_up(now, request, state, kind, None);
+            return self.finish_failed(request, state, kind, None);
         };
         state.no_wait = no_wait;
         let daemon = self.fleet.daemons.get(&target.daemon);
@@ -340,7 +328,7 @@
                 if self.may_go_elsewhere(now, &state, kind) {
                     return self.send(now, request, state, kind);
                 }
-                self.give_up(now, request, state, kind, retry_after)
+                self.finish_failed(request, state, kind, retry_after)
             }
             AttemptOutcome::Unknown { kind, by_guard } => {
                 if !by_guard && !state.plan.repeatable {
@@ -423,62 +411,6 @@
         self.finish_failed(request, state, ErrorKind::Fenced, None)
     }
 
-    /// Ends a request that no server takes, or keeps it for a moment where that may change.
-    fn give_up(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        mut state: RequestState,
-        kind: ErrorKind,
-        retry_after: Option<Duration>,
-    ) -> RoutingActions {
-        let may_change = matches!(kind, ErrorKind::NoServer | ErrorKind::Stopping);
-        let park = Duration::from_millis(self.settings.park_ms);
-        let ends_at = *state.park_ends_at.get_or_insert(now + park);
-        let until = now + PARK_STEP;
-        let in_time = until <= ends_at && until + PARK_STEP < state.plan.deadline_at;
-        let untouched = !state.may_have_run && state.failed_answer.is_none() && !state.abandoned;
-        if !(may_change && in_time && untouched && state.resendable) {
-            return self.finish_failed(request, state, kind, retry_after);
-        }
-        state.phase = Phase::Parked { until };
-        state.tried.clear();
-        state.busy.clear();
-        state.attempt_base = state.attempt;
-        self.parked.push_back((until, request));
-        self.requests.insert(request, state);
-        SmallVec::new()
-    }
-
-    /// When `Tick` is due next.
-    pub fn next_tick_at(&self) -> Option<Instant> {
-        self.parked.front().map(|(until, _)| *until)
-    }
-
-    /// Tries the requests again whose time has come.
-    fn tick(&mut self, now: Instant) -> RoutingActions {
-        let mut actions = SmallVec::new();
-        while let Some((until, request)) = self.parked.front().copied() {
-            if until > now {
-                break;
-            }
-            self.parked.pop_front();
-            let Some(state) = self.requests.remove(&request) else {
-                continue;
-            };
-            if !matches!(state.phase, Phase::Parked { until: own } if own == until) {
-                self.requests.insert(request, state);
-                continue;
-            }
-            if state.abandoned {
-                actions.extend(self.finish_failed(request, state, ErrorKind::Cancelled, None));
-                continue;
-            }
-            actions.extend(self.send(now, request, state, ErrorKind::NoServer));
-        }
-        actions
-    }
-
     fn caller_left(&mut self, request: RequestId) -> RoutingActions {
         let Some(state) = self.requests.get_mut(&request) else {
             return SmallVec::new();
@@ -523,7 +455,7 @@
         };
         let attempt_limit_count = arrived_limit_count + self.settings.refusals_limit_count;
         state.arrived_count < arrived_limit_count
-            && state.attempt - state.attempt_base < attempt_limit_count
+            && state.attempt < attempt_limit_count
             && now < state.plan.deadline_at
             && state.resendable
             && !state.abandoned
@@ -568,9 +500,6 @@
     }
 }
 
-/// Wait between two tries of a parked request.
-const PARK_STEP: Duration = Duration::from_millis(100);
-
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -29,9 +29,6 @@
     /// Servers that are asked for a free slot before a request waits for one; 0 lets it wait at
     /// the first.
     pub free_slot_tries_count: usize,
-    /// Longest time for which a request that no server takes is kept for another try, in
-    /// milliseconds; 0 refuses it at once.
-    pub park_ms: u64,
     /// Attempts that guards may refuse beyond those that may reach a server.
     pub refusals_limit_count: u32,
     /// Whether an answer that tells of the server's failure leads to a retry of a request that may
@@ -62,7 +59,6 @@
             path_backoff_ms: 250,
             path_backoff_limit_ms: 30_000,
             free_slot_tries_count: 0,
-            park_ms: 0,
             refusals_limit_count: 0,
             retry_failed_answers: false,
             retry_fleet_reserve_count: 0,
@@ -95,7 +91,6 @@
         );
         checker.range("free_slot_tries_count", self.free_slot_tries_count, 0..=64);
         checker.range("refusals_limit_count", self.refusals_limit_count, 0..=64);
-        checker.range("park_ms", self.park_ms, 0..=60_000);
         checker.range("retry_after_ms", self.retry_after_ms, 0..=60_000);
         checker.range("reuse_idle_ms", self.reuse_idle_ms, 0..=600_000);
         self.check_backoff(checker);
