--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -8,9 +8,8 @@
 
 use super::cancel::CancelJob;
 use super::forward::{self, ForwardContext, StartJob};
-use super::message::{
-    AttemptKey, GuardAction, GuardEvent, GuardMessage, GuardRequest, ServerOutcome,
-};
+use super::log::{log_end, log_servers, LogName};
+use super::message::{AttemptKey, GuardAction, GuardEvent, GuardMessage, ServerOutcome};
 use super::state::GuardState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
@@ -19,7 +18,7 @@
 use crate::health::{request_end, OutcomeReader, StartedRequest};
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, LinkMessage, PeerAnswer, PeerReply, PeerRequest};
-use crate::membership::{Fleet, MembershipEvent, ServerEntry};
+use crate::membership::{Fleet, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::settings::guard::GuardSettings;
@@ -27,6 +26,7 @@
 use crate::wire::client::{CallError, CallHandle, Caller};
 use crate::wire::exchange::{Exchange, RawHead, WholeAnswer};
 use crate::wire::forward::ForwardHead;
+use crate::wire::http::header;
 
 /// What the guard needs of the world.
 pub struct GuardContext {
@@ -67,13 +67,20 @@
     deadline_at: Instant,
 }
 
+/// A call that runs; dropping it ends the call.
+struct OpenCall {
+    _handle: CallHandle,
+    /// The request and its server, as logs name them.
+    name: LogName,
+}
+
 /// The thread's own part: what the decisions need not see.
 struct GuardDuty<'a> {
     context: &'a GuardContext,
     state: GuardState,
     held: HashMap<AttemptKey, HeldRequest>,
-    /// Calls that run; dropping one ends it.
-    calls: HashMap<AttemptKey, CallHandle>,
+    /// Calls that run.
+    calls: HashMap<AttemptKey, OpenCall>,
     fleet: Arc<Fleet>,
     /// Who waits for the fence of the event in hand.
     fence_reply: Option<PeerReply>,
@@ -132,8 +139,8 @@
             elapsed,
         } = &event
         {
-            self.calls.remove(key);
-            log_end(*key, *outcome, *elapsed);
+            let name = self.calls.remove(key).map(|call| call.name);
+            log_end(&name.unwrap_or_default(), key.1, *outcome, *elapsed);
             let end = request_end(*outcome);
             self.context.outcomes.finished(*key, end, *elapsed);
         }
@@ -151,11 +158,12 @@
     ) {
         let key = (head.request, head.attempt);
         if self.held.contains_key(&key) {
-            return self.answer(exchange, key, ErrorKind::OutcomeUnknown, None);
+            let name = self.log_name(&head, &raw);
+            return self.answer(exchange, (key, &name), ErrorKind::OutcomeUnknown, None);
         }
         self.watch(key, &mut *exchange);
         let deadline_at = arrived_at + head.remaining;
-        let event = GuardEvent::Arrived(describe(&head, deadline_at));
+        let event = GuardEvent::Arrived(forward::describe(&head, deadline_at));
         let held = HeldRequest {
             head,
             raw,
@@ -166,6 +174,15 @@
         self.decide(event);
     }
 
+    fn log_name(&self, head: &ForwardHead, raw: &RawHead) -> LogName {
+        let name = self.context.forward.dialect.caller_names().request;
+        let caller_id = name.and_then(|name| header(&raw.headers, name));
+        LogName {
+            request: caller_id.map_or_else(|| format_id(head.request), str::to_owned),
+            server: head.server.to_string(),
+        }
+    }
+
     /// Hears if the entry leaves. A full ring loses that, counted; the request then runs on.
     fn watch(&self, key: AttemptKey, exchange: &mut dyn Exchange) {
         let own = self.context.own.clone();
@@ -183,7 +200,8 @@
                 retry_after,
             } => {
                 if let Some(held) = self.held.remove(&key) {
-                    self.answer(held.exchange, key, kind, retry_after);
+                    let name = self.log_name(&held.head, &held.raw);
+                    self.answer(held.exchange, (key, &name), kind, retry_after);
                 }
             }
             GuardAction::Servers(servers) => {
@@ -225,8 +243,11 @@
         };
         if self.calls.len() >= self.context.settings.worker_count {
             self.context.metrics.count("guard.call.limit");
-            return self.unstarted(key, Some(job.exchange));
+            let name = self.log_name(&job.head, &job.raw);
+            self.answer(job.exchange, (key, &name), ErrorKind::Busy, None);
+            return self.unstarted(key);
         }
+        let name = self.log_name(&job.head, &job.raw);
         let headers = forward::passed_headers(&job.raw);
         let call = forward::prepare(&self.context.forward, &job, &headers, address);
         let dialect = self.context.forward.dialect.clone();
@@ -246,18 +267,19 @@
         });
         match self.context.caller.call(call, done) {
             Ok(handle) => {
-                self.calls.insert(key, handle);
+                let call = OpenCall {
+                    _handle: handle,
+                    name,
+                };
+                self.calls.insert(key, call);
             }
             // Dropping the callback drops the exchange, whose entry then hears of a fault.
-            Err(_) => self.unstarted(key, None),
+            Err(_) => self.unstarted(key),
         }
     }
 
     /// A request that was started and whose call could not be made.
-    fn unstarted(&mut self, key: AttemptKey, exchange: Option<Box<dyn Exchange>>) {
-        if let Some(exchange) = exchange {
-            self.answer(exchange, key, ErrorKind::Busy, None);
-        }
+    fn unstarted(&mut self, key: AttemptKey) {
         self.decide(GuardEvent::Finished {
             key,
             outcome: ServerOutcome::Abandoned,
@@ -275,7 +297,7 @@
             }
             return;
         }
-        if !repeatable || self.calls.remove(&key).is_none() {
+        if !repeatable || !self.calls.contains_key(&key) {
             return;
         }
         self.context.metrics.count("guard.cancel.closed");
@@ -336,7 +358,7 @@
     fn answer(
         &self,
         exchange: Box<dyn Exchange>,
-        key: AttemptKey,
+        (key, name): (AttemptKey, &LogName),
         kind: ErrorKind,
         retry_after: Option<Duration>,
     ) {
@@ -344,7 +366,8 @@
         metrics.count(&format!("guard.refused.{}", kind.code()));
         let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
         log::info!(
-            id = format_id(key.0),
+            request = name.request,
+            server = name.server,
             attempt = key.1,
             kind = kind.code(),
             retry_after_ms;
@@ -357,52 +380,3 @@
         }
     }
 }
-
-fn describe(head: &ForwardHead, deadline_at: Instant) -> GuardRequest {
-    GuardRequest {
-        request: head.request,
-        attempt: head.attempt,
-        incarnation: head.incarnation,
-        organisation: head.organisation.clone(),
-        weight_share: head.weight_share,
-        route: head.route.clone(),
-        server: head.server.clone(),
-        repeatable: head.repeatable,
-        foreground: head.foreground,
-        rank: head.rank,
-        no_wait: head.no_wait,
-        may_probe: head.may_probe,
-        fingerprint: head.fingerprint,
-        deadline_at,
-    }
-}
-
-/// One line for each call that did not end with a good answer.
-fn log_end(key: AttemptKey, outcome: ServerOutcome, elapsed: Duration) {
-    if matches!(outcome, ServerOutcome::Answered(status) if status < FAILURE_STATUS) {
-        return;
-    }
-    let elapsed_ms = elapsed.as_millis() as u64;
-    let outcome = format!("{outcome:?}");
-    log::info!(id = format_id(key.0), attempt = key.1, outcome, elapsed_ms; "call_failed");
-}
-
-/// Lowest status that tells of a server's failure.
-const FAILURE_STATUS: u16 = 500;
-
-/// One line for each change of the servers on this VM.
-fn log_servers(servers: &[ServerEntry]) {
-    for server in servers {
-        log::info!(
-            server = &*server.server,
-            service = &*server.service,
-            cold = server.cold,
-            draining = server.draining,
-            slots_count = server.slots_count;
-            "server_state"
-        );
-    }
-    if servers.is_empty() {
-        log::info!("server_absent");
-    }
-}
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use super::message::ServerOutcome;
+use super::message::{GuardRequest, ServerOutcome};
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
 use crate::types::{format_id, RequestId};
@@ -180,3 +180,23 @@
         CallError::AnswerTooLarge => ErrorKind::AnswerTooLarge,
     }
 }
+
+/// The request as the guard decides on it.
+pub fn describe(head: &ForwardHead, deadline_at: Instant) -> GuardRequest {
+    GuardRequest {
+        request: head.request,
+        attempt: head.attempt,
+        incarnation: head.incarnation,
+        organisation: head.organisation.clone(),
+        weight_share: head.weight_share,
+        route: head.route.clone(),
+        server: head.server.clone(),
+        repeatable: head.repeatable,
+        foreground: head.foreground,
+        rank: head.rank,
+        no_wait: head.no_wait,
+        may_probe: head.may_probe,
+        fingerprint: head.fingerprint,
+        deadline_at,
+    }
+}
--- /dev/null
+++ b/src/guard/log.rs
@@ -0,0 +1,52 @@
+//! Log lines of the guard.
+
+use std::time::Duration;
+
+use super::message::ServerOutcome;
+use crate::membership::ServerEntry;
+use crate::types::Attempt;
+
+/// How logs name a request at this guard.
+#[derive(Debug, Clone, Default)]
+pub(super) struct LogName {
+    /// The caller's own id of the request where there is one.
+    pub(super) request: String,
+    pub(super) server: String,
+}
+
+/// One line for each call that did not end with a good answer.
+pub(super) fn log_end(name: &LogName, attempt: Attempt, outcome: ServerOutcome, elapsed: Duration) {
+    if matches!(outcome, ServerOutcome::Answered(status) if status < FAILURE_STATUS) {
+        return;
+    }
+    let elapsed_ms = elapsed.as_millis() as u64;
+    let outcome = format!("{outcome:?}");
+    log::info!(
+        request = name.request,
+        server = name.server,
+        attempt,
+        outcome,
+        elapsed_ms;
+        "call_failed"
+    );
+}
+
+/// Lowest status that tells of a server's failure.
+const FAILURE_STATUS: u16 = 500;
+
+/// One line for each change of the servers on this VM.
+pub(super) fn log_servers(servers: &[ServerEntry]) {
+    for server in servers {
+        log::info!(
+            server = &*server.server,
+            service = &*server.service,
+            cold = server.cold,
+            draining = server.draining,
+            slots_count = server.slots_count;
+            "server_state"
+        );
+    }
+    if servers.is_empty() {
+        log::info!("server_absent");
+    }
+}
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 pub mod announce;
+mod announced;
 pub mod breaker;
 pub mod cancel;
 pub mod cold;
@@ -10,6 +11,7 @@
 pub mod duty;
 pub mod forward;
 mod inquiry;
+mod log;
 pub mod message;
 pub mod poison;
 pub mod queue;
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -5,16 +5,14 @@
 use std::time::{Duration, Instant};
 
 use super::deaths::{BrokenCall, DeathWatch};
-use super::message::{
-    Announcement, AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome,
-};
+use super::message::{AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
 use super::server::ServerState;
 use super::started::StartedRecord;
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
-use crate::types::{BackendServerId, Incarnation, ServiceId};
+use crate::types::{BackendServerId, Incarnation};
 use crate::wire::client::CallError;
 
 /// State of the guard.
@@ -325,99 +323,6 @@
         self.pump(now, &name, actions);
     }
 
-    pub(super) fn announced(
-        &mut self,
-        now: Instant,
-        announcement: Announcement,
-        actions: &mut Vec<GuardAction>,
-    ) {
-        let name = announcement.server.clone();
-        if self.is_outdated(now, &announcement) {
-            return;
-        }
-        self.replace_others(now, &announcement, actions);
-        let cold_rate_per_s = self.cold_rate_per_s(&announcement.service);
-        let Some(server) = self.servers.get_mut(&name) else {
-            let mut state = ServerState::new(&self.settings, announcement, now);
-            state.keep_leaving();
-            self.hold_back(&mut state, actions);
-            state.cold_rate_per_s = cold_rate_per_s;
-            self.servers.insert(name, state);
-            return;
-        };
-        server.cold_rate_per_s = cold_rate_per_s;
-        server.unproven = false;
-        let new_life = server.renew(now, announcement);
-        server.keep_leaving();
-        let draining = server.announcement.draining;
-        if new_life {
-            actions.extend(self.deaths.confirm(now, &name));
-        }
-        if draining {
-            self.refuse_waiting(now, &name, ErrorKind::NoServer, actions);
-        }
-        self.pump(now, &name, actions);
-    }
-
-    /// Whether the announcement is older than what is known: an earlier one of the same life, or
-    /// one of a server whose address another server has since taken.
-    fn is_outdated(&self, now: Instant, announcement: &Announcement) -> bool {
-        let own = self.servers.get(&announcement.server);
-        let repeated = own.is_some_and(|known| known.has_said_later(announcement));
-        let replaced = self.servers.values().any(|other| {
-            let held = &other.announcement;
-            held.address == announcement.address
-                && held.server != announcement.server
-                && !other.gone
-                && announcement.started_at_ms < held.started_at_ms
-                && now.saturating_duration_since(other.renewed_at) < self.ttl()
-        });
-        repeated || replaced
-    }
-
-    /// A server that took another's address ends the other one.
-    fn replace_others(
-        &mut self,
-        now: Instant,
-        announcement: &Announcement,
-        actions: &mut Vec<GuardAction>,
-    ) {
-        if announcement.started_at_ms == 0 {
-            return;
-        }
-        let others = self.servers.iter().filter(|(name, other)| {
-            **name != announcement.server
-                && !other.gone
-                && other.announcement.address == announcement.address
-        });
-        let others: Vec<BackendServerId> = others.map(|(name, _)| name.clone()).collect();
-        for other in others {
-            self.gone(now, &other, actions);
-        }
-    }
-
-    fn cold_rate_per_s(&self, service: &ServiceId) -> f64 {
-        let contract = self.view.services.get(service);
-        contract.map_or(0.0, |contract| contract.cold_rate_per_s)
-    }
-
-    fn view_changed(&mut self, view: Arc<View>) {
-        self.view = view;
-        let rates: Vec<(BackendServerId, f64)> = self
-            .servers
-            .iter()
-            .map(|(name, server)| {
-                let rate_per_s = self.cold_rate_per_s(&server.announcement.service);
-                (name.clone(), rate_per_s)
-            })
-            .collect();
-        for (name, rate_per_s) in rates {
-            if let Some(server) = self.servers.get_mut(&name) {
-                server.cold_rate_per_s = rate_per_s;
-            }
-        }
-    }
-
     fn report_servers(&mut self, actions: &mut Vec<GuardAction>) {
         let takes_work = self.takes_work();
         let present = self.servers.values().filter(|server| !server.gone);
--- /dev/null
+++ b/src/guard/tests/servers.rs
@@ -0,0 +1,189 @@
+use std::sync::Arc;
+use std::time::Instant;
+
+use super::{announcement, refusal_of, request, LIFE};
+use crate::contract::{Document, ServiceContract, View};
+use crate::error::ErrorKind;
+use crate::guard::message::{Announcement, GuardAction, GuardEvent, GuardRequest};
+use crate::guard::state::GuardState;
+use crate::settings::guard::GuardSettings;
+use crate::wire::dialect::HealthWord;
+
+#[test]
+fn a_server_that_left_is_not_brought_back_by_an_announcement_of_the_same_life() {
+    // Arrange
+    let now = Instant::now();
+    let settings = GuardSettings {
+        departures_final: true,
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    let ready = |started_at_ms, sequence| {
+        GuardEvent::Announced(Announcement {
+            started_at_ms,
+            sequence,
+            ..announcement()
+        })
+    };
+    state.handle(now, ready(5, 1));
+    state.handle(now, GuardEvent::Withdrawn("s".into()));
+
+    // Act
+    state.handle(now, ready(5, 2));
+    let same_life = state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, ready(6, 1));
+    let next_life = state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&same_life, 1), Some(ErrorKind::NoServer));
+    assert_eq!(refusal_of(&next_life, 2), None);
+}
+
+#[test]
+fn an_older_server_does_not_take_its_address_back() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = GuardState::new(GuardSettings::default(), LIFE);
+    let named = |server: &str, started_at_ms| {
+        GuardEvent::Announced(Announcement {
+            server: server.into(),
+            started_at_ms,
+            ..announcement()
+        })
+    };
+    state.handle(now, named("old", 5));
+    state.handle(now, named("s", 6));
+
+    // Act
+    state.handle(now, named("old", 5));
+    let to_old = GuardRequest {
+        server: "old".into(),
+        ..request(1, now)
+    };
+    let to_old = state.handle(now, GuardEvent::Arrived(to_old));
+    let to_new = state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&to_old, 1), Some(ErrorKind::NoServer));
+    assert_eq!(refusal_of(&to_new, 2), None);
+}
+
+const HEALTH_PATH: &str = "/healthz";
+
+/// A view of a service that has a health path.
+fn proving_view() -> Arc<View> {
+    let document = Document {
+        services: vec![ServiceContract {
+            service: "v".into(),
+            health_path: HEALTH_PATH.to_owned(),
+            ..Default::default()
+        }],
+        ..Default::default()
+    };
+    Arc::new(View::of_document(1, &document, Default::default()))
+}
+
+/// A guard that proves servers, with a service that has a health path.
+fn proving_guard(now: Instant) -> GuardState {
+    let settings = GuardSettings {
+        inquire: true,
+        server_address: Some(announcement().address),
+        server_service: "v".into(),
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, GuardEvent::View(proving_view()));
+    state
+}
+
+fn health(server: &str, healthy: bool) -> GuardEvent {
+    GuardEvent::Inquired {
+        address: announcement().address,
+        word: Some(HealthWord {
+            server: server.into(),
+            healthy,
+            slots_count: Some(1),
+            cold: false,
+        }),
+    }
+}
+
+fn announced_as(service: &str, sequence: u64) -> GuardEvent {
+    GuardEvent::Announced(Announcement {
+        service: service.into(),
+        sequence,
+        started_at_ms: 5,
+        ..announcement()
+    })
+}
+
+#[test]
+fn a_server_that_this_life_has_not_seen_waits_for_its_health_or_a_second_announcement() {
+    // Arrange
+    let now = Instant::now();
+    let mut by_health = proving_guard(now);
+    let mut by_word = proving_guard(now);
+
+    // Act
+    by_health.handle(now, announced_as("v", 1));
+    let before = by_health.handle(now, GuardEvent::Arrived(request(1, now)));
+    by_health.handle(now, health("s", true));
+    let after = by_health.handle(now, GuardEvent::Arrived(request(2, now)));
+    by_word.handle(now, announced_as("v", 1));
+    by_word.handle(now, health("s", false));
+    by_word.handle(now, announced_as("v", 2));
+    let second = by_word.handle(now, GuardEvent::Arrived(request(3, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&before, 1), Some(ErrorKind::NoServer));
+    assert_eq!(refusal_of(&after, 2), None);
+    assert_eq!(refusal_of(&second, 3), None);
+}
+
+#[test]
+fn a_server_that_announces_itself_before_its_health_path_is_known_is_asked_with_the_view() {
+    // Arrange
+    let now = Instant::now();
+    let settings = GuardSettings {
+        inquire: true,
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, announced_as("v", 1));
+
+    // Act
+    let actions = state.handle(now, GuardEvent::View(proving_view()));
+
+    // Assert
+    let asked = |action: &GuardAction| matches!(action, GuardAction::Inquire { .. });
+    assert!(actions.iter().any(asked), "{actions:?}");
+}
+
+#[test]
+fn a_late_announcement_of_a_server_that_is_gone_gives_it_no_work() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+
+    // Act
+    state.handle(now, announced_as("v", 9));
+    state.handle(now, health("another", true));
+    let actions = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 1), Some(ErrorKind::NoServer));
+}
+
+#[test]
+fn a_daemon_that_starts_beside_a_living_server_asks_it_and_serves_before_its_announcement() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+
+    // Act
+    state.handle(now, health("s", true));
+    let actions = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 1), None);
+}
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -11,10 +11,10 @@
 use super::candidates::{Candidate, Candidates, ServiceCandidates};
 use super::choice::ServerChoice;
 use super::message::{AttemptOutcome, RequestPlan, Target};
-use super::paths::{PathEnd, PathUse, Paths};
+use super::met::{met, path_end, Met};
+use super::paths::{PathUse, Paths};
 use super::speed::{RouteSpeeds, ServerSpeed};
 use crate::contract::View;
-use crate::error::ErrorKind;
 use crate::membership::{Fleet, FULL_SHARE_PERMILLE};
 use crate::settings::routing::RoutingSettings;
 use crate::types::{BackendServerId, DomainId, RouteId};
@@ -302,59 +302,9 @@
     }
 }
 
-/// What an attempt says about a server.
-enum Met {
-    Time(Duration),
-    Failure,
-    Busy(Option<Duration>),
-    Closed(Option<Duration>),
-    Nothing,
-}
-
-fn met(outcome: &AttemptOutcome, elapsed: Duration) -> Met {
-    match outcome {
-        AttemptOutcome::Answered(answer) if answer.status >= FAILURE_STATUS => Met::Failure,
-        AttemptOutcome::Answered(_) => Met::Time(elapsed),
-        AttemptOutcome::Unknown { by_guard: true, .. } => Met::Failure,
-        AttemptOutcome::NotRun {
-            kind: ErrorKind::Stopping | ErrorKind::NoServer,
-            retry_after,
-            by_guard: true,
-        } => Met::Closed(*retry_after),
-        AttemptOutcome::NotRun {
-            kind: ErrorKind::Busy | ErrorKind::DeadlineUnmeetable,
-            retry_after,
-            by_guard: true,
-        } => Met::Busy(*retry_after),
-        _ => Met::Nothing,
-    }
-}
-
 /// Times of a route that are not known yet count for at least this.
 const LEAST_USUAL_S: f64 = 0.02;
 
-/// Lowest status that counts as a failure of the server.
-const FAILURE_STATUS: u16 = 500;
-
-/// How the attempt fared on its way; none where it was not sent for a reason of the entry's own.
-fn path_end(outcome: &AttemptOutcome) -> Option<PathEnd> {
-    match outcome {
-        AttemptOutcome::Answered(_) => Some(PathEnd::Answered),
-        AttemptOutcome::NotRun { by_guard: true, .. } => Some(PathEnd::Answered),
-        AttemptOutcome::Unknown { by_guard: true, .. } => Some(PathEnd::Answered),
-        AttemptOutcome::NotRun {
-            kind: ErrorKind::NoServer,
-            ..
-        } => Some(PathEnd::NoConnection),
-        AttemptOutcome::NotRun { .. } => None,
-        AttemptOutcome::Unknown {
-            kind: ErrorKind::AnswerTooLarge,
-            ..
-        } => Some(PathEnd::Answered),
-        AttemptOutcome::Unknown { .. } => Some(PathEnd::Lost),
-    }
-}
-
 fn keep_better<'a>(best: &mut Option<(f64, &'a Candidate)>, load: f64, candidate: &'a Candidate) {
     if best.as_ref().is_none_or(|(lowest, _)| load < *lowest) {
         *best = Some((load, candidate));
--- /dev/null
+++ b/src/routing/once.rs
@@ -0,0 +1,119 @@
+//! What keeps a request from running twice: claims of idempotency keys, and fences of attempts
+//! whose guard was lost.
+
+use std::time::Instant;
+
+use smallvec::{smallvec, SmallVec};
+
+use super::message::{RoutingAction, Target};
+use super::state::{Phase, RequestState, RoutingActions, RoutingState};
+use crate::error::ErrorKind;
+use crate::idempotency::home::claim_key;
+use crate::idempotency::HomeMap;
+use crate::link::{ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest};
+use crate::types::{Attempt, Incarnation, RequestId};
+
+impl RoutingState {
+    pub(super) fn claim(
+        &mut self,
+        request: RequestId,
+        state: RequestState,
+        key: String,
+    ) -> RoutingActions {
+        let homes = self.homes.get_or_insert_with(|| HomeMap::new(&self.fleet));
+        let organisation = state.plan.organisation.clone();
+        let Some(home) = homes.home(&claim_key(&organisation, &key)).cloned() else {
+            return self.finish_failed(request, state, ErrorKind::NoServer, None);
+        };
+        let claim = ClaimRequest {
+            step: ClaimStep::Take,
+            organisation,
+            idempotency_key: key,
+            request,
+        };
+        let phase = Phase::Claiming { home: home.clone() };
+        self.requests
+            .insert(request, RequestState { phase, ..state });
+        smallvec![RoutingAction::Claim { to: home, claim }]
+    }
+
+    pub(super) fn claimed(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        answer: Option<ClaimAnswer>,
+    ) -> RoutingActions {
+        let Some(mut state) = self.requests.remove(&request) else {
+            return SmallVec::new();
+        };
+        let Phase::Claiming { home } = &state.phase else {
+            self.requests.insert(request, state);
+            return SmallVec::new();
+        };
+        match answer {
+            Some(ClaimAnswer::Granted) => {
+                state.claimed_at = Some(home.clone());
+                if state.abandoned {
+                    return self.finish_failed(request, state, ErrorKind::Cancelled, None);
+                }
+                self.send(now, request, state, ErrorKind::NoServer)
+            }
+            Some(ClaimAnswer::Taken { .. }) => {
+                self.finish_failed(request, state, ErrorKind::DuplicateRequest, None)
+            }
+            Some(ClaimAnswer::Unknown) | None => {
+                self.finish_failed(request, state, ErrorKind::OutcomeUnknown, None)
+            }
+        }
+    }
+
+    pub(super) fn fence(
+        &mut self,
+        request: RequestId,
+        mut state: RequestState,
+        target: &Target,
+        incarnation: Incarnation,
+        kind: ErrorKind,
+    ) -> RoutingActions {
+        let fence = FenceRequest {
+            request,
+            attempt: state.attempt,
+            incarnation,
+        };
+        state.phase = Phase::Fencing { kind };
+        self.requests.insert(request, state);
+        let to = target.daemon.clone();
+        smallvec![RoutingAction::Fence { to, fence }]
+    }
+
+    pub(super) fn fenced(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        attempt: Attempt,
+        answer: Option<FenceAnswer>,
+    ) -> RoutingActions {
+        let Some(mut state) = self.requests.remove(&request) else {
+            return SmallVec::new();
+        };
+        let kind = match &state.phase {
+            Phase::Fencing { kind } if state.attempt == attempt => *kind,
+            _ => {
+                self.requests.insert(request, state);
+                return SmallVec::new();
+            }
+        };
+        if answer != Some(FenceAnswer::Fenced) {
+            state.may_have_run = true;
+            return self.finish_failed(request, state, kind, None);
+        }
+        // The attempt never starts, so the request may go elsewhere.
+        if now >= state.plan.deadline_at {
+            return self.finish_failed(request, state, ErrorKind::DeadlineUnmeetable, None);
+        }
+        if self.may_go_elsewhere(now, &state, ErrorKind::Fenced) {
+            return self.send(now, request, state, ErrorKind::Fenced);
+        }
+        self.finish_failed(request, state, ErrorKind::Fenced, None)
+    }
+}
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -13,11 +13,11 @@
 
 use super::budget::RetryBudget;
 use super::choice::ServerChoice;
+use super::limits::has_arrived;
 use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
 use crate::error::{ErrorKind, Ran};
-use crate::idempotency::home::claim_key;
 use crate::idempotency::HomeMap;
-use crate::link::{ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest};
+use crate::link::{ClaimRequest, ClaimStep};
 use crate::membership::Fleet;
 use crate::settings::routing::RoutingSettings;
 use crate::types::{Attempt, BackendServerId, DaemonId, Incarnation, RequestId};
@@ -28,44 +28,44 @@
 
 /// State of routing.
 pub struct RoutingState {
-    settings: RoutingSettings,
-    choice: Box<dyn ServerChoice>,
+    pub(super) settings: RoutingSettings,
+    pub(super) choice: Box<dyn ServerChoice>,
     /// Where daemons are and in which life; never older than what the choice knows.
-    fleet: Arc<Fleet>,
+    pub(super) fleet: Arc<Fleet>,
     /// Homes in that fleet, made when first needed.
-    homes: Option<HomeMap>,
-    budget: RetryBudget,
-    requests: HashMap<RequestId, RequestState>,
+    pub(super) homes: Option<HomeMap>,
+    pub(super) budget: RetryBudget,
+    pub(super) requests: HashMap<RequestId, RequestState>,
 }
 
-struct RequestState {
-    plan: Arc<RequestPlan>,
-    phase: Phase,
+pub(super) struct RequestState {
+    pub(super) plan: Arc<RequestPlan>,
+    pub(super) phase: Phase,
     /// The last attempt; 0 before the first.
-    attempt: Attempt,
+    pub(super) attempt: Attempt,
     /// Servers that get no further attempt.
-    tried: SmallVec<[BackendServerId; 4]>,
+    pub(super) tried: SmallVec<[BackendServerId; 4]>,
     /// Servers that had no free slot.
-    busy: SmallVec<[BackendServerId; 4]>,
+    pub(super) busy: SmallVec<[BackendServerId; 4]>,
     /// Whether the present attempt is refused rather than let wait.
-    no_wait: bool,
+    pub(super) no_wait: bool,
     /// Attempts that reached a server, or may have.
-    arrived_count: u32,
+    pub(super) arrived_count: u32,
     /// A server's answer that tells of its failure, until a better one comes.
-    failed_answer: Option<WholeAnswer>,
+    pub(super) failed_answer: Option<WholeAnswer>,
     /// The home that granted the idempotency key.
-    claimed_at: Option<DaemonId>,
+    pub(super) claimed_at: Option<DaemonId>,
     /// Whether an attempt may have started. Never returns to false.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Servers that died while they ran the request.
-    death_count: u32,
+    pub(super) death_count: u32,
     /// Whether the body can be sent again.
-    resendable: bool,
+    pub(super) resendable: bool,
     /// Whether the caller left.
-    abandoned: bool,
+    pub(super) abandoned: bool,
 }
 
-enum Phase {
+pub(super) enum Phase {
     /// Nothing was done yet.
     New,
     /// The home of the idempotency key is asked.
@@ -166,56 +166,8 @@
         }
     }
 
-    fn claim(&mut self, request: RequestId, state: RequestState, key: String) -> RoutingActions {
-        let homes = self.homes.get_or_insert_with(|| HomeMap::new(&self.fleet));
-        let organisation = state.plan.organisation.clone();
-        let Some(home) = homes.home(&claim_key(&organisation, &key)).cloned() else {
-            return self.finish_failed(request, state, ErrorKind::NoServer, None);
-        };
-        let claim = ClaimRequest {
-            step: ClaimStep::Take,
-            organisation,
-            idempotency_key: key,
-            request,
-        };
-        let phase = Phase::Claiming { home: home.clone() };
-        self.requests
-            .insert(request, RequestState { phase, ..state });
-        smallvec![RoutingAction::Claim { to: home, claim }]
-    }
-
-    fn claimed(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        answer: Option<ClaimAnswer>,
-    ) -> RoutingActions {
-        let Some(mut state) = self.requests.remove(&request) else {
-            return SmallVec::new();
-        };
-        let Phase::Claiming { home } = &state.phase else {
-            self.requests.insert(request, state);
-            return SmallVec::new();
-        };
-        match answer {
-            Some(ClaimAnswer::Granted) => {
-                state.claimed_at = Some(home.clone());
-                if state.abandoned {
-                    return self.finish_failed(request, state, ErrorKind::Cancelled, None);
-                }
-                self.send(now, request, state, ErrorKind::NoServer)
-            }
-            Some(ClaimAnswer::Taken { .. }) => {
-                self.finish_failed(request, state, ErrorKind::DuplicateRequest, None)
-            }
-            Some(ClaimAnswer::Unknown) | None => {
-                self.finish_failed(request, state, ErrorKind::OutcomeUnknown, None)
-            }
-        }
-    }
-
     /// Sends the next attempt, or ends the request with `kind` where no server is left.
-    fn send(
+    pub(super) fn send(
         &mut self,
         now: Instant,
         request: RequestId,
@@ -361,56 +313,6 @@
         self.finish_failed(request, state, kind, None)
     }
 
-    fn fence(
-        &mut self,
-        request: RequestId,
-        mut state: RequestState,
-        target: &Target,
-        incarnation: Incarnation,
-        kind: ErrorKind,
-    ) -> RoutingActions {
-        let fence = FenceRequest {
-            request,
-            attempt: state.attempt,
-            incarnation,
-        };
-        state.phase = Phase::Fencing { kind };
-        self.requests.insert(request, state);
-        let to = target.daemon.clone();
-        smallvec![RoutingAction::Fence { to, fence }]
-    }
-
-    fn fenced(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        attempt: Attempt,
-        answer: Option<FenceAnswer>,
-    ) -> RoutingActions {
-        let Some(mut state) = self.requests.remove(&request) else {
-            return SmallVec::new();
-        };
-        let kind = match &state.phase {
-            Phase::Fencing { kind } if state.attempt == attempt => *kind,
-            _ => {
-                self.requests.insert(request, state);
-                return SmallVec::new();
-            }
-        };
-        if answer != Some(FenceAnswer::Fenced) {
-            state.may_have_run = true;
-            return self.finish_failed(request, state, kind, None);
-        }
-        // The attempt never starts, so the request may go elsewhere.
-        if now >= state.plan.deadline_at {
-            return self.finish_failed(request, state, ErrorKind::DeadlineUnmeetable, None);
-        }
-        if self.may_go_elsewhere(now, &state, ErrorKind::Fenced) {
-            return self.send(now, request, state, ErrorKind::Fenced);
-        }
-        self.finish_failed(request, state, ErrorKind::Fenced, None)
-    }
-
     fn caller_left(&mut self, request: RequestId) -> RoutingActions {
         let Some(state) = self.requests.get_mut(&request) else {
             return SmallVec::new();
@@ -423,47 +325,9 @@
         smallvec![RoutingAction::Cancel { to, request }]
     }
 
-    /// Whether a request whose last attempt did not run may be tried at another server.
-    fn may_go_elsewhere(&mut self, now: Instant, state: &RequestState, kind: ErrorKind) -> bool {
-        let retried = matches!(
-            kind,
-            ErrorKind::Busy
-                | ErrorKind::NoServer
-                | ErrorKind::Stopping
-                | ErrorKind::Fenced
-                | ErrorKind::DeadlineUnmeetable
-                | ErrorKind::ServerShed
-                | ErrorKind::ServerReplaced
-        );
-        // What no server saw multiplies no overload.
-        let free = !has_arrived(kind);
-        retried
-            && self.has_attempt_left(now, state)
-            && (free || self.budget.take(&state.plan.service))
-    }
-
-    fn may_repeat(&mut self, now: Instant, state: &RequestState) -> bool {
-        state.death_count < MAX_DEATH_COUNT
-            && self.has_attempt_left(now, state)
-            && self.budget.take(&state.plan.service)
-    }
-
-    fn has_attempt_left(&self, now: Instant, state: &RequestState) -> bool {
-        let arrived_limit_count = match state.plan.attempts_limit_count {
-            0 => self.settings.attempt_limit_count,
-            limit_count => limit_count,
-        };
-        let attempt_limit_count = arrived_limit_count + self.settings.refusals_limit_count;
-        state.arrived_count < arrived_limit_count
-            && state.attempt < attempt_limit_count
-            && now < state.plan.deadline_at
-            && state.resendable
-            && !state.abandoned
-    }
-
     /// Ends the request without a server's answer. It is told as not run only if no attempt can
     /// have started; then its idempotency key is given back.
-    fn finish_failed(
+    pub(super) fn finish_failed(
         &mut self,
         request: RequestId,
         state: RequestState,
@@ -503,13 +367,5 @@
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
-/// Whether a server saw the request that was not run.
-fn has_arrived(kind: ErrorKind) -> bool {
-    matches!(kind, ErrorKind::ServerShed | ErrorKind::ServerReplaced)
-}
-
 /// Lowest status that tells of a server's failure.
 const FAILURE_STATUS: u16 = 500;
-
-/// A request that has met this many deaths is not sent again.
-const MAX_DEATH_COUNT: u32 = 2;
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -11,9 +11,9 @@
 pub struct FrontSettings {
     /// Address that callers reach.
     pub address: SocketAddr,
-    /// Threads that forward requests; also the requests in flight at this entry.
+    /// Requests in flight at this entry.
     pub worker_count: usize,
-    /// Threads that forward requests with long bodies, which callers may send slowly.
+    /// Requests in flight whose bodies are too long to be kept.
     pub upload_worker_count: usize,
     /// Requests that may wait between two duties.
     pub ring_count: usize,
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -14,7 +14,7 @@
     pub address: SocketAddr,
     /// Address that the backend servers on this VM announce themselves at.
     pub announce_address: SocketAddr,
-    /// Threads that call the backend servers.
+    /// Calls to the backend servers at a time.
     pub worker_count: usize,
     /// Requests that may wait between two duties.
     pub ring_count: usize,
