--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{bounded, Receiver, Sender};
+use crossbeam::channel::{after, bounded, Receiver, Sender};
 
 use super::beside::{start_announce, start_guard};
 use super::borders::{Borders, Store};
@@ -220,7 +220,8 @@
         let _ = rings.ready.offer(ReadyEvent::Drain);
         front.wind_down();
         rings.membership.deliver(MembershipEvent::Leave);
-        std::thread::sleep(linger);
+        // Nothing is lost if this wait ends early.
+        let _ = after(linger).recv();
         rings.front.deliver(FrontMessage::Event(FrontEvent::Drain));
         rings.guard.deliver(GuardMessage::Event(GuardEvent::Drain));
         let leave = AllowanceMessage::Event(AllowanceEvent::Leave);
