Give no attempt up at a daemon that leaves, or without a retry in the budget

A daemon had SIGTERM at 1.000 s, took a request at 1.970 s and gave its attempt up after its patience of one second, while the server was at work. It had no retry left, so the caller got a 504 of the daemon's own.

Ruled out: the guard (its call was cut by the entry's own deadline for the attempt); the server (it ran until it was cut).

Change: a daemon that leaves, and an entry whose budget holds no retry for the service, let an attempt run to the deadline.

Left: an attempt that was sent before SIGTERM may still be given up in the second after it.

--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -36,7 +36,7 @@
 use crate::operator::OperatorMessage;
 use crate::ready::{self, ReadyEvent};
 use crate::ring::{ring, spawn_duty, RingSender};
-use crate::routing::RoutingMessage;
+use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::Settings;
 use crate::wire::listener::HttpListener;
 use crate::wire::proof::FleetKey;
@@ -219,6 +219,8 @@
         let ends_at = Instant::now() + limit;
         let _ = rings.ready.offer(ReadyEvent::Drain);
         front.wind_down();
+        let leaving = RoutingMessage::Event(RoutingEvent::Leaving);
+        rings.routing.deliver(leaving);
         rings.membership.deliver(MembershipEvent::Leave);
         // Nothing is lost if this wait ends early.
         let _ = after(linger).recv();
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Whether a retry at a service is left.
+    pub fn has(&self, service: &ServiceId) -> bool {
+        self.left.get(service).is_none_or(|left| *left >= 1.0)
+    }
+
     /// Takes a retry at a service out of the budget, if one is left.
     pub fn take(&mut self, service: &ServiceId) -> bool {
         let reserve_count = self.reserve_count;
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -132,6 +132,8 @@
     },
     /// The caller left.
     CallerLeft(RequestId),
+    /// The daemon leaves soon.
+    Leaving,
     /// A new view is in force.
     View(Arc<View>),
     /// The fleet changed.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -36,6 +36,8 @@
     pub(super) homes: Option<HomeMap>,
     pub(super) budget: RetryBudget,
     pub(super) requests: HashMap<RequestId, RequestState>,
+    /// Whether the daemon leaves soon.
+    pub(super) leaving: bool,
 }
 
 pub(super) struct RequestState {
@@ -89,6 +91,7 @@
             fleet: Arc::default(),
             homes: None,
             requests: HashMap::new(),
+            leaving: false,
         }
     }
 
@@ -110,6 +113,10 @@
             } => self.fenced(now, request, attempt, answer),
             RoutingEvent::Claimed { request, answer } => self.claimed(now, request, answer),
             RoutingEvent::CallerLeft(request) => self.caller_left(request),
+            RoutingEvent::Leaving => {
+                self.leaving = true;
+                SmallVec::new()
+            }
             RoutingEvent::View(view) => {
                 self.choice.view(view);
                 SmallVec::new()
@@ -219,7 +226,10 @@
     /// When an attempt is given up, so that there is time left for another.
     fn attempt_until(&self, now: Instant, state: &RequestState) -> Instant {
         let deadline_at = state.plan.deadline_at;
-        if !state.plan.repeatable || !self.has_attempt_left(now, state) {
+        // A daemon that leaves breaks off nothing at which a server may be at work, and without a
+        // retry in the budget there is no other attempt to leave time for.
+        let may_retry = !self.leaving && self.budget.has(&state.plan.service);
+        if !state.plan.repeatable || !may_retry || !self.has_attempt_left(now, state) {
             return deadline_at;
         }
         match self.choice.patience(&state.plan) {
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,4 +1,5 @@
 mod choice;
+mod patience;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/src/routing/tests/patience.rs
@@ -0,0 +1,79 @@
+use std::time::{Duration, Instant};
+
+use crate::routing::choice::ServerChoice;
+use crate::routing::message::{AttemptOutcome, RequestPlan, RoutingAction, RoutingEvent, Target};
+use crate::routing::state::RoutingState;
+use crate::settings::routing::RoutingSettings;
+use crate::types::BackendServerId;
+
+const PATIENCE: Duration = Duration::from_secs(1);
+const DEADLINE: Duration = Duration::from_secs(10);
+
+/// One server that is always there, with a patience.
+struct Patient;
+
+impl ServerChoice for Patient {
+    fn pick(&mut self, _: Instant, _: &RequestPlan, _: &[BackendServerId]) -> Option<Target> {
+        Some(Target {
+            daemon: "d".into(),
+            guard_address: "127.0.0.1:1".parse().expect("a literal address"),
+            server: "s".into(),
+        })
+    }
+
+    fn sent(&mut self, _: Instant, _: &RequestPlan, _: &Target) {}
+
+    fn ended(&mut self, _: Instant, _: &RequestPlan, _: &Target, _: &AttemptOutcome, _: Duration) {}
+
+    fn patience(&self, _: &RequestPlan) -> Option<Duration> {
+        Some(PATIENCE)
+    }
+
+    fn view(&mut self, _: std::sync::Arc<crate::contract::View>) {}
+
+    fn fleet(&mut self, _: std::sync::Arc<crate::membership::Fleet>) {}
+}
+
+/// How long the first attempt at a request may take.
+fn first_attempt(state: &mut RoutingState, now: Instant) -> Duration {
+    let plan = RequestPlan {
+        request: 1,
+        organisation: "o".into(),
+        weight_share: 1,
+        service: "v".into(),
+        route: "r".into(),
+        repeatable: true,
+        foreground: true,
+        rank: 0,
+        attempts_limit_count: 2,
+        body_bytes: 0,
+        body_limit_bytes: 0,
+        idempotency_key: None,
+        deadline_at: now + DEADLINE,
+    };
+    let actions = state.handle(now, RoutingEvent::Dispatch(plan));
+    match &actions[..] {
+        [RoutingAction::Send { until, .. }] => *until - now,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn an_attempt_is_given_up_in_time_for_another_one() {
+    let now = Instant::now();
+    let mut state = RoutingState::new(RoutingSettings::default(), Box::new(Patient));
+    assert_eq!(first_attempt(&mut state, now), PATIENCE);
+}
+
+#[test]
+fn a_daemon_that_leaves_gives_no_attempt_up_before_the_deadline() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = RoutingState::new(RoutingSettings::default(), Box::new(Patient));
+
+    // Act
+    state.handle(now, RoutingEvent::Leaving);
+
+    // Assert
+    assert_eq!(first_attempt(&mut state, now), DEADLINE);
+}
