Look a home up once, strip headers in one place, drop limits that nothing reads

The quota's tests share the making of an entry; their assertions are the same.

Ruled out: one type for `RoutingAction::Send` and the attempt that routing's thread carries; it is the same six fields, but the specification and the measurements match on the action.

--- a/src/contract/document.rs
+++ b/src/contract/document.rs
@@ -9,16 +9,12 @@
 use super::state::{KeyState, View};
 use crate::types::{DomainId, KeyHash, Offset, OrganisationId};
 
-/// What callers may send and how long they may take; 0 leaves a limit to the daemon's settings.
+/// What callers may send; 0 leaves a limit to the routes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CallerLimits {
-    /// Most bytes of a request's headers.
-    pub header_limit_bytes: usize,
     /// Most bytes of a body.
     pub body_limit_bytes: u64,
-    /// A connection without a request for this long may be closed.
-    pub idle_ms: u64,
 }
 
 /// Everything that operators have put in force.
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -34,7 +34,7 @@
     pub domains_back: BTreeMap<DomainId, Offset>,
     /// Keys withdrawn without the log. Not part of the prefix; only leaves when the log has them.
     pub tombstones: HashSet<KeyHash>,
-    /// What callers may send and how long they may take.
+    /// What callers may send.
     pub limits: CallerLimits,
     pub(super) keys: OrdMap<KeyHash, KeyState>,
     /// Offset of the record that last changed an organisation.
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -25,6 +25,7 @@
 use crate::audit::duty::AuditRing;
 use crate::audit::AuditEvent;
 use crate::clock::{epoch_ms, Clock, SystemClock};
+use crate::feed::FeedMessage;
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::health::HealthMessage;
@@ -251,6 +252,7 @@
         rings.idempotency.deliver(IdempotencyMessage::Stop);
         rings.journal.deliver(JournalEvent::Stop);
         rings.operator.deliver(OperatorMessage::Stop);
+        rings.feed.deliver(FeedMessage::Stop);
         trail.deliver(AuditEvent::Stop);
         rings.link.deliver(LinkMessage::Stop);
         drop(rings);
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -12,7 +12,7 @@
 use crate::wire::client::{Call, CallError, OutBody};
 use crate::wire::dialect::{Dialect, ServerCall, ServerWord};
 use crate::wire::exchange::{Exchange, RawHead, RequestBody, WholeAnswer};
-use crate::wire::forward::{ForwardHead, PREFIX, REQUEST};
+use crate::wire::forward::{strip_fleet_headers, ForwardHead, PREFIX, REQUEST};
 use crate::wire::http::HeaderPair;
 
 /// A request that starts.
@@ -162,7 +162,7 @@
 
 /// The server's answer with the request id that the entry checks.
 fn served(request: RequestId, mut answer: WholeAnswer) -> WholeAnswer {
-    answer.headers.retain(|(name, _)| !name.starts_with(PREFIX));
+    strip_fleet_headers(&mut answer.headers);
     answer
         .headers
         .push((REQUEST.to_owned(), format_id(request)));
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -131,7 +131,8 @@
         if self.limited(organisation).is_none() {
             return vec![QuotaAction::Grant { request }];
         }
-        if self.is_home(organisation) {
+        let home = self.home(organisation).cloned();
+        if home.as_ref() == Some(&self.own) {
             return vec![self.take_at_home(now, request, organisation)];
         }
         let share = self.shares.entry(organisation.clone()).or_default();
@@ -139,7 +140,7 @@
             return vec![QuotaAction::Grant { request }];
         }
         share.wait(request);
-        self.ask(now, organisation)
+        self.ask(now, organisation, home)
     }
 
     fn take_at_home(
@@ -163,8 +164,13 @@
     }
 
     /// Asks the home, unless it is being asked already.
-    fn ask(&mut self, now: Instant, organisation: &OrganisationId) -> Vec<QuotaAction> {
-        let Some(home) = self.home(organisation).cloned() else {
+    fn ask(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        home: Option<DaemonId>,
+    ) -> Vec<QuotaAction> {
+        let Some(home) = home else {
             return self.fall_back(now, organisation);
         };
         let loan_time = self.loan_time();
@@ -206,7 +212,8 @@
         // Those that came while the home was asked may still have their turn; the home has said
         // that it has no more for the others.
         if loan.count > 0 && !share.is_short() {
-            actions.extend(self.ask(now, organisation));
+            let home = self.home(organisation).cloned();
+            actions.extend(self.ask(now, organisation, home));
             return actions;
         }
         let refused = share.take_waiting().into_iter();
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -59,6 +59,12 @@
     state
 }
 
+/// A daemon that is not the home.
+fn entry(now: Instant, rate_per_s: f64, burst_count: u32) -> QuotaState {
+    let own = NAMES.iter().find(|name| **name != &*home());
+    state(own.expect("another daemon"), now, rate_per_s, burst_count)
+}
+
 fn take(state: &mut QuotaState, now: Instant, request: u128) -> Vec<QuotaAction> {
     state.handle(
         now,
@@ -104,11 +110,7 @@
 fn an_entry_asks_the_home_once_for_all_that_wait() {
     // Arrange
     let now = Instant::now();
-    let own = NAMES
-        .iter()
-        .find(|name| **name != &*home())
-        .expect("another");
-    let mut entry = state(own, now, 10.0, 5);
+    let mut entry = entry(now, 10.0, 5);
 
     // Act
     let first = take(&mut entry, now, 1);
@@ -130,11 +132,7 @@
 fn a_home_without_tokens_refuses_with_the_time_of_the_next() {
     // Arrange
     let now = Instant::now();
-    let own = NAMES
-        .iter()
-        .find(|name| **name != &*home())
-        .expect("another");
-    let mut entry = state(own, now, 10.0, 5);
+    let mut entry = entry(now, 10.0, 5);
     take(&mut entry, now, 1);
 
     // Act
@@ -160,11 +158,7 @@
 fn without_the_home_an_entry_gives_out_less_than_its_even_share() {
     // Arrange
     let begin = Instant::now();
-    let own = NAMES
-        .iter()
-        .find(|name| **name != &*home())
-        .expect("another");
-    let mut entry = state(own, begin, 40.0, 5);
+    let mut entry = entry(begin, 40.0, 5);
     let mut count = 0;
 
     // Act
--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use super::exchange::WholeAnswer;
-use super::forward::{ForwardHead, DEADLINE_MS, ORGANISATION, PREFIX, RAN, REQUEST};
+use super::forward::{
+    strip_fleet_headers, ForwardHead, DEADLINE_MS, ORGANISATION, PREFIX, RAN, REQUEST,
+};
 use super::http::{header, HeaderPair};
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
@@ -145,7 +147,7 @@
     }
 
     fn served(&self, request: RequestId, mut answer: WholeAnswer) -> WholeAnswer {
-        answer.headers.retain(|(name, _)| !name.starts_with(PREFIX));
+        strip_fleet_headers(&mut answer.headers);
         answer
             .headers
             .push((REQUEST.to_owned(), format_id(request)));
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -166,6 +166,11 @@
     DEADLINE_MS,
 ];
 
+/// Drops the fleet's own headers from an answer.
+pub fn strip_fleet_headers(headers: &mut Vec<HeaderPair>) {
+    headers.retain(|(name, _)| !name.starts_with(PREFIX));
+}
+
 fn signed_fields(headers: &[HeaderPair]) -> Vec<&[u8]> {
     headers.iter().map(|(_, value)| value.as_bytes()).collect()
 }
