Open breakers by cause, and ask a tripped server when no other is left

Change: an open breaker has a cause and a kind of refusal of its own (server_tripped). An entry that knows no other server asks a tripped one as the last resort; its guard takes that unless the request may not be repeated and calls break. Failed answers right after a failed call of the server's own are not held against it. Calls that started before the breaker opened neither close nor extend it; after broken calls two good probes close it; a relapse goes on with its streak. Log lines of a request's end name route and service.

--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -9,6 +9,7 @@
 use banyanbeam::link::{ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest};
 use banyanbeam::routing::{AttemptOutcome, RoutingEvent};
 use banyanbeam::types::RequestId;
+use banyanbeam::wire::forward::AttemptTerms;
 
 use super::daemon::idempotency_key;
 use super::mutation::Mutation;
@@ -179,8 +180,10 @@
             repeatable: false,
             foreground: true,
             rank: 0,
-            no_wait: false,
-            may_probe: true,
+            terms: AttemptTerms {
+                may_probe: true,
+                ..Default::default()
+            },
             fingerprint: [0; 32],
             deadline_at: *NOW + Duration::from_secs(10),
         };
--- a/spec/at_most_once/world.rs
+++ b/spec/at_most_once/world.rs
@@ -367,7 +367,7 @@
                     self.open.insert((entry, message));
                 }
             }
-            RoutingAction::Cancel { .. } => {}
+            RoutingAction::Cancel { .. } | RoutingAction::OwnCallFailed => {}
             RoutingAction::Finish { request, outcome } => {
                 let kind = match outcome {
                     Outcome::Answered(_) => None,
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -83,6 +83,7 @@
         },
         call_limit_count: settings.front.worker_count,
         upload_limit_count: settings.front.upload_worker_count,
+        guard: rings.guard.clone(),
         answers,
         peers: Arc::new(FleetCaller {
             own: settings.daemon.daemon.clone(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -105,6 +105,8 @@
     PoisonRequest = "poison_request", 422, No, "Backend servers died while running this request.";
     /// The same idempotency key is running or has run.
     DuplicateRequest = "duplicate_request", 409, No, "A request with this idempotency key was already taken.";
+    /// The server has just failed, and its guard gives it no requests for a moment.
+    ServerTripped = "server_tripped", 503, No, "The backend server has just failed and is left alone for a moment.";
     /// The request was fenced before its start.
     Fenced = "fenced", 503, No, "The request was withdrawn before its start.";
     /// The backend server refused the request before it ran it.
--- a/src/guard/accept.rs
+++ b/src/guard/accept.rs
@@ -10,9 +10,7 @@
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::types::Offset;
-use crate::wire::exchange::RawHead;
-use crate::wire::forward::{ForwardHead, ENTRY, VIEW};
-use crate::wire::http::header;
+use crate::wire::forward::ForwardHead;
 use crate::wire::listener::HttpListener;
 use crate::wire::proof::FleetKey;
 
@@ -36,17 +34,13 @@
 pub fn run(context: &AcceptContext) {
     let mut furthest = 0;
     while let Some((raw, exchange)) = context.listener.next() {
-        let head = match ForwardHead::decode(&raw.headers, &context.key) {
-            Ok(head) => head,
-            Err(name) => {
-                context.metrics.count("guard.refused.unproven");
-                log::debug!("a request without a good {name} header was refused");
-                exchange.answer(refusal(0, ErrorKind::BadRequest, None));
-                continue;
-            }
+        let Some(head) = ForwardHead::decode(&raw.headers, &context.key) else {
+            context.metrics.count("guard.refused.unproven");
+            exchange.answer(refusal(0, ErrorKind::BadRequest, None));
+            continue;
         };
         let request = head.request;
-        tell_ahead(context, &raw, &mut furthest);
+        tell_ahead(context, &head, &mut furthest);
         let arrived_at = context.clock.now();
         let message = GuardMessage::Arrived {
             head,
@@ -61,19 +55,15 @@
 }
 
 /// Tells the configuration duty of an entry that has read further than all before.
-fn tell_ahead(context: &AcceptContext, raw: &RawHead, furthest: &mut Offset) {
-    let next = header(&raw.headers, VIEW).and_then(|value| value.parse().ok());
-    let peer = header(&raw.headers, ENTRY);
-    let (Some(next), Some(peer)) = (next, peer) else {
-        return;
-    };
-    if next <= *furthest {
+fn tell_ahead(context: &AcceptContext, head: &ForwardHead, furthest: &mut Offset) {
+    if head.view <= *furthest {
         return;
     }
-    *furthest = next;
-    let peer = peer.into();
+    *furthest = head.view;
+    let event = FeedEvent::PeerAhead {
+        peer: head.entry.clone(),
+        next: head.view,
+    };
     // Without room the next request of that entry tells it, or the feed itself.
-    let _ = context
-        .feed
-        .offer(FeedMessage::Event(FeedEvent::PeerAhead { peer, next }));
+    let _ = context.feed.offer(FeedMessage::Event(event));
 }
--- a/src/guard/breaker.rs
+++ b/src/guard/breaker.rs
@@ -2,7 +2,9 @@
 //!
 //! The guard sees every call to its server, so it notices within a few calls what takes a
 //! statistical test over the fleet seconds. While the breaker is open, requests are refused as not
-//! run. After that, requests that can bear a failure go on as probes, one at a time.
+//! run. After that, requests that can bear a failure go on as probes, one at a time. A request for
+//! which no other server is left may pass an open breaker, so that a service whose servers all fail
+//! in part still answers in part.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -15,12 +17,18 @@
 const MAX_DOUBLINGS: u32 = 2;
 /// Without a probe for this many open times, any request may probe.
 const STARVED_FACTOR: u32 = 4;
+/// Good probes in a row that close it after broken calls, which may well get through by chance.
+const GOOD_COUNT_AFTER_BROKEN: u32 = 2;
+/// An opening this soon after the last one ended goes on with its streak.
+const RELAPSE_TIME: Duration = Duration::from_secs(2);
 
-/// How a call ended, as far as the breaker cares.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// How a call ended, as far as the breaker cares; the worst comes last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallEnd {
     /// The server did its work.
     Good,
+    /// It refused the request before it ran it.
+    Shed,
     /// It answered that it failed.
     FailedAnswer,
     /// It gave no whole answer, or refused the connection.
@@ -34,16 +42,23 @@
     open_time: Duration,
     ends: VecDeque<CallEnd>,
     open: Option<Open>,
+    /// When it closed last, and the streak of openings that ended then.
+    closed: Option<(Instant, u32)>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Open {
-    /// No request at all before this.
+    since: Instant,
+    /// No probe before this.
     until: Instant,
     /// Openings in a row before this one.
     streak_count: u32,
+    /// The worst end that opened it.
+    cause: CallEnd,
     /// Whether a probe is under way.
     probing: bool,
+    /// Good probes since it opened.
+    good_count: u32,
 }
 
 impl Breaker {
@@ -53,6 +68,7 @@
             open_time,
             ends: VecDeque::with_capacity(WINDOW_COUNT),
             open: None,
+            closed: None,
         }
     }
 
@@ -67,6 +83,13 @@
         may_probe || now >= open.until + self.open_time * STARVED_FACTOR
     }
 
+    /// Whether a request for which no other server is left may start while the breaker is open.
+    /// One that may not be repeated is kept from calls that break, which leave its outcome open.
+    pub fn admits_last_resort(&self, repeatable: bool) -> bool {
+        let cause = self.open.map(|open| open.cause);
+        repeatable || cause != Some(CallEnd::Broken)
+    }
+
     /// How long it stays open at least; none while it is closed.
     pub fn open_for(&self, now: Instant) -> Option<Duration> {
         self.open
@@ -87,41 +110,66 @@
         }
     }
 
-    /// A call ended.
-    pub fn ended(&mut self, now: Instant, end: CallEnd) {
+    /// A call that took `elapsed` ended.
+    pub fn ended(&mut self, now: Instant, end: CallEnd, elapsed: Duration) {
         if self.open_time.is_zero() {
             return;
         }
+        if let Some(open) = self.open {
+            // A call that started before the breaker opened says nothing new.
+            if now.saturating_duration_since(open.since) >= elapsed {
+                self.probed(now, open, end);
+            }
+            return;
+        }
         if self.ends.len() == WINDOW_COUNT {
             self.ends.pop_front();
         }
         self.ends.push_back(end);
-        if let Some(open) = self.open {
-            return self.probed(now, open, end);
-        }
         let failed = self.ends.iter().filter(|end| **end != CallEnd::Good);
         if end == CallEnd::Broken || failed.count() >= FAILED_LIMIT_COUNT {
-            self.trip(now, 0);
+            let relapse = self
+                .closed
+                .filter(|(at, _)| now.saturating_duration_since(*at) < RELAPSE_TIME);
+            self.trip(now, relapse.map_or(0, |(_, streak_count)| streak_count + 1));
         }
     }
 
     fn probed(&mut self, now: Instant, open: Open, end: CallEnd) {
-        match end {
-            CallEnd::Good => {
-                self.ends.clear();
-                self.open = None;
-            }
-            // Calls that started before the breaker opened say nothing new.
-            _ if now < open.until => {}
-            _ => self.trip(now, (open.streak_count + 1).min(MAX_DOUBLINGS)),
+        if end != CallEnd::Good {
+            self.ends.push_back(end);
+            return self.trip(now, open.streak_count + 1);
+        }
+        let good_count = open.good_count + 1;
+        let wanted_count = match open.cause {
+            CallEnd::Broken => GOOD_COUNT_AFTER_BROKEN,
+            _ => 1,
+        };
+        if good_count < wanted_count {
+            self.open = Some(Open {
+                until: now,
+                probing: false,
+                good_count,
+                ..open
+            });
+            return;
         }
+        self.ends.clear();
+        self.open = None;
+        self.closed = Some((now, open.streak_count));
     }
 
     fn trip(&mut self, now: Instant, streak_count: u32) {
+        let streak_count = streak_count.min(MAX_DOUBLINGS);
+        let cause = self.ends.iter().copied().max().unwrap_or(CallEnd::Broken);
+        self.ends.clear();
         self.open = Some(Open {
+            since: now,
             until: now + self.open_time * (1 << streak_count),
             streak_count,
+            cause,
             probing: false,
+            good_count: 0,
         });
     }
 }
--- a/src/guard/breaker/tests.rs
+++ b/src/guard/breaker/tests.rs
@@ -3,10 +3,11 @@
 use super::{Breaker, CallEnd, STARVED_FACTOR};
 
 const OPEN_TIME: Duration = Duration::from_millis(300);
+const CALL_TIME: Duration = Duration::from_millis(10);
 
 fn opened(now: Instant) -> Breaker {
     let mut breaker = Breaker::new(OPEN_TIME);
-    breaker.ended(now, CallEnd::Broken);
+    breaker.ended(now, CallEnd::Broken, CALL_TIME);
     breaker
 }
 
@@ -23,10 +24,10 @@
     let mut breaker = Breaker::new(OPEN_TIME);
 
     // Act
-    breaker.ended(now, CallEnd::FailedAnswer);
-    breaker.ended(now, CallEnd::Good);
+    breaker.ended(now, CallEnd::FailedAnswer, CALL_TIME);
+    breaker.ended(now, CallEnd::Good, CALL_TIME);
     let after_one = breaker.admits(now, false);
-    breaker.ended(now, CallEnd::FailedAnswer);
+    breaker.ended(now, CallEnd::FailedAnswer, CALL_TIME);
 
     // Assert
     assert!(after_one);
@@ -47,23 +48,86 @@
     assert!(!breaker.admits(later, true));
 }
 
+/// A breaker that two failed answers opened.
+fn opened_by_answers(now: Instant) -> Breaker {
+    let mut breaker = Breaker::new(OPEN_TIME);
+    breaker.ended(now, CallEnd::FailedAnswer, CALL_TIME);
+    breaker.ended(now, CallEnd::FailedAnswer, CALL_TIME);
+    breaker
+}
+
 #[test]
 fn a_good_probe_closes_it_and_a_bad_one_doubles_the_open_time() {
     // Arrange
     let now = Instant::now();
     let later = now + OPEN_TIME;
-    let mut good = opened(now);
+    let mut good = opened_by_answers(now);
     let mut bad = opened(now);
 
     // Act
-    good.ended(later, CallEnd::Good);
-    bad.ended(later, CallEnd::Broken);
+    good.ended(later, CallEnd::Good, CALL_TIME);
+    bad.ended(later, CallEnd::Broken, CALL_TIME);
 
     // Assert
     assert!(good.admits(later, false));
     assert_eq!(bad.open_for(later), Some(OPEN_TIME * 2));
 }
 
+#[test]
+fn after_a_broken_call_two_good_probes_close_it() {
+    // Arrange
+    let now = Instant::now();
+    let later = now + OPEN_TIME;
+    let mut breaker = opened(now);
+
+    // Act
+    breaker.ended(later, CallEnd::Good, CALL_TIME);
+    let after_one = (breaker.admits(later, false), breaker.admits(later, true));
+    breaker.ended(later, CallEnd::Good, CALL_TIME);
+
+    // Assert
+    assert_eq!(after_one, (false, true));
+    assert!(breaker.admits(later, false));
+}
+
+#[test]
+fn calls_that_started_before_it_opened_neither_close_nor_extend_it() {
+    // Arrange
+    let now = Instant::now();
+    let later = now + CALL_TIME / 2;
+    let mut breaker = opened_by_answers(now);
+
+    // Act
+    breaker.ended(later, CallEnd::Good, CALL_TIME);
+    breaker.ended(later, CallEnd::Broken, CALL_TIME);
+
+    // Assert
+    assert_eq!(breaker.open_for(now), Some(OPEN_TIME));
+}
+
+#[test]
+fn a_failure_soon_after_it_closed_opens_it_for_longer() {
+    // Arrange
+    let now = Instant::now();
+    let later = now + OPEN_TIME;
+    let mut breaker = opened_by_answers(now);
+    breaker.ended(later, CallEnd::Good, CALL_TIME);
+
+    // Act
+    breaker.ended(later, CallEnd::Broken, CALL_TIME);
+
+    // Assert
+    assert_eq!(breaker.open_for(later), Some(OPEN_TIME * 2));
+}
+
+#[test]
+fn the_last_resort_passes_it_unless_it_may_be_lost_and_not_repeated() {
+    let now = Instant::now();
+    assert!(opened_by_answers(now).admits_last_resort(false));
+    assert!(opened(now).admits_last_resort(true));
+    assert!(!opened(now).admits_last_resort(false));
+}
+
 #[test]
 fn without_requests_that_may_run_twice_any_request_probes_in_the_end() {
     let now = Instant::now();
@@ -75,6 +139,6 @@
 fn without_an_open_time_it_never_opens() {
     let now = Instant::now();
     let mut breaker = Breaker::new(Duration::ZERO);
-    breaker.ended(now, CallEnd::Broken);
+    breaker.ended(now, CallEnd::Broken, CALL_TIME);
     assert!(breaker.admits(now, false));
 }
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -194,8 +194,7 @@
         repeatable: head.repeatable,
         foreground: head.foreground,
         rank: head.rank,
-        no_wait: head.no_wait,
-        may_probe: head.may_probe,
+        terms: head.terms,
         fingerprint: head.fingerprint,
         deadline_at,
     }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -19,7 +19,7 @@
 use crate::wire::client::CallError;
 use crate::wire::dialect::HealthWord;
 use crate::wire::exchange::{Exchange, RawHead};
-use crate::wire::forward::ForwardHead;
+use crate::wire::forward::{AttemptTerms, ForwardHead};
 
 /// What a backend server says of itself to the daemon beside it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -90,10 +90,8 @@
     pub foreground: bool,
     /// Urgency among those, 0 being the greatest.
     pub rank: u8,
-    /// Whether it is refused rather than let wait for a slot.
-    pub no_wait: bool,
-    /// Whether it may go to a server of which it is not known whether it has mended.
-    pub may_probe: bool,
+    /// How it is to be treated.
+    pub terms: AttemptTerms,
     /// Tells equal requests.
     pub fingerprint: Fingerprint,
     /// When its answer must be there.
@@ -147,6 +145,8 @@
         /// Out, or back in.
         out: bool,
     },
+    /// A request that a server on this VM made itself failed.
+    OwnCallFailed,
     /// An entry that lost this guard asks to keep a request from starting.
     Fence(FenceRequest),
     /// The caller left; the request may end.
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -170,11 +170,20 @@
         self.start_rate.free_at(self.start_limit_count()?)
     }
 
-    /// Tells the breaker how a call ended.
-    pub(super) fn judge(&mut self, now: Instant, outcome: ServerOutcome) {
+    /// Tells the breaker how a call that took `elapsed` ended. A failed answer is not held against
+    /// a server whose own calls have just failed.
+    pub(super) fn judge(
+        &mut self,
+        now: Instant,
+        outcome: ServerOutcome,
+        elapsed: Duration,
+        own_calls_fail: bool,
+    ) {
         let end = match outcome {
             ServerOutcome::Answered(status) if status < FAILURE_STATUS => CallEnd::Good,
-            ServerOutcome::Answered(_) | ServerOutcome::Shed => CallEnd::FailedAnswer,
+            ServerOutcome::Answered(_) if own_calls_fail => return self.breaker.ended_neutral(),
+            ServerOutcome::Answered(_) => CallEnd::FailedAnswer,
+            ServerOutcome::Shed => CallEnd::Shed,
             ServerOutcome::Failed(CallError::Late | CallError::ShortAnswer) => {
                 CallEnd::FailedAnswer
             }
@@ -188,7 +197,7 @@
                 CallError::Unwritable | CallError::ShortBody | CallError::AnswerTooLarge,
             ) => return self.breaker.ended_neutral(),
         };
-        self.breaker.ended(now, end);
+        self.breaker.ended(now, end, elapsed);
     }
 
     /// Takes the time of a whole answer.
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -30,6 +30,8 @@
     pub(super) view: Arc<View>,
     /// Whether the server that the settings name was asked for its health.
     pub(super) inquired: bool,
+    /// When a request that a server on this VM made itself last failed.
+    own_call_failed_at: Option<Instant>,
     /// When the last request came, or the drain began.
     last_arrival_at: Option<Instant>,
     /// What membership was told last.
@@ -51,6 +53,7 @@
             domain_out: false,
             view: Arc::default(),
             inquired: false,
+            own_call_failed_at: None,
             last_arrival_at: None,
             reported: Vec::new(),
         }
@@ -108,6 +111,7 @@
             GuardEvent::Inquired { address, word } => {
                 self.inquired(now, address, word, &mut actions);
             }
+            GuardEvent::OwnCallFailed => self.own_call_failed_at = Some(now),
             GuardEvent::Tick => self.tick(now, &mut actions),
             GuardEvent::Drain => {
                 self.draining = true;
@@ -167,13 +171,15 @@
         if !server.takes_work() {
             return refuse(ErrorKind::NoServer, None);
         }
-        if !server.breaker.admits(now, request.may_probe) {
+        let terms = request.terms;
+        let passes = terms.last_resort && server.breaker.admits_last_resort(request.repeatable);
+        if !passes && !server.breaker.admits(now, terms.may_probe) {
             let open_for = server.breaker.open_for(now);
             let retry_after = open_for.map(|left| left.max(PROBE_WAIT));
-            return refuse(ErrorKind::NoServer, retry_after);
+            return refuse(ErrorKind::ServerTripped, retry_after);
         }
         let must_wait = !server.has_free_slot(now) || !server.queue.is_empty();
-        if must_wait && request.no_wait {
+        if must_wait && terms.no_wait {
             let wait = server.expected_wait(&request);
             return refuse(ErrorKind::Busy, Some(wait));
         }
@@ -292,7 +298,10 @@
             return;
         };
         server.running_count = server.running_count.saturating_sub(1);
-        server.judge(now, outcome);
+        let own_calls_fail = self
+            .own_call_failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < OWN_CALL_MEMORY);
+        server.judge(now, outcome, elapsed, own_calls_fail);
         let broken = !server.breaker.admits(now, false);
         match outcome {
             ServerOutcome::Answered(SHED_STATUS) => server.cold.failed(now),
@@ -318,7 +327,7 @@
             ServerOutcome::Failed(_) | ServerOutcome::Abandoned => {}
         }
         if broken {
-            self.refuse_waiting(now, &name, ErrorKind::NoServer, actions);
+            self.refuse_waiting(now, &name, ErrorKind::ServerTripped, actions);
         }
         self.pump(now, &name, actions);
     }
@@ -334,6 +343,9 @@
     }
 }
 
+/// A failed answer within this time of a failed call of the server's own is put down to that call.
+const OWN_CALL_MEMORY: Duration = Duration::from_millis(500);
+
 /// When to ask again for a server whose probe is under way.
 const PROBE_WAIT: Duration = Duration::from_millis(150);
 
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -10,6 +10,7 @@
 use crate::link::{FenceAnswer, FenceRequest};
 use crate::settings::guard::GuardSettings;
 use crate::types::RequestId;
+use crate::wire::forward::AttemptTerms;
 
 const LIFE: u64 = 7;
 
@@ -30,8 +31,10 @@
         repeatable: false,
         foreground: true,
         rank: 0,
-        no_wait: false,
-        may_probe: true,
+        terms: AttemptTerms {
+            may_probe: true,
+            ..Default::default()
+        },
         fingerprint: [number as u8; 32],
         deadline_at: now + Duration::from_secs(1),
     }
--- a/src/guard/tests/servers.rs
+++ b/src/guard/tests/servers.rs
@@ -1,13 +1,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::{announcement, refusal_of, request, LIFE};
+use super::{announcement, finished, refusal_of, request, starts, LIFE};
 use crate::contract::{Document, ServiceContract, View};
 use crate::error::ErrorKind;
-use crate::guard::message::{Announcement, GuardAction, GuardEvent, GuardRequest};
+use crate::guard::message::{Announcement, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
 use crate::guard::state::GuardState;
 use crate::settings::guard::GuardSettings;
 use crate::wire::dialect::HealthWord;
+use crate::wire::forward::AttemptTerms;
 
 #[test]
 fn a_server_that_left_is_not_brought_back_by_an_announcement_of_the_same_life() {
@@ -187,3 +188,60 @@
     // Assert
     assert_eq!(refusal_of(&actions, 1), None);
 }
+
+/// A guard whose server has given these answers, one after the other.
+fn guard_after(now: Instant, outcomes: &[ServerOutcome], own_calls_fail: bool) -> GuardState {
+    let settings = GuardSettings {
+        breaker_open_ms: 300,
+        ..Default::default()
+    };
+    let mut state = GuardState::new(settings, LIFE);
+    state.handle(now, GuardEvent::Announced(announcement()));
+    for (index, outcome) in outcomes.iter().enumerate() {
+        let number = 100 + index as u128;
+        state.handle(now, GuardEvent::Arrived(request(number, now)));
+        if own_calls_fail {
+            state.handle(now, GuardEvent::OwnCallFailed);
+        }
+        state.handle(now, finished(number, *outcome));
+    }
+    state
+}
+
+#[test]
+fn failed_answers_after_failed_calls_of_the_servers_own_do_not_open_its_breaker() {
+    // Arrange
+    let now = Instant::now();
+    let failures = [ServerOutcome::Answered(500); 3];
+
+    // Act
+    let arrived = |state: &mut GuardState| state.handle(now, GuardEvent::Arrived(request(1, now)));
+    let own_fault = arrived(&mut guard_after(now, &failures, false));
+    let fault_of_calls = arrived(&mut guard_after(now, &failures, true));
+
+    // Assert
+    assert_eq!(refusal_of(&own_fault, 1), Some(ErrorKind::ServerTripped));
+    assert!(starts(&fault_of_calls, 1));
+}
+
+#[test]
+fn a_server_that_sheds_takes_the_last_resort() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_after(now, &[ServerOutcome::Shed; 2], false);
+
+    // Act
+    let usual = state.handle(now, GuardEvent::Arrived(request(1, now)));
+    let last_resort = GuardRequest {
+        terms: AttemptTerms {
+            last_resort: true,
+            ..Default::default()
+        },
+        ..request(2, now)
+    };
+    let last_resort = state.handle(now, GuardEvent::Arrived(last_resort));
+
+    // Assert
+    assert_eq!(refusal_of(&usual, 1), Some(ErrorKind::ServerTripped));
+    assert!(starts(&last_resort, 2));
+}
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -85,8 +85,7 @@
                 target,
                 incarnation,
                 until,
-                no_wait,
-                may_probe,
+                terms,
             } => {
                 self.tally.attempt_count += 1;
                 let request = GuardRequest {
@@ -100,8 +99,7 @@
                     repeatable: plan.repeatable,
                     foreground: plan.foreground,
                     rank: plan.rank,
-                    no_wait,
-                    may_probe,
+                    terms,
                     fingerprint: fingerprint(plan.request),
                     deadline_at: until,
                 };
@@ -123,7 +121,7 @@
                 };
                 self.timeline.add(self.now + LINK_DELAY, event);
             }
-            RoutingAction::Claim { .. } => {}
+            RoutingAction::OwnCallFailed | RoutingAction::Claim { .. } => {}
         }
     }
 
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -18,6 +18,17 @@
         tried: &[BackendServerId],
     ) -> Option<Target>;
 
+    /// A server whose guard's breaker is open, none of `tried`: for a request to which no other
+    /// server is left.
+    fn pick_tripped(
+        &mut self,
+        _now: Instant,
+        _plan: &RequestPlan,
+        _tried: &[BackendServerId],
+    ) -> Option<Target> {
+        None
+    }
+
     /// Whether a server that was picked has had no free slot of late.
     fn is_busy(&self, _now: Instant, _target: &Target) -> bool {
         false
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -16,6 +16,7 @@
 use crate::error::ErrorKind;
 use crate::front::duty::AnswerJob;
 use crate::front::RequestHead;
+use crate::guard::{GuardEvent, GuardMessage};
 use crate::link::{
     ClaimRequest, ClaimStep, FenceRequest, PeerAnswer, PeerCaller, PeerReply, PeerRequest,
 };
@@ -49,6 +50,8 @@
     pub call_limit_count: usize,
     /// Requests in flight whose bodies are too long to be kept.
     pub upload_limit_count: usize,
+    /// The guard of the server on this VM.
+    pub guard: RingSender<GuardMessage>,
     /// The threads that write answers.
     pub answers: RingSender<AnswerJob>,
     /// Guards and homes of idempotency keys.
@@ -105,6 +108,8 @@
             } => {
                 duty.watch(plan.request, &mut *exchange);
                 let held = HeldRequest {
+                    service: plan.service.clone(),
+                    route: plan.route.clone(),
                     head,
                     exchange,
                     body: None,
@@ -187,16 +192,14 @@
                 target,
                 incarnation,
                 until,
-                no_wait,
-                may_probe,
+                terms,
             } => self.send(Attempted {
                 plan,
                 attempt,
                 target,
                 incarnation,
                 until,
-                no_wait,
-                may_probe,
+                terms,
             }),
             RoutingAction::Fence { to, fence } => self.fence(&to, fence),
             RoutingAction::Claim { to, claim } => self.claim(&to, claim),
@@ -206,6 +209,12 @@
                 self.context.peers.call(&to, told, Box::new(|_| {}));
                 None
             }
+            RoutingAction::OwnCallFailed => {
+                let event = GuardMessage::Event(GuardEvent::OwnCallFailed);
+                // Without room the guard judges its server as if the call had gone well.
+                let _ = self.context.guard.offer(event);
+                None
+            }
             RoutingAction::Finish { request, outcome } => {
                 if let Some(held) = self.held.remove(&request) {
                     finish(self.context, request, *held, outcome);
@@ -232,7 +241,8 @@
             attempt,
             server = &*job.target.server,
             daemon = &*job.target.daemon,
-            no_wait = job.no_wait;
+            no_wait = job.terms.no_wait,
+            last_resort = job.terms.last_resort;
             "attempt_sent"
         );
         let context = &self.context.forward;
@@ -350,15 +360,16 @@
         .saturating_duration_since(head.arrived_at);
     let elapsed_ms = elapsed.as_millis() as u64;
     let request = head.name();
+    let (route, service) = (&*held.route, &*held.service);
     match outcome {
         Outcome::Answered(answer) => {
             let status = answer.status;
-            log::info!(request, status, elapsed_ms; "request_answered");
+            log::info!(request, route, service, status, elapsed_ms; "request_answered");
         }
         Outcome::Failed { kind, retry_after } => {
             let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
             let kind = kind.code();
-            log::info!(request, kind, elapsed_ms, retry_after_ms; "request_failed");
+            log::info!(request, route, service, kind, elapsed_ms, retry_after_ms; "request_failed");
         }
     }
 }
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -9,7 +9,7 @@
 use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId, ServiceId};
 use crate::wire::client::{Call, CallError, OutBody};
 use crate::wire::exchange::{RequestBody, WholeAnswer};
-use crate::wire::forward::{self, ForwardHead};
+use crate::wire::forward::{self, AttemptTerms, ForwardHead};
 use crate::wire::http::header;
 use crate::wire::proof::FleetKey;
 
@@ -25,10 +25,8 @@
     pub incarnation: Incarnation,
     /// When it is given up there, if its body can be sent again.
     pub until: Instant,
-    /// Whether the guard refuses it rather than let it wait.
-    pub no_wait: bool,
-    /// Whether it may go to a server of which its guard does not know whether it has mended.
-    pub may_probe: bool,
+    /// How the guard is to treat it.
+    pub terms: AttemptTerms,
 }
 
 /// What calls to guards need of the world.
@@ -77,15 +75,14 @@
         foreground: job.plan.foreground,
         origin: origin.clone(),
         rank: job.plan.rank,
-        no_wait: job.no_wait,
-        may_probe: job.may_probe,
+        terms: job.terms,
+        entry: context.daemon.clone(),
+        view,
         incarnation: job.incarnation,
         fingerprint: fingerprint(&job.plan, held),
         remaining,
     };
-    let mut headers = head.encode(&context.key);
-    headers.push((forward::VIEW.to_owned(), view.to_string()));
-    headers.push((forward::ENTRY.to_owned(), context.daemon.to_string()));
+    let mut headers = vec![head.encode(&context.key)];
     headers.extend_from_slice(&held.head.headers);
     Ok(Call {
         address: job.target.guard_address,
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -61,6 +61,8 @@
     busy_until: Option<Instant>,
     /// Until when its guard takes nothing for it, as far as is known.
     closed_until: Option<Instant>,
+    /// Until when its guard's breaker is open, as far as is known.
+    tripped_until: Option<Instant>,
     /// When its guard expected the next slot to be free for a request that it refused.
     slot_at: Option<Instant>,
 }
@@ -82,6 +84,8 @@
     plan: &'a RequestPlan,
     tried: &'a [BackendServerId],
     tried_domains: SmallVec<[DomainId; 4]>,
+    /// Whether servers whose guard's breaker is open are wanted, rather than all others.
+    tripped: bool,
     /// Whether paths in trouble count.
     heed_paths: bool,
     own_domain: DomainId,
@@ -105,6 +109,32 @@
         }
     }
 
+    fn wish<'a>(
+        &self,
+        now: Instant,
+        plan: &'a RequestPlan,
+        tried: &'a [BackendServerId],
+        service: &ServiceCandidates,
+    ) -> Wish<'a> {
+        let mut tried_domains = SmallVec::new();
+        if !tried.is_empty() {
+            for candidate in &service.all {
+                if tried.contains(&candidate.target.server) {
+                    tried_domains.push(candidate.domain.clone());
+                }
+            }
+        }
+        Wish {
+            now,
+            plan,
+            tried,
+            tried_domains,
+            tripped: false,
+            heed_paths: self.heeds_paths(now, plan, service),
+            own_domain: self.own_domain.clone(),
+        }
+    }
+
     /// Whether a server may be chosen, its share apart.
     fn is_open(&self, wish: &Wish<'_>, candidate: &Candidate) -> bool {
         if wish.tried.contains(&candidate.target.server) {
@@ -115,6 +145,10 @@
         if closed_until.is_some_and(|until| wish.now < until) {
             return false;
         }
+        let tripped_until = learned.and_then(|learned| learned.tripped_until);
+        if tripped_until.is_some_and(|until| wish.now < until) != wish.tripped {
+            return false;
+        }
         if candidate.share_permille < PROBE_BELOW_PERMILLE && !self.may_probe(wish) {
             return false;
         }
@@ -285,6 +319,7 @@
                 learned.speed.take(now, *elapsed, usual);
                 learned.busy_until = None;
                 learned.closed_until = None;
+                learned.tripped_until = None;
                 learned.slot_at = None;
             }
             Met::Failure => learned.speed.failed(now),
@@ -297,6 +332,9 @@
                 let time = retry_after.map_or(CLOSED_TIME, |after| after.min(CLOSED_TIME));
                 learned.closed_until = Some(now + time);
             }
+            Met::Tripped(retry_after) => {
+                learned.tripped_until = Some(now + retry_after.unwrap_or(CLOSED_TIME));
+            }
             Met::Nothing => {}
         }
     }
@@ -319,23 +357,23 @@
         tried: &[BackendServerId],
     ) -> Option<Target> {
         let service = self.candidates.of(&plan.service)?;
-        let mut tried_domains = SmallVec::new();
-        if !tried.is_empty() {
-            for candidate in &service.all {
-                if tried.contains(&candidate.target.server) {
-                    tried_domains.push(candidate.domain.clone());
-                }
-            }
-        }
+        let wish = self.wish(now, plan, tried, &service);
+        self.pick_from(&wish, &service.all, service.near_count)
+    }
+
+    fn pick_tripped(
+        &mut self,
+        now: Instant,
+        plan: &RequestPlan,
+        tried: &[BackendServerId],
+    ) -> Option<Target> {
+        let service = self.candidates.of(&plan.service)?;
         let wish = Wish {
-            now,
-            plan,
-            tried,
-            tried_domains,
-            heed_paths: self.heeds_paths(now, plan, &service),
-            own_domain: self.own_domain.clone(),
+            tripped: true,
+            ..self.wish(now, plan, tried, &service)
         };
-        self.pick_from(&wish, &service.all, service.near_count)
+        let (_, candidate) = self.scan(&wish, &service.all)?;
+        Some(candidate.target.clone())
     }
 
     fn is_busy(&self, now: Instant, target: &Target) -> bool {
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -18,6 +18,7 @@
             ErrorKind::Busy
                 | ErrorKind::NoServer
                 | ErrorKind::Stopping
+                | ErrorKind::ServerTripped
                 | ErrorKind::Fenced
                 | ErrorKind::DeadlineUnmeetable
                 | ErrorKind::ServerShed
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -16,6 +16,7 @@
 };
 use crate::wire::client::CallHandle;
 use crate::wire::exchange::{Exchange, WholeAnswer};
+use crate::wire::forward::AttemptTerms;
 
 /// An admitted request, as routing needs it.
 #[derive(Debug, Clone, PartialEq)]
@@ -161,6 +162,10 @@
 
 /// What an attempt needs besides the plan.
 pub struct HeldRequest {
+    /// The service.
+    pub service: ServiceId,
+    /// The route.
+    pub route: RouteId,
     /// Line and headers.
     pub head: Arc<RequestHead>,
     /// The caller's exchange.
@@ -188,10 +193,8 @@
         incarnation: Incarnation,
         /// When a short request is given up there; never after its deadline.
         until: Instant,
-        /// Whether the guard refuses it rather than let it wait for a slot.
-        no_wait: bool,
-        /// Whether it may go to a server of which its guard does not know whether it has mended.
-        may_probe: bool,
+        /// How the guard is to treat it.
+        terms: AttemptTerms,
     },
     /// Asks a guard to keep an attempt from starting.
     Fence {
@@ -214,6 +217,8 @@
         /// The request.
         request: RequestId,
     },
+    /// A request that the server on this VM made itself failed.
+    OwnCallFailed,
     /// Ends the request.
     Finish {
         /// The request.
--- a/src/routing/met.rs
+++ b/src/routing/met.rs
@@ -12,6 +12,7 @@
     Failure,
     Busy(Option<Duration>),
     Closed(Option<Duration>),
+    Tripped(Option<Duration>),
     Nothing,
 }
 
@@ -25,6 +26,11 @@
             retry_after,
             by_guard: true,
         } => Met::Closed(*retry_after),
+        AttemptOutcome::NotRun {
+            kind: ErrorKind::ServerTripped,
+            retry_after,
+            by_guard: true,
+        } => Met::Tripped(*retry_after),
         AttemptOutcome::NotRun {
             kind: ErrorKind::Busy | ErrorKind::DeadlineUnmeetable,
             retry_after,
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -22,6 +22,7 @@
 use crate::settings::routing::RoutingSettings;
 use crate::types::{Attempt, BackendServerId, DaemonId, Incarnation, RequestId};
 use crate::wire::exchange::WholeAnswer;
+use crate::wire::forward::AttemptTerms;
 
 /// Actions of one event.
 pub type RoutingActions = SmallVec<[RoutingAction; 2]>;
@@ -49,8 +50,10 @@
     pub(super) tried: SmallVec<[BackendServerId; 4]>,
     /// Servers that had no free slot.
     pub(super) busy: SmallVec<[BackendServerId; 4]>,
-    /// Whether the present attempt is refused rather than let wait.
-    pub(super) no_wait: bool,
+    /// How the guard is to treat the present attempt.
+    pub(super) terms: AttemptTerms,
+    /// Servers that were reached, or refused it though no other was left.
+    pub(super) spent: SmallVec<[BackendServerId; 4]>,
     /// Attempts that reached a server, or may have.
     pub(super) arrived_count: u32,
     /// A server's answer that tells of its failure, until a better one comes.
@@ -155,7 +158,8 @@
             attempt: 0,
             tried: SmallVec::new(),
             busy: SmallVec::new(),
-            no_wait: false,
+            terms: AttemptTerms::default(),
+            spent: SmallVec::new(),
             arrived_count: 0,
             failed_answer: None,
             claimed_at: None,
@@ -181,10 +185,10 @@
         mut state: RequestState,
         kind: ErrorKind,
     ) -> RoutingActions {
-        let Some((target, no_wait)) = self.pick(now, &state) else {
+        let Some((target, terms)) = self.pick(now, &state) else {
             return self.finish_failed(request, state, kind, None);
         };
-        state.no_wait = no_wait;
+        state.terms = terms;
         let daemon = self.fleet.daemons.get(&target.daemon);
         let incarnation = daemon.map_or(0, |daemon| daemon.incarnation);
         state.attempt += 1;
@@ -196,8 +200,7 @@
             target: target.clone(),
             incarnation,
             until: self.attempt_until(now, &state),
-            no_wait,
-            may_probe: state.plan.repeatable && state.arrived_count == 0,
+            terms,
         };
         state.phase = Phase::Sent {
             target,
@@ -207,20 +210,29 @@
         smallvec![action]
     }
 
-    /// The next server, and whether it is to take the request only with a free slot. When several
-    /// had none, the request waits at the one that seems best.
-    fn pick(&mut self, now: Instant, state: &RequestState) -> Option<(Target, bool)> {
+    /// The next server, and how its guard is to treat the attempt. When several had no free slot,
+    /// the request waits at the one that seems best; when all were left alone after failures, one
+    /// of them is asked all the same.
+    fn pick(&mut self, now: Instant, state: &RequestState) -> Option<(Target, AttemptTerms)> {
+        let mut terms = AttemptTerms {
+            may_probe: state.plan.repeatable && state.arrived_count == 0,
+            ..Default::default()
+        };
         let short = state.plan.body_bytes <= FREE_SLOT_BODY_BYTES;
         if short && state.busy.len() < self.settings.free_slot_tries_count {
             let mut passed = state.tried.clone();
             passed.extend(state.busy.iter().cloned());
             if let Some(target) = self.choice.pick(now, &state.plan, &passed) {
-                let no_wait = !self.choice.is_busy(now, &target);
-                return Some((target, no_wait));
+                terms.no_wait = !self.choice.is_busy(now, &target);
+                return Some((target, terms));
             }
         }
-        let target = self.choice.pick(now, &state.plan, &state.tried)?;
-        Some((target, false))
+        if let Some(target) = self.choice.pick(now, &state.plan, &state.tried) {
+            return Some((target, terms));
+        }
+        terms.last_resort = true;
+        let target = self.choice.pick_tripped(now, &state.plan, &state.spent)?;
+        Some((target, terms))
     }
 
     /// When an attempt is given up, so that there is time left for another.
@@ -269,24 +281,27 @@
                 let failed = answer.status >= FAILURE_STATUS;
                 if failed && state.plan.repeatable && self.settings.retry_failed_answers {
                     state.may_have_run = true;
+                    state.spent.push(target.server);
                     state.failed_answer = Some(answer);
                     return self.repeat(now, request, state, ErrorKind::OutcomeUnknown);
                 }
-                let outcome = Outcome::Answered(answer);
-                smallvec![RoutingAction::Finish { request, outcome }]
+                self.finish_answered(request, &state.plan, answer)
             }
             AttemptOutcome::NotRun {
                 kind,
                 retry_after,
                 by_guard,
             } => {
-                if state.no_wait && by_guard && kind == ErrorKind::Busy {
+                if state.terms.no_wait && by_guard && kind == ErrorKind::Busy {
                     state.busy.extend(state.tried.pop());
                     return self.send(now, request, state, kind);
                 }
                 if has_arrived(kind) {
                     state.arrived_count += 1;
                 }
+                if has_arrived(kind) || state.terms.last_resort {
+                    state.spent.push(target.server);
+                }
                 if self.may_go_elsewhere(now, &state, kind) {
                     return self.send(now, request, state, kind);
                 }
@@ -298,6 +313,7 @@
                 }
                 state.may_have_run = true;
                 state.arrived_count += 1;
+                state.spent.push(target.server.clone());
                 state.death_count += u32::from(kind == ErrorKind::ServerDied);
                 let mut actions = self.repeat(now, request, state, kind);
                 if !by_guard {
@@ -335,6 +351,21 @@
         smallvec![RoutingAction::Cancel { to, request }]
     }
 
+    fn finish_answered(
+        &self,
+        request: RequestId,
+        plan: &RequestPlan,
+        answer: WholeAnswer,
+    ) -> RoutingActions {
+        let failed = answer.status >= FAILURE_STATUS;
+        let outcome = Outcome::Answered(answer);
+        let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
+        if failed && is_own_call(plan) {
+            actions.push(RoutingAction::OwnCallFailed);
+        }
+        actions
+    }
+
     /// Ends the request without a server's answer. It is told as not run only if no attempt can
     /// have started; then its idempotency key is given back.
     pub(super) fn finish_failed(
@@ -345,8 +376,7 @@
         retry_after: Option<Duration>,
     ) -> RoutingActions {
         if let Some(answer) = state.failed_answer {
-            let outcome = Outcome::Answered(answer);
-            return smallvec![RoutingAction::Finish { request, outcome }];
+            return self.finish_answered(request, &state.plan, answer);
         }
         let not_run = kind.ran() == Ran::No;
         let kind = if state.may_have_run && not_run {
@@ -358,6 +388,9 @@
         let retry_after = retry_after.or(usual.map(Duration::from_millis));
         let outcome = Outcome::Failed { kind, retry_after };
         let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
+        if is_own_call(&state.plan) {
+            actions.push(RoutingAction::OwnCallFailed);
+        }
         if kind.ran() != Ran::No {
             return actions;
         }
@@ -374,6 +407,11 @@
     }
 }
 
+/// Whether a request may be one that the server on this VM made: those carry no key.
+fn is_own_call(plan: &RequestPlan) -> bool {
+    plan.organisation.is_empty()
+}
+
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,4 +1,5 @@
 mod choice;
+mod last_resort;
 mod patience;
 
 use std::time::{Duration, Instant};
@@ -12,17 +13,9 @@
 use crate::error::ErrorKind;
 use crate::settings::routing::RoutingSettings;
 
-#[test]
-fn a_service_without_servers_is_refused_as_not_run() {
-    // Arrange
-    let now = Instant::now();
-    let choice = LeastLoaded::new(
-        RoutingSettings::default(),
-        "north".into(),
-        ChaCha8Rng::seed_from_u64(1),
-    );
-    let mut state = RoutingState::new(RoutingSettings::default(), Box::new(choice));
-    let plan = RequestPlan {
+/// A plan of a request that may be repeated.
+fn plan(deadline_at: Instant) -> RequestPlan {
+    RequestPlan {
         request: 1,
         organisation: "o".into(),
         weight_share: 1,
@@ -35,8 +28,21 @@
         body_bytes: 0,
         body_limit_bytes: 0,
         idempotency_key: None,
-        deadline_at: now + Duration::from_secs(1),
-    };
+        deadline_at,
+    }
+}
+
+#[test]
+fn a_service_without_servers_is_refused_as_not_run() {
+    // Arrange
+    let now = Instant::now();
+    let choice = LeastLoaded::new(
+        RoutingSettings::default(),
+        "north".into(),
+        ChaCha8Rng::seed_from_u64(1),
+    );
+    let mut state = RoutingState::new(RoutingSettings::default(), Box::new(choice));
+    let plan = plan(now + Duration::from_secs(1));
 
     // Act
     let action = state.handle(now, RoutingEvent::Dispatch(plan));
--- /dev/null
+++ b/src/routing/tests/last_resort.rs
@@ -0,0 +1,153 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::plan;
+use crate::contract::View;
+use crate::error::ErrorKind;
+use crate::membership::Fleet;
+use crate::routing::choice::ServerChoice;
+use crate::routing::message::{AttemptOutcome, RequestPlan, RoutingAction, RoutingEvent, Target};
+use crate::routing::state::{RoutingActions, RoutingState};
+use crate::settings::routing::RoutingSettings;
+use crate::types::{Attempt, BackendServerId};
+use crate::wire::exchange::WholeAnswer;
+
+/// Two servers, whose guards' breakers are open once they were asked.
+struct Tripping {
+    asked: Vec<BackendServerId>,
+}
+
+fn target(server: &str) -> Target {
+    Target {
+        daemon: format!("beside-{server}").into(),
+        guard_address: "127.0.0.1:1".parse().expect("a literal address"),
+        server: server.into(),
+    }
+}
+
+impl ServerChoice for Tripping {
+    fn pick(&mut self, _: Instant, _: &RequestPlan, tried: &[BackendServerId]) -> Option<Target> {
+        let mut servers = ["a", "b"].into_iter();
+        let fresh = servers.find(|server| !tried.iter().any(|other| **other == **server));
+        fresh
+            .filter(|server| !self.asked.iter().any(|other| **other == **server))
+            .map(target)
+    }
+
+    fn pick_tripped(
+        &mut self,
+        _: Instant,
+        _: &RequestPlan,
+        tried: &[BackendServerId],
+    ) -> Option<Target> {
+        let open = self.asked.iter().find(|server| !tried.contains(server));
+        open.map(|server| target(server))
+    }
+
+    fn sent(&mut self, _: Instant, _: &RequestPlan, target: &Target) {
+        self.asked.push(target.server.clone());
+    }
+
+    fn ended(&mut self, _: Instant, _: &RequestPlan, _: &Target, _: &AttemptOutcome, _: Duration) {}
+
+    fn view(&mut self, _: Arc<View>) {}
+
+    fn fleet(&mut self, _: Arc<Fleet>) {}
+}
+
+fn state() -> RoutingState {
+    let settings = RoutingSettings {
+        refusals_limit_count: 8,
+        ..Default::default()
+    };
+    RoutingState::new(settings, Box::new(Tripping { asked: Vec::new() }))
+}
+
+fn tripped(attempt: Attempt) -> RoutingEvent {
+    RoutingEvent::Attempted {
+        request: 1,
+        attempt,
+        outcome: AttemptOutcome::NotRun {
+            kind: ErrorKind::ServerTripped,
+            retry_after: None,
+            by_guard: true,
+        },
+        elapsed: Duration::from_millis(1),
+        resendable: true,
+    }
+}
+
+/// The server and the last resort of an attempt that is sent.
+fn sent(actions: &RoutingActions) -> Option<(&str, bool)> {
+    actions.iter().find_map(|action| match action {
+        RoutingAction::Send { target, terms, .. } => Some((&*target.server, terms.last_resort)),
+        _ => None,
+    })
+}
+
+#[test]
+fn when_every_server_is_left_alone_one_is_asked_as_the_last_resort() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let plan = plan(now + Duration::from_secs(1));
+
+    // Act
+    let first = state.handle(now, RoutingEvent::Dispatch(plan));
+    let second = state.handle(now, tripped(1));
+    let last = state.handle(now, tripped(2));
+
+    // Assert
+    assert_eq!(sent(&first), Some(("a", false)));
+    assert_eq!(sent(&second), Some(("b", false)));
+    assert_eq!(sent(&last), Some(("a", true)));
+}
+
+#[test]
+fn a_server_that_refuses_the_last_resort_is_not_asked_again() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let plan = plan(now + Duration::from_secs(1));
+    state.handle(now, RoutingEvent::Dispatch(plan));
+    state.handle(now, tripped(1));
+    state.handle(now, tripped(2));
+
+    // Act
+    let fourth = state.handle(now, tripped(3));
+    let fifth = state.handle(now, tripped(4));
+
+    // Assert
+    assert_eq!(sent(&fourth), Some(("b", true)));
+    assert_eq!(sent(&fifth), None);
+}
+
+#[test]
+fn a_failed_request_without_a_key_is_told_to_the_guard_beside() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let plan = RequestPlan {
+        organisation: "".into(),
+        repeatable: false,
+        ..plan(now + Duration::from_secs(1))
+    };
+    state.handle(now, RoutingEvent::Dispatch(plan));
+
+    // Act
+    let answered = RoutingEvent::Attempted {
+        request: 1,
+        attempt: 1,
+        outcome: AttemptOutcome::Answered(WholeAnswer {
+            status: 500,
+            headers: Vec::new(),
+            body: Vec::new(),
+        }),
+        elapsed: Duration::from_millis(1),
+        resendable: true,
+    };
+    let actions = state.handle(now, answered);
+
+    // Assert
+    assert!(actions.contains(&RoutingAction::OwnCallFailed));
+}
--- a/src/routing/tests/patience.rs
+++ b/src/routing/tests/patience.rs
@@ -1,5 +1,6 @@
 use std::time::{Duration, Instant};
 
+use super::plan;
 use crate::routing::choice::ServerChoice;
 use crate::routing::message::{AttemptOutcome, RequestPlan, RoutingAction, RoutingEvent, Target};
 use crate::routing::state::RoutingState;
@@ -37,19 +38,8 @@
 /// How long the first attempt at a request may take.
 fn first_attempt(state: &mut RoutingState, now: Instant) -> Duration {
     let plan = RequestPlan {
-        request: 1,
-        organisation: "o".into(),
-        weight_share: 1,
-        service: "v".into(),
-        route: "r".into(),
-        repeatable: true,
-        foreground: true,
-        rank: 0,
         attempts_limit_count: 2,
-        body_bytes: 0,
-        body_limit_bytes: 0,
-        idempotency_key: None,
-        deadline_at: now + DEADLINE,
+        ..plan(now + DEADLINE)
     };
     let actions = state.handle(now, RoutingEvent::Dispatch(plan));
     match &actions[..] {
--- a/src/wire/forward/tests.rs
+++ b/src/wire/forward/tests.rs
@@ -13,8 +13,12 @@
         foreground: true,
         origin: "orders".into(),
         rank: 2,
-        no_wait: true,
-        may_probe: false,
+        terms: AttemptTerms {
+            no_wait: true,
+            ..Default::default()
+        },
+        entry: "d1".into(),
+        view: 4,
         incarnation: 3,
         fingerprint: [5; 32],
         remaining: Duration::from_millis(500),
@@ -24,22 +28,34 @@
 #[test]
 fn a_head_is_read_as_it_was_written() {
     let key = FleetKey::new("a secret of the fleet");
-    assert_eq!(ForwardHead::decode(&head().encode(&key), &key), Ok(head()));
+    let headers = [head().encode(&key)];
+    assert_eq!(ForwardHead::decode(&headers, &key), Some(head()));
 }
 
 #[test]
 fn a_forged_organisation_is_refused() {
     // Arrange
     let key = FleetKey::new("a secret of the fleet");
-    let mut headers = head().encode(&key);
+    let (name, text) = head().encode(&key);
+    let mut bytes = BASE64_URL_SAFE_NO_PAD.decode(text).expect("base64");
 
     // Act
-    let place = headers
-        .iter()
-        .position(|(name, _)| name == ORGANISATION)
-        .unwrap();
-    headers[place].1 = "another".to_owned();
+    let own = b"opticians";
+    let place = bytes.windows(own.len()).position(|part| part == own);
+    let place = place.expect("the organisation stands in the head");
+    bytes[place..place + own.len()].copy_from_slice(b"pensioner");
+    let forged = [(name, BASE64_URL_SAFE_NO_PAD.encode(bytes))];
 
     // Assert
-    assert_eq!(ForwardHead::decode(&headers, &key), Err(PROOF));
+    assert_eq!(ForwardHead::decode(&forged, &key), None);
+}
+
+#[test]
+fn a_head_that_is_cut_is_refused() {
+    let key = FleetKey::new("a secret of the fleet");
+    let (name, text) = head().encode(&key);
+    for length in 0..text.len() {
+        let cut = [(name.clone(), text[..length].to_owned())];
+        assert_eq!(ForwardHead::decode(&cut, &key), None, "{length}");
+    }
 }
--- a/tests/guard_queue.rs
+++ b/tests/guard_queue.rs
@@ -5,6 +5,7 @@
 
 use banyanbeam::guard::message::GuardRequest;
 use banyanbeam::guard::queue::FairQueue;
+use banyanbeam::wire::forward::AttemptTerms;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -32,8 +33,10 @@
         repeatable: true,
         foreground,
         rank: 0,
-        no_wait: false,
-        may_probe: true,
+        terms: AttemptTerms {
+            may_probe: true,
+            ..Default::default()
+        },
         fingerprint: [0; 32],
         deadline_at: Instant::now() + Duration::from_secs(1),
     }
--- a/tests/guard_scenarios/bench.rs
+++ b/tests/guard_scenarios/bench.rs
@@ -8,6 +8,7 @@
 use banyanbeam::guard::state::GuardState;
 use banyanbeam::guard::{Announcement, GuardAction, GuardEvent};
 use banyanbeam::settings::guard::GuardSettings;
+use banyanbeam::wire::forward::AttemptTerms;
 
 const LIFE: u64 = 1;
 const RENEW_EVERY: Duration = Duration::from_millis(500);
@@ -259,8 +260,10 @@
             repeatable: true,
             foreground: load.foreground,
             rank: 0,
-            no_wait: false,
-            may_probe: true,
+            terms: AttemptTerms {
+                may_probe: true,
+                ..Default::default()
+            },
             fingerprint: fingerprint(load.kills, number),
             deadline_at: self.began_at + self.now + load.deadline,
         };
