--- a/spec/at_most_once/world.rs
+++ b/spec/at_most_once/world.rs
@@ -238,6 +238,7 @@
             body_bytes: 0,
             body_limit_bytes: 0,
             idempotency_key: keyed.then(idempotency_key),
+            target: Duration::ZERO,
             deadline_at: *NOW + Duration::from_secs(10),
         };
         self.decide(entry, RoutingEvent::Dispatch(plan));
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
 
 use clap::Args;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -39,7 +38,7 @@
 ) -> eyre::Result<ExitCode> {
     let lines = logging::start(&settings.log)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
-    let grace = Duration::from_millis(settings.daemon.stop_grace_ms);
+    let grace = settings.daemon.stop_limit();
     let borders = borders(&settings);
     let daemon = daemon::start_with(settings, borders)?;
     println!(
--- a/src/daemon/beside.rs
+++ b/src/daemon/beside.rs
@@ -59,6 +59,7 @@
         outcomes: Box::new(HealthFeed(rings.health.clone())),
         membership: rings.membership.clone(),
         own: rings.guard.clone(),
+        routing: rings.routing.clone(),
         link: rings.link.clone(),
         drained,
     };
--- a/src/daemon/newest.rs
+++ b/src/daemon/newest.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use crossbeam::channel::{bounded, Receiver, Sender};
 
@@ -13,13 +14,12 @@
 use super::rings::Rings;
 use crate::allowance::AllowanceMessage;
 use crate::feed::message::FeedRead;
-use crate::feed::reader::FeedReader;
+use crate::feed::reader::{FeedReader, Pace};
 use crate::feed::{self, Board, FeedEvent, FeedMessage};
 use crate::membership::{DaemonEntry, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::quota;
 use crate::ring::{ring, spawn_duty, RingSender};
-use crate::settings::feed::FeedSettings;
 
 /// Descriptions of this daemon that wait to be written; the newest one counts.
 const NOTICE_RING_COUNT: usize = 16;
@@ -45,6 +45,7 @@
     let feed_ring = rings.feed.clone();
     let configuration = FeedReader {
         settings: settings.feed.clone(),
+        pace: Pace::Follow(Duration::from_millis(settings.feed.wait_ms)),
         feed: store.configuration,
         sink: Box::new(move |read| {
             feed_ring.deliver(FeedMessage::Event(FeedEvent::Read(read)));
@@ -54,9 +55,10 @@
     };
     let membership = rings.membership.clone();
     let members = FeedReader {
-        settings: FeedSettings {
-            wait_ms: settings.feed.members_wait_ms,
-            ..settings.feed.clone()
+        settings: settings.feed.clone(),
+        pace: Pace::Poll {
+            first: Duration::from_millis(settings.feed.members_poll_ms),
+            longest: Duration::from_millis(settings.feed.members_poll_limit_ms),
         },
         feed: store.members,
         sink: Box::new(move |read| tell_membership(&membership, read)),
--- a/src/error.rs
+++ b/src/error.rs
@@ -107,6 +107,8 @@
     DuplicateRequest = "duplicate_request", 409, No, "A request with this idempotency key was already taken.";
     /// The server has just failed, and its guard gives it no requests for a moment.
     ServerTripped = "server_tripped", 503, No, "The backend server has just failed and is left alone for a moment.";
+    /// The service's budget of retries is used up at the guard.
+    RetriesSpent = "retries_spent", 503, No, "The retries of the service are used up for the moment.";
     /// The request was fenced before its start.
     Fenced = "fenced", 503, No, "The request was withdrawn before its start.";
     /// The backend server refused the request before it ran it.
--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -11,10 +11,27 @@
 /// Takes what was read; on the reader's thread.
 pub type ReadSink<T> = Box<dyn Fn(FeedRead<T>) + Send>;
 
+/// How a reader goes on after the newest items.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// It waits for the next item at the platform, up to this long a read.
+    Follow(Duration),
+    /// It reads the newest items again after `first`, and after longer and longer waits up to
+    /// `longest`.
+    Poll {
+        /// The first wait.
+        first: Duration,
+        /// The longest wait.
+        longest: Duration,
+    },
+}
+
 /// What a reader needs of the world.
 pub struct FeedReader<T> {
     /// Its settings.
     pub settings: FeedSettings,
+    /// How it goes on.
+    pub pace: Pace,
     /// The feed.
     pub feed: Box<dyn Feed<T>>,
     /// Takes what was read.
@@ -28,7 +45,13 @@
 impl<T> FeedReader<T> {
     /// Reads until the daemon stops.
     pub fn run(mut self) {
-        let wait = Duration::from_millis(self.settings.wait_ms);
+        match self.pace {
+            Pace::Follow(wait) => self.follow(wait),
+            Pace::Poll { first, longest } => self.poll(first, longest),
+        }
+    }
+
+    fn follow(&mut self, wait: Duration) {
         let mut from = None;
         let mut failed_count: u32 = 0;
         while !self.stopping.load(Ordering::Relaxed) {
@@ -61,6 +84,28 @@
         }
     }
 
+    fn poll(&mut self, first: Duration, longest: Duration) {
+        let mut wait = first;
+        let mut failed_count: u32 = 0;
+        while !self.stopping.load(Ordering::Relaxed) {
+            let began_at = Instant::now();
+            match self.feed.newest() {
+                Ok(page) => {
+                    failed_count = 0;
+                    (self.sink)(FeedRead::Newest(page));
+                    // A closed channel means that the daemon stops.
+                    let _ = self.pause.recv_timeout(wait);
+                    wait = (wait * POLL_FACTOR).min(longest);
+                }
+                Err(error) => {
+                    failed_count += 1;
+                    (self.sink)(FeedRead::Failed(error));
+                    self.back_off(failed_count, began_at);
+                }
+            }
+        }
+    }
+
     /// Waits after failures in a row, longer each time; every call to the platform has a price.
     fn back_off(&self, failed_count: u32, began_at: Instant) {
         if failed_count == 0 {
@@ -76,3 +121,5 @@
 }
 
 const MAX_DOUBLINGS: u32 = 10;
+/// How much longer each wait between two polls is than the last.
+const POLL_FACTOR: u32 = 2;
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -1,11 +1,14 @@
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel::bounded;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
-use super::{FeedError, FeedState, Page};
+use super::reader::{FeedReader, Pace};
+use super::{Feed, FeedError, FeedState, Page};
 use crate::contract::{Document, ServiceContract, View};
 use crate::settings::feed::FeedSettings;
 
@@ -159,3 +162,59 @@
     // Assert
     assert_eq!(told, vec![false, true]);
 }
+
+/// Gives the newest items until it was asked three times, then asks for the end.
+struct Polled {
+    count: u32,
+    stopping: Arc<AtomicBool>,
+}
+
+impl Feed<u32> for Polled {
+    fn newest(&mut self) -> Result<Page<u32>, FeedError> {
+        self.count += 1;
+        self.stopping.store(self.count == 3, Ordering::Relaxed);
+        Ok(Page {
+            items: vec![self.count],
+            next: 1,
+        })
+    }
+
+    fn follow(&mut self, _: u64, _: Duration) -> Result<Page<u32>, FeedError> {
+        panic!("a polled feed is not followed");
+    }
+}
+
+#[test]
+fn a_polled_feed_is_read_anew_and_never_waited_at() {
+    // Arrange
+    let (sender, receiver) = bounded(16);
+    let (_pause, paused) = bounded(0);
+    let stopping = Arc::new(AtomicBool::new(false));
+    let reader = FeedReader {
+        settings: FeedSettings::default(),
+        pace: Pace::Poll {
+            first: Duration::ZERO,
+            longest: Duration::ZERO,
+        },
+        feed: Box::new(Polled {
+            count: 0,
+            stopping: stopping.clone(),
+        }),
+        sink: Box::new(move |read| sender.send(read).expect("room")),
+        pause: paused,
+        stopping,
+    };
+
+    // Act
+    reader.run();
+
+    // Assert
+    let newest = |item| {
+        FeedRead::Newest(Page {
+            items: vec![item],
+            next: 1,
+        })
+    };
+    let reads: Vec<FeedRead<u32>> = receiver.try_iter().collect();
+    assert_eq!(reads, vec![newest(1), newest(2), newest(3)]);
+}
--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -120,6 +120,7 @@
             body_bytes: head.body_bytes,
             body_limit_bytes: route.body_limit_bytes,
             idempotency_key: head.idempotency_key.clone(),
+            target: Duration::from_millis(route.target_ms),
             deadline_at: head.arrived_at + deadline,
         })
     }
--- a/src/guard/breaker.rs
+++ b/src/guard/breaker.rs
@@ -19,6 +19,14 @@
 const STARVED_FACTOR: u32 = 4;
 /// Good probes in a row that close it after broken calls, which may well get through by chance.
 const GOOD_COUNT_AFTER_BROKEN: u32 = 2;
+/// Calls at a time at which a server is trusted as before.
+const TRUSTED_COUNT: u32 = 8;
+/// Shortest wait before a server whose probe is under way is asked again.
+const PROBE_WAIT: Duration = Duration::from_millis(150);
+/// Time between the probes of two entries.
+const TURN_TIME: Duration = Duration::from_millis(50);
+/// Turns that are told apart; later entries come with the last of them.
+const TURN_LIMIT_COUNT: u32 = 20;
 /// An opening this soon after the last one ended goes on with its streak.
 const RELAPSE_TIME: Duration = Duration::from_secs(2);
 
@@ -42,6 +50,8 @@
     open_time: Duration,
     ends: VecDeque<CallEnd>,
     open: Option<Open>,
+    /// Calls at a time while trust in a server with broken calls returns.
+    trust_count: Option<u32>,
     /// When it closed last, and the streak of openings that ended then.
     closed: Option<(Instant, u32)>,
 }
@@ -59,6 +69,8 @@
     probing: bool,
     /// Good probes since it opened.
     good_count: u32,
+    /// Requests refused since it opened.
+    refused_count: u32,
 }
 
 impl Breaker {
@@ -68,6 +80,7 @@
             open_time,
             ends: VecDeque::with_capacity(WINDOW_COUNT),
             open: None,
+            trust_count: None,
             closed: None,
         }
     }
@@ -90,12 +103,28 @@
         repeatable || cause != Some(CallEnd::Broken)
     }
 
+    /// Requests at a time that the server is trusted with; none for as many as it has slots. Trust
+    /// returns with every good call after broken ones.
+    pub fn limit_count(&self) -> Option<u32> {
+        self.trust_count
+    }
+
     /// How long it stays open at least; none while it is closed.
     pub fn open_for(&self, now: Instant) -> Option<Duration> {
         self.open
             .map(|open| open.until.saturating_duration_since(now))
     }
 
+    /// When an entry that was refused is to ask again. Entries get turns, so that they come with
+    /// their probes one after the other.
+    pub fn retry_after(&mut self, now: Instant) -> Option<Duration> {
+        let open = self.open.as_mut()?;
+        let turn = open.refused_count.min(TURN_LIMIT_COUNT);
+        open.refused_count += 1;
+        let left = open.until.saturating_duration_since(now);
+        Some(left.max(PROBE_WAIT) + TURN_TIME * turn)
+    }
+
     /// A request starts.
     pub fn started(&mut self) {
         if let Some(open) = &mut self.open {
@@ -126,6 +155,10 @@
             self.ends.pop_front();
         }
         self.ends.push_back(end);
+        if end == CallEnd::Good {
+            self.trust_count = self.trust_count.map(|count| count + 1);
+            self.trust_count.take_if(|count| *count > TRUSTED_COUNT);
+        }
         let failed = self.ends.iter().filter(|end| **end != CallEnd::Good);
         if end == CallEnd::Broken || failed.count() >= FAILED_LIMIT_COUNT {
             let relapse = self
@@ -156,6 +189,7 @@
         }
         self.ends.clear();
         self.open = None;
+        self.trust_count = (open.cause == CallEnd::Broken).then_some(1);
         self.closed = Some((now, open.streak_count));
     }
 
@@ -170,6 +204,7 @@
             cause,
             probing: false,
             good_count: 0,
+            refused_count: 0,
         });
     }
 }
--- a/src/guard/breaker/tests.rs
+++ b/src/guard/breaker/tests.rs
@@ -142,3 +142,39 @@
     breaker.ended(now, CallEnd::Broken, CALL_TIME);
     assert!(breaker.admits(now, false));
 }
+
+#[test]
+fn after_broken_calls_it_trusts_the_server_with_one_more_call_at_a_time() {
+    // Arrange
+    let now = Instant::now();
+    let later = now + OPEN_TIME;
+    let mut breaker = opened(now);
+    breaker.ended(later, CallEnd::Good, CALL_TIME);
+    breaker.ended(later, CallEnd::Good, CALL_TIME);
+
+    // Act
+    let mut limits = vec![breaker.limit_count()];
+    for _ in 0..8 {
+        breaker.ended(later, CallEnd::Good, CALL_TIME);
+        limits.push(breaker.limit_count());
+    }
+
+    // Assert
+    assert_eq!(limits[..3], [Some(1), Some(2), Some(3)]);
+    assert_eq!(limits.last(), Some(&None));
+}
+
+#[test]
+fn entries_that_are_refused_get_turns_one_after_the_other() {
+    // Arrange
+    let now = Instant::now();
+    let mut breaker = opened(now);
+
+    // Act
+    let waits: Vec<Duration> = (0..30).filter_map(|_| breaker.retry_after(now)).collect();
+
+    // Assert
+    assert_eq!(waits[0], OPEN_TIME);
+    assert!(waits[1] > waits[0] && waits[2] > waits[1]);
+    assert!(*waits.last().expect("waits") <= OPEN_TIME + Duration::from_secs(1));
+}
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -21,6 +21,7 @@
 use crate::membership::{Fleet, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
+use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::guard::GuardSettings;
 use crate::types::{format_id, DaemonId, Incarnation, ServiceId};
 use crate::wire::client::{CallError, CallHandle, Caller};
@@ -54,6 +55,8 @@
     pub membership: RingSender<MembershipEvent>,
     /// Where hang-ups of entries come in: this duty's own ring.
     pub own: RingSender<GuardMessage>,
+    /// Routing on this VM.
+    pub routing: RingSender<RoutingMessage>,
     /// The link to other daemons.
     pub link: RingSender<LinkMessage>,
     /// Hears when a draining guard has nothing left to do.
@@ -116,7 +119,7 @@
     fn take(&mut self, message: GuardMessage) {
         match message {
             GuardMessage::Event(event) => self.decide(event),
-            GuardMessage::Fleet(fleet) => self.fleet = fleet,
+            GuardMessage::Fleet(fleet) => self.fleet_changed(fleet),
             GuardMessage::Fence { request, reply } => {
                 self.fence_reply = Some(reply);
                 self.decide(GuardEvent::Fence(request));
@@ -131,6 +134,22 @@
         }
     }
 
+    /// Takes a new fleet, and counts the guards that share a service with this one.
+    fn fleet_changed(&mut self, fleet: Arc<Fleet>) {
+        self.fleet = fleet;
+        let own = self.fleet.daemons.get(&self.context.daemon);
+        let Some(server) = own.and_then(|own| own.servers.first()) else {
+            return;
+        };
+        let service = &server.service;
+        let guards = self.fleet.daemons.values().filter(|daemon| {
+            let mut servers = daemon.servers.iter();
+            servers.any(|server| server.service == *service)
+        });
+        let count = guards.count().max(1);
+        self.decide(GuardEvent::Guards { count });
+    }
+
     fn decide(&mut self, event: GuardEvent) {
         let now = self.context.clock.now();
         if let GuardEvent::Finished {
@@ -210,6 +229,11 @@
                 let event = MembershipEvent::Local(servers);
                 self.context.membership.deliver(event);
             }
+            GuardAction::RepeatStarted => {
+                let event = RoutingMessage::Event(RoutingEvent::OwnServerRepeats);
+                // Without room the calls of this one repeat go uncounted.
+                let _ = self.context.routing.offer(event);
+            }
             GuardAction::FenceAnswered(answer) => self.fence_answered(answer),
             GuardAction::CancelServer {
                 key,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -147,6 +147,11 @@
     },
     /// A request that a server on this VM made itself failed.
     OwnCallFailed,
+    /// How many guards the service of the server on this VM has, this one among them.
+    Guards {
+        /// At least 1.
+        count: usize,
+    },
     /// An entry that lost this guard asks to keep a request from starting.
     Fence(FenceRequest),
     /// The caller left; the request may end.
@@ -222,6 +227,8 @@
         /// When to try again, where known.
         retry_after: Option<Duration>,
     },
+    /// A repeat started at the server on this VM; calls that it makes count as repeats too.
+    RepeatStarted,
     /// Answers the fence that was asked for.
     FenceAnswered(FenceAnswer),
     /// Tells a server that nobody waits for a request any more.
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -15,6 +15,7 @@
 pub mod message;
 pub mod poison;
 pub mod queue;
+pub mod retries;
 mod server;
 pub mod start_rate;
 pub mod started;
--- /dev/null
+++ b/src/guard/retries.rs
@@ -0,0 +1,90 @@
+//! How many repeats the server on this VM may be given.
+//!
+//! The guards of a service share its retry budget without agreement: each holds an even part of the
+//! reserve, and adds a share of the first attempts that it starts itself. A repeat that finds no
+//! budget at one guard is not run, and its entry asks another one, so that the whole budget of the
+//! service is there for whoever needs it.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::settings::guard::GuardSettings;
+
+/// Part of the budget that is given out; the rest is for calls that repeats cause and nobody sees.
+const USED_SHARE: f64 = 0.85;
+
+/// Attempts that started at the server on this VM within the window of the budget.
+#[derive(Debug)]
+pub struct RetryWindow {
+    window: Duration,
+    share: f64,
+    reserve_count: f64,
+    /// Starts of first attempts that a caller with a key asked for, oldest first.
+    firsts: VecDeque<Instant>,
+    /// Starts of repeats, and of calls that a repeat caused, oldest first.
+    repeats: VecDeque<Instant>,
+}
+
+/// What an attempt is to the budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptKind {
+    /// The first attempt of a caller's request.
+    First,
+    /// The first attempt of a call that a server made for a first attempt.
+    Call,
+    /// The first attempt of a call that a server may have made for a repeat. It is counted, and not
+    /// limited.
+    CallOfRepeat,
+    /// An attempt after one that has reached a server.
+    Repeat,
+}
+
+impl RetryWindow {
+    /// A window without any attempts.
+    pub fn new(settings: &GuardSettings) -> RetryWindow {
+        RetryWindow {
+            window: Duration::from_millis(settings.retry_window_ms),
+            share: settings.retry_share * USED_SHARE,
+            reserve_count: f64::from(settings.retry_reserve_count) * USED_SHARE,
+            firsts: VecDeque::new(),
+            repeats: VecDeque::new(),
+        }
+    }
+
+    /// Whether a repeat may start, where `guard_count` guards share the reserve.
+    pub fn admits(&mut self, now: Instant, guard_count: usize) -> bool {
+        if self.window.is_zero() {
+            return true;
+        }
+        self.forget(now);
+        let part_count = self.reserve_count / guard_count.max(1) as f64;
+        let limit_count = self.share * self.firsts.len() as f64 + part_count;
+        (self.repeats.len() + 1) as f64 <= limit_count
+    }
+
+    /// An attempt starts.
+    pub fn started(&mut self, now: Instant, kind: AttemptKind) {
+        if self.window.is_zero() {
+            return;
+        }
+        self.forget(now);
+        match kind {
+            AttemptKind::First => self.firsts.push_back(now),
+            AttemptKind::Call => {}
+            AttemptKind::CallOfRepeat | AttemptKind::Repeat => self.repeats.push_back(now),
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let window = self.window;
+        let over = |at: &Instant| now.saturating_duration_since(*at) >= window;
+        for starts in [&mut self.firsts, &mut self.repeats] {
+            while starts.front().is_some_and(over) {
+                starts.pop_front();
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -136,7 +136,9 @@
     }
 
     pub(super) fn has_free_slot(&self, now: Instant) -> bool {
-        self.running_count < self.limit_count()
+        let trusted = self.breaker.limit_count();
+        trusted.is_none_or(|limit_count| self.running_count < limit_count)
+            && self.running_count < self.limit_count()
             && self
                 .start_limit_count()
                 .is_none_or(|limit_count| self.start_rate.admits(now, limit_count))
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -6,6 +6,7 @@
 
 use super::deaths::{BrokenCall, DeathWatch};
 use super::message::{AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
+use super::retries::{AttemptKind, RetryWindow};
 use super::server::ServerState;
 use super::started::StartedRecord;
 use crate::contract::View;
@@ -30,6 +31,9 @@
     pub(super) view: Arc<View>,
     /// Whether the server that the settings name was asked for its health.
     pub(super) inquired: bool,
+    pub(super) retries: RetryWindow,
+    /// Guards of the service of the server on this VM, this one among them.
+    pub(super) guard_count: usize,
     /// When a request that a server on this VM made itself last failed.
     own_call_failed_at: Option<Instant>,
     /// When the last request came, or the drain began.
@@ -45,6 +49,8 @@
         GuardState {
             started: StartedRecord::new(keep, settings.started_limit_count),
             deaths: DeathWatch::new(&settings),
+            retries: RetryWindow::new(&settings),
+            guard_count: 1,
             settings,
             incarnation,
             servers: BTreeMap::new(),
@@ -111,6 +117,7 @@
             GuardEvent::Inquired { address, word } => {
                 self.inquired(now, address, word, &mut actions);
             }
+            GuardEvent::Guards { count } => self.guard_count = count,
             GuardEvent::OwnCallFailed => self.own_call_failed_at = Some(now),
             GuardEvent::Tick => self.tick(now, &mut actions),
             GuardEvent::Drain => {
@@ -174,10 +181,13 @@
         let terms = request.terms;
         let passes = terms.last_resort && server.breaker.admits_last_resort(request.repeatable);
         if !passes && !server.breaker.admits(now, terms.may_probe) {
-            let open_for = server.breaker.open_for(now);
-            let retry_after = open_for.map(|left| left.max(PROBE_WAIT));
+            let retry_after = server.breaker.retry_after(now);
             return refuse(ErrorKind::ServerTripped, retry_after);
         }
+        let kind = attempt_kind(&request);
+        if kind == AttemptKind::Repeat && !self.retries.admits(now, self.guard_count) {
+            return refuse(ErrorKind::RetriesSpent, None);
+        }
         let must_wait = !server.has_free_slot(now) || !server.queue.is_empty();
         if must_wait && terms.no_wait {
             let wait = server.expected_wait(&request);
@@ -216,6 +226,12 @@
         server.breaker.started();
         server.start_rate.started(now);
         self.started.started(key);
+        let kind = attempt_kind(&request);
+        self.retries.started(now, kind);
+        // Calls that servers make of each other make none themselves.
+        if kind == AttemptKind::Repeat && !request.organisation.is_empty() {
+            actions.push(GuardAction::RepeatStarted);
+        }
         actions.push(GuardAction::Start {
             key,
             address: server.announcement.address,
@@ -343,11 +359,18 @@
     }
 }
 
+fn attempt_kind(request: &GuardRequest) -> AttemptKind {
+    let terms = request.terms;
+    match (terms.repeat, terms.of_repeat) {
+        (true, _) => AttemptKind::Repeat,
+        (false, true) => AttemptKind::CallOfRepeat,
+        _ if request.organisation.is_empty() => AttemptKind::Call,
+        _ => AttemptKind::First,
+    }
+}
+
 /// A failed answer within this time of a failed call of the server's own is put down to that call.
 const OWN_CALL_MEMORY: Duration = Duration::from_millis(500);
 
-/// When to ask again for a server whose probe is under way.
-const PROBE_WAIT: Duration = Duration::from_millis(150);
-
 /// Status by which servers shed load.
 const SHED_STATUS: u16 = 503;
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -53,6 +53,7 @@
             body_bytes: 0,
             body_limit_bytes: 0,
             idempotency_key: None,
+            target: Duration::ZERO,
             deadline_at,
         };
         let flight = Flight {
--- a/src/quota/duty.rs
+++ b/src/quota/duty.rs
@@ -59,7 +59,11 @@
         next_call: 0,
     };
     loop {
+        let now = duty.context.clock.now();
+        let next_tick_at = duty.state.next_tick_at();
+        let wait = next_tick_at.map_or(IDLE, |at| at.saturating_duration_since(now));
         let event = crossbeam::select! {
+            default(wait) => Some(QuotaEvent::Tick),
             recv(answers) -> answer => match answer {
                 Ok(event) => Some(event),
                 Err(_) => return,
@@ -79,6 +83,8 @@
     }
 }
 
+const IDLE: Duration = Duration::from_secs(60);
+
 impl Duty {
     fn event_of(&mut self, message: AllowanceMessage) -> Option<QuotaEvent> {
         match message {
@@ -149,6 +155,11 @@
                     })));
                 }
             }
+            QuotaAction::Decline { call } => {
+                if let Some(reply) = self.replies.remove(&call) {
+                    reply(Err(LinkError::Refused));
+                }
+            }
             QuotaAction::Count(name) => context.metrics.count(name),
         }
     }
--- a/src/quota/message.rs
+++ b/src/quota/message.rs
@@ -37,6 +37,8 @@
         /// What it lent; none without an answer.
         loan: Option<Loan>,
     },
+    /// The time of `next_tick_at` has come.
+    Tick,
     /// A new view is in force.
     View(Arc<View>),
     /// The fleet changed.
@@ -85,6 +87,11 @@
         /// The answer.
         loan: Loan,
     },
+    /// Tells a peer that this daemon is not the home.
+    Decline {
+        /// The call.
+        call: CallId,
+    },
     /// Counts something.
     Count(&'static str),
 }
--- a/src/quota/share.rs
+++ b/src/quota/share.rs
@@ -14,8 +14,10 @@
     /// Tokens on loan; worth nothing after `lapses_at`.
     token_count: u32,
     lapses_at: Option<Instant>,
-    /// Requests that wait for the home's answer.
-    waiting: VecDeque<RequestId>,
+    /// Requests that wait for the home's answer, and since when; oldest first.
+    waiting: VecDeque<(Instant, RequestId)>,
+    /// When a home that did not answer is asked again.
+    pub ask_at: Option<Instant>,
     /// Whether the home was asked and has not answered.
     pub asking: bool,
     /// Whether the home gave less than it was asked for last.
@@ -46,8 +48,8 @@
     }
 
     /// Lets a request wait for the home's answer.
-    pub fn wait(&mut self, request: RequestId) {
-        self.waiting.push_back(request);
+    pub fn wait(&mut self, now: Instant, request: RequestId) {
+        self.waiting.push_back((now, request));
     }
 
     /// How many tokens to ask for: those that requests wait for, and those that may be wanted
@@ -60,6 +62,7 @@
             false => (per_s * loan_time.as_secs_f64()) as u32,
         };
         self.asking = true;
+        self.ask_at = None;
         self.asked_count = self.waiting.len() as u32 + ahead;
         self.asked_count
     }
@@ -70,7 +73,18 @@
         let granted_count = self.waiting.len().min(count as usize);
         self.token_count = count - granted_count as u32;
         self.lapses_at = Some(now + loan_time);
-        self.waiting.drain(..granted_count).collect()
+        let granted = self.waiting.drain(..granted_count);
+        granted.map(|(_, request)| request).collect()
+    }
+
+    /// The request that waits longest, and since when.
+    pub fn oldest(&self) -> Option<(Instant, RequestId)> {
+        self.waiting.front().copied()
+    }
+
+    /// Takes the request that waits longest.
+    pub fn take_oldest(&mut self) -> Option<RequestId> {
+        self.waiting.pop_front().map(|(_, request)| request)
     }
 
     /// Whether the home gave less than it was asked for last.
@@ -80,7 +94,7 @@
 
     /// Takes all requests that wait.
     pub fn take_waiting(&mut self) -> Vec<RequestId> {
-        self.waiting.drain(..).collect()
+        self.waiting.drain(..).map(|(_, request)| request).collect()
     }
 
     /// Whether requests wait.
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -62,6 +62,7 @@
                 count,
             } => vec![self.lend(now, call, &organisation, count)],
             QuotaEvent::Borrowed { organisation, loan } => self.borrowed(now, &organisation, loan),
+            QuotaEvent::Tick => self.ask_again(now),
             QuotaEvent::View(view) => {
                 self.view = view;
                 self.open_buckets(now);
@@ -139,7 +140,10 @@
         if share.take(now) {
             return vec![QuotaAction::Grant { request }];
         }
-        share.wait(request);
+        share.wait(now, request);
+        if share.ask_at.is_some() {
+            return Vec::new();
+        }
         self.ask(now, organisation, home)
     }
 
@@ -225,40 +229,84 @@
         actions
     }
 
-    /// Serves those that wait from this daemon's own part of the rate.
+    /// Serves those that wait from this daemon's own part of the rate. The others wait a little for
+    /// the home to be back, or for another one.
     fn fall_back(&mut self, now: Instant, organisation: &OrganisationId) -> Vec<QuotaAction> {
         let mut actions = vec![QuotaAction::Count("quota.home.unreachable")];
-        let waiting = self
-            .shares
-            .get_mut(organisation)
-            .map(Share::take_waiting)
-            .unwrap_or_default();
-        let Some(contract) = self.limited(organisation) else {
-            let granted = waiting.into_iter();
+        let contract = self.limited(organisation);
+        let daemon_count = self.homes.daemons().count().max(1) as f64;
+        let part = self.settings.fallback_share / daemon_count;
+        let patience = Duration::from_millis(self.settings.home_patience_ms);
+        let Some(share) = self.shares.get_mut(organisation) else {
+            return actions;
+        };
+        let Some(contract) = contract else {
+            let granted = share.take_waiting().into_iter();
             actions.extend(granted.map(|request| QuotaAction::Grant { request }));
             return actions;
         };
-        let daemon_count = self.homes.daemons().count().max(1) as f64;
-        let part = self.settings.fallback_share / daemon_count;
         let bucket = self
             .fallbacks
             .entry(organisation.clone())
             .or_insert_with(|| Bucket::full(now, contract.rate_per_s * part, 1.0));
-        for request in waiting {
-            actions.push(match bucket.take(now, 1.0) {
+        while let Some((since, request)) = share.oldest() {
+            let taken = bucket.take(now, 1.0);
+            let waits_on = now.saturating_duration_since(since) < patience;
+            actions.push(match taken {
                 Ok(()) => QuotaAction::Grant { request },
+                Err(_) if waits_on => break,
                 Err(retry_after) => QuotaAction::Refuse {
                     request,
                     kind: ErrorKind::AllowanceUnreachable,
                     retry_after,
                 },
             });
+            share.take_oldest();
+        }
+        if share.is_waited_for() {
+            share.ask_at = Some(now + HOME_RETRY);
         }
         actions
     }
 
-    /// Answers a peer, whether this daemon still counts itself as the home or not: a peer that
-    /// asks knows of no better one.
+    /// When `Tick` is due next.
+    pub fn next_tick_at(&self) -> Option<Instant> {
+        self.shares.values().filter_map(|share| share.ask_at).min()
+    }
+
+    /// Asks homes again that did not answer.
+    fn ask_again(&mut self, now: Instant) -> Vec<QuotaAction> {
+        let due = |share: &Share| share.ask_at.is_some_and(|at| at <= now);
+        let due: Vec<OrganisationId> = self
+            .shares
+            .iter()
+            .filter(|(_, share)| due(share))
+            .map(|(organisation, _)| organisation.clone())
+            .collect();
+        let mut actions = Vec::new();
+        for organisation in due {
+            actions.extend(self.asked_again(now, &organisation));
+        }
+        actions
+    }
+
+    fn asked_again(&mut self, now: Instant, organisation: &OrganisationId) -> Vec<QuotaAction> {
+        let home = self.home(organisation).cloned();
+        if home.as_ref() != Some(&self.own) {
+            return self.ask(now, organisation, home);
+        }
+        // This daemon has become the home meanwhile.
+        let waiting = self.shares.get_mut(organisation).map(|share| {
+            share.ask_at = None;
+            share.take_waiting()
+        });
+        let waiting = waiting.unwrap_or_default().into_iter();
+        waiting
+            .map(|request| self.take_at_home(now, request, organisation))
+            .collect()
+    }
+
+    /// Answers a peer. One that asks a daemon that is not the home, or not yet, is told so.
     fn lend(
         &mut self,
         now: Instant,
@@ -266,13 +314,10 @@
         organisation: &OrganisationId,
         count: u32,
     ) -> QuotaAction {
-        let loan = match self.buckets.get_mut(organisation) {
-            Some(held) => lend_from(&mut held.bucket, now, count),
-            None => Loan {
-                count: 0,
-                retry_after: self.loan_time(),
-            },
+        let Some(held) = self.buckets.get_mut(organisation) else {
+            return QuotaAction::Decline { call };
         };
+        let loan = lend_from(&mut held.bucket, now, count);
         QuotaAction::Lend { call, loan }
     }
 
@@ -281,6 +326,9 @@
     }
 }
 
+/// Wait before a home that did not answer is asked again.
+const HOME_RETRY: Duration = Duration::from_millis(100);
+
 /// Takes as many whole tokens as there are, `count` at most.
 fn lend_from(bucket: &mut Bucket, now: Instant, count: u32) -> Loan {
     for lent in (1..=count).rev() {
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -189,3 +189,45 @@
     // Assert
     assert_eq!(actions, vec![QuotaAction::Grant { request: 1 }]);
 }
+
+#[test]
+fn a_request_waits_a_little_for_a_home_that_does_not_answer() {
+    // Arrange
+    let now = Instant::now();
+    let mut entry = entry(now, 0.001, 1);
+    let unanswered = || QuotaEvent::Borrowed {
+        organisation: "o".into(),
+        loan: None,
+    };
+    let patience = Duration::from_millis(QuotaSettings::default().home_patience_ms);
+    take(&mut entry, now, 1);
+    entry.handle(now, unanswered());
+    take(&mut entry, now, 2);
+
+    // Act
+    let early = entry.handle(now, unanswered());
+    let retry_at = entry.next_tick_at().expect("the home is asked again");
+    let again = entry.handle(retry_at, QuotaEvent::Tick);
+    let late = entry.handle(now + patience, unanswered());
+
+    // Assert
+    assert!(matches!(&early[..], [QuotaAction::Count(_)]));
+    assert!(matches!(&again[..], [QuotaAction::Borrow { .. }]));
+    let refused = |action: &QuotaAction| matches!(action, QuotaAction::Refuse { request: 2, .. });
+    assert!(late.iter().any(refused));
+}
+
+#[test]
+fn a_daemon_that_is_not_the_home_says_so() {
+    let now = Instant::now();
+    let mut entry = entry(now, 10.0, 5);
+    let borrow = QuotaEvent::Borrow {
+        call: 7,
+        organisation: "o".into(),
+        count: 1,
+    };
+    assert_eq!(
+        entry.handle(now, borrow),
+        vec![QuotaAction::Decline { call: 7 }]
+    );
+}
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -29,6 +29,11 @@
         None
     }
 
+    /// When a server that is left alone now may be asked again; none where there is none.
+    fn open_again_at(&self, _now: Instant, _plan: &RequestPlan) -> Option<Instant> {
+        None
+    }
+
     /// Whether a server that was picked has had no free slot of late.
     fn is_busy(&self, _now: Instant, _target: &Target) -> bool {
         false
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, Sender};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 
 use super::choice::ServerChoice;
 use super::forward::{self, Attempted, ForwardContext};
@@ -93,7 +93,15 @@
         view: 0,
     };
     let mut draining = false;
-    for message in messages {
+    loop {
+        let now = context.clock.now();
+        let next_tick_at = duty.state.next_tick_at();
+        let wait = next_tick_at.map_or(IDLE, |at| at.saturating_duration_since(now));
+        let message = match messages.recv_timeout(wait) {
+            Ok(message) => message,
+            Err(RecvTimeoutError::Timeout) => RoutingMessage::Event(RoutingEvent::Tick),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
         match message {
             RoutingMessage::Stop => return,
             RoutingMessage::Drain => draining = true,
@@ -127,6 +135,8 @@
     }
 }
 
+const IDLE: Duration = Duration::from_secs(60);
+
 impl RoutingDuty<'_> {
     /// Takes from an event what the calls themselves need.
     fn notice(&mut self, event: &RoutingEvent) {
@@ -143,6 +153,11 @@
                     log_attempt(&held.head, *attempt, outcome, *elapsed);
                 }
             }
+            RoutingEvent::CallerLeft(request) => {
+                if let Some(held) = self.held.get(request) {
+                    log::info!(request = held.head.name(); "caller_left");
+                }
+            }
             RoutingEvent::View(view) => self.view = view.next,
             RoutingEvent::Fleet(fleet) => {
                 let own = fleet.daemons.get(&self.context.daemon);
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -376,6 +376,16 @@
         Some(candidate.target.clone())
     }
 
+    fn open_again_at(&self, now: Instant, plan: &RequestPlan) -> Option<Instant> {
+        let service = self.candidates.of(&plan.service)?;
+        let alone_until = |candidate: &Candidate| {
+            let learned = self.learned.get(&candidate.target.server);
+            let until = learned.and_then(|known| known.tripped_until.max(known.closed_until));
+            until.unwrap_or(now).max(now)
+        };
+        service.all.iter().map(alone_until).min()
+    }
+
     fn is_busy(&self, now: Instant, target: &Target) -> bool {
         let learned = self.learned.get(&target.server);
         let until = learned.and_then(|learned| learned.busy_until);
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -19,6 +19,7 @@
                 | ErrorKind::NoServer
                 | ErrorKind::Stopping
                 | ErrorKind::ServerTripped
+                | ErrorKind::RetriesSpent
                 | ErrorKind::Fenced
                 | ErrorKind::DeadlineUnmeetable
                 | ErrorKind::ServerShed
@@ -43,7 +44,8 @@
             limit_count => limit_count,
         };
         let attempt_limit_count = arrived_limit_count + self.settings.refusals_limit_count;
-        state.arrived_count < arrived_limit_count
+        state.spent_count < SPENT_LIMIT_COUNT
+            && state.arrived_count < arrived_limit_count
             && state.attempt < attempt_limit_count
             && now < state.plan.deadline_at
             && state.resendable
@@ -56,5 +58,8 @@
     matches!(kind, ErrorKind::ServerShed | ErrorKind::ServerReplaced)
 }
 
+/// Guards that are asked for a repeat while they have no budget for it.
+const SPENT_LIMIT_COUNT: u32 = 4;
+
 /// A request that has met this many deaths is not sent again.
 const MAX_DEATH_COUNT: u32 = 2;
--- a/src/routing/measure.rs
+++ b/src/routing/measure.rs
@@ -158,6 +158,7 @@
         body_bytes: 0,
         body_limit_bytes: 0,
         idempotency_key: None,
+        target: Duration::ZERO,
         deadline_at: now + Duration::from_secs(10),
     }
 }
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -45,6 +45,8 @@
     pub body_limit_bytes: u64,
     /// The caller's idempotency key.
     pub idempotency_key: Option<String>,
+    /// When the answer is wanted; zero where its route does not say.
+    pub target: Duration,
     /// When the answer must be there.
     pub deadline_at: Instant,
 }
@@ -133,6 +135,10 @@
     },
     /// The caller left.
     CallerLeft(RequestId),
+    /// The time of `next_tick_at` has come.
+    Tick,
+    /// The server on this VM runs a repeat, and may make calls for it.
+    OwnServerRepeats,
     /// The daemon leaves soon.
     Leaving,
     /// A new view is in force.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,6 +12,7 @@
 pub mod message;
 mod met;
 mod once;
+mod parked;
 pub mod paths;
 pub mod speed;
 pub mod state;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -15,6 +15,7 @@
 use super::choice::ServerChoice;
 use super::limits::has_arrived;
 use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
+use super::parked::Parked;
 use crate::error::{ErrorKind, Ran};
 use crate::idempotency::HomeMap;
 use crate::link::{ClaimRequest, ClaimStep};
@@ -37,12 +38,17 @@
     pub(super) homes: Option<HomeMap>,
     pub(super) budget: RetryBudget,
     pub(super) requests: HashMap<RequestId, RequestState>,
+    /// When the server on this VM last began to run a repeat.
+    own_repeat_at: Option<Instant>,
+    pub(super) parked: Parked,
     /// Whether the daemon leaves soon.
     pub(super) leaving: bool,
 }
 
 pub(super) struct RequestState {
     pub(super) plan: Arc<RequestPlan>,
+    /// When it came to routing.
+    pub(super) arrived_at: Instant,
     pub(super) phase: Phase,
     /// The last attempt; 0 before the first.
     pub(super) attempt: Attempt,
@@ -60,6 +66,10 @@
     pub(super) failed_answer: Option<WholeAnswer>,
     /// The home that granted the idempotency key.
     pub(super) claimed_at: Option<DaemonId>,
+    /// Whether the server on this VM may have made it for a repeat that it runs.
+    pub(super) of_repeat: bool,
+    /// Guards that refused a repeat of it for want of budget.
+    pub(super) spent_count: u32,
     /// Whether an attempt may have started. Never returns to false.
     pub(super) may_have_run: bool,
     /// Servers that died while they ran the request.
@@ -80,6 +90,8 @@
         target: Target,
         incarnation: Incarnation,
     },
+    /// Every server is left alone for now; `kind` is what the last of them was refused as.
+    Parked { kind: ErrorKind },
     /// The guard of a lost attempt is asked to fence it.
     Fencing { kind: ErrorKind },
 }
@@ -88,12 +100,14 @@
     /// Routing with nothing to route to yet.
     pub fn new(settings: RoutingSettings, choice: Box<dyn ServerChoice>) -> RoutingState {
         RoutingState {
-            budget: RetryBudget::new(settings.retry_share),
+            budget: RetryBudget::new(&settings),
             settings,
             choice,
             fleet: Arc::default(),
             homes: None,
             requests: HashMap::new(),
+            own_repeat_at: None,
+            parked: Parked::default(),
             leaving: false,
         }
     }
@@ -116,6 +130,11 @@
             } => self.fenced(now, request, attempt, answer),
             RoutingEvent::Claimed { request, answer } => self.claimed(now, request, answer),
             RoutingEvent::CallerLeft(request) => self.caller_left(request),
+            RoutingEvent::Tick => self.wake_due(now),
+            RoutingEvent::OwnServerRepeats => {
+                self.own_repeat_at = Some(now);
+                SmallVec::new()
+            }
             RoutingEvent::Leaving => {
                 self.leaving = true;
                 SmallVec::new()
@@ -126,7 +145,6 @@
             }
             RoutingEvent::Fleet(fleet) => {
                 self.fleet = fleet.clone();
-                self.share_reserve();
                 self.homes = None;
                 self.choice.fleet(fleet);
                 SmallVec::new()
@@ -134,14 +152,9 @@
         }
     }
 
-    /// Takes this daemon's part of the retries that the fleet holds in reserve.
-    fn share_reserve(&mut self) {
-        if self.settings.retry_fleet_reserve_count == 0 {
-            return;
-        }
-        let daemon_count = self.fleet.daemons.len().max(1) as f64;
-        let reserve_count = f64::from(self.settings.retry_fleet_reserve_count) / daemon_count;
-        self.budget.set_reserve(reserve_count);
+    /// When `Tick` is due next.
+    pub fn next_tick_at(&self) -> Option<Instant> {
+        self.parked.next_at()
     }
 
     /// Requests that have not ended.
@@ -152,8 +165,15 @@
     fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingActions {
         self.budget.dispatched(&plan.service);
         let request = plan.request;
+        let of_repeat = is_own_call(&plan)
+            && self
+                .own_repeat_at
+                .is_some_and(|at| now.saturating_duration_since(at) < OWN_REPEAT_MEMORY);
         let state = RequestState {
+            of_repeat,
+            spent_count: 0,
             plan: Arc::new(plan),
+            arrived_at: now,
             phase: Phase::New,
             attempt: 0,
             tried: SmallVec::new(),
@@ -186,7 +206,10 @@
         kind: ErrorKind,
     ) -> RoutingActions {
         let Some((target, terms)) = self.pick(now, &state) else {
-            return self.finish_failed(request, state, kind, None);
+            return match self.park(now, request, state, kind) {
+                Ok(()) => RoutingActions::new(),
+                Err(state) => self.finish_failed(request, state, kind, None),
+            };
         };
         state.terms = terms;
         let daemon = self.fleet.daemons.get(&target.daemon);
@@ -215,7 +238,9 @@
     /// of them is asked all the same.
     fn pick(&mut self, now: Instant, state: &RequestState) -> Option<(Target, AttemptTerms)> {
         let mut terms = AttemptTerms {
-            may_probe: state.plan.repeatable && state.arrived_count == 0,
+            may_probe: state.plan.repeatable,
+            repeat: state.arrived_count > 0,
+            of_repeat: state.of_repeat,
             ..Default::default()
         };
         let short = state.plan.body_bytes <= FREE_SLOT_BODY_BYTES;
@@ -279,13 +304,18 @@
             AttemptOutcome::Answered(answer) => {
                 state.arrived_count += 1;
                 let failed = answer.status >= FAILURE_STATUS;
-                if failed && state.plan.repeatable && self.settings.retry_failed_answers {
+                // Two servers that fail alike point at the request.
+                let again = self.settings.retry_failed_answers && state.failed_answer.is_none();
+                if failed && state.plan.repeatable && again && !state.abandoned {
                     state.may_have_run = true;
                     state.spent.push(target.server);
                     state.failed_answer = Some(answer);
                     return self.repeat(now, request, state, ErrorKind::OutcomeUnknown);
                 }
-                self.finish_answered(request, &state.plan, answer)
+                if !failed {
+                    self.wake_service(now, &state.plan.service);
+                }
+                self.finish_answered(request, &state, answer)
             }
             AttemptOutcome::NotRun {
                 kind,
@@ -299,6 +329,7 @@
                 if has_arrived(kind) {
                     state.arrived_count += 1;
                 }
+                state.spent_count += u32::from(kind == ErrorKind::RetriesSpent);
                 if has_arrived(kind) || state.terms.last_resort {
                     state.spent.push(target.server);
                 }
@@ -344,6 +375,12 @@
             return SmallVec::new();
         };
         state.abandoned = true;
+        if let Phase::Parked { kind } = state.phase {
+            let state = self.requests.remove(&request);
+            return state.map_or_else(RoutingActions::new, |state| {
+                self.finish_failed(request, state, kind, None)
+            });
+        }
         let Phase::Sent { target, .. } = &state.phase else {
             return SmallVec::new();
         };
@@ -354,13 +391,13 @@
     fn finish_answered(
         &self,
         request: RequestId,
-        plan: &RequestPlan,
+        state: &RequestState,
         answer: WholeAnswer,
     ) -> RoutingActions {
         let failed = answer.status >= FAILURE_STATUS;
         let outcome = Outcome::Answered(answer);
         let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
-        if failed && is_own_call(plan) {
+        if failed && is_failed_own_call(state) {
             actions.push(RoutingAction::OwnCallFailed);
         }
         actions
@@ -371,12 +408,12 @@
     pub(super) fn finish_failed(
         &mut self,
         request: RequestId,
-        state: RequestState,
+        mut state: RequestState,
         kind: ErrorKind,
         retry_after: Option<Duration>,
     ) -> RoutingActions {
-        if let Some(answer) = state.failed_answer {
-            return self.finish_answered(request, &state.plan, answer);
+        if let Some(answer) = state.failed_answer.take() {
+            return self.finish_answered(request, &state, answer);
         }
         let not_run = kind.ran() == Ran::No;
         let kind = if state.may_have_run && not_run {
@@ -388,7 +425,7 @@
         let retry_after = retry_after.or(usual.map(Duration::from_millis));
         let outcome = Outcome::Failed { kind, retry_after };
         let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
-        if is_own_call(&state.plan) {
+        if is_failed_own_call(&state) {
             actions.push(RoutingAction::OwnCallFailed);
         }
         if kind.ran() != Ran::No {
@@ -412,6 +449,14 @@
     plan.organisation.is_empty()
 }
 
+/// Whether a request that failed may have failed the server that asked for it.
+fn is_failed_own_call(state: &RequestState) -> bool {
+    is_own_call(&state.plan) && !state.abandoned
+}
+
+/// Calls that the server on this VM makes this soon after it began a repeat are put down to it.
+const OWN_REPEAT_MEMORY: Duration = Duration::from_secs(1);
+
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,5 +1,6 @@
 mod choice;
 mod last_resort;
+mod parked;
 mod patience;
 
 use std::time::{Duration, Instant};
@@ -28,6 +29,7 @@
         body_bytes: 0,
         body_limit_bytes: 0,
         idempotency_key: None,
+        target: Duration::from_secs(1),
         deadline_at,
     }
 }
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -110,6 +110,7 @@
             body_bytes: 0,
             body_limit_bytes: 0,
             idempotency_key: None,
+            target: Duration::from_secs(1),
             deadline_at: now + Duration::from_secs(3600),
         };
         Bench { now, choice, plan }
--- /dev/null
+++ b/src/routing/tests/parked.rs
@@ -0,0 +1,109 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::plan;
+use crate::contract::View;
+use crate::error::ErrorKind;
+use crate::membership::Fleet;
+use crate::routing::choice::ServerChoice;
+use crate::routing::message::Target;
+use crate::routing::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent};
+use crate::routing::state::{RoutingActions, RoutingState};
+use crate::settings::routing::RoutingSettings;
+use crate::types::BackendServerId;
+
+const TARGET: Duration = Duration::from_secs(1);
+const OPEN_AFTER: Duration = Duration::from_millis(300);
+
+/// One server that is left alone until a time.
+struct LeftAlone(Instant);
+
+impl ServerChoice for LeftAlone {
+    fn pick(&mut self, now: Instant, _: &RequestPlan, _: &[BackendServerId]) -> Option<Target> {
+        (now >= self.0).then(|| Target {
+            daemon: "d".into(),
+            guard_address: "127.0.0.1:1".parse().expect("a literal address"),
+            server: "s".into(),
+        })
+    }
+
+    fn open_again_at(&self, now: Instant, _: &RequestPlan) -> Option<Instant> {
+        Some(self.0.max(now))
+    }
+
+    fn sent(&mut self, _: Instant, _: &RequestPlan, _: &Target) {}
+
+    fn ended(&mut self, _: Instant, _: &RequestPlan, _: &Target, _: &AttemptOutcome, _: Duration) {}
+
+    fn view(&mut self, _: Arc<View>) {}
+
+    fn fleet(&mut self, _: Arc<Fleet>) {}
+}
+
+fn state(open_at: Instant, park_share: f64) -> RoutingState {
+    let settings = RoutingSettings {
+        park_share,
+        ..Default::default()
+    };
+    RoutingState::new(settings, Box::new(LeftAlone(open_at)))
+}
+
+fn dispatch(state: &mut RoutingState, now: Instant) -> RoutingActions {
+    let plan = RequestPlan {
+        target: TARGET,
+        ..plan(now + Duration::from_secs(10))
+    };
+    state.handle(now, RoutingEvent::Dispatch(plan))
+}
+
+fn refused(actions: &RoutingActions) -> Option<ErrorKind> {
+    actions.iter().find_map(|action| match action {
+        RoutingAction::Finish {
+            outcome: Outcome::Failed { kind, .. },
+            ..
+        } => Some(*kind),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_request_waits_until_a_server_may_be_asked_again() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state(now + OPEN_AFTER, 0.5);
+
+    // Act
+    let at_once = dispatch(&mut state, now);
+    let due_at = state.next_tick_at();
+    let later = state.handle(now + OPEN_AFTER, RoutingEvent::Tick);
+
+    // Assert
+    assert!(at_once.is_empty());
+    assert_eq!(due_at, Some(now + OPEN_AFTER));
+    assert!(matches!(&later[..], [RoutingAction::Send { .. }]));
+}
+
+#[test]
+fn a_request_that_can_not_wait_long_enough_is_refused_at_once() {
+    let now = Instant::now();
+    let mut state = state(now + OPEN_AFTER, 0.2);
+    let actions = dispatch(&mut state, now);
+    assert_eq!(refused(&actions), Some(ErrorKind::NoServer));
+}
+
+#[test]
+fn a_request_whose_caller_leaves_waits_no_longer() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state(now + OPEN_AFTER, 0.5);
+    dispatch(&mut state, now);
+
+    // Act
+    let left = state.handle(now, RoutingEvent::CallerLeft(1));
+    let later = state.handle(now + OPEN_AFTER, RoutingEvent::Tick);
+
+    // Assert
+    assert_eq!(refused(&left), Some(ErrorKind::NoServer));
+    assert!(later.is_empty());
+    assert_eq!(state.open_count(), 0);
+}
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -1,4 +1,6 @@
 //! Who this daemon is and where it runs.
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::Checker;
@@ -19,6 +21,9 @@
     pub fleet_secret: String,
     /// Longest graceful shutdown, in milliseconds.
     pub stop_grace_ms: u64,
+    /// The platform kills a daemon this long after it asked it to stop, in milliseconds; 0 for
+    /// never. The shutdown ends before that.
+    pub kill_after_ms: u64,
     /// For how long a daemon that stops still takes requests, while callers and other daemons turn
     /// away from it, in milliseconds.
     pub linger_ms: u64,
@@ -32,12 +37,24 @@
             service: "".into(),
             fleet_secret: "change-me-change-me-change-me-32".to_owned(),
             stop_grace_ms: 30_000,
+            kill_after_ms: 0,
             linger_ms: 0,
         }
     }
 }
 
 impl DaemonSettings {
+    /// Longest graceful shutdown, with what is left of the platform's patience.
+    pub fn stop_limit(&self) -> Duration {
+        let grace = Duration::from_millis(self.stop_grace_ms);
+        match self.kill_after_ms {
+            0 => grace,
+            kill_after_ms => {
+                grace.min(Duration::from_millis(kill_after_ms).saturating_sub(KILL_MARGIN))
+            }
+        }
+    }
+
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
         checker.require(
@@ -63,4 +80,7 @@
     }
 }
 
+/// Time for the last answers and the end of the process before it is killed.
+const KILL_MARGIN: Duration = Duration::from_millis(1_800);
+
 const SECRET_MIN_BYTES: usize = 16;
--- a/src/settings/feed.rs
+++ b/src/settings/feed.rs
@@ -11,8 +11,11 @@
     pub ring_count: usize,
     /// Longest wait of one read for a new record, in milliseconds.
     pub wait_ms: u64,
-    /// Longest wait of one read for a new member, in milliseconds. Gossip tells of most changes.
-    pub members_wait_ms: u64,
+    /// First wait before the members are read again, in milliseconds; each one is twice as long
+    /// as the last. Gossip tells of changes.
+    pub members_poll_ms: u64,
+    /// Longest wait before the members are read again, in milliseconds.
+    pub members_poll_limit_ms: u64,
     /// Longest wait for an answer beyond the read's own wait, in milliseconds.
     pub timeout_ms: u64,
     /// Wait after a failed read, in milliseconds; doubles up to `retry_limit_ms`.
@@ -30,7 +33,8 @@
         FeedSettings {
             ring_count: 1024,
             wait_ms: 5_000,
-            members_wait_ms: 20_000,
+            members_poll_ms: 150,
+            members_poll_limit_ms: 1_800_000,
             timeout_ms: 1_000,
             retry_ms: 200,
             retry_limit_ms: 2_000,
@@ -46,13 +50,15 @@
         checker.range("ring_count", self.ring_count, 1..=65_536);
         let times_ms = [
             ("wait_ms", self.wait_ms),
-            ("members_wait_ms", self.members_wait_ms),
+            ("members_poll_ms", self.members_poll_ms),
             ("timeout_ms", self.timeout_ms),
             ("retry_ms", self.retry_ms),
             ("retry_limit_ms", self.retry_limit_ms),
             ("peer_ask_ms", self.peer_ask_ms),
             ("peer_patience_ms", self.peer_patience_ms),
         ];
+        let limit_ms = self.members_poll_limit_ms;
+        checker.range("members_poll_limit_ms", limit_ms, 1..=86_400_000);
         for (field, value) in times_ms {
             checker.range(field, value, 1..=30_000);
         }
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -60,6 +60,13 @@
     pub cold_rate_factor: f64,
     /// Starts a second beyond that.
     pub cold_rate_slack_count: u32,
+    /// Time over which guards count the attempts that their servers get after the first of a
+    /// request, in milliseconds; 0 leaves retries to the budget of each entry.
+    pub retry_window_ms: u64,
+    /// Share of first attempts that may be repeated within that time.
+    pub retry_share: f64,
+    /// Repeats within that time beyond the share, at all guards of a service together.
+    pub retry_reserve_count: u32,
     /// Kept connections to servers are used again after at most this long, in milliseconds.
     pub reuse_idle_ms: u64,
     /// The same for requests that may not run twice, in milliseconds.
@@ -92,6 +99,9 @@
             breaker_open_ms: 0,
             cold_rate_factor: 0.0,
             cold_rate_slack_count: 0,
+            retry_window_ms: 0,
+            retry_share: 0.2,
+            retry_reserve_count: 0,
             reuse_idle_ms: 0,
             reuse_idle_once_ms: 0,
         }
@@ -111,6 +121,8 @@
         checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
         checker.range("breaker_open_ms", self.breaker_open_ms, 0..=60_000);
         checker.range("cold_rate_factor", self.cold_rate_factor, 0.0..=1000.0);
+        checker.range("retry_window_ms", self.retry_window_ms, 0..=600_000);
+        checker.range("retry_share", self.retry_share, 0.0..=1.0);
         checker.range("reuse_idle_ms", self.reuse_idle_ms, 0..=600_000);
         checker.range("reuse_idle_once_ms", self.reuse_idle_once_ms, 0..=600_000);
     }
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -34,9 +34,11 @@
     /// Whether an answer that tells of the server's failure leads to a retry of a request that may
     /// run more than once.
     pub retry_failed_answers: bool,
-    /// Retries that all daemons together hold in reserve for each service; 0 gives each daemon a
-    /// reserve of its own.
-    pub retry_fleet_reserve_count: u32,
+    /// Whether guards count the retries of their service, and not each entry its own.
+    pub retries_counted_by_guards: bool,
+    /// Part of the target time of its route for which a request may wait at the entry while every
+    /// server is left alone; 0 refuses it at once.
+    pub park_share: f64,
     /// When a refused caller is told to come back where nothing better is known, in milliseconds;
     /// 0 tells nothing.
     pub retry_after_ms: u64,
@@ -61,7 +63,8 @@
             free_slot_tries_count: 0,
             refusals_limit_count: 0,
             retry_failed_answers: false,
-            retry_fleet_reserve_count: 0,
+            retries_counted_by_guards: false,
+            park_share: 0.0,
             retry_after_ms: 0,
             reuse_idle_ms: 10_000,
             connect_timeout_ms: 500,
@@ -91,6 +94,7 @@
         );
         checker.range("free_slot_tries_count", self.free_slot_tries_count, 0..=64);
         checker.range("refusals_limit_count", self.refusals_limit_count, 0..=64);
+        checker.range("park_share", self.park_share, 0.0..=1.0);
         checker.range("retry_after_ms", self.retry_after_ms, 0..=60_000);
         checker.range("reuse_idle_ms", self.reuse_idle_ms, 0..=600_000);
         self.check_backoff(checker);
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -37,6 +37,10 @@
     pub may_probe: bool,
     /// Whether its entry knows of no other server that would take it.
     pub last_resort: bool,
+    /// Whether an earlier attempt has reached a server.
+    pub repeat: bool,
+    /// Whether a server may have asked for it because of a repeat that it ran.
+    pub of_repeat: bool,
 }
 
 /// What an entry tells a guard about a request.
