Tell the story of requests from logs, and give timings as histograms

Cause: a request's lines had to be picked from the logs of 21 daemons by hand; lines named no daemon, and /metrics gave bare counters without help, types or times. Readiness and metrics shared one ring of events, so with both addresses set one listener could take the other's event and stay ready while the daemon drained.

Change: every line names its daemon and life. banyanbeam explain-log reads logs from files or standard input, puts the lines of a request in order by cause, tells what settled it and what the daemons believed then, with its age. Refusals of guards log the load of their server.

--- a/src/cli/logging.rs
+++ b/src/cli/logging.rs
@@ -5,6 +5,7 @@
 
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
 use crossbeam::channel::{bounded, Receiver, Sender};
@@ -15,6 +16,7 @@
 use crate::clock::epoch_ms;
 use crate::ring::spawn_duty;
 use crate::settings::log::LogSettings;
+use crate::types::{DaemonId, Incarnation};
 
 /// Lines that may wait for the writer.
 const LINE_RING_COUNT: usize = 4096;
@@ -22,20 +24,27 @@
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
 /// Lines that are kept until standard output is free for them.
-pub struct HeldLines(Receiver<Line>);
+pub struct HeldLines {
+    lines: Receiver<Line>,
+    life: Arc<AtomicU64>,
+}
 
 impl HeldLines {
-    /// Writes the lines from now on.
-    pub fn write(self) {
-        spawn_duty("log", move || write_lines(&self.0));
+    /// Writes the lines from now on, those of this life of the daemon.
+    pub fn write(self, life: Incarnation) {
+        self.life.store(life, Ordering::Relaxed);
+        spawn_duty("log", move || write_lines(&self.lines));
     }
 }
 
-/// Starts logging as the settings ask. Lines are kept until they may be written.
-pub fn start(settings: &LogSettings) -> eyre::Result<HeldLines> {
+/// Starts logging for a daemon as the settings ask. Lines are kept until they may be written.
+pub fn start(settings: &LogSettings, daemon: &DaemonId) -> eyre::Result<HeldLines> {
     let level = settings.level().unwrap_or(log::LevelFilter::Info);
     let (lines, waiting) = bounded(LINE_RING_COUNT);
+    let life = Arc::new(AtomicU64::new(0));
     let writer = RingWriter {
+        daemon: daemon.clone(),
+        life: life.clone(),
         lines,
         lost_count: AtomicU64::new(0),
     };
@@ -45,7 +54,10 @@
         .level_for("tiny_http", log::LevelFilter::Warn)
         .chain(Box::new(writer) as Box<dyn Log>)
         .apply()?;
-    Ok(HeldLines(waiting))
+    Ok(HeldLines {
+        lines: waiting,
+        life,
+    })
 }
 
 enum Line {
@@ -54,6 +66,9 @@
 }
 
 struct RingWriter {
+    daemon: DaemonId,
+    /// The life of the daemon; 0 before it is known.
+    life: Arc<AtomicU64>,
     lines: Sender<Line>,
     /// Lines that found the ring full since the last one that did not.
     lost_count: AtomicU64,
@@ -66,7 +81,7 @@
 
     fn log(&self, record: &Record<'_>) {
         let lost_count = self.lost_count.swap(0, Ordering::Relaxed);
-        let line = Line::Text(json_line(record, lost_count));
+        let line = Line::Text(self.json_line(record, lost_count));
         if self.lines.try_send(line).is_err() {
             self.lost_count.fetch_add(lost_count + 1, Ordering::Relaxed);
         }
@@ -91,22 +106,27 @@
     }
 }
 
-/// The record as JSON: time, level, thread, event or text, and its fields.
-fn json_line(record: &Record<'_>, lost_count: u64) -> String {
-    let mut fields = Map::new();
-    let thread = std::thread::current();
-    fields.insert("at_ms".to_owned(), epoch_ms(SystemTime::now()).into());
-    fields.insert("level".to_owned(), record.level().as_str().into());
-    fields.insert("duty".to_owned(), thread.name().unwrap_or("-").into());
-    fields.insert("event".to_owned(), record.args().to_string().into());
-    if lost_count > 0 {
-        fields.insert("lines_lost_before".to_owned(), lost_count.into());
+impl RingWriter {
+    /// The record as JSON: time, daemon, life, level, thread, event or text, and its fields.
+    fn json_line(&self, record: &Record<'_>, lost_count: u64) -> String {
+        let mut fields = Map::new();
+        let thread = std::thread::current();
+        fields.insert("at_ms".to_owned(), epoch_ms(SystemTime::now()).into());
+        fields.insert("from".to_owned(), (*self.daemon).into());
+        let life = self.life.load(Ordering::Relaxed);
+        fields.insert("life".to_owned(), life.into());
+        fields.insert("level".to_owned(), record.level().as_str().into());
+        fields.insert("duty".to_owned(), thread.name().unwrap_or("-").into());
+        fields.insert("event".to_owned(), record.args().to_string().into());
+        if lost_count > 0 {
+            fields.insert("lines_lost_before".to_owned(), lost_count.into());
+        }
+        // The visitor below never fails.
+        let _ = record.key_values().visit(&mut FieldVisitor(&mut fields));
+        let mut line = serde_json::Value::Object(fields).to_string();
+        line.push('\n');
+        line
     }
-    // The visitor below never fails.
-    let _ = record.key_values().visit(&mut FieldVisitor(&mut fields));
-    let mut line = serde_json::Value::Object(fields).to_string();
-    line.push('\n');
-    line
 }
 
 struct FieldVisitor<'a>(&'a mut Map<String, serde_json::Value>);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod domain;
 mod explain;
+mod explain_log;
 mod key;
 mod logging;
 mod measure;
@@ -66,6 +67,8 @@
     Status(status::StatusArguments),
     /// Says why something was decided, with the evidence and the rule.
     Explain(explain::ExplainArguments),
+    /// Tells what became of requests, and why, from the logs of daemons.
+    ExplainLog(explain_log::ExplainLogArguments),
     /// Shows the newest changes and decisions.
     Audit(explain::AuditArguments),
     /// Runs a stand-in of what the platform gives, for tests.
@@ -85,6 +88,7 @@
         Command::Domain(arguments) => domain::run(&arguments),
         Command::Status(arguments) => status::run(&arguments),
         Command::Explain(arguments) => explain::run(&arguments),
+        Command::ExplainLog(arguments) => explain_log::run(&arguments),
         Command::Audit(arguments) => explain::run_audit(&arguments),
         Command::Standin(arguments) => standin::run(&arguments),
     };
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -36,7 +36,7 @@
     settings: Settings,
     borders: impl FnOnce(&Settings) -> Borders,
 ) -> eyre::Result<ExitCode> {
-    let lines = logging::start(&settings.log)?;
+    let lines = logging::start(&settings.log, &settings.daemon.daemon)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let grace = settings.daemon.stop_limit();
     let borders = borders(&settings);
@@ -49,7 +49,7 @@
         daemon.operator_address,
         daemon.link_address
     );
-    lines.write();
+    lines.write(daemon.incarnation);
     log::info!(front = daemon.front_address.to_string(); "daemon_started");
     for signal in signals.forever() {
         if signal != SIGHUP {
--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -16,7 +16,8 @@
     pub(super) guard: Arc<HttpListener>,
     pub(super) announce: Arc<HttpListener>,
     pub(super) operator: Arc<HttpListener>,
-    pub(super) ready: Vec<Arc<HttpListener>>,
+    pub(super) ready: Option<Arc<HttpListener>>,
+    pub(super) metrics: Option<Arc<HttpListener>>,
     pub(super) link: TcpListener,
     pub(super) link_address: SocketAddr,
 }
@@ -38,12 +39,10 @@
             eager_body_limit_bytes: settings.operator.body_limit_bytes,
             ..Default::default()
         };
-        let addresses = [settings.ready.address, settings.ready.metrics_address];
-        let mut ready = Vec::new();
-        for address in addresses.into_iter().flatten() {
-            let listener = HttpListener::bind(address, ListenerOptions::default())?;
-            ready.push(Arc::new(listener));
-        }
+        let small = |address: Option<SocketAddr>| {
+            let bind = |address| HttpListener::bind(address, ListenerOptions::default());
+            Ok::<_, eyre::Report>(address.map(bind).transpose()?.map(Arc::new))
+        };
         let link = link::duty::bind(settings.link.address)?;
         let guard = &settings.guard;
         let announce = ListenerOptions::default();
@@ -52,13 +51,25 @@
             guard: Arc::new(HttpListener::bind(guard.address, between_daemons)?),
             announce: Arc::new(HttpListener::bind(guard.announce_address, announce)?),
             operator: Arc::new(HttpListener::bind(settings.operator.address, to_operators)?),
-            ready,
+            ready: small(settings.ready.address)?,
+            metrics: small(settings.ready.metrics_address)?,
             link_address: link.local_addr()?,
             link,
         })
     }
 }
 
+impl Listeners {
+    /// Every listener for HTTP.
+    pub(super) fn all(&self) -> Vec<Arc<HttpListener>> {
+        let always = [&self.front, &self.guard, &self.announce, &self.operator];
+        let mut all: Vec<Arc<HttpListener>> = always.into_iter().cloned().collect();
+        all.extend(self.ready.clone());
+        all.extend(self.metrics.clone());
+        all
+    }
+}
+
 /// The front's own refusals, worded as its callers expect them.
 struct CallerRefusals(Arc<dyn Dialect>);
 
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -39,6 +39,7 @@
 use crate::ring::{ring, spawn_duty, RingSender};
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::Settings;
+use crate::types::Incarnation;
 use crate::wire::listener::HttpListener;
 use crate::wire::proof::FleetKey;
 
@@ -54,8 +55,10 @@
     pub link_address: SocketAddr,
     /// Where operators come in.
     pub operator_address: SocketAddr,
-    /// Counters.
+    /// Counters and timings.
     pub metrics: Metrics,
+    /// This life of the daemon.
+    pub incarnation: Incarnation,
     linger: Duration,
     trail: RingSender<AuditEvent>,
     front: Arc<HttpListener>,
@@ -157,6 +160,8 @@
         (receivers.membership, receivers.membership_calls),
     ));
     threads.push(start_audit(&common, &rings, trail_end));
+    threads.extend(start_ready(&common, &listeners, receivers.ready));
+    let served = listeners.all();
     let link = listeners.link;
     threads.push(start_link(
         &common,
@@ -165,14 +170,6 @@
         receivers.link,
         reads_feed,
     ));
-    for listener in &listeners.ready {
-        let listener = listener.clone();
-        let events = receivers.ready.clone();
-        let metrics = common.metrics.clone();
-        threads.push(spawn_duty("ready", move || {
-            ready::duty::run(&listener, &events, &metrics);
-        }));
-    }
     Ok(Daemon {
         front_address: listeners.front.address(),
         guard_address: listeners.guard.address(),
@@ -180,19 +177,11 @@
         link_address: listeners.link_address,
         operator_address: listeners.operator.address(),
         metrics: common.metrics,
+        incarnation: common.incarnation,
         linger: Duration::from_millis(common.settings.daemon.linger_ms),
         trail: common.trail,
         front: listeners.front.clone(),
-        listeners: [
-            vec![
-                listeners.front,
-                listeners.guard,
-                listeners.announce,
-                listeners.operator,
-            ],
-            listeners.ready,
-        ]
-        .concat(),
+        listeners: served,
         rings,
         stopping,
         pause,
@@ -260,6 +249,27 @@
     }
 }
 
+/// Starts what tells of readiness and gives the metrics, where the settings ask for it.
+fn start_ready(
+    common: &Common,
+    listeners: &Listeners,
+    events: Receiver<ReadyEvent>,
+) -> Vec<JoinHandle<()>> {
+    let mut threads = Vec::new();
+    if let Some(listener) = listeners.ready.clone() {
+        threads.push(spawn_duty("ready", move || {
+            ready::duty::run(&listener, &events);
+        }));
+    }
+    if let Some(listener) = listeners.metrics.clone() {
+        let metrics = common.metrics.clone();
+        threads.push(spawn_duty("metrics", move || {
+            ready::duty::run_metrics(&listener, &metrics);
+        }));
+    }
+    threads
+}
+
 /// Time that is left for the last answers, however long the shutdown took.
 const LAST_ANSWERS: Duration = Duration::from_secs(1);
 
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -160,6 +160,7 @@
         {
             let name = self.calls.remove(key).map(|call| call.name);
             log_end(&name.unwrap_or_default(), key.1, *outcome, *elapsed);
+            self.context.metrics.time("guard.call", *elapsed);
             let end = request_end(*outcome);
             self.context.outcomes.finished(*key, end, *elapsed);
         }
@@ -389,7 +390,11 @@
         let metrics = &self.context.metrics;
         metrics.count(&format!("guard.refused.{}", kind.code()));
         let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
+        let load = self.state.load_of(&name.server);
         log::info!(
+            running_count = load.running_count,
+            limit_count = load.limit_count,
+            waiting_count = load.waiting_count,
             request = name.request,
             server = name.server,
             attempt = key.1,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -105,6 +105,17 @@
     }
 }
 
+/// What a server has to do at a moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that run.
+    pub running_count: u32,
+    /// Requests that may run at a time.
+    pub limit_count: u32,
+    /// Requests that wait for a slot.
+    pub waiting_count: usize,
+}
+
 /// How a call to a backend server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerOutcome {
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use super::deaths::{BrokenCall, DeathWatch};
-use super::message::{AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
+use super::message::{
+    AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerLoad, ServerOutcome,
+};
 use super::retries::{AttemptKind, RetryWindow};
 use super::server::ServerState;
 use super::started::StartedRecord;
@@ -134,6 +136,18 @@
         actions
     }
 
+    /// The load of a server beside; nothing for one that is not known.
+    pub fn load_of(&self, server: &str) -> ServerLoad {
+        let Some(server) = self.servers.get(server) else {
+            return ServerLoad::default();
+        };
+        ServerLoad {
+            running_count: server.running_count,
+            limit_count: server.limit_count(),
+            waiting_count: server.queue.len(),
+        }
+    }
+
     pub(super) fn ttl(&self) -> Duration {
         Duration::from_millis(self.settings.announcement_ttl_ms)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod routing;
 pub mod settings;
 pub mod standin;
+pub mod story;
 pub mod types;
 pub mod wire;
--- a/src/ready/duty.rs
+++ b/src/ready/duty.rs
@@ -1,4 +1,4 @@
-//! The thread that answers `GET /ready` and `GET /metrics`.
+//! The threads that answer `GET /ready` and `GET /metrics`.
 
 use std::sync::Arc;
 
@@ -11,28 +11,44 @@
 
 /// Path at which readiness is asked.
 pub const READY_PATH: &str = "/ready";
-/// Path of the counters.
+/// Path of counters and timings.
 pub const METRICS_PATH: &str = "/metrics";
 
-/// Answers until the listener is closed.
-pub fn run(listener: &Arc<HttpListener>, events: &Receiver<ReadyEvent>, metrics: &Metrics) {
+/// Tells whether callers may come until the listener is closed.
+pub fn run(listener: &Arc<HttpListener>, events: &Receiver<ReadyEvent>) {
     let mut state = ReadyState::default();
     while let Some((head, exchange)) = listener.next() {
         for event in events.try_iter() {
             state.handle(event);
         }
-        exchange.answer(answer(&head, state, metrics));
+        let (status, text) = match (is_get(&head, READY_PATH), state.is_ready()) {
+            (true, true) => (200, "ready\n"),
+            (true, false) => (503, "not ready\n"),
+            (false, _) => NO_SUCH_PATH,
+        };
+        exchange.answer(answer(status, text.to_owned()));
     }
 }
 
-fn answer(head: &RawHead, state: ReadyState, metrics: &Metrics) -> WholeAnswer {
-    let path = head.target.split('?').next().unwrap_or_default();
-    let (status, text) = match (head.method.as_str(), path) {
-        ("GET", READY_PATH) if state.is_ready() => (200, "ready\n".to_owned()),
-        ("GET", READY_PATH) => (503, "not ready\n".to_owned()),
-        ("GET", METRICS_PATH) => (200, metrics.text()),
-        _ => (404, "no such path\n".to_owned()),
-    };
+/// Gives counters and timings until the listener is closed.
+pub fn run_metrics(listener: &Arc<HttpListener>, metrics: &Metrics) {
+    while let Some((head, exchange)) = listener.next() {
+        if is_get(&head, METRICS_PATH) {
+            exchange.answer(answer(200, metrics.text()));
+            continue;
+        }
+        let (status, text) = NO_SUCH_PATH;
+        exchange.answer(answer(status, text.to_owned()));
+    }
+}
+
+const NO_SUCH_PATH: (u16, &str) = (404, "no such path\n");
+
+fn is_get(head: &RawHead, path: &str) -> bool {
+    head.method == "GET" && head.target.split('?').next() == Some(path)
+}
+
+fn answer(status: u16, text: String) -> WholeAnswer {
     WholeAnswer {
         status,
         headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -255,7 +255,8 @@
             request = held.head.name(),
             attempt,
             server = &*job.target.server,
-            daemon = &*job.target.daemon,
+            to = &*job.target.daemon,
+            view = self.view,
             no_wait = job.terms.no_wait,
             last_resort = job.terms.last_resort;
             "attempt_sent"
@@ -355,10 +356,10 @@
                 .refusal(held.head.answer_to(), kind, retry_after)
         }
     };
-    context.metrics.time(
-        "routing.request",
-        context.clock.now() - held.head.arrived_at,
-    );
+    let elapsed = context.clock.now() - held.head.arrived_at;
+    context.metrics.time("routing.request", elapsed);
+    let by_service = format!("routing.request.{}", held.service);
+    context.metrics.time(&by_service, elapsed);
     let exchange = held.exchange;
     if let Err(job) = context.answers.offer(AnswerJob { exchange, answer }) {
         context.metrics.count("routing.answer.inline");
--- /dev/null
+++ b/src/story/tests.rs
@@ -0,0 +1,88 @@
+use super::text::tell;
+use super::{read_line, stories, LogLine, Story};
+
+const ENTRY_SENT: &str = r#"{"at_ms":9000,"from":"e","event":"attempt_sent","request":"r1","attempt":1,"server":"s1","to":"g","view":7}"#;
+const GUARD_FAILED: &str = r#"{"at_ms":100,"from":"g","event":"call_failed","request":"r1","attempt":1,"server":"s1","outcome":"Failed(Broken)","elapsed_ms":4}"#;
+const ENTRY_LOST: &str = r#"{"at_ms":9010,"from":"e","event":"attempt_failed","request":"r1","attempt":1,"kind":"outcome_unknown","ran":"unknown","elapsed_ms":10}"#;
+const ENTRY_END: &str = r#"{"at_ms":9011,"from":"e","event":"request_failed","request":"r1","kind":"outcome_unknown","elapsed_ms":11,"route":"order","service":"orders"}"#;
+const GUARD_STATE: &str =
+    r#"{"at_ms":40,"from":"g","event":"server_state","server":"s1","cold":true}"#;
+const GUARD_STATE_LATER: &str =
+    r#"{"at_ms":400,"from":"g","event":"server_state","server":"s1","cold":false}"#;
+
+fn lines(texts: &[&str]) -> Vec<LogLine> {
+    texts.iter().filter_map(|text| read_line(text)).collect()
+}
+
+fn story_of(texts: &[&str]) -> Story {
+    let mut stories = stories(&lines(texts), |request| request == "r1");
+    assert_eq!(stories.len(), 1);
+    stories.remove(0)
+}
+
+#[test]
+fn a_line_with_text_before_it_names_its_daemon_by_the_last_word() {
+    let line = read_line(r#" 0.28 a-2 {"at_ms":5,"event":"caller_left","request":"r1"}"#);
+    let line = line.expect("a line");
+    assert_eq!((line.daemon.as_str(), line.at_ms), ("a-2", 5));
+}
+
+#[test]
+fn lines_that_are_no_events_are_passed_over() {
+    assert_eq!(read_line("front 10.1.0.4:80 guard 10.1.0.4:81"), None);
+    assert_eq!(read_line(r#"{"at_ms":5}"#), None);
+    assert_eq!(read_line(r#"{"event":"cut_"#), None);
+}
+
+#[test]
+fn lines_stand_in_the_order_of_cause_whatever_clocks_and_files_say() {
+    // Act
+    let story = story_of(&[GUARD_FAILED, ENTRY_SENT, ENTRY_LOST, ENTRY_END]);
+
+    // Assert
+    let events: Vec<&str> = story.lines.iter().map(|line| line.event.as_str()).collect();
+    let wanted = [
+        "attempt_sent",
+        "call_failed",
+        "attempt_failed",
+        "request_failed",
+    ];
+    assert_eq!(events, wanted);
+}
+
+#[test]
+fn the_call_that_may_have_run_settles_a_failed_request() {
+    let text = tell(&story_of(&[
+        ENTRY_SENT,
+        GUARD_FAILED,
+        ENTRY_LOST,
+        ENTRY_END,
+    ]));
+    let settled = text.lines().find(|line| line.contains("settled by"));
+    let settled = settled.expect("the cause");
+    assert!(
+        settled.contains("server s1") && settled.contains("Failed(Broken)"),
+        "{text}"
+    );
+}
+
+#[test]
+fn what_a_guard_believed_is_told_with_its_age_by_its_own_clock() {
+    let text = tell(&story_of(&[
+        GUARD_STATE,
+        ENTRY_SENT,
+        GUARD_FAILED,
+        ENTRY_LOST,
+        ENTRY_END,
+        GUARD_STATE_LATER,
+    ]));
+    let known: Vec<&str> = text
+        .lines()
+        .filter(|line| line.contains("known then"))
+        .collect();
+    assert_eq!(known.len(), 1);
+    assert!(
+        known[0].contains("cold true") && known[0].contains("60 ms old"),
+        "{text}"
+    );
+}
--- /dev/null
+++ b/src/story/text.rs
@@ -0,0 +1,120 @@
+//! A story as text.
+
+use std::fmt::Write;
+
+use super::line::LogLine;
+use super::order::Story;
+
+/// The story, a line an event, and what settled it.
+pub fn tell(story: &Story) -> String {
+    let mut text = format!("request {}\n", story.request);
+    for line in &story.lines {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "  {:<24} {}", line.daemon, sentence(line));
+    }
+    let _ = writeln!(text, "  settled by: {}", settled_by(story));
+    for line in &story.beliefs {
+        let age_ms = age_ms(story, line);
+        let _ = writeln!(
+            text,
+            "  known then: {:<12} {} ({age_ms} ms old)",
+            line.daemon,
+            sentence(line)
+        );
+    }
+    text
+}
+
+/// How long before the daemon's last line of the story it was logged, by the same clock.
+fn age_ms(story: &Story, belief: &LogLine) -> u64 {
+    let same = story
+        .lines
+        .iter()
+        .filter(|line| line.daemon == belief.daemon);
+    let last_ms = same.map(|line| line.at_ms).max().unwrap_or(belief.at_ms);
+    last_ms.saturating_sub(belief.at_ms)
+}
+
+fn sentence(line: &LogLine) -> String {
+    let attempt = line.attempt.unwrap_or_default();
+    let field = |name| line.text(name);
+    match line.event.as_str() {
+        "request_refused" => format!(
+            "refused it at once: {} (host {}, target {})",
+            field("kind"),
+            field("host"),
+            field("target")
+        ),
+        "attempt_sent" => format!(
+            "sent attempt {attempt} to server {} beside {} (configuration {})",
+            field("server"),
+            field("to"),
+            field("view")
+        ),
+        "guard_refused" => format!(
+            "did not start attempt {attempt} at server {}: {} ({} of {} slots taken, {} waiting)",
+            field("server"),
+            field("kind"),
+            field("running_count"),
+            field("limit_count"),
+            field("waiting_count")
+        ),
+        "call_failed" => format!(
+            "server {} failed attempt {attempt} after {} ms: {}",
+            field("server"),
+            field("elapsed_ms"),
+            field("outcome")
+        ),
+        "attempt_failed" => format!(
+            "attempt {attempt} ended after {} ms as {} (ran: {})",
+            field("elapsed_ms"),
+            field("kind"),
+            field("ran")
+        ),
+        "caller_left" => "the caller closed its connection".to_owned(),
+        "request_answered" => format!(
+            "answered with the server's {} after {} ms (route {}, service {})",
+            field("status"),
+            field("elapsed_ms"),
+            field("route"),
+            field("service")
+        ),
+        "request_failed" => format!(
+            "ended it as {} after {} ms (route {}, service {})",
+            field("kind"),
+            field("elapsed_ms"),
+            field("route"),
+            field("service")
+        ),
+        other => {
+            let fields: Vec<String> = line
+                .fields
+                .iter()
+                .map(|(name, value)| format!("{name} {value}"))
+                .collect();
+            format!("{other}: {}", fields.join(", "))
+        }
+    }
+}
+
+/// The line that decided how the request ended.
+fn settled_by(story: &Story) -> String {
+    let Some(end) = story.lines.last() else {
+        return "nothing was logged".to_owned();
+    };
+    if end.event != "request_failed" {
+        return sentence(end);
+    }
+    let decisive = |line: &&LogLine| {
+        let at_server = matches!(line.event.as_str(), "guard_refused" | "call_failed");
+        at_server || line.event == "attempt_failed" || line.event == "caller_left"
+    };
+    let ran = |line: &&LogLine| line.event == "call_failed";
+    // A call that may have run decides more than the refusals around it.
+    let found = story
+        .lines
+        .iter()
+        .rfind(ran)
+        .or_else(|| story.lines.iter().rfind(decisive));
+    found.map_or_else(|| sentence(end), sentence)
+}
