--- a/src/daemon/newest.rs
+++ b/src/daemon/newest.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use crossbeam::channel::{bounded, Receiver, Sender};
+use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 
 use super::borders::NewestStore;
 use super::common::Common;
@@ -114,22 +114,37 @@
     }
 }
 
-/// Writes descriptions of this daemon, of several that wait only the last. Membership has one
-/// written again that is not read back.
+/// Writes descriptions of this daemon, of several that wait only the last. One that was not taken is
+/// written again until a newer one comes.
 fn write_notices(
     mut board: Box<dyn Board<DaemonEntry>>,
     notices: &Receiver<DaemonEntry>,
     metrics: &Metrics,
 ) {
-    while let Ok(first) = notices.recv() {
-        let newest = notices.try_iter().last().unwrap_or(first);
+    let mut unwritten: Option<DaemonEntry> = None;
+    loop {
+        let next = match unwritten.take() {
+            None => notices.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            Some(entry) => match notices.recv_timeout(NOTICE_RETRY) {
+                Err(RecvTimeoutError::Timeout) => Ok(entry),
+                other => other,
+            },
+        };
+        let Ok(next) = next else {
+            return;
+        };
+        let newest = notices.try_iter().last().unwrap_or(next);
         if let Err(error) = board.put(&newest) {
             metrics.count("notice.failed");
             log::debug!("the description of this daemon was not written: {error}");
+            unwritten = Some(newest);
         }
     }
 }
 
+/// Wait before a description that was not taken is written again; a call that is refused has its price.
+const NOTICE_RETRY: Duration = Duration::from_secs(1);
+
 /// Starts the quota, which takes the allowance's place.
 pub(super) fn start_quota(
     common: &Common,
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -230,8 +230,13 @@
         if servers == self.own.servers {
             return;
         }
+        let others = !same_servers(&servers, &self.own.servers);
         self.own.servers = servers;
         self.describe(now);
+        if others && self.settings.publish_change_ms > 0 && !self.superseded {
+            let soon = self.later(now, self.settings.publish_change_ms);
+            self.publish_at = self.publish_at.min(soon);
+        }
     }
 
     /// Tells the fleet of a change of this daemon itself.
@@ -260,7 +265,9 @@
     fn heard_from_log(&mut self, now: Instant, entry: DaemonEntry) {
         if entry.daemon == self.own.daemon {
             let same_life = entry.incarnation == self.own.incarnation;
-            if same_life && entry.leaving == self.own.leaving {
+            let same_words = entry.leaving == self.own.leaving
+                && same_servers(&entry.servers, &self.own.servers);
+            if same_life && same_words {
                 self.publish_at = self.later(now, self.settings.publish_ms);
             }
             let summary = Summary {
@@ -322,3 +329,12 @@
         now + Duration::from_millis(wait_ms)
     }
 }
+
+/// Whether the same servers are named, whatever is said of their load.
+fn same_servers(some: &[ServerEntry], others: &[ServerEntry]) -> bool {
+    let pairs = some.iter().zip(others);
+    some.len() == others.len()
+        && pairs
+            .into_iter()
+            .all(|(one, other)| one.server == other.server)
+}
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -88,3 +88,41 @@
     assert_eq!(own.servers[0].share_permille, 0);
     assert_eq!(own.servers[0].slots_count, 4);
 }
+
+#[test]
+fn another_server_beside_is_told_through_the_platform_and_a_change_of_its_load_is_not() {
+    // Arrange
+    let begin = Instant::now();
+    let settings = MembershipSettings {
+        publish_change_ms: 200,
+        ..Default::default()
+    };
+    let random = ChaCha8Rng::seed_from_u64(1);
+    let mut state = MembershipState::new(settings, entry("a", 1, 0), random, begin);
+    state.handle(begin, MembershipEvent::Tick);
+    let with = |slots_count| {
+        MembershipEvent::Local(vec![ServerEntry {
+            server: "s".into(),
+            service: "v".into(),
+            slots_count,
+            cold: false,
+            draining: false,
+            share_permille: FULL_SHARE_PERMILLE,
+        }])
+    };
+    let published = |actions: &[MembershipAction]| {
+        let publishes = |action: &MembershipAction| matches!(action, MembershipAction::Publish(_));
+        actions.iter().any(publishes)
+    };
+    let second = Duration::from_secs(1);
+
+    // Act
+    state.handle(begin, with(5));
+    let other = state.handle(begin + second, MembershipEvent::Tick);
+    state.handle(begin + second, with(4));
+    let load = state.handle(begin + second * 2, MembershipEvent::Tick);
+
+    // Assert
+    assert!(published(&other));
+    assert!(!published(&load));
+}
--- a/src/settings/membership.rs
+++ b/src/settings/membership.rs
@@ -38,6 +38,9 @@
     pub compare_ms: u64,
     /// Wait between two own descriptions in the platform's log.
     pub publish_ms: u64,
+    /// Wait before an own description with other servers is told through the platform, in
+    /// milliseconds; 0 leaves that to gossip.
+    pub publish_change_ms: u64,
     /// Wait before an own description that was not read back is appended again.
     pub publish_retry_ms: u64,
     /// Least wait between two snapshots for the other duties.
@@ -67,6 +70,7 @@
             heal_ms: 5_000,
             compare_ms: 2_000,
             publish_ms: 1_800_000,
+            publish_change_ms: 0,
             publish_retry_ms: 10_000,
             snapshot_ms: 50,
             page_bytes: 65_536,
