--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -333,6 +333,7 @@
                 learned.closed_until = Some(now + time);
             }
             Met::Tripped(retry_after) => {
+                learned.speed.tripped(now);
                 learned.tripped_until = Some(now + retry_after.unwrap_or(CLOSED_TIME));
             }
             Met::Nothing => {}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,6 +12,7 @@
 pub mod message;
 mod met;
 mod once;
+mod own_repeats;
 mod parked;
 pub mod paths;
 pub mod speed;
--- a/src/routing/speed.rs
+++ b/src/routing/speed.rs
@@ -17,6 +17,9 @@
 /// Slowness that one failure stands for: a server that fails fast must not seem fast.
 const FAILURE_SLOWNESS: f64 = 4.0;
 
+/// Excess of a server whose guard's breaker is open: it gets less for a while after.
+const TRIPPED_EXCESS: f64 = 2.0;
+
 /// Bounds of what one request says.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.2, 10.0);
 
@@ -70,6 +73,12 @@
         self.add(now, FAILURE_SLOWNESS);
     }
 
+    /// Takes the word of its guard that the server has failed of late.
+    pub fn tripped(&mut self, now: Instant) {
+        self.excess = (self.slowness(now) - 1.0).max(TRIPPED_EXCESS);
+        self.at = Some(now);
+    }
+
     fn add(&mut self, now: Instant, slowness: f64) {
         let (least, most) = SLOWNESS_BOUNDS;
         let before = self.slowness(now) - 1.0;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -15,6 +15,7 @@
 use super::choice::ServerChoice;
 use super::limits::has_arrived;
 use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
+use super::own_repeats::OwnRepeats;
 use super::parked::Parked;
 use crate::error::{ErrorKind, Ran};
 use crate::idempotency::HomeMap;
@@ -38,8 +39,7 @@
     pub(super) homes: Option<HomeMap>,
     pub(super) budget: RetryBudget,
     pub(super) requests: HashMap<RequestId, RequestState>,
-    /// When the server on this VM last began to run a repeat.
-    own_repeat_at: Option<Instant>,
+    own_repeats: OwnRepeats,
     pub(super) parked: Parked,
     /// Whether the daemon leaves soon.
     pub(super) leaving: bool,
@@ -106,7 +106,7 @@
             fleet: Arc::default(),
             homes: None,
             requests: HashMap::new(),
-            own_repeat_at: None,
+            own_repeats: OwnRepeats::default(),
             parked: Parked::default(),
             leaving: false,
         }
@@ -132,7 +132,7 @@
             RoutingEvent::CallerLeft(request) => self.caller_left(request),
             RoutingEvent::Tick => self.wake_due(now),
             RoutingEvent::OwnServerRepeats => {
-                self.own_repeat_at = Some(now);
+                self.own_repeats.add(now);
                 SmallVec::new()
             }
             RoutingEvent::Leaving => {
@@ -165,10 +165,7 @@
     fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingActions {
         self.budget.dispatched(&plan.service);
         let request = plan.request;
-        let of_repeat = is_own_call(&plan)
-            && self
-                .own_repeat_at
-                .is_some_and(|at| now.saturating_duration_since(at) < OWN_REPEAT_MEMORY);
+        let of_repeat = is_own_call(&plan) && self.own_repeats.take(now);
         let state = RequestState {
             of_repeat,
             spent_count: 0,
@@ -454,9 +451,6 @@
     is_own_call(&state.plan) && !state.abandoned
 }
 
-/// Calls that the server on this VM makes this soon after it began a repeat are put down to it.
-const OWN_REPEAT_MEMORY: Duration = Duration::from_secs(1);
-
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
