--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -218,7 +218,14 @@
         rings.guard.deliver(GuardMessage::Event(GuardEvent::Drain));
         let leave = AllowanceMessage::Event(AllowanceEvent::Leave);
         rings.allowance.deliver(leave);
-        for part in &drained {
+        let closing_at = ends_at.checked_sub(CLOSING_TIME).unwrap_or(ends_at);
+        let open = |part: &&Receiver<()>| part.recv_deadline(closing_at).is_err();
+        let late: Vec<&Receiver<()>> = drained.iter().filter(open).collect();
+        if !late.is_empty() {
+            let closing = RoutingMessage::Event(RoutingEvent::Closing);
+            rings.routing.deliver(closing);
+        }
+        for part in late {
             if part.recv_deadline(ends_at).is_err() {
                 log::warn!("requests_left_running");
             }
@@ -270,8 +277,11 @@
     threads
 }
 
+/// Before the end, requests that have not started are taken back, this long before.
+const CLOSING_TIME: Duration = Duration::from_millis(700);
+
 /// Time that is left for the last answers, however long the shutdown took.
-const LAST_ANSWERS: Duration = Duration::from_secs(1);
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
 /// Waits for the threads, but not for those that are still held by a peer at the end.
 fn join_until(threads: Vec<JoinHandle<()>>, ends_at: Instant) {
--- a/src/guard/breaker.rs
+++ b/src/guard/breaker.rs
@@ -25,8 +25,10 @@
 const PROBE_WAIT: Duration = Duration::from_millis(150);
 /// Time between the probes of two entries.
 const TURN_TIME: Duration = Duration::from_millis(50);
-/// Turns that are told apart; later entries come with the last of them.
-const TURN_LIMIT_COUNT: u32 = 20;
+/// Entries that probe after one opening.
+const TURN_LIMIT_COUNT: u32 = 5;
+/// How much longer the other entries stay away.
+const AWAY_TIME: Duration = Duration::from_secs(2);
 /// An opening this soon after the last one ended goes on with its streak.
 const RELAPSE_TIME: Duration = Duration::from_secs(2);
 
@@ -115,14 +117,17 @@
             .map(|open| open.until.saturating_duration_since(now))
     }
 
-    /// When an entry that was refused is to ask again. Entries get turns, so that they come with
-    /// their probes one after the other.
+    /// When an entry that was refused is to ask again. A few entries get turns to probe, one after
+    /// the other; the others stay away until one of those has found out.
     pub fn retry_after(&mut self, now: Instant) -> Option<Duration> {
         let open = self.open.as_mut()?;
-        let turn = open.refused_count.min(TURN_LIMIT_COUNT);
+        let turn = open.refused_count;
         open.refused_count += 1;
-        let left = open.until.saturating_duration_since(now);
-        Some(left.max(PROBE_WAIT) + TURN_TIME * turn)
+        let left = open.until.saturating_duration_since(now).max(PROBE_WAIT);
+        Some(match turn < TURN_LIMIT_COUNT {
+            true => left + TURN_TIME * turn,
+            false => left + AWAY_TIME,
+        })
     }
 
     /// A request starts.
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -42,6 +42,9 @@
 /// A server in a domain where the request failed counts as this much more loaded.
 const TRIED_DOMAIN_FACTOR: f64 = 1.5;
 
+/// A probe is due for this long after the time that a guard has named.
+const PROBE_DUE: Duration = Duration::from_secs(1);
+
 /// Share below which a server is being probed rather than returning, in thousandths.
 const PROBE_BELOW_PERMILLE: u16 = 100;
 
@@ -244,6 +247,21 @@
         candidate.cold && idle && self.random.random_bool(share.min(1.0))
     }
 
+    /// A server whose guard has named this time for a probe, for a request that can bear one.
+    fn due_probe(&self, wish: &Wish<'_>, all: &[Candidate]) -> Option<Target> {
+        if !wish.plan.repeatable || !wish.tried.is_empty() {
+            return None;
+        }
+        let is_due = |candidate: &&Candidate| {
+            let learned = self.learned.get(&candidate.target.server);
+            let until = learned.and_then(|learned| learned.tripped_until);
+            until.is_some_and(|until| until <= wish.now && wish.now < until + PROBE_DUE)
+        };
+        let mut due = all.iter().filter(is_due);
+        let candidate = due.find(|candidate| self.is_open(wish, candidate))?;
+        Some(candidate.target.clone())
+    }
+
     fn pick_from(
         &mut self,
         wish: &Wish<'_>,
@@ -322,7 +340,11 @@
                 learned.tripped_until = None;
                 learned.slot_at = None;
             }
-            Met::Failure => learned.speed.failed(now),
+            Met::Failure => {
+                learned.speed.failed(now);
+                // A probe that failed: its guard names another time.
+                learned.tripped_until = learned.tripped_until.map(|_| now + CLOSED_TIME);
+            }
             Met::Busy(retry_after) => {
                 let time = retry_after.unwrap_or(BUSY_TIME).min(BUSY_LIMIT);
                 learned.busy_until = Some(now + time);
@@ -359,7 +381,8 @@
     ) -> Option<Target> {
         let service = self.candidates.of(&plan.service)?;
         let wish = self.wish(now, plan, tried, &service);
-        self.pick_from(&wish, &service.all, service.near_count)
+        let probed = self.due_probe(&wish, &service.all);
+        probed.or_else(|| self.pick_from(&wish, &service.all, service.near_count))
     }
 
     fn pick_tripped(
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -44,7 +44,8 @@
             limit_count => limit_count,
         };
         let attempt_limit_count = arrived_limit_count + self.settings.refusals_limit_count;
-        state.spent_count < SPENT_LIMIT_COUNT
+        !self.closing
+            && state.spent_count < SPENT_LIMIT_COUNT
             && state.arrived_count < arrived_limit_count
             && state.attempt < attempt_limit_count
             && now < state.plan.deadline_at
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -141,6 +141,8 @@
     OwnServerRepeats,
     /// The daemon leaves soon.
     Leaving,
+    /// The daemon is about to end: what has not started is taken back.
+    Closing,
     /// A new view is in force.
     View(Arc<View>),
     /// The fleet changed.
--- a/src/routing/once.rs
+++ b/src/routing/once.rs
@@ -67,6 +67,37 @@
         }
     }
 
+    /// Takes back what has not started: requests that wait here are refused, and guards are asked
+    /// for those that wait there. What runs is left to its answer.
+    pub(super) fn close(&mut self) -> RoutingActions {
+        self.closing = true;
+        let mut actions = RoutingActions::new();
+        let mut parked = Vec::new();
+        for (request, state) in &self.requests {
+            match &state.phase {
+                Phase::Parked { .. } => parked.push(*request),
+                Phase::Sent {
+                    target,
+                    incarnation,
+                } => actions.push(RoutingAction::Fence {
+                    to: target.daemon.clone(),
+                    fence: FenceRequest {
+                        request: *request,
+                        attempt: state.attempt,
+                        incarnation: *incarnation,
+                    },
+                }),
+                Phase::New | Phase::Claiming { .. } | Phase::Fencing { .. } => {}
+            }
+        }
+        for request in parked {
+            if let Some(state) = self.requests.remove(&request) {
+                actions.extend(self.finish_failed(request, state, ErrorKind::Stopping, None));
+            }
+        }
+        actions
+    }
+
     pub(super) fn fence(
         &mut self,
         request: RequestId,
@@ -98,6 +129,12 @@
         };
         let kind = match &state.phase {
             Phase::Fencing { kind } if state.attempt == attempt => *kind,
+            // The daemon is about to end, and the attempt never starts.
+            Phase::Sent { .. }
+                if state.attempt == attempt && answer == Some(FenceAnswer::Fenced) =>
+            {
+                return self.finish_failed(request, state, ErrorKind::Stopping, None);
+            }
             _ => {
                 self.requests.insert(request, state);
                 return SmallVec::new();
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -43,6 +43,8 @@
     pub(super) parked: Parked,
     /// Whether the daemon leaves soon.
     pub(super) leaving: bool,
+    /// Whether the daemon is about to end; no attempt is made any more.
+    pub(super) closing: bool,
 }
 
 pub(super) struct RequestState {
@@ -109,6 +111,7 @@
             own_repeats: OwnRepeats::default(),
             parked: Parked::default(),
             leaving: false,
+            closing: false,
         }
     }
 
@@ -135,6 +138,7 @@
                 self.own_repeats.add(now);
                 SmallVec::new()
             }
+            RoutingEvent::Closing => self.close(),
             RoutingEvent::Leaving => {
                 self.leaving = true;
                 SmallVec::new()
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,7 +1,9 @@
 mod choice;
+mod closing;
 mod last_resort;
 mod parked;
 mod patience;
+mod probes;
 
 use std::time::{Duration, Instant};
 
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -44,13 +44,14 @@
 }
 
 impl DaemonSettings {
-    /// Longest graceful shutdown, with what is left of the platform's patience.
+    /// Longest graceful shutdown; the last part of the platform's patience is left for the end.
     pub fn stop_limit(&self) -> Duration {
         let grace = Duration::from_millis(self.stop_grace_ms);
         match self.kill_after_ms {
             0 => grace,
             kill_after_ms => {
-                grace.min(Duration::from_millis(kill_after_ms).saturating_sub(KILL_MARGIN))
+                let kill_after = Duration::from_millis(kill_after_ms);
+                grace.min(kill_after - kill_after / END_DIVISOR)
             }
         }
     }
@@ -80,7 +81,7 @@
     }
 }
 
-/// Time for the last answers and the end of the process before it is killed.
-const KILL_MARGIN: Duration = Duration::from_millis(1_800);
+/// The part of the time before a process is killed in which it ends.
+const END_DIVISOR: u32 = 6;
 
 const SECRET_MIN_BYTES: usize = 16;
