--- a/src/guard/retries.rs
+++ b/src/guard/retries.rs
@@ -19,7 +19,7 @@
     window: Duration,
     share: f64,
     reserve_count: f64,
-    /// Starts of first attempts that a caller with a key asked for, oldest first.
+    /// Starts of first attempts, oldest first.
     firsts: VecDeque<Instant>,
     /// Starts of repeats, and of calls that a repeat caused, oldest first.
     repeats: VecDeque<Instant>,
@@ -28,10 +28,8 @@
 /// What an attempt is to the budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptKind {
-    /// The first attempt of a caller's request.
+    /// The first attempt of a request.
     First,
-    /// The first attempt of a call that a server made for a first attempt.
-    Call,
     /// The first attempt of a call that a server may have made for a repeat. It is counted, and not
     /// limited.
     CallOfRepeat,
@@ -70,7 +68,6 @@
         self.forget(now);
         match kind {
             AttemptKind::First => self.firsts.push_back(now),
-            AttemptKind::Call => {}
             AttemptKind::CallOfRepeat | AttemptKind::Repeat => self.repeats.push_back(now),
         }
     }
--- a/src/guard/retries/tests.rs
+++ b/src/guard/retries/tests.rs
@@ -31,7 +31,7 @@
 }
 
 #[test]
-fn first_attempts_add_their_share_and_calls_of_servers_do_not() {
+fn first_attempts_add_their_share() {
     // Arrange
     let now = Instant::now();
     let mut window = window(0);
@@ -39,7 +39,6 @@
     // Act
     for _ in 0..100 {
         window.started(now, AttemptKind::First);
-        window.started(now, AttemptKind::Call);
     }
 
     // Assert
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -378,8 +378,7 @@
     match (terms.repeat, terms.of_repeat) {
         (true, _) => AttemptKind::Repeat,
         (false, true) => AttemptKind::CallOfRepeat,
-        _ if request.organisation.is_empty() => AttemptKind::Call,
-        _ => AttemptKind::First,
+        (false, false) => AttemptKind::First,
     }
 }
 
