Read the settings again on SIGHUP and when their file changes; split routing and the guard's thread

Cause: SIGHUP was logged as unneeded and a changed settings file was never read.

Change: a thread reads the file on SIGHUP and looks at it every 2 s. Behaviour as before.

Test: tests/reload.rs, through a process (failing before: no such event).

--- /dev/null
+++ b/src/cli/reload.rs
@@ -0,0 +1,67 @@
+//! Reads the settings file again when a signal asks for it, or when the file has changed.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+use crossbeam::channel::{Receiver, RecvTimeoutError};
+
+use crate::daemon::SettingsDesk;
+use crate::settings::Settings;
+
+/// Wait between two looks at the file; it may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Reads and checks a settings file.
+pub type ReadSettings = fn(&Path) -> Result<Settings, String>;
+
+/// Keeps a daemon's settings as its file says.
+pub struct Reloader {
+    /// The file.
+    pub path: PathBuf,
+    /// Reads it.
+    pub read: ReadSettings,
+    /// Takes what it says.
+    pub desk: SettingsDesk,
+}
+
+/// What tells one state of a file from another.
+type Stamp = Option<(SystemTime, u64)>;
+
+fn stamp(path: &Path) -> Stamp {
+    let file = std::fs::metadata(path).ok()?;
+    Some((file.modified().ok()?, file.len()))
+}
+
+impl Reloader {
+    /// Reads the file again for each signal and each change, until the daemon ends.
+    pub fn run(mut self, signals: &Receiver<()>) {
+        let mut known = stamp(&self.path);
+        loop {
+            let asked = match signals.recv_timeout(LOOK_EVERY) {
+                Ok(()) => true,
+                Err(RecvTimeoutError::Timeout) => false,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let found = stamp(&self.path);
+            if asked || found != known {
+                known = found;
+                self.reload();
+            }
+        }
+    }
+
+    fn reload(&mut self) {
+        let settings = match (self.read)(&self.path) {
+            Ok(settings) => settings,
+            Err(problem) => {
+                // What is in force stays.
+                return log::warn!(problem; "settings_refused");
+            }
+        };
+        if settings == *self.desk.settings() {
+            return log::info!("settings_unchanged");
+        }
+        let waiting = self.desk.take(settings).join(",");
+        log::info!(waiting; "settings_in_force");
+    }
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -1,14 +1,17 @@
 //! `banyanbeam serve`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Args;
+use crossbeam::channel::bounded;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use super::reload::{ReadSettings, Reloader};
 use super::{logging, EXIT_USAGE};
 use crate::daemon::{self, Borders};
+use crate::ring::spawn_duty;
 use crate::settings::Settings;
 
 /// Arguments of `serve`.
@@ -20,27 +23,33 @@
 
 /// Runs a daemon until a signal asks it to stop.
 pub fn run(arguments: &ServeArguments) -> eyre::Result<ExitCode> {
-    let settings = match Settings::load(&arguments.settings) {
+    let settings = match read(&arguments.settings) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("banyanbeam: {error}");
+        Err(problem) => {
+            eprintln!("banyanbeam: {problem}");
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
-    run_with(settings, Borders::own)
+    run_with(settings, (&arguments.settings, read), Borders::own)
+}
+
+fn read(path: &Path) -> Result<Settings, String> {
+    Settings::load(path).map_err(|error| error.to_string())
 }
 
 /// Runs a daemon with other borders than the product's own until a signal asks it to stop. The
-/// borders are made once logging has started.
+/// borders are made once logging has started. The settings are read again from their file while the
+/// daemon runs.
 pub fn run_with(
     settings: Settings,
+    (path, read): (&Path, ReadSettings),
     borders: impl FnOnce(&Settings) -> Borders,
 ) -> eyre::Result<ExitCode> {
     let lines = logging::start(&settings.log, &settings.daemon.daemon)?;
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let grace = settings.daemon.stop_limit();
     let borders = borders(&settings);
-    let daemon = daemon::start_with(settings, borders)?;
+    let daemon = daemon::start_with(settings.clone(), borders)?;
     println!(
         "front {} guard {} announce {} operator {} link {}",
         daemon.front_address,
@@ -51,13 +60,21 @@
     );
     lines.write(daemon.incarnation);
     log::info!(front = daemon.front_address.to_string(); "daemon_started");
+    let (reload, asked) = bounded(1);
+    let reloader = Reloader {
+        path: path.to_owned(),
+        read,
+        desk: daemon.settings_desk(&settings),
+    };
+    spawn_duty("settings", move || reloader.run(&asked));
     for signal in signals.forever() {
         if signal != SIGHUP {
             log::info!(signal; "daemon_stopping");
             break;
         }
-        // What may change while a daemon runs comes with the configuration.
-        log::info!(signal; "daemon_reload_unneeded");
+        log::info!(signal; "daemon_reload");
+        // One that is asked for already reads the newest file.
+        let _ = reload.try_send(());
     }
     daemon.stop(grace);
     log::info!("daemon_stopped");
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,8 +11,10 @@
 mod operator;
 mod peers;
 mod readers;
+mod reload;
 mod rings;
 mod start;
 
 pub use borders::{Borders, NewestStore, Store};
+pub use reload::SettingsDesk;
 pub use start::{start, start_with, Daemon};
--- /dev/null
+++ b/src/daemon/reload.rs
@@ -0,0 +1,68 @@
+//! Puts other settings in force while the daemon runs.
+
+use super::rings::Rings;
+use crate::guard::{GuardEvent, GuardMessage};
+use crate::routing::{RoutingEvent, RoutingMessage};
+use crate::settings::Settings;
+
+/// Takes other settings for a daemon that runs.
+pub struct SettingsDesk {
+    rings: Rings,
+    /// The settings in force.
+    settings: Settings,
+}
+
+impl SettingsDesk {
+    pub(super) fn new(rings: &Rings, settings: &Settings) -> SettingsDesk {
+        SettingsDesk {
+            rings: rings.clone(),
+            settings: settings.clone(),
+        }
+    }
+
+    /// Puts the settings of guard, routing and log in force. Gives the sections that differ and wait
+    /// for the next start of the daemon.
+    pub fn take(&mut self, settings: Settings) -> Vec<&'static str> {
+        if settings.guard != self.settings.guard {
+            let event = GuardEvent::Settings(Box::new(settings.guard.clone()));
+            self.rings.guard.deliver(GuardMessage::Event(event));
+        }
+        if settings.routing != self.settings.routing {
+            let event = RoutingEvent::Settings(Box::new(settings.routing.clone()));
+            self.rings.routing.deliver(RoutingMessage::Event(event));
+        }
+        if let Some(level) = settings.log.level() {
+            log::set_max_level(level);
+        }
+        let waiting = waiting_sections(&self.settings, &settings);
+        self.settings = settings;
+        waiting
+    }
+
+    /// The settings in force, with those that wait for the next start.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+}
+
+/// Sections that are read at the start only, and differ.
+fn waiting_sections(old: &Settings, new: &Settings) -> Vec<&'static str> {
+    let sections = [
+        ("daemon", old.daemon != new.daemon),
+        ("front", old.front != new.front),
+        ("journal", old.journal != new.journal),
+        ("allowance", old.allowance != new.allowance),
+        ("quota", old.quota != new.quota),
+        ("feed", old.feed != new.feed),
+        ("ready", old.ready != new.ready),
+        ("membership", old.membership != new.membership),
+        ("idempotency", old.idempotency != new.idempotency),
+        ("link", old.link != new.link),
+        ("health", old.health != new.health),
+        ("operator", old.operator != new.operator),
+        ("audit", old.audit != new.audit),
+        ("metrics", old.metrics != new.metrics),
+    ];
+    let differs = |(name, differs): (&'static str, bool)| differs.then_some(name);
+    sections.into_iter().filter_map(differs).collect()
+}
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -20,6 +20,7 @@
 use super::listeners::Listeners;
 use super::newest::{start_newest, start_quota};
 use super::operator::{start_audit, start_operator};
+use super::reload::SettingsDesk;
 use super::rings::{make_rings, Rings};
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::audit::duty::AuditRing;
@@ -191,6 +192,11 @@
 }
 
 impl Daemon {
+    /// Takes other settings while the daemon runs.
+    pub fn settings_desk(&self, settings: &Settings) -> SettingsDesk {
+        SettingsDesk::new(&self.rings, settings)
+    }
+
     /// Graceful shutdown: takes no new work, tells the fleet, finishes what runs, and ends as
     /// soon as nothing runs, at the latest after `limit`.
     pub fn stop(self, limit: Duration) {
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -16,16 +16,15 @@
 use crate::front::answer::refusal;
 use crate::front::duty::AnswerJob;
 use crate::health::{request_end, OutcomeReader, StartedRequest};
-use crate::link::message::PoisonReport;
-use crate::link::{FenceAnswer, LinkMessage, PeerAnswer, PeerReply, PeerRequest};
+use crate::link::{LinkMessage, PeerReply};
 use crate::membership::{Fleet, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::guard::GuardSettings;
-use crate::types::{format_id, DaemonId, Incarnation, ServiceId};
-use crate::wire::client::{CallError, CallHandle, Caller};
-use crate::wire::exchange::{Exchange, RawHead, WholeAnswer};
+use crate::types::{format_id, DaemonId, Incarnation};
+use crate::wire::client::{CallHandle, Caller};
+use crate::wire::exchange::{Exchange, RawHead};
 use crate::wire::forward::ForwardHead;
 use crate::wire::http::header;
 
@@ -78,15 +77,15 @@
 }
 
 /// The thread's own part: what the decisions need not see.
-struct GuardDuty<'a> {
-    context: &'a GuardContext,
+pub(super) struct GuardDuty<'a> {
+    pub(super) context: &'a GuardContext,
     state: GuardState,
     held: HashMap<AttemptKey, HeldRequest>,
     /// Calls that run.
     calls: HashMap<AttemptKey, OpenCall>,
-    fleet: Arc<Fleet>,
+    pub(super) fleet: Arc<Fleet>,
     /// Who waits for the fence of the event in hand.
-    fence_reply: Option<PeerReply>,
+    pub(super) fence_reply: Option<PeerReply>,
 }
 
 /// Runs the duty until it is told to stop.
@@ -134,23 +133,7 @@
         }
     }
 
-    /// Takes a new fleet, and counts the guards that share a service with this one.
-    fn fleet_changed(&mut self, fleet: Arc<Fleet>) {
-        self.fleet = fleet;
-        let own = self.fleet.daemons.get(&self.context.daemon);
-        let Some(server) = own.and_then(|own| own.servers.first()) else {
-            return;
-        };
-        let service = &server.service;
-        let guards = self.fleet.daemons.values().filter(|daemon| {
-            let mut servers = daemon.servers.iter();
-            servers.any(|server| server.service == *service)
-        });
-        let count = guards.count().max(1);
-        self.decide(GuardEvent::Guards { count });
-    }
-
-    fn decide(&mut self, event: GuardEvent) {
+    pub(super) fn decide(&mut self, event: GuardEvent) {
         let now = self.context.clock.now();
         if let GuardEvent::Finished {
             key,
@@ -333,53 +316,6 @@
         });
     }
 
-    /// Asks a server for its health.
-    fn inquire(&self, address: std::net::SocketAddr, path: String) {
-        self.context.metrics.count("guard.inquiry");
-        let own = self.context.own.clone();
-        let dialect = self.context.forward.dialect.clone();
-        let done = Box::new(move |result: Result<WholeAnswer, CallError>| {
-            let word = result.ok().and_then(|answer| dialect.health_word(&answer));
-            let event = GuardEvent::Inquired { address, word };
-            own.deliver(GuardMessage::Event(event));
-        });
-        let call = forward::inquiry(&self.context.forward, address, path);
-        match self.context.caller.call(call, done) {
-            Ok(handle) => handle.detach(),
-            Err(_) => self.context.metrics.count("guard.inquiry.dropped"),
-        }
-    }
-
-    fn fence_answered(&mut self, answer: FenceAnswer) {
-        self.context
-            .metrics
-            .count(&format!("guard.fence.{answer:?}").to_lowercase());
-        if let Some(reply) = self.fence_reply.take() {
-            reply(Ok(PeerAnswer::Fence(answer)));
-        }
-    }
-
-    fn report(&self, service: &ServiceId, reports: &[PoisonReport]) {
-        self.context.metrics.count("guard.death");
-        for daemon in self.fleet.daemons.values() {
-            let serves = daemon
-                .servers
-                .iter()
-                .any(|server| server.service == *service);
-            if !serves || daemon.daemon == self.context.daemon {
-                continue;
-            }
-            let call = LinkMessage::Call {
-                to: daemon.daemon.clone(),
-                request: PeerRequest::Poison(reports.to_vec()),
-                reply: Box::new(|_| {}),
-            };
-            if self.context.link.offer(call).is_err() {
-                self.context.metrics.count("guard.report.dropped");
-            }
-        }
-    }
-
     fn answer(
         &self,
         exchange: Box<dyn Exchange>,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -12,6 +12,7 @@
 use crate::link::{FenceAnswer, FenceRequest, PeerReply};
 use crate::membership::Fleet;
 use crate::membership::ServerEntry;
+use crate::settings::guard::GuardSettings;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, OrganisationId, RequestId,
     RouteId, ServiceId,
@@ -156,6 +157,8 @@
         /// Out, or back in.
         out: bool,
     },
+    /// Other settings are in force. Addresses and limits of rings stay as they were.
+    Settings(Box<GuardSettings>),
     /// A request that a server on this VM made itself failed.
     OwnCallFailed,
     /// How many guards the service of the server on this VM has, this one among them.
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -13,6 +13,7 @@
 mod inquiry;
 mod log;
 pub mod message;
+mod others;
 pub mod poison;
 pub mod queue;
 pub mod retries;
--- /dev/null
+++ b/src/guard/others.rs
@@ -0,0 +1,79 @@
+//! What the guard's thread asks of its servers and says to other daemons.
+
+use std::sync::Arc;
+
+use super::duty::GuardDuty;
+use super::forward;
+use super::message::GuardEvent;
+use super::message::GuardMessage;
+use crate::link::message::PoisonReport;
+use crate::link::{FenceAnswer, LinkMessage, PeerAnswer, PeerRequest};
+use crate::membership::Fleet;
+use crate::types::ServiceId;
+use crate::wire::client::CallError;
+use crate::wire::exchange::WholeAnswer;
+
+impl GuardDuty<'_> {
+    /// Takes a new fleet, and counts the guards that share a service with this one.
+    pub(super) fn fleet_changed(&mut self, fleet: Arc<Fleet>) {
+        self.fleet = fleet;
+        let own = self.fleet.daemons.get(&self.context.daemon);
+        let Some(server) = own.and_then(|own| own.servers.first()) else {
+            return;
+        };
+        let service = &server.service;
+        let guards = self.fleet.daemons.values().filter(|daemon| {
+            let mut servers = daemon.servers.iter();
+            servers.any(|server| server.service == *service)
+        });
+        let count = guards.count().max(1);
+        self.decide(GuardEvent::Guards { count });
+    }
+
+    /// Asks a server for its health.
+    pub(super) fn inquire(&self, address: std::net::SocketAddr, path: String) {
+        self.context.metrics.count("guard.inquiry");
+        let own = self.context.own.clone();
+        let dialect = self.context.forward.dialect.clone();
+        let done = Box::new(move |result: Result<WholeAnswer, CallError>| {
+            let word = result.ok().and_then(|answer| dialect.health_word(&answer));
+            let event = GuardEvent::Inquired { address, word };
+            own.deliver(GuardMessage::Event(event));
+        });
+        let call = forward::inquiry(&self.context.forward, address, path);
+        match self.context.caller.call(call, done) {
+            Ok(handle) => handle.detach(),
+            Err(_) => self.context.metrics.count("guard.inquiry.dropped"),
+        }
+    }
+
+    pub(super) fn fence_answered(&mut self, answer: FenceAnswer) {
+        self.context
+            .metrics
+            .count(&format!("guard.fence.{answer:?}").to_lowercase());
+        if let Some(reply) = self.fence_reply.take() {
+            reply(Ok(PeerAnswer::Fence(answer)));
+        }
+    }
+
+    pub(super) fn report(&self, service: &ServiceId, reports: &[PoisonReport]) {
+        self.context.metrics.count("guard.death");
+        for daemon in self.fleet.daemons.values() {
+            let serves = daemon
+                .servers
+                .iter()
+                .any(|server| server.service == *service);
+            if !serves || daemon.daemon == self.context.daemon {
+                continue;
+            }
+            let call = LinkMessage::Call {
+                to: daemon.daemon.clone(),
+                request: PeerRequest::Poison(reports.to_vec()),
+                reply: Box::new(|_| {}),
+            };
+            if self.context.link.offer(call).is_err() {
+                self.context.metrics.count("guard.report.dropped");
+            }
+        }
+    }
+}
--- a/src/guard/retries.rs
+++ b/src/guard/retries.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Goes on with other settings.
+    pub fn take_settings(&mut self, settings: &GuardSettings) {
+        let RetryWindow {
+            firsts, repeats, ..
+        } = std::mem::replace(self, RetryWindow::new(settings));
+        self.firsts = firsts;
+        self.repeats = repeats;
+    }
+
     /// Whether a repeat may start, where `guard_count` guards share the reserve.
     pub fn admits(&mut self, now: Instant, guard_count: usize) -> bool {
         if self.window.is_zero() {
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Takes what may change while a server is known.
+    pub(super) fn take_settings(&mut self, settings: &GuardSettings) {
+        self.departures_final = settings.departures_final;
+        self.cold_rate_factor = settings.cold_rate_factor;
+        self.cold_rate_slack_count = settings.cold_rate_slack_count;
+    }
+
     /// Takes a new announcement. Says whether a new life of the server began.
     pub(super) fn renew(&mut self, now: Instant, announcement: Announcement) -> bool {
         let named = announcement.started_at_ms != 0 && self.announcement.started_at_ms != 0;
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -119,6 +119,7 @@
             GuardEvent::Inquired { address, word } => {
                 self.inquired(now, address, word, &mut actions);
             }
+            GuardEvent::Settings(settings) => self.take_settings(*settings),
             GuardEvent::Guards { count } => self.guard_count = count,
             GuardEvent::OwnCallFailed => self.own_call_failed_at = Some(now),
             GuardEvent::Tick => self.tick(now, &mut actions),
@@ -136,6 +137,14 @@
         actions
     }
 
+    fn take_settings(&mut self, settings: GuardSettings) {
+        self.retries.take_settings(&settings);
+        for server in self.servers.values_mut() {
+            server.take_settings(&settings);
+        }
+        self.settings = settings;
+    }
+
     /// The load of a server beside; nothing for one that is not known.
     pub fn load_of(&self, server: &str) -> ServerLoad {
         let Some(server) = self.servers.get(server) else {
--- /dev/null
+++ b/src/routing/attempted.rs
@@ -0,0 +1,108 @@
+//! What follows when an attempt ends.
+
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use super::limits::has_arrived;
+use super::message::{AttemptOutcome, RoutingAction};
+use super::state::{Phase, RequestState, RoutingActions, RoutingState, FAILURE_STATUS};
+use crate::error::ErrorKind;
+use crate::types::{Attempt, RequestId};
+
+impl RoutingState {
+    pub(super) fn attempted(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
+        elapsed: Duration,
+        resendable: bool,
+    ) -> RoutingActions {
+        let Some(mut state) = self.requests.remove(&request) else {
+            return SmallVec::new();
+        };
+        let (target, incarnation) = match &state.phase {
+            Phase::Sent {
+                target,
+                incarnation,
+            } if state.attempt == attempt => (target.clone(), *incarnation),
+            _ => {
+                self.requests.insert(request, state);
+                return SmallVec::new();
+            }
+        };
+        state.resendable = resendable;
+        self.choice
+            .ended(now, &state.plan, &target, &outcome, elapsed);
+        match outcome {
+            AttemptOutcome::Answered(answer) => {
+                state.arrived_count += 1;
+                let failed = answer.status >= FAILURE_STATUS;
+                // Two servers that fail alike point at the request.
+                let again = self.settings.retry_failed_answers && state.failed_answer.is_none();
+                if failed && state.plan.repeatable && again && !state.abandoned {
+                    state.may_have_run = true;
+                    state.spent.push(target.server);
+                    state.failed_answer = Some(answer);
+                    return self.repeat(now, request, state, ErrorKind::OutcomeUnknown);
+                }
+                if !failed {
+                    self.wake_service(now, &state.plan.service);
+                }
+                self.finish_answered(request, &state, answer)
+            }
+            AttemptOutcome::NotRun {
+                kind,
+                retry_after,
+                by_guard,
+            } => {
+                if state.terms.no_wait && by_guard && kind == ErrorKind::Busy {
+                    state.busy.extend(state.tried.pop());
+                    return self.send(now, request, state, kind);
+                }
+                if has_arrived(kind) {
+                    state.arrived_count += 1;
+                }
+                state.spent_count += u32::from(kind == ErrorKind::RetriesSpent);
+                if has_arrived(kind) || state.terms.last_resort {
+                    state.spent.push(target.server);
+                }
+                if self.may_go_elsewhere(now, &state, kind) {
+                    return self.send(now, request, state, kind);
+                }
+                self.finish_failed(request, state, kind, retry_after)
+            }
+            AttemptOutcome::Unknown { kind, by_guard } => {
+                if !by_guard && !state.plan.repeatable {
+                    return self.fence(request, state, &target, incarnation, kind);
+                }
+                state.may_have_run = true;
+                state.arrived_count += 1;
+                state.spent.push(target.server.clone());
+                state.death_count += u32::from(kind == ErrorKind::ServerDied);
+                let mut actions = self.repeat(now, request, state, kind);
+                if !by_guard {
+                    let to = target.daemon.clone();
+                    actions.push(RoutingAction::Cancel { to, request });
+                }
+                actions
+            }
+        }
+    }
+
+    /// Sends a request that may be repeated again, where the budget allows.
+    fn repeat(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        state: RequestState,
+        kind: ErrorKind,
+    ) -> RoutingActions {
+        if state.plan.repeatable && self.may_repeat(now, &state) {
+            return self.send(now, request, state, kind);
+        }
+        self.finish_failed(request, state, kind, None)
+    }
+}
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// Goes on with other settings.
+    pub fn take_settings(&mut self, settings: &RoutingSettings) {
+        self.counted = !settings.retries_counted_by_guards;
+        self.share = settings.retry_share;
+    }
+
     /// A request for a service was dispatched.
     pub fn dispatched(&mut self, service: &ServiceId) {
         if let Some(left) = self.left.get_mut(service) {
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -6,6 +6,7 @@
 use super::message::{AttemptOutcome, RequestPlan, Target};
 use crate::contract::View;
 use crate::membership::Fleet;
+use crate::settings::routing::RoutingSettings;
 use crate::types::BackendServerId;
 
 /// Chooses servers and learns from what requests met there.
@@ -58,6 +59,9 @@
         None
     }
 
+    /// Other settings are in force.
+    fn settings(&mut self, _settings: &RoutingSettings) {}
+
     /// A new view is in force.
     fn view(&mut self, view: Arc<View>);
 
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -8,14 +8,12 @@
 
 use super::choice::ServerChoice;
 use super::forward::{self, Attempted, ForwardContext};
-use super::message::{
-    AttemptOutcome, HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage,
-};
+use super::log::{log_attempt, log_end};
+use super::message::{HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage};
 use super::state::RoutingState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::front::duty::AnswerJob;
-use crate::front::RequestHead;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::link::{
     ClaimRequest, ClaimStep, FenceRequest, PeerAnswer, PeerCaller, PeerReply, PeerRequest,
@@ -23,7 +21,7 @@
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
 use crate::settings::routing::RoutingSettings;
-use crate::types::{Attempt, DaemonId, Offset, RequestId, ServiceId};
+use crate::types::{DaemonId, Offset, RequestId, ServiceId};
 use crate::wire::client::Caller;
 use crate::wire::dialect::Dialect;
 use crate::wire::exchange::Exchange;
@@ -366,39 +364,3 @@
         job.exchange.answer(job.answer);
     }
 }
-
-/// One line for each request that routing took.
-fn log_end(context: &RoutingContext, held: &HeldRequest, outcome: &Outcome) {
-    let head = &held.head;
-    let elapsed = context
-        .clock
-        .now()
-        .saturating_duration_since(head.arrived_at);
-    let elapsed_ms = elapsed.as_millis() as u64;
-    let request = head.name();
-    let (route, service) = (&*held.route, &*held.service);
-    match outcome {
-        Outcome::Answered(answer) => {
-            let status = answer.status;
-            log::info!(request, route, service, status, elapsed_ms; "request_answered");
-        }
-        Outcome::Failed { kind, retry_after } => {
-            let retry_after_ms = retry_after.map_or(0, |after| after.as_millis() as u64);
-            let kind = kind.code();
-            log::info!(request, route, service, kind, elapsed_ms, retry_after_ms; "request_failed");
-        }
-    }
-}
-
-/// One line for each attempt that did not bring the server's answer.
-fn log_attempt(head: &RequestHead, attempt: Attempt, outcome: &AttemptOutcome, elapsed: Duration) {
-    let (kind, by_guard, ran) = match outcome {
-        AttemptOutcome::Answered(_) => return,
-        AttemptOutcome::NotRun { kind, by_guard, .. } => (kind, *by_guard, "no"),
-        AttemptOutcome::Unknown { kind, by_guard } => (kind, *by_guard, "unknown"),
-    };
-    let request = head.name();
-    let elapsed_ms = elapsed.as_millis() as u64;
-    let kind = kind.code();
-    log::info!(request, attempt, kind, ran, by_guard, elapsed_ms; "attempt_failed");
-}
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -8,12 +8,13 @@
 use rand_chacha::ChaCha8Rng;
 use smallvec::SmallVec;
 
-use super::candidates::{Candidate, Candidates, ServiceCandidates};
+use super::candidates::{Candidate, Candidates};
 use super::choice::ServerChoice;
 use super::message::{AttemptOutcome, RequestPlan, Target};
 use super::met::{met, path_end, Met};
-use super::paths::{PathUse, Paths};
+use super::paths::Paths;
 use super::speed::{RouteSpeeds, ServerSpeed};
+use super::wish::Wish;
 use crate::contract::View;
 use crate::membership::{Fleet, FULL_SHARE_PERMILLE};
 use crate::settings::routing::RoutingSettings;
@@ -32,66 +33,37 @@
 /// whether it leaves.
 const CLOSED_TIME: Duration = Duration::from_secs(1);
 
-/// A cold server counts as this much more loaded than it is.
-const COLD_FACTOR: f64 = 2.0;
-
 /// Part of its drawn requests that an idle cold server takes for each slot, whatever the others'
 /// load: without requests it never warms.
 const COLD_SLOT_SHARE: f64 = 0.05;
 
-/// A server in a domain where the request failed counts as this much more loaded.
-const TRIED_DOMAIN_FACTOR: f64 = 1.5;
-
-/// A probe is due for this long after the time that a guard has named.
-const PROBE_DUE: Duration = Duration::from_secs(1);
-
-/// Share below which a server is being probed rather than returning, in thousandths.
-const PROBE_BELOW_PERMILLE: u16 = 100;
-
-/// A request goes to a probed server only if this many usual times are left, so that it can still
-/// go elsewhere.
-const PROBE_TIMES: u32 = 4;
-
 /// Servers that are remembered; beyond that the idle ones are forgotten.
 const LEARNED_LIMIT_COUNT: usize = 10_000;
 
 /// What this entry knows of one server.
 #[derive(Debug, Clone, Default)]
-struct Learned {
+pub(super) struct Learned {
     /// Requests of this entry there.
-    outstanding_count: u32,
-    speed: ServerSpeed,
-    busy_until: Option<Instant>,
+    pub(super) outstanding_count: u32,
+    pub(super) speed: ServerSpeed,
+    pub(super) busy_until: Option<Instant>,
     /// Until when its guard takes nothing for it, as far as is known.
-    closed_until: Option<Instant>,
+    pub(super) closed_until: Option<Instant>,
     /// Until when its guard's breaker is open, as far as is known.
-    tripped_until: Option<Instant>,
+    pub(super) tripped_until: Option<Instant>,
     /// When its guard expected the next slot to be free for a request that it refused.
-    slot_at: Option<Instant>,
+    pub(super) slot_at: Option<Instant>,
 }
 
 /// The least loaded of a few servers drawn at random, near ones first.
 pub struct LeastLoaded {
-    settings: RoutingSettings,
+    pub(super) settings: RoutingSettings,
     random: ChaCha8Rng,
-    own_domain: DomainId,
-    candidates: Candidates,
-    paths: Paths,
-    learned: HashMap<BackendServerId, Learned>,
-    routes: RouteSpeeds,
-}
-
-/// What one pick looks for.
-struct Wish<'a> {
-    now: Instant,
-    plan: &'a RequestPlan,
-    tried: &'a [BackendServerId],
-    tried_domains: SmallVec<[DomainId; 4]>,
-    /// Whether servers whose guard's breaker is open are wanted, rather than all others.
-    tripped: bool,
-    /// Whether paths in trouble count.
-    heed_paths: bool,
-    own_domain: DomainId,
+    pub(super) own_domain: DomainId,
+    pub(super) candidates: Candidates,
+    pub(super) paths: Paths,
+    pub(super) learned: HashMap<BackendServerId, Learned>,
+    pub(super) routes: RouteSpeeds,
 }
 
 impl LeastLoaded {
@@ -112,113 +84,6 @@
         }
     }
 
-    fn wish<'a>(
-        &self,
-        now: Instant,
-        plan: &'a RequestPlan,
-        tried: &'a [BackendServerId],
-        service: &ServiceCandidates,
-    ) -> Wish<'a> {
-        let mut tried_domains = SmallVec::new();
-        if !tried.is_empty() {
-            for candidate in &service.all {
-                if tried.contains(&candidate.target.server) {
-                    tried_domains.push(candidate.domain.clone());
-                }
-            }
-        }
-        Wish {
-            now,
-            plan,
-            tried,
-            tried_domains,
-            tripped: false,
-            heed_paths: self.heeds_paths(now, plan, service),
-            own_domain: self.own_domain.clone(),
-        }
-    }
-
-    /// Whether a server may be chosen, its share apart.
-    fn is_open(&self, wish: &Wish<'_>, candidate: &Candidate) -> bool {
-        if wish.tried.contains(&candidate.target.server) {
-            return false;
-        }
-        let learned = self.learned.get(&candidate.target.server);
-        let closed_until = learned.and_then(|learned| learned.closed_until);
-        if closed_until.is_some_and(|until| wish.now < until) {
-            return false;
-        }
-        let tripped_until = learned.and_then(|learned| learned.tripped_until);
-        if tripped_until.is_some_and(|until| wish.now < until) != wish.tripped {
-            return false;
-        }
-        if candidate.share_permille < PROBE_BELOW_PERMILLE && !self.may_probe(wish) {
-            return false;
-        }
-        if !wish.heed_paths {
-            return true;
-        }
-        match self.paths.may_use(wish.now, &candidate.target.daemon) {
-            PathUse::Open => true,
-            PathUse::Probe { repeatable_only } => wish.plan.repeatable || !repeatable_only,
-            PathUse::Avoided => false,
-        }
-    }
-
-    /// Whether the request can bear a failed probe.
-    fn may_probe(&self, wish: &Wish<'_>) -> bool {
-        let left = wish.plan.deadline_at.saturating_duration_since(wish.now);
-        let usual = self.routes.usual(&wish.plan.route);
-        // A service of orders alone would otherwise never get a server back.
-        let bearable = wish.plan.repeatable || !self.candidates.has_repeatable(&wish.plan.service);
-        bearable && wish.tried.is_empty() && left >= usual * PROBE_TIMES
-    }
-
-    fn is_busy(&self, now: Instant, candidate: &Candidate) -> bool {
-        self.learned
-            .get(&candidate.target.server)
-            .and_then(|learned| learned.busy_until)
-            .is_some_and(|until| now < until)
-    }
-
-    /// How loaded a server seems; lower is better.
-    fn load(&self, wish: &Wish<'_>, candidate: &Candidate) -> f64 {
-        let learned = self.learned.get(&candidate.target.server);
-        let outstanding = learned.map_or(0, |learned| learned.outstanding_count);
-        let backlog = learned.map_or(0.0, |learned| self.backlog(wish, learned));
-        let slowness = learned.map_or(1.0, |learned| learned.speed.slowness(wish.now));
-        let mut load = f64::from(outstanding + 1) / f64::from(candidate.slots_count.max(1));
-        load = load * slowness + backlog;
-        if candidate.cold {
-            load *= COLD_FACTOR;
-        }
-        if wish.own_domain != candidate.domain {
-            load *= self.settings.far_factor * self.far_body_factor(wish.plan);
-        }
-        if wish.tried_domains.contains(&candidate.domain) {
-            load *= TRIED_DOMAIN_FACTOR;
-        }
-        load
-    }
-
-    /// How much more a long body weighs on its way to another failure domain.
-    fn far_body_factor(&self, plan: &RequestPlan) -> f64 {
-        match self.settings.far_body_bytes {
-            0 => 1.0,
-            unit_bytes => 1.0 + plan.body_bytes as f64 / unit_bytes as f64,
-        }
-    }
-
-    /// The wait for a slot by its guard's word, in usual times of the route.
-    fn backlog(&self, wish: &Wish<'_>, learned: &Learned) -> f64 {
-        let Some(slot_at) = learned.slot_at else {
-            return 0.0;
-        };
-        let wait = slot_at.saturating_duration_since(wish.now).as_secs_f64();
-        let usual = self.routes.usual(&wish.plan.route).as_secs_f64();
-        wait / usual.max(LEAST_USUAL_S)
-    }
-
     /// Draws a few servers: half of them near, the rest from all.
     fn draw(&mut self, count: usize, near_count: usize) -> SmallVec<[usize; 8]> {
         let mut drawn = SmallVec::new();
@@ -247,21 +112,6 @@
         candidate.cold && idle && self.random.random_bool(share.min(1.0))
     }
 
-    /// A server whose guard has named this time for a probe, for a request that can bear one.
-    fn due_probe(&self, wish: &Wish<'_>, all: &[Candidate]) -> Option<Target> {
-        if !wish.plan.repeatable || !wish.tried.is_empty() {
-            return None;
-        }
-        let is_due = |candidate: &&Candidate| {
-            let learned = self.learned.get(&candidate.target.server);
-            let until = learned.and_then(|learned| learned.tripped_until);
-            until.is_some_and(|until| until <= wish.now && wish.now < until + PROBE_DUE)
-        };
-        let mut due = all.iter().filter(is_due);
-        let candidate = due.find(|candidate| self.is_open(wish, candidate))?;
-        Some(candidate.target.clone())
-    }
-
     fn pick_from(
         &mut self,
         wish: &Wish<'_>,
@@ -277,7 +127,7 @@
             let candidate = &all[index];
             if !self.within_share(candidate.share_permille)
                 || !self.is_open(wish, candidate)
-                || self.is_busy(wish.now, candidate)
+                || self.is_busy(wish.now, &candidate.target)
             {
                 continue;
             }
@@ -304,7 +154,7 @@
             let scaled =
                 f64::from(FULL_SHARE_PERMILLE) / f64::from(candidate.share_permille.max(1));
             let load = self.load(wish, candidate) * scaled;
-            if self.is_busy(wish.now, candidate) {
+            if self.is_busy(wish.now, &candidate.target) {
                 keep_better(&mut best_busy, load, candidate);
                 continue;
             }
@@ -315,20 +165,6 @@
         best.or(best_busy.filter(|_| first))
     }
 
-    /// Whether avoiding the paths in trouble leaves the service its floor.
-    fn heeds_paths(&self, now: Instant, plan: &RequestPlan, service: &ServiceCandidates) -> bool {
-        if !self.paths.any() {
-            return true;
-        }
-        let mut left_count = 0;
-        for candidate in &service.all {
-            if self.paths.may_use(now, &candidate.target.daemon) != PathUse::Avoided {
-                left_count += 1;
-            }
-        }
-        left_count > 0 && left_count >= self.candidates.floor_count(&plan.service)
-    }
-
     fn learn(&mut self, now: Instant, route: &RouteId, server: &BackendServerId, met: &Met) {
         let learned = self.learned.entry(server.clone()).or_default();
         match met {
@@ -363,9 +199,6 @@
     }
 }
 
-/// Times of a route that are not known yet count for at least this.
-const LEAST_USUAL_S: f64 = 0.02;
-
 fn keep_better<'a>(best: &mut Option<(f64, &'a Candidate)>, load: f64, candidate: &'a Candidate) {
     if best.as_ref().is_none_or(|(lowest, _)| load < *lowest) {
         *best = Some((load, candidate));
@@ -448,6 +281,10 @@
         Some((usual * PATIENCE_TIMES).max(SHORTEST_PATIENCE))
     }
 
+    fn settings(&mut self, settings: &RoutingSettings) {
+        self.settings = settings.clone();
+    }
+
     fn view(&mut self, view: Arc<View>) {
         self.candidates.view(view);
     }
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -11,6 +11,7 @@
 use crate::front::RequestHead;
 use crate::link::{ClaimAnswer, ClaimRequest, FenceAnswer, FenceRequest};
 use crate::membership::Fleet;
+use crate::settings::routing::RoutingSettings;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Incarnation, OrganisationId, RequestId, RouteId, ServiceId,
 };
@@ -139,6 +140,8 @@
     Tick,
     /// The server on this VM runs a repeat, and may make calls for it.
     OwnServerRepeats,
+    /// Other settings are in force. The limit of the ring stays as it was.
+    Settings(Box<RoutingSettings>),
     /// The daemon leaves soon.
     Leaving,
     /// The daemon is about to end: what has not started is taken back.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,13 +1,16 @@
 //! Chooses a backend server for each request, and decides on retries.
 
+mod attempted;
 pub mod budget;
 pub mod candidates;
 pub mod choice;
 pub mod duty;
 pub mod fingerprint;
+mod finish;
 pub mod forward;
 pub mod least_loaded;
 mod limits;
+mod log;
 pub mod measure;
 pub mod message;
 mod met;
@@ -17,6 +20,7 @@
 pub mod paths;
 pub mod speed;
 pub mod state;
+mod wish;
 
 pub use message::{
     AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, RoutingMessage, Target,
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -7,19 +7,17 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use smallvec::{smallvec, SmallVec};
 
 use super::budget::RetryBudget;
 use super::choice::ServerChoice;
-use super::limits::has_arrived;
-use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target};
+use super::message::{RequestPlan, RoutingAction, RoutingEvent, Target};
 use super::own_repeats::OwnRepeats;
 use super::parked::Parked;
-use crate::error::{ErrorKind, Ran};
+use crate::error::ErrorKind;
 use crate::idempotency::HomeMap;
-use crate::link::{ClaimRequest, ClaimStep};
 use crate::membership::Fleet;
 use crate::settings::routing::RoutingSettings;
 use crate::types::{Attempt, BackendServerId, DaemonId, Incarnation, RequestId};
@@ -138,6 +136,12 @@
                 self.own_repeats.add(now);
                 SmallVec::new()
             }
+            RoutingEvent::Settings(settings) => {
+                self.budget.take_settings(&settings);
+                self.choice.settings(&settings);
+                self.settings = *settings;
+                SmallVec::new()
+            }
             RoutingEvent::Closing => self.close(),
             RoutingEvent::Leaving => {
                 self.leaving = true;
@@ -276,101 +280,6 @@
         }
     }
 
-    fn attempted(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        attempt: Attempt,
-        outcome: AttemptOutcome,
-        elapsed: Duration,
-        resendable: bool,
-    ) -> RoutingActions {
-        let Some(mut state) = self.requests.remove(&request) else {
-            return SmallVec::new();
-        };
-        let (target, incarnation) = match &state.phase {
-            Phase::Sent {
-                target,
-                incarnation,
-            } if state.attempt == attempt => (target.clone(), *incarnation),
-            _ => {
-                self.requests.insert(request, state);
-                return SmallVec::new();
-            }
-        };
-        state.resendable = resendable;
-        self.choice
-            .ended(now, &state.plan, &target, &outcome, elapsed);
-        match outcome {
-            AttemptOutcome::Answered(answer) => {
-                state.arrived_count += 1;
-                let failed = answer.status >= FAILURE_STATUS;
-                // Two servers that fail alike point at the request.
-                let again = self.settings.retry_failed_answers && state.failed_answer.is_none();
-                if failed && state.plan.repeatable && again && !state.abandoned {
-                    state.may_have_run = true;
-                    state.spent.push(target.server);
-                    state.failed_answer = Some(answer);
-                    return self.repeat(now, request, state, ErrorKind::OutcomeUnknown);
-                }
-                if !failed {
-                    self.wake_service(now, &state.plan.service);
-                }
-                self.finish_answered(request, &state, answer)
-            }
-            AttemptOutcome::NotRun {
-                kind,
-                retry_after,
-                by_guard,
-            } => {
-                if state.terms.no_wait && by_guard && kind == ErrorKind::Busy {
-                    state.busy.extend(state.tried.pop());
-                    return self.send(now, request, state, kind);
-                }
-                if has_arrived(kind) {
-                    state.arrived_count += 1;
-                }
-                state.spent_count += u32::from(kind == ErrorKind::RetriesSpent);
-                if has_arrived(kind) || state.terms.last_resort {
-                    state.spent.push(target.server);
-                }
-                if self.may_go_elsewhere(now, &state, kind) {
-                    return self.send(now, request, state, kind);
-                }
-                self.finish_failed(request, state, kind, retry_after)
-            }
-            AttemptOutcome::Unknown { kind, by_guard } => {
-                if !by_guard && !state.plan.repeatable {
-                    return self.fence(request, state, &target, incarnation, kind);
-                }
-                state.may_have_run = true;
-                state.arrived_count += 1;
-                state.spent.push(target.server.clone());
-                state.death_count += u32::from(kind == ErrorKind::ServerDied);
-                let mut actions = self.repeat(now, request, state, kind);
-                if !by_guard {
-                    let to = target.daemon.clone();
-                    actions.push(RoutingAction::Cancel { to, request });
-                }
-                actions
-            }
-        }
-    }
-
-    /// Sends a request that may be repeated again, where the budget allows.
-    fn repeat(
-        &mut self,
-        now: Instant,
-        request: RequestId,
-        state: RequestState,
-        kind: ErrorKind,
-    ) -> RoutingActions {
-        if state.plan.repeatable && self.may_repeat(now, &state) {
-            return self.send(now, request, state, kind);
-        }
-        self.finish_failed(request, state, kind, None)
-    }
-
     fn caller_left(&mut self, request: RequestId) -> RoutingActions {
         let Some(state) = self.requests.get_mut(&request) else {
             return SmallVec::new();
@@ -388,75 +297,15 @@
         let to = target.daemon.clone();
         smallvec![RoutingAction::Cancel { to, request }]
     }
-
-    fn finish_answered(
-        &self,
-        request: RequestId,
-        state: &RequestState,
-        answer: WholeAnswer,
-    ) -> RoutingActions {
-        let failed = answer.status >= FAILURE_STATUS;
-        let outcome = Outcome::Answered(answer);
-        let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
-        if failed && is_failed_own_call(state) {
-            actions.push(RoutingAction::OwnCallFailed);
-        }
-        actions
-    }
-
-    /// Ends the request without a server's answer. It is told as not run only if no attempt can
-    /// have started; then its idempotency key is given back.
-    pub(super) fn finish_failed(
-        &mut self,
-        request: RequestId,
-        mut state: RequestState,
-        kind: ErrorKind,
-        retry_after: Option<Duration>,
-    ) -> RoutingActions {
-        if let Some(answer) = state.failed_answer.take() {
-            return self.finish_answered(request, &state, answer);
-        }
-        let not_run = kind.ran() == Ran::No;
-        let kind = if state.may_have_run && not_run {
-            ErrorKind::OutcomeUnknown
-        } else {
-            kind
-        };
-        let usual = Some(self.settings.retry_after_ms).filter(|ms| *ms > 0);
-        let retry_after = retry_after.or(usual.map(Duration::from_millis));
-        let outcome = Outcome::Failed { kind, retry_after };
-        let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
-        if is_failed_own_call(&state) {
-            actions.push(RoutingAction::OwnCallFailed);
-        }
-        if kind.ran() != Ran::No {
-            return actions;
-        }
-        if let (Some(to), Some(key)) = (state.claimed_at, &state.plan.idempotency_key) {
-            let claim = ClaimRequest {
-                step: ClaimStep::Release,
-                organisation: state.plan.organisation.clone(),
-                idempotency_key: key.clone(),
-                request,
-            };
-            actions.push(RoutingAction::Claim { to, claim });
-        }
-        actions
-    }
 }
 
 /// Whether a request may be one that the server on this VM made: those carry no key.
-fn is_own_call(plan: &RequestPlan) -> bool {
+pub(super) fn is_own_call(plan: &RequestPlan) -> bool {
     plan.organisation.is_empty()
 }
 
-/// Whether a request that failed may have failed the server that asked for it.
-fn is_failed_own_call(state: &RequestState) -> bool {
-    is_own_call(&state.plan) && !state.abandoned
-}
-
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
 /// Lowest status that tells of a server's failure.
-const FAILURE_STATUS: u16 = 500;
+pub(super) const FAILURE_STATUS: u16 = 500;
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,90 @@
+//! Settings that change while a daemon runs, through its process and its file.
+
+mod support;
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+
+use banyanbeam::settings::Settings;
+use support::{settings, start_log};
+
+/// A daemon whose log is read.
+struct Logged {
+    child: Child,
+    path: PathBuf,
+    lines: Receiver<String>,
+}
+
+impl Logged {
+    fn start(settings: &Settings) -> Logged {
+        let name = format!("banyanbeam-reload-{}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        write(&path, settings);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_banyanbeam"))
+            .args(["serve", path.to_str().expect("a path of text")])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let output = BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let (sender, lines) = channel();
+        std::thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                if sender.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Logged { child, path, lines }
+    }
+
+    /// Waits for the line of an event.
+    fn wait_for(&self, event: &str) -> String {
+        let wanted = format!("\"event\":\"{event}\"");
+        loop {
+            let line = self.lines.recv().expect("the daemon runs");
+            if line.contains(&wanted) {
+                return line;
+            }
+        }
+    }
+}
+
+impl Drop for Logged {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+fn write(path: &PathBuf, settings: &Settings) {
+    let text = serde_json::to_string(settings).expect("settings become JSON");
+    std::fs::write(path, text).expect("the file is written");
+}
+
+#[test]
+fn a_changed_file_is_in_force_without_a_signal_and_a_wrong_one_changes_nothing() {
+    // Arrange
+    let log = start_log();
+    let mut settings = settings("reload", "north", log.address("listening"));
+    let daemon = Logged::start(&settings);
+    daemon.wait_for("daemon_started");
+
+    // Act
+    settings.guard.retry_share = 0.125;
+    settings.quota.loan_ms = 123;
+    write(&daemon.path, &settings);
+    let in_force = daemon.wait_for("settings_in_force");
+    settings.guard.retry_share = 7.0;
+    write(&daemon.path, &settings);
+    let refused = daemon.wait_for("settings_refused");
+
+    // Assert
+    assert!(in_force.contains("\"waiting\":\"quota\""), "{in_force}");
+    assert!(
+        refused.contains("guard.retry_share") && refused.contains('7'),
+        "{refused}"
+    );
+}
