--- a/src/guard/breaker.rs
+++ b/src/guard/breaker.rs
@@ -19,8 +19,6 @@
 const STARVED_FACTOR: u32 = 4;
 /// Good probes in a row that close it after broken calls, which may well get through by chance.
 const GOOD_COUNT_AFTER_BROKEN: u32 = 2;
-/// Calls at a time at which a server is trusted as before.
-const TRUSTED_COUNT: u32 = 8;
 /// Shortest wait before a server whose probe is under way is asked again.
 const PROBE_WAIT: Duration = Duration::from_millis(150);
 /// Time between the probes of two entries.
@@ -52,8 +50,6 @@
     open_time: Duration,
     ends: VecDeque<CallEnd>,
     open: Option<Open>,
-    /// Calls at a time while trust in a server with broken calls returns.
-    trust_count: Option<u32>,
     /// When it closed last, and the streak of openings that ended then.
     closed: Option<(Instant, u32)>,
 }
@@ -82,7 +78,6 @@
             open_time,
             ends: VecDeque::with_capacity(WINDOW_COUNT),
             open: None,
-            trust_count: None,
             closed: None,
         }
     }
@@ -105,12 +100,6 @@
         repeatable || cause != Some(CallEnd::Broken)
     }
 
-    /// Requests at a time that the server is trusted with; none for as many as it has slots. Trust
-    /// returns with every good call after broken ones.
-    pub fn limit_count(&self) -> Option<u32> {
-        self.trust_count
-    }
-
     /// How long it stays open at least; none while it is closed.
     pub fn open_for(&self, now: Instant) -> Option<Duration> {
         self.open
@@ -160,10 +149,6 @@
             self.ends.pop_front();
         }
         self.ends.push_back(end);
-        if end == CallEnd::Good {
-            self.trust_count = self.trust_count.map(|count| count + 1);
-            self.trust_count.take_if(|count| *count > TRUSTED_COUNT);
-        }
         let failed = self.ends.iter().filter(|end| **end != CallEnd::Good);
         if end == CallEnd::Broken || failed.count() >= FAILED_LIMIT_COUNT {
             let relapse = self
@@ -194,7 +179,6 @@
         }
         self.ends.clear();
         self.open = None;
-        self.trust_count = (open.cause == CallEnd::Broken).then_some(1);
         self.closed = Some((now, open.streak_count));
     }
 
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -143,9 +143,7 @@
     }
 
     pub(super) fn has_free_slot(&self, now: Instant) -> bool {
-        let trusted = self.breaker.limit_count();
-        trusted.is_none_or(|limit_count| self.running_count < limit_count)
-            && self.running_count < self.limit_count()
+        self.running_count < self.limit_count()
             && self
                 .start_limit_count()
                 .is_none_or(|limit_count| self.start_rate.admits(now, limit_count))
