--- a/src/routing/parked.rs
+++ b/src/routing/parked.rs
@@ -41,33 +41,35 @@
 }
 
 impl RoutingState {
-    /// Lets a request wait that no server takes now. Gives it back where it may not wait.
+    /// Lets a request wait that no server takes now, or ends it with `kind` where it may not wait.
     pub(super) fn park(
         &mut self,
         now: Instant,
         request: RequestId,
         mut state: RequestState,
         kind: ErrorKind,
-    ) -> Result<(), RequestState> {
-        let tripped = matches!(kind, ErrorKind::ServerTripped | ErrorKind::NoServer);
-        let full = self.parked.wakes.len() >= PARKED_LIMIT_COUNT;
-        if !tripped || full || self.leaving || !self.has_attempt_left(now, &state) {
-            return Err(state);
-        }
-        let until = state.arrived_at + self.patience_at_entry(now, &state);
-        let open_at = self.choice.open_again_at(now, &state.plan);
-        let Some(wake_at) = open_at.map(|at| at.max(now + SHORTEST_WAIT)) else {
-            return Err(state);
+    ) -> RoutingActions {
+        let Some(wake_at) = self.wake_at(now, &state, kind) else {
+            return self.finish_failed(request, state, kind, None);
         };
-        if wake_at > until {
-            return Err(state);
-        }
         state.phase = Phase::Parked { kind };
         state.tried = state.spent.clone();
         state.busy.clear();
         self.requests.insert(request, state);
         self.parked.wakes.insert((wake_at, request));
-        Ok(())
+        RoutingActions::new()
+    }
+
+    /// When the servers are to be looked at again for a request; none where it may not wait so long.
+    fn wake_at(&self, now: Instant, state: &RequestState, kind: ErrorKind) -> Option<Instant> {
+        let left_alone = matches!(kind, ErrorKind::ServerTripped | ErrorKind::NoServer);
+        let full = self.parked.wakes.len() >= PARKED_LIMIT_COUNT;
+        if !left_alone || full || self.leaving || !self.has_attempt_left(now, state) {
+            return None;
+        }
+        let until = state.arrived_at + self.patience_at_entry(now, state);
+        let open_at = self.choice.open_again_at(now, &state.plan)?;
+        Some(open_at.max(now + SHORTEST_WAIT)).filter(|at| *at <= until)
     }
 
     /// How long a request may wait for a server in all.
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -211,10 +211,7 @@
         kind: ErrorKind,
     ) -> RoutingActions {
         let Some((target, terms)) = self.pick(now, &state) else {
-            return match self.park(now, request, state, kind) {
-                Ok(()) => RoutingActions::new(),
-                Err(state) => self.finish_failed(request, state, kind, None),
-            };
+            return self.park(now, request, state, kind);
         };
         state.terms = terms;
         let daemon = self.fleet.daemons.get(&target.daemon);
