--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -5,6 +5,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::plan;
 use crate::contract::{Change, Record, RouteContract, ServiceContract, View};
 use crate::error::ErrorKind;
 use crate::membership::{DaemonEntry, Fleet, ServerEntry, FULL_SHARE_PERMILLE};
@@ -98,20 +99,9 @@
         choice.view(view(0.5, None));
         choice.fleet(fleet(entries));
         let plan = RequestPlan {
-            request: 1,
-            organisation: "o".into(),
-            weight_share: 1,
             service: "workshop".into(),
             route: "look-up".into(),
-            repeatable: true,
-            foreground: true,
-            rank: 0,
-            attempts_limit_count: 0,
-            body_bytes: 0,
-            body_limit_bytes: 0,
-            idempotency_key: None,
-            target: Duration::from_secs(1),
-            deadline_at: now + Duration::from_secs(3600),
+            ..plan(now + Duration::from_secs(3600))
         };
         Bench { now, choice, plan }
     }
