Ask in one place whether a daemon serves a service

Cause: counting the guards of a service and reporting deaths to them walked the servers of each daemon by the same loop, written twice in guard/others.rs.

Change: one function, serves; two imports of one module joined. Behaviour as before.

--- a/src/guard/others.rs
+++ b/src/guard/others.rs
@@ -4,11 +4,10 @@
 
 use super::duty::GuardDuty;
 use super::forward;
-use super::message::GuardEvent;
-use super::message::GuardMessage;
+use super::message::{GuardEvent, GuardMessage};
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, LinkMessage, PeerAnswer, PeerRequest};
-use crate::membership::Fleet;
+use crate::membership::{DaemonEntry, Fleet};
 use crate::types::ServiceId;
 use crate::wire::client::CallError;
 use crate::wire::exchange::WholeAnswer;
@@ -22,10 +21,8 @@
             return;
         };
         let service = &server.service;
-        let guards = self.fleet.daemons.values().filter(|daemon| {
-            let mut servers = daemon.servers.iter();
-            servers.any(|server| server.service == *service)
-        });
+        let daemons = self.fleet.daemons.values();
+        let guards = daemons.filter(|daemon| serves(daemon, service));
         let count = guards.count().max(1);
         self.decide(GuardEvent::Guards { count });
     }
@@ -59,11 +56,7 @@
     pub(super) fn report(&self, service: &ServiceId, reports: &[PoisonReport]) {
         self.context.metrics.count("guard.death");
         for daemon in self.fleet.daemons.values() {
-            let serves = daemon
-                .servers
-                .iter()
-                .any(|server| server.service == *service);
-            if !serves || daemon.daemon == self.context.daemon {
+            if !serves(daemon, service) || daemon.daemon == self.context.daemon {
                 continue;
             }
             let call = LinkMessage::Call {
@@ -77,3 +70,9 @@
         }
     }
 }
+
+/// Whether a server of a service is beside a daemon.
+fn serves(daemon: &DaemonEntry, service: &ServiceId) -> bool {
+    let mut servers = daemon.servers.iter();
+    servers.any(|server| server.service == *service)
+}
