Say in guard_refused what keeps requests from starting

Four in ten busy refusals of the grown sites come from guards with a free slot and requests that wait; the log line could not tell why.

No decision changed.

--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -115,6 +115,34 @@
     pub limit_count: u32,
     /// Requests that wait for a slot.
     pub waiting_count: usize,
+    /// What keeps the next one from starting.
+    pub hold: Hold,
+}
+
+/// What keeps the next request from starting at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Hold {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// Its breaker is open.
+    Breaker,
+    /// Its slots are taken.
+    Slots,
+    /// It has had as many starts within a second as it may get.
+    StartRate,
+}
+
+impl Hold {
+    /// Its name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Hold::Nothing => "nothing",
+            Hold::Breaker => "breaker",
+            Hold::Slots => "slots",
+            Hold::StartRate => "start_rate",
+        }
+    }
 }
 
 /// How a call to a backend server ended.
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -4,7 +4,7 @@
 
 use super::breaker::{Breaker, CallEnd};
 use super::cold::{ColdLimit, ColdSettings};
-use super::message::{Announcement, GuardRequest, ServerOutcome};
+use super::message::{Announcement, GuardRequest, Hold, ServerOutcome};
 use super::queue::FairQueue;
 use super::start_rate::StartRate;
 use super::times::RouteTimes;
@@ -149,6 +149,20 @@
                 .is_none_or(|limit_count| self.start_rate.admits(now, limit_count))
     }
 
+    /// What keeps the next request from starting.
+    pub(super) fn hold(&self, now: Instant) -> Hold {
+        if self.breaker.open_for(now).is_some() {
+            return Hold::Breaker;
+        }
+        if self.running_count >= self.limit_count() {
+            return Hold::Slots;
+        }
+        match self.has_free_slot(now) {
+            true => Hold::Nothing,
+            false => Hold::StartRate,
+        }
+    }
+
     /// Whether its starts are limited by the rate that it bears while cold, and not by a number
     /// of slots that is found out.
     fn has_cold_rate(&self) -> bool {
--- a/src/story/text.rs
+++ b/src/story/text.rs
@@ -52,12 +52,13 @@
             field("view")
         ),
         "guard_refused" => format!(
-            "did not start attempt {attempt} at server {}: {} ({} of {} slots taken, {} waiting)",
+            "did not start attempt {attempt} at server {}: {} ({} of {} slots taken, {} waiting, held by {})",
             field("server"),
             field("kind"),
             field("running_count"),
             field("limit_count"),
-            field("waiting_count")
+            field("waiting_count"),
+            field("hold")
         ),
         "call_failed" => format!(
             "server {} failed attempt {attempt} after {} ms: {}",
