--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,5 +1,6 @@
 mod deaths;
 mod servers;
+mod warm_rate;
 
 use std::time::{Duration, Instant};
 
--- /dev/null
+++ b/src/guard/tests/warm_rate.rs
@@ -0,0 +1,175 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{announcement, request, LIFE};
+use crate::contract::{Document, ServiceContract, View};
+use crate::guard::message::{
+    Announcement, AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome,
+};
+use crate::guard::state::GuardState;
+use crate::settings::guard::GuardSettings;
+
+const SLOTS_COUNT: u32 = 10;
+const COLD_RATE_PER_S: f64 = 16.0;
+const COLD_RATE_FACTOR: f64 = 1.5;
+const COLD_RATE_SLACK_COUNT: u32 = 8;
+/// What a cold server bears within any second.
+const COLD_BOUND_COUNT: usize = 32;
+const USUAL_MS: f64 = 200.0;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A guard and its server under virtual time, with more requests than its cold rate allows.
+struct Bench {
+    state: GuardState,
+    random: ChaCha8Rng,
+    now: Instant,
+    next_number: u128,
+    /// How much longer than usual the server takes.
+    slowness: f64,
+    running: BTreeMap<(Instant, AttemptKey), Instant>,
+    starts: VecDeque<Instant>,
+}
+
+impl Bench {
+    fn new(seed: u64) -> Bench {
+        let now = Instant::now();
+        let settings = GuardSettings {
+            cold_rate_factor: COLD_RATE_FACTOR,
+            cold_rate_slack_count: COLD_RATE_SLACK_COUNT,
+            ..Default::default()
+        };
+        let mut state = GuardState::new(settings, LIFE);
+        let document = Document {
+            services: vec![ServiceContract {
+                service: "v".into(),
+                cold_rate_per_s: COLD_RATE_PER_S,
+                ..Default::default()
+            }],
+            ..Default::default()
+        };
+        let view = Arc::new(View::of_document(1, &document, Default::default()));
+        state.handle(now, GuardEvent::View(view));
+        let server = Announcement {
+            service: "v".into(),
+            slots_count: SLOTS_COUNT,
+            ..announcement()
+        };
+        state.handle(now, GuardEvent::Announced(server));
+        Bench {
+            state,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now,
+            next_number: 1,
+            slowness: 1.0,
+            running: BTreeMap::new(),
+            starts: VecDeque::new(),
+        }
+    }
+
+    /// Sends `per_s` requests a second, evenly spaced, for a while.
+    fn load(&mut self, per_s: u32, time: Duration) {
+        let until = self.now + time;
+        let gap = SECOND / per_s;
+        let mut arrives_at = self.now + gap;
+        while self.now < until {
+            let answered_at = self.running.first_key_value().map(|((at, _), _)| *at);
+            let tick_at = self.state.next_tick_at();
+            let others = [answered_at, tick_at].into_iter().flatten();
+            let next_at = others.fold(arrives_at, Instant::min);
+            self.now = self.now.max(next_at);
+            let event = if answered_at == Some(next_at) {
+                self.answer()
+            } else if next_at == arrives_at {
+                arrives_at += gap;
+                self.arrival()
+            } else {
+                GuardEvent::Tick
+            };
+            let actions = self.state.handle(self.now, event);
+            self.carry_out(actions);
+        }
+    }
+
+    fn arrival(&mut self) -> GuardEvent {
+        let number = self.next_number;
+        self.next_number += 1;
+        GuardEvent::Arrived(GuardRequest {
+            deadline_at: self.now + Duration::from_secs(5),
+            ..request(number, self.now)
+        })
+    }
+
+    fn answer(&mut self) -> GuardEvent {
+        let ((_, key), started_at) = self.running.pop_first().expect("a call runs");
+        GuardEvent::Finished {
+            key,
+            outcome: ServerOutcome::Answered(200),
+            elapsed: self.now - started_at,
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<GuardAction>) {
+        for action in actions {
+            let GuardAction::Start { key, .. } = action else {
+                continue;
+            };
+            // Half to one and a half times the usual time.
+            let spread = self.random.random_range(0.5..1.5);
+            let time = Duration::from_secs_f64(USUAL_MS / 1e3 * spread * self.slowness);
+            self.running.insert((self.now + time, key), self.now);
+            self.starts.push_back(self.now);
+        }
+    }
+
+    /// Most starts within any second since `since`.
+    fn most_within_a_second(&self, since: Instant) -> usize {
+        let mut window: VecDeque<Instant> = VecDeque::new();
+        let mut most = 0;
+        for at in self.starts.iter().filter(|at| **at >= since) {
+            window.push_back(*at);
+            window.retain(|start| *at - *start < SECOND);
+            most = most.max(window.len());
+        }
+        most
+    }
+}
+
+#[test]
+fn a_warm_server_gets_what_its_slots_bear() {
+    // Arrange: its slots bear 50 requests a second.
+    let mut bench = Bench::new(1);
+    bench.load(40, Duration::from_secs(4));
+    let before_count = bench.starts.len();
+
+    // Act
+    bench.load(40, Duration::from_secs(5));
+
+    // Assert
+    assert!(bench.starts.len() - before_count >= 195);
+    assert!(bench.state.load_of(bench.now, "s").waiting_count <= 2);
+}
+
+#[test]
+fn a_server_that_turns_cold_in_silence_gets_no_more_than_it_bears() {
+    for seed in 0..50 {
+        // Arrange
+        let mut bench = Bench::new(seed);
+        bench.load(40, Duration::from_secs(10));
+        let cold_at = bench.now;
+
+        // Act
+        bench.slowness = 2.0;
+        bench.load(40, Duration::from_secs(3));
+
+        // Assert
+        let most = bench.most_within_a_second(cold_at);
+        assert!(
+            most <= COLD_BOUND_COUNT,
+            "seed {seed}: {most} within a second"
+        );
+    }
+}
--- a/src/routing/tests/last_resort.rs
+++ b/src/routing/tests/last_resort.rs
@@ -6,7 +6,9 @@
 use crate::error::ErrorKind;
 use crate::membership::Fleet;
 use crate::routing::choice::ServerChoice;
-use crate::routing::message::{AttemptOutcome, RequestPlan, RoutingAction, RoutingEvent, Target};
+use crate::routing::message::{
+    AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target,
+};
 use crate::routing::state::{RoutingActions, RoutingState};
 use crate::settings::routing::RoutingSettings;
 use crate::types::{Attempt, BackendServerId};
@@ -151,3 +153,69 @@
     // Assert
     assert!(actions.contains(&RoutingAction::OwnCallFailed));
 }
+
+/// One server whose guard refuses for want of room, and one whose breaker is open.
+struct FullAndTripped;
+
+impl ServerChoice for FullAndTripped {
+    fn pick(&mut self, _: Instant, _: &RequestPlan, tried: &[BackendServerId]) -> Option<Target> {
+        let full = tried.iter().all(|server| &**server != "full");
+        full.then(|| target("full"))
+    }
+
+    fn pick_tripped(
+        &mut self,
+        _: Instant,
+        _: &RequestPlan,
+        _: &[BackendServerId],
+    ) -> Option<Target> {
+        Some(target("tripped"))
+    }
+
+    fn sent(&mut self, _: Instant, _: &RequestPlan, _: &Target) {}
+
+    fn ended(&mut self, _: Instant, _: &RequestPlan, _: &Target, _: &AttemptOutcome, _: Duration) {}
+
+    fn view(&mut self, _: Arc<View>) {}
+
+    fn fleet(&mut self, _: Arc<Fleet>) {}
+}
+
+#[test]
+fn a_request_that_finds_servers_full_is_not_sent_to_one_that_fails() {
+    // Arrange
+    let now = Instant::now();
+    let settings = RoutingSettings {
+        refusals_limit_count: 8,
+        ..Default::default()
+    };
+    let mut state = RoutingState::new(settings, Box::new(FullAndTripped));
+    let plan = plan(now + Duration::from_secs(1));
+    state.handle(now, RoutingEvent::Dispatch(plan));
+
+    // Act
+    let full = RoutingEvent::Attempted {
+        request: 1,
+        attempt: 1,
+        outcome: AttemptOutcome::NotRun {
+            kind: ErrorKind::Busy,
+            retry_after: Some(Duration::from_millis(700)),
+            by_guard: true,
+        },
+        elapsed: Duration::from_millis(1),
+        resendable: true,
+    };
+    let actions = state.handle(now, full);
+
+    // Assert
+    assert_eq!(sent(&actions), None);
+    let refused = Outcome::Failed {
+        kind: ErrorKind::Busy,
+        retry_after: Some(Duration::from_millis(700)),
+    };
+    let finish = RoutingAction::Finish {
+        request: 1,
+        outcome: refused,
+    };
+    assert!(actions.contains(&finish));
+}
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -182,3 +182,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
