Count a server's starts since it was last proven warm

Callers saw half of their requests unserved on the grown sites, and calls that servers make of each other time out.

Cause: any server may turn cold without a word, so each was held to the starts a second that a cold one bears, at all times. Evidence: 38,570 of 65,989 busy refusals with a slot free and requests waiting, nearly all at the one service whose requests are short.

Change: answers that come sooner than is usual for their route prove the server warm up to the time when they started; only starts since then count against the rate. A server that turns cold in silence gives no such proof, so no more starts than it bears follow.

--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -22,6 +22,7 @@
 pub mod started;
 pub mod state;
 pub mod times;
+mod warmth;
 mod withdraw;
 
 pub use message::{Announcement, AttemptKey, GuardAction, GuardEvent, GuardMessage};
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -8,9 +8,11 @@
 use super::queue::FairQueue;
 use super::start_rate::StartRate;
 use super::times::RouteTimes;
+use super::warmth::Warmth;
 use crate::membership::message::FULL_SHARE_PERMILLE;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
+use crate::types::RouteId;
 use crate::wire::client::CallError;
 
 /// Answers before waits are foretold.
@@ -41,6 +43,7 @@
     pub(super) cold_rate_per_s: f64,
     cold_rate_factor: f64,
     cold_rate_slack_count: u32,
+    warmth: Warmth,
     times: RouteTimes,
 }
 
@@ -71,6 +74,7 @@
             cold_rate_per_s: 0.0,
             cold_rate_factor: settings.cold_rate_factor,
             cold_rate_slack_count: settings.cold_rate_slack_count,
+            warmth: Warmth::default(),
             times: RouteTimes::default(),
         }
     }
@@ -170,7 +174,7 @@
     }
 
     /// Requests that may start within a second. One that does not say it is cold may have turned
-    /// cold since.
+    /// cold since it was last proven warm.
     fn start_limit_count(&self) -> Option<usize> {
         if !self.has_cold_rate() {
             return None;
@@ -229,6 +233,17 @@
             .answered(now, &request.route, elapsed, slots_count);
     }
 
+    /// Takes the time of a good answer as evidence on whether the server was warm.
+    pub(super) fn answered_well(&mut self, now: Instant, route: &RouteId, elapsed: Duration) {
+        if self.announcement.cold {
+            return self.warmth.told_cold();
+        }
+        let started_at = now.checked_sub(elapsed).unwrap_or(now);
+        if let Some(at) = self.warmth.answered(route, started_at, elapsed) {
+            self.start_rate.proven_warm(at);
+        }
+    }
+
     /// How long a request would wait for its slot, by recent service times.
     pub(super) fn expected_wait(&self, request: &GuardRequest) -> Duration {
         let turns = (self.queue.ahead_count(request) + 1) as f64 / f64::from(self.limit_count());
@@ -273,7 +288,7 @@
 const MAX_WAIT_S: f64 = 3600.0;
 
 /// Lowest status that tells of a server's failure.
-const FAILURE_STATUS: u16 = 500;
+pub(super) const FAILURE_STATUS: u16 = 500;
 
 /// Starts that stay below what a cold server bears, for requests that bunch on their way.
 const START_MARGIN_COUNT: usize = 2;
--- a/src/guard/start_rate.rs
+++ b/src/guard/start_rate.rs
@@ -1,4 +1,4 @@
-//! How many requests a server may be given within a second, whatever its free slots.
+//! How many requests a server that may be cold is given within a second, whatever its free slots.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -8,7 +8,8 @@
 /// Limits the requests that start within any second.
 #[derive(Debug, Default)]
 pub struct StartRate {
-    /// Starts within the last second, oldest first.
+    /// Starts within the last second for which it is not proven that they met a warm server, oldest
+    /// first.
     starts: VecDeque<Instant>,
 }
 
@@ -24,6 +25,13 @@
         self.starts.get(over).map(|start| *start + WINDOW)
     }
 
+    /// The server was warm up to `at`: no start until then can have met it cold.
+    pub fn proven_warm(&mut self, at: Instant) {
+        while self.starts.front().is_some_and(|start| *start <= at) {
+            self.starts.pop_front();
+        }
+    }
+
     /// A request starts.
     pub fn started(&mut self, now: Instant) {
         while self
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -9,7 +9,7 @@
     AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerLoad, ServerOutcome,
 };
 use super::retries::{AttemptKind, RetryWindow};
-use super::server::ServerState;
+use super::server::{ServerState, FAILURE_STATUS};
 use super::started::StartedRecord;
 use crate::contract::View;
 use crate::error::ErrorKind;
@@ -345,8 +345,11 @@
         let broken = !server.breaker.admits(now, false);
         match outcome {
             ServerOutcome::Answered(SHED_STATUS) => server.cold.failed(now),
-            ServerOutcome::Answered(_) => {
+            ServerOutcome::Answered(status) => {
                 server.answered(now, &request, elapsed);
+                if status < FAILURE_STATUS {
+                    server.answered_well(now, &request.route, elapsed);
+                }
                 self.deaths.survived(&request.fingerprint);
             }
             ServerOutcome::Failed(CallError::Late) => server.cold.late(now),
--- a/src/guard/tests/warm_rate.rs
+++ b/src/guard/tests/warm_rate.rs
@@ -38,6 +38,7 @@
     fn new(seed: u64) -> Bench {
         let now = Instant::now();
         let settings = GuardSettings {
+            announcement_ttl_ms: 60_000,
             cold_rate_factor: COLD_RATE_FACTOR,
             cold_rate_slack_count: COLD_RATE_SLACK_COUNT,
             ..Default::default()
@@ -117,8 +118,8 @@
             let GuardAction::Start { key, .. } = action else {
                 continue;
             };
-            // Half to one and a half times the usual time.
-            let spread = self.random.random_range(0.5..1.5);
+            // Some answers of a cold server are as quick as usual ones of a warm one.
+            let spread = self.random.random_range(0.3..1.7);
             let time = Duration::from_secs_f64(USUAL_MS / 1e3 * spread * self.slowness);
             self.running.insert((self.now + time, key), self.now);
             self.starts.push_back(self.now);
@@ -149,17 +150,23 @@
     bench.load(40, Duration::from_secs(5));
 
     // Assert
-    assert!(bench.starts.len() - before_count >= 195);
+    let started_count = bench.starts.len() - before_count;
+    assert!(started_count >= 195, "{started_count} of 200");
     assert!(bench.state.load_of(bench.now, "s").waiting_count <= 2);
 }
 
 #[test]
 fn a_server_that_turns_cold_in_silence_gets_no_more_than_it_bears() {
-    for seed in 0..50 {
+    for seed in 0..200 {
         // Arrange
         let mut bench = Bench::new(seed);
         bench.load(40, Duration::from_secs(10));
         let cold_at = bench.now;
+        assert!(
+            bench.starts.len() > 250,
+            "seed {seed}: {}",
+            bench.starts.len()
+        );
 
         // Act
         bench.slowness = 2.0;
--- a/src/guard/times.rs
+++ b/src/guard/times.rs
@@ -7,16 +7,29 @@
 
 /// Routes with times of their own; others share one.
 const ROUTE_LIMIT_COUNT: usize = 64;
-/// Weight of a new time in the mean.
-const NEW_WEIGHT_SHARE: f64 = 0.1;
+/// Weight of a new time in a mean that follows the server.
+const QUICK_WEIGHT_SHARE: f64 = 0.1;
+/// The same in a mean that stays while the server is slow for a while.
+const STEADY_WEIGHT_SHARE: f64 = 0.01;
 
 /// Moving means of service times by route.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RouteTimes {
+    new_weight_share: f64,
     routes: HashMap<RouteId, MeanTime>,
     all: MeanTime,
 }
 
+impl Default for RouteTimes {
+    fn default() -> Self {
+        RouteTimes {
+            new_weight_share: QUICK_WEIGHT_SHARE,
+            routes: HashMap::new(),
+            all: MeanTime::default(),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct MeanTime {
     mean_s: f64,
@@ -24,26 +37,42 @@
 }
 
 impl MeanTime {
-    fn add(&mut self, elapsed_s: f64) {
+    fn add(&mut self, elapsed_s: f64, new_weight_share: f64) {
         self.sample_count = self.sample_count.saturating_add(1);
-        let weight = NEW_WEIGHT_SHARE.max(1.0 / f64::from(self.sample_count));
+        let weight = new_weight_share.max(1.0 / f64::from(self.sample_count));
         self.mean_s += weight * (elapsed_s - self.mean_s);
     }
 }
 
 impl RouteTimes {
+    /// Times that change only over many answers.
+    pub fn steady() -> RouteTimes {
+        RouteTimes {
+            new_weight_share: STEADY_WEIGHT_SHARE,
+            ..Default::default()
+        }
+    }
+
     /// Takes the time of one whole answer.
     pub fn add(&mut self, route: &RouteId, elapsed: Duration) {
         let elapsed_s = elapsed.as_secs_f64();
-        self.all.add(elapsed_s);
+        let weight = self.new_weight_share;
+        self.all.add(elapsed_s, weight);
         if let Some(mean) = self.routes.get_mut(route) {
-            return mean.add(elapsed_s);
+            return mean.add(elapsed_s, weight);
         }
         if self.routes.len() < ROUTE_LIMIT_COUNT {
-            self.routes.entry(route.clone()).or_default().add(elapsed_s);
+            let mean = self.routes.entry(route.clone()).or_default();
+            mean.add(elapsed_s, weight);
         }
     }
 
+    /// The mean time of this very route, once enough answers of it were seen.
+    pub fn own_mean_s(&self, route: &RouteId, least_sample_count: u32) -> Option<f64> {
+        let mean = self.routes.get(route)?;
+        (mean.sample_count >= least_sample_count).then_some(mean.mean_s)
+    }
+
     /// The mean time of a route, once enough answers were seen.
     pub fn mean_s(&self, route: &RouteId, least_sample_count: u32) -> Option<f64> {
         let mean = self.routes.get(route).unwrap_or(&self.all);
@@ -62,6 +91,7 @@
 
     /// Forgets all times.
     pub fn forget(&mut self) {
-        *self = RouteTimes::default();
+        self.routes.clear();
+        self.all = MeanTime::default();
     }
 }
