Send nothing to failing servers for want of room at sound ones

Cause: a request that no server of its service would take went to one behind an open breaker, as the last resort. They spent the retries of the service besides.

Change: a request that a guard refused for want of room or budget gets no last resort; it ends as busy, with the shortest wait that a guard named. Parking looks at all servers anew.

--- a/src/routing/attempted.rs
+++ b/src/routing/attempted.rs
@@ -58,6 +58,10 @@
                 retry_after,
                 by_guard,
             } => {
+                if by_guard && is_full(kind) {
+                    state.met_full = true;
+                    state.shortest_wait = shorter(state.shortest_wait, retry_after);
+                }
                 if state.terms.no_wait && by_guard && kind == ErrorKind::Busy {
                     state.busy.extend(state.tried.pop());
                     return self.send(now, request, state, kind);
@@ -106,3 +110,18 @@
         self.finish_failed(request, state, kind, None)
     }
 }
+
+/// Whether a guard refused for want of room or budget, and not for its server's sake.
+fn is_full(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Busy | ErrorKind::DeadlineUnmeetable | ErrorKind::RetriesSpent
+    )
+}
+
+fn shorter(known: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
+    match (known, other) {
+        (Some(known), Some(other)) => Some(known.min(other)),
+        _ => known.or(other),
+    }
+}
--- a/src/routing/finish.rs
+++ b/src/routing/finish.rs
@@ -47,7 +47,9 @@
             kind
         };
         let usual = Some(self.settings.retry_after_ms).filter(|ms| *ms > 0);
-        let retry_after = retry_after.or(usual.map(Duration::from_millis));
+        let retry_after = retry_after
+            .or(state.shortest_wait)
+            .or(usual.map(Duration::from_millis));
         let outcome = Outcome::Failed { kind, retry_after };
         let mut actions: RoutingActions = smallvec![RoutingAction::Finish { request, outcome }];
         if is_failed_own_call(&state) {
--- a/src/routing/parked.rs
+++ b/src/routing/parked.rs
@@ -55,6 +55,7 @@
         state.phase = Phase::Parked { kind };
         state.tried = state.spent.clone();
         state.busy.clear();
+        state.met_full = false;
         self.requests.insert(request, state);
         self.parked.wakes.insert((wake_at, request));
         RoutingActions::new()
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smallvec::{smallvec, SmallVec};
 
@@ -70,6 +70,10 @@
     pub(super) of_repeat: bool,
     /// Guards that refused a repeat of it for want of budget.
     pub(super) spent_count: u32,
+    /// Whether a guard refused it for want of room, whose server is sound as far as is known.
+    pub(super) met_full: bool,
+    /// The shortest wait for a slot that a guard named.
+    pub(super) shortest_wait: Option<Duration>,
     /// Whether an attempt may have started. Never returns to false.
     pub(super) may_have_run: bool,
     /// Servers that died while they ran the request.
@@ -177,6 +181,8 @@
         let state = RequestState {
             of_repeat,
             spent_count: 0,
+            met_full: false,
+            shortest_wait: None,
             plan: Arc::new(plan),
             arrived_at: now,
             phase: Phase::New,
@@ -237,7 +243,7 @@
 
     /// The next server, and how its guard is to treat the attempt. When several had no free slot,
     /// the request waits at the one that seems best; when all were left alone after failures, one
-    /// of them is asked all the same.
+    /// of them is asked all the same. Sound servers that are full are no reason for that.
     fn pick(&mut self, now: Instant, state: &RequestState) -> Option<(Target, AttemptTerms)> {
         let mut terms = AttemptTerms {
             may_probe: state.plan.repeatable,
@@ -257,6 +263,9 @@
         if let Some(target) = self.choice.pick(now, &state.plan, &state.tried) {
             return Some((target, terms));
         }
+        if state.met_full {
+            return None;
+        }
         terms.last_resort = true;
         let target = self.choice.pick_tripped(now, &state.plan, &state.spent)?;
         Some((target, terms))
