Give up interim answers without end

A server in trouble may send bytes without end. Five shapes of them were given up already; interim answers (1xx) were read until the deadline, 64 MB in 5 s in the test, and no other call had a turn meanwhile, since the HTTP library reads on for as long as there are any.

Ruled out: counting interim answers by the library's callback; the thread never got to act on it.

Tests: client/tests/endless.rs; interim_answers_without_end_are_given_up failed before.

--- a/src/wire/client/answer.rs
+++ b/src/wire/client/answer.rs
@@ -43,6 +43,7 @@
                 .ok_or(CallError::NotSent)?,
         };
         let was_used = connection.used;
+        connection.head_budget.begin();
         let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut failed) => match failed.take_message() {
@@ -53,13 +54,16 @@
                 }
                 Some(_) => return Err(CallError::NotSent),
                 None if short.get() => return Err(CallError::ShortBody),
-                None if is_malformed(failed.error()) => return Err(CallError::ShortAnswer),
+                None if is_malformed(failed.error()) || connection.head_budget.is_spent() => {
+                    return Err(CallError::ShortAnswer);
+                }
                 None => {
                     pool.forget(address);
                     return Err(broken(address, knock).await);
                 }
             },
         };
+        connection.head_budget.end();
         let answer = read(response, &mut connection, limit_bytes).await?;
         if keeps && !connection.closes {
             pool.put(address, connection);
--- a/src/wire/client/connection.rs
+++ b/src/wire/client/connection.rs
@@ -11,6 +11,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::body::SentBody;
+use super::head_limit::{HeadBudget, HeadLimited};
 
 /// Sent bytes that stay unacknowledged for this long end the connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
@@ -31,6 +32,8 @@
     pub(super) closes: bool,
     /// Whether it carried a call before.
     pub(super) used: bool,
+    /// Bytes that may come before the head of an answer.
+    pub(super) head_budget: HeadBudget,
     _task: Task<()>,
 }
 
@@ -48,6 +51,11 @@
             _ => return None,
         };
         set_options(&stream);
+        let head_budget = HeadBudget::new();
+        let stream = HeadLimited {
+            stream,
+            budget: head_budget.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -63,6 +71,7 @@
             idle_limit: None,
             closes: false,
             used: false,
+            head_budget,
             _task: task,
         })
     }
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod body;
 mod connection;
+mod head_limit;
 mod pool;
 
 use std::net::SocketAddr;
--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -1,3 +1,5 @@
+mod endless;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
--- /dev/null
+++ b/src/wire/client/tests/endless.rs
@@ -0,0 +1,75 @@
+use std::io::Write;
+use std::sync::mpsc;
+
+use super::{ask, get, read_head, server};
+use crate::wire::client::{CallError, HttpClient};
+
+/// Far more than any limit of the client and what sockets hold; only a failing test sends it all.
+const ENOUGH_BYTES: usize = 64 * 1024 * 1024;
+
+/// Answers with `head` and then `part` over and over until the connection is closed. Gives how the
+/// call ended and how many bytes the server could send.
+fn answered_without_end(head: &'static str, part: &'static str) -> (Option<CallError>, usize) {
+    let (sender, sent) = mpsc::channel();
+    let address = server(move |_, mut stream| {
+        read_head(&mut stream);
+        let mut sent_bytes = 0;
+        let block = part.repeat(1 + 4096 / part.len());
+        let mut open = stream.write_all(head.as_bytes()).is_ok();
+        while open && sent_bytes < ENOUGH_BYTES {
+            open = stream.write_all(block.as_bytes()).is_ok();
+            sent_bytes += block.len();
+        }
+        let _ = sender.send(sent_bytes);
+    });
+    let result = ask(&HttpClient::start("test-client"), get(address));
+    let sent_bytes = sent.recv().expect("the server's count");
+    (result.err(), sent_bytes)
+}
+
+fn assert_given_up(head: &'static str, part: &'static str) {
+    let (error, sent_bytes) = answered_without_end(head, part);
+    assert!(
+        matches!(
+            error,
+            Some(CallError::ShortAnswer | CallError::AnswerTooLarge)
+        ),
+        "{head:?}, {part:?}: {error:?}"
+    );
+    assert!(sent_bytes < ENOUGH_BYTES, "{head:?}, {part:?}");
+}
+
+#[test]
+fn bytes_without_end_that_are_no_answer_are_given_up() {
+    assert_given_up("", "x");
+}
+
+#[test]
+fn a_head_without_end_is_given_up() {
+    assert_given_up("HTTP/1.1 200 OK\r\n", "a: b\r\n");
+    assert_given_up("HTTP/1.1 200 OK\r\nname: ", "x");
+}
+
+#[test]
+fn a_body_without_end_is_given_up() {
+    assert_given_up("HTTP/1.1 200 OK\r\n\r\n", "x");
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    assert_given_up(chunked, "1\r\nx\r\n");
+}
+
+#[test]
+fn a_chunk_size_without_end_is_given_up() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
+    assert_given_up(chunked, "x");
+}
+
+#[test]
+fn trailers_without_end_are_given_up() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    assert_given_up(chunked, "a: b\r\n");
+}
+
+#[test]
+fn interim_answers_without_end_are_given_up() {
+    assert_given_up("", "HTTP/1.1 100 Continue\r\n\r\n");
+}
