Shed the least urgent request of a full queue

Cause: a full queue shed from the organisation that held the most. Calls carry no organisation, so all of them counted as one that is always over its share.

Change: the queue sheds from its least urgent lane; shares of organisations are weighed within it.

Test: guard/tests/shedding.rs, failed before.

--- a/src/guard/queue.rs
+++ b/src/guard/queue.rs
@@ -55,8 +55,8 @@
         self.length_count == 0
     }
 
-    /// Adds a request. A full queue sheds the newest request of the organisation that holds the
-    /// most for its weight, which may be the one that came; the least urgent one goes first.
+    /// Adds a request. A full queue sheds one of its least urgent lane, which may be the one that
+    /// came: the newest of the organisation that holds the most there for its weight.
     pub fn push(&mut self, request: GuardRequest) -> Option<GuardRequest> {
         let lane = self.lanes.entry(lane_id(&request)).or_default();
         lane.push(request);
@@ -64,9 +64,8 @@
         if self.length_count <= self.limit_count {
             return None;
         }
-        let over_share = self.most_over_share()?;
         let mut lanes = self.lanes.values_mut().rev();
-        let shed = lanes.find_map(|lane| lane.pop_newest(&over_share));
+        let shed = lanes.find(|lane| !lane.is_empty())?.shed();
         self.length_count -= usize::from(shed.is_some());
         shed
     }
@@ -127,22 +126,6 @@
         let run_count = FOREGROUND_RUN_COUNT as usize;
         ahead + more_urgent.min((ahead + 1) * run_count) + less_urgent.min(ahead / run_count)
     }
-
-    fn most_over_share(&self) -> Option<OrganisationId> {
-        let mut most: Option<(f64, &OrganisationId)> = None;
-        for (organisation, queue) in self.lanes.values().flat_map(|lane| &lane.queues) {
-            let held_by = |lane: &Lane| lane.held_by(organisation);
-            let count: usize = self.lanes.values().map(held_by).sum();
-            let share = count as f64 / f64::from(queue.weight_share);
-            let greater = most.is_none_or(|(most_share, name)| {
-                share > most_share || (share == most_share && organisation > name)
-            });
-            if greater {
-                most = Some((share, organisation));
-            }
-        }
-        most.map(|(_, organisation)| organisation.clone())
-    }
 }
 
 /// Deficit round robin over organisations.
@@ -214,15 +197,31 @@
         taken
     }
 
-    fn pop_newest(&mut self, organisation: &OrganisationId) -> Option<GuardRequest> {
-        let queue = self.queues.get_mut(organisation)?;
+    /// Takes the newest request of the organisation that holds the most for its weight.
+    fn shed(&mut self) -> Option<GuardRequest> {
+        let organisation = self.most_over_share()?;
+        let queue = self.queues.get_mut(&organisation)?;
         let newest = queue.requests.pop_back();
         if queue.requests.is_empty() {
-            self.forget(organisation);
+            self.forget(&organisation);
         }
         newest
     }
 
+    fn most_over_share(&self) -> Option<OrganisationId> {
+        let mut most: Option<(f64, &OrganisationId)> = None;
+        for (organisation, queue) in &self.queues {
+            let share = queue.requests.len() as f64 / f64::from(queue.weight_share);
+            let greater = most.is_none_or(|(most_share, name)| {
+                share > most_share || (share == most_share && organisation > name)
+            });
+            if greater {
+                most = Some((share, organisation));
+            }
+        }
+        most.map(|(_, organisation)| organisation.clone())
+    }
+
     fn remove_where<F>(&mut self, matches: F) -> Option<GuardRequest>
     where
         F: Fn(&GuardRequest) -> bool,
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,6 +1,7 @@
 mod brief_wait;
 mod deaths;
 mod servers;
+mod shedding;
 mod warm_rate;
 
 use std::time::{Duration, Instant};
