Bound the wait for a slot by the target time, and stop at two full queues

Cause: a request that had looked at four servers waited in a queue to its deadline: 32 requests before ten slots are 3.5 s where the answer is wanted within 3. Throughput was the same, the answers were late for everybody.

Two guards that refuse that count for the service: busy at once, with the shortest wait that a guard named as Retry-After.

Ruled out: a share of the slots for servers whose calls find no room (not needed once calls go first).

Tests: routing/tests/full.rs. a_request_that_finds_servers_full_is_not_sent_to_one_that_fails now asks for a request of a caller; a_call_of_a_server_that_finds_servers_full_asks_a_failing_one_once is the other half.

--- a/src/routing/attempted.rs
+++ b/src/routing/attempted.rs
@@ -59,13 +59,13 @@
                 by_guard,
             } => {
                 if by_guard && is_full(kind) {
-                    state.met_full = true;
                     state.shortest_wait = shorter(state.shortest_wait, retry_after);
                 }
-                if state.terms.wait_limit_ms.is_some() && by_guard && kind == ErrorKind::Busy {
+                if state.terms.looks && by_guard && kind == ErrorKind::Busy {
                     state.busy.extend(state.tried.pop());
                     return self.send(now, request, state, kind);
                 }
+                state.full_count += u32::from(by_guard && is_full(kind));
                 if has_arrived(kind) {
                     state.arrived_count += 1;
                 }
--- a/src/routing/parked.rs
+++ b/src/routing/parked.rs
@@ -53,7 +53,7 @@
         state.phase = Phase::Parked { kind };
         state.tried = state.spent.clone();
         state.busy.clear();
-        state.met_full = false;
+        state.full_count = 0;
         self.requests.insert(request, state);
         self.parked.wakes.insert((wake_at, request));
         RoutingActions::new()
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -70,8 +70,10 @@
     pub(super) of_repeat: bool,
     /// Guards that refused a repeat of it for want of budget.
     pub(super) spent_count: u32,
-    /// Whether a guard refused it for want of room, whose server is sound as far as is known.
-    pub(super) met_full: bool,
+    /// Guards that refused it for want of room, whose servers are sound as far as is known.
+    pub(super) full_count: u32,
+    /// Whether it was sent to a failing server for want of room at sound ones.
+    pub(super) asked_failing: bool,
     /// The shortest wait for a slot that a guard named.
     pub(super) shortest_wait: Option<Duration>,
     /// Whether an attempt may have started. Never returns to false.
@@ -181,7 +183,8 @@
         let state = RequestState {
             of_repeat,
             spent_count: 0,
-            met_full: false,
+            full_count: 0,
+            asked_failing: false,
             shortest_wait: None,
             plan: Arc::new(plan),
             arrived_at: now,
@@ -220,6 +223,7 @@
             return self.park(now, request, state, kind);
         };
         state.terms = terms;
+        state.asked_failing |= terms.last_resort && state.full_count > 0;
         let daemon = self.fleet.daemons.get(&target.daemon);
         let incarnation = daemon.map_or(0, |daemon| daemon.incarnation);
         state.attempt += 1;
@@ -243,7 +247,7 @@
 
     /// The next server, and how its guard is to treat the attempt. When several had no free slot,
     /// the request waits at the one that seems best; when all were left alone after failures, one
-    /// of them is asked all the same. Sound servers that are full are no reason for that.
+    /// of them is asked all the same.
     fn pick(&mut self, now: Instant, state: &RequestState) -> Option<(Target, AttemptTerms)> {
         let mut terms = AttemptTerms {
             may_probe: state.plan.repeatable,
@@ -251,34 +255,55 @@
             of_repeat: state.of_repeat,
             ..Default::default()
         };
-        let short = state.plan.body_bytes <= FREE_SLOT_BODY_BYTES;
-        if short && state.busy.len() < self.settings.free_slot_tries_count {
+        if state.full_count < FULL_LIMIT_COUNT {
+            if let Some(picked) = self.pick_sound(now, state, terms) {
+                return Some(picked);
+            }
+        }
+        if state.full_count > 0 && !may_ask_failing(state) {
+            return None;
+        }
+        terms.last_resort = true;
+        let target = self.choice.pick_tripped(now, &state.plan, &state.spent)?;
+        Some((target, terms))
+    }
+
+    /// The next server among those that are not left alone.
+    fn pick_sound(
+        &mut self,
+        now: Instant,
+        state: &RequestState,
+        mut terms: AttemptTerms,
+    ) -> Option<(Target, AttemptTerms)> {
+        if self.may_look(state) {
             let mut passed = state.tried.clone();
             passed.extend(state.busy.iter().cloned());
             if let Some(target) = self.choice.pick(now, &state.plan, &passed) {
                 if !self.choice.is_busy(now, &target) {
-                    terms.wait_limit_ms = Some(self.wait_limit_ms(now, state));
+                    let share = self.settings.free_slot_wait_share;
+                    terms.looks = true;
+                    terms.wait_limit_ms = Some(self.part_of_target_ms(now, state, share));
                 }
                 return Some((target, terms));
             }
         }
-        if let Some(target) = self.choice.pick(now, &state.plan, &state.tried) {
-            return Some((target, terms));
-        }
-        if state.met_full {
-            return None;
+        let target = self.choice.pick(now, &state.plan, &state.tried)?;
+        let share = self.settings.queue_wait_share;
+        // The work of the server that waits for a call would be lost with it.
+        if share > 0.0 && !is_own_call(&state.plan) {
+            terms.wait_limit_ms = Some(self.part_of_target_ms(now, state, share));
         }
-        terms.last_resort = true;
-        let target = self.choice.pick_tripped(now, &state.plan, &state.spent)?;
         Some((target, terms))
     }
 
-    /// How long the request waits at a server before it is better to look for another one.
-    fn wait_limit_ms(&self, now: Instant, state: &RequestState) -> u32 {
-        let limit = self
-            .target(now, state)
-            .mul_f64(self.settings.free_slot_wait_share);
-        limit.as_millis() as u32
+    /// Whether the request looks for a server with a free slot before it waits for one.
+    fn may_look(&self, state: &RequestState) -> bool {
+        state.plan.body_bytes <= FREE_SLOT_BODY_BYTES
+            && state.busy.len() < self.settings.free_slot_tries_count
+    }
+
+    fn part_of_target_ms(&self, now: Instant, state: &RequestState, share: f64) -> u32 {
+        self.target(now, state).mul_f64(share).as_millis() as u32
     }
 
     /// When the answer is wanted, from the arrival of the request.
@@ -323,6 +348,12 @@
     }
 }
 
+/// Whether a request asks a failing server where sound ones are full. Callers can come back; a call
+/// of a server takes the work of that server with it, so it tries its luck once.
+fn may_ask_failing(state: &RequestState) -> bool {
+    is_own_call(&state.plan) && state.plan.repeatable && !state.asked_failing
+}
+
 /// Whether a request may be one that the server on this VM made: those carry no key.
 pub(super) fn is_own_call(plan: &RequestPlan) -> bool {
     plan.organisation.is_empty()
@@ -331,6 +362,9 @@
 /// Part of its deadline that stands for the target of a route without one.
 const TARGET_DIVISOR: u32 = 4;
 
+/// Full queues after which the service counts as full.
+const FULL_LIMIT_COUNT: u32 = 2;
+
 /// Requests with longer bodies do not look around for a free slot: each look carries the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,5 +1,6 @@
 mod choice;
 mod closing;
+mod full;
 mod last_resort;
 mod parked;
 mod patience;
--- /dev/null
+++ b/src/routing/tests/full.rs
@@ -0,0 +1,133 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::plan;
+use crate::contract::View;
+use crate::error::ErrorKind;
+use crate::membership::Fleet;
+use crate::routing::choice::ServerChoice;
+use crate::routing::message::{
+    AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, Target,
+};
+use crate::routing::state::{RoutingActions, RoutingState};
+use crate::settings::routing::RoutingSettings;
+use crate::types::{Attempt, BackendServerId};
+use crate::wire::forward::AttemptTerms;
+
+/// Servers that are all sound.
+struct Sound;
+
+impl ServerChoice for Sound {
+    fn pick(&mut self, _: Instant, _: &RequestPlan, tried: &[BackendServerId]) -> Option<Target> {
+        let mut servers = ["a", "b", "c", "d", "e"].into_iter();
+        let server = servers.find(|server| !tried.iter().any(|other| **other == **server))?;
+        Some(Target {
+            daemon: format!("beside-{server}").into(),
+            guard_address: "127.0.0.1:1".parse().expect("a literal address"),
+            server: server.into(),
+        })
+    }
+
+    fn sent(&mut self, _: Instant, _: &RequestPlan, _: &Target) {}
+
+    fn ended(&mut self, _: Instant, _: &RequestPlan, _: &Target, _: &AttemptOutcome, _: Duration) {}
+
+    fn view(&mut self, _: Arc<View>) {}
+
+    fn fleet(&mut self, _: Arc<Fleet>) {}
+}
+
+fn state() -> RoutingState {
+    let settings = RoutingSettings {
+        refusals_limit_count: 12,
+        free_slot_tries_count: 2,
+        free_slot_wait_share: 0.125,
+        queue_wait_share: 0.5,
+        ..Default::default()
+    };
+    RoutingState::new(settings, Box::new(Sound))
+}
+
+fn busy(attempt: Attempt, wait_ms: u64) -> RoutingEvent {
+    RoutingEvent::Attempted {
+        request: 1,
+        attempt,
+        outcome: AttemptOutcome::NotRun {
+            kind: ErrorKind::Busy,
+            retry_after: Some(Duration::from_millis(wait_ms)),
+            by_guard: true,
+        },
+        elapsed: Duration::from_millis(1),
+        resendable: true,
+    }
+}
+
+fn terms(actions: &RoutingActions) -> AttemptTerms {
+    let sent = actions.iter().find_map(|action| match action {
+        RoutingAction::Send { terms, .. } => Some(*terms),
+        _ => None,
+    });
+    sent.expect("an attempt")
+}
+
+#[test]
+fn two_full_queues_end_a_request_with_the_shortest_wait() {
+    // Arrange: two looks for a free slot come first.
+    let now = Instant::now();
+    let mut state = state();
+    let plan = plan(now + Duration::from_secs(10));
+    state.handle(now, RoutingEvent::Dispatch(plan));
+    for attempt in 1..=3 {
+        state.handle(now, busy(attempt, 900));
+    }
+
+    // Act
+    let actions = state.handle(now, busy(4, 700));
+
+    // Assert
+    let outcome = Outcome::Failed {
+        kind: ErrorKind::Busy,
+        retry_after: Some(Duration::from_millis(700)),
+    };
+    let finish = RoutingAction::Finish {
+        request: 1,
+        outcome,
+    };
+    assert!(actions.contains(&finish));
+}
+
+#[test]
+fn a_request_of_a_caller_waits_for_a_part_of_its_target_at_most() {
+    // Arrange: the target is a second.
+    let now = Instant::now();
+    let mut state = state();
+    let plan = plan(now + Duration::from_secs(10));
+
+    // Act
+    let look = terms(&state.handle(now, RoutingEvent::Dispatch(plan)));
+    state.handle(now, busy(1, 900));
+    let queue = terms(&state.handle(now, busy(2, 900)));
+
+    // Assert
+    assert_eq!((look.looks, look.wait_limit_ms), (true, Some(125)));
+    assert_eq!((queue.looks, queue.wait_limit_ms), (false, Some(500)));
+}
+
+#[test]
+fn a_call_of_a_server_waits_to_its_deadline() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let plan = RequestPlan {
+        organisation: "".into(),
+        ..plan(now + Duration::from_secs(10))
+    };
+    state.handle(now, RoutingEvent::Dispatch(plan));
+    state.handle(now, busy(1, 900));
+
+    // Act
+    let queue = terms(&state.handle(now, busy(2, 900)));
+
+    // Assert
+    assert_eq!((queue.looks, queue.wait_limit_ms), (false, None));
+}
--- a/src/routing/tests/last_resort.rs
+++ b/src/routing/tests/last_resort.rs
@@ -66,12 +66,16 @@
 }
 
 fn tripped(attempt: Attempt) -> RoutingEvent {
+    not_run(attempt, ErrorKind::ServerTripped, None)
+}
+
+fn not_run(attempt: Attempt, kind: ErrorKind, retry_after: Option<Duration>) -> RoutingEvent {
     RoutingEvent::Attempted {
         request: 1,
         attempt,
         outcome: AttemptOutcome::NotRun {
-            kind: ErrorKind::ServerTripped,
-            retry_after: None,
+            kind,
+            retry_after,
             by_guard: true,
         },
         elapsed: Duration::from_millis(1),
@@ -181,41 +185,59 @@
     fn fleet(&mut self, _: Arc<Fleet>) {}
 }
 
-#[test]
-fn a_request_that_finds_servers_full_is_not_sent_to_one_that_fails() {
-    // Arrange
-    let now = Instant::now();
+/// A request that the only sound server has refused for want of room.
+fn refused_as_full(now: Instant, organisation: &str) -> (RoutingState, RoutingActions) {
     let settings = RoutingSettings {
         refusals_limit_count: 8,
         ..Default::default()
     };
     let mut state = RoutingState::new(settings, Box::new(FullAndTripped));
-    let plan = plan(now + Duration::from_secs(1));
-    state.handle(now, RoutingEvent::Dispatch(plan));
-
-    // Act
-    let full = RoutingEvent::Attempted {
-        request: 1,
-        attempt: 1,
-        outcome: AttemptOutcome::NotRun {
-            kind: ErrorKind::Busy,
-            retry_after: Some(Duration::from_millis(700)),
-            by_guard: true,
-        },
-        elapsed: Duration::from_millis(1),
-        resendable: true,
+    let plan = RequestPlan {
+        organisation: organisation.into(),
+        ..plan(now + Duration::from_secs(1))
     };
+    state.handle(now, RoutingEvent::Dispatch(plan));
+    let full = not_run(1, ErrorKind::Busy, Some(SLOT_WAIT));
     let actions = state.handle(now, full);
+    (state, actions)
+}
 
-    // Assert
-    assert_eq!(sent(&actions), None);
+const SLOT_WAIT: Duration = Duration::from_millis(700);
+
+fn ends_as_busy(actions: &RoutingActions) -> bool {
     let refused = Outcome::Failed {
         kind: ErrorKind::Busy,
-        retry_after: Some(Duration::from_millis(700)),
+        retry_after: Some(SLOT_WAIT),
     };
-    let finish = RoutingAction::Finish {
+    actions.contains(&RoutingAction::Finish {
         request: 1,
         outcome: refused,
-    };
-    assert!(actions.contains(&finish));
+    })
+}
+
+#[test]
+fn a_request_that_finds_servers_full_is_not_sent_to_one_that_fails() {
+    // Arrange
+    let now = Instant::now();
+
+    // Act
+    let (_, actions) = refused_as_full(now, "o");
+
+    // Assert
+    assert_eq!(sent(&actions), None);
+    assert!(ends_as_busy(&actions));
+}
+
+#[test]
+fn a_call_of_a_server_that_finds_servers_full_asks_a_failing_one_once() {
+    // Arrange
+    let now = Instant::now();
+    let (mut state, second) = refused_as_full(now, "");
+
+    // Act
+    let last = state.handle(now, not_run(2, ErrorKind::Busy, None));
+
+    // Assert
+    assert_eq!(sent(&second), Some(("tripped", true)));
+    assert_eq!(sent(&last), None);
 }
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -32,6 +32,9 @@
     /// Part of the target time of its route that a request waits at one of those servers before it
     /// is refused there.
     pub free_slot_wait_share: f64,
+    /// Part of the target time of its route that a caller's request waits for a slot; 0 lets it wait
+    /// to its deadline.
+    pub queue_wait_share: f64,
     /// Attempts that guards may refuse beyond those that may reach a server.
     pub refusals_limit_count: u32,
     /// Whether an answer that tells of the server's failure leads to a retry of a request that may
@@ -65,6 +68,7 @@
             path_backoff_limit_ms: 30_000,
             free_slot_tries_count: 0,
             free_slot_wait_share: 0.0,
+            queue_wait_share: 0.0,
             refusals_limit_count: 0,
             retry_failed_answers: false,
             retries_counted_by_guards: false,
@@ -98,6 +102,7 @@
         );
         checker.range("free_slot_tries_count", self.free_slot_tries_count, 0..=64);
         checker.range("free_slot_wait_share", self.free_slot_wait_share, 0.0..=1.0);
+        checker.range("queue_wait_share", self.queue_wait_share, 0.0..=1.0);
         checker.range("refusals_limit_count", self.refusals_limit_count, 0..=64);
         checker.range("park_share", self.park_share, 0.0..=1.0);
         checker.range("retry_after_ms", self.retry_after_ms, 0..=60_000);
