Hold no call against a server that was cut short

Cause: a call that its entry gives up early ends as late at the guard, and counted like one that the server did not answer. Entries with little time left, or little patience, so tripped servers that were well.

Change: a late call counts once it has taken twice the usual time of its route at that server, or where no time is known.

Test: guard/tests/overdue.rs, failed before for calls of the usual time.

--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -8,6 +8,7 @@
 use super::state::GuardState;
 use crate::contract::View;
 use crate::error::ErrorKind;
+use crate::membership::ServerEntry;
 use crate::types::{BackendServerId, ServiceId};
 
 impl GuardState {
@@ -103,4 +104,15 @@
             }
         }
     }
+
+    /// Tells membership of the servers on this VM when they change.
+    pub(super) fn report_servers(&mut self, actions: &mut Vec<GuardAction>) {
+        let takes_work = self.takes_work();
+        let present = self.servers.values().filter(|server| !server.gone);
+        let entries: Vec<ServerEntry> = present.map(|server| server.entry(takes_work)).collect();
+        if entries != self.reported {
+            self.reported = entries.clone();
+            actions.push(GuardAction::Servers(entries));
+        }
+    }
 }
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -196,10 +196,11 @@
     }
 
     /// Tells the breaker how a call that took `elapsed` ended. A failed answer is not held against
-    /// a server whose own calls have just failed.
+    /// a server whose own calls have just failed, nor one that was not waited for for long.
     pub(super) fn judge(
         &mut self,
         now: Instant,
+        route: &RouteId,
         outcome: ServerOutcome,
         elapsed: Duration,
         own_calls_fail: bool,
@@ -207,6 +208,9 @@
         let end = match outcome {
             ServerOutcome::Answered(status) if status < FAILURE_STATUS => CallEnd::Good,
             ServerOutcome::Answered(_) if own_calls_fail => return self.breaker.ended_neutral(),
+            ServerOutcome::Failed(CallError::Late) if !self.is_overdue(route, elapsed) => {
+                return self.breaker.ended_neutral();
+            }
             ServerOutcome::Answered(_) => CallEnd::FailedAnswer,
             ServerOutcome::Shed => CallEnd::Shed,
             ServerOutcome::Failed(CallError::Late | CallError::ShortAnswer) => {
@@ -225,6 +229,12 @@
         self.breaker.ended(now, end, elapsed);
     }
 
+    /// Whether a call takes much longer than is usual, as far as that is known.
+    fn is_overdue(&self, route: &RouteId, elapsed: Duration) -> bool {
+        let usual_s = self.times.mean_s(route, LEAST_SAMPLE_COUNT);
+        usual_s.is_none_or(|usual_s| elapsed.as_secs_f64() >= usual_s * OVERDUE_RATIO)
+    }
+
     /// Takes the time of a whole answer.
     pub(super) fn answered(&mut self, now: Instant, request: &GuardRequest, elapsed: Duration) {
         self.times.add(&request.route, elapsed);
@@ -287,6 +297,9 @@
 
 const MAX_WAIT_S: f64 = 3600.0;
 
+/// Time after which a missing answer tells of the server, relative to the usual time of its route.
+const OVERDUE_RATIO: f64 = 2.0;
+
 /// Lowest status that tells of a server's failure.
 pub(super) const FAILURE_STATUS: u16 = 500;
 
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -41,7 +41,7 @@
     /// When the last request came, or the drain began.
     last_arrival_at: Option<Instant>,
     /// What membership was told last.
-    reported: Vec<ServerEntry>,
+    pub(super) reported: Vec<ServerEntry>,
 }
 
 impl GuardState {
@@ -171,7 +171,7 @@
             .map(|at| at + Duration::from_millis(self.settings.quiet_ms))
     }
 
-    fn takes_work(&self) -> bool {
+    pub(super) fn takes_work(&self) -> bool {
         !self.draining && !self.domain_out
     }
 
@@ -345,7 +345,7 @@
         let own_calls_fail = self
             .own_call_failed_at
             .is_some_and(|at| now.saturating_duration_since(at) < OWN_CALL_MEMORY);
-        server.judge(now, outcome, elapsed, own_calls_fail);
+        server.judge(now, &request.route, outcome, elapsed, own_calls_fail);
         let broken = !server.breaker.admits(now, false);
         match outcome {
             ServerOutcome::Answered(SHED_STATUS) => server.cold.failed(now),
@@ -378,16 +378,6 @@
         }
         self.pump(now, &name, actions);
     }
-
-    fn report_servers(&mut self, actions: &mut Vec<GuardAction>) {
-        let takes_work = self.takes_work();
-        let present = self.servers.values().filter(|server| !server.gone);
-        let entries: Vec<ServerEntry> = present.map(|server| server.entry(takes_work)).collect();
-        if entries != self.reported {
-            self.reported = entries.clone();
-            actions.push(GuardAction::Servers(entries));
-        }
-    }
 }
 
 fn attempt_kind(request: &GuardRequest) -> AttemptKind {
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,5 +1,6 @@
 mod brief_wait;
 mod deaths;
+mod overdue;
 mod servers;
 mod shedding;
 mod warm_rate;
--- /dev/null
+++ b/src/guard/tests/overdue.rs
@@ -0,0 +1,49 @@
+use std::time::{Duration, Instant};
+
+use super::{announcement, id, refusal_of, request, LIFE};
+use crate::error::ErrorKind;
+use crate::guard::message::{GuardEvent, ServerOutcome};
+use crate::guard::state::GuardState;
+use crate::settings::guard::GuardSettings;
+use crate::wire::client::CallError;
+
+const USUAL: Duration = Duration::from_millis(800);
+
+/// Runs a request that ends so after a while.
+fn run(state: &mut GuardState, now: Instant, number: u128, outcome: ServerOutcome, time: Duration) {
+    state.handle(now, GuardEvent::Arrived(request(number, now)));
+    let finished = GuardEvent::Finished {
+        key: (id(1, number), 1),
+        outcome,
+        elapsed: time,
+    };
+    state.handle(now, finished);
+}
+
+#[test]
+fn a_call_that_was_cut_short_does_not_trip_its_server() {
+    for (time, tripped) in [(USUAL, false), (USUAL * 3, true)] {
+        // Arrange
+        let now = Instant::now();
+        let settings = GuardSettings {
+            breaker_open_ms: 350,
+            ..Default::default()
+        };
+        let mut state = GuardState::new(settings, LIFE);
+        state.handle(now, GuardEvent::Announced(announcement()));
+        for number in 1..=10 {
+            run(&mut state, now, number, ServerOutcome::Answered(200), USUAL);
+        }
+
+        // Act
+        for number in 11..=12 {
+            let late = ServerOutcome::Failed(CallError::Late);
+            run(&mut state, now, number, late, time);
+        }
+        let next = state.handle(now, GuardEvent::Arrived(request(13, now)));
+
+        // Assert
+        let expected = tripped.then_some(ErrorKind::ServerTripped);
+        assert_eq!(refusal_of(&next, 13), expected, "{time:?}");
+    }
+}
