--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -348,10 +348,10 @@
     }
 }
 
-/// Whether a request asks a failing server where sound ones are full. Callers can come back; a call
-/// of a server takes the work of that server with it, so it tries its luck once.
+/// Whether a request asks a failing server where sound ones are full: once, if it may run twice.
+/// Such a server has free slots and still answers some.
 fn may_ask_failing(state: &RequestState) -> bool {
-    is_own_call(&state.plan) && state.plan.repeatable && !state.asked_failing
+    state.plan.repeatable && !state.asked_failing
 }
 
 /// Whether a request may be one that the server on this VM made: those carry no key.
--- a/src/routing/tests/last_resort.rs
+++ b/src/routing/tests/last_resort.rs
@@ -186,14 +186,14 @@
 }
 
 /// A request that the only sound server has refused for want of room.
-fn refused_as_full(now: Instant, organisation: &str) -> (RoutingState, RoutingActions) {
+fn refused_as_full(now: Instant, repeatable: bool) -> (RoutingState, RoutingActions) {
     let settings = RoutingSettings {
         refusals_limit_count: 8,
         ..Default::default()
     };
     let mut state = RoutingState::new(settings, Box::new(FullAndTripped));
     let plan = RequestPlan {
-        organisation: organisation.into(),
+        repeatable,
         ..plan(now + Duration::from_secs(1))
     };
     state.handle(now, RoutingEvent::Dispatch(plan));
@@ -216,12 +216,12 @@
 }
 
 #[test]
-fn a_request_that_finds_servers_full_is_not_sent_to_one_that_fails() {
+fn an_order_that_finds_servers_full_is_not_sent_to_one_that_fails() {
     // Arrange
     let now = Instant::now();
 
     // Act
-    let (_, actions) = refused_as_full(now, "o");
+    let (_, actions) = refused_as_full(now, false);
 
     // Assert
     assert_eq!(sent(&actions), None);
@@ -229,10 +229,10 @@
 }
 
 #[test]
-fn a_call_of_a_server_that_finds_servers_full_asks_a_failing_one_once() {
+fn a_repeatable_request_that_finds_servers_full_asks_a_failing_one_once() {
     // Arrange
     let now = Instant::now();
-    let (mut state, second) = refused_as_full(now, "");
+    let (mut state, second) = refused_as_full(now, true);
 
     // Act
     let last = state.handle(now, not_run(2, ErrorKind::Busy, None));
