Let the test of a connection closed while idle wait until it is closed

The test failed once, with two other builds on the machine: its server answered and closed, and the next call could be written before the close. That is a connection that breaks under a call, which has a test of its own, and not one that was closed while idle.

The check itself is the same.

--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -80,16 +80,20 @@
 #[test]
 fn a_connection_that_the_server_closed_while_idle_is_not_an_error() {
     // Arrange
-    let address = server(|_, mut stream| {
+    let (sender, closed) = mpsc::channel();
+    let address = server(move |_, mut stream| {
         read_head(&mut stream);
         let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
         stream.write_all(answer.as_bytes()).expect("written");
+        drop(stream);
+        sender.send(()).expect("the test waits");
     });
     let client = HttpClient::start("test-client");
 
     // Act and assert
     for _ in 0..3 {
         assert!(ask(&client, get(address)).is_ok());
+        closed.recv().expect("the server has closed");
     }
 }
 
