Give the HTTP library whole requests alone while reading ahead

The library took the first part, and the second was looked at as if it began a request, so the value of a header that looks like a request line would have run as a request of its own.

Cause: both sides read from one buffer, and the library could take bytes that were not framed yet.

Change: the library gets framed bytes alone until the first request that is not plain. A part of a head is kept while other requests of the connection run, and left to the library, with its time limit, when none does; that ends the reading ahead.

Tests: a_head_that_comes_in_parts_is_not_taken_for_two_requests (a request for /b arrived) and a_head_that_comes_in_parts_behind_others_runs_beside_them failed before; requests_are_read_alike_however_their_bytes_come cuts a stream at random places, 50 seeds.

--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -4,7 +4,8 @@
 //! buffered here, and plain requests in it are handed out at once; the library then finds their
 //! answers waiting when it gets to them, and sends them in order. Framing stays the library's: only
 //! requests without a body and without headers of the connection are looked at, and the first other
-//! one ends the reading ahead.
+//! one ends the reading ahead. Until then the library gets whole requests alone, so that both always
+//! begin at the same byte.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -88,22 +89,37 @@
         self.buffer.len() >= BUFFER_LIMIT_BYTES
     }
 
-    /// Finds the plain requests that have come whole.
+    /// Bytes that the HTTP library may take.
+    fn ready_bytes(&self) -> usize {
+        match self.ended || self.closed {
+            true => self.buffer.len(),
+            false => self.framed_bytes,
+        }
+    }
+
+    /// Finds the plain requests that have come whole. A part of one is kept while others run, and
+    /// left to the library, which limits how long it may take, when none does.
     fn find_requests(&mut self, hand_out: &HandOut<'_>) {
         while !self.ended && self.unanswered_count < UNANSWERED_LIMIT_COUNT {
             let unframed = &self.buffer.make_contiguous()[self.framed_bytes..];
+            if unframed.is_empty() {
+                break;
+            }
             let (head, length_bytes) = match plain_request(unframed) {
                 Plain::Request { head, length_bytes } => (head, length_bytes),
-                Plain::Incomplete => return,
-                Plain::Other => {
+                Plain::Incomplete if self.unanswered_count > 0 => break,
+                Plain::Incomplete | Plain::Other => {
                     self.ended = true;
-                    return;
+                    break;
                 }
             };
             self.framed_bytes += length_bytes;
             self.unanswered_count += 1;
             self.waiting.push_back(hand_out(head));
         }
+        if self.ready_bytes() > 0 {
+            wake(&mut self.reader);
+        }
     }
 }
 
@@ -153,7 +169,6 @@
         let length = socket.read(&mut chunk)?;
         let mut state = ahead.borrow_mut();
         state.buffer.extend(&chunk[..length]);
-        wake(&mut state.reader);
         Ok(length)
     };
     stream
@@ -201,11 +216,13 @@
         bytes: &mut [u8],
     ) -> Poll<std::io::Result<usize>> {
         let mut state = self.ahead.borrow_mut();
-        if state.buffer.is_empty() && !state.closed {
+        let ready_bytes = state.ready_bytes();
+        if ready_bytes == 0 && !state.closed {
             state.reader = Some(context.waker().clone());
             return Poll::Pending;
         }
-        let length = state.buffer.read(bytes)?;
+        let limit_bytes = ready_bytes.min(bytes.len());
+        let length = state.buffer.read(&mut bytes[..limit_bytes])?;
         state.framed_bytes = state.framed_bytes.saturating_sub(length);
         wake(&mut state.pump);
         Poll::Ready(Ok(length))
--- a/src/wire/listener/tests.rs
+++ b/src/wire/listener/tests.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use crossbeam::channel::{bounded, Receiver};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 use super::{Arrival, HttpListener, ListenerOptions};
 use crate::wire::exchange::WholeAnswer;
@@ -191,3 +193,80 @@
     let others: Vec<String> = arrivals.try_iter().map(|(head, _)| head.target).collect();
     assert!(!others.contains(&"/c".to_owned()), "{others:?}");
 }
+
+#[test]
+fn a_head_that_comes_in_parts_is_not_taken_for_two_requests() {
+    // Arrange
+    let (_listener, arrivals, mut caller) = connected();
+    let whole = format!("GET /a HTTP/1.1\r\nHost: h\r\nX: {}", get("/b"));
+    let (first, second) = whole.split_at(whole.find("GET /b").expect("the second part"));
+
+    // Act: the pause lets the listener read the parts one by one.
+    caller.write_all(first.as_bytes()).expect("sent");
+    std::thread::sleep(Duration::from_millis(100));
+    caller.write_all(second.as_bytes()).expect("sent");
+    let (head, exchange) = take(&arrivals, 1).remove(0);
+
+    // Assert
+    assert_eq!(head.target, "/a");
+    answer((head, exchange));
+    let mut reader = BufReader::new(caller);
+    assert_eq!(read_answer(&mut reader), "/a");
+    assert!(arrivals.try_recv().is_err());
+}
+
+#[test]
+fn a_head_that_comes_in_parts_behind_others_runs_beside_them() {
+    // Arrange
+    let (_listener, arrivals, mut caller) = connected();
+    caller.write_all(get("/a").as_bytes()).expect("sent");
+    let mut taken = take(&arrivals, 1);
+
+    // Act
+    let later = get("/b");
+    let (first, second) = later.split_at(9);
+    caller.write_all(first.as_bytes()).expect("sent");
+    std::thread::sleep(Duration::from_millis(100));
+    caller.write_all(second.as_bytes()).expect("sent");
+    taken.extend(take(&arrivals, 1));
+
+    // Assert
+    taken.into_iter().rev().for_each(answer);
+    let mut reader = BufReader::new(caller);
+    assert_eq!(read_answer(&mut reader), "/a");
+    assert_eq!(read_answer(&mut reader), "/b");
+}
+
+#[test]
+fn requests_are_read_alike_however_their_bytes_come() {
+    let post =
+        "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 24\r\n\r\nGET /x HTTP/1.1\r\n\r\nlast\n";
+    let requests = [get("/a"), get("/b"), post.to_owned(), get("/d")].concat();
+    for seed in 0..50 {
+        // Arrange
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (_listener, arrivals, mut caller) = connected();
+        let reader = caller.try_clone().expect("a second handle");
+
+        // Act
+        let mut rest = requests.as_bytes();
+        while !rest.is_empty() {
+            let length = random.random_range(1..=rest.len().min(40));
+            caller.write_all(&rest[..length]).expect("sent");
+            rest = &rest[length..];
+            std::thread::sleep(Duration::from_millis(1));
+        }
+
+        // Assert
+        let mut reader = BufReader::new(reader);
+        let mut taken = Vec::new();
+        for target in ["/a", "/b", "/c", "/d"] {
+            let arrival = take(&arrivals, 1).remove(0);
+            taken.push(arrival.0.target.clone());
+            answer(arrival);
+            assert_eq!(read_answer(&mut reader), target, "seed {seed}");
+        }
+        assert_eq!(taken, ["/a", "/b", "/c", "/d"], "seed {seed}");
+        assert!(arrivals.try_recv().is_err(), "seed {seed}");
+    }
+}
