--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -80,6 +80,13 @@
         self.ended = true;
     }
 
+    /// The caller has closed the connection. Says whether it left requests unanswered.
+    fn close(&mut self) -> bool {
+        self.closed = true;
+        wake(&mut self.reader);
+        self.unanswered_count > 0
+    }
+
     /// Whether requests that were handed out wait behind the present one.
     pub(super) fn owes_more(&self) -> bool {
         self.waiting.iter().any(Option::is_some)
@@ -147,11 +154,7 @@
             break;
         }
     }
-    let mut state = ahead.borrow_mut();
-    state.closed = true;
-    wake(&mut state.reader);
-    let left = state.unanswered_count > 0;
-    drop(state);
+    let left = ahead.borrow_mut().close();
     if !left {
         std::future::pending::<()>().await;
     }
