Let callers of the soak keep connections and send requests behind each other

The soak's callers closed each connection after one order. Two readers more keep theirs until it is gone, send up to six requests behind each other, and check that each answer belongs to its own request. Their promise is the one that the listener's new way of reading could break.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,6 +10,8 @@
 mod fleet;
 #[path = "soak/proxy.rs"]
 mod proxy;
+#[path = "soak/readers.rs"]
+mod readers;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,10 +24,12 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use readers::{read_sheets, ReaderReport};
 
 /// Seeds that CI plays.
 const SEEDS: &[u64] = &[1, 2];
 const CALLER_COUNT: u64 = 4;
+const READER_COUNT: u64 = 2;
 const HARM_COUNT: usize = 10;
 const DEADLINE_MS: u64 = 1_500;
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
@@ -74,8 +78,8 @@
     told
 }
 
-/// Plays one seed; gives what callers were told and how often each path ran.
-fn play(seed: u64) -> (Vec<Told>, BTreeMap<String, u64>) {
+/// Plays one seed; gives what callers were told, how often each path ran, and what readers saw.
+fn play(seed: u64) -> (Vec<Told>, BTreeMap<String, u64>, Vec<ReaderReport>) {
     let mut fleet = SoakFleet::start(&format!("soak-{seed}"));
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLER_COUNT)
@@ -84,6 +88,13 @@
             thread::spawn(move || call(caller, seed, &fronts, &stop))
         })
         .collect();
+    let readers: Vec<_> = (0..READER_COUNT)
+        .map(|reader| {
+            let (fronts, stop) = (fleet.fronts(), stop.clone());
+            let seed = seed * READER_COUNT + reader;
+            thread::spawn(move || read_sheets(seed, &fronts, &stop))
+        })
+        .collect();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     for _ in 0..HARM_COUNT {
         fleet.harm(&mut random);
@@ -95,6 +106,10 @@
     let told = answers
         .flat_map(|caller| caller.join().expect("a caller"))
         .collect();
+    let readers = readers.into_iter();
+    let reports = readers
+        .map(|reader| reader.join().expect("a reader"))
+        .collect();
     thread::sleep(Duration::from_millis(DEADLINE_MS));
     let mut runs = BTreeMap::new();
     for report in fleet.ran() {
@@ -102,7 +117,7 @@
             *runs.entry(path).or_default() += count;
         }
     }
-    (told, runs)
+    (told, runs, reports)
 }
 
 fn broken(told: &Told, run_count: u64) -> Option<&'static str> {
@@ -117,7 +132,11 @@
 #[test]
 fn whatever_is_killed_paused_or_cut_off_the_answers_stay_true() {
     for seed in seeds() {
-        let (told, runs) = play(seed);
+        let (told, runs, reports) = play(seed);
+        for report in &reports {
+            assert!(report.foreign.is_empty(), "seed {seed}: {report:?}");
+            assert!(report.served_count > 0, "seed {seed}: no sheet was served");
+        }
         let mut served_count = 0;
         for told in &told {
             let run_count = runs.get(&told.path).copied().unwrap_or(0);
--- /dev/null
+++ b/tests/soak/readers.rs
@@ -0,0 +1,91 @@
+//! Callers that keep their connection to an entry until it is gone, and send requests behind each
+//! other on it.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+const MOST_BEHIND_COUNT: usize = 6;
+
+/// What one reader saw.
+#[derive(Debug, Default)]
+pub struct ReaderReport {
+    /// Answers of servers to its own requests.
+    pub served_count: usize,
+    /// Answers that belong to another request, as they came.
+    pub foreign: Vec<String>,
+}
+
+/// Reads sheets on kept connections until it is told to stop.
+pub fn read_sheets(seed: u64, fronts: &[SocketAddr], stop: &AtomicBool) -> ReaderReport {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut report = ReaderReport::default();
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let front = *fronts.choose(&mut random).expect("entries");
+        let Ok(connection) = TcpStream::connect(front) else {
+            thread::sleep(Duration::from_millis(50));
+            continue;
+        };
+        let mut answers = BufReader::new(&connection);
+        let mut open = connection.set_read_timeout(Some(ANSWER_LIMIT)).is_ok();
+        while open && !stop.load(Ordering::Relaxed) {
+            let count = random.random_range(1..=MOST_BEHIND_COUNT);
+            let paths: Vec<String> = (number..number + count)
+                .map(|number| format!("/sheets/{seed}-{number}"))
+                .collect();
+            number += count;
+            open = send(&connection, &paths).is_some();
+            for path in &paths {
+                open = open && take_answer(&mut answers, path, &mut report).is_some();
+            }
+            thread::sleep(Duration::from_millis(random.random_range(0..20)));
+        }
+    }
+    report
+}
+
+fn send(mut connection: &TcpStream, paths: &[String]) -> Option<()> {
+    let request = |path: &String| {
+        format!("GET {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key-1\r\n\r\n")
+    };
+    let requests: String = paths.iter().map(request).collect();
+    connection.write_all(requests.as_bytes()).ok()
+}
+
+/// Takes the next answer; none where the connection ends with it or before it.
+fn take_answer(answers: &mut impl BufRead, path: &str, report: &mut ReaderReport) -> Option<()> {
+    let mut line = String::new();
+    answers.read_line(&mut line).ok()?;
+    let served = line.starts_with("HTTP/1.1 200");
+    let (mut length, mut closes) = (0, false);
+    loop {
+        let mut line = String::new();
+        if answers.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+        closes |= line == "connection: close";
+    }
+    let mut body = vec![0; length];
+    answers.read_exact(&mut body).ok()?;
+    let body = String::from_utf8_lossy(&body);
+    if served && !body.contains(&format!("\"{path}\"")) {
+        report.foreign.push(format!("{path}: {body}"));
+    }
+    report.served_count += usize::from(served);
+    (!closes).then_some(())
+}
