Bound the wait also where servers are known as busy

Found on reading the change: a request whose servers had just refused others went to a queue without the bound that all other requests of callers have.

Test: a_request_whose_servers_are_known_as_busy_waits_no_longer_than_others, failed before (no limit).

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -278,12 +278,11 @@
         if self.may_look(state) {
             let mut passed = state.tried.clone();
             passed.extend(state.busy.iter().cloned());
-            if let Some(target) = self.choice.pick(now, &state.plan, &passed) {
-                if !self.choice.is_busy(now, &target) {
-                    let share = self.settings.free_slot_wait_share;
-                    terms.looks = true;
-                    terms.wait_limit_ms = Some(self.part_of_target_ms(now, state, share));
-                }
+            let looked = self.choice.pick(now, &state.plan, &passed);
+            if let Some(target) = looked.filter(|target| !self.choice.is_busy(now, target)) {
+                let share = self.settings.free_slot_wait_share;
+                terms.looks = true;
+                terms.wait_limit_ms = Some(self.part_of_target_ms(now, state, share));
                 return Some((target, terms));
             }
         }
--- a/src/routing/tests/full.rs
+++ b/src/routing/tests/full.rs
@@ -14,8 +14,10 @@
 use crate::types::{Attempt, BackendServerId};
 use crate::wire::forward::AttemptTerms;
 
-/// Servers that are all sound.
-struct Sound;
+/// Servers that are all sound, and known as busy or not.
+struct Sound {
+    busy: bool,
+}
 
 impl ServerChoice for Sound {
     fn pick(&mut self, _: Instant, _: &RequestPlan, tried: &[BackendServerId]) -> Option<Target> {
@@ -28,6 +30,10 @@
         })
     }
 
+    fn is_busy(&self, _: Instant, _: &Target) -> bool {
+        self.busy
+    }
+
     fn sent(&mut self, _: Instant, _: &RequestPlan, _: &Target) {}
 
     fn ended(&mut self, _: Instant, _: &RequestPlan, _: &Target, _: &AttemptOutcome, _: Duration) {}
@@ -38,6 +44,10 @@
 }
 
 fn state() -> RoutingState {
+    state_with(Sound { busy: false })
+}
+
+fn state_with(servers: Sound) -> RoutingState {
     let settings = RoutingSettings {
         refusals_limit_count: 12,
         free_slot_tries_count: 2,
@@ -45,7 +55,7 @@
         queue_wait_share: 0.5,
         ..Default::default()
     };
-    RoutingState::new(settings, Box::new(Sound))
+    RoutingState::new(settings, Box::new(servers))
 }
 
 fn busy(attempt: Attempt, wait_ms: u64) -> RoutingEvent {
@@ -131,3 +141,17 @@
     // Assert
     assert_eq!((queue.looks, queue.wait_limit_ms), (false, None));
 }
+
+#[test]
+fn a_request_whose_servers_are_known_as_busy_waits_no_longer_than_others() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state_with(Sound { busy: true });
+    let plan = plan(now + Duration::from_secs(10));
+
+    // Act
+    let first = terms(&state.handle(now, RoutingEvent::Dispatch(plan)));
+
+    // Assert
+    assert_eq!((first.looks, first.wait_limit_ms), (false, Some(500)));
+}
