Count guards without budget for a repeat apart from full ones

Found on reading the change: two guards that had no budget for a repeat ended the search for one that has, where four were asked before.

Change: only refusals for want of room count as full.

Test: guards_without_budget_for_a_repeat_do_not_count_as_full, failed before: no third attempt was made.

--- a/src/routing/attempted.rs
+++ b/src/routing/attempted.rs
@@ -111,12 +111,9 @@
     }
 }
 
-/// Whether a guard refused for want of room or budget, and not for its server's sake.
+/// Whether a guard refused for want of room, and not for its server's sake.
 fn is_full(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::Busy | ErrorKind::DeadlineUnmeetable | ErrorKind::RetriesSpent
-    )
+    matches!(kind, ErrorKind::Busy | ErrorKind::DeadlineUnmeetable)
 }
 
 fn shorter(known: Option<Duration>, other: Option<Duration>) -> Option<Duration> {
--- a/src/routing/tests/full.rs
+++ b/src/routing/tests/full.rs
@@ -59,12 +59,20 @@
 }
 
 fn busy(attempt: Attempt, wait_ms: u64) -> RoutingEvent {
+    refused(
+        attempt,
+        ErrorKind::Busy,
+        Some(Duration::from_millis(wait_ms)),
+    )
+}
+
+fn refused(attempt: Attempt, kind: ErrorKind, retry_after: Option<Duration>) -> RoutingEvent {
     RoutingEvent::Attempted {
         request: 1,
         attempt,
         outcome: AttemptOutcome::NotRun {
-            kind: ErrorKind::Busy,
-            retry_after: Some(Duration::from_millis(wait_ms)),
+            kind,
+            retry_after,
             by_guard: true,
         },
         elapsed: Duration::from_millis(1),
@@ -155,3 +163,19 @@
     // Assert
     assert_eq!((first.looks, first.wait_limit_ms), (false, Some(500)));
 }
+
+#[test]
+fn guards_without_budget_for_a_repeat_do_not_count_as_full() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    let plan = plan(now + Duration::from_secs(10));
+    state.handle(now, RoutingEvent::Dispatch(plan));
+    state.handle(now, refused(1, ErrorKind::RetriesSpent, None));
+
+    // Act
+    let third = state.handle(now, refused(2, ErrorKind::RetriesSpent, None));
+
+    // Assert
+    assert!(!terms(&third).last_resort);
+}
