Read a settings file that changed while the daemon started

Cause: the watch of the file noted its stamp when its own thread began, and the file had been read before that. A change in between was taken for the known state, until the next change or signal.

--- a/src/cli/reload.rs
+++ b/src/cli/reload.rs
@@ -32,19 +32,30 @@
     Some((file.modified().ok()?, file.len()))
 }
 
+/// The file at the last look. It may have changed since the daemon read it at its start, so the
+/// first look counts as a change.
+#[derive(Default)]
+struct LastLook(Option<Stamp>);
+
+impl LastLook {
+    /// Takes what is found now. Says whether it differs.
+    fn changed(&mut self, found: Stamp) -> bool {
+        self.0.replace(found) != Some(found)
+    }
+}
+
 impl Reloader {
     /// Reads the file again for each signal and each change, until the daemon ends.
     pub fn run(mut self, signals: &Receiver<()>) {
-        let mut known = stamp(&self.path);
+        let mut last_look = LastLook::default();
         loop {
             let asked = match signals.recv_timeout(LOOK_EVERY) {
                 Ok(()) => true,
                 Err(RecvTimeoutError::Timeout) => false,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
-            let found = stamp(&self.path);
-            if asked || found != known {
-                known = found;
+            let changed = last_look.changed(stamp(&self.path));
+            if asked || changed {
                 self.reload();
             }
         }
@@ -65,3 +76,6 @@
         log::info!(waiting; "settings_in_force");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -28,6 +28,7 @@
 const BUFFER_LIMIT_BYTES: usize = 64 * 1024;
 /// Requests of a connection that run at a time.
 const UNANSWERED_LIMIT_COUNT: usize = 32;
+/// Most bytes of one read.
 const CHUNK_BYTES: usize = 8 * 1024;
 
 /// A request that was handed out before the HTTP library has read it.
@@ -56,8 +57,11 @@
     ended: bool,
     /// Whether the caller has closed the connection.
     closed: bool,
+    /// Wakes the library once bytes are ready for it.
     reader: Option<Waker>,
+    /// Wakes the pump once bytes were taken or a request was answered.
     pump: Option<Waker>,
+    /// Wakes whoever waits for the end of what was handed out.
     settled: Option<Waker>,
 }
 
