--- a/src/guard/times.rs
+++ b/src/guard/times.rs
@@ -44,6 +44,12 @@
     }
 }
 
+impl MeanTime {
+    fn known_s(&self, least_sample_count: u32) -> Option<f64> {
+        (self.sample_count >= least_sample_count).then_some(self.mean_s)
+    }
+}
+
 impl RouteTimes {
     /// Times that change only over many answers.
     pub fn steady() -> RouteTimes {
@@ -69,14 +75,13 @@
 
     /// The mean time of this very route, once enough answers of it were seen.
     pub fn own_mean_s(&self, route: &RouteId, least_sample_count: u32) -> Option<f64> {
-        let mean = self.routes.get(route)?;
-        (mean.sample_count >= least_sample_count).then_some(mean.mean_s)
+        self.routes.get(route)?.known_s(least_sample_count)
     }
 
     /// The mean time of a route, once enough answers were seen.
     pub fn mean_s(&self, route: &RouteId, least_sample_count: u32) -> Option<f64> {
         let mean = self.routes.get(route).unwrap_or(&self.all);
-        (mean.sample_count >= least_sample_count).then_some(mean.mean_s)
+        mean.known_s(least_sample_count)
     }
 
     /// The mean time over all routes.
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -12,10 +12,26 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::least_loaded::LeastLoaded;
-use super::message::{Outcome, RequestPlan, RoutingAction, RoutingEvent};
+use super::message::{AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent};
 use super::state::RoutingState;
 use crate::error::ErrorKind;
 use crate::settings::routing::RoutingSettings;
+use crate::types::Attempt;
+
+/// A guard's word that an attempt at request 1 did not run.
+fn not_run(attempt: Attempt, kind: ErrorKind, retry_after: Option<Duration>) -> RoutingEvent {
+    RoutingEvent::Attempted {
+        request: 1,
+        attempt,
+        outcome: AttemptOutcome::NotRun {
+            kind,
+            retry_after,
+            by_guard: true,
+        },
+        elapsed: Duration::from_millis(1),
+        resendable: true,
+    }
+}
 
 /// A plan of a request that may be repeated.
 fn plan(deadline_at: Instant) -> RequestPlan {
--- a/src/routing/tests/full.rs
+++ b/src/routing/tests/full.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::plan;
+use super::{not_run, plan};
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::membership::Fleet;
@@ -59,27 +59,13 @@
 }
 
 fn busy(attempt: Attempt, wait_ms: u64) -> RoutingEvent {
-    refused(
+    not_run(
         attempt,
         ErrorKind::Busy,
         Some(Duration::from_millis(wait_ms)),
     )
 }
 
-fn refused(attempt: Attempt, kind: ErrorKind, retry_after: Option<Duration>) -> RoutingEvent {
-    RoutingEvent::Attempted {
-        request: 1,
-        attempt,
-        outcome: AttemptOutcome::NotRun {
-            kind,
-            retry_after,
-            by_guard: true,
-        },
-        elapsed: Duration::from_millis(1),
-        resendable: true,
-    }
-}
-
 fn terms(actions: &RoutingActions) -> AttemptTerms {
     let sent = actions.iter().find_map(|action| match action {
         RoutingAction::Send { terms, .. } => Some(*terms),
@@ -171,10 +157,10 @@
     let mut state = state();
     let plan = plan(now + Duration::from_secs(10));
     state.handle(now, RoutingEvent::Dispatch(plan));
-    state.handle(now, refused(1, ErrorKind::RetriesSpent, None));
+    state.handle(now, not_run(1, ErrorKind::RetriesSpent, None));
 
     // Act
-    let third = state.handle(now, refused(2, ErrorKind::RetriesSpent, None));
+    let third = state.handle(now, not_run(2, ErrorKind::RetriesSpent, None));
 
     // Assert
     assert!(!terms(&third).last_resort);
--- a/src/routing/tests/last_resort.rs
+++ b/src/routing/tests/last_resort.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::plan;
+use super::{not_run, plan};
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::membership::Fleet;
@@ -69,20 +69,6 @@
     not_run(attempt, ErrorKind::ServerTripped, None)
 }
 
-fn not_run(attempt: Attempt, kind: ErrorKind, retry_after: Option<Duration>) -> RoutingEvent {
-    RoutingEvent::Attempted {
-        request: 1,
-        attempt,
-        outcome: AttemptOutcome::NotRun {
-            kind,
-            retry_after,
-            by_guard: true,
-        },
-        elapsed: Duration::from_millis(1),
-        resendable: true,
-    }
-}
-
 /// The server and the last resort of an attempt that is sent.
 fn sent(actions: &RoutingActions) -> Option<(&str, bool)> {
     actions.iter().find_map(|action| match action {
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -15,7 +15,7 @@
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::exchange::{LeaveWatch, ListenerExchange};
@@ -104,13 +104,8 @@
             peer: Some(self.peer),
             ..head
         };
-        let (answer_sender, answer) = oneshot::channel();
-        let (watch, watched) = LeaveWatch::new();
-        let body = RequestBody::Whole(Bytes::new());
-        let exchange = ListenerExchange::new(body, answer_sender, watched);
-        let arrival = (head.clone(), Box::new(exchange) as Box<_>);
         // Without room it waits its turn, and is refused then if there is still none.
-        shared.arrivals.try_send(arrival).ok()?;
+        let (answer, watch) = self.offer(&head, RequestBody::Whole(Bytes::new()))?;
         Some(HandedOut {
             head,
             answer,
@@ -118,6 +113,20 @@
         })
     }
 
+    /// Offers a request to whoever takes them from the listener; nothing without room.
+    fn offer(
+        &self,
+        head: &RawHead,
+        body: RequestBody,
+    ) -> Option<(oneshot::Receiver<WholeAnswer>, LeaveWatch)> {
+        let (answer_sender, answer) = oneshot::channel();
+        let (watch, watched) = LeaveWatch::new();
+        let exchange = ListenerExchange::new(body, answer_sender, watched);
+        let arrival = (head.clone(), Box::new(exchange) as Box<_>);
+        self.shared.arrivals.try_send(arrival).ok()?;
+        Some((answer, watch))
+    }
+
     async fn answer(
         &self,
         request: Request<Incoming>,
@@ -142,8 +151,10 @@
             answer,
             watch,
         } = handed_out;
-        let (read, _) = take_head(request, self.peer);
-        if (&read.method, &read.target) != (&head.method, &head.target) {
+        let alike =
+            request.method().as_str() == head.method && target(request.uri()) == head.target;
+        if !alike {
+            let (read, _) = take_head(request, self.peer);
             log::error!("a connection's requests were read in two ways; it is closed");
             self.ahead.borrow_mut().give_up();
             let mut refusal = self.refusal(&read, ErrorKind::Internal);
@@ -157,8 +168,6 @@
     }
 
     async fn answer_in_turn(&self, request: Request<Incoming>) -> WholeAnswer {
-        let (answer_sender, answer) = oneshot::channel();
-        let (watch, watched) = LeaveWatch::new();
         let (mut head, mut incoming) = take_head(request, self.peer);
         let body = match self.whole_body(&mut head, &mut incoming).await {
             Ok(body) => body,
@@ -172,11 +181,9 @@
                 (RequestBody::Parts(parts), Some(reading))
             }
         };
-        let exchange = ListenerExchange::new(body, answer_sender, watched);
-        let arrival = (head.clone(), Box::new(exchange) as Box<_>);
-        if self.shared.arrivals.try_send(arrival).is_err() {
+        let Some((answer, watch)) = self.offer(&head, body) else {
             return self.refusal(&head, ErrorKind::Busy);
-        }
+        };
         let answering = std::pin::pin!(answer);
         let answered = match reading {
             None => answering.await,
@@ -256,6 +263,10 @@
     }
 }
 
+fn target(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("", |target| target.as_str())
+}
+
 fn take_head(request: Request<Incoming>, peer: SocketAddr) -> (RawHead, Incoming) {
     let (parts, incoming) = request.into_parts();
     let mut headers = Vec::with_capacity(parts.headers.len());
@@ -266,13 +277,9 @@
         ));
     }
     let chunked = parts.headers.contains_key("transfer-encoding");
-    let target = parts
-        .uri
-        .path_and_query()
-        .map_or("", |target| target.as_str());
     let head = RawHead {
         method: parts.method.to_string(),
-        target: target.to_owned(),
+        target: target(&parts.uri).to_owned(),
         headers,
         body_bytes: if chunked {
             None
