Log what announcements say and in whose name requests are sent

Cause: a report of requests that reached a server in a wrong service's name could not be traced. No line told which announcement a daemon believed, which it left aside and why, which bytes at the announce address could not be read, or when the service named to servers changed.

Change: server_seen, announcement_ignored, announcement_unreadable and origin_changed, with counters by reason. No decision changes.

--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -71,11 +71,14 @@
                 guard.deliver(GuardMessage::Event(event));
                 dialect.taken()
             }
-            Err(problem) => WholeAnswer {
-                status: 400,
-                body: problem.into_bytes(),
-                ..Default::default()
-            },
+            Err(problem) => {
+                log::warn!(target = head.target, problem; "announcement_unreadable");
+                WholeAnswer {
+                    status: 400,
+                    body: problem.into_bytes(),
+                    ..Default::default()
+                }
+            }
         };
         exchange.answer(answer);
     }
--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::message::{Announcement, GuardAction};
+use super::message::{Announcement, GuardAction, IgnoredBecause};
 use super::server::ServerState;
 use super::state::GuardState;
 use crate::contract::View;
@@ -19,9 +19,16 @@
         actions: &mut Vec<GuardAction>,
     ) {
         let name = announcement.server.clone();
-        if self.is_outdated(now, &announcement) {
+        if let Some(reason) = self.ignored_because(now, &announcement) {
+            actions.push(GuardAction::AnnouncementIgnored {
+                announcement,
+                reason,
+            });
             return;
         }
+        if self.is_news(&announcement) {
+            actions.push(GuardAction::ServerSeen(announcement.clone()));
+        }
         self.replace_others(now, &announcement, actions);
         let cold_rate_per_s = self.cold_rate_per_s(&announcement.service);
         let Some(server) = self.servers.get_mut(&name) else {
@@ -46,11 +53,13 @@
         self.pump(now, &name, actions);
     }
 
-    /// Whether the announcement is older than what is known: an earlier one of the same life, or
-    /// one of a server whose address another server has since taken.
-    pub(super) fn is_outdated(&self, now: Instant, announcement: &Announcement) -> bool {
+    /// Why the announcement is older than what is known: an earlier one of the same life, or one
+    /// of a server whose address another server has since taken.
+    fn ignored_because(&self, now: Instant, announcement: &Announcement) -> Option<IgnoredBecause> {
         let own = self.servers.get(&announcement.server);
-        let repeated = own.is_some_and(|known| known.has_said_later(announcement));
+        if own.is_some_and(|known| known.has_said_later(announcement)) {
+            return Some(IgnoredBecause::Outdated);
+        }
         let replaced = self.servers.values().any(|other| {
             let held = &other.announcement;
             held.address == announcement.address
@@ -59,7 +68,15 @@
                 && announcement.started_at_ms < held.started_at_ms
                 && now.saturating_duration_since(other.renewed_at) < self.ttl()
         });
-        repeated || replaced
+        replaced.then_some(IgnoredBecause::Replaced)
+    }
+
+    /// Whether the announcement tells of a server, or of a life of one, that is not known.
+    fn is_news(&self, announcement: &Announcement) -> bool {
+        self.servers.get(&announcement.server).is_none_or(|known| {
+            let held = &known.announcement;
+            held.started_at_ms != announcement.started_at_ms || held.service != announcement.service
+        })
     }
 
     /// A server that took another's address ends the other one.
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -8,7 +8,7 @@
 
 use super::cancel::CancelJob;
 use super::forward::{self, ForwardContext, StartJob};
-use super::log::{log_end, log_servers, LogName};
+use super::log::{log_end, log_ignored, log_seen, log_servers, LogName};
 use super::message::{AttemptKey, GuardAction, GuardEvent, GuardMessage, ServerOutcome};
 use super::state::GuardState;
 use crate::clock::Clock;
@@ -213,6 +213,16 @@
                 let event = MembershipEvent::Local(servers);
                 self.context.membership.deliver(event);
             }
+            GuardAction::ServerSeen(announcement) => log_seen(&announcement),
+            GuardAction::AnnouncementIgnored {
+                announcement,
+                reason,
+            } => {
+                let name = reason.name();
+                let metrics = &self.context.metrics;
+                metrics.count(&format!("guard.announcement.ignored.{name}"));
+                log_ignored(&announcement, reason);
+            }
             GuardAction::RepeatStarted => {
                 let event = RoutingMessage::Event(RoutingEvent::OwnServerRepeats);
                 // Without room the calls of this one repeat go uncounted.
--- a/src/guard/log.rs
+++ b/src/guard/log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::message::ServerOutcome;
+use super::message::{Announcement, IgnoredBecause, ServerOutcome};
 use crate::membership::ServerEntry;
 use crate::types::Attempt;
 
@@ -50,3 +50,30 @@
         log::info!("server_absent");
     }
 }
+
+/// One line for each server, or life of one, that is seen for the first time.
+pub(super) fn log_seen(announcement: &Announcement) {
+    let address = announcement.address.to_string();
+    log::info!(
+        server = &*announcement.server,
+        service = &*announcement.service,
+        address,
+        started_at_ms = announcement.started_at_ms,
+        sequence = announcement.sequence;
+        "server_seen"
+    );
+}
+
+/// One line for each announcement that is left aside.
+pub(super) fn log_ignored(announcement: &Announcement, reason: IgnoredBecause) {
+    let address = announcement.address.to_string();
+    log::info!(
+        server = &*announcement.server,
+        service = &*announcement.service,
+        address,
+        started_at_ms = announcement.started_at_ms,
+        sequence = announcement.sequence,
+        reason = reason.name();
+        "announcement_ignored"
+    );
+}
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -250,6 +250,25 @@
     Stop,
 }
 
+/// Why an announcement was left aside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IgnoredBecause {
+    /// The server has said later things.
+    Outdated,
+    /// A server that started later has its address.
+    Replaced,
+}
+
+impl IgnoredBecause {
+    /// Its name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            IgnoredBecause::Outdated => "outdated",
+            IgnoredBecause::Replaced => "replaced",
+        }
+    }
+}
+
 /// What the guard does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum GuardAction {
@@ -296,6 +315,15 @@
         /// Path of its health.
         path: String,
     },
+    /// An announcement told of a server, or of a life of one, that was not known.
+    ServerSeen(Announcement),
+    /// An announcement was left aside.
+    AnnouncementIgnored {
+        /// What it said.
+        announcement: Announcement,
+        /// Why.
+        reason: IgnoredBecause,
+    },
     /// After `Drain`: nothing runs or waits any more.
     Drained,
     /// Tells membership of the servers on this VM.
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -8,7 +8,7 @@
 
 use super::choice::ServerChoice;
 use super::forward::{self, Attempted, ForwardContext};
-use super::log::{log_attempt, log_end};
+use super::log::{log_attempt, log_end, log_origin};
 use super::message::{HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage};
 use super::state::RoutingState;
 use crate::clock::Clock;
@@ -160,6 +160,7 @@
             RoutingEvent::Fleet(fleet) => {
                 let own = fleet.daemons.get(&self.context.daemon);
                 if let Some(server) = own.and_then(|own| own.servers.first()) {
+                    log_origin(&self.origin, server);
                     self.origin = server.service.clone();
                 }
             }
--- a/src/routing/log.rs
+++ b/src/routing/log.rs
@@ -5,7 +5,8 @@
 use super::duty::RoutingContext;
 use super::message::{AttemptOutcome, HeldRequest, Outcome};
 use crate::front::RequestHead;
-use crate::types::Attempt;
+use crate::membership::ServerEntry;
+use crate::types::{Attempt, ServiceId};
 
 /// One line for each request that routing took.
 pub(super) fn log_end(context: &RoutingContext, held: &HeldRequest, outcome: &Outcome) {
@@ -47,3 +48,12 @@
     let kind = kind.code();
     log::info!(request, attempt, kind, ran, by_guard, elapsed_ms; "attempt_failed");
 }
+
+/// One line when requests of this VM are sent in the name of another service than before.
+pub(super) fn log_origin(known: &ServiceId, server: &ServerEntry) {
+    if *known == server.service {
+        return;
+    }
+    let (from, to) = (&**known, &*server.service);
+    log::info!(from_service = from, to_service = to, server = &*server.server; "origin_changed");
+}
