Let the settings go before announcements of the server on a VM

Cause: routing took the service from the first announced server in the daemon's own description, and the guard took any announcement: neither its service nor its address was compared with the settings, which name both. A heartbeat that was delayed until the address had a new holder, or one of another VM's server, so changed in whose name requests were sent, for up to announcement_ttl_ms (60 s on the platform). The guard also counted the guards of the wrong service for its part of the retry budget.

Class: what others say of a daemon's own VM was believed over what the daemon knows first-hand.

Change: an announcement of another service or address than the settings name does not count, is answered with 400 and logged. The service in whose name requests are sent is that of the settings; announcements decide only where the settings name none. A reload puts another service in force, and servers that it contradicts are gone. An announcement is acknowledged after the guard has taken it, no longer before, so that no acknowledgement is given for one that is left aside.

--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -3,6 +3,7 @@
 use super::rings::Rings;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::routing::{RoutingEvent, RoutingMessage};
+use crate::settings::daemon::DaemonSettings;
 use crate::settings::Settings;
 
 /// Takes other settings for a daemon that runs.
@@ -20,7 +21,7 @@
         }
     }
 
-    /// Puts the settings of guard, routing and log in force. Gives the sections that differ and wait
+    /// Puts the settings of guard, routing and log and the service of this VM in force. Gives the sections that differ and wait
     /// for the next start of the daemon.
     pub fn take(&mut self, settings: Settings) -> Vec<&'static str> {
         if settings.guard != self.settings.guard {
@@ -31,6 +32,10 @@
             let event = RoutingEvent::Settings(Box::new(settings.routing.clone()));
             self.rings.routing.deliver(RoutingMessage::Event(event));
         }
+        if settings.daemon.service != self.settings.daemon.service {
+            let service = settings.daemon.service.clone();
+            self.rings.routing.deliver(RoutingMessage::Origin(service));
+        }
         if let Some(level) = settings.log.level() {
             log::set_max_level(level);
         }
@@ -47,8 +52,12 @@
 
 /// Sections that are read at the start only, and differ.
 fn waiting_sections(old: &Settings, new: &Settings) -> Vec<&'static str> {
+    let daemon = DaemonSettings {
+        service: new.daemon.service.clone(),
+        ..old.daemon.clone()
+    };
     let sections = [
-        ("daemon", old.daemon != new.daemon),
+        ("daemon", daemon != new.daemon),
         ("front", old.front != new.front),
         ("journal", old.journal != new.journal),
         ("allowance", old.allowance != new.allowance),
--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use super::message::{Announcement, GuardEvent, GuardMessage};
+use crossbeam::channel::bounded;
+
+use super::message::{AnnounceVerdict, Announcement, GuardEvent, GuardMessage, IgnoredBecause};
 use crate::ring::RingSender;
 use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
 use crate::wire::listener::HttpListener;
@@ -54,8 +56,8 @@
     Ok(announcement)
 }
 
-/// Takes announcements until the listener is closed. The guard knows of one before it is
-/// acknowledged.
+/// Takes announcements until the listener is closed. One is acknowledged only once the guard has
+/// taken it.
 pub fn run(
     listener: &Arc<HttpListener>,
     dialect: &dyn AnnouncementDialect,
@@ -67,19 +69,34 @@
             RequestBody::Parts(_) => Err("the announcement is too long".to_owned()),
         };
         let answer = match event {
-            Ok(event) => {
-                guard.deliver(GuardMessage::Event(event));
-                dialect.taken()
-            }
+            Ok(event) => match verdict_on(event, guard) {
+                Some(Ok(()) | Err(IgnoredBecause::Outdated)) => dialect.taken(),
+                Some(Err(reason)) => refused(STATUS_REFUSED, reason.name()),
+                None => refused(STATUS_STOPPING, "the daemon stops"),
+            },
             Err(problem) => {
                 log::warn!(target = head.target, problem; "announcement_unreadable");
-                WholeAnswer {
-                    status: 400,
-                    body: problem.into_bytes(),
-                    ..Default::default()
-                }
+                refused(STATUS_REFUSED, &problem)
             }
         };
         exchange.answer(answer);
     }
 }
+
+const STATUS_REFUSED: u16 = 400;
+const STATUS_STOPPING: u16 = 503;
+
+/// What the guard makes of an announcement; none from a guard that ends.
+fn verdict_on(event: GuardEvent, guard: &RingSender<GuardMessage>) -> Option<AnnounceVerdict> {
+    let (verdict, answered) = bounded(1);
+    guard.deliver(GuardMessage::Announce { event, verdict });
+    answered.recv().ok()
+}
+
+fn refused(status: u16, problem: &str) -> WholeAnswer {
+    WholeAnswer {
+        status,
+        body: problem.as_bytes().to_vec(),
+        ..Default::default()
+    }
+}
--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -9,6 +9,7 @@
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::membership::ServerEntry;
+use crate::settings::guard::GuardSettings;
 use crate::types::{BackendServerId, ServiceId};
 
 impl GuardState {
@@ -53,9 +54,12 @@
         self.pump(now, &name, actions);
     }
 
-    /// Why the announcement is older than what is known: an earlier one of the same life, or one
-    /// of a server whose address another server has since taken.
+    /// Why the announcement does not count: it is not of the server that the settings name, it is
+    /// an earlier one of the same life, or of a server whose address another has since taken.
     fn ignored_because(&self, now: Instant, announcement: &Announcement) -> Option<IgnoredBecause> {
+        if let Some(reason) = self.contradiction(announcement) {
+            return Some(reason);
+        }
         let own = self.servers.get(&announcement.server);
         if own.is_some_and(|known| known.has_said_later(announcement)) {
             return Some(IgnoredBecause::Outdated);
@@ -71,6 +75,21 @@
         replaced.then_some(IgnoredBecause::Replaced)
     }
 
+    /// What the settings say otherwise of the server on this VM. They go before announcements: one
+    /// may be late and come from who had the address before.
+    pub(super) fn contradiction(&self, announcement: &Announcement) -> Option<IgnoredBecause> {
+        let GuardSettings {
+            server_address,
+            server_service,
+            ..
+        } = &self.settings;
+        if server_address.is_some_and(|address| address != announcement.address) {
+            return Some(IgnoredBecause::OtherAddress);
+        }
+        let other = !server_service.is_empty() && *server_service != announcement.service;
+        other.then_some(IgnoredBecause::OtherService)
+    }
+
     /// Whether the announcement tells of a server, or of a life of one, that is not known.
     fn is_news(&self, announcement: &Announcement) -> bool {
         self.servers.get(&announcement.server).is_none_or(|known| {
@@ -79,8 +98,33 @@
         })
     }
 
+    /// Takes other settings. Servers that they no longer allow on this VM are gone.
+    pub(super) fn take_settings(
+        &mut self,
+        now: Instant,
+        settings: GuardSettings,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        self.retries.take_settings(&settings);
+        for server in self.servers.values_mut() {
+            server.take_settings(&settings);
+        }
+        self.settings = settings;
+        self.end_contradicted(now, actions);
+    }
+
+    fn end_contradicted(&mut self, now: Instant, actions: &mut Vec<GuardAction>) {
+        let present = self.servers.iter().filter(|(_, server)| !server.gone);
+        let contradicted =
+            present.filter(|(_, server)| self.contradiction(&server.announcement).is_some());
+        let names: Vec<BackendServerId> = contradicted.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.gone(now, &name, actions);
+        }
+    }
+
     /// A server that took another's address ends the other one.
-    pub(super) fn replace_others(
+    fn replace_others(
         &mut self,
         now: Instant,
         announcement: &Announcement,
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -9,7 +9,9 @@
 use super::cancel::CancelJob;
 use super::forward::{self, ForwardContext, StartJob};
 use super::log::{log_end, log_ignored, log_seen, log_servers, LogName};
-use super::message::{AttemptKey, GuardAction, GuardEvent, GuardMessage, ServerOutcome};
+use super::message::{
+    AnnounceVerdict, AttemptKey, GuardAction, GuardEvent, GuardMessage, ServerOutcome,
+};
 use super::state::GuardState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
@@ -79,13 +81,15 @@
 /// The thread's own part: what the decisions need not see.
 pub(super) struct GuardDuty<'a> {
     pub(super) context: &'a GuardContext,
-    state: GuardState,
+    pub(super) state: GuardState,
     held: HashMap<AttemptKey, HeldRequest>,
     /// Calls that run.
     calls: HashMap<AttemptKey, OpenCall>,
     pub(super) fleet: Arc<Fleet>,
     /// Who waits for the fence of the event in hand.
     pub(super) fence_reply: Option<PeerReply>,
+    /// Who waits for the verdict on the announcement in hand.
+    announcer: Option<Sender<AnnounceVerdict>>,
 }
 
 /// Runs the duty until it is told to stop.
@@ -97,6 +101,7 @@
         calls: HashMap::new(),
         fleet: Arc::default(),
         fence_reply: None,
+        announcer: None,
     };
     loop {
         let now = context.clock.now();
@@ -119,6 +124,11 @@
         match message {
             GuardMessage::Event(event) => self.decide(event),
             GuardMessage::Fleet(fleet) => self.fleet_changed(fleet),
+            GuardMessage::Announce { event, verdict } => {
+                self.announcer = Some(verdict);
+                self.decide(event);
+                self.judge_announcement(Ok(()));
+            }
             GuardMessage::Fence { request, reply } => {
                 self.fence_reply = Some(reply);
                 self.decide(GuardEvent::Fence(request));
@@ -222,6 +232,7 @@
                 let metrics = &self.context.metrics;
                 metrics.count(&format!("guard.announcement.ignored.{name}"));
                 log_ignored(&announcement, reason);
+                self.judge_announcement(Err(reason));
             }
             GuardAction::RepeatStarted => {
                 let event = RoutingMessage::Event(RoutingEvent::OwnServerRepeats);
@@ -243,6 +254,14 @@
         }
     }
 
+    /// Tells the verdict to who waits for it, once.
+    fn judge_announcement(&mut self, verdict: AnnounceVerdict) {
+        if let Some(announcer) = self.announcer.take() {
+            // The listener may have ended.
+            let _ = announcer.send(verdict);
+        }
+    }
+
     fn start(&mut self, key: AttemptKey, address: std::net::SocketAddr) {
         let Some(held) = self.held.remove(&key) else {
             return;
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel::Sender;
 use serde::{Deserialize, Serialize};
 
 use crate::contract::View;
@@ -242,6 +243,13 @@
         /// Takes the answer.
         reply: PeerReply,
     },
+    /// What came to the announce address, with who waits for the verdict on it.
+    Announce {
+        /// The announcement or withdrawal.
+        event: GuardEvent,
+        /// Takes the verdict; closed without one when the guard ends.
+        verdict: Sender<AnnounceVerdict>,
+    },
     /// Where other daemons are.
     Fleet(Arc<Fleet>),
     /// Any other event.
@@ -250,6 +258,9 @@
     Stop,
 }
 
+/// Whether an announcement counts.
+pub type AnnounceVerdict = Result<(), IgnoredBecause>;
+
 /// Why an announcement was left aside.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IgnoredBecause {
@@ -257,6 +268,10 @@
     Outdated,
     /// A server that started later has its address.
     Replaced,
+    /// The settings name another address for the server on this VM.
+    OtherAddress,
+    /// The settings name another service for the server on this VM.
+    OtherService,
 }
 
 impl IgnoredBecause {
@@ -265,6 +280,8 @@
         match self {
             IgnoredBecause::Outdated => "outdated",
             IgnoredBecause::Replaced => "replaced",
+            IgnoredBecause::OtherAddress => "other_address",
+            IgnoredBecause::OtherService => "other_service",
         }
     }
 }
--- a/src/guard/others.rs
+++ b/src/guard/others.rs
@@ -16,17 +16,25 @@
     /// Takes a new fleet, and counts the guards that share a service with this one.
     pub(super) fn fleet_changed(&mut self, fleet: Arc<Fleet>) {
         self.fleet = fleet;
-        let own = self.fleet.daemons.get(&self.context.daemon);
-        let Some(server) = own.and_then(|own| own.servers.first()) else {
+        let Some(service) = self.own_service() else {
             return;
         };
-        let service = &server.service;
         let daemons = self.fleet.daemons.values();
-        let guards = daemons.filter(|daemon| serves(daemon, service));
+        let guards = daemons.filter(|daemon| serves(daemon, &service));
         let count = guards.count().max(1);
         self.decide(GuardEvent::Guards { count });
     }
 
+    /// Service of the server on this VM; none where neither the settings nor a server name it.
+    fn own_service(&self) -> Option<ServiceId> {
+        let named = self.state.server_service();
+        if !named.is_empty() {
+            return Some(named.clone());
+        }
+        let own = self.fleet.daemons.get(&self.context.daemon)?;
+        own.servers.first().map(|server| server.service.clone())
+    }
+
     /// Asks a server for its health.
     pub(super) fn inquire(&self, address: std::net::SocketAddr, path: String) {
         self.context.metrics.count("guard.inquiry");
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -15,7 +15,7 @@
 use crate::error::ErrorKind;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
-use crate::types::{BackendServerId, Incarnation};
+use crate::types::{BackendServerId, Incarnation, ServiceId};
 use crate::wire::client::CallError;
 
 /// State of the guard.
@@ -119,7 +119,7 @@
             GuardEvent::Inquired { address, word } => {
                 self.inquired(now, address, word, &mut actions);
             }
-            GuardEvent::Settings(settings) => self.take_settings(*settings),
+            GuardEvent::Settings(settings) => self.take_settings(now, *settings, &mut actions),
             GuardEvent::Guards { count } => self.guard_count = count,
             GuardEvent::OwnCallFailed => self.own_call_failed_at = Some(now),
             GuardEvent::Tick => self.tick(now, &mut actions),
@@ -137,12 +137,9 @@
         actions
     }
 
-    fn take_settings(&mut self, settings: GuardSettings) {
-        self.retries.take_settings(&settings);
-        for server in self.servers.values_mut() {
-            server.take_settings(&settings);
-        }
-        self.settings = settings;
+    /// Service of the servers on this VM by the settings; empty for any.
+    pub fn server_service(&self) -> &ServiceId {
+        &self.settings.server_service
     }
 
     /// The load of a server beside; nothing for one that is not known.
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,3 +1,4 @@
+mod beside;
 mod brief_wait;
 mod deaths;
 mod overdue;
--- a/src/guard/tests/servers.rs
+++ b/src/guard/tests/servers.rs
@@ -85,7 +85,7 @@
 }
 
 /// A guard that proves servers, with a service that has a health path.
-fn proving_guard(now: Instant) -> GuardState {
+pub(super) fn proving_guard(now: Instant) -> GuardState {
     let settings = GuardSettings {
         inquire: true,
         server_address: Some(announcement().address),
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -32,7 +32,8 @@
     pub settings: RoutingSettings,
     /// This daemon.
     pub daemon: DaemonId,
-    /// Service of the backend server on this VM, until one announces itself.
+    /// Service of the backend server on this VM, in whose name requests are sent; empty to go by
+    /// what announces itself.
     pub origin: ServiceId,
     /// Time.
     pub clock: Arc<dyn Clock>,
@@ -71,6 +72,8 @@
     upload_count: usize,
     /// Service of the backend server on this VM; empty where there is none.
     origin: ServiceId,
+    /// Whether the settings name that service, so that no announcement changes it.
+    origin_set: bool,
     /// Up to where the configuration was read.
     view: Offset,
 }
@@ -88,6 +91,7 @@
         call_count: 0,
         upload_count: 0,
         origin: context.origin.clone(),
+        origin_set: !context.origin.is_empty(),
         view: 0,
     };
     let mut draining = false;
@@ -103,6 +107,10 @@
         match message {
             RoutingMessage::Stop => return,
             RoutingMessage::Drain => draining = true,
+            RoutingMessage::Origin(service) => {
+                duty.origin_set = !service.is_empty();
+                duty.take_origin(service);
+            }
             RoutingMessage::Event(event) => {
                 duty.notice(&event);
                 duty.decide(event);
@@ -157,17 +165,21 @@
                 }
             }
             RoutingEvent::View(view) => self.view = view.next,
-            RoutingEvent::Fleet(fleet) => {
+            RoutingEvent::Fleet(fleet) if !self.origin_set => {
                 let own = fleet.daemons.get(&self.context.daemon);
                 if let Some(server) = own.and_then(|own| own.servers.first()) {
-                    log_origin(&self.origin, server);
-                    self.origin = server.service.clone();
+                    self.take_origin(server.service.clone());
                 }
             }
             _ => {}
         }
     }
 
+    fn take_origin(&mut self, service: ServiceId) {
+        log_origin(&self.origin, &service);
+        self.origin = service;
+    }
+
     fn call_ended(&mut self, request: RequestId) {
         let Some(held) = self.held.get_mut(&request) else {
             return;
--- a/src/routing/log.rs
+++ b/src/routing/log.rs
@@ -5,7 +5,6 @@
 use super::duty::RoutingContext;
 use super::message::{AttemptOutcome, HeldRequest, Outcome};
 use crate::front::RequestHead;
-use crate::membership::ServerEntry;
 use crate::types::{Attempt, ServiceId};
 
 /// One line for each request that routing took.
@@ -50,10 +49,9 @@
 }
 
 /// One line when requests of this VM are sent in the name of another service than before.
-pub(super) fn log_origin(known: &ServiceId, server: &ServerEntry) {
-    if *known == server.service {
+pub(super) fn log_origin(known: &ServiceId, service: &ServiceId) {
+    if known == service {
         return;
     }
-    let (from, to) = (&**known, &*server.service);
-    log::info!(from_service = from, to_service = to, server = &*server.server; "origin_changed");
+    log::info!(from_service = &**known, to_service = &**service; "origin_changed");
 }
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -165,6 +165,9 @@
     },
     /// Any other event.
     Event(RoutingEvent),
+    /// The settings name another service for the server on this VM; empty to go by what announces
+    /// itself.
+    Origin(ServiceId),
     /// The daemon stops; routing tells when nothing is left to do.
     Drain,
     /// The duty ends.
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -14,8 +14,8 @@
     pub daemon: DaemonId,
     /// Failure domain of this VM.
     pub domain: DomainId,
-    /// Service of the backend server on this VM, until one announces itself; empty where there is
-    /// none.
+    /// Service of the backend server on this VM, in whose name its requests are sent; empty to go
+    /// by the first server that announces itself.
     pub service: ServiceId,
     /// Secret that every daemon of the fleet shares; at least 16 characters. Never sent.
     pub fleet_secret: String,
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -42,9 +42,11 @@
     pub quiet_ms: u64,
     /// Longest wait for a connection to a backend server.
     pub connect_timeout_ms: u64,
-    /// Address of the backend server on this VM, where it is known before it announces itself.
+    /// Address of the only backend server on this VM; announcements of others do not count. None
+    /// where any may announce themselves.
     pub server_address: Option<SocketAddr>,
-    /// Its service.
+    /// Service of the backend servers on this VM; announcements of others do not count. Empty for
+    /// any service.
     pub server_service: ServiceId,
     /// Whether a server that is new to this life of the daemon gets work only after its health or
     /// a second announcement has proven that it is there.
