Let a server's health decide who holds an address

Seen in tests: after a restart a daemon knows the server beside it by its health, without the start of its life. A late announcement of the server that had the address before then ended the present one, and its requests were refused until its next announcement. The other way round, a former server stayed after its address had answered with another name.

Cause: the same class as the wrong name: a delayed word went before what the daemon had just seen itself.

Change: a holder that is known by its health alone is not ended by an announcement; the address is asked again, and its answer, or a second announcement, decides. Whoever the health at an address names ends all others there.

--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -1,5 +1,6 @@
 //! What servers say of themselves, in which order it counts, and what the view adds to it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -41,13 +42,17 @@
             return;
         };
         server.cold_rate_per_s = cold_rate_per_s;
-        server.unproven = false;
+        let proven = std::mem::take(&mut server.unproven);
+        let address = announcement.address;
         let new_life = server.renew(now, announcement);
         server.keep_leaving();
         let draining = server.announcement.draining;
         if new_life {
             actions.extend(self.deaths.confirm(now, &name));
         }
+        if proven {
+            self.end_others(now, address, &name, actions, |_| true);
+        }
         if draining {
             self.refuse_waiting(now, &name, ErrorKind::NoServer, actions);
         }
@@ -123,7 +128,8 @@
         }
     }
 
-    /// A server that took another's address ends the other one.
+    /// A server that announces a later life than the holder of its address ends that one. A holder
+    /// that is known by its health alone may be the later one; its health decides.
     fn replace_others(
         &mut self,
         now: Instant,
@@ -133,14 +139,28 @@
         if announcement.started_at_ms == 0 {
             return;
         }
-        let others = self.servers.iter().filter(|(name, other)| {
-            **name != announcement.server
-                && !other.gone
-                && other.announcement.address == announcement.address
+        let asks = self.settings.inquire;
+        let (address, name) = (announcement.address, &announcement.server);
+        self.end_others(now, address, name, actions, |holder| {
+            holder.announcement.started_at_ms != 0 || !asks
         });
-        let others: Vec<BackendServerId> = others.map(|(name, _)| name.clone()).collect();
-        for other in others {
-            self.gone(now, &other, actions);
+    }
+
+    /// Servers other than `name` at an address are gone, where `ends` says so.
+    pub(super) fn end_others(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        name: &BackendServerId,
+        actions: &mut Vec<GuardAction>,
+        ends: impl Fn(&ServerState) -> bool,
+    ) {
+        let holders = self.servers.iter().filter(|(other, holder)| {
+            *other != name && !holder.gone && holder.announcement.address == address && ends(holder)
+        });
+        let names: Vec<BackendServerId> = holders.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.gone(now, &name, actions);
         }
     }
 
--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -50,7 +50,8 @@
         true
     }
 
-    /// Takes the answer. A server that says it is not well is left to its announcements.
+    /// Takes the answer. It names who holds the address, whatever came late. A server that says it
+    /// is not well is left to its announcements.
     pub(super) fn inquired(
         &mut self,
         now: Instant,
@@ -61,15 +62,17 @@
         let Some(word) = word.filter(|word| word.healthy) else {
             return;
         };
+        self.end_others(now, address, &word.server, actions, |_| true);
         if let Some(server) = self.servers.get_mut(&word.server) {
             if server.announcement.address == address {
                 server.unproven = false;
             }
             return;
         }
-        if !self.servers.is_empty() || self.settings.server_address != Some(address) {
+        if self.settings.server_address != Some(address) {
             return;
         }
+        let name = word.server.clone();
         let announcement = Announcement {
             server: word.server,
             service: self.settings.server_service.clone(),
@@ -79,11 +82,7 @@
             ..Default::default()
         };
         self.announced(now, announcement, actions);
-        self.prove_all();
-    }
-
-    fn prove_all(&mut self) {
-        for server in self.servers.values_mut() {
+        if let Some(server) = self.servers.get_mut(&name) {
             server.unproven = false;
         }
     }
--- a/src/guard/tests/beside.rs
+++ b/src/guard/tests/beside.rs
@@ -7,7 +7,7 @@
 use crate::error::ErrorKind;
 use crate::guard::message::{Announcement, GuardAction, GuardEvent, IgnoredBecause};
 use crate::guard::state::GuardState;
-use crate::guard::tests::servers::proving_guard;
+use crate::guard::tests::servers::{health, proving_guard};
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
 
@@ -56,6 +56,58 @@
     assert_eq!(told(&other_service).or(told(&other_address)), None);
 }
 
+#[test]
+fn a_late_announcement_of_a_former_server_does_not_end_one_that_its_health_has_named() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+    state.handle(now, health("s", true));
+
+    // Act
+    state.handle(now, GuardEvent::Announced(named("former", "v", 5)));
+    let meanwhile = state.handle(now, GuardEvent::Arrived(request(1, now)));
+    state.handle(now, health("s", true));
+    let after = state.handle(now, GuardEvent::Arrived(request(2, now)));
+
+    // Assert
+    assert_eq!(refusal_of(&meanwhile, 1), None);
+    assert_eq!(refusal_of(&after, 2), None);
+    assert_eq!(state.reported.len(), 1);
+}
+
+#[test]
+fn a_server_that_its_health_names_ends_the_one_that_held_its_address() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+    state.handle(now, GuardEvent::Announced(named("former", "v", 5)));
+
+    // Act
+    let actions = state.handle(now, health("s", true));
+    let arrived = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+    // Assert
+    let names = told(&actions).map(|servers| servers.iter().map(|found| &*found.server));
+    assert_eq!(names.map(Iterator::collect::<Vec<_>>), Some(vec!["s"]));
+    assert_eq!(refusal_of(&arrived, 1), None);
+}
+
+#[test]
+fn a_second_announcement_proves_a_server_whose_holder_never_announced_itself() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = proving_guard(now);
+    state.handle(now, health("former", true));
+
+    // Act
+    state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+    let actions = state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+
+    // Assert
+    let names = told(&actions).map(|servers| servers.iter().map(|found| &*found.server));
+    assert_eq!(names.map(Iterator::collect::<Vec<_>>), Some(vec!["s"]));
+}
+
 #[test]
 fn a_server_that_other_settings_contradict_gets_no_more_work() {
     // Arrange
--- a/src/guard/tests/servers.rs
+++ b/src/guard/tests/servers.rs
@@ -97,7 +97,7 @@
     state
 }
 
-fn health(server: &str, healthy: bool) -> GuardEvent {
+pub(super) fn health(server: &str, healthy: bool) -> GuardEvent {
     GuardEvent::Inquired {
         address: announcement().address,
         word: Some(HealthWord {
