Take a server's refusal without an id only where nothing came before

Callers were told "not run" for requests that a server was running. A faulty server writes an earlier refusal once more on a kept connection, behind the next request. With the id of the earlier request the copy was found out, but without an id it was taken for the truth: `not-executed` and 421 were believed without one. A question for the server's health carries no id, goes over the same connections and may be refused, so such copies need no odd server.

The same held for failures: a 500 without an id was passed on to whoever came next.

Besides, a connection that gave an answer with another id was kept. It stayed one answer behind, so every later request on it was given its predecessor's answer and failed.

The client now asks a check of the call whether an answer is its own before the connection is kept. The dialect words it: an answer with another id is foreign, one without an id is foreign unless the connection has carried no other call. A foreign answer ends its connection, and the outcome is unknown as before. A call whose answers can't name an id is made on a new connection. Refusals with the right id are taken as before, and their connection is kept.

Looked at and left: - A copy that comes in the same segment as the refusal, or while the connection is idle: the HTTP library ends the connection, and a request that was not written yet goes over a new one. Tests pin it. - The product's own dialect never says that a server did not run a request; a 503 of a server is told as run. - Between entry and guard an exchange can be answered once, so nothing is written twice there.

--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -262,9 +262,9 @@
         let own = self.context.own.clone();
         let clock = self.context.clock.clone();
         let started_at = clock.now();
-        let StartJob { head, exchange, .. } = job;
+        let exchange = job.exchange;
         let done = Box::new(move |result| {
-            let (outcome, answer) = forward::settle(&*dialect, &head, &headers, result);
+            let (outcome, answer) = forward::settle(&*dialect, key.0, result);
             let elapsed = clock.now().saturating_duration_since(started_at);
             exchange.answer(answer);
             own.deliver(GuardMessage::Event(GuardEvent::Finished {
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -9,7 +9,7 @@
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
 use crate::types::{format_id, RequestId};
-use crate::wire::client::{Call, CallError, OutBody};
+use crate::wire::client::{AnswerCheck, Call, CallError, OutBody, Standing};
 use crate::wire::dialect::{Dialect, ServerCall, ServerWord};
 use crate::wire::exchange::{Exchange, RawHead, RequestBody, WholeAnswer};
 use crate::wire::forward::{strip_fleet_headers, ForwardHead, PREFIX, REQUEST};
@@ -78,6 +78,10 @@
             parts,
         },
     };
+    let check = ServerCheck {
+        dialect: context.dialect.clone(),
+        id: context.dialect.answer_id(call),
+    };
     Call {
         address,
         method: job.raw.method.clone(),
@@ -93,6 +97,7 @@
             false => context.reuse_idle_once,
         },
         knock: true,
+        check: Some(Box::new(check)),
     }
 }
 
@@ -110,20 +115,35 @@
         answer_limit_bytes: context.answer_limit_bytes,
         reuse_idle: context.reuse_idle,
         knock: false,
+        check: None,
     }
 }
 
 /// A server whose slots are all taken answers late.
 const INQUIRY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Tells a server's answer to one call from its other answers.
+struct ServerCheck {
+    dialect: Arc<dyn Dialect>,
+    id: Option<String>,
+}
+
+impl AnswerCheck for ServerCheck {
+    fn id(&self) -> Option<&str> {
+        self.id.as_deref()
+    }
+
+    fn standing(&self, answer: &WholeAnswer, first: bool) -> Standing {
+        self.dialect.standing(self.id(), answer, first)
+    }
+}
+
 /// What the end of a call means for the guard, and the answer for the entry.
 pub fn settle(
     dialect: &dyn Dialect,
-    head: &ForwardHead,
-    headers: &[HeaderPair],
+    request: RequestId,
     result: Result<WholeAnswer, CallError>,
 ) -> (ServerOutcome, WholeAnswer) {
-    let request = head.request;
     let answer = match result {
         Ok(answer) => answer,
         Err(CallError::Died) => {
@@ -135,12 +155,7 @@
             return (ServerOutcome::Failed(error), answer);
         }
     };
-    let call = ServerCall {
-        head,
-        headers,
-        remaining: Duration::ZERO,
-    };
-    match dialect.server_word(call, &answer) {
+    match dialect.server_word(&answer) {
         ServerWord::Ran => {
             let outcome = ServerOutcome::Answered(answer.status);
             (outcome, served(request, answer))
--- a/src/load/duty.rs
+++ b/src/load/duty.rs
@@ -121,6 +121,7 @@
         answer_limit_bytes: ANSWER_LIMIT_BYTES,
         reuse_idle: Duration::ZERO,
         knock: false,
+        check: None,
     };
     let result = call_and_wait(client, call);
     match result {
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -96,6 +96,7 @@
         answer_limit_bytes: context.answer_limit_bytes,
         reuse_idle: context.reuse_idle,
         knock: false,
+        check: None,
     })
 }
 
--- a/src/wire/client/answer.rs
+++ b/src/wire/client/answer.rs
@@ -17,6 +17,7 @@
 use super::body::SentBody;
 use super::connection::Connection;
 use super::pool::Pool;
+use super::standing::{AnswerCheck, Standing};
 use super::{Call, CallError};
 use crate::wire::exchange::WholeAnswer;
 use crate::wire::http::{is_hop_header, HeaderPair};
@@ -27,12 +28,13 @@
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Makes the call and reads the whole answer.
-pub(super) async fn call(pool: &Pool, call: Call) -> Result<WholeAnswer, CallError> {
+pub(super) async fn call(pool: &Pool, mut call: Call) -> Result<WholeAnswer, CallError> {
     let address = call.address;
     let connect_timeout = call.connect_timeout;
     let (limit_bytes, knock) = (call.answer_limit_bytes, call.knock);
     let keeps = !call.reuse_idle.is_zero();
-    let mut reused = pool.take(address, call.reuse_idle);
+    let check = call.check.take();
+    let mut reused = pool.take(address, call.reuse_idle, check.as_deref());
     let (mut request, short) = request(call)?;
     loop {
         let mut connection = match reused.take() {
@@ -65,6 +67,9 @@
         };
         connection.head_budget.end();
         let answer = read(response, &mut connection, limit_bytes).await?;
+        if let Some(check) = &check {
+            judge(&**check, &answer, &connection)?;
+        }
         if keeps && !connection.closes {
             pool.put(address, connection);
         }
@@ -72,6 +77,18 @@
     }
 }
 
+/// Takes an answer for the call's own, or finds that it is of another call.
+fn judge(
+    check: &dyn AnswerCheck,
+    answer: &WholeAnswer,
+    connection: &Connection,
+) -> Result<(), CallError> {
+    match check.standing(answer, !connection.used) {
+        Standing::Own => Ok(()),
+        Standing::Foreign => Err(CallError::ShortAnswer),
+    }
+}
+
 /// Tells a receiver that died from one that cut a single connection.
 async fn broken(address: std::net::SocketAddr, knock: bool) -> CallError {
     if !knock {
--- a/src/wire/client/connection.rs
+++ b/src/wire/client/connection.rs
@@ -12,6 +12,7 @@
 
 use super::body::SentBody;
 use super::head_limit::{HeadBudget, HeadLimited};
+use super::standing::AnswerCheck;
 
 /// Sent bytes that stay unacknowledged for this long end the connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
@@ -82,6 +83,14 @@
         let idle = now.saturating_duration_since(self.idle_since);
         idle <= limit && self.sender.is_ready() && !self.sender.is_closed()
     }
+
+    /// Whether the answer to a call could be told from those to calls before it.
+    pub(super) fn may_carry(&self, check: Option<&dyn AnswerCheck>) -> bool {
+        let Some(check) = check else {
+            return true;
+        };
+        check.id().is_some()
+    }
 }
 
 /// Small messages leave at once, and a peer that went silent is noticed.
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod head_limit;
 mod pool;
+mod standing;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 use thiserror::Error;
 
 pub use body::OutBody;
+pub use standing::{AnswerCheck, Standing};
 
 use super::exchange::WholeAnswer;
 use super::http::HeaderPair;
@@ -50,6 +52,8 @@
     /// Whether the address is tried once more after the connection broke, to tell a server that
     /// died from one that cut a single connection.
     pub knock: bool,
+    /// Tells the call's own answer from others; none where any answer is taken for it.
+    pub check: Option<Box<dyn AnswerCheck>>,
 }
 
 /// How a call failed.
@@ -73,7 +77,7 @@
     /// The connection broke, and the receiver takes no new one.
     #[error("the connection broke and no new one is taken")]
     Died,
-    /// The answer was shorter than its length, or malformed.
+    /// The answer was shorter than its length, malformed, or of another call.
     #[error("the answer was incomplete")]
     ShortAnswer,
     /// The answer is over the limit.
--- a/src/wire/client/pool.rs
+++ b/src/wire/client/pool.rs
@@ -9,6 +9,7 @@
 use async_executor::LocalExecutor;
 
 use super::connection::Connection;
+use super::standing::AnswerCheck;
 
 /// Idle connections to one address; more are closed.
 const IDLE_LIMIT_COUNT: usize = 16;
@@ -30,14 +31,19 @@
     }
 
     /// A connection that was used last and may be used again.
-    pub(super) fn take(&self, address: SocketAddr, limit: Duration) -> Option<Connection> {
+    pub(super) fn take(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        check: Option<&dyn AnswerCheck>,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|connection| !connection.sender.is_closed());
         let place = connections
             .iter()
-            .rposition(|connection| connection.may_reuse(now, limit))?;
+            .rposition(|kept| kept.may_reuse(now, limit) && kept.may_carry(check))?;
         Some(connections.remove(place))
     }
 
--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -1,4 +1,5 @@
 mod endless;
+mod standing;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -23,6 +24,7 @@
         answer_limit_bytes: 1_000,
         reuse_idle: LONG,
         knock: false,
+        check: None,
     }
 }
 
--- /dev/null
+++ b/src/wire/client/tests/standing.rs
@@ -0,0 +1,159 @@
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc;
+
+use super::{ask, get, read_head, server};
+use crate::wire::client::{AnswerCheck, Call, CallError, HttpClient, Standing};
+use crate::wire::exchange::WholeAnswer;
+use crate::wire::http::header;
+
+/// Takes an answer by its header `id`.
+struct ById(Option<&'static str>);
+
+impl AnswerCheck for ById {
+    fn id(&self) -> Option<&str> {
+        self.0
+    }
+
+    fn standing(&self, answer: &WholeAnswer, first: bool) -> Standing {
+        let id = header(&answer.headers, "id");
+        match id == self.0 || first {
+            true => Standing::Own,
+            false => Standing::Foreign,
+        }
+    }
+}
+
+fn call(address: SocketAddr, id: Option<&'static str>) -> Call {
+    Call {
+        target: format!("/{}", id.unwrap_or_default()),
+        check: Some(Box::new(ById(id))),
+        ..get(address)
+    }
+}
+
+/// An answer whose body is the number of its connection.
+fn answer(status: u16, id: &str, index: usize) -> String {
+    format!("HTTP/1.1 {status} X\r\nid: {id}\r\ncontent-length: 1\r\n\r\n{index}")
+}
+
+/// Gives every call the id that is its path, with `status`.
+fn echoes(status: u16) -> SocketAddr {
+    server(move |index, mut stream| {
+        std::thread::spawn(move || loop {
+            let head = read_head(&mut stream);
+            let Some(path) = head.split(' ').nth(1) else {
+                return;
+            };
+            write(&mut stream, &answer(status, &path[1..], index));
+        });
+    })
+}
+
+fn write(stream: &mut TcpStream, answer: &str) {
+    stream.write_all(answer.as_bytes()).expect("written");
+}
+
+/// The number of the connection that carried the call.
+fn connection_of(result: Result<WholeAnswer, CallError>) -> u8 {
+    result.expect("an answer").body[0] - b'0'
+}
+
+#[test]
+fn a_repeat_of_an_answered_call_may_use_the_same_connection() {
+    let address = echoes(200);
+    let client = HttpClient::start("test-client");
+    for _ in 0..2 {
+        let connection = connection_of(ask(&client, call(address, Some("a"))));
+        assert_eq!(connection, 0);
+    }
+}
+
+#[test]
+fn a_call_whose_answer_names_no_id_is_made_on_a_new_connection() {
+    let address = echoes(200);
+    let client = HttpClient::start("test-client");
+    for connection in 0..2 {
+        let used = connection_of(ask(&client, call(address, None)));
+        assert_eq!(used, connection);
+    }
+}
+
+#[test]
+fn an_answer_of_another_call_ends_its_connection() {
+    // Arrange: the first connection stays one answer behind.
+    let address = server(|index, mut stream| {
+        std::thread::spawn(move || {
+            let answers = match index {
+                0 => ["a", "a", "b"],
+                _ => ["c", "d", "e"],
+            };
+            for id in answers {
+                read_head(&mut stream);
+                // A connection that the client gave up takes no more.
+                let _ = stream.write_all(answer(200, id, index).as_bytes());
+            }
+        });
+    });
+    let client = HttpClient::start("test-client");
+    assert_eq!(connection_of(ask(&client, call(address, Some("a")))), 0);
+
+    // Act
+    let foreign = ask(&client, call(address, Some("b")));
+    let next = ask(&client, call(address, Some("c")));
+
+    // Assert
+    assert_eq!(foreign, Err(CallError::ShortAnswer));
+    assert_eq!(connection_of(next), 1);
+}
+
+#[test]
+fn a_copy_that_comes_with_its_answer_ends_the_connection() {
+    // Arrange
+    let address = server(|index, mut stream| {
+        read_head(&mut stream);
+        let answer = answer(200, "x", index);
+        write(&mut stream, &answer.repeat(2));
+        // Only the copy ends the connection.
+        std::mem::forget(stream);
+    });
+    let client = HttpClient::start("test-client");
+
+    // Act and assert: no call waits for the copy, so the next one needs no check.
+    assert_eq!(connection_of(ask(&client, get(address))), 0);
+    assert_eq!(connection_of(ask(&client, get(address))), 1);
+}
+
+#[test]
+fn a_copy_that_comes_while_the_connection_is_idle_answers_no_call() {
+    // Arrange
+    let (sender, copied) = mpsc::channel();
+    let (next, waits) = mpsc::channel::<()>();
+    let address = server(move |index, mut stream| {
+        if index == 0 {
+            read_head(&mut stream);
+            write(&mut stream, &answer(503, "a", index));
+            waits.recv().expect("the test goes on");
+            write(&mut stream, &answer(503, "a", index));
+            sender.send(()).expect("the test waits");
+            // Only the copy ends the connection.
+            return std::mem::forget(stream);
+        }
+        read_head(&mut stream);
+        write(&mut stream, &answer(200, "b", index));
+    });
+    let client = HttpClient::start("test-client");
+    assert_eq!(connection_of(ask(&client, call(address, Some("a")))), 0);
+    next.send(()).expect("the server waits");
+    copied.recv().expect("the copy was written");
+
+    // Act
+    let result = ask(&client, call(address, Some("b")));
+
+    // Assert: whether the copy is seen before the call is sent is up to the machine.
+    assert!(
+        matches!(&result, Ok(answer) if answer.status == 200)
+            || result == Err(CallError::ShortAnswer),
+        "{result:?}"
+    );
+}
--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use super::client::Standing;
 use super::exchange::WholeAnswer;
 use super::forward::{
     strip_fleet_headers, ForwardHead, DEADLINE_MS, ORGANISATION, PREFIX, RAN, REQUEST,
@@ -45,7 +46,7 @@
     },
     /// Another server has the address, and did not run the request.
     OtherServer,
-    /// No whole answer to this request.
+    /// No whole answer of a server.
     Foreign,
 }
 
@@ -98,8 +99,15 @@
     /// Headers of a call to a backend server.
     fn server_headers(&self, call: ServerCall<'_>) -> Vec<HeaderPair>;
 
-    /// What a backend server's answer says.
-    fn server_word(&self, call: ServerCall<'_>, answer: &WholeAnswer) -> ServerWord;
+    /// The id that backend servers repeat in their answers to a call; none where it has none.
+    fn answer_id(&self, call: ServerCall<'_>) -> Option<String>;
+
+    /// What a backend server's answer is to the call with that id. `first` says that its connection
+    /// has carried no other call.
+    fn standing(&self, id: Option<&str>, answer: &WholeAnswer, first: bool) -> Standing;
+
+    /// What a backend server's answer to a call says.
+    fn server_word(&self, answer: &WholeAnswer) -> ServerWord;
 
     /// What the answer of a backend server's health path says; none where it names no server.
     fn health_word(&self, answer: &WholeAnswer) -> Option<HealthWord>;
@@ -169,14 +177,21 @@
         headers
     }
 
-    fn server_word(&self, call: ServerCall<'_>, answer: &WholeAnswer) -> ServerWord {
-        let own_id = format_id(call.head.request);
+    fn answer_id(&self, call: ServerCall<'_>) -> Option<String> {
+        Some(format_id(call.head.request))
+    }
+
+    fn standing(&self, id: Option<&str>, answer: &WholeAnswer, _first: bool) -> Standing {
         match header(&answer.headers, REQUEST) {
-            Some(id) if id != own_id => ServerWord::Foreign,
-            _ => ServerWord::Ran,
+            Some(named) if Some(named) != id => Standing::Foreign,
+            _ => Standing::Own,
         }
     }
 
+    fn server_word(&self, _answer: &WholeAnswer) -> ServerWord {
+        ServerWord::Ran
+    }
+
     fn health_word(&self, _answer: &WholeAnswer) -> Option<HealthWord> {
         None
     }
@@ -185,3 +200,6 @@
         Some(format!("{CANCEL_PATH}{}", format_id(request)))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/wire/dialect/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+fn answer(status: u16, request: Option<RequestId>) -> WholeAnswer {
+    let id = request.map(|request| (REQUEST.to_owned(), format_id(request)));
+    WholeAnswer {
+        status,
+        headers: id.into_iter().collect(),
+        ..Default::default()
+    }
+}
+
+#[test]
+fn an_answer_with_the_id_of_another_request_is_foreign() {
+    let id = format_id(1);
+    for (request, standing) in [
+        (Some(1), Standing::Own),
+        (None, Standing::Own),
+        (Some(2), Standing::Foreign),
+    ] {
+        let found = FleetDialect.standing(Some(&id), &answer(200, request), false);
+        assert_eq!(found, standing, "{request:?}");
+    }
+}
+
+#[test]
+fn a_503_of_a_server_is_never_told_as_not_run() {
+    assert_eq!(
+        FleetDialect.server_word(&answer(503, None)),
+        ServerWord::Ran
+    );
+}
