Send the repeat of a refused request over another connection

A request that a server refused could be told as not run once more while the server ran its repeat: on the same kept connection a copy of the refusal has the very id that the repeat waits for. Routing sends a request to the same server once only, but the next server at an address that was taken over, and a caller that uses its id again, lead to the same connection.

A kept connection now remembers the ids of calls that were refused on it, and does not carry a call with such an id; that takes another kept connection or a new one. Other calls use it as before, so a server that refuses many keeps its connections. After 128 refusals a connection is not kept, which bounds the memory without forgetting an id. What a refusal is and which id counts is the dialect's word; the pool compares ids only.

An answered request needs no such memory: it is repeated only where it may run twice, and a copy of its answer is its own.

--- a/src/wire/client/answer.rs
+++ b/src/wire/client/answer.rs
@@ -68,7 +68,7 @@
         connection.head_budget.end();
         let answer = read(response, &mut connection, limit_bytes).await?;
         if let Some(check) = &check {
-            judge(&**check, &answer, &connection)?;
+            judge(&**check, &answer, &mut connection)?;
         }
         if keeps && !connection.closes {
             pool.put(address, connection);
@@ -81,10 +81,14 @@
 fn judge(
     check: &dyn AnswerCheck,
     answer: &WholeAnswer,
-    connection: &Connection,
+    connection: &mut Connection,
 ) -> Result<(), CallError> {
     match check.standing(answer, !connection.used) {
         Standing::Own => Ok(()),
+        Standing::Refusal => {
+            connection.refused(check.id());
+            Ok(())
+        }
         Standing::Foreign => Err(CallError::ShortAnswer),
     }
 }
--- a/src/wire/client/connection.rs
+++ b/src/wire/client/connection.rs
@@ -19,6 +19,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBE_COUNT: u32 = 3;
+/// Refused calls of which a connection knows; it is not kept after more.
+pub(super) const REFUSED_LIMIT_COUNT: usize = 128;
 /// Longest head of an answer.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 
@@ -29,10 +31,13 @@
     pub(super) idle_since: Instant,
     /// How long the receiver keeps it open while it is idle, where it says so.
     pub(super) idle_limit: Option<Duration>,
-    /// Whether the receiver closes it after its last answer.
+    /// Whether it is closed after its last answer.
     pub(super) closes: bool,
     /// Whether it carried a call before.
     pub(super) used: bool,
+    /// Ids of calls that were refused on it, of which a copy of the refusal may still come. At most
+    /// `REFUSED_LIMIT_COUNT` while it is kept.
+    refused: Vec<Box<str>>,
     /// Bytes that may come before the head of an answer.
     pub(super) head_budget: HeadBudget,
     _task: Task<()>,
@@ -72,6 +77,7 @@
             idle_limit: None,
             closes: false,
             used: false,
+            refused: Vec::new(),
             head_budget,
             _task: task,
         })
@@ -89,7 +95,14 @@
         let Some(check) = check else {
             return true;
         };
-        check.id().is_some()
+        let refused = |id: &str| self.refused.iter().any(|refused| **refused == *id);
+        check.id().is_some_and(|id| !refused(id))
+    }
+
+    /// Remembers that a call was refused.
+    pub(super) fn refused(&mut self, id: Option<&str>) {
+        self.refused.extend(id.map(Box::from));
+        self.closes |= self.refused.len() > REFUSED_LIMIT_COUNT;
     }
 }
 
--- a/src/wire/client/standing.rs
+++ b/src/wire/client/standing.rs
@@ -7,6 +7,8 @@
 pub enum Standing {
     /// It answers the call.
     Own,
+    /// It refuses the call. The receiver may write it once more on the same connection.
+    Refusal,
     /// It belongs to another call, or may.
     Foreign,
 }
--- a/src/wire/client/tests/standing.rs
+++ b/src/wire/client/tests/standing.rs
@@ -3,11 +3,12 @@
 use std::sync::mpsc;
 
 use super::{ask, get, read_head, server};
+use crate::wire::client::connection::REFUSED_LIMIT_COUNT;
 use crate::wire::client::{AnswerCheck, Call, CallError, HttpClient, Standing};
 use crate::wire::exchange::WholeAnswer;
 use crate::wire::http::header;
 
-/// Takes an answer by its header `id`.
+/// Takes an answer by its header `id`; status 503 refuses.
 struct ById(Option<&'static str>);
 
 impl AnswerCheck for ById {
@@ -17,9 +18,10 @@
 
     fn standing(&self, answer: &WholeAnswer, first: bool) -> Standing {
         let id = header(&answer.headers, "id");
-        match id == self.0 || first {
-            true => Standing::Own,
-            false => Standing::Foreign,
+        match answer.status {
+            _ if id != self.0 && !first => Standing::Foreign,
+            503 => Standing::Refusal,
+            _ => Standing::Own,
         }
     }
 }
@@ -59,6 +61,21 @@
     result.expect("an answer").body[0] - b'0'
 }
 
+#[test]
+fn a_repeat_of_a_refused_call_is_made_on_another_connection() {
+    // Arrange
+    let address = echoes(503);
+    let client = HttpClient::start("test-client");
+    assert_eq!(connection_of(ask(&client, call(address, Some("a")))), 0);
+
+    // Act
+    let other = connection_of(ask(&client, call(address, Some("b"))));
+    let repeat = connection_of(ask(&client, call(address, Some("a"))));
+
+    // Assert
+    assert_eq!((other, repeat), (0, 1));
+}
+
 #[test]
 fn a_repeat_of_an_answered_call_may_use_the_same_connection() {
     let address = echoes(200);
@@ -157,3 +174,22 @@
         "{result:?}"
     );
 }
+
+#[test]
+fn a_connection_with_many_refused_calls_is_not_kept() {
+    // Arrange
+    let address = echoes(503);
+    let client = HttpClient::start("test-client");
+    let ids: Vec<&'static str> = (0..=REFUSED_LIMIT_COUNT)
+        .map(|number| &*number.to_string().leak())
+        .collect();
+
+    // Act
+    for id in ids {
+        assert_eq!(connection_of(ask(&client, call(address, Some(id)))), 0);
+    }
+    let next = connection_of(ask(&client, call(address, Some("next"))));
+
+    // Assert
+    assert_eq!(next, 1);
+}
