--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -46,7 +46,7 @@
     },
     /// Another server has the address, and did not run the request.
     OtherServer,
-    /// No whole answer of a server.
+    /// No answer that may be passed on.
     Foreign,
 }
 
