Let a superseded daemon wait for its next timer

A daemon that knows a later life of itself publishes nothing, so the time of its next description stayed in the past, and next_tick_at gave that time. The membership thread then ticked without a wait: one processor busy for as long as the daemon ran.

Evidence: the new test on the code before fails with "assertion failed: state.next_tick_at() > later" after ten ticks; a virtual fleet with such a daemon never came to its next event (stopped by hand after 5 minutes of processor time).

Ruled out: moving publish_at on while superseded, which would keep a timer that does nothing. The time counts only while the daemon describes itself.

--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -153,7 +153,10 @@
     /// When the next tick has something to do.
     pub fn next_tick_at(&self) -> Instant {
         let mut next = self.gossip_at.min(self.partner_at).min(self.heal_at);
-        next = next.min(self.publish_at).min(self.sweep_at);
+        next = next.min(self.sweep_at);
+        if !self.superseded {
+            next = next.min(self.publish_at);
+        }
         if let Some(first_view) = &self.first_view {
             next = next.min(first_view.next_at());
         }
--- a/src/membership/tests/rules.rs
+++ b/src/membership/tests/rules.rs
@@ -296,3 +296,22 @@
     // Assert
     assert_eq!(calls(&actions), []);
 }
+
+#[test]
+fn a_superseded_daemon_does_not_tick_without_a_wait() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+    let mut later_life = entry("a", 1_000, 3);
+    later_life.link_address = "127.0.0.9:2".parse().unwrap();
+    state.handle(now, MembershipEvent::Heard(later_life));
+
+    // Act
+    let later = now + Duration::from_secs(30);
+    for _ in 0..10 {
+        state.handle(later, MembershipEvent::Tick);
+    }
+
+    // Assert
+    assert!(state.next_tick_at() > later);
+}
