Take the number of a life by checked sums

A record of the last life with the greatest possible number made the sum `last_life + 1` overflow: a panic at the start in a debug build, life 0 in a release build, which every peer takes for an earlier life.

A number above 2^53 - 1, which no clock shows, is no life any more, and the sum is checked. A start that is behind the last life also draws a gap, so that two processes that outrank the same life without knowing of each other do not bear one number: the guard's record of what it started belongs to a number, and an equal number would let a fence look into the wrong record.

Evidence: with the former expression in first_life the new tests fail with "attempt to add with overflow" and with 901 instead of 904.

--- a/src/daemon/borders.rs
+++ b/src/daemon/borders.rs
@@ -19,7 +19,8 @@
     pub announcements: Arc<dyn AnnouncementDialect>,
     /// What the platform keeps.
     pub store: Store,
-    /// An earlier life of this daemon that is known; the new one is later, whatever the clock says.
+    /// The last life of this daemon that is known, 0 for none; the new one is later, whatever the
+    /// clock says.
     pub last_life: Incarnation,
 }
 
--- a/src/daemon/common.rs
+++ b/src/daemon/common.rs
@@ -23,6 +23,6 @@
     pub(super) trail: RingSender<AuditEvent>,
     /// How callers and backend servers are spoken to.
     pub(super) dialect: Arc<dyn Dialect>,
-    /// This life of the daemon.
+    /// The life that the daemon begins with. A later one comes with snapshots of the fleet.
     pub(super) incarnation: Incarnation,
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{after, bounded, Receiver, Sender};
+use rand::Rng;
 
 use super::beside::{start_announce, start_guard};
 use super::borders::{Borders, Store};
@@ -32,6 +33,7 @@
 use crate::health::HealthMessage;
 use crate::idempotency::IdempotencyMessage;
 use crate::journal::JournalEvent;
+use crate::life::{first_life, LIFE_GAP_COUNT};
 use crate::link::LinkMessage;
 use crate::membership::MembershipEvent;
 use crate::metrics::Metrics;
@@ -58,7 +60,7 @@
     pub operator_address: SocketAddr,
     /// Counters and timings.
     pub metrics: Metrics,
-    /// This life of the daemon.
+    /// The life that the daemon began with. Membership may raise it.
     pub incarnation: Incarnation,
     linger: Duration,
     trail: RingSender<AuditEvent>,
@@ -87,6 +89,8 @@
         events: trail.clone(),
         metrics: metrics.clone(),
     };
+    let gap_count = rand::rng().random_range(0..LIFE_GAP_COUNT);
+    let wall_ms = epoch_ms(SystemClock.wall());
     let common = Common {
         key: FleetKey::new(&settings.daemon.fleet_secret),
         clock: Arc::new(SystemClock),
@@ -94,7 +98,7 @@
         audit: Arc::new(audit),
         trail,
         dialect: borders.dialect,
-        incarnation: epoch_ms(SystemClock.wall()).max(borders.last_life + 1),
+        incarnation: first_life(wall_ms, borders.last_life, gap_count),
         settings,
     };
     let listeners = Listeners::bind(&common)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod health;
 pub mod idempotency;
 pub mod journal;
+pub mod life;
 pub mod link;
 pub mod load;
 pub mod measure;
--- /dev/null
+++ b/src/life.rs
@@ -0,0 +1,69 @@
+//! Numbers of a daemon's lives: which one a start takes, which one outranks another, and which ones
+//! a process has borne.
+
+use smallvec::SmallVec;
+
+use crate::types::Incarnation;
+
+/// The greatest number of a life. Greater ones, which no clock shows, are not believed.
+pub const LATEST_LIFE: Incarnation = (1 << 53) - 1;
+/// A life leaves up to so many numbers free above one that it outranks, so that two processes that
+/// outrank the same life do not bear one number.
+pub const LIFE_GAP_COUNT: u64 = 1 << 16;
+
+/// Whether a life of this number can have begun.
+pub fn is_life(number: Incarnation) -> bool {
+    number <= LATEST_LIFE
+}
+
+/// A number above a known one; none above the greatest. `gap_count` is drawn by chance.
+pub fn later_life(known: Incarnation, gap_count: u64) -> Option<Incarnation> {
+    let next = known.checked_add(1)?.checked_add(gap_count)?;
+    is_life(next).then_some(next)
+}
+
+/// The number of a life that begins now, above the last one that is known.
+pub fn first_life(wall_ms: u64, last_life: Incarnation, gap_count: u64) -> Incarnation {
+    if wall_ms > last_life {
+        return wall_ms.min(LATEST_LIFE);
+    }
+    later_life(last_life, gap_count).unwrap_or(wall_ms)
+}
+
+/// The numbers that this process has borne, so that what is meant for another life is told apart.
+#[derive(Debug, Clone)]
+pub struct OwnLives {
+    /// In order; the last one is borne now.
+    borne: SmallVec<[Incarnation; 2]>,
+}
+
+/// Numbers that are kept. One that was dropped counts as another life's, which is refused.
+const BORNE_LIMIT_COUNT: usize = 16;
+
+impl OwnLives {
+    /// The lives of a process that has begun with this number.
+    pub fn new(first: Incarnation) -> OwnLives {
+        OwnLives {
+            borne: SmallVec::from_slice(&[first]),
+        }
+    }
+
+    /// Whether this process bears the number, or has borne it.
+    pub fn contains(&self, number: Incarnation) -> bool {
+        self.borne.contains(&number)
+    }
+
+    /// This process bears a new number. One that is not greater changes nothing.
+    pub fn raise(&mut self, number: Incarnation) {
+        if self.borne.last().is_some_and(|last| *last >= number) {
+            return;
+        }
+        if self.borne.len() == BORNE_LIMIT_COUNT {
+            self.borne.remove(0);
+        }
+        self.borne.push(number);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/life/tests.rs
@@ -0,0 +1,30 @@
+use super::{first_life, later_life, OwnLives, LATEST_LIFE};
+
+#[test]
+fn a_start_is_later_than_the_last_life_whatever_the_clock_shows() {
+    assert_eq!(first_life(900, 700, 3), 900);
+    assert_eq!(first_life(700, 900, 3), 904);
+    assert_eq!(first_life(900, 900, 0), 901);
+}
+
+#[test]
+fn the_greatest_number_of_a_record_does_not_overflow_the_number_of_a_start() {
+    assert_eq!(first_life(900, u64::MAX, 3), 900);
+    assert_eq!(first_life(900, LATEST_LIFE, 0), 900);
+    assert_eq!(later_life(u64::MAX, 0), None);
+    assert_eq!(later_life(LATEST_LIFE - 1, 0), Some(LATEST_LIFE));
+}
+
+#[test]
+fn a_process_keeps_its_numbers_and_takes_no_lesser_one() {
+    // Arrange
+    let mut lives = OwnLives::new(5);
+
+    // Act
+    lives.raise(9);
+    lives.raise(7);
+
+    // Assert
+    assert!(lives.contains(5) && lives.contains(9));
+    assert!(!lives.contains(7));
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -14,7 +14,8 @@
 pub type DaemonId = Arc<str>;
 /// A backend server, unique in the fleet.
 pub type BackendServerId = Arc<str>;
-/// One life of a daemon: milliseconds since the epoch at its start, so a later life is greater.
+/// One life of a daemon: milliseconds since the epoch at its start, or more where an earlier life is
+/// known that began with more (`life`). A later life is greater.
 pub type Incarnation = u64;
 /// A request, unique in the fleet (UUID version 7).
 pub type RequestId = u128;
