Take attempts and fences for each number of this process

A process that goes on under a greater number of its daemon's life (as a daemon does whose peers know a later life that is over) had a guard that knew its first number only. It would have refused all attempts under the new one, and answered fences for it as unknown.

All of them share its record of started requests, so a request that ran under one number is not run again under another. Numbers that this process never bore belong to lives that are over: attempts are refused as not run, and fences answered as unknown and never from this record.

Evidence: with the event ignored, three of the four new tests fail (a fence is Unknown and not Running, an attempt NoServer and not OutcomeUnknown, one under the new number does not start); the test of a dead life's fence passes before and after.

Ruled out: a number shared through an atomic, which the guard's decisions would have read outside of their events.

--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -34,7 +34,7 @@
     pub settings: GuardSettings,
     /// The daemon.
     pub daemon: DaemonId,
-    /// Its life.
+    /// The life that it began with.
     pub incarnation: Incarnation,
     /// Time.
     pub clock: Arc<dyn Clock>,
@@ -84,6 +84,8 @@
     /// Calls that run.
     calls: HashMap<AttemptKey, OpenCall>,
     pub(super) fleet: Arc<Fleet>,
+    /// The life of the daemon in the last fleet.
+    pub(super) life: Incarnation,
     /// Who waits for the fence of the event in hand.
     pub(super) fence_reply: Option<PeerReply>,
 }
@@ -93,6 +95,7 @@
     let mut duty = GuardDuty {
         state: GuardState::new(context.settings.clone(), context.incarnation),
         context,
+        life: context.incarnation,
         held: HashMap::new(),
         calls: HashMap::new(),
         fleet: Arc::default(),
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -187,6 +187,8 @@
     },
     /// Other settings are in force. Addresses and limits of rings stay as they were.
     Settings(Box<GuardSettings>),
+    /// The daemon goes on under another number of its life.
+    Life(Incarnation),
     /// A request that a server on this VM made itself failed.
     OwnCallFailed,
     /// How many guards the service of the server on this VM has, this one among them.
--- a/src/guard/others.rs
+++ b/src/guard/others.rs
@@ -16,8 +16,13 @@
     /// Takes a new fleet, and counts the guards that share a service with this one.
     pub(super) fn fleet_changed(&mut self, fleet: Arc<Fleet>) {
         self.fleet = fleet;
-        let own = self.fleet.daemons.get(&self.context.daemon);
-        let Some(server) = own.and_then(|own| own.servers.first()) else {
+        let Some(own) = self.fleet.daemons.get(&self.context.daemon).cloned() else {
+            return;
+        };
+        if std::mem::replace(&mut self.life, own.incarnation) != own.incarnation {
+            self.decide(GuardEvent::Life(own.incarnation));
+        }
+        let Some(server) = own.servers.first() else {
             return;
         };
         let service = &server.service;
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -13,6 +13,7 @@
 use super::started::StartedRecord;
 use crate::contract::View;
 use crate::error::ErrorKind;
+use crate::life::OwnLives;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
 use crate::types::{BackendServerId, Incarnation};
@@ -21,8 +22,9 @@
 /// State of the guard.
 pub struct GuardState {
     pub(super) settings: GuardSettings,
-    /// This life. Requests and fences meant for another are not taken.
-    pub(super) incarnation: Incarnation,
+    /// Requests and fences meant for a life that this process never bore are not taken: their record
+    /// ended with that life.
+    pub(super) lives: OwnLives,
     pub(super) servers: BTreeMap<BackendServerId, ServerState>,
     /// What runs, counted in its server's `running_count`.
     pub(super) running: HashMap<AttemptKey, GuardRequest>,
@@ -45,7 +47,7 @@
 }
 
 impl GuardState {
-    /// A guard in this life that knows no server yet.
+    /// A guard that begins with this life and knows no server yet.
     pub fn new(settings: GuardSettings, incarnation: Incarnation) -> GuardState {
         let keep = Duration::from_millis(settings.started_keep_ms);
         GuardState {
@@ -54,7 +56,7 @@
             retries: RetryWindow::new(&settings),
             guard_count: 1,
             settings,
-            incarnation,
+            lives: OwnLives::new(incarnation),
             servers: BTreeMap::new(),
             running: HashMap::new(),
             draining: false,
@@ -121,6 +123,7 @@
             }
             GuardEvent::Settings(settings) => self.take_settings(*settings),
             GuardEvent::Guards { count } => self.guard_count = count,
+            GuardEvent::Life(incarnation) => self.lives.raise(incarnation),
             GuardEvent::OwnCallFailed => self.own_call_failed_at = Some(now),
             GuardEvent::Tick => self.tick(now, &mut actions),
             GuardEvent::Drain => {
@@ -187,7 +190,7 @@
         if self.draining {
             return refuse(ErrorKind::Stopping, None);
         }
-        if self.domain_out || request.incarnation != self.incarnation {
+        if self.domain_out || !self.lives.contains(request.incarnation) {
             return refuse(ErrorKind::NoServer, None);
         }
         if now >= request.deadline_at {
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,5 +1,6 @@
 mod brief_wait;
 mod deaths;
+mod lives;
 mod overdue;
 mod servers;
 mod shedding;
--- a/src/guard/withdraw.rs
+++ b/src/guard/withdraw.rs
@@ -15,7 +15,7 @@
         fence: &FenceRequest,
         actions: &mut Vec<GuardAction>,
     ) {
-        if fence.incarnation != self.incarnation {
+        if !self.lives.contains(fence.incarnation) {
             return actions.push(GuardAction::FenceAnswered(FenceAnswer::Unknown));
         }
         let answer = self.started.fence(now, fence.request, fence.attempt);
