Let an earlier life of a peer hear of the fleet after its proof

A daemon that started with a lower number than its peers know (its clock was set back, and the platform's store was silent at its start) was refused by every link, in both directions, and so could not hear of the later life: peers refused its challenge, and its own proof to their calls was dropped. The refusal also came before the proof, so that a stranger could ask in which lives daemons are known.

A proven peer in an earlier life now exchanges the messages of membership, and nothing else; `from` tells membership which life speaks.

Ruled out: the number in the refusal of the challenge, which nobody proves; a second place for a description in the schema.

--- a/src/link/accepted.rs
+++ b/src/link/accepted.rs
@@ -142,17 +142,14 @@
             return Promise::err(self.refuse("malformed nonce"));
         };
         let peers = &self.session.acceptor.caller;
-        if caller.daemon == peers.dial.own.daemon {
+        let own = peers.dial.own();
+        if caller.daemon == own.daemon {
             return Promise::err(self.refuse("the caller has the name of this daemon"));
         }
-        let known = peers.known_incarnation(&caller.daemon).unwrap_or(0);
-        if caller.incarnation < known {
-            return Promise::err(self.refuse("the caller is an earlier life of its daemon"));
-        }
         let transcript = Transcript {
             caller,
             caller_nonce,
-            answerer: peers.dial.own.clone(),
+            answerer: own,
             answerer_nonce: new_nonce(),
         };
         let mut answer = results.get();
@@ -222,6 +219,12 @@
                 return Promise::err(Error::unimplemented(error.to_string()));
             }
         };
+        let peers = &session.acceptor.caller;
+        if peers.is_earlier_life(&self.from) && !request.is_of_membership() {
+            metrics.count("link.request.earlier_life");
+            let problem = "the caller is an earlier life of its daemon";
+            return Promise::err(Error::overloaded(problem.to_owned()));
+        }
         if session.in_flight_count.get() >= session.acceptor.settings().calls_limit_count {
             metrics.count("link.request.over_limit");
             return Promise::err(Error::overloaded("too many calls in flight".to_owned()));
--- a/src/link/caller.rs
+++ b/src/link/caller.rs
@@ -11,11 +11,11 @@
 use futures::future::{FutureExt, LocalBoxFuture, Shared};
 
 use super::connection::{connect, Connection, Dial};
-use super::message::{LinkError, PeerRequest};
+use super::message::{LinkError, PeerName, PeerRequest};
 use super::reply::PendingReply;
 use super::state::{ConnectionEnd, PeerState};
 use crate::membership::Fleet;
-use crate::types::{DaemonId, Incarnation};
+use crate::types::DaemonId;
 
 /// Whom a call is for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -55,21 +55,25 @@
         })
     }
 
-    /// The life of a daemon that membership knows of.
-    pub(super) fn known_incarnation(&self, daemon: &DaemonId) -> Option<Incarnation> {
-        let fleet = self.fleet.borrow();
-        fleet.daemons.get(daemon).map(|entry| entry.incarnation)
+    /// Whether membership knows a later life of a peer. It hears of that life from membership, and
+    /// does nothing else in the fleet.
+    pub(super) fn is_earlier_life(&self, peer: &PeerName) -> bool {
+        is_earlier(peer, &self.fleet.borrow())
     }
 
-    /// Takes a new snapshot; connections to earlier lives are closed.
+    /// Takes a new snapshot, and the life that it gives this daemon. Connections to peers that were
+    /// in their last life until now are closed.
     pub(super) fn set_fleet(&self, fleet: Arc<Fleet>) {
-        *self.fleet.borrow_mut() = fleet;
+        let mut own = self.dial.own.borrow_mut();
+        if let Some(entry) = fleet.daemons.get(&own.daemon) {
+            own.incarnation = own.incarnation.max(entry.incarnation);
+        }
+        let before = self.fleet.replace(fleet);
         for peer in self.peers.borrow().values() {
             let Some(connection) = &peer.connection else {
                 continue;
             };
-            let known = self.known_incarnation(&connection.peer.daemon);
-            if known.is_some_and(|known| known > connection.peer.incarnation) {
+            if self.is_earlier_life(&connection.peer) && !is_earlier(&connection.peer, &before) {
                 connection.close();
             }
         }
@@ -97,6 +101,12 @@
             return pending.end(Err(LinkError::Unreachable));
         }
         match self.connection(&key).await {
+            Ok(connection)
+                if self.is_earlier_life(&connection.peer) && !request.is_of_membership() =>
+            {
+                self.dial.metrics.count("link.peer.earlier_life");
+                pending.end(Err(LinkError::Unreachable));
+            }
             Ok(connection) => {
                 if connection.ask(&request, pending).await {
                     self.with_peer(&key, |peer| peer.state.answered());
@@ -140,7 +150,9 @@
         let dialling = {
             let mut peers = self.peers.borrow_mut();
             let peer = peers.get_mut(key).ok_or(LinkError::Unreachable)?;
-            if let Some(connection) = peer.connection.as_ref().filter(|found| found.is_open()) {
+            let own_life = self.dial.own.borrow().incarnation;
+            let usable = |found: &&Rc<Connection>| found.is_open() && found.own_life == own_life;
+            if let Some(connection) = peer.connection.as_ref().filter(usable) {
                 return Ok(connection.clone());
             }
             if !peer.state.may_dial(Instant::now()) {
@@ -195,17 +207,16 @@
         Ok(connection)
     }
 
-    /// Whether the proven peer is the daemon that was called, in no earlier life than known.
+    /// Whether the proven peer is the daemon that was called, in whichever life.
     fn expected(&self, key: &PeerKey, connection: &Connection) -> bool {
         let found = &connection.peer;
-        if found.daemon == self.dial.own.daemon {
+        if found.daemon == self.dial.own.borrow().daemon {
             return false;
         }
-        let PeerKey::Daemon(daemon) = key else {
-            return true;
-        };
-        let known = self.known_incarnation(daemon).unwrap_or(0);
-        found.daemon == *daemon && found.incarnation >= known
+        match key {
+            PeerKey::Daemon(daemon) => found.daemon == *daemon,
+            PeerKey::Seed(_) => true,
+        }
     }
 
     fn ended(&self, key: &PeerKey, end: ConnectionEnd) {
@@ -218,3 +229,9 @@
         }
     }
 }
+
+/// Whether a snapshot has a later life of a peer.
+fn is_earlier(peer: &PeerName, fleet: &Fleet) -> bool {
+    let known = fleet.daemons.get(&peer.daemon);
+    known.is_some_and(|known| known.incarnation > peer.incarnation)
+}
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -25,12 +25,15 @@
 use super::state::{ConnectionAction, ConnectionEnd, ConnectionEvent, ConnectionState};
 use crate::metrics::Metrics;
 use crate::settings::link::LinkSettings;
+use crate::types::Incarnation;
 use crate::wire::proof::FleetKey;
 
 /// A proven connection.
 pub(super) struct Connection {
     /// Who answers.
     pub(super) peer: PeerName,
+    /// The life in which this daemon proved itself.
+    pub(super) own_life: Incarnation,
     client: peer::Client,
     socket: Socket,
     settings: LinkSettings,
@@ -45,11 +48,18 @@
 /// What a new connection needs besides its address.
 pub(super) struct Dial {
     pub(super) settings: LinkSettings,
-    pub(super) own: PeerName,
+    /// This daemon, in its present life.
+    pub(super) own: RefCell<PeerName>,
     pub(super) key: FleetKey,
     pub(super) metrics: Metrics,
 }
 
+impl Dial {
+    pub(super) fn own(&self) -> PeerName {
+        self.own.borrow().clone()
+    }
+}
+
 /// Runs a future up to a time limit.
 pub(super) async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     let future = std::pin::pin!(future);
@@ -92,7 +102,9 @@
     let socket = Socket::new(stream);
     let mut system = RpcSystem::new(network(&socket, Side::Client, &dial.settings), None);
     let greeter: greeter::Client = system.bootstrap(Side::Server);
-    let proof = std::pin::pin!(prove(dial, greeter));
+    let own = dial.own();
+    let own_life = own.incarnation;
+    let proof = std::pin::pin!(prove(dial, own, greeter));
     let proven = match within(limit, select(proof, &mut system)).await {
         Some(Either::Left((Ok(proven), _))) => proven,
         Some(Either::Left((Err(error), _))) => {
@@ -108,6 +120,7 @@
     let (wake, woken) = mpsc::channel(1);
     let connection = Connection {
         peer: proven.0,
+        own_life,
         client: proven.1,
         socket,
         settings: dial.settings.clone(),
@@ -122,18 +135,19 @@
 
 async fn prove(
     dial: &Dial,
+    own: PeerName,
     greeter: greeter::Client,
 ) -> Result<(PeerName, peer::Client), capnp::Error> {
     let caller_nonce = new_nonce();
     let mut challenge = greeter.challenge_request();
-    write_name(&dial.own, challenge.get().init_caller());
+    write_name(&own, challenge.get().init_caller());
     challenge.get().set_nonce(&caller_nonce);
     let response = challenge.send().promise.await?;
     let answer = response.get()?;
     let answerer_nonce = Nonce::try_from(answer.get_nonce()?)
         .map_err(|_| capnp::Error::failed("malformed nonce".to_owned()))?;
     let transcript = Transcript {
-        caller: dial.own.clone(),
+        caller: own,
         caller_nonce,
         answerer: read_name(answer.get_answerer()?)?,
         answerer_nonce,
--- a/src/link/duty.rs
+++ b/src/link/duty.rs
@@ -1,6 +1,6 @@
 //! The link's thread: a single-threaded executor that owns all peer connections.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,7 +26,7 @@
 pub struct LinkContext {
     /// Its settings.
     pub settings: LinkSettings,
-    /// This life of this daemon.
+    /// This daemon, in the life that it began with. Snapshots of the fleet tell a later one.
     pub own: PeerName,
     /// Proves that peers belong to the fleet.
     pub key: FleetKey,
@@ -73,7 +73,7 @@
 ) {
     let dial = Dial {
         settings: context.settings.clone(),
-        own: context.own.clone(),
+        own: RefCell::new(context.own.clone()),
         key: context.key.clone(),
         metrics: context.metrics.clone(),
     };
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -179,6 +179,19 @@
     Probe(DaemonId),
 }
 
+impl PeerRequest {
+    /// Whether it only tells who is in the fleet; a daemon that is behind catches up by it.
+    pub fn is_of_membership(&self) -> bool {
+        matches!(
+            self,
+            PeerRequest::Gossip(_)
+                | PeerRequest::Compare(_)
+                | PeerRequest::Members(_)
+                | PeerRequest::Probe(_)
+        )
+    }
+}
+
 /// One death of a backend server while a request ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PoisonReport {
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -1,4 +1,5 @@
 mod calls;
 mod faults;
+mod lives;
 mod states;
 mod support;
