Go on under a greater number when peers know a later life that is over

Callers saw daemons that answered their health checks and got next to no requests from other entries. Such a daemon had started with its clock set back (the time of day may jump by up to a minute) while the platform's store was silent: the number of its life was lower than its peers knew, they took none of its descriptions, and it yielded to its own last life for good. A fleet that is restarted whole in that state does not come back.

A later life at this process's own guard and link addresses is over, since the process holds both sockets. Membership now keeps the addresses of the latest life that it hears of, takes a number above it by a checked sum and a random gap, describes itself anew, publishes and tells its partners. A later life at other addresses supersedes as before. A number without addresses makes the daemon ask for the description; a peer that is asked by an earlier life gives the later one's description in its answer. Numbers that no clock shows are believed by nobody, and one number a second is taken at most. Both cases have a log line, the raise a counter.

The signs of an earlier life no longer count as contact with the later one, and a superseded daemon that leaves does not publish over the later life's record.

Ruled out: waiting for the clock, as the number stays that of the start; a number on disk, as there is none; outranking a life at other addresses that counts as gone, as a cut makes a living one look gone.

--- a/src/membership/duty.rs
+++ b/src/membership/duty.rs
@@ -156,6 +156,16 @@
                 }
             }
             MembershipAction::Count(name) => self.context.metrics.count(name),
+            MembershipAction::Superseded { life, later } => {
+                log::warn!(life, later; "life_superseded");
+            }
+            MembershipAction::LifeRaised(raised) => log::warn!(
+                earlier = raised.earlier,
+                heard = raised.heard,
+                later = raised.later,
+                heard_from = raised.source.name();
+                "life_raised"
+            ),
         }
     }
 }
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -3,17 +3,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::seq::IteratorRandom;
-use rand::Rng;
 use smallvec::SmallVec;
 
 use super::budget::{
     delta_bytes, entry_bytes, name_bytes, summary_bytes, ANSWER_BYTES, EXCHANGE_BYTES,
 };
 use super::members::Told;
-use super::message::{CallTarget, DaemonEntry, Delta, Gossip, MembershipAction, Summary, Ticket};
+use super::message::{
+    CallTarget, DaemonEntry, Delta, Gossip, MembershipAction, NewsSource, Summary, Ticket,
+};
 use super::rumours::told_limit_count;
 use super::state::{MembershipState, USUAL_DOUBLINGS};
+use crate::life::is_life;
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
 use crate::types::DaemonId;
 
@@ -59,8 +60,6 @@
 const USUAL_NEWS_BYTES: usize = 192;
 /// A description that was asked for and did not come is asked for again after this.
 const WANT_AGAIN: Duration = Duration::from_millis(700);
-/// Every so many times a partner of any domain is taken, and otherwise a near one.
-const FAR_PARTNER_SHARE: f64 = 0.5;
 
 impl MembershipState {
     /// News is told soon.
@@ -212,6 +211,10 @@
         let mut fresh: SmallVec<[DaemonId; 4]> = SmallVec::new();
         for entry in entries {
             if entry.daemon == self.own.daemon {
+                self.hear_own_entry(now, &entry, NewsSource::Peer);
+                continue;
+            }
+            if !is_life(entry.incarnation) {
                 continue;
             }
             let daemon = entry.daemon.clone();
@@ -235,6 +238,9 @@
                 self.told_of_self(now, summary);
                 continue;
             }
+            if !is_life(summary.incarnation) {
+                continue;
+            }
             let told = self.members.hear_summary(now, summary);
             if told.changed {
                 self.add_rumour(now, summary.daemon.clone());
@@ -259,9 +265,12 @@
         from: &PeerName,
         request: PeerRequest,
     ) {
-        self.contact(now, &from.daemon);
+        // A sign of an earlier life says nothing of the later one.
+        if self.later_life_of(from).is_none() {
+            self.contact(now, &from.daemon);
+        }
         let answer = match request {
-            PeerRequest::Gossip(gossip) => Some(self.answer_gossip(now, &from.daemon, gossip)),
+            PeerRequest::Gossip(gossip) => Some(self.answer_gossip(now, from, gossip)),
             PeerRequest::Compare(compare) => self.answer_compare(&compare),
             PeerRequest::Members(page) => self.answer_page(now, &page),
             PeerRequest::Probe(daemon) => {
@@ -276,16 +285,17 @@
             .push(MembershipAction::Reply { ticket, answer });
     }
 
-    fn answer_gossip(&mut self, now: Instant, from: &DaemonId, gossip: Gossip) -> PeerAnswer {
+    fn answer_gossip(&mut self, now: Instant, from: &PeerName, gossip: Gossip) -> PeerAnswer {
         let learnt = self.learn(now, &gossip.summaries, &gossip.deltas, gossip.entries);
-        if self.members.get(from).is_none() {
-            self.missing.entry(from.clone()).or_default();
+        if self.members.get(&from.daemon).is_none() {
+            self.missing.entry(from.daemon.clone()).or_default();
         }
         if gossip.digest == self.members.digest() {
             self.rumours.all_known();
         }
-        let mut answer = self.compose(now, from);
+        let mut answer = self.compose(now, &from.daemon);
         answer.entries = self.entries(now, &gossip.wanted);
+        answer.entries.extend(self.later_life_of(from));
         answer.known = learnt.known;
         self.accompany(&mut answer, &learnt.outdated);
         self.budget.spend(ANSWER_BYTES + gossip_bytes(&answer));
@@ -373,44 +383,6 @@
     fn idle_gossip_ms(&self) -> u64 {
         self.settings.idle_gossip_ms * u64::from(self.doublings()) / u64::from(USUAL_DOUBLINGS)
     }
-
-    /// Chooses partners anew where some are gone, and one of them now and then.
-    pub(super) fn refresh_partners(&mut self, now: Instant) {
-        if now >= self.partner_at {
-            self.partner_at = self.later(now, self.settings.partner_ms);
-            if self.partners.len() >= self.settings.partner_count {
-                let index = self.random.random_range(0..self.partners.len());
-                self.partners.remove(index);
-            }
-        }
-        let members = &self.members;
-        let present = |daemon: &DaemonId| members.get(daemon).is_some_and(|m| m.is_present());
-        self.partners.retain(present);
-        // This daemon itself is among the members.
-        let wanted_count = self.settings.partner_count.min(self.members.count() - 1);
-        while self.partners.len() < wanted_count {
-            let far = self.random.random_bool(FAR_PARTNER_SHARE);
-            let Some(daemon) = self.choose(|domain, own| far || domain == own) else {
-                break;
-            };
-            self.partners.push(daemon);
-        }
-    }
-
-    /// A present daemon that is no partner yet; of any domain where none fits.
-    fn choose(&mut self, fits: impl Fn(&str, &str) -> bool) -> Option<DaemonId> {
-        let free = self.members.iter().filter(|member| {
-            let daemon = &member.entry.daemon;
-            member.is_present() && *daemon != self.own.daemon && !self.partners.contains(daemon)
-        });
-        let fitting = free
-            .clone()
-            .filter(|member| fits(&member.entry.domain, &self.own.domain));
-        let chosen = fitting
-            .choose(&mut self.random)
-            .or_else(|| free.choose(&mut self.random));
-        chosen.map(|member| member.entry.daemon.clone())
-    }
 }
 
 /// Whether the peer answered, if only with a refusal.
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -126,6 +126,47 @@
     },
     /// Counts something.
     Count(&'static str),
+    /// A later life of this daemon is known, and this one yields to it.
+    Superseded {
+        /// This life.
+        life: Incarnation,
+        /// That life.
+        later: Incarnation,
+    },
+    /// This process bears another number from now on.
+    LifeRaised(LifeRaised),
+}
+
+/// A new number of a process whose daemon is known in a later life that is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LifeRaised {
+    /// The number so far.
+    pub earlier: Incarnation,
+    /// The number of the life that is over.
+    pub heard: Incarnation,
+    /// The number from now on.
+    pub later: Incarnation,
+    /// Where that life was heard of.
+    pub source: NewsSource,
+}
+
+/// Where news of a daemon comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NewsSource {
+    /// Another daemon.
+    Peer,
+    /// What the platform keeps.
+    Platform,
+}
+
+impl NewsSource {
+    /// The source, as logs name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            NewsSource::Peer => "peer",
+            NewsSource::Platform => "platform",
+        }
+    }
 }
 
 /// What comes to the membership duty from the link.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -13,13 +13,15 @@
 mod first_view;
 mod gossip;
 mod members;
+mod own_life;
+mod partners;
 mod rumours;
 mod suspicion;
 
 pub use message::{
-    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, Delta, Fleet, Gossip, MembersAnswer,
-    MembersRequest, MembershipAction, MembershipCall, MembershipEvent, ServerEntry, Summary,
-    Ticket, FULL_SHARE_PERMILLE,
+    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, Delta, Fleet, Gossip, LifeRaised,
+    MembersAnswer, MembersRequest, MembershipAction, MembershipCall, MembershipEvent, NewsSource,
+    ServerEntry, Summary, Ticket, FULL_SHARE_PERMILLE,
 };
 
 #[cfg(test)]
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -11,10 +11,14 @@
 use super::first_view::FirstView;
 use super::gossip::OpenCall;
 use super::members::Members;
-use super::message::{DaemonEntry, MembershipAction, MembershipEvent, ServerEntry, Summary};
-use super::message::{Ticket, FULL_SHARE_PERMILLE};
+use super::message::{
+    DaemonEntry, MembershipAction, MembershipEvent, NewsSource, ServerEntry, Ticket,
+    FULL_SHARE_PERMILLE,
+};
+use super::own_life::LaterLife;
 use super::rumours::Rumours;
 use super::suspicion::Trouble;
+use crate::life::is_life;
 use crate::link::LinkError;
 use crate::settings::membership::MembershipSettings;
 use crate::types::{BackendServerId, DaemonId};
@@ -52,13 +56,15 @@
     pub(super) compare_at: Instant,
     publish_at: Instant,
     sweep_at: Instant,
-    snapshot_at: Instant,
+    pub(super) snapshot_at: Instant,
     /// Calls sent before this tell nothing: this daemon was paused.
     pub(super) awake_at: Instant,
     /// When a peer last answered or asked.
     pub(super) contact_at: Instant,
-    /// Another, later life of this daemon is known.
-    superseded: bool,
+    /// Set while this daemon is superseded.
+    pub(super) later_life: Option<LaterLife>,
+    /// No new number is taken before this.
+    pub(super) raise_at: Instant,
     pub(super) actions: Vec<MembershipAction>,
 }
 
@@ -108,7 +114,8 @@
             snapshot_at: now,
             awake_at: now,
             contact_at: now,
-            superseded: false,
+            later_life: None,
+            raise_at: now,
             actions: Vec::new(),
         }
     }
@@ -154,7 +161,7 @@
     pub fn next_tick_at(&self) -> Instant {
         let mut next = self.gossip_at.min(self.partner_at).min(self.heal_at);
         next = next.min(self.sweep_at);
-        if !self.superseded {
+        if !self.is_superseded() {
             next = next.min(self.publish_at);
         }
         if let Some(first_view) = &self.first_view {
@@ -163,6 +170,9 @@
         if let Some(lapse_at) = self.members.next_lapse_at(self.suspect_limit()) {
             next = next.min(lapse_at);
         }
+        if let Some(raise_at) = self.next_raise_at() {
+            next = next.min(raise_at);
+        }
         if self.members.is_changed() {
             next = next.min(self.snapshot_at);
         }
@@ -184,7 +194,7 @@
         for _ in self.members.lapse(now, limit) {
             self.count("membership.gone");
         }
-        if now >= self.publish_at && !self.superseded {
+        if now >= self.publish_at && !self.is_superseded() {
             self.publish(now);
         }
         if now >= self.sweep_at {
@@ -194,6 +204,7 @@
             self.missing.clear();
             self.expire_calls(now);
         }
+        self.outlive(now);
         self.refresh_partners(now);
         self.ask_for_page(now);
         self.heal(now);
@@ -236,14 +247,14 @@
         let others = !same_servers(&servers, &self.own.servers);
         self.own.servers = servers;
         self.describe(now);
-        if others && self.settings.publish_change_ms > 0 && !self.superseded {
+        if others && self.settings.publish_change_ms > 0 && !self.is_superseded() {
             let soon = self.later(now, self.settings.publish_change_ms);
             self.publish_at = self.publish_at.min(soon);
         }
     }
 
     /// Tells the fleet of a change of this daemon itself.
-    fn describe(&mut self, now: Instant) {
+    pub(super) fn describe(&mut self, now: Instant) {
         self.own.version += 1;
         let entry = Arc::new(self.own.clone());
         self.members.hear_entry(now, entry, None);
@@ -253,13 +264,15 @@
     fn leave(&mut self, now: Instant) {
         self.own.leaving = true;
         self.describe(now);
-        self.publish(now);
+        if !self.is_superseded() {
+            self.publish(now);
+        }
         for partner in self.partners.clone() {
             self.exchange(now, partner);
         }
     }
 
-    fn publish(&mut self, now: Instant) {
+    pub(super) fn publish(&mut self, now: Instant) {
         self.publish_at = self.later(now, self.settings.publish_retry_ms);
         let own = self.own.clone();
         self.actions.push(MembershipAction::Publish(own));
@@ -273,44 +286,14 @@
             if same_life && same_words {
                 self.publish_at = self.later(now, self.settings.publish_ms);
             }
-            let summary = Summary {
-                daemon: entry.daemon,
-                incarnation: entry.incarnation,
-                version: entry.version,
-                round: 0,
-                suspect: false,
-            };
-            self.told_of_self(now, &summary);
-            return;
+            return self.hear_own_entry(now, &entry, NewsSource::Platform);
         }
         let daemon = entry.daemon.clone();
-        if self.members.hear_entry(now, Arc::new(entry), None) {
+        if is_life(entry.incarnation) && self.members.hear_entry(now, Arc::new(entry), None) {
             self.add_rumour(now, daemon);
         }
     }
 
-    /// What a peer believes of this daemon: a suspicion is refuted.
-    pub(super) fn told_of_self(&mut self, now: Instant, summary: &Summary) {
-        if summary.incarnation > self.own.incarnation {
-            if !std::mem::replace(&mut self.superseded, true) {
-                self.count("membership.superseded");
-            }
-            return;
-        }
-        if summary.incarnation < self.own.incarnation || self.superseded {
-            return;
-        }
-        let round = self
-            .members
-            .get(&self.own.daemon)
-            .map_or(0, |own| own.round);
-        if summary.suspect && summary.round >= round {
-            self.members.refute(&self.own.daemon, summary.round);
-            self.add_rumour(now, self.own.daemon.clone());
-            self.count("membership.refuted");
-        }
-    }
-
     /// How often the fleet doubled from one daemon, no less than usual.
     pub(super) fn doublings(&self) -> u32 {
         self.members.count().max(1).ilog2().max(USUAL_DOUBLINGS)
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,4 +1,5 @@
 mod convergence;
+mod lives;
 mod rules;
 
 use std::time::{Duration, Instant};
--- a/src/membership/tests/convergence.rs
+++ b/src/membership/tests/convergence.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -18,6 +19,9 @@
     Pause(usize),
     Resume(usize),
     Replace(usize),
+    Restart(usize),
+    /// Sets a clock so far ahead, in milliseconds.
+    Clock(usize, i64),
     Cut(usize, usize),
     Mend,
     Log(bool),
@@ -31,6 +35,8 @@
         2 => daemon().prop_map(Step::Pause),
         2 => daemon().prop_map(Step::Resume),
         1 => daemon().prop_map(Step::Replace),
+        2 => daemon().prop_map(Step::Restart),
+        2 => (daemon(), -60_000..60_000_i64).prop_map(|(index, ms)| Step::Clock(index, ms)),
         3 => (daemon(), daemon()).prop_map(|(from, to)| Step::Cut(from, to)),
         1 => Just(Step::Mend),
         1 => any::<bool>().prop_map(Step::Log),
@@ -66,6 +72,8 @@
         Step::Pause(index) => fleet.pause(&name(*index)),
         Step::Resume(index) => fleet.resume(&name(*index)),
         Step::Replace(index) => fleet.start(&name(*index), &domain(*index), &["daemon-0"]),
+        Step::Restart(index) => fleet.restart(&name(*index), &["daemon-0"]),
+        Step::Clock(index, ahead_ms) => fleet.set_clock(&name(*index), *ahead_ms),
         Step::Cut(from, to) => fleet.cut(&name(*from), &name(*to)),
         Step::Mend => fleet.mend(),
         Step::Log(up) => fleet.set_log(*up),
@@ -79,8 +87,17 @@
         fleet.start(&name(index), &domain(index), &[]);
     }
     fleet.run_until(Duration::from_secs(1));
+    let mut replaced = BTreeSet::new();
     for (number, step) in steps.iter().enumerate() {
-        take(&mut fleet, number as u32 + 1, step);
+        let step = match *step {
+            // Peers may know it at its old addresses only, where a later life holds it back.
+            Step::Restart(index) if replaced.contains(&index) => Step::Replace(index),
+            _ => step.clone(),
+        };
+        if let Step::Replace(index) = step {
+            replaced.insert(index);
+        }
+        take(&mut fleet, number as u32 + 1, &step);
     }
     fleet.mend();
     fleet.set_log(true);
@@ -113,6 +130,10 @@
             prop_assert_eq!(fleet.digest(&daemon), first, "{} differs", daemon);
             let view = fleet.view(&daemon);
             prop_assert_eq!(view.daemons.len(), DAEMON_COUNT);
+            for entry in view.daemons.values() {
+                let life = fleet.life(&entry.daemon);
+                prop_assert_eq!(entry.incarnation, life, "{}", entry.daemon);
+            }
             let leaving = view.daemons.values().find(|entry| entry.leaving);
             prop_assert!(leaving.is_none(), "{daemon} misses {leaving:?}");
         }
--- /dev/null
+++ b/src/membership/tests/lives.rs
@@ -0,0 +1,293 @@
+use std::time::{Duration, Instant};
+
+use super::{entry, state_of};
+use crate::life::LATEST_LIFE;
+use crate::link::{PeerAnswer, PeerName, PeerRequest};
+use crate::membership::state::MembershipState;
+use crate::membership::virtual_fleet::VirtualFleet;
+use crate::membership::{DaemonEntry, Fleet, Gossip, MembershipAction, MembershipEvent, Summary};
+use crate::settings::membership::MembershipSettings;
+
+const DAEMON_COUNT: usize = 12;
+const MINUTE_MS: i64 = 60_000;
+
+fn name(index: usize) -> String {
+    format!("daemon-{index}")
+}
+
+/// A fleet whose daemons all started with clocks a minute ahead, which are right since.
+fn fleet_from_the_future() -> VirtualFleet {
+    let mut fleet = VirtualFleet::new(MembershipSettings::default(), 11);
+    for index in 0..DAEMON_COUNT {
+        fleet.set_clock(&name(index), MINUTE_MS);
+        fleet.start(&name(index), "domain", &[]);
+        fleet.set_clock(&name(index), 0);
+    }
+    fleet.run_until(Duration::from_secs(5));
+    fleet
+}
+
+/// Daemons that some snapshot lacks, or shows as leaving or in another life than their own.
+fn out_of_service(fleet: &VirtualFleet) -> Vec<String> {
+    let mut found = Vec::new();
+    for viewer in 0..DAEMON_COUNT {
+        let view = fleet.view(&name(viewer));
+        for index in 0..DAEMON_COUNT {
+            let daemon = name(index);
+            let entry = view.daemons.get(daemon.as_str());
+            let serves =
+                |entry: &DaemonEntry| !entry.leaving && entry.incarnation == fleet.life(&daemon);
+            if !entry.is_some_and(|entry| serves(entry)) {
+                found.push(format!("{daemon} for {}", name(viewer)));
+            }
+        }
+    }
+    found
+}
+
+#[test]
+fn daemons_restarted_with_clocks_set_back_and_a_silent_store_serve_again() {
+    // Arrange
+    let mut fleet = fleet_from_the_future();
+    fleet.set_log(false);
+
+    // Act
+    for index in 0..8 {
+        fleet.restart(&name(index), &["daemon-8", "daemon-9"]);
+    }
+    fleet.run_until(fleet.elapsed() + Duration::from_secs(2));
+
+    // Assert
+    assert_eq!(out_of_service(&fleet), Vec::<String>::new());
+}
+
+#[test]
+fn a_restarted_daemon_that_only_its_peers_call_serves_again() {
+    // Arrange
+    let mut fleet = fleet_from_the_future();
+    fleet.set_log(false);
+
+    // Act
+    fleet.restart("daemon-0", &[]);
+    fleet.run_until(fleet.elapsed() + Duration::from_secs(5));
+
+    // Assert
+    assert_eq!(out_of_service(&fleet), Vec::<String>::new());
+}
+
+#[test]
+fn a_whole_fleet_restarted_with_clocks_set_back_serves_once_the_store_answers() {
+    // Arrange
+    let mut fleet = fleet_from_the_future();
+    fleet.set_log(false);
+    for index in 0..DAEMON_COUNT {
+        fleet.restart(&name(index), &[]);
+    }
+    fleet.run_until(fleet.elapsed() + Duration::from_secs(20));
+
+    // Act
+    fleet.set_log(true);
+    fleet.run_until(fleet.elapsed() + Duration::from_secs(2));
+
+    // Assert
+    assert_eq!(out_of_service(&fleet), Vec::<String>::new());
+}
+
+/// A description of the daemon `a` at the addresses of `state_of`.
+fn later_life(incarnation: u64) -> DaemonEntry {
+    entry("a", incarnation, 3)
+}
+
+fn elsewhere(incarnation: u64) -> DaemonEntry {
+    DaemonEntry {
+        guard_address: "127.0.0.9:1".parse().unwrap(),
+        link_address: "127.0.0.9:2".parse().unwrap(),
+        ..later_life(incarnation)
+    }
+}
+
+fn published(actions: &[MembershipAction]) -> Option<&DaemonEntry> {
+    actions.iter().find_map(|action| match action {
+        MembershipAction::Publish(entry) => Some(entry),
+        _ => None,
+    })
+}
+
+fn changed(actions: &[MembershipAction]) -> Option<&Fleet> {
+    actions.iter().find_map(|action| match action {
+        MembershipAction::Changed(fleet) => Some(&**fleet),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_later_life_at_own_addresses_is_followed_by_a_still_later_one_at_once() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+
+    // Act
+    let actions = state.handle(now, MembershipEvent::Heard(later_life(1_000)));
+
+    // Assert
+    let own = state.own().incarnation;
+    assert!(own > 1_000, "{own}");
+    assert_eq!(
+        published(&actions).map(|entry| entry.incarnation),
+        Some(own)
+    );
+    let snapshot = changed(&actions).expect("a snapshot");
+    assert_eq!(snapshot.daemons["a"].incarnation, own);
+}
+
+#[test]
+fn a_later_life_at_other_addresses_supersedes_this_one_for_good() {
+    // Arrange
+    let mut state = state_of("a");
+    let mut now = Instant::now();
+
+    // Act
+    let heard = state.handle(now, MembershipEvent::Heard(elsewhere(1_000)));
+    let mut publishes = published(&heard).is_some();
+    for _ in 0..1_000 {
+        now = state.next_tick_at().max(now);
+        let actions = state.handle(now, MembershipEvent::Tick);
+        publishes |= published(&actions).is_some();
+    }
+
+    // Assert
+    assert_eq!(state.own().incarnation, 1);
+    assert!(!publishes);
+}
+
+#[test]
+fn the_latest_life_decides_and_not_an_earlier_one_at_own_addresses() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+
+    // Act
+    state.handle(now, MembershipEvent::Heard(elsewhere(1_000)));
+    state.handle(now, MembershipEvent::Heard(later_life(500)));
+    let between = state.own().incarnation;
+    state.handle(now, MembershipEvent::Heard(later_life(2_000)));
+
+    // Assert
+    assert_eq!(between, 1);
+    assert!(state.own().incarnation > 2_000);
+}
+
+fn answer_to(state: &mut MembershipState, incarnation: u64, told: Gossip) -> Gossip {
+    let asked = MembershipEvent::Asked {
+        ticket: 1,
+        from: PeerName {
+            daemon: "b".into(),
+            incarnation,
+        },
+        request: PeerRequest::Gossip(told),
+    };
+    for action in state.handle(Instant::now(), asked) {
+        if let MembershipAction::Reply {
+            answer: Some(PeerAnswer::Gossip(answer)),
+            ..
+        } = action
+        {
+            return answer;
+        }
+    }
+    panic!("gossip is answered at once");
+}
+
+#[test]
+fn a_number_of_a_later_life_alone_is_asked_after() {
+    // Arrange
+    let mut state = state_of("a");
+    let summaries = vec![Summary {
+        daemon: "a".into(),
+        incarnation: 1_000,
+        version: 1,
+        round: 0,
+        suspect: false,
+    }];
+    let told = Gossip {
+        summaries,
+        ..Default::default()
+    };
+
+    // Act
+    let answer = answer_to(&mut state, 1, told);
+
+    // Assert
+    assert_eq!(state.own().incarnation, 1);
+    assert!(answer.wanted.contains(&"a".into()), "{answer:?}");
+}
+
+#[test]
+fn an_earlier_life_that_asks_is_told_of_the_later_one() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+    state.handle(now, MembershipEvent::Heard(entry("b", 1_000, 3)));
+
+    // Act
+    let answer = answer_to(&mut state, 7, Gossip::default());
+
+    // Assert
+    let told = answer.entries.iter().map(|entry| entry.incarnation);
+    assert_eq!(told.collect::<Vec<_>>(), [1_000]);
+}
+
+#[test]
+fn a_number_that_no_clock_shows_is_no_life() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+    state.handle(now, MembershipEvent::Heard(entry("b", 5, 1)));
+    let before = state.digest();
+
+    // Act
+    state.handle(now, MembershipEvent::Heard(later_life(u64::MAX)));
+    state.handle(now, MembershipEvent::Heard(entry("b", u64::MAX, 1)));
+
+    // Assert
+    assert_eq!(state.own().incarnation, 1);
+    assert_eq!(state.digest(), before);
+}
+
+#[test]
+fn two_processes_at_one_address_do_not_raise_each_other_without_a_pause() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+    state.handle(now, MembershipEvent::Heard(later_life(1_000_000)));
+    let first = state.own().incarnation;
+
+    // Act
+    let heard = now + Duration::from_millis(10);
+    state.handle(heard, MembershipEvent::Heard(later_life(2_000_000)));
+    let at_once = state.own().incarnation;
+    let later = now + Duration::from_secs(5);
+    state.handle(later, MembershipEvent::Tick);
+
+    // Assert
+    assert_eq!(at_once, first);
+    assert!(state.own().incarnation > 2_000_000);
+}
+
+#[test]
+fn a_life_above_which_no_number_is_left_holds_this_one_back_without_ticks() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+    state.handle(now, MembershipEvent::Heard(later_life(LATEST_LIFE)));
+
+    // Act
+    let later = now + Duration::from_secs(30);
+    for _ in 0..10 {
+        state.handle(later, MembershipEvent::Tick);
+    }
+
+    // Assert
+    assert!(state.next_tick_at() > later);
+    assert_eq!(state.own().incarnation, 1);
+}
--- a/src/membership/virtual_fleet.rs
+++ b/src/membership/virtual_fleet.rs
@@ -1,7 +1,7 @@
 //! Many membership states under virtual time, for scenarios and measurements.
 //!
-//! Messages take a fixed time; paths can be cut, daemons paused, killed and replaced, and the
-//! platform's log taken away. Everything follows from the seed.
+//! Messages take a fixed time; paths can be cut, daemons paused, killed, replaced and restarted
+//! with other clocks, and the platform's log taken away. Everything follows from the seed.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
@@ -12,13 +12,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::message::{CallTarget, DaemonEntry, Fleet, MembershipAction, MembershipEvent, Ticket};
+use super::message::{DaemonEntry, Fleet, MembershipAction, MembershipEvent, Ticket};
 use super::state::MembershipState;
-use crate::link::codec::{answer_bytes, request_bytes};
-use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
+use crate::link::{PeerName, PeerRequest};
 use crate::settings::membership::MembershipSettings;
 use crate::types::{DaemonId, Incarnation};
 
+mod calls;
+
 /// One way between two daemons.
 const DELAY: Duration = Duration::from_millis(1);
 /// From an append until the record is read.
@@ -29,6 +30,8 @@
 pub const CALL_FRAME_BYTES: u64 = 112;
 /// Frame of an answer, without the answer.
 pub const ANSWER_FRAME_BYTES: u64 = 72;
+/// What a clock that is right shows when the fleet begins.
+const BEGINNING_MS: u64 = 1_000_000;
 
 /// Index of a daemon in the order of their starts; a replacement has its own.
 type Index = usize;
@@ -42,6 +45,8 @@
     paused: Option<Vec<MembershipEvent>>,
     /// The tick that counts; earlier ones in the queue are void.
     tick_at: Instant,
+    /// Records of the log that were given to it.
+    read_count: usize,
     traffic: Traffic,
 }
 
@@ -82,6 +87,8 @@
     next_request: Ticket,
     /// Ordered pairs of names whose packets are lost.
     cuts: BTreeSet<(DaemonId, DaemonId)>,
+    /// How far clocks stand ahead, in milliseconds; behind where negative.
+    clocks_ms: BTreeMap<DaemonId, i64>,
     log: Option<Vec<DaemonEntry>>,
     kept_log: Vec<DaemonEntry>,
     counts: BTreeMap<&'static str, u64>,
@@ -104,6 +111,7 @@
             requests: HashMap::new(),
             next_request: 0,
             cuts: BTreeSet::new(),
+            clocks_ms: BTreeMap::new(),
             log: Some(Vec::new()),
             kept_log: Vec::new(),
             counts: BTreeMap::new(),
@@ -121,29 +129,61 @@
         SocketAddr::new(Ipv4Addr::new(10, a, b, c).into(), 8083)
     }
 
-    /// Starts a daemon, or a later life of one. Seeds are names of daemons started before.
+    /// Sets how far the clock of a daemon stands ahead, in milliseconds. It is read at a start.
+    pub fn set_clock(&mut self, daemon: &str, ahead_ms: i64) {
+        self.clocks_ms.insert(daemon.into(), ahead_ms);
+    }
+
+    /// Starts a daemon, or on a new VM a life of it that is later than all others, whatever its clock
+    /// shows. Seeds are names of daemons started before.
     pub fn start(&mut self, daemon: &str, domain: &str, seeds: &[&str]) {
+        let names = self.daemons.iter().map(|known| known.state.own());
+        let lives = names.filter(|own| *own.daemon == *daemon);
+        let last = lives.map(|own| own.incarnation).max();
+        let incarnation = self.clock_of(daemon).max(last.map_or(0, |last| last + 1));
+        let address = Self::address(self.daemons.len());
+        self.start_at((daemon, domain), incarnation, address, seeds);
+    }
+
+    /// Starts a daemon again where it was. Its clock alone says in which life.
+    pub fn restart(&mut self, daemon: &str, seeds: &[&str]) {
+        let own = self.daemons[self.index(daemon)].state.own().clone();
+        let incarnation = self.clock_of(daemon);
+        self.start_at((daemon, &own.domain), incarnation, own.link_address, seeds);
+    }
+
+    fn clock_of(&self, daemon: &str) -> Incarnation {
+        let ahead_ms = self.clocks_ms.get(daemon).copied().unwrap_or(0);
+        (BEGINNING_MS + self.elapsed().as_millis() as u64).saturating_add_signed(ahead_ms)
+    }
+
+    fn start_at(
+        &mut self,
+        (daemon, domain): (&str, &str),
+        incarnation: Incarnation,
+        address: SocketAddr,
+        seeds: &[&str],
+    ) {
         let name = DaemonId::from(daemon);
+        let mut settings = self.settings.clone();
+        for seed in seeds {
+            let seed = &self.daemons[self.index(seed)];
+            settings.seed_addresses.push(seed.state.own().link_address);
+        }
         if let Some(old) = self.by_name.get(&name).copied() {
             self.daemons[old].alive = false;
         }
         let index = self.daemons.len();
-        let incarnation = 1 + self.elapsed().as_millis() as Incarnation;
         let own = DaemonEntry {
             daemon: name.clone(),
             incarnation,
             version: 0,
             domain: domain.into(),
-            guard_address: Self::address(index),
-            link_address: Self::address(index),
+            guard_address: address,
+            link_address: address,
             leaving: false,
             servers: Vec::new(),
         };
-        let mut settings = self.settings.clone();
-        for seed in seeds {
-            let seed = self.by_name[&DaemonId::from(*seed)];
-            settings.seed_addresses.push(Self::address(seed));
-        }
         let random = ChaCha8Rng::seed_from_u64(self.seed ^ (index as u64) << 32);
         let state = MembershipState::new(settings, own, random, self.now);
         self.daemons.push(VirtualDaemon {
@@ -152,14 +192,12 @@
             alive: true,
             paused: None,
             tick_at: self.now,
+            read_count: 0,
             traffic: Traffic::default(),
         });
         self.by_name.insert(name, index);
         self.push(self.now, index, Happening::Tick);
-        for entry in self.log.clone().unwrap_or_default() {
-            let event = MembershipEvent::Heard(entry);
-            self.push(self.now + LOG_DELAY, index, Happening::Event(event));
-        }
+        self.read_log(index);
     }
 
     /// Kills a daemon without warning.
@@ -204,6 +242,9 @@
             (false, Some(log)) => self.kept_log = log,
             (false, None) => {}
         }
+        for index in 0..self.daemons.len() {
+            self.read_log(index);
+        }
     }
 
     /// Gives an event to a daemon now.
@@ -250,6 +291,11 @@
         self.daemons[self.index(daemon)].state.digest()
     }
 
+    /// The life that a daemon gives itself.
+    pub fn life(&self, daemon: &str) -> Incarnation {
+        self.daemons[self.index(daemon)].state.own().incarnation
+    }
+
     /// What a daemon sent and received.
     pub fn traffic(&self, daemon: &str) -> Traffic {
         self.daemons[self.index(daemon)].traffic
@@ -338,71 +384,7 @@
             } => self.call(index, ticket, &to, request),
             MembershipAction::Reply { ticket, answer } => self.reply(index, ticket, answer),
             MembershipAction::Count(name) => *self.counts.entry(name).or_default() += 1,
+            MembershipAction::Superseded { .. } | MembershipAction::LifeRaised(_) => {}
         }
     }
-
-    fn append(&mut self, entry: DaemonEntry) {
-        let Some(log) = &mut self.log else {
-            return;
-        };
-        log.push(entry.clone());
-        for index in 0..self.daemons.len() {
-            let event = MembershipEvent::Heard(entry.clone());
-            self.push(self.now + LOG_DELAY, index, Happening::Event(event));
-        }
-    }
-
-    fn call(&mut self, from: Index, ticket: Ticket, to: &CallTarget, request: PeerRequest) {
-        let bytes = CALL_FRAME_BYTES + request_bytes(&request) as u64;
-        let traffic = &mut self.daemons[from].traffic;
-        traffic.sent_bytes += bytes;
-        traffic.calls_count += 1;
-        let target = match to {
-            CallTarget::Daemon(name) => self.by_name.get(name).copied(),
-            CallTarget::Seed(address) => {
-                (0..self.daemons.len()).find(|index| Self::address(*index) == *address)
-            }
-        };
-        let alive = target.filter(|target| self.daemons[*target].alive);
-        let Some(target) = alive else {
-            return self.end_call(from, ticket, DELAY * 2, Err(LinkError::Unreachable));
-        };
-        // A connection needs both directions.
-        let names = (self.name(from).daemon, self.name(target).daemon);
-        let reversed = (names.1.clone(), names.0.clone());
-        let cut = self.cuts.contains(&names) || self.cuts.contains(&reversed);
-        if cut || self.daemons[target].paused.is_some() {
-            return self.end_call(from, ticket, CALL_TIMEOUT, Err(LinkError::Silent));
-        }
-        self.daemons[target].traffic.received_bytes += bytes;
-        let happening = Happening::Request {
-            from,
-            ticket,
-            request,
-        };
-        self.push(self.now + DELAY, target, happening);
-    }
-
-    fn end_call(
-        &mut self,
-        caller: Index,
-        ticket: Ticket,
-        wait: Duration,
-        result: Result<PeerAnswer, LinkError>,
-    ) {
-        let event = MembershipEvent::Answered { ticket, result };
-        self.push(self.now + wait, caller, Happening::Event(event));
-    }
-
-    fn reply(&mut self, index: Index, ticket: Ticket, answer: Option<PeerAnswer>) {
-        let Some((caller, ticket)) = self.requests.remove(&(index, ticket)) else {
-            return;
-        };
-        let content = answer.as_ref().map_or(0, answer_bytes) as u64;
-        let bytes = ANSWER_FRAME_BYTES + content;
-        self.daemons[index].traffic.sent_bytes += bytes;
-        self.daemons[caller].traffic.received_bytes += bytes;
-        let result = answer.ok_or(LinkError::Refused);
-        self.end_call(caller, ticket, DELAY, result);
-    }
 }
--- /dev/null
+++ b/src/membership/virtual_fleet/calls.rs
@@ -0,0 +1,96 @@
+//! Calls between daemons, and the platform's log.
+
+use std::time::Duration;
+
+use super::{
+    Happening, Index, VirtualFleet, ANSWER_FRAME_BYTES, CALL_FRAME_BYTES, CALL_TIMEOUT, DELAY,
+    LOG_DELAY,
+};
+use crate::link::codec::{answer_bytes, request_bytes};
+use crate::link::{LinkError, PeerAnswer, PeerRequest};
+use crate::membership::message::{CallTarget, DaemonEntry, MembershipEvent, Ticket};
+
+impl VirtualFleet {
+    pub(super) fn append(&mut self, entry: DaemonEntry) {
+        let Some(log) = &mut self.log else {
+            return;
+        };
+        log.push(entry);
+        for index in 0..self.daemons.len() {
+            self.read_log(index);
+        }
+    }
+
+    /// Gives a daemon the records of the log that it has not read.
+    pub(super) fn read_log(&mut self, index: Index) {
+        let Some(log) = &self.log else {
+            return;
+        };
+        let read_count = std::mem::replace(&mut self.daemons[index].read_count, log.len());
+        for entry in log[read_count..].to_vec() {
+            let event = MembershipEvent::Heard(entry);
+            self.push(self.now + LOG_DELAY, index, Happening::Event(event));
+        }
+    }
+
+    pub(super) fn call(
+        &mut self,
+        from: Index,
+        ticket: Ticket,
+        to: &CallTarget,
+        request: PeerRequest,
+    ) {
+        let bytes = CALL_FRAME_BYTES + request_bytes(&request) as u64;
+        let traffic = &mut self.daemons[from].traffic;
+        traffic.sent_bytes += bytes;
+        traffic.calls_count += 1;
+        let target = match to {
+            CallTarget::Daemon(name) => self.by_name.get(name).copied(),
+            CallTarget::Seed(address) => self
+                .daemons
+                .iter()
+                .position(|daemon| daemon.alive && daemon.state.own().link_address == *address),
+        };
+        let alive = target.filter(|target| self.daemons[*target].alive);
+        let Some(target) = alive else {
+            return self.end_call(from, ticket, DELAY * 2, Err(LinkError::Unreachable));
+        };
+        // A connection needs both directions.
+        let names = (self.name(from).daemon, self.name(target).daemon);
+        let reversed = (names.1.clone(), names.0.clone());
+        let cut = self.cuts.contains(&names) || self.cuts.contains(&reversed);
+        if cut || self.daemons[target].paused.is_some() {
+            return self.end_call(from, ticket, CALL_TIMEOUT, Err(LinkError::Silent));
+        }
+        self.daemons[target].traffic.received_bytes += bytes;
+        let happening = Happening::Request {
+            from,
+            ticket,
+            request,
+        };
+        self.push(self.now + DELAY, target, happening);
+    }
+
+    fn end_call(
+        &mut self,
+        caller: Index,
+        ticket: Ticket,
+        wait: Duration,
+        result: Result<PeerAnswer, LinkError>,
+    ) {
+        let event = MembershipEvent::Answered { ticket, result };
+        self.push(self.now + wait, caller, Happening::Event(event));
+    }
+
+    pub(super) fn reply(&mut self, index: Index, ticket: Ticket, answer: Option<PeerAnswer>) {
+        let Some((caller, ticket)) = self.requests.remove(&(index, ticket)) else {
+            return;
+        };
+        let content = answer.as_ref().map_or(0, answer_bytes) as u64;
+        let bytes = ANSWER_FRAME_BYTES + content;
+        self.daemons[index].traffic.sent_bytes += bytes;
+        self.daemons[caller].traffic.received_bytes += bytes;
+        let result = answer.ok_or(LinkError::Refused);
+        self.end_call(caller, ticket, DELAY, result);
+    }
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -7,6 +7,10 @@
 use std::time::{Duration, Instant};
 
 use banyanbeam::contract::{Change, RouteContract, ServiceContract};
+use banyanbeam::journal::client::HttpLog;
+use banyanbeam::journal::{PlatformLog, MEMBERS};
+use banyanbeam::membership::DaemonEntry;
+use banyanbeam::settings::journal::JournalSettings;
 use support::*;
 
 /// Requests in a row that must go well before a change counts as seen.
@@ -121,3 +125,50 @@
     // Assert
     servers_in_a_row(entry.address("front"), both);
 }
+
+/// Reads descriptions of daemons until one fits.
+fn wait_for_description(log: &HttpLog, fits: impl Fn(&DaemonEntry) -> bool) -> DaemonEntry {
+    let until = Instant::now() + Duration::from_secs(60);
+    let mut from = 0;
+    while Instant::now() < until {
+        let batch = log.read(MEMBERS, from, 100, Duration::from_millis(500));
+        let batch = batch.expect("the log answers");
+        from = batch.next;
+        let bodies = batch.records.iter().map(|record| &record.body);
+        let mut entries = bodies.map(|body| serde_json::from_str(body).expect("a description"));
+        if let Some(found) = entries.find(&fits) {
+            return found;
+        }
+    }
+    panic!("no description fits");
+}
+
+#[test]
+fn a_daemon_of_which_peers_believe_a_later_life_that_is_over_serves_again() {
+    // Arrange
+    let log = start_log();
+    let log_address = log.address("listening");
+    let entry = start_daemon(&settings("life-entry", "north", log_address));
+    let set_back = start_daemon(&settings("set-back", "south", log_address));
+    let _server = start_server("server-1", "workshop", &set_back);
+    publish_open_route(log_address);
+    ask_until(entry.address("front"), "/catalogue", None, 200);
+    let members = HttpLog::new(&JournalSettings {
+        address: log_address,
+        ..Default::default()
+    });
+    let own = wait_for_description(&members, |entry| &*entry.daemon == "set-back");
+    let later_life = DaemonEntry {
+        incarnation: own.incarnation + 3_600_000,
+        ..own
+    };
+
+    // Act
+    let body = serde_json::to_string(&later_life).expect("a description becomes JSON");
+    members.append(MEMBERS, &body).expect("the log takes it");
+
+    // Assert
+    wait_for_description(&members, |entry| entry.incarnation > later_life.incarnation);
+    let answer = ask_until(entry.address("front"), "/catalogue", None, 200);
+    assert_eq!(answer.body["server"], "server-1");
+}
