--- a/src/operator/state.rs
+++ b/src/operator/state.rs
@@ -289,9 +289,10 @@
 
     fn status(&self) -> StatusAnswer {
         let view = &self.view;
+        let own = self.fleet.daemons.get(&self.daemon);
         StatusAnswer {
             daemon: self.daemon.clone(),
-            incarnation: self.incarnation,
+            incarnation: own.map_or(self.incarnation, |own| own.incarnation),
             next: view.next,
             usable: self.usable,
             log_reachable: self.reachable,
