--- a/src/membership/virtual_fleet/calls.rs
+++ b/src/membership/virtual_fleet/calls.rs
@@ -27,7 +27,8 @@
             return;
         };
         let read_count = std::mem::replace(&mut self.daemons[index].read_count, log.len());
-        for entry in log[read_count..].to_vec() {
+        let unread = log[read_count..].to_vec();
+        for entry in unread {
             let event = MembershipEvent::Heard(entry);
             self.push(self.now + LOG_DELAY, index, Happening::Event(event));
         }
