--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -276,3 +276,22 @@
     assert_eq!(authenticate(&operators, "token-2"), None);
     assert_eq!(authenticate(&[], "token-1"), None);
 }
+
+#[test]
+fn the_status_shows_the_number_that_the_daemon_bears_and_not_that_of_its_start() {
+    // Arrange
+    let mut state = state(0.5);
+
+    // Act
+    let actions = ask(&mut state, OperatorRequest::Status);
+
+    // Assert
+    let Some(OperatorAction::Answer {
+        answer: OperatorAnswer::Status(status),
+        ..
+    }) = actions.last()
+    else {
+        panic!("a status, not {actions:?}");
+    };
+    assert_eq!(status.incarnation, 1);
+}
