Explore greater numbers of a process in the model of at most once

A daemon may go on under a greater number; the model only knew restarts. One more fault raises a daemon's number while its guard keeps its record, and a mutation lets the guard forget it.

--- a/spec/at_most_once.rs
+++ b/spec/at_most_once.rs
@@ -3,7 +3,8 @@
 //!
 //! Two entries, two daemons with a guard, a home and a backend server each, and a network that
 //! delays any message for ever. A message that is never delivered is a lost one, so loss needs
-//! no step of its own. Daemons restart and entries give up on attempts, a bounded number of times.
+//! no step of its own. Daemons restart or go on under greater numbers, and entries give up on
+//! attempts, a bounded number of times.
 
 #[path = "at_most_once/daemon.rs"]
 mod daemon;
@@ -88,6 +89,11 @@
     is_caught(Scenario::TwoRequests, Mutation::RequestIgnoresLife);
 }
 
+#[test]
+fn a_guard_that_forgets_under_a_greater_number_is_caught() {
+    is_caught(Scenario::TwoRequests, Mutation::RaiseForgets);
+}
+
 #[test]
 fn a_home_that_forgets_at_a_restart_is_caught() {
     is_caught(Scenario::SentAgain, Mutation::HomeForgets);
--- a/spec/at_most_once/daemon.rs
+++ b/spec/at_most_once/daemon.rs
@@ -23,7 +23,8 @@
 
 /// One daemon: its guard, its home, and what its server runs.
 pub struct DaemonPart {
-    pub life: u64,
+    /// The numbers that this process has borne, the present one last.
+    pub borne: Vec<u64>,
     pub guard: GuardState,
     pub home: IdempotencyState,
     /// The request that holds the key here.
@@ -37,17 +38,35 @@
     pub senders: BTreeMap<AttemptKey, usize>,
 }
 
+/// A number that is raised lies this far above the last one.
+const RAISE_GAP_COUNT: u64 = 10;
+
 impl DaemonPart {
+    pub fn life(&self) -> u64 {
+        self.borne[self.borne.len() - 1]
+    }
+
+    /// Goes on under a greater number.
+    pub fn raise(&mut self, index: usize, mutation: Mutation) {
+        if mutation == Mutation::RaiseForgets {
+            self.guard = daemon_part(index, self.life(), mutation).guard;
+            self.record.clear();
+        }
+        let life = self.life() + RAISE_GAP_COUNT;
+        self.borne.push(life);
+        self.guard.handle(*NOW, GuardEvent::Life(life));
+    }
+
     /// Notes what an event does to the guard's record, beyond what its actions tell.
     pub fn note(&mut self, event: &GuardEvent) {
         match event {
-            GuardEvent::Arrived(request) if request.incarnation == self.life => {
+            GuardEvent::Arrived(request) if self.borne.contains(&request.incarnation) => {
                 self.record.entry(request.key()).or_insert("waiting");
             }
             GuardEvent::Finished { key, .. } => {
                 self.record.insert(*key, "ended");
             }
-            GuardEvent::Fence(fence) if fence.incarnation == self.life => {
+            GuardEvent::Fence(fence) if self.borne.contains(&fence.incarnation) => {
                 let key = (fence.request, fence.attempt);
                 if self
                     .record
@@ -100,7 +119,7 @@
         IdempotencyEvent::Fleet(fleet([life; GUARD_COUNT])),
     );
     DaemonPart {
-        life,
+        borne: vec![life],
         guard,
         home,
         key_held_by: None,
--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -93,7 +93,7 @@
                 attempt,
             } => {
                 let incarnation = match self.mutation {
-                    Mutation::FenceIgnoresLife => self.daemons[*guard].life,
+                    Mutation::FenceIgnoresLife => self.daemons[*guard].life(),
                     _ => *life,
                 };
                 let fence = FenceRequest {
@@ -164,7 +164,7 @@
 
     pub fn arrive(&mut self, entry: usize, guard: usize, life: u64, key: AttemptKey) {
         let incarnation = match self.mutation {
-            Mutation::RequestIgnoresLife => self.daemons[guard].life,
+            Mutation::RequestIgnoresLife => self.daemons[guard].life(),
             _ => life,
         };
         self.daemons[guard].senders.entry(key).or_insert(entry);
--- a/spec/at_most_once/mutation.rs
+++ b/spec/at_most_once/mutation.rs
@@ -13,6 +13,8 @@
     FenceIgnoresLife,
     /// A guard takes a request that was meant for an earlier life.
     RequestIgnoresLife,
+    /// A guard that goes on under a greater number forgets what it started under the last one.
+    RaiseForgets,
     /// A home that restarted grants keys that were issued before.
     HomeForgets,
     /// A key is given back although its request may have run.
--- a/spec/at_most_once/step.rs
+++ b/spec/at_most_once/step.rs
@@ -33,6 +33,8 @@
     EndRun(usize, RequestId, u32),
     /// A daemon dies and begins its next life.
     Restart(usize),
+    /// A daemon goes on under a greater number.
+    Raise(usize),
     /// An entry learns of the present lives.
     Learn(usize),
 }
--- a/spec/at_most_once/world.rs
+++ b/spec/at_most_once/world.rs
@@ -17,7 +17,7 @@
 
 pub const ENTRY_COUNT: usize = 2;
 pub const GUARD_COUNT: usize = 2;
-/// Restarts, abandoned attempts and repeated messages in one run.
+/// Restarts, raised numbers, abandoned attempts and repeated messages in one run.
 const FAULT_COUNT: u32 = 2;
 /// Wall time at which lives begin, keys are issued and claims come, in milliseconds.
 pub const FIRST_LIFE_MS: u64 = 1_000_000;
@@ -114,13 +114,13 @@
         }
         for daemon in &self.daemons {
             let DaemonPart {
-                life,
+                borne,
                 key_held_by,
                 record,
                 senders,
                 ..
             } = daemon;
-            text += &format!("{life}{key_held_by:?}{record:?}{senders:?};");
+            text += &format!("{borne:?}{key_held_by:?}{record:?}{senders:?};");
         }
         let World {
             wire,
@@ -167,11 +167,14 @@
             for (request, attempt) in &daemon.running {
                 steps.push(Step::EndRun(index, *request, *attempt));
             }
-            if self.faults_left > 0 && daemon.life == 1 {
+            if self.faults_left > 0 && daemon.borne[0] == 1 {
                 steps.push(Step::Restart(index));
             }
+            if self.faults_left > 0 && daemon.borne.len() == 1 {
+                steps.push(Step::Raise(index));
+            }
         }
-        if self.daemons.iter().any(|daemon| daemon.life > 1) {
+        if self.daemons.iter().any(|daemon| daemon.life() > 1) {
             for (index, entry) in self.entries.iter().enumerate() {
                 if entry.lives != self.lives() {
                     steps.push(Step::Learn(index));
@@ -182,7 +185,7 @@
     }
 
     fn lives(&self) -> [u64; GUARD_COUNT] {
-        std::array::from_fn(|index| self.daemons[index].life)
+        std::array::from_fn(|index| self.daemons[index].life())
     }
 
     fn apply(&mut self, step: &Step) {
@@ -211,9 +214,13 @@
             Step::EndRun(daemon, request, attempt) => self.end_run(*daemon, (*request, *attempt)),
             Step::Restart(daemon) => {
                 self.faults_left -= 1;
-                let life = self.daemons[*daemon].life + 1;
+                let life = self.daemons[*daemon].life() + 1;
                 self.daemons[*daemon] = daemon_part(*daemon, life, self.mutation);
             }
+            Step::Raise(daemon) => {
+                self.faults_left -= 1;
+                self.daemons[*daemon].raise(*daemon, self.mutation);
+            }
             Step::Learn(entry) => {
                 let lives = self.lives();
                 self.decide(*entry, RoutingEvent::Fleet(fleet(lives)));
