--- a/src/guard/others.rs
+++ b/src/guard/others.rs
@@ -16,6 +16,11 @@
     /// Takes a new fleet, and counts the guards that share a service with this one.
     pub(super) fn fleet_changed(&mut self, fleet: Arc<Fleet>) {
         self.fleet = fleet;
+        let own = self.fleet.daemons.get(&self.context.daemon);
+        let life = own.map_or(self.life, |own| own.incarnation);
+        if std::mem::replace(&mut self.life, life) != life {
+            self.decide(GuardEvent::Life(life));
+        }
         let Some(service) = self.own_service() else {
             return;
         };
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,6 +1,7 @@
 mod beside;
 mod brief_wait;
 mod deaths;
+mod lives;
 mod overdue;
 mod servers;
 mod shedding;
