Begin anew as a holder of seats under a greater number

With the log of changes a daemon holds seats of allowances under its number. When it went on under a greater one, peers handed seats over to that name, which answered their probe, but the daemon acted in its first name only: the tokens of those seats were lost for as long as it lived.

An answer to a promise that was asked for in the first name must not count for the seats of the second.

The property test over all failures now raises numbers, too: no grant beyond rate and burst, before and after.

Ruled out: to keep acting in the first name, as peers take the holder of that name for dead.

--- a/src/allowance/calls.rs
+++ b/src/allowance/calls.rs
@@ -51,6 +51,12 @@
         self.open.remove(&call)
     }
 
+    /// Forgets calls that an earlier life made for its seats; their answers are not for this one.
+    pub fn forget_custody(&mut self) {
+        self.open
+            .retain(|_, call| !matches!(call.purpose, Purpose::Promise | Purpose::Probe));
+    }
+
     /// Forgets calls whose answer could grant nothing any more.
     pub fn forget_old(&mut self, now: Instant) {
         self.open.retain(|_, call| now < call.sent_at + LONGEST);
--- a/src/allowance/custody.rs
+++ b/src/allowance/custody.rs
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Goes on under the name of a later life, as if that life had read the same records: what the
+    /// earlier one held, was promised and promised ended with it.
+    pub fn succeed(&mut self, own: PeerName) {
+        let times = self.times;
+        let earlier = std::mem::replace(self, CustodyState::new(own, times, 0));
+        self.ledger = earlier.ledger;
+        self.retired = earlier.retired;
+        self.gapped = earlier.gapped;
+    }
+
     /// What the stream says, as far as it was read.
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
--- a/src/allowance/measure/fault.rs
+++ b/src/allowance/measure/fault.rs
@@ -9,6 +9,8 @@
 pub enum Fault {
     /// A daemon starts, in a new life.
     Start(usize),
+    /// A daemon goes on under a greater number of its life.
+    Raise(usize),
     /// A daemon ends without a word.
     Crash(usize),
     /// A daemon begins a planned stop.
--- a/src/allowance/measure/network.rs
+++ b/src/allowance/measure/network.rs
@@ -19,7 +19,7 @@
 use crate::allowance::EscrowRecord;
 use crate::contract::{Change, OrganisationContract, Record, View};
 use crate::link::{PeerAnswer, PeerName, PeerRequest};
-use crate::types::{DaemonId, DomainId, OperationId, OrganisationId, RequestId};
+use crate::types::{DaemonId, DomainId, Incarnation, OperationId, OrganisationId, RequestId};
 
 /// Makes the state of one life of a daemon.
 pub type MakePolicy = Box<dyn Fn(Candidate) -> Box<dyn Policy>>;
@@ -47,7 +47,10 @@
 struct Node {
     name: DaemonId,
     domain: DomainId,
+    /// Counts its processes.
     life: u64,
+    /// The number that it bears.
+    incarnation: Incarnation,
     policy: Option<Box<dyn Policy>>,
     leaving: bool,
     /// Seen by membership; a crashed daemon is seen for a while.
@@ -99,6 +102,7 @@
             name: format!("daemon-{index}").into(),
             domain: format!("domain-{}", index % options.domain_count).into(),
             life: 0,
+            incarnation: 0,
             policy: None,
             leaving: false,
             seen: false,
@@ -229,6 +233,7 @@
     fn fault(&mut self, fault: Fault) {
         match fault {
             Fault::Start(daemon) => self.start_daemon(daemon),
+            Fault::Raise(daemon) => self.raise(daemon),
             Fault::Crash(daemon) => {
                 self.nodes[daemon].policy = None;
                 let seen_for = self.between(FORGET.0, FORGET.1);
@@ -287,6 +292,7 @@
         let own = {
             let node = &mut self.nodes[daemon];
             node.life += 1;
+            node.incarnation += 1;
             node.leaving = false;
             node.seen = true;
             node.paused_until = self.now;
@@ -294,7 +300,7 @@
             Candidate {
                 name: PeerName {
                     daemon: node.name.clone(),
-                    incarnation: node.life,
+                    incarnation: node.incarnation,
                 },
                 domain: node.domain.clone(),
             }
--- a/src/allowance/measure/network/delivery.rs
+++ b/src/allowance/measure/network/delivery.rs
@@ -37,7 +37,7 @@
         );
         let name = PeerName {
             daemon: self.nodes[daemon].name.clone(),
-            incarnation: life,
+            incarnation: self.nodes[daemon].incarnation,
         };
         let copies = self.copies(daemon, to);
         for _ in 0..copies {
@@ -169,6 +169,11 @@
         1 + usize::from(self.rng.random_bool(self.options.double_share))
     }
 
+    pub(super) fn raise(&mut self, daemon: usize) {
+        self.nodes[daemon].incarnation += 1;
+        self.tell_fleet(Duration::ZERO);
+    }
+
     pub(super) fn tell_fleet(&mut self, after: Duration) {
         for daemon in 0..self.nodes.len() {
             if self.nodes[daemon].policy.is_none() {
@@ -185,7 +190,7 @@
         for node in self.nodes.iter().filter(|node| node.seen) {
             let entry = DaemonEntry {
                 daemon: node.name.clone(),
-                incarnation: node.life,
+                incarnation: node.incarnation,
                 version: 1,
                 domain: node.domain.clone(),
                 guard_address: address,
--- a/src/allowance/state.rs
+++ b/src/allowance/state.rs
@@ -20,7 +20,7 @@
 };
 use crate::membership::Fleet;
 use crate::settings::allowance::AllowanceSettings;
-use crate::types::{BackendServerId, ServiceId};
+use crate::types::{BackendServerId, Incarnation, ServiceId};
 
 /// What an allowance is made of.
 #[derive(Debug, Clone)]
@@ -335,7 +335,23 @@
         }
     }
 
+    /// Takes the number that the fleet knows of this daemon, and begins anew as a holder.
+    fn succeed(&mut self, incarnation: Incarnation) {
+        self.own.name.incarnation = incarnation;
+        let claim_wait = Duration::from_millis(self.settings.claim_wait_ms);
+        self.custody.succeed(self.own.name.clone());
+        self.assignment = Assignment::new(self.own.clone(), self.times, claim_wait);
+        self.lender = Lender::default();
+        self.permits = PermitLender::default();
+        self.calls.forget_custody();
+    }
+
     fn follow_fleet(&mut self, now: Instant, fleet: Arc<Fleet>) {
+        let own = fleet.daemons.get(&self.own.name.daemon);
+        let own = own.filter(|own| own.incarnation > self.own.name.incarnation);
+        if let Some(own) = own {
+            self.succeed(own.incarnation);
+        }
         let mut others = Vec::new();
         for entry in fleet.daemons.values() {
             if entry.leaving {
--- a/src/allowance/tests/network.rs
+++ b/src/allowance/tests/network.rs
@@ -28,6 +28,7 @@
     prop_oneof![
         daemon.clone().prop_map(Fault::Start),
         daemon.clone().prop_map(Fault::Crash),
+        daemon.clone().prop_map(Fault::Raise),
         daemon.clone().prop_map(Fault::Leave),
         (daemon.clone(), 1..8_u64)
             .prop_map(|(daemon, s)| Fault::Pause(daemon, Duration::from_secs(s))),
@@ -111,8 +112,17 @@
 
 #[test]
 fn a_dead_holder_s_share_is_back_within_ten_seconds() {
+    share_is_back_ten_seconds_after(Fault::Crash(0));
+}
+
+#[test]
+fn the_share_of_a_holder_under_a_greater_number_is_back_within_ten_seconds() {
+    share_is_back_ten_seconds_after(Fault::Raise(0));
+}
+
+fn share_is_back_ten_seconds_after(fault: Fault) {
     // Arrange
-    let faults = [(10_000, Fault::Crash(0))];
+    let faults = [(10_000, fault)];
 
     // Act
     let network = run(7, &faults);
