Cut answers of servers at every byte

Elsewhere a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body that was framed as whole.

The test sends 17 whole answers to the client: with a length, chunked, with trailers, ended by the connection's end, 204 and 304, behind interim heads, with Connection: close, with lengths that are equal, that differ and beside an encoding, HTTP/1.0 and lines that end with LF alone. Each is cut after every number of bytes, once with an orderly end and once with a reset.

Nothing was found: every cut is an error today. The only shorter bodies that are taken are those of answers without a length whose head was whole and whose connection ended in order, where nothing tells a cut from an end; a reset is an error there, too.

--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -1,3 +1,4 @@
+mod cut;
 mod endless;
 
 use std::io::{Read, Write};
--- /dev/null
+++ b/src/wire/client/tests/cut.rs
@@ -0,0 +1,234 @@
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+use super::{get, read_head, server};
+use crate::wire::client::{Call, CallError, Caller, HttpClient};
+use crate::wire::exchange::WholeAnswer;
+
+/// How a server ends its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Close {
+    /// In order: the client reads an end of stream.
+    End,
+    /// The client reads an error.
+    Reset,
+}
+
+/// A whole answer, and what its client makes of it.
+struct Sample {
+    head: &'static str,
+    body: &'static str,
+    /// The body as it was meant; none where the answer is not one.
+    read: Option<&'static str>,
+    /// Whether the end of the connection is the end of the body.
+    ends_by_close: bool,
+}
+
+/// An answer whose own bytes tell where it ends.
+const FRAMED: Sample = Sample {
+    head: "",
+    body: "",
+    read: Some(""),
+    ends_by_close: false,
+};
+
+/// An answer that its connection's end ends.
+const BY_CLOSE: Sample = Sample {
+    ends_by_close: true,
+    ..FRAMED
+};
+
+const SAMPLES: &[Sample] = &[
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nRequest: 7\r\nContent-Length: 11\r\nContent-Type: text/plain\r\n\r\n",
+        body: "hello world",
+        read: Some("hello world"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nRequest: 7\r\nContent-Length: 0\r\n\r\n",
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\n",
+        body: "hello",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n",
+        body: "hello",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\n",
+        body: "hello",
+        read: None,
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRequest: 7\r\n\r\n",
+        body: "5\r\nhello\r\n6;a=b\r\n world\r\n0\r\n\r\n",
+        read: Some("hello world"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n",
+        body: "5\r\nhello\r\n0\r\nSum: 1\r\nOther: 2\r\n\r\n",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        body: "5\r\nhello\r\n0\r\n\r\n",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 204 No Content\r\nRequest: 7\r\nContent-Type: text/plain\r\n\r\n",
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\nRequest: 7\r\n\r\n",
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 100 Continue\r\nA: b\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+        body: "hello",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.0 200 OK\r\nContent-Length: 5\r\nRequest: 7\r\n\r\n",
+        body: "hello",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\nRequest: 7\nContent-Length: 5\n\n",
+        body: "hello",
+        read: Some("hello"),
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nRequest: 7\r\nContent-Type: text/plain\r\n\r\n",
+        body: "hello",
+        ..BY_CLOSE
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest: 7\r\n\r\n",
+        body: "hello",
+        ..BY_CLOSE
+    },
+    Sample {
+        head: "HTTP/1.0 200 OK\r\nRequest: 7\r\n\r\n",
+        body: "hello",
+        ..BY_CLOSE
+    },
+    Sample {
+        head: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\nRequest: 7\n\n",
+        body: "hello",
+        ..BY_CLOSE
+    },
+];
+
+impl Sample {
+    fn bytes(&self) -> String {
+        format!("{}{}", self.head, self.body)
+    }
+}
+
+/// Calls that run at a time.
+const BATCH_COUNT: usize = 32;
+
+/// Answers a call for `/N/C` with the first N bytes of `bytes`, and closes as C says.
+fn cutting_server(bytes: String) -> SocketAddr {
+    server(move |_, mut stream| {
+        let head = read_head(&mut stream);
+        let mut parts = head.split([' ', '/']).skip(2);
+        let kept: usize = parts
+            .next()
+            .and_then(|text| text.parse().ok())
+            .expect("a cut");
+        let close = match parts.next() {
+            Some("Reset") => Close::Reset,
+            _ => Close::End,
+        };
+        // A client that has given up has closed.
+        let _ = stream.write_all(&bytes.as_bytes()[..kept]);
+        end(stream, close);
+    })
+}
+
+fn end(stream: TcpStream, close: Close) {
+    if close == Close::Reset {
+        let now = Some(Duration::ZERO);
+        SockRef::from(&stream).set_linger(now).expect("an option");
+    }
+    drop(stream);
+}
+
+/// What becomes of calls whose answers are cut after each number of bytes, the whole one last.
+fn cut_everywhere(
+    client: &HttpClient,
+    bytes: &str,
+    close: Close,
+) -> Vec<Result<WholeAnswer, CallError>> {
+    let address = cutting_server(bytes.to_owned());
+    let mut results = Vec::new();
+    let cuts: Vec<usize> = (0..=bytes.len()).collect();
+    for batch in cuts.chunks(BATCH_COUNT) {
+        let mut calls = Vec::new();
+        for kept in batch {
+            let call = Call {
+                target: format!("/{kept}/{close:?}"),
+                reuse_idle: Duration::ZERO,
+                ..get(address)
+            };
+            let (sender, receiver) = mpsc::channel();
+            let done = Box::new(move |result| drop(sender.send(result)));
+            let handle = client.call(call, done).ok().expect("the ring has room");
+            calls.push((handle, receiver));
+        }
+        let ended = calls.iter().map(|(_, end)| end.recv().expect("an end"));
+        results.extend(ended);
+    }
+    results
+}
+
+fn assert_cuts(client: &HttpClient, sample: &Sample, close: Close) {
+    let bytes = sample.bytes();
+    for (kept, result) in cut_everywhere(client, &bytes, close)
+        .into_iter()
+        .enumerate()
+    {
+        let case = format!("{close:?} after {kept} of {bytes:?}: {result:?}");
+        let whole = kept == bytes.len();
+        let read = match (sample.ends_by_close, close) {
+            (false, _) => sample.read.filter(|_| whole),
+            (true, Close::Reset) => None,
+            (true, Close::End) => bytes.get(sample.head.len()..kept),
+        };
+        match (read, result) {
+            (Some(read), Ok(answer)) => assert_eq!(answer.body, read.as_bytes(), "{case}"),
+            (None, Err(CallError::Broken | CallError::ShortAnswer)) => {}
+            // The reset may come before the last bytes are read.
+            (Some(_), Err(_)) if close == Close::Reset => {}
+            _ => panic!("{case}"),
+        }
+    }
+}
+
+#[test]
+fn an_answer_cut_anywhere_is_never_whole() {
+    let client = HttpClient::start("test-client");
+    for sample in SAMPLES {
+        assert_cuts(&client, sample, Close::End);
+        assert_cuts(&client, sample, Close::Reset);
+    }
+}
