Send no request behind a body that its server has not taken

A server that answered before it had read a long body, and kept the connection, got the next request on it while the rest of that body was still in the client's buffer. The order of the bytes was right, but the request waited until the server read on, and after 5 s without progress the connection was given up and the call ended as broken, of unknown outcome.

The HTTP library counts a body as sent once it is in its own buffer, and says that it is ready for the next request. A body that has come whole gets there at once. The connection's stream now notes whether written bytes wait for room (the library flushes it whenever its buffer is empty, and only then), and the pool passes over such a connection. It stays open, so the server reads the exact rest when it gets to it.

The other cases were right and are kept as tests: bodies in parts, uploads that end short before and after an early answer, calls that are dropped or late amid their body, and an answer that is reset under an upload. In each the server reads the exact rest of the first body, or a part of it and the end.

--- a/src/wire/client/connection.rs
+++ b/src/wire/client/connection.rs
@@ -12,6 +12,7 @@
 
 use super::body::SentBody;
 use super::head_limit::{HeadBudget, HeadLimited};
+use super::unsent::{Unsent, UnsentWatched};
 
 /// Sent bytes that stay unacknowledged for this long end the connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
@@ -34,6 +35,8 @@
     pub(super) used: bool,
     /// Bytes that may come before the head of an answer.
     pub(super) head_budget: HeadBudget,
+    /// What the server has not taken yet of requests that it has answered.
+    unsent: Unsent,
     _task: Task<()>,
 }
 
@@ -56,6 +59,11 @@
             stream,
             budget: head_budget.clone(),
         };
+        let unsent = Unsent::default();
+        let stream = UnsentWatched {
+            stream,
+            unsent: unsent.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -72,6 +80,7 @@
             closes: false,
             used: false,
             head_budget,
+            unsent,
             _task: task,
         })
     }
@@ -80,7 +89,8 @@
     pub(super) fn may_reuse(&self, now: Instant, limit: Duration) -> bool {
         let limit = self.idle_limit.map_or(limit, |own| own.min(limit));
         let idle = now.saturating_duration_since(self.idle_since);
-        idle <= limit && self.sender.is_ready() && !self.sender.is_closed()
+        let is_free = self.sender.is_ready() && self.unsent.is_empty();
+        idle <= limit && is_free && !self.sender.is_closed()
     }
 }
 
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod head_limit;
 mod pool;
+mod unsent;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -1,4 +1,5 @@
 mod cut;
+mod early;
 mod endless;
 
 use std::io::{Read, Write};
