Pass no answer on whose coding was not undone

An answer with 'Transfer-Encoding: gzip, chunked' lost its chunks and its header on the way, and the caller got compressed bytes without a word of it; with 'gzip' alone the bytes up to the end of the connection were taken. A 101, for which no call asks, came back as an answer, too. These are now malformed answers, as others that can't be read.

Before, the client gave Ok for all three: 200 with the body 'hello' for both encodings, and 101 with an empty body. They are samples of the test that cuts answers, which now expects an error for the whole one.

--- a/src/wire/client/answer.rs
+++ b/src/wire/client/answer.rs
@@ -11,7 +11,7 @@
 use futures::future::{select, Either};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, Uri};
 
 use super::body::SentBody;
@@ -121,6 +121,9 @@
     limit_bytes: usize,
 ) -> Result<WholeAnswer, CallError> {
     let (head, mut incoming) = response.into_parts();
+    if head.status.is_informational() || !is_decoded(&head.headers) {
+        return Err(CallError::ShortAnswer);
+    }
     let mut body = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|_| CallError::ShortAnswer)?;
@@ -141,6 +144,14 @@
     })
 }
 
+/// Whether the body is read as it was meant: of all encodings on the way, the library knows chunks.
+fn is_decoded(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    let first = encodings.next();
+    let chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    first.is_none_or(chunked) && encodings.next().is_none()
+}
+
 fn closes(headers: &HeaderMap) -> bool {
     let value = headers
         .get(CONNECTION)
--- a/src/wire/client/tests/cut.rs
+++ b/src/wire/client/tests/cut.rs
@@ -103,6 +103,23 @@
         read: Some("hello"),
         ..FRAMED
     },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        body: "5\r\nhello\r\n0\r\n\r\n",
+        read: None,
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        body: "hello",
+        read: None,
+        ..FRAMED
+    },
+    Sample {
+        head: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        read: None,
+        ..FRAMED
+    },
     Sample {
         head: "HTTP/1.0 200 OK\r\nContent-Length: 5\r\nRequest: 7\r\n\r\n",
         body: "hello",
