Test more ambiguous framings of callers' requests

Both framings in the other order, a list of lengths, an empty, negative, hexadecimal or too great one, a folded one, a space behind the name, unknown or doubled encodings, a bare carriage return and a zero byte. All are refused with 4xx today and reach no server.

--- a/tests/front_http.rs
+++ b/tests/front_http.rs
@@ -49,6 +49,46 @@
             "two lengths",
             format!("{key}content-length: 5\r\ncontent-length: 6\r\n"),
         ),
+        (
+            "both framings, the encoding first",
+            format!("{key}transfer-encoding: chunked\r\ncontent-length: 5\r\n"),
+        ),
+        (
+            "a list of lengths",
+            format!("{key}content-length: 5, 5\r\n"),
+        ),
+        ("no digits", format!("{key}content-length: \r\n")),
+        ("a length below 0", format!("{key}content-length: -5\r\n")),
+        ("a length in hex", format!("{key}content-length: 0x5\r\n")),
+        (
+            "a length that is too great",
+            format!("{key}content-length: 18446744073709551621\r\n"),
+        ),
+        (
+            "a space behind a name",
+            format!("{key}content-length : 5\r\n"),
+        ),
+        (
+            "an unknown encoding",
+            format!("{key}transfer-encoding: xchunked\r\n"),
+        ),
+        (
+            "chunks within another encoding",
+            format!("{key}transfer-encoding: chunked, identity\r\n"),
+        ),
+        (
+            "two encodings",
+            format!("{key}transfer-encoding: identity\r\ntransfer-encoding: chunked\r\n"),
+        ),
+        ("a folded length", format!("{key}content-length:\r\n 5\r\n")),
+        (
+            "a bare carriage return",
+            format!("{key}x-a: b\rcontent-length: 5\r\n"),
+        ),
+        (
+            "a zero byte",
+            format!("{key}content-length: 5\r\nx-a: \0\r\n"),
+        ),
         ("a signed length", format!("{key}content-length: +5\r\n")),
         ("two keys", format!("{key}{key}content-length: 5\r\n")),
         (
