Cut answers in their heads at the stand-in server

The stand-in cut answers in their body alone. With 'cuts_heads' each short answer ends after one more byte, from the first one of its head on, and the soak uses it where it cut bodies; its draws of random numbers stay as they were.

The client's own test has the answer of a guard among its samples now, for the link from entry to guard.

--- a/src/standin/backend_server/faults.rs
+++ b/src/standin/backend_server/faults.rs
@@ -28,6 +28,8 @@
     pub lost_answer_every_count: u64,
     /// Ends every n-th answer before its length; 0 for none.
     pub short_answer_every_count: u64,
+    /// Ends these answers after ever more bytes, from their heads' first one on.
+    pub cuts_heads: bool,
     /// Gives every n-th answer another request's id; 0 for none.
     pub wrong_id_every_count: u64,
     /// The process dies when a request's body or target holds this text; empty for never.
--- a/src/standin/backend_server/run.rs
+++ b/src/standin/backend_server/run.rs
@@ -117,7 +117,8 @@
         return respond(request, 500, "failed".to_owned(), None);
     }
     if every(faults.short_answer_every_count) {
-        return cut_short(request);
+        let cut_count = served / faults.short_answer_every_count;
+        return cut_short(request, faults.cuts_heads.then_some(cut_count));
     }
     let answer = serde_json::json!({
         "server": &*options.server,
@@ -189,11 +190,14 @@
     drop(request.into_writer());
 }
 
-/// Sends an answer that ends before its length.
-fn cut_short(request: Request) {
+/// Sends an answer that ends before its length; the n-th one in turn after another byte.
+fn cut_short(request: Request, cut_count: Option<u64>) {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort";
+    let place = |count| (count % ANSWER.len() as u64) as usize;
+    let length = cut_count.map_or(ANSWER.len(), place);
     let mut writer = request.into_writer();
     // A caller that left has nothing to be told.
-    let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort");
+    let _ = writer.write_all(&ANSWER[..length]);
     let _ = writer.flush();
 }
 
--- a/src/wire/client/tests/cut.rs
+++ b/src/wire/client/tests/cut.rs
@@ -49,6 +49,13 @@
         read: Some("hello world"),
         ..FRAMED
     },
+    // As a guard answers its entry.
+    Sample {
+        head: "HTTP/1.1 200 OK\r\nserver: x\r\nx-banyanbeam-request: 7\r\ncontent-length: 5\r\ndate: Sat, 05 Dec 2026 07:00:00 GMT\r\n\r\n",
+        body: "hello",
+        read: Some("hello"),
+        ..FRAMED
+    },
     Sample {
         head: "HTTP/1.1 200 OK\r\nRequest: 7\r\nContent-Length: 0\r\n\r\n",
         ..FRAMED
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -153,6 +153,7 @@
         },
         3 => ServerFaults {
             short_answer_every_count: every_count,
+            cuts_heads: true,
             ..none
         },
         4 => ServerFaults {
