Frame answers by their bodies alone

The listener handed an answer's own Content-Length and Transfer-Encoding on to the HTTP library, which believes them. With a length of 100 and five bytes of body a caller would wait for the rest, and with a length of 2 the next answer would begin amid this one; a debug build stopped the listener's thread instead ('payload claims content-length of 5, custom content-length header claims 100'). A status of 101 was sent as it is, and the caller's connection ended as one of another protocol.

Nothing sends these today, since the client drops the headers of a connection. The listener drops them now, too, except Connection, which it sets itself, and answers 500 in place of interim statuses. Answers to HEAD and those with 204 or 304 were right and are tested beside.

--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -23,6 +23,7 @@
 use super::Shared;
 use crate::error::ErrorKind;
 use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
+use crate::wire::http::is_hop_header;
 
 /// One accepted connection.
 pub(super) struct Connection {
@@ -305,15 +306,19 @@
     (head, incoming)
 }
 
+/// The answer as it is sent. Its body alone tells how it is framed.
 fn to_response(answer: WholeAnswer) -> Response<Full<Bytes>> {
-    let mut response = status_only(
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
-    );
+    let status = StatusCode::from_u16(answer.status).ok();
+    let status = status.filter(|status| !status.is_informational());
+    let mut response = status_only(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     for (name, value) in answer.headers {
         let name = HeaderName::from_bytes(name.as_bytes());
         let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(&value)) else {
             continue;
         };
+        if name != CONNECTION && is_hop_header(name.as_str()) {
+            continue;
+        }
         response.headers_mut().append(name, value);
     }
     *response.body_mut() = Full::new(Bytes::from(answer.body));
--- a/src/wire/listener/tests.rs
+++ b/src/wire/listener/tests.rs
@@ -1,3 +1,4 @@
+mod framing;
 mod leftover;
 
 use std::io::{BufRead, BufReader, Read, Write};
