--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -1,6 +1,6 @@
 //! One connection: reads requests, hands them out, and sends the answers back.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -19,16 +19,29 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use super::exchange::{LeaveWatch, ListenerExchange};
+use super::linger::linger;
 use super::read_ahead::{self, AheadStream, HandedOut, ReadAhead};
 use super::Shared;
 use crate::error::ErrorKind;
 use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
+use crate::wire::http::is_hop_header;
 
 /// One accepted connection.
 pub(super) struct Connection {
     peer: SocketAddr,
     shared: Rc<Shared>,
     ahead: Rc<RefCell<ReadAhead>>,
+    /// Whether the caller may still send the body of the present request. Once that request is
+    /// answered, the connection carries no other.
+    owes_body: Cell<bool>,
+}
+
+/// What is read of a body before its request is handed out.
+enum FirstRead {
+    /// All of it.
+    Whole(Bytes),
+    /// Nothing, as it is long.
+    Long { length_bytes: u64 },
 }
 
 /// A head that is not there by then ends the connection; an idle connection has no such limit.
@@ -49,6 +62,7 @@
             peer,
             shared,
             ahead: Rc::default(),
+            owes_body: Cell::default(),
         }
     }
 
@@ -59,7 +73,11 @@
         let hand_out = |head| self.hand_out(head);
         let reading = std::pin::pin!(read_ahead::pump(&stream, &self.ahead, &hand_out));
         let serving = std::pin::pin!(self.serve(stream.clone()));
-        select(serving, reading).await;
+        if let Either::Left(_) = select(serving, reading).await {
+            if self.owes_body.get() {
+                linger(&stream).await;
+            }
+        }
     }
 
     async fn serve(&self, stream: Rc<Async<TcpStream>>) {
@@ -169,16 +187,24 @@
 
     async fn answer_in_turn(&self, request: Request<Incoming>) -> WholeAnswer {
         let (mut head, mut incoming) = take_head(request, self.peer);
-        let body = match self.whole_body(&mut head, &mut incoming).await {
+        self.owes_body.set(true);
+        let body = match self.first_read(&mut head, &mut incoming).await {
             Ok(body) => body,
             Err(kind) => return self.refusal(&head, kind),
         };
         let (body, reading) = match body {
-            Some(bytes) => (RequestBody::Whole(bytes), None),
-            None => {
+            FirstRead::Whole(bytes) => {
+                self.owes_body.set(false);
+                (RequestBody::Whole(bytes), None)
+            }
+            FirstRead::Long { length_bytes } => {
                 let (sender, parts) = async_channel::bounded(BODY_RING_COUNT);
                 let reading = read_body(incoming, sender);
-                (RequestBody::Parts(parts), Some(reading))
+                let body = RequestBody::Parts {
+                    length_bytes,
+                    parts,
+                };
+                (body, Some(reading))
             }
         };
         let Some((answer, watch)) = self.offer(&head, body) else {
@@ -189,7 +215,10 @@
             None => answering.await,
             Some(reading) => match select(answering, std::pin::pin!(reading)).await {
                 Either::Left((answered, _)) => answered,
-                Either::Right(((), answering)) => answering.await,
+                Either::Right((whole, answering)) => {
+                    self.owes_body.set(!whole);
+                    answering.await
+                }
             },
         };
         watch.answered();
@@ -198,18 +227,20 @@
     }
 
     /// Reads a body whole before the request is handed out, so that a slow sender of one holds
-    /// nothing of the daemon. None leaves a longer body to be read in parts.
-    async fn whole_body(
+    /// nothing of the daemon. A longer body is left to be read in parts.
+    async fn first_read(
         &self,
         head: &mut RawHead,
         incoming: &mut Incoming,
-    ) -> Result<Option<Bytes>, ErrorKind> {
+    ) -> Result<FirstRead, ErrorKind> {
         let options = &self.shared.options;
         let limit_bytes = options.eager_body_limit_bytes;
         match head.body_bytes {
-            Some(0) => return Ok(Some(Bytes::new())),
-            Some(length) if length > limit_bytes => return Ok(None),
-            None if !options.chunked_bodies => return Ok(None),
+            Some(0) => return Ok(FirstRead::Whole(Bytes::new())),
+            Some(length_bytes) if length_bytes > limit_bytes => {
+                return Ok(FirstRead::Long { length_bytes });
+            }
+            None if !options.chunked_bodies => return Err(ErrorKind::LengthRequired),
             _ => {}
         }
         let limited = Limited::new(incoming, limit_bytes as usize);
@@ -219,7 +250,7 @@
             Either::Left((Ok(body), _)) => {
                 let bytes = body.to_bytes();
                 head.body_bytes = Some(bytes.len() as u64);
-                Ok(Some(bytes))
+                Ok(FirstRead::Whole(bytes))
             }
             Either::Left((Err(error), _)) if error.is::<http_body_util::LengthLimitError>() => {
                 Err(ErrorKind::BodyTooLarge)
@@ -235,7 +266,8 @@
     fn respond(&self, answer: WholeAnswer) -> Response<Full<Bytes>> {
         let mut response = to_response(answer);
         let winding_down = self.shared.winding_down.load(Ordering::Relaxed);
-        if winding_down && !self.ahead.borrow().owes_more() {
+        let ends = winding_down && !self.ahead.borrow().owes_more();
+        if ends || self.owes_body.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -243,12 +275,15 @@
     }
 }
 
-/// Hands a body on part by part.
-async fn read_body(mut incoming: Incoming, parts: async_channel::Sender<std::io::Result<Bytes>>) {
+/// Hands a body on part by part. Says whether it came to its end.
+async fn read_body(
+    mut incoming: Incoming,
+    parts: async_channel::Sender<std::io::Result<Bytes>>,
+) -> bool {
     loop {
         let frame = std::pin::pin!(incoming.frame());
         let part = match select(frame, std::pin::pin!(Timer::after(STALL_LIMIT))).await {
-            Either::Left((None, _)) => return,
+            Either::Left((None, _)) => return true,
             Either::Left((Some(Ok(frame)), _)) => match frame.into_data() {
                 Ok(data) => Ok(data),
                 Err(_) => continue,
@@ -258,7 +293,7 @@
         };
         let failed = part.is_err();
         if parts.send(part).await.is_err() || failed {
-            return;
+            return false;
         }
     }
 }
@@ -291,15 +326,19 @@
     (head, incoming)
 }
 
+/// The answer as it is sent. Its body alone tells how it is framed.
 fn to_response(answer: WholeAnswer) -> Response<Full<Bytes>> {
-    let mut response = status_only(
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
-    );
+    let status = StatusCode::from_u16(answer.status).ok();
+    let status = status.filter(|status| !status.is_informational());
+    let mut response = status_only(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     for (name, value) in answer.headers {
         let name = HeaderName::from_bytes(name.as_bytes());
         let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(&value)) else {
             continue;
         };
+        if name != CONNECTION && is_hop_header(name.as_str()) {
+            continue;
+        }
         response.headers_mut().append(name, value);
     }
     *response.body_mut() = Full::new(Bytes::from(answer.body));
