--- a/src/wire/listener/tests/early.rs
+++ b/src/wire/listener/tests/early.rs
@@ -61,6 +61,7 @@
                 answer_limit_bytes: 1000,
                 reuse_idle: LONG,
                 knock: false,
+                check: None,
             },
         );
 
