--- a/src/membership/own_life.rs
+++ b/src/membership/own_life.rs
@@ -121,7 +121,7 @@
         self.count("membership.life.raised");
         self.own.incarnation = next;
         self.describe(now);
-        // The guard must know its number no later than the peers.
+        // The guard and the link learn the number by the snapshot.
         self.snapshot_at = now;
         self.publish(now);
         for partner in self.partners.clone() {
