Let tests of lives wait until the answering link has its fleet

The fleet came to the answerer by its ring while the caller dialled, so the first call could have been taken before it. Not seen; found by reading.

--- a/src/link/tests/lives.rs
+++ b/src/link/tests/lives.rs
@@ -16,6 +16,14 @@
     LinkMessage::Fleet(Arc::new(Fleet { daemons }))
 }
 
+/// Gives a fleet to a link, and waits until the link has it.
+fn knows_life(link: &RunningLink, fleet: LinkMessage) {
+    link.sender.deliver(fleet);
+    // The ring keeps its order, so a call that ends has passed the fleet.
+    let nobody = link.ask("nobody", gossip());
+    assert_eq!(nobody, Err(LinkError::Unreachable));
+}
+
 fn gossip() -> PeerRequest {
     PeerRequest::Gossip(Gossip::default())
 }
@@ -26,7 +34,7 @@
     let answerer = start_link("b", SECRET, answer_done());
     let caller = start_link("a", SECRET, refuse_all());
     caller.knows(&[("b", answerer.address)]);
-    answerer.sender.deliver(in_life("a", caller.address, 9));
+    knows_life(&answerer, in_life("a", caller.address, 9));
 
     // Act
     let heard = caller.ask("b", gossip());
@@ -44,7 +52,7 @@
     let answerer = start_link("b", SECRET, answer_done());
     let caller = start_link("a", "some-other-secret-than-the-fleet's", refuse_all());
     caller.knows(&[("b", answerer.address)]);
-    answerer.sender.deliver(in_life("a", caller.address, 9));
+    knows_life(&answerer, in_life("a", caller.address, 9));
 
     // Act
     let found = caller.ask("b", gossip());
