--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operator;
 pub mod quota;
 pub mod ready;
+pub mod report_once;
 pub mod ring;
 pub mod routing;
 pub mod settings;
