Leave out news of a daemon whose values are out of bounds

What daemons saw: one description in the members' topic, or one word of a peer, with the greatest number of its type was taken as it was. A suspicion in round overflowed in the refutation: the membership thread ended in debug builds; without overflow checks the round would fall to 0 (by reading, not run) and the daemon could not refute. Names of a megabyte and thousands of servers were spread to all. A description above the gossip budget held back every other one that was asked for with it.

Cause: numbers and lengths were trusted once they had the right type.

Change: one table of bounds, checked where news enters: from the store, from the members' stream and from peers. Settings keep names within the same bound, which is also the longest key of the store.

Not covered: a life within the bounds but far ahead, under the name of a daemon that lives, still silences that daemon until it starts again.

--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -94,7 +94,7 @@
         audit: Arc::new(audit),
         trail,
         dialect: borders.dialect,
-        incarnation: epoch_ms(SystemClock.wall()).max(borders.last_life + 1),
+        incarnation: epoch_ms(SystemClock.wall()).max(borders.last_life.saturating_add(1)),
         settings,
     };
     let listeners = Listeners::bind(&common)?;
--- /dev/null
+++ b/src/membership/bounds.rs
@@ -0,0 +1,121 @@
+//! What news of a daemon must hold to be taken, whoever tells it.
+//!
+//! The bounds are far above any fleet. They keep out values that no later news could follow, and
+//! descriptions that gossip could not carry.
+
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use super::message::{DaemonEntry, Delta, ServerEntry, Summary, FULL_SHARE_PERMILLE};
+use crate::contract::check::SLOTS_LIMIT_COUNT;
+use crate::types::Incarnation;
+
+/// Longest name of a daemon, server, service or failure domain.
+pub const NAME_LIMIT_BYTES: usize = 255;
+/// Most backend servers beside one daemon.
+pub const SERVERS_LIMIT_COUNT: usize = 256;
+/// Latest life of a daemon, in milliseconds since the epoch: the end of the year 9999.
+pub const INCARNATION_LIMIT: Incarnation = 253_402_300_799_999;
+/// Greatest version of a description within a life.
+pub const VERSION_LIMIT: u64 = 1 << 53;
+/// Greatest round of suspicion within a life.
+pub const ROUND_LIMIT: u32 = 1 << 30;
+
+/// What is wrong with a description.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum EntryError {
+    /// The life is later than any.
+    #[error("incarnation must be at most {INCARNATION_LIMIT}")]
+    Incarnation,
+    /// The version is greater than any.
+    #[error("version must be at most {VERSION_LIMIT}")]
+    Version,
+    /// A name is missing or too long.
+    #[error("{0} must have at most {NAME_LIMIT_BYTES} bytes, and none but a domain may be empty")]
+    Name(&'static str),
+    /// Nothing listens at port 0.
+    #[error("{0} must have a port")]
+    Port(&'static str),
+    /// There are too many servers.
+    #[error("servers must be at most {SERVERS_LIMIT_COUNT}")]
+    ServerCount,
+    /// A server has more slots than any.
+    #[error("slots_count must be at most {SLOTS_LIMIT_COUNT}")]
+    Slots,
+    /// A server's share is above the full one.
+    #[error("share_permille must be at most {FULL_SHARE_PERMILLE}")]
+    Share,
+}
+
+impl DaemonEntry {
+    /// Checks every value against its bounds.
+    pub fn check(&self) -> Result<(), EntryError> {
+        check_life(self.incarnation, self.version)?;
+        check_name("daemon", &self.daemon)?;
+        if self.domain.len() > NAME_LIMIT_BYTES {
+            return Err(EntryError::Name("domain"));
+        }
+        check_port("guard_address", self.guard_address)?;
+        check_port("link_address", self.link_address)?;
+        check_servers(&self.servers)
+    }
+}
+
+impl Delta {
+    /// Checks every value against its bounds.
+    pub fn check(&self) -> Result<(), EntryError> {
+        check_life(self.incarnation, self.version)?;
+        check_servers(&self.servers)
+    }
+}
+
+impl Summary {
+    /// Checks every value against its bounds.
+    pub fn is_sound(&self) -> bool {
+        self.round <= ROUND_LIMIT
+            && check_life(self.incarnation, self.version).is_ok()
+            && check_name("daemon", &self.daemon).is_ok()
+    }
+}
+
+fn check_life(incarnation: Incarnation, version: u64) -> Result<(), EntryError> {
+    if incarnation > INCARNATION_LIMIT {
+        return Err(EntryError::Incarnation);
+    }
+    match version > VERSION_LIMIT {
+        true => Err(EntryError::Version),
+        false => Ok(()),
+    }
+}
+
+fn check_name(field: &'static str, name: &str) -> Result<(), EntryError> {
+    match (1..=NAME_LIMIT_BYTES).contains(&name.len()) {
+        true => Ok(()),
+        false => Err(EntryError::Name(field)),
+    }
+}
+
+fn check_port(field: &'static str, address: SocketAddr) -> Result<(), EntryError> {
+    match address.port() {
+        0 => Err(EntryError::Port(field)),
+        _ => Ok(()),
+    }
+}
+
+fn check_servers(servers: &[ServerEntry]) -> Result<(), EntryError> {
+    if servers.len() > SERVERS_LIMIT_COUNT {
+        return Err(EntryError::ServerCount);
+    }
+    for server in servers {
+        check_name("server", &server.server)?;
+        check_name("service", &server.service)?;
+        if server.slots_count > SLOTS_LIMIT_COUNT {
+            return Err(EntryError::Slots);
+        }
+        if server.share_permille > FULL_SHARE_PERMILLE {
+            return Err(EntryError::Share);
+        }
+    }
+    Ok(())
+}
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -5,13 +5,11 @@
 
 use rand::seq::IteratorRandom;
 use rand::Rng;
-use smallvec::SmallVec;
 
 use super::budget::{
     delta_bytes, entry_bytes, name_bytes, summary_bytes, ANSWER_BYTES, EXCHANGE_BYTES,
 };
-use super::members::Told;
-use super::message::{CallTarget, DaemonEntry, Delta, Gossip, MembershipAction, Summary, Ticket};
+use super::message::{CallTarget, DaemonEntry, Gossip, MembershipAction, Summary, Ticket};
 use super::rumours::told_limit_count;
 use super::state::{MembershipState, USUAL_DOUBLINGS};
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerRequest};
@@ -40,15 +38,6 @@
     Help(Ticket),
 }
 
-/// What was learnt of a peer's message.
-#[derive(Debug, Default)]
-pub(super) struct Learnt {
-    /// Daemons of which the peer knows too little.
-    pub(super) outdated: Vec<DaemonId>,
-    /// Bit `n` is set where summary `n` was no news.
-    pub(super) known: u64,
-}
-
 /// Most summaries in one message.
 const SUMMARY_LIMIT_COUNT: usize = 12;
 /// Most descriptions that are asked for at once.
@@ -192,7 +181,7 @@
             };
             let bytes = entry_bytes(&member.entry);
             if bytes > left_bytes {
-                break;
+                continue;
             }
             left_bytes -= bytes;
             entries.push(member.entry.clone());
@@ -200,58 +189,6 @@
         entries
     }
 
-    /// Takes what a peer tells.
-    pub(super) fn learn(
-        &mut self,
-        now: Instant,
-        summaries: &[Summary],
-        deltas: &[Arc<Delta>],
-        entries: Vec<Arc<DaemonEntry>>,
-    ) -> Learnt {
-        let mut learnt = Learnt::default();
-        let mut fresh: SmallVec<[DaemonId; 4]> = SmallVec::new();
-        for entry in entries {
-            if entry.daemon == self.own.daemon {
-                continue;
-            }
-            let daemon = entry.daemon.clone();
-            let summary = summaries.iter().find(|found| found.daemon == daemon);
-            self.missing.remove(&daemon);
-            if self.members.hear_entry(now, entry, summary) {
-                self.add_rumour(now, daemon.clone());
-                fresh.push(daemon);
-            }
-        }
-        for delta in deltas {
-            let is_own = delta.daemon == self.own.daemon;
-            if !is_own && self.members.hear_delta(now, delta) {
-                self.missing.remove(&delta.daemon);
-                self.add_rumour(now, delta.daemon.clone());
-                fresh.push(delta.daemon.clone());
-            }
-        }
-        for (index, summary) in summaries.iter().enumerate() {
-            if summary.daemon == self.own.daemon {
-                self.told_of_self(now, summary);
-                continue;
-            }
-            let told = self.members.hear_summary(now, summary);
-            if told.changed {
-                self.add_rumour(now, summary.daemon.clone());
-            }
-            if told == Told::default() && !fresh.contains(&summary.daemon) {
-                learnt.known |= 1_u64.checked_shl(index as u32).unwrap_or(0);
-            }
-            if told.outdated {
-                learnt.outdated.push(summary.daemon.clone());
-            }
-            if told.wanted {
-                self.missing.entry(summary.daemon.clone()).or_default();
-            }
-        }
-        learnt
-    }
-
     pub(super) fn asked(
         &mut self,
         now: Instant,
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -403,7 +403,7 @@
     /// Raises the round of this daemon itself above one in which it is suspected.
     pub(super) fn refute(&mut self, own: &DaemonId, round: u32) {
         self.update(own, |member| {
-            member.round = round + 1;
+            member.round = round.saturating_add(1);
             member.suspect = false;
             member.since = None;
         });
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Which daemons are there, in which life, and which backend servers stand beside them.
 
+pub mod bounds;
 pub mod duty;
 pub mod measure;
 pub mod message;
@@ -12,6 +13,7 @@
 mod digest;
 mod first_view;
 mod gossip;
+mod learn;
 mod members;
 mod rumours;
 mod suspicion;
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -263,6 +263,9 @@
     }
 
     fn heard_from_log(&mut self, now: Instant, entry: DaemonEntry) {
+        if entry.check().is_err() {
+            return self.count("membership.entry.refused");
+        }
         if entry.daemon == self.own.daemon {
             let same_life = entry.incarnation == self.own.incarnation;
             let same_words = entry.leaving == self.own.leaving
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,4 +1,5 @@
 mod convergence;
+mod odd;
 mod rules;
 
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/src/membership/tests/odd.rs
@@ -0,0 +1,374 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use super::{entry, state_of};
+use crate::link::{PeerAnswer, PeerName, PeerRequest};
+use crate::membership::state::MembershipState;
+use crate::membership::{
+    CompareAnswer, CompareRequest, DaemonEntry, Delta, Fleet, Gossip, MembersAnswer,
+    MembersRequest, MembershipAction, MembershipEvent, ServerEntry, Summary,
+};
+use crate::types::DaemonId;
+
+const CASES_COUNT: u32 = 256;
+
+fn server(name: &str) -> ServerEntry {
+    ServerEntry {
+        server: name.into(),
+        service: "s".into(),
+        slots_count: 5,
+        cold: false,
+        draining: false,
+        share_permille: 1000,
+    }
+}
+
+fn asked(request: PeerRequest) -> MembershipEvent {
+    MembershipEvent::Asked {
+        ticket: 1,
+        from: PeerName {
+            daemon: "b".into(),
+            incarnation: 1,
+        },
+        request,
+    }
+}
+
+fn gossip_of(entries: Vec<DaemonEntry>) -> MembershipEvent {
+    asked(PeerRequest::Gossip(Gossip {
+        entries: entries.into_iter().map(Arc::new).collect(),
+        ..Default::default()
+    }))
+}
+
+/// The fleet as the duties of the daemon see it.
+fn shown(state: &mut MembershipState, actions: &[MembershipAction], now: Instant) -> Arc<Fleet> {
+    let later = now + Duration::from_secs(1);
+    let ticked = state.handle(later, MembershipEvent::Tick);
+    let fleets = actions
+        .iter()
+        .chain(&ticked)
+        .filter_map(|action| match action {
+            MembershipAction::Changed(fleet) => Some(fleet.clone()),
+            _ => None,
+        });
+    fleets.last().unwrap_or_default()
+}
+
+fn odd_entries() -> Vec<DaemonEntry> {
+    let good = entry("m", 1, 1);
+    let long: DaemonId = "n".repeat(1 << 20).into();
+    let any_port = |port| SocketAddr::from(([10, 0, 0, 1], port));
+    let with = |servers: Vec<ServerEntry>| DaemonEntry {
+        servers,
+        ..good.clone()
+    };
+    let one = |change: fn(&mut ServerEntry)| {
+        let mut odd = server("i");
+        change(&mut odd);
+        with(vec![odd])
+    };
+    vec![
+        entry("m", u64::MAX, 1),
+        entry("m", 1, u64::MAX),
+        entry("", 1, 1),
+        entry(&long, 1, 1),
+        DaemonEntry {
+            domain: long.clone(),
+            ..good.clone()
+        },
+        DaemonEntry {
+            guard_address: any_port(0),
+            ..good.clone()
+        },
+        DaemonEntry {
+            link_address: any_port(0),
+            ..good.clone()
+        },
+        with((0..5_000).map(|_| server("i")).collect()),
+        one(|odd| odd.slots_count = u32::MAX),
+        one(|odd| odd.share_permille = u16::MAX),
+        one(|odd| odd.server = "".into()),
+        one(|odd| odd.service = "n".repeat(1 << 20).into()),
+    ]
+}
+
+#[test]
+fn an_odd_description_is_refused_and_those_beside_it_hold() {
+    for odd in odd_entries() {
+        let name: String = format!("{odd:?}").chars().take(200).collect();
+        let entries = vec![entry("c", 1, 1), odd.clone(), entry("z", 1, 1)];
+        let heard = |entry: &DaemonEntry| MembershipEvent::Heard(entry.clone());
+        let ways = [
+            vec![gossip_of(entries.clone())],
+            entries.iter().map(heard).collect(),
+        ];
+        for events in ways {
+            // Arrange
+            let now = Instant::now();
+            let mut state = state_of("a");
+
+            // Act
+            let mut actions = Vec::new();
+            for event in events {
+                actions.extend(state.handle(now, event));
+            }
+
+            // Assert
+            let fleet = shown(&mut state, &actions, now);
+            let names: Vec<&str> = fleet.daemons.keys().map(|name| &**name).collect();
+            assert_eq!(names, ["a", "c", "z"], "{name}");
+            let refused = MembershipAction::Count("membership.entry.refused");
+            assert!(actions.contains(&refused), "{name}");
+        }
+    }
+}
+
+#[test]
+fn a_change_that_leads_to_an_odd_description_is_refused() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state_of("a");
+    let heard = state.handle(now, MembershipEvent::Heard(entry("m", 1, 1)));
+    let delta = |version, slots_count| Delta {
+        daemon: "m".into(),
+        incarnation: 1,
+        from_version: 1,
+        version,
+        leaving: false,
+        servers: vec![ServerEntry {
+            slots_count,
+            ..server("i")
+        }],
+        removed: Vec::new(),
+    };
+    let deltas = vec![Arc::new(delta(u64::MAX, 5)), Arc::new(delta(2, u32::MAX))];
+
+    // Act
+    let gossip = Gossip {
+        deltas,
+        ..Default::default()
+    };
+    let mut actions = state.handle(now, asked(PeerRequest::Gossip(gossip)));
+    actions.splice(0..0, heard);
+
+    // Assert
+    let fleet = shown(&mut state, &actions, now);
+    let kept = fleet.daemons.get("m").expect("the daemon is known");
+    assert_eq!((kept.version, kept.servers.len()), (1, 0));
+}
+
+#[test]
+fn a_suspicion_in_the_last_round_ends_no_daemon() {
+    let now = Instant::now();
+    let mut state = state_of("a");
+    let summary = Summary {
+        daemon: "a".into(),
+        incarnation: 1,
+        version: 0,
+        round: u32::MAX,
+        suspect: true,
+    };
+    let gossip = Gossip {
+        summaries: vec![summary],
+        ..Default::default()
+    };
+    state.handle(now, asked(PeerRequest::Gossip(gossip)));
+    assert!(!state.own().leaving);
+}
+
+#[test]
+fn a_description_that_gossip_can_not_carry_holds_no_other_back() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state_of("a");
+    let long = "n".repeat(200);
+    let large = DaemonEntry {
+        servers: (0..100)
+            .map(|turn| server(&format!("{long}{turn}")))
+            .collect(),
+        ..entry("c", 1, 1)
+    };
+    state.handle(now, MembershipEvent::Heard(large));
+    state.handle(now, MembershipEvent::Heard(entry("d", 1, 1)));
+
+    // Act
+    let gossip = Gossip {
+        wanted: vec!["c".into(), "d".into()],
+        ..Default::default()
+    };
+    let actions = state.handle(now, asked(PeerRequest::Gossip(gossip)));
+
+    // Assert
+    let told = actions.iter().find_map(|action| match action {
+        MembershipAction::Reply {
+            answer: Some(PeerAnswer::Gossip(answer)),
+            ..
+        } => Some(&answer.entries),
+        _ => None,
+    });
+    let told: Vec<&str> = told
+        .into_iter()
+        .flatten()
+        .map(|entry| &*entry.daemon)
+        .collect();
+    assert_eq!(told, ["d"]);
+}
+
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![0..4_u64, Just(u64::MAX), Just(u64::MAX - 1), any::<u64>()]
+}
+
+fn name() -> impl Strategy<Value = DaemonId> {
+    prop_oneof![
+        "[abc]".prop_map(|name| name.into()),
+        Just("".into()),
+        Just("n".repeat(4_096).into()),
+    ]
+}
+
+fn any_server() -> impl Strategy<Value = ServerEntry> {
+    (name(), any::<u32>(), any::<u16>()).prop_map(|(name, slots_count, share_permille)| {
+        ServerEntry {
+            slots_count,
+            share_permille,
+            ..server(&name)
+        }
+    })
+}
+
+fn any_entry() -> impl Strategy<Value = DaemonEntry> {
+    let servers = prop::collection::vec(any_server(), 0..4);
+    (name(), number(), number(), any::<u16>(), servers).prop_map(
+        |(daemon, incarnation, version, port, servers)| DaemonEntry {
+            link_address: SocketAddr::from(([127, 0, 0, 1], port)),
+            servers,
+            ..entry(&daemon, incarnation, version)
+        },
+    )
+}
+
+fn any_summary() -> impl Strategy<Value = Summary> {
+    (name(), number(), number(), number(), any::<bool>()).prop_map(
+        |(daemon, incarnation, version, round, suspect)| Summary {
+            daemon,
+            incarnation,
+            version,
+            round: round as u32,
+            suspect,
+        },
+    )
+}
+
+fn any_delta() -> impl Strategy<Value = Arc<Delta>> {
+    let servers = prop::collection::vec(any_server(), 0..3);
+    let removed = prop::collection::vec(name(), 0..3);
+    (name(), number(), number(), number(), servers, removed).prop_map(
+        |(daemon, incarnation, from_version, version, servers, removed)| {
+            Arc::new(Delta {
+                daemon,
+                incarnation,
+                from_version,
+                version,
+                leaving: false,
+                servers,
+                removed,
+            })
+        },
+    )
+}
+
+fn any_gossip() -> impl Strategy<Value = Gossip> {
+    (
+        prop::collection::vec(any_summary(), 0..80),
+        prop::collection::vec(any_delta(), 0..4),
+        prop::collection::vec(any_entry(), 0..4),
+        prop::collection::vec(name(), 0..4),
+        number(),
+    )
+        .prop_map(|(summaries, deltas, entries, wanted, digest)| Gossip {
+            summaries,
+            deltas,
+            entries: entries.into_iter().map(Arc::new).collect(),
+            wanted,
+            known: digest,
+            digest,
+        })
+}
+
+fn any_event() -> impl Strategy<Value = MembershipEvent> {
+    let digests = prop::collection::vec(number(), 0..20);
+    let page = (any_gossip(), name(), any::<bool>());
+    prop_oneof![
+        any_entry().prop_map(MembershipEvent::Heard),
+        any_gossip().prop_map(|gossip| asked(PeerRequest::Gossip(gossip))),
+        (any::<u8>(), number(), digests).prop_map(|(depth, prefix, digests)| {
+            asked(PeerRequest::Compare(CompareRequest {
+                depth,
+                prefix,
+                digests,
+            }))
+        }),
+        (name(), any::<u32>()).prop_map(|(after, limit_bytes)| {
+            asked(PeerRequest::Members(MembersRequest { after, limit_bytes }))
+        }),
+        (1..64_u64, any_gossip()).prop_map(|(ticket, gossip)| MembershipEvent::Answered {
+            ticket,
+            result: Ok(PeerAnswer::Gossip(gossip)),
+        }),
+        (1..64_u64, any_gossip(), any::<u16>(), any::<u16>()).prop_map(
+            |(ticket, gossip, listed, deeper)| MembershipEvent::Answered {
+                ticket,
+                result: Ok(PeerAnswer::Compare(CompareAnswer {
+                    summaries: gossip.summaries,
+                    listed,
+                    deeper,
+                })),
+            }
+        ),
+        (1..64_u64, page).prop_map(|(ticket, (gossip, next, complete))| {
+            MembershipEvent::Answered {
+                ticket,
+                result: Ok(PeerAnswer::Members(MembersAnswer {
+                    summaries: gossip.summaries,
+                    entries: gossip.entries,
+                    next,
+                    complete,
+                })),
+            }
+        }),
+        Just(MembershipEvent::Tick),
+    ]
+}
+
+#[test]
+fn no_word_of_a_peer_ends_membership_or_hides_a_daemon() {
+    let config = Config {
+        cases: CASES_COUNT,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let events = prop::collection::vec((any_event(), 0..5_000_u64), 1..40);
+    let result = runner.run(&events, |events| {
+        let mut now = Instant::now();
+        let mut state = state_of("a");
+        let mut actions = state.handle(now, MembershipEvent::Heard(entry("good", 1, 1)));
+        for (event, wait_ms) in events {
+            now = now.max(state.next_tick_at()) + Duration::from_millis(wait_ms);
+            actions.extend(state.handle(now, MembershipEvent::Tick));
+            actions.extend(state.handle(now, event));
+        }
+        let fleet = shown(&mut state, &actions, now);
+        prop_assert!(fleet.daemons.contains_key("good"));
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Checker;
+use crate::membership::bounds::NAME_LIMIT_BYTES;
 use crate::types::{DaemonId, DomainId, ServiceId};
 
 /// Who this daemon is and where it runs.
@@ -59,16 +60,16 @@
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
         checker.require(
-            !self.daemon.is_empty(),
+            (1..=NAME_LIMIT_BYTES).contains(&self.daemon.len()),
             "daemon",
             format!("{:?}", self.daemon),
-            "must not be empty",
+            "must have 1 to 255 bytes",
         );
         checker.require(
-            !self.domain.is_empty(),
+            (1..=NAME_LIMIT_BYTES).contains(&self.domain.len()),
             "domain",
             format!("{:?}", self.domain),
-            "must not be empty",
+            "must have 1 to 255 bytes",
         );
         let secret_holds = self.fleet_secret.len() >= SECRET_MIN_BYTES;
         checker.require(
