Refuse announcements whose values no server has

What was refused left no trace.

Cause: the values were not checked beyond their type.

Nested values, 1e400, fractions, negative numbers and ports out of range in the fields that count were refused before; in other fields they are passed over.

Change: bounds for every dialect where announcements enter, and for what a health answer tells of a server that has not announced itself. A refusal is answered 400 with a short text, counted (guard.announcement.refused) and logged once for each fault. Any time to stay cold is taken, as before.

Not covered: a start within the bounds but ahead of the server's own.

--- a/src/daemon/beside.rs
+++ b/src/daemon/beside.rs
@@ -77,6 +77,7 @@
 const CANCEL_RING_COUNT: usize = 256;
 
 pub(super) fn start_announce(
+    common: &Common,
     rings: &Rings,
     listener: &Arc<HttpListener>,
     dialect: &Arc<dyn AnnouncementDialect>,
@@ -84,7 +85,8 @@
     let listener = listener.clone();
     let dialect = dialect.clone();
     let guard = rings.guard.clone();
+    let metrics = common.metrics.clone();
     spawn_duty("announce", move || {
-        guard::announce::run(&listener, &*dialect, &guard)
+        guard::announce::run(&listener, &*dialect, &guard, &metrics)
     })
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -121,7 +121,7 @@
         receivers.guard,
         guard_drained,
     ));
-    let announce = start_announce(&rings, &listeners.announce, &borders.announcements);
+    let announce = start_announce(&common, &rings, &listeners.announce, &borders.announcements);
     threads.push(announce);
     let mut readers = fleet_readers(&rings);
     let mut pause = None;
--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 
 use super::message::{Announcement, GuardEvent, GuardMessage};
+use crate::contract::check::SLOTS_LIMIT_COUNT;
+use crate::membership::bounds::{INCARNATION_LIMIT, NAME_LIMIT_BYTES};
+use crate::metrics::Metrics;
+use crate::report_once::{shortened, ReportOnce};
 use crate::ring::RingSender;
 use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
 use crate::wire::listener::HttpListener;
@@ -54,16 +58,66 @@
     Ok(announcement)
 }
 
+/// Latest start of a server, in milliseconds since the epoch: the end of the year 9999.
+const STARTED_LIMIT_MS: u64 = INCARNATION_LIMIT;
+/// Most announcements of one life of a server.
+const SEQUENCE_LIMIT: u64 = 1 << 53;
+
+impl Announcement {
+    /// Checks every value against its bounds. Beyond them no later announcement could follow.
+    pub fn check(&self) -> Result<(), String> {
+        for (field, name) in [("server", &self.server), ("service", &self.service)] {
+            if !(1..=NAME_LIMIT_BYTES).contains(&name.len()) {
+                return Err(format!("{field} must have 1 to {NAME_LIMIT_BYTES} bytes"));
+            }
+        }
+        if !(1..=SLOTS_LIMIT_COUNT).contains(&self.slots_count) {
+            let count = self.slots_count;
+            return Err(format!(
+                "slots_count: {count} must be from 1 to {SLOTS_LIMIT_COUNT}"
+            ));
+        }
+        if self.started_at_ms > STARTED_LIMIT_MS {
+            let at_ms = self.started_at_ms;
+            return Err(format!(
+                "started_at_ms: {at_ms} must be at most {STARTED_LIMIT_MS}"
+            ));
+        }
+        if self.sequence > SEQUENCE_LIMIT {
+            let sequence = self.sequence;
+            return Err(format!(
+                "sequence: {sequence} must be at most {SEQUENCE_LIMIT}"
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// What the server says, or what is wrong with it.
+pub fn read(
+    dialect: &dyn AnnouncementDialect,
+    head: &RawHead,
+    body: &[u8],
+) -> Result<GuardEvent, String> {
+    let event = dialect.read(head, body)?;
+    if let GuardEvent::Announced(announcement) = &event {
+        announcement.check()?;
+    }
+    Ok(event)
+}
+
 /// Takes announcements until the listener is closed. The guard knows of one before it is
 /// acknowledged.
 pub fn run(
     listener: &Arc<HttpListener>,
     dialect: &dyn AnnouncementDialect,
     guard: &RingSender<GuardMessage>,
+    metrics: &Metrics,
 ) {
+    let mut reported = ReportOnce::default();
     while let Some((head, exchange)) = listener.next() {
         let event = match exchange.body() {
-            RequestBody::Whole(body) => dialect.read(&head, &body),
+            RequestBody::Whole(body) => read(dialect, &head, &body),
             RequestBody::Parts(_) => Err("the announcement is too long".to_owned()),
         };
         let answer = match event {
@@ -71,11 +125,19 @@
                 guard.deliver(GuardMessage::Event(event));
                 dialect.taken()
             }
-            Err(problem) => WholeAnswer {
-                status: 400,
-                body: problem.into_bytes(),
-                ..Default::default()
-            },
+            Err(problem) => {
+                let problem = shortened(&problem);
+                metrics.count("guard.announcement.refused");
+                if reported.is_new(&head.target, problem) {
+                    let path = shortened(&head.target);
+                    log::warn!(path, problem; "announcement_refused");
+                }
+                WholeAnswer {
+                    status: 400,
+                    body: problem.as_bytes().to_vec(),
+                    ..Default::default()
+                }
+            }
         };
         exchange.answer(answer);
     }
--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -78,6 +78,9 @@
             cold: word.cold,
             ..Default::default()
         };
+        if announcement.check().is_err() {
+            return;
+        }
         self.announced(now, announcement, actions);
         self.prove_all();
     }
