Bound the figures of configuration and peers where they enter

What daemons saw: one odd figure of a configuration or of a peer ended a duty or held it. - A `cold_per_s` beyond all counts: the guard's limit of starts overflowed; the thread of the guard ends in builds with overflow checks. - Two reports of deaths: their sum overflowed, likewise. - A remaining deadline near the greatest duration: adding it to the time of arrival panics in every build, and the guard's thread ends. - A peer that asks the home of an organisation for tokens: one try for each number of tokens; the quota's thread was held for minutes. - A peer's configuration with offset: in force for good, as every real one is behind it.

Evidence, before the change: a_cold_rate_beyond_all_counts_ends_no_guard: src/guard/server.rs:186: attempt to add with overflow reports_of_deaths_without_number_end_no_guard: attempt to add with overflow a_head_without_an_end_to_its_deadline_gives_one_that_a_clock_can_reach: checked_add gave none an_entry_that_asks_for_more_than_any_burst_is_answered_from_what_there_is: not ended after 60 s, then killed a_peer_that_has_read_beyond_all_records_does_not_hide_the_next_ones: view_of(&told).is_none() failed odd_figures_of_a_configuration_are_brought_within_their_bounds: 1e300 in force

Change: the view of a whole configuration holds every figure at most at the bound that contracts of the log have had all along; a configuration is in force whole, so one odd figure must not void the rest. Sums of counts saturate, a head's deadline is at most a route's, offsets of the feed are bounded, and a home takes whole tokens in one step.

Ruled out: a home that lends more than it was asked for; a test of the entry lends so on purpose.

--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -61,11 +61,22 @@
         Err(self.wait_for(now, count))
     }
 
+    /// Takes as many whole tokens as there are, `count` at most.
+    pub fn take_whole(&mut self, now: Instant, count: u32) -> u32 {
+        self.fill(now);
+        let taken = self.whole_count().min(count);
+        self.token_count = (self.token_count - f64::from(taken)).max(0.0);
+        taken
+    }
+
+    fn whole_count(&self) -> u32 {
+        (self.token_count + ROUNDING).floor().max(0.0) as u32
+    }
+
     /// Lends at most `count` whole tokens until `lapsed_at` at the latest.
     pub fn lend(&mut self, now: Instant, count: u32, lapsed_at: Instant) -> u32 {
         self.fill(now);
-        let whole = (self.token_count + ROUNDING).floor().max(0.0) as u32;
-        let count = whole.min(count);
+        let count = self.whole_count().min(count);
         if count == 0 {
             return 0;
         }
--- a/src/contract/document.rs
+++ b/src/contract/document.rs
@@ -5,6 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::check::{
+    BODY_LIMIT_BYTES, BURST_LIMIT_COUNT, DEADLINE_LIMIT_MS, RATE_LIMIT_PER_S, SLOTS_LIMIT_COUNT,
+    WEIGHT_LIMIT_SHARE,
+};
 use super::message::{OrganisationContract, ServiceContract};
 use super::state::{KeyState, View};
 use crate::types::{DomainId, KeyHash, Offset, OrganisationId};
@@ -41,10 +45,11 @@
             ..Default::default()
         };
         for service in &document.services {
-            view.put_service(Arc::new(service.clone()));
+            view.put_service(Arc::new(bounded_service(service.clone())));
         }
         for contract in &document.organisations {
-            let contract = Arc::new(view.with_shared_routes(contract.clone()));
+            let contract =
+                Arc::new(view.with_shared_routes(bounded_organisation(contract.clone())));
             let id = contract.organisation.clone();
             view.organisations.insert(id, contract);
         }
@@ -59,3 +64,32 @@
         view
     }
 }
+
+/// The contract with every figure at most at its bound. A whole configuration is in force or not, so
+/// one odd figure does not void the rest.
+fn bounded_service(mut contract: ServiceContract) -> ServiceContract {
+    contract.floor_share = bounded(contract.floor_share, 1.0);
+    contract.cold_rate_per_s = bounded(contract.cold_rate_per_s, RATE_LIMIT_PER_S);
+    contract.slots_count = contract.slots_count.min(SLOTS_LIMIT_COUNT);
+    for route in &mut contract.routes {
+        route.deadline_ms = route.deadline_ms.min(DEADLINE_LIMIT_MS);
+        route.target_ms = route.target_ms.min(DEADLINE_LIMIT_MS);
+        route.body_limit_bytes = route.body_limit_bytes.min(BODY_LIMIT_BYTES);
+    }
+    contract
+}
+
+fn bounded_organisation(mut contract: OrganisationContract) -> OrganisationContract {
+    contract.rate_per_s = bounded(contract.rate_per_s, RATE_LIMIT_PER_S);
+    contract.burst_count = contract.burst_count.min(BURST_LIMIT_COUNT);
+    contract.weight_share = contract.weight_share.min(WEIGHT_LIMIT_SHARE);
+    contract
+}
+
+/// The figure from 0 to its limit; 0 for what is no number.
+fn bounded(figure: f64, limit: f64) -> f64 {
+    match figure > 0.0 {
+        true => figure.min(limit),
+        false => 0.0,
+    }
+}
--- a/src/contract/tests.rs
+++ b/src/contract/tests.rs
@@ -1,3 +1,5 @@
+mod odd;
+
 use super::state::RouteAnswer;
 use super::*;
 use crate::types::Offset;
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
-use super::{FeedError, Page};
+use super::{FeedError, Page, OFFSET_LIMIT};
 use crate::contract::View;
 use crate::membership::Fleet;
 use crate::settings::feed::FeedSettings;
@@ -62,7 +62,7 @@
         match event {
             FeedEvent::Read(read) => self.read(now, read, &mut actions),
             FeedEvent::PeerAhead { peer, next } => {
-                if next > self.snapshot.next {
+                if next > self.snapshot.next && next <= OFFSET_LIMIT {
                     self.ahead = Some((peer, next));
                     self.ask_at.get_or_insert(now + self.patience());
                 }
@@ -113,7 +113,7 @@
         page: Page<ConfigurationItem>,
         actions: &mut Vec<FeedAction>,
     ) {
-        if page.next <= self.snapshot.next {
+        if page.next <= self.snapshot.next || page.next > OFFSET_LIMIT {
             return;
         }
         let mut snapshot = base;
@@ -155,7 +155,8 @@
         self.asking = false;
         self.ahead = None;
         self.ask_at = (!self.reachable).then(|| now + self.every());
-        let Some(snapshot) = told.filter(|told| told.next > self.snapshot.next) else {
+        let newer = |told: &Snapshot| told.next > self.snapshot.next && told.next <= OFFSET_LIMIT;
+        let Some(snapshot) = told.filter(newer) else {
             return;
         };
         self.put_in_force(snapshot, actions);
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -218,3 +218,25 @@
     let reads: Vec<FeedRead<u32>> = receiver.try_iter().collect();
     assert_eq!(reads, vec![newest(1), newest(2), newest(3)]);
 }
+
+#[test]
+fn a_peer_that_has_read_beyond_all_records_does_not_hide_the_next_ones() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    state.handle(now, newest(3, "s"));
+    let odd = Snapshot {
+        document: Some(document("odd")),
+        next: u64::MAX,
+        ..Default::default()
+    };
+
+    // Act
+    let told = state.handle(now, FeedEvent::PeerTold(Some(odd)));
+    let followed = state.handle(now, newest(4, "t"));
+
+    // Assert
+    assert!(view_of(&told).is_none());
+    let view = view_of(&followed).expect("a view");
+    assert!(view.services.contains_key("t"));
+}
--- a/src/guard/poison.rs
+++ b/src/guard/poison.rs
@@ -109,7 +109,7 @@
 
 impl Suspect {
     fn total_count(&self) -> u32 {
-        let reported: u32 = self.reported.iter().map(|(_, count)| count).sum();
-        self.deaths.len() as u32 + reported
+        let counts = self.reported.iter().map(|(_, count)| *count);
+        counts.fold(self.deaths.len() as u32, u32::saturating_add)
     }
 }
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -183,7 +183,7 @@
             return Some((self.cold_rate_per_s as usize).max(1));
         }
         let most = self.cold_rate_per_s * self.cold_rate_factor;
-        let most = most as usize + self.cold_rate_slack_count as usize;
+        let most = (most as usize).saturating_add(self.cold_rate_slack_count as usize);
         Some(most.saturating_sub(START_MARGIN_COUNT).max(1))
     }
 
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,5 +1,6 @@
 mod brief_wait;
 mod deaths;
+mod odd;
 mod overdue;
 mod servers;
 mod shedding;
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -331,17 +331,14 @@
 
 /// Takes as many whole tokens as there are, `count` at most.
 fn lend_from(bucket: &mut Bucket, now: Instant, count: u32) -> Loan {
-    for lent in (1..=count).rev() {
-        if bucket.take(now, f64::from(lent)).is_ok() {
-            return Loan {
-                count: lent,
-                retry_after: Duration::ZERO,
-            };
-        }
-    }
-    let retry_after = bucket.take(now, 1.0).err().unwrap_or_default();
-    Loan {
-        count: 0,
-        retry_after,
+    match bucket.take_whole(now, count) {
+        0 => Loan {
+            count: 0,
+            retry_after: bucket.wait_for(now, 1.0),
+        },
+        lent => Loan {
+            count: lent,
+            retry_after: Duration::ZERO,
+        },
     }
 }
--- a/src/quota/tests.rs
+++ b/src/quota/tests.rs
@@ -231,3 +231,24 @@
         vec![QuotaAction::Decline { call: 7 }]
     );
 }
+
+#[test]
+fn an_entry_that_asks_for_more_than_any_burst_is_answered_from_what_there_is() {
+    // Arrange
+    let begin = Instant::now();
+    let mut home = state(&home(), begin, 10.0, 5);
+
+    // Act
+    let borrow = QuotaEvent::Borrow {
+        call: 1,
+        organisation: "o".into(),
+        count: u32::MAX,
+    };
+    let actions = home.handle(begin + Duration::from_millis(350), borrow);
+
+    // Assert
+    let [QuotaAction::Lend { loan, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(loan.count, 3);
+}
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -5,6 +5,7 @@
 use base64::prelude::{Engine, BASE64_URL_SAFE_NO_PAD};
 use serde::{Deserialize, Serialize};
 
+use crate::contract::check::DEADLINE_LIMIT_MS;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, Offset, OrganisationId,
     RequestId, RouteId, ServiceId,
@@ -101,11 +102,15 @@
         if !key.verify(&[head], proof) {
             return None;
         }
-        postcard::from_bytes(head).ok()
+        let mut head: ForwardHead = postcard::from_bytes(head).ok()?;
+        head.remaining = head.remaining.min(REMAINING_LIMIT);
+        Some(head)
     }
 }
 
 const PROOF_BYTES: usize = 32;
+/// Longest deadline of a request.
+const REMAINING_LIMIT: Duration = Duration::from_millis(DEADLINE_LIMIT_MS);
 
 /// Drops the fleet's own headers from an answer.
 pub fn strip_fleet_headers(headers: &mut Vec<HeaderPair>) {
--- a/src/wire/forward/tests.rs
+++ b/src/wire/forward/tests.rs
@@ -59,3 +59,15 @@
         assert_eq!(ForwardHead::decode(&cut, &key), None, "{length}");
     }
 }
+
+#[test]
+fn a_head_without_an_end_to_its_deadline_gives_one_that_a_clock_can_reach() {
+    let key = FleetKey::new("a secret of the fleet");
+    let endless = ForwardHead {
+        remaining: Duration::MAX,
+        ..head()
+    };
+    let read = ForwardHead::decode(&[endless.encode(&key)], &key).expect("a good proof");
+    let now = std::time::Instant::now();
+    assert!(now.checked_add(read.remaining).is_some());
+}
