Give the last four settings without an upper bound one

A settings file with for daemon.kill_after_ms, daemon.linger_ms, membership.publish_change_ms or routing.far_body_bytes was taken. By reading (not run): the wait of publish_change_ms is spread by a quarter, so its sum overflows in the membership thread.

Evidence, before the change: a_number_beyond_all_bounds_is_refused_in_every_field sets every number of the settings in turn to the greatest whole number, to 1e300, -1e300 and to nested lists; these four fields took the first. All others refused all four.

The bounds are above what the platform may name (a grace of a million seconds).

--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -79,6 +79,8 @@
             "must have at least 16 characters",
         );
         checker.range("stop_grace_ms", self.stop_grace_ms, 0..=600000);
+        checker.range("kill_after_ms", self.kill_after_ms, 0..=1_000_000_000);
+        checker.range("linger_ms", self.linger_ms, 0..=600_000);
     }
 }
 
--- a/src/settings/membership.rs
+++ b/src/settings/membership.rs
@@ -111,6 +111,7 @@
             let holds = (10..=86_400_000).contains(&value);
             checker.require(holds, field, value, "must be from 10 to 86400000");
         }
+        checker.range("publish_change_ms", self.publish_change_ms, 0..=86_400_000);
         let sizes_bytes = [
             ("gossip_bytes_per_s", self.gossip_bytes_per_s),
             ("gossip_burst_bytes", self.gossip_burst_bytes),
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -100,6 +100,7 @@
             self.far_factor,
             "must be from 1 to 100",
         );
+        checker.range("far_body_bytes", self.far_body_bytes, 0..=1 << 34);
         checker.range("free_slot_tries_count", self.free_slot_tries_count, 0..=64);
         checker.range("free_slot_wait_share", self.free_slot_wait_share, 0.0..=1.0);
         checker.range("queue_wait_share", self.queue_wait_share, 0.0..=1.0);
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -1,3 +1,5 @@
+mod odd;
+
 use super::*;
 
 #[test]
