--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -7,6 +7,7 @@
 use crate::settings::journal::JournalSettings;
 
 mod fake;
+mod odd;
 mod peers;
 mod submissions;
 
