--- a/src/feed/duty.rs
+++ b/src/feed/duty.rs
@@ -16,6 +16,7 @@
     LinkError, LinkMessage, PeerAnswer, PeerReply, PeerRequest, RecordsAnswer, RecordsRequest,
 };
 use crate::metrics::Metrics;
+use crate::report_once::shortened;
 use crate::ring::RingSender;
 use crate::settings::feed::FeedSettings;
 use crate::types::{DaemonId, Offset};
@@ -93,6 +94,7 @@
         }
         FeedAction::Unreadable { key, problem } => {
             context.metrics.count("feed.record.unreadable");
+            let (key, problem) = (shortened(&key), shortened(&problem));
             log::warn!(key, problem; "configuration_record_unreadable");
         }
     }
