Tell in the log that a duty ended by a panic

What operators saw: nothing. A trial with a panic put into the front's thread (not kept): the process stays up, every request is answered 503 within 2 ms, `GET /ready` goes on to answer 200, and SIGTERM takes the whole shutdown time, as the front never says that it is drained. Standard output, where the log goes, held no line; the panic stood on standard error alone.

Evidence, before the change: a_duty_that_panics_is_told_in_the_log: assertion `left == right` failed: [], left 0, right 1.

Change: a line `duty_failed` with the text of the panic; the panic then goes on to whoever joins the thread. Whether such a daemon should say that it is not ready, or end, is left open: an input that comes again would end it again and again.

--- a/src/ring.rs
+++ b/src/ring.rs
@@ -4,9 +4,13 @@
 //! A completion going up is delivered: the sender waits. Only that one direction waits, so two
 //! duties never wait for each other.
 
+use std::any::Any;
+use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
+
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 
 use crate::metrics::Metrics;
+use crate::report_once::shortened;
 
 /// The sending side of a ring.
 pub struct RingSender<T> {
@@ -72,8 +76,27 @@
         .name(name.to_owned())
         .stack_size(DUTY_STACK_BYTES);
     builder
-        .spawn(body)
+        .spawn(move || told(body))
         .expect("the machine gives a thread at start")
 }
 
+/// Runs the body of a duty. A panic ends this thread alone, so the log tells of it.
+fn told(body: impl FnOnce()) {
+    if let Err(cause) = catch_unwind(AssertUnwindSafe(body)) {
+        let problem = shortened(panic_text(&*cause));
+        log::error!(problem; "duty_failed");
+        resume_unwind(cause);
+    }
+}
+
+fn panic_text(cause: &(dyn Any + Send)) -> &str {
+    let owned = cause.downcast_ref::<String>().map(String::as_str);
+    owned
+        .or_else(|| cause.downcast_ref::<&str>().copied())
+        .unwrap_or("no text")
+}
+
 const DUTY_STACK_BYTES: usize = 512 * 1024;
+
+#[cfg(test)]
+mod tests;
