Take no wait from a guard that outlasts every request

An entry took any number of milliseconds as the time until a server has a slot, and left the server alone for so long. A wait beyond the longest deadline says nothing now; others hold as they are.

--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -5,6 +5,7 @@
 
 use super::fingerprint::fingerprint;
 use super::message::{AttemptOutcome, HeldRequest, RequestPlan, Target};
+use crate::contract::check::DEADLINE_LIMIT_MS;
 use crate::error::{ErrorKind, Ran};
 use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId, ServiceId};
 use crate::wire::client::{Call, CallError, OutBody};
@@ -162,7 +163,9 @@
             by_guard: true,
         };
     }
-    let wait_ms = header(&answer.headers, forward::WAIT_MS).and_then(|value| value.parse().ok());
+    let wait_ms = header(&answer.headers, forward::WAIT_MS);
+    let wait_ms = wait_ms.and_then(|value| value.parse::<u64>().ok());
+    let wait_ms = wait_ms.filter(|wait_ms| *wait_ms <= DEADLINE_LIMIT_MS);
     AttemptOutcome::NotRun {
         kind,
         retry_after: wait_ms.map(Duration::from_millis),
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -2,6 +2,7 @@
 mod closing;
 mod full;
 mod last_resort;
+mod odd;
 mod parked;
 mod patience;
 mod probes;
--- /dev/null
+++ b/src/routing/tests/odd.rs
@@ -0,0 +1,42 @@
+use std::time::Duration;
+
+use crate::error::ErrorKind;
+use crate::routing::forward::outcome_of;
+use crate::routing::message::AttemptOutcome;
+use crate::types::format_id;
+use crate::wire::exchange::WholeAnswer;
+use crate::wire::forward;
+
+fn refusal(wait_ms: &str) -> AttemptOutcome {
+    let headers = [
+        (forward::REQUEST, format_id(1)),
+        (forward::KIND, ErrorKind::Busy.code().to_owned()),
+        (forward::WAIT_MS, wait_ms.to_owned()),
+    ];
+    let headers = headers.map(|(name, value)| (name.to_owned(), value));
+    let answer = WholeAnswer {
+        status: 503,
+        headers: headers.into(),
+        body: Vec::new(),
+    };
+    outcome_of(1, Ok(answer))
+}
+
+#[test]
+fn a_guard_that_names_an_endless_wait_is_not_left_alone_for_good() {
+    let odd = [
+        "18446744073709551615",
+        "18446744073709551616",
+        "-1",
+        "NaN",
+        "1e400",
+        "",
+    ];
+    for wait_ms in odd.into_iter().chain(["300"]) {
+        let AttemptOutcome::NotRun { retry_after, .. } = refusal(wait_ms) else {
+            panic!("{wait_ms}");
+        };
+        let expected = (wait_ms == "300").then_some(Duration::from_millis(300));
+        assert_eq!(retry_after, expected, "{wait_ms}");
+    }
+}
