Look for an older checkpoint where the newest can't be read

What daemons saw: one odd marker in the checkpoint stream (an offset of its parts that is not there, parts that are no checkpoint, an offset beyond all records) ended the search. A daemon whose records are no longer kept then asked again without end, though a good checkpoint was beside it.

Cause: an error at one marker's parts ended the whole search, and a whole text was given back unread.

Evidence, before the change: an_odd_checkpoint_does_not_hide_the_last_good_one: left Err(Unavailable("no such offset")), right the good text.

Change: the search goes on to the next marker, and only a text that is a checkpoint counts. An error is told where no marker leads to one. A checkpoint beyond the greatest offset is none, from peers too; the bound moves beside the type.

--- a/src/contract/checkpoint.rs
+++ b/src/contract/checkpoint.rs
@@ -8,7 +8,7 @@
 use super::message::{OrganisationContract, ServiceContract};
 use super::state::{KeyState, View};
 use crate::allowance::seat::ShardIndex;
-use crate::types::{format_id, parse_id, DomainId, Offset, OrganisationId};
+use crate::types::{format_id, parse_id, DomainId, Offset, OrganisationId, OFFSET_LIMIT};
 use crate::wire::hex;
 
 /// Every object in order of its name, so that the text depends on the prefix alone.
@@ -65,9 +65,12 @@
         serde_json::to_string(&checkpoint).expect("plain values become JSON")
     }
 
-    /// Reads a view from its text; none when the text is malformed.
+    /// Reads a view from its text; none when the text is malformed, or beyond all records.
     pub fn from_checkpoint(text: &str) -> Option<View> {
         let checkpoint: Checkpoint = serde_json::from_str(text).ok()?;
+        if checkpoint.next > OFFSET_LIMIT {
+            return None;
+        }
         let mut view = View {
             next: checkpoint.next,
             domains_version: checkpoint.domains_version,
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -17,10 +17,6 @@
 
 use crate::types::Offset;
 
-/// Greatest offset that a feed may have. One beyond it was never reached by records, and would hide
-/// all that follow.
-pub const OFFSET_LIMIT: Offset = 1 << 48;
-
 /// Items of a feed, and where it goes on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Page<T> {
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -7,11 +7,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
-use super::{FeedError, Page, OFFSET_LIMIT};
+use super::{FeedError, Page};
 use crate::contract::View;
 use crate::membership::Fleet;
 use crate::settings::feed::FeedSettings;
-use crate::types::{DaemonId, Offset};
+use crate::types::{DaemonId, Offset, OFFSET_LIMIT};
 
 /// State of the configuration at one daemon.
 pub struct FeedState {
--- a/src/journal/checkpoint.rs
+++ b/src/journal/checkpoint.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{LogError, PlatformLog, CHECKPOINTS, CHECKPOINT_PARTS};
+use crate::contract::View;
 use crate::types::{format_id, new_operation_id, Offset};
 use std::time::Duration;
 
@@ -57,7 +58,7 @@
     log.append(CHECKPOINTS, &to_json(&marker)).map(|_| ())
 }
 
-/// The text of the newest checkpoint that is kept whole, none when there is none.
+/// The text of the newest checkpoint that is kept whole and can be read, none when there is none.
 pub fn find(log: &dyn PlatformLog, batch_count: usize) -> Result<Option<String>, LogError> {
     let mut markers = Vec::new();
     read_all(log, CHECKPOINTS, 0, batch_count, &mut |body| {
@@ -67,12 +68,16 @@
         false
     })?;
     markers.sort_by_key(|marker| std::cmp::Reverse(marker.next));
+    let mut failed = None;
     for marker in &markers {
-        if let Some(text) = read_parts(log, marker, batch_count)? {
-            return Ok(Some(text));
+        match read_parts(log, marker, batch_count) {
+            Ok(Some(text)) if View::from_checkpoint(&text).is_some() => return Ok(Some(text)),
+            Ok(_) => {}
+            // The parts that another marker names may still be there.
+            Err(error) => failed = Some(error),
         }
     }
-    Ok(None)
+    failed.map_or(Ok(None), Err)
 }
 
 fn read_parts(
--- a/src/journal/tests/odd.rs
+++ b/src/journal/tests/odd.rs
@@ -1,7 +1,13 @@
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
 use crate::contract::View;
 use crate::journal::follow::Follower;
-use crate::journal::LogRecord;
+use crate::journal::{checkpoint, Batch, LogError, LogRecord, PlatformLog};
+use crate::journal::{CHECKPOINTS, CHECKPOINT_PARTS};
 use crate::ring::spawn_duty;
+use crate::types::Offset;
 
 /// Far deeper than a reader that calls itself for each level could follow.
 const DEPTH: usize = 100_000;
@@ -87,3 +93,72 @@
     });
     assert!(thread.join().is_ok());
 }
+
+/// A log in memory: the records of each stream, from offset 0 on.
+#[derive(Default)]
+struct MemoryLog(Mutex<BTreeMap<String, Vec<String>>>);
+
+impl PlatformLog for MemoryLog {
+    fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        _limit_count: usize,
+        _wait: Duration,
+    ) -> Result<Batch, LogError> {
+        let streams = self.0.lock().expect("no panic while reading");
+        let bodies = streams.get(stream).map_or(&[][..], Vec::as_slice);
+        if from > bodies.len() as Offset {
+            return Err(LogError::Unavailable("no such offset".to_owned()));
+        }
+        let records = bodies.iter().enumerate().skip(from as usize);
+        let records = records.map(|(offset, body)| LogRecord {
+            offset: offset as Offset,
+            body: body.clone(),
+        });
+        Ok(Batch {
+            records: records.collect(),
+            next: bodies.len() as Offset,
+        })
+    }
+
+    fn append(&self, stream: &str, body: &str) -> Result<Offset, LogError> {
+        let mut streams = self.0.lock().expect("no panic while appending");
+        let bodies = streams.entry(stream.to_owned()).or_default();
+        bodies.push(body.to_owned());
+        Ok(bodies.len() as Offset - 1)
+    }
+}
+
+#[test]
+fn an_odd_checkpoint_does_not_hide_the_last_good_one() {
+    let markers = [
+        r#"{"next":18446744073709551615,"writing":"w","first_part":0,"part_count":0}"#,
+        r#"{"next":99,"writing":"w","first_part":18446744073709551615,"part_count":1}"#,
+        r#"{"next":99,"writing":"w","first_part":0,"part_count":1}"#,
+        r#"{"next":99,"writing":"v","first_part":0,"part_count":1}"#,
+        r#"{"next":99,"writing":"w","first_part":0,"part_count":18446744073709551615}"#,
+        r#"{"next":1e400,"writing":"w","first_part":0,"part_count":1}"#,
+    ];
+    for marker in markers {
+        // Arrange
+        let log = MemoryLog::default();
+        let text = read(&[good(1, "a")], 0).to_checkpoint();
+        let mut beyond = View::default();
+        beyond.read_up_to(Offset::MAX);
+        let beyond = beyond.to_checkpoint();
+        for (writing, text) in [("w", "{"), ("v", beyond.as_str())] {
+            let part = serde_json::json!({"writing": writing, "index": 0, "text": text});
+            log.append(CHECKPOINT_PARTS, &part.to_string())
+                .expect("room");
+        }
+        checkpoint::write(&log, 1, &text).expect("room");
+        log.append(CHECKPOINTS, marker).expect("room");
+
+        // Act
+        let found = checkpoint::find(&log, 64);
+
+        // Assert
+        assert_eq!(found, Ok(Some(text)), "{marker}");
+    }
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -22,6 +22,9 @@
 pub type OperationId = u128;
 /// Position of a record in a stream of the platform's log, counted from 0.
 pub type Offset = u64;
+/// Greatest offset that a stream may have. One beyond it was never reached by records, and would hide
+/// all that follow.
+pub const OFFSET_LIMIT: Offset = 1 << 48;
 /// SHA-256 of a key. The key itself is never stored.
 pub type KeyHash = [u8; 32];
 /// Hash that tells equal requests of one organisation.
