--- a/src/membership/tests/odd.rs
+++ b/src/membership/tests/odd.rs
@@ -49,14 +49,14 @@
 fn shown(state: &mut MembershipState, actions: &[MembershipAction], now: Instant) -> Arc<Fleet> {
     let later = now + Duration::from_secs(1);
     let ticked = state.handle(later, MembershipEvent::Tick);
-    let fleets = actions
+    let mut fleets = actions
         .iter()
         .chain(&ticked)
         .filter_map(|action| match action {
             MembershipAction::Changed(fleet) => Some(fleet.clone()),
             _ => None,
         });
-    fleets.last().unwrap_or_default()
+    fleets.next_back().unwrap_or_default()
 }
 
 fn odd_entries() -> Vec<DaemonEntry> {
