--- a/src/journal/client.rs
+++ b/src/journal/client.rs
@@ -8,7 +8,7 @@
 
 use super::{Batch, LogError, LogRecord, PlatformLog};
 use crate::settings::journal::JournalSettings;
-use crate::types::Offset;
+use crate::types::{Offset, OFFSET_LIMIT};
 use crate::wire::http::client;
 
 /// Answer to a read.
@@ -22,6 +22,13 @@
     pub records: Vec<RecordAnswer>,
 }
 
+impl ReadAnswer {
+    fn greatest_offset(&self) -> Offset {
+        let records = self.records.iter().map(|record| record.offset);
+        records.fold(self.first.max(self.next), Offset::max)
+    }
+}
+
 /// One record in the answer to a read.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RecordAnswer {
@@ -79,6 +86,10 @@
         }
         let text = response.text().map_err(unavailable)?;
         let answer: ReadAnswer = serde_json::from_str(&text).map_err(malformed)?;
+        if answer.greatest_offset() > OFFSET_LIMIT {
+            let problem = format!("an offset beyond {OFFSET_LIMIT}");
+            return Err(LogError::Malformed(problem));
+        }
         if answer.first > from {
             return Err(LogError::Truncated(answer.first));
         }
--- a/src/journal/tests/odd.rs
+++ b/src/journal/tests/odd.rs
@@ -1,12 +1,16 @@
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use crate::contract::View;
+use crate::journal::client::HttpLog;
 use crate::journal::follow::Follower;
 use crate::journal::{checkpoint, Batch, LogError, LogRecord, PlatformLog};
 use crate::journal::{CHECKPOINTS, CHECKPOINT_PARTS};
 use crate::ring::spawn_duty;
+use crate::settings::journal::JournalSettings;
 use crate::types::Offset;
 
 /// Far deeper than a reader that calls itself for each level could follow.
@@ -162,3 +166,49 @@
         assert_eq!(found, Ok(Some(text)), "{marker}");
     }
 }
+
+/// A log on loopback that answers one read with a text.
+fn log_of(text: &'static str) -> HttpLog {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let Ok((mut stream, _)) = listener.accept() else {
+            return;
+        };
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|read| read == 1) {
+            head.push(byte[0]);
+        }
+        let length = text.len();
+        let head =
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n");
+        // A reader that has left is no matter of the log.
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(text.as_bytes());
+    });
+    HttpLog::new(&JournalSettings {
+        address,
+        ..Default::default()
+    })
+}
+
+#[test]
+fn an_offset_that_no_stream_reaches_is_malformed() {
+    let odd = [
+        r#"{"first":0,"next":18446744073709551615,"records":[]}"#,
+        r#"{"first":18446744073709551615,"next":3,"records":[]}"#,
+        r#"{"first":0,"next":3,"records":[{"offset":18446744073709551615,"body":"{}"}]}"#,
+        r#"{"first":0,"next":1e400,"records":[]}"#,
+    ];
+    for text in odd {
+        let read = log_of(text).read("s", 2, 64, Duration::ZERO);
+        assert!(
+            matches!(read, Err(LogError::Malformed(_))),
+            "{text}: {read:?}"
+        );
+    }
+    let good = r#"{"first":0,"next":3,"records":[{"offset":2,"body":"{}"}]}"#;
+    let read = log_of(good).read("s", 2, 64, Duration::ZERO);
+    assert!(read.is_ok_and(|batch| batch.next == 3));
+}
