--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -81,6 +81,9 @@
             cold: word.cold,
             ..Default::default()
         };
+        if announcement.check().is_err() {
+            return;
+        }
         self.announced(now, announcement, actions);
         if let Some(server) = self.servers.get_mut(&name) {
             server.unproven = false;
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -2,6 +2,7 @@
 mod brief_wait;
 mod deaths;
 mod lives;
+mod odd;
 mod overdue;
 mod servers;
 mod shedding;
