--- /dev/null
+++ b/src/guard/tests/announce.rs
@@ -0,0 +1,41 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+
+use crate::guard::announce::{run, FleetAnnouncements};
+use crate::metrics::Metrics;
+use crate::ring::ring;
+use crate::wire::listener::{HttpListener, ListenerOptions};
+
+const BODY: &str = r#"{"server":"s","service":"v","address":"127.0.0.1:9","slots_count":1}"#;
+
+#[test]
+fn an_announcement_that_a_guard_has_left_in_its_ring_is_not_acknowledged_and_ends() {
+    // Arrange
+    let any = "127.0.0.1:0".parse().expect("a literal address");
+    let listener = HttpListener::bind(any, ListenerOptions::default()).expect("a port");
+    let listener = Arc::new(listener);
+    let (guard, messages) = ring("guard", 8, &Metrics::local());
+    let served = listener.clone();
+    let announce =
+        thread::spawn(move || run(&served, &FleetAnnouncements, &guard, &Metrics::local()));
+
+    // Act
+    let mut stream = TcpStream::connect(listener.address()).expect("a connection");
+    let length = BODY.len();
+    let head = format!("POST /announce HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
+    let request = format!("{head}{BODY}");
+    stream.write_all(request.as_bytes()).expect("a request");
+    while messages.is_empty() {
+        thread::yield_now();
+    }
+    drop(messages);
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    listener.close();
+
+    // Assert
+    assert_eq!(&answer, b"HTTP/1.1 503");
+    announce.join().expect("the thread ends");
+}
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -109,7 +109,10 @@
             RoutingMessage::Drain => draining = true,
             RoutingMessage::Origin(service) => {
                 duty.origin_set = !service.is_empty();
-                duty.take_origin(service);
+                // Without a name the last one stands until a server announces itself.
+                if duty.origin_set {
+                    duty.take_origin(service);
+                }
             }
             RoutingMessage::Event(event) => {
                 duty.notice(&event);
@@ -124,6 +127,7 @@
                 let held = HeldRequest {
                     service: plan.service.clone(),
                     route: plan.route.clone(),
+                    origin: duty.origin.clone(),
                     head,
                     exchange,
                     body: None,
@@ -273,7 +277,7 @@
             "attempt_sent"
         );
         let context = &self.context.forward;
-        let call = match forward::prepare(context, &job, held, &self.origin, self.view) {
+        let call = match forward::prepare(context, &job, held, self.view) {
             Ok(call) => call,
             Err(kind) => return Some(failed(kind)),
         };
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -7,7 +7,7 @@
 use super::message::{AttemptOutcome, HeldRequest, RequestPlan, Target};
 use crate::contract::check::DEADLINE_LIMIT_MS;
 use crate::error::{ErrorKind, Ran};
-use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId, ServiceId};
+use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId};
 use crate::wire::client::{Call, CallError, OutBody};
 use crate::wire::exchange::{RequestBody, WholeAnswer};
 use crate::wire::forward::{self, AttemptTerms, ForwardHead};
@@ -52,7 +52,6 @@
     context: &ForwardContext,
     job: &Attempted,
     held: &mut HeldRequest,
-    origin: &ServiceId,
     view: Offset,
 ) -> Result<Call, ErrorKind> {
     keep_body(held)?;
@@ -74,7 +73,7 @@
         weight_share: job.plan.weight_share,
         repeatable: job.plan.repeatable,
         foreground: job.plan.foreground,
-        origin: origin.clone(),
+        origin: held.origin.clone(),
         rank: job.plan.rank,
         terms: job.terms,
         entry: context.daemon.clone(),
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -180,6 +180,8 @@
     pub service: ServiceId,
     /// The route.
     pub route: RouteId,
+    /// Service on this VM when the request began; its attempts are sent in that name.
+    pub origin: ServiceId,
     /// Line and headers.
     pub head: Arc<RequestHead>,
     /// The caller's exchange.
