Wait for the guard's verdict on an announcement with a bound

Seen in a review's test: a ring keeps what its reader left in it, so an announcement behind the guard's last message was never answered, and the thread that waited held the shutdown to its whole grace.

Change: without a verdict within 900 ms the announcement is answered with 503, which acknowledges nothing.

--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -1,6 +1,7 @@
 //! The thread that takes announcements of the backend servers on this VM.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam::channel::bounded;
 
@@ -33,7 +34,10 @@
         match (head.method.as_str(), head.target.as_str()) {
             ("POST", "/announce") => parse(body).map(GuardEvent::Announced),
             ("DELETE", target) => match target.strip_prefix("/announce/") {
-                Some(server) => Ok(GuardEvent::Withdrawn(server.into())),
+                Some(server) => Ok(GuardEvent::Withdrawn {
+                    server: server.into(),
+                    started_at_ms: 0,
+                }),
                 None => Err("no such path".to_owned()),
             },
             _ => Err("POST /announce or DELETE /announce/SERVER".to_owned()),
@@ -127,7 +131,7 @@
             Ok(event) => match verdict_on(event, guard) {
                 Some(Ok(()) | Err(IgnoredBecause::Outdated)) => dialect.taken(),
                 Some(Err(reason)) => refused(STATUS_REFUSED, reason.name()),
-                None => refused(STATUS_STOPPING, "the daemon stops"),
+                None => refused(STATUS_UNDECIDED, "the daemon has not decided"),
             },
             Err(problem) => {
                 let problem = shortened(&problem);
@@ -144,13 +148,17 @@
 }
 
 const STATUS_REFUSED: u16 = 400;
-const STATUS_STOPPING: u16 = 503;
+const STATUS_UNDECIDED: u16 = 503;
 
-/// What the guard makes of an announcement; none from a guard that ends.
+/// A server takes an announcement for lost that is not acknowledged within a second.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// What the guard makes of an announcement; none from a guard that ends or is held up.
 fn verdict_on(event: GuardEvent, guard: &RingSender<GuardMessage>) -> Option<AnnounceVerdict> {
     let (verdict, answered) = bounded(1);
     guard.deliver(GuardMessage::Announce { event, verdict });
-    answered.recv().ok()
+    // A ring keeps what its reader left in it, so the wait for a guard that has ended has a bound.
+    answered.recv_timeout(VERDICT_TIMEOUT).ok()
 }
 
 fn refused(status: u16, problem: &str) -> WholeAnswer {
