Bind departures and health answers to the life that they are of

Seen in a review's tests of the guard, each failing before: - an acknowledged departure of a server that was known by its health, or not at all (a daemon that has just started), was forgotten: a late announcement or the open health answer brought the server back, and a request started (DRAIN) - a late departure of an earlier life ended the later one for its whole life - late announcements in a bunch, or a late health answer, ended the server that was there, and no health answer brought it back - a server whose clock was set back was left aside: for good under its name, for 60 s under another; its word that it leaves was acknowledged all the same - health that was asked for before other settings entered the old server as one of the new service, and other settings asked nobody

Change: departures are remembered by server and life, known or not (departures.rs); a departure names its life where it says so. A health answer counts if it was asked for after the present holder, and the present settings, were seen; then it ends others and brings the named server back unless that has left. A second announcement proves a server beside another holder only once its health has given no help. An earlier life by the clock is taken once the later one is gone, held back until it is proven; where the holder is present, its address is asked, once a second at most. What is of another life is not acknowledged.

Not mended: a server that comes back under its name with a lower start while its later life is not known to be gone (at most 60 s on the platform), and one whose clock was set back after it had said that it leaves.

--- a/src/guard/announced.rs
+++ b/src/guard/announced.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use super::message::{Announcement, GuardAction, IgnoredBecause};
-use super::server::ServerState;
+use super::server::{Proof, ServerState};
 use super::state::GuardState;
 use crate::contract::View;
 use crate::error::ErrorKind;
@@ -22,6 +22,9 @@
     ) {
         let name = announcement.server.clone();
         if let Some(reason) = self.ignored_because(now, &announcement) {
+            if reason == IgnoredBecause::Replaced {
+                self.ask_rival(now, &announcement, actions);
+            }
             actions.push(GuardAction::AnnouncementIgnored {
                 announcement,
                 reason,
@@ -32,31 +35,81 @@
             actions.push(GuardAction::ServerSeen(announcement.clone()));
         }
         self.replace_others(now, &announcement, actions);
+        let announcement = self.held_to_departure(now, announcement);
+        match self.servers.contains_key(&name) {
+            true => self.renewed(now, &name, announcement, actions),
+            false => self.first_heard(now, name, announcement, actions),
+        }
+    }
+
+    fn first_heard(
+        &mut self,
+        now: Instant,
+        name: BackendServerId,
+        announcement: Announcement,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let mut state = ServerState::new(&self.settings, announcement, now);
+        state.proof = self.ask_for_proof(&state.announcement, actions);
+        state.cold_rate_per_s = self.cold_rate_per_s(&state.announcement.service);
+        self.servers.insert(name, state);
+    }
+
+    fn renewed(
+        &mut self,
+        now: Instant,
+        name: &BackendServerId,
+        announcement: Announcement,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let address = announcement.address;
+        let draining = announcement.draining;
+        let has_rival = self.others_at(address, name).next().is_some();
         let cold_rate_per_s = self.cold_rate_per_s(&announcement.service);
-        let Some(server) = self.servers.get_mut(&name) else {
-            let mut state = ServerState::new(&self.settings, announcement, now);
-            state.keep_leaving();
-            self.hold_back(&mut state, actions);
-            state.cold_rate_per_s = cold_rate_per_s;
-            self.servers.insert(name, state);
+        let Some(server) = self.servers.get_mut(name) else {
             return;
         };
         server.cold_rate_per_s = cold_rate_per_s;
-        let proven = std::mem::take(&mut server.unproven);
-        let address = announcement.address;
+        let is_earlier = announcement.started_at_ms < server.announcement.started_at_ms;
+        let becomes_proven = match server.proof {
+            Proof::Proven => false,
+            Proof::Lacking => true,
+            Proof::Asked => !has_rival,
+        };
         let new_life = server.renew(now, announcement);
-        server.keep_leaving();
-        let draining = server.announcement.draining;
+        if becomes_proven {
+            server.proof = Proof::Proven;
+        }
         if new_life {
-            actions.extend(self.deaths.confirm(now, &name));
+            actions.extend(self.deaths.confirm(now, name));
         }
-        if proven {
-            self.end_others(now, address, &name, actions, |_| true);
+        if is_earlier {
+            self.hold_back(name, actions);
+        } else if becomes_proven {
+            self.end_others(now, address, name, actions, |_| true);
         }
         if draining {
-            self.refuse_waiting(now, &name, ErrorKind::NoServer, actions);
+            self.refuse_waiting(now, name, ErrorKind::NoServer, actions);
+        }
+        self.pump(now, name, actions);
+    }
+
+    /// A server that has said it leaves is held to that for the rest of its life.
+    fn held_to_departure(&mut self, now: Instant, announcement: Announcement) -> Announcement {
+        let Announcement {
+            server,
+            started_at_ms,
+            draining,
+            ..
+        } = &announcement;
+        if *draining {
+            self.departures.add(now, server, *started_at_ms);
+        }
+        let draining = *draining || self.has_left(now, server, *started_at_ms);
+        Announcement {
+            draining,
+            ..announcement
         }
-        self.pump(now, &name, actions);
     }
 
     /// Why the announcement does not count: it is not of the server that the settings name, it is
@@ -66,16 +119,18 @@
             return Some(reason);
         }
         let own = self.servers.get(&announcement.server);
+        if own.is_some_and(|known| known.is_of_earlier_life(announcement)) {
+            return Some(IgnoredBecause::EarlierLife);
+        }
         if own.is_some_and(|known| known.has_said_later(announcement)) {
             return Some(IgnoredBecause::Outdated);
         }
-        let replaced = self.servers.values().any(|other| {
-            let held = &other.announcement;
-            held.address == announcement.address
-                && held.server != announcement.server
-                && !other.gone
+        let mut holders = self.others_at(announcement.address, &announcement.server);
+        let replaced = holders.any(|holder| {
+            let held = &holder.announcement;
+            !held.draining
                 && announcement.started_at_ms < held.started_at_ms
-                && now.saturating_duration_since(other.renewed_at) < self.ttl()
+                && now.saturating_duration_since(holder.renewed_at) < self.ttl()
         });
         replaced.then_some(IgnoredBecause::Replaced)
     }
@@ -114,8 +169,20 @@
         for server in self.servers.values_mut() {
             server.take_settings(&settings);
         }
+        let named =
+            |settings: &GuardSettings| (settings.server_address, settings.server_service.clone());
+        let others_named = named(&settings) != named(&self.settings);
         self.settings = settings;
-        self.end_contradicted(now, actions);
+        if others_named {
+            self.end_contradicted(now, actions);
+            self.inquiries.start_anew(now);
+            self.inquire_beside(actions);
+        }
+    }
+
+    /// Service of the servers on this VM by the settings; empty for any.
+    pub fn server_service(&self) -> &ServiceId {
+        &self.settings.server_service
     }
 
     fn end_contradicted(&mut self, now: Instant, actions: &mut Vec<GuardAction>) {
@@ -146,6 +213,18 @@
         });
     }
 
+    /// Servers other than `name` that are present at an address.
+    pub(super) fn others_at<'a>(
+        &'a self,
+        address: SocketAddr,
+        name: &'a BackendServerId,
+    ) -> impl Iterator<Item = &'a ServerState> {
+        let present = self.servers.iter().filter(|(_, server)| !server.gone);
+        present
+            .filter(move |(other, server)| *other != name && server.announcement.address == address)
+            .map(|(_, server)| server)
+    }
+
     /// Servers other than `name` at an address are gone, where `ends` says so.
     pub(super) fn end_others(
         &mut self,
@@ -155,12 +234,12 @@
         actions: &mut Vec<GuardAction>,
         ends: impl Fn(&ServerState) -> bool,
     ) {
-        let holders = self.servers.iter().filter(|(other, holder)| {
-            *other != name && !holder.gone && holder.announcement.address == address && ends(holder)
-        });
-        let names: Vec<BackendServerId> = holders.map(|(name, _)| name.clone()).collect();
-        for name in names {
-            self.gone(now, &name, actions);
+        let ended = self.others_at(address, name).filter(|other| ends(other));
+        let ended: Vec<BackendServerId> = ended
+            .map(|other| other.announcement.server.clone())
+            .collect();
+        for other in ended {
+            self.gone(now, &other, actions);
         }
     }
 
--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -12,19 +12,30 @@
 const SERVER_MEMORY: Duration = Duration::from_secs(600);
 
 impl GuardState {
-    /// A server withdrew its announcement.
+    /// A life of a server withdrew its announcement. A late word of an earlier life than the present
+    /// one changes nothing.
     pub(super) fn withdrawn(
         &mut self,
         now: Instant,
         name: &BackendServerId,
+        started_at_ms: u64,
         actions: &mut Vec<GuardAction>,
     ) {
-        if let Some(server) = self.servers.get_mut(name) {
-            server.leaves();
+        let held = self.servers.get(name);
+        let held_ms = held.map_or(0, |server| server.announcement.started_at_ms);
+        if started_at_ms != 0 && started_at_ms < held_ms {
+            return;
         }
+        let life_ms = started_at_ms.max(held_ms);
+        self.departures.add(now, name, life_ms);
         self.gone(now, name, actions);
     }
 
+    /// Whether a life of a server has said that it leaves, and is held to that.
+    pub(super) fn has_left(&self, now: Instant, name: &BackendServerId, life_ms: u64) -> bool {
+        self.settings.departures_final && self.departures.has_left(now, name, life_ms)
+    }
+
     pub(super) fn gone(
         &mut self,
         now: Instant,
@@ -108,6 +119,7 @@
 
     /// Forgets servers that left long ago.
     pub(super) fn forget_servers(&mut self, now: Instant) {
+        self.departures.forget(now);
         self.servers.retain(|_, server| {
             let away = now.saturating_duration_since(server.renewed_at);
             !server.gone || server.running_count > 0 || away < SERVER_MEMORY
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -180,7 +180,12 @@
     /// A backend server announced itself, or renewed that.
     Announced(Announcement),
     /// A backend server withdrew its announcement.
-    Withdrawn(BackendServerId),
+    Withdrawn {
+        /// The server.
+        server: BackendServerId,
+        /// When the life that leaves began, in milliseconds since the epoch; 0 where it does not say.
+        started_at_ms: u64,
+    },
     /// Whether this VM's failure domain is out of service.
     Domain {
         /// Out, or back in.
@@ -216,6 +221,8 @@
     Inquired {
         /// Where.
         address: SocketAddr,
+        /// When.
+        asked_at: Instant,
         /// What it says; none without an answer.
         word: Option<HealthWord>,
     },
@@ -266,8 +273,10 @@
 /// Why an announcement was left aside.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IgnoredBecause {
-    /// The server has said later things.
+    /// The server has said later things in the same life.
     Outdated,
+    /// A later life of the server is present, or it names no life where it did before.
+    EarlierLife,
     /// A server that started later has its address.
     Replaced,
     /// The settings name another address for the server on this VM.
@@ -281,6 +290,7 @@
     pub fn name(self) -> &'static str {
         match self {
             IgnoredBecause::Outdated => "outdated",
+            IgnoredBecause::EarlierLife => "earlier_life",
             IgnoredBecause::Replaced => "replaced",
             IgnoredBecause::OtherAddress => "other_address",
             IgnoredBecause::OtherService => "other_service",
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -7,6 +7,7 @@
 pub mod cancel;
 pub mod cold;
 mod deaths;
+mod departures;
 mod drain;
 pub mod duty;
 pub mod forward;
--- a/src/guard/others.rs
+++ b/src/guard/others.rs
@@ -41,19 +41,30 @@
     }
 
     /// Asks a server for its health.
-    pub(super) fn inquire(&self, address: std::net::SocketAddr, path: String) {
+    pub(super) fn inquire(&mut self, address: std::net::SocketAddr, path: String) {
         self.context.metrics.count("guard.inquiry");
         let own = self.context.own.clone();
         let dialect = self.context.forward.dialect.clone();
+        let asked_at = self.context.clock.now();
         let done = Box::new(move |result: Result<WholeAnswer, CallError>| {
             let word = result.ok().and_then(|answer| dialect.health_word(&answer));
-            let event = GuardEvent::Inquired { address, word };
-            own.deliver(GuardMessage::Event(event));
+            own.deliver(GuardMessage::Event(GuardEvent::Inquired {
+                address,
+                asked_at,
+                word,
+            }));
         });
         let call = forward::inquiry(&self.context.forward, address, path);
         match self.context.caller.call(call, done) {
             Ok(handle) => handle.detach(),
-            Err(_) => self.context.metrics.count("guard.inquiry.dropped"),
+            Err(_) => {
+                self.context.metrics.count("guard.inquiry.dropped");
+                self.decide(GuardEvent::Inquired {
+                    address,
+                    asked_at,
+                    word: None,
+                });
+            }
         }
     }
 
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -18,6 +18,17 @@
 /// Answers before waits are foretold.
 const LEAST_SAMPLE_COUNT: u32 = 8;
 
+/// Whether a server is known to be where it announces itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Proof {
+    /// Its health has named it, or a second announcement came.
+    Proven,
+    /// Its address was asked and has not answered yet.
+    Asked,
+    /// Its address can't be asked, or gave no help.
+    Lacking,
+}
+
 /// State of one server. It outlives a lapsed announcement, so that a server that comes back is
 /// judged by its former latency.
 pub(super) struct ServerState {
@@ -32,12 +43,10 @@
     pub(super) queue: FairQueue,
     pub(super) cold: ColdLimit,
     pub(super) breaker: Breaker,
-    /// Whether it waits for a proof that it is there; see `inquiry`.
-    pub(super) unproven: bool,
-    /// The life of the server that has said it leaves. Announcements of that life that are late or
-    /// cross the departure do not bring it back.
-    left_life_ms: Option<u64>,
-    departures_final: bool,
+    /// Whether it is known to be there; see `inquiry`.
+    pub(super) proof: Proof,
+    /// When this life of it was first heard of.
+    pub(super) seen_at: Instant,
     pub(super) start_rate: StartRate,
     /// Requests a second that it bears while it is cold; 0 where its service does not say.
     pub(super) cold_rate_per_s: f64,
@@ -66,9 +75,8 @@
             running_count: 0,
             queue: FairQueue::new(settings.queue_count),
             cold,
-            unproven: false,
-            left_life_ms: None,
-            departures_final: settings.departures_final,
+            proof: Proof::Proven,
+            seen_at: now,
             breaker: Breaker::new(Duration::from_millis(settings.breaker_open_ms)),
             start_rate: StartRate::default(),
             cold_rate_per_s: 0.0,
@@ -81,7 +89,6 @@
 
     /// Takes what may change while a server is known.
     pub(super) fn take_settings(&mut self, settings: &GuardSettings) {
-        self.departures_final = settings.departures_final;
         self.cold_rate_factor = settings.cold_rate_factor;
         self.cold_rate_slack_count = settings.cold_rate_slack_count;
     }
@@ -94,6 +101,7 @@
         let told_cold = announcement.cold && !self.announcement.cold;
         if new_life {
             self.life_count += 1;
+            self.seen_at = now;
         }
         if told_cold || (new_life && announcement.cold) {
             self.cold.told_cold(now);
@@ -106,31 +114,25 @@
         new_life
     }
 
-    /// Whether a later announcement than this one was taken.
-    pub(super) fn has_said_later(&self, announcement: &Announcement) -> bool {
-        let held = &self.announcement;
-        let named = announcement.started_at_ms != 0;
-        if named && announcement.started_at_ms != held.started_at_ms {
-            return announcement.started_at_ms < held.started_at_ms;
+    /// Whether the announcement is of an earlier life than the one that is present.
+    pub(super) fn is_of_earlier_life(&self, announcement: &Announcement) -> bool {
+        let held_ms = self.announcement.started_at_ms;
+        match announcement.started_at_ms {
+            0 => held_ms != 0,
+            started_at_ms => started_at_ms < held_ms && !self.gone,
         }
-        announcement.sequence != 0 && announcement.sequence < held.sequence
     }
 
-    /// The server says that it leaves, by its announcement or by withdrawing it.
-    pub(super) fn leaves(&mut self) {
-        let life_ms = self.announcement.started_at_ms;
-        let held = self.departures_final && life_ms != 0;
-        self.left_life_ms = held.then_some(life_ms);
+    /// Whether a later announcement of the same life was taken.
+    pub(super) fn has_said_later(&self, announcement: &Announcement) -> bool {
+        let held = &self.announcement;
+        let same_life = announcement.started_at_ms == held.started_at_ms;
+        same_life && announcement.sequence != 0 && announcement.sequence < held.sequence
     }
 
-    /// Holds a server to its word that it leaves, for the rest of its life.
-    pub(super) fn keep_leaving(&mut self) {
-        if self.announcement.draining {
-            self.leaves();
-        }
-        if self.left_life_ms == Some(self.announcement.started_at_ms) {
-            self.announcement.draining = true;
-        }
+    /// Whether it is known to be there.
+    pub(super) fn is_proven(&self) -> bool {
+        self.proof == Proof::Proven
     }
 
     /// Requests at a time, at present.
@@ -143,7 +145,7 @@
 
     /// Whether it may be given new work, as far as it says itself.
     pub(super) fn takes_work(&self) -> bool {
-        !self.gone && !self.unproven && !self.announcement.draining
+        !self.gone && self.is_proven() && !self.announcement.draining
     }
 
     pub(super) fn has_free_slot(&self, now: Instant) -> bool {
@@ -289,7 +291,7 @@
                 self.announcement.slots_count
             },
             cold,
-            draining: self.announcement.draining || self.unproven || !takes_work,
+            draining: self.announcement.draining || !self.is_proven() || !takes_work,
             share_permille: FULL_SHARE_PERMILLE,
         }
     }
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use super::deaths::{BrokenCall, DeathWatch};
+use super::departures::Departures;
+use super::inquiry::Inquiries;
 use super::message::{
     AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerLoad, ServerOutcome,
 };
@@ -16,7 +18,7 @@
 use crate::life::OwnLives;
 use crate::membership::ServerEntry;
 use crate::settings::guard::GuardSettings;
-use crate::types::{BackendServerId, Incarnation, ServiceId};
+use crate::types::{BackendServerId, Incarnation};
 use crate::wire::client::CallError;
 
 /// State of the guard.
@@ -30,11 +32,11 @@
     pub(super) running: HashMap<AttemptKey, GuardRequest>,
     pub(super) started: StartedRecord,
     pub(super) deaths: DeathWatch,
+    pub(super) departures: Departures,
     pub(super) draining: bool,
     pub(super) domain_out: bool,
     pub(super) view: Arc<View>,
-    /// Whether the server that the settings name was asked for its health.
-    pub(super) inquired: bool,
+    pub(super) inquiries: Inquiries,
     pub(super) retries: RetryWindow,
     /// Guards of the service of the server on this VM, this one among them.
     pub(super) guard_count: usize,
@@ -53,6 +55,7 @@
         GuardState {
             started: StartedRecord::new(keep, settings.started_limit_count),
             deaths: DeathWatch::new(&settings),
+            departures: Departures::default(),
             retries: RetryWindow::new(&settings),
             guard_count: 1,
             settings,
@@ -62,7 +65,7 @@
             draining: false,
             domain_out: false,
             view: Arc::default(),
-            inquired: false,
+            inquiries: Inquiries::default(),
             own_call_failed_at: None,
             last_arrival_at: None,
             reported: Vec::new(),
@@ -104,7 +107,10 @@
             GuardEvent::Announced(announcement) => {
                 self.announced(now, announcement, &mut actions);
             }
-            GuardEvent::Withdrawn(server) => self.withdrawn(now, &server, &mut actions),
+            GuardEvent::Withdrawn {
+                server,
+                started_at_ms,
+            } => self.withdrawn(now, &server, started_at_ms, &mut actions),
             GuardEvent::Domain { out } => self.domain(now, out, &mut actions),
             GuardEvent::Fence(fence) => self.fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.cancel(now, request, &mut actions),
@@ -118,9 +124,11 @@
                 self.view_changed(view);
                 self.inquire_beside(&mut actions);
             }
-            GuardEvent::Inquired { address, word } => {
-                self.inquired(now, address, word, &mut actions);
-            }
+            GuardEvent::Inquired {
+                address,
+                asked_at,
+                word,
+            } => self.inquired(now, (address, asked_at), word, &mut actions),
             GuardEvent::Settings(settings) => self.take_settings(now, *settings, &mut actions),
             GuardEvent::Guards { count } => self.guard_count = count,
             GuardEvent::Life(incarnation) => self.lives.raise(incarnation),
@@ -140,11 +148,6 @@
         actions
     }
 
-    /// Service of the servers on this VM by the settings; empty for any.
-    pub fn server_service(&self) -> &ServiceId {
-        &self.settings.server_service
-    }
-
     /// The load of a server beside; nothing for one that is not known.
     pub fn load_of(&self, now: Instant, server: &str) -> ServerLoad {
         let Some(server) = self.servers.get(server) else {
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,6 +1,8 @@
+mod announce;
 mod beside;
 mod brief_wait;
 mod deaths;
+mod late;
 mod lives;
 mod odd;
 mod overdue;
--- a/src/guard/tests/beside.rs
+++ b/src/guard/tests/beside.rs
@@ -101,6 +101,7 @@
 
     // Act
     state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+    state.handle(now, health("s", false));
     let actions = state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
 
     // Assert
--- a/src/guard/tests/servers.rs
+++ b/src/guard/tests/servers.rs
@@ -27,7 +27,7 @@
         })
     };
     state.handle(now, ready(5, 1));
-    state.handle(now, GuardEvent::Withdrawn("s".into()));
+    state.handle(now, withdrawn("s", 0));
 
     // Act
     state.handle(now, ready(5, 2));
@@ -100,6 +100,7 @@
 pub(super) fn health(server: &str, healthy: bool) -> GuardEvent {
     GuardEvent::Inquired {
         address: announcement().address,
+        asked_at: Instant::now(),
         word: Some(HealthWord {
             server: server.into(),
             healthy,
@@ -109,6 +110,13 @@
     }
 }
 
+pub(super) fn withdrawn(server: &str, started_at_ms: u64) -> GuardEvent {
+    GuardEvent::Withdrawn {
+        server: server.into(),
+        started_at_ms,
+    }
+}
+
 fn announced_as(service: &str, sequence: u64) -> GuardEvent {
     GuardEvent::Announced(Announcement {
         service: service.into(),
--- a/tests/guard_scenarios/bench.rs
+++ b/tests/guard_scenarios/bench.rs
@@ -127,7 +127,10 @@
 
     pub fn withdraw(&mut self) {
         self.announced = false;
-        self.decide(GuardEvent::Withdrawn("s".into()));
+        self.decide(GuardEvent::Withdrawn {
+            server: "s".into(),
+            started_at_ms: 0,
+        });
     }
 
     pub fn announce(&mut self) {
