Call a peer for work again after it bears a greater number

Callers saw: after a daemon took a number above a life that was over, a peer that had exchanged gossip with it before never reached it for work again. Fences ended as unsent, which a request that may not be repeated shows as 502, tokens were not borrowed and cancels were lost, for as long as gossip kept the connection from becoming idle.

Cause: a connection to an earlier life stands, since membership uses it. The news of the greater number closed only connections that had not been ones of an earlier life before, and nothing dialled the others anew. Where the news came before the peer's own link bore the number, the new connection was one of an earlier life, too, and stayed.

A call other than membership's that finds a connection to an earlier life dials anew, while membership goes on with the connection that stands. The first wait is retry_ms and doubles up to retry_limit_ms as long as the peer stays an earlier life, so calls don't become dials; news of a later life starts it again.

Ruled out: closing the connection at the refused call; it would end membership's calls in flight as silent, which looks like a suspicion.

--- a/src/link/caller.rs
+++ b/src/link/caller.rs
@@ -15,7 +15,7 @@
 use super::reply::PendingReply;
 use super::state::{ConnectionEnd, PeerState};
 use crate::membership::Fleet;
-use crate::types::DaemonId;
+use crate::types::{DaemonId, Incarnation};
 
 /// Whom a call is for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -61,20 +61,24 @@
         is_earlier(peer, &self.fleet.borrow())
     }
 
-    /// Takes a new snapshot, and the life that it gives this daemon. Connections to peers that were
-    /// in their last life until now are closed.
+    /// Takes a new snapshot, and the life that it gives this daemon. Connections to peers of which
+    /// it names a new later life are closed, so that the next call meets that life.
     pub(super) fn set_fleet(&self, fleet: Arc<Fleet>) {
         let mut own = self.dial.own.borrow_mut();
         if let Some(entry) = fleet.daemons.get(&own.daemon) {
             own.incarnation = own.incarnation.max(entry.incarnation);
         }
         let before = self.fleet.replace(fleet);
-        for peer in self.peers.borrow().values() {
+        let fleet = self.fleet.borrow();
+        for peer in self.peers.borrow_mut().values_mut() {
             let Some(connection) = &peer.connection else {
                 continue;
             };
-            if self.is_earlier_life(&connection.peer) && !is_earlier(&connection.peer, &before) {
+            let found = &connection.peer;
+            let is_news = known_life(found, &fleet) != known_life(found, &before);
+            if is_news && is_earlier(found, &fleet) {
                 connection.close();
+                peer.state.forget_earlier_life();
             }
         }
     }
@@ -100,10 +104,9 @@
             self.dial.metrics.count("link.call.over_limit");
             return pending.end(Err(LinkError::Unreachable));
         }
-        match self.connection(&key).await {
-            Ok(connection)
-                if self.is_earlier_life(&connection.peer) && !request.is_of_membership() =>
-            {
+        let of_membership = request.is_of_membership();
+        match self.connection(&key, of_membership).await {
+            Ok(connection) if !of_membership && self.is_earlier_life(&connection.peer) => {
                 self.dial.metrics.count("link.peer.earlier_life");
                 pending.end(Err(LinkError::Unreachable));
             }
@@ -146,16 +149,27 @@
         self.with_peer(key, |peer| peer.calls_count -= 1);
     }
 
-    async fn connection(self: &Rc<Self>, key: &PeerKey) -> Result<Rc<Connection>, LinkError> {
+    /// A connection for a call. One to an earlier life serves membership; for other calls the peer
+    /// is dialled anew from time to time.
+    async fn connection(
+        self: &Rc<Self>,
+        key: &PeerKey,
+        of_membership: bool,
+    ) -> Result<Rc<Connection>, LinkError> {
         let dialling = {
             let mut peers = self.peers.borrow_mut();
             let peer = peers.get_mut(key).ok_or(LinkError::Unreachable)?;
             let own_life = self.dial.own.borrow().incarnation;
-            let usable = |found: &&Rc<Connection>| found.is_open() && found.own_life == own_life;
+            let now = Instant::now();
+            let may_renew = !of_membership && peer.state.may_renew(now);
+            let usable = |found: &&Rc<Connection>| {
+                let renewed = may_renew && self.is_earlier_life(&found.peer);
+                found.is_open() && found.own_life == own_life && !renewed
+            };
             if let Some(connection) = peer.connection.as_ref().filter(usable) {
                 return Ok(connection.clone());
             }
-            if !peer.state.may_dial(Instant::now()) {
+            if !peer.state.may_dial(now) {
                 self.dial.metrics.count("link.call.suspect");
                 return Err(LinkError::Unreachable);
             }
@@ -192,7 +206,7 @@
             return Err(LinkError::Unreachable);
         }
         let connection = Rc::new(connection);
-        self.with_peer(&key, |peer| peer.connection = Some(connection.clone()));
+        self.take_connection(&key, &connection);
         let executor = self.executor.upgrade().ok_or(LinkError::Unreachable)?;
         let caller = self.clone();
         let watched = connection.clone();
@@ -207,6 +221,22 @@
         Ok(connection)
     }
 
+    /// Puts a new connection in the place of the one before.
+    fn take_connection(&self, key: &PeerKey, connection: &Rc<Connection>) {
+        let earlier = self.is_earlier_life(&connection.peer);
+        let settings = &self.dial.settings;
+        self.with_peer(key, |peer| {
+            match earlier {
+                true => peer.state.met_earlier_life(settings, Instant::now()),
+                false => peer.state.forget_earlier_life(),
+            }
+            let former = peer.connection.replace(connection.clone());
+            if let Some(former) = former.filter(|former| self.is_earlier_life(&former.peer)) {
+                former.close_unused();
+            }
+        });
+    }
+
     /// Whether the proven peer is the daemon that was called, in whichever life.
     fn expected(&self, key: &PeerKey, connection: &Connection) -> bool {
         let found = &connection.peer;
@@ -232,6 +262,13 @@
 
 /// Whether a snapshot has a later life of a peer.
 fn is_earlier(peer: &PeerName, fleet: &Fleet) -> bool {
-    let known = fleet.daemons.get(&peer.daemon);
-    known.is_some_and(|known| known.incarnation > peer.incarnation)
+    known_life(peer, fleet).is_some_and(|known| known > peer.incarnation)
+}
+
+/// The number of a peer's life in a snapshot.
+fn known_life(peer: &PeerName, fleet: &Fleet) -> Option<Incarnation> {
+    fleet
+        .daemons
+        .get(&peer.daemon)
+        .map(|known| known.incarnation)
 }
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -172,6 +172,13 @@
         self.open.get()
     }
 
+    /// Closes the connection if no call waits on it; otherwise it ends once it is idle.
+    pub(super) fn close_unused(&self) {
+        if self.state.borrow().in_flight_count() == 0 {
+            self.close();
+        }
+    }
+
     fn note(&self, event: ConnectionEvent) {
         let action = self.state.borrow_mut().handle(Instant::now(), event);
         debug_assert!(action.is_none(), "only ticks act");
--- a/src/link/state.rs
+++ b/src/link/state.rs
@@ -126,6 +126,10 @@
     failure_count: u32,
     /// A suspect peer is not dialled before this.
     retry_at: Option<Instant>,
+    /// Connections in a row that met an earlier life than membership knows.
+    earlier_life_count: u32,
+    /// A peer in an earlier life is not dialled anew before this.
+    renew_at: Option<Instant>,
 }
 
 impl PeerState {
@@ -145,6 +149,24 @@
         self.retry_at = None;
     }
 
+    /// Whether a peer that was in an earlier life may be dialled anew, since it may bear a later
+    /// number by now.
+    pub fn may_renew(&self, now: Instant) -> bool {
+        self.may_dial(now) && self.renew_at.is_none_or(|at| now >= at)
+    }
+
+    /// A new connection met the peer in an earlier life.
+    pub fn met_earlier_life(&mut self, settings: &LinkSettings, now: Instant) {
+        self.renew_at = Some(now + retry_wait(settings, self.earlier_life_count));
+        self.earlier_life_count = self.earlier_life_count.saturating_add(1);
+    }
+
+    /// The peer is in its latest life, or there is news of a later one.
+    pub fn forget_earlier_life(&mut self) {
+        self.earlier_life_count = 0;
+        self.renew_at = None;
+    }
+
     /// A connection ended. Says whether the peer became suspect by it.
     pub fn ended(&mut self, settings: &LinkSettings, now: Instant, end: ConnectionEnd) -> bool {
         if end == ConnectionEnd::Closed {
@@ -155,11 +177,17 @@
         if !self.suspect() {
             return false;
         }
-        let doublings = (self.failure_count - SUSPECT_FAILURE_COUNT).min(16);
-        let wait_ms = settings.retry_ms.saturating_mul(1 << doublings);
-        self.retry_at = Some(now + Duration::from_millis(wait_ms.min(settings.retry_limit_ms)));
+        let doublings_count = self.failure_count - SUSPECT_FAILURE_COUNT;
+        self.retry_at = Some(now + retry_wait(settings, doublings_count));
         !before
     }
 }
 
+fn retry_wait(settings: &LinkSettings, doublings_count: u32) -> Duration {
+    let wait_ms = settings
+        .retry_ms
+        .saturating_mul(1 << doublings_count.min(16));
+    Duration::from_millis(wait_ms.min(settings.retry_limit_ms))
+}
+
 const SUSPECT_FAILURE_COUNT: u32 = 2;
--- a/src/link/tests/lives.rs
+++ b/src/link/tests/lives.rs
@@ -3,6 +3,7 @@
 use crate::link::message::*;
 use crate::link::tests::support::*;
 use crate::membership::{DaemonEntry, Fleet, Gossip};
+use crate::settings::link::LinkSettings;
 use crate::types::DaemonId;
 
 /// A fleet of one other daemon, or of this one, in a life of that number.
@@ -118,3 +119,65 @@
     );
     assert_eq!(*seen.lock().unwrap(), [7, 9]);
 }
+
+/// Two links, `b` and its caller `a`, which dials an earlier life anew after `retry_ms`. They have
+/// exchanged gossip while `a` knew a later life of `b`.
+fn gossiped_with_earlier_life(retry_ms: u64) -> (RunningLink, RunningLink) {
+    let settings = LinkSettings {
+        retry_ms,
+        retry_limit_ms: LONG_MS,
+        ..Default::default()
+    };
+    let answerer = start_link("b", SECRET, answer_done());
+    let caller = start_link_with("a", SECRET, settings, refuse_all());
+    knows_life(&caller, in_life("b", answerer.address, 900));
+    assert_eq!(caller.ask("b", gossip()), Ok(PeerAnswer::Done));
+    (answerer, caller)
+}
+
+const LONG_MS: u64 = 3_600_000;
+
+#[test]
+fn a_peer_that_was_called_before_its_new_number_is_asked_for_work_after_it() {
+    // Arrange
+    let (answerer, caller) = gossiped_with_earlier_life(LONG_MS);
+
+    // Act
+    knows_life(&answerer, in_life("b", answerer.address, 1_200));
+    knows_life(&caller, in_life("b", answerer.address, 1_200));
+    let asked = caller.ask("b", PeerRequest::Cancel(1));
+
+    // Assert
+    assert_eq!(asked, Ok(PeerAnswer::Done));
+}
+
+#[test]
+fn a_peer_whose_new_number_is_heard_before_its_link_bears_it_is_asked_for_work_after_it() {
+    // Arrange
+    let (answerer, caller) = gossiped_with_earlier_life(0);
+    knows_life(&caller, in_life("b", answerer.address, 1_200));
+    let between = caller.ask("b", gossip());
+
+    // Act
+    knows_life(&answerer, in_life("b", answerer.address, 1_200));
+    let asked = caller.ask("b", PeerRequest::Cancel(1));
+
+    // Assert
+    assert_eq!(between, Ok(PeerAnswer::Done));
+    assert_eq!(asked, Ok(PeerAnswer::Done));
+}
+
+#[test]
+fn a_peer_that_stays_an_earlier_life_is_not_dialled_for_each_call() {
+    // Arrange
+    let (_answerer, caller) = gossiped_with_earlier_life(LONG_MS);
+
+    // Act
+    let asked: Vec<_> = (0..8)
+        .map(|number| caller.ask("b", PeerRequest::Cancel(number)))
+        .collect();
+
+    // Assert
+    assert_eq!(asked, vec![Err(LinkError::Unreachable); 8]);
+    assert_eq!(caller.counted("link.connect.done"), 1);
+}
--- a/src/link/tests/states.rs
+++ b/src/link/tests/states.rs
@@ -122,3 +122,27 @@
     assert!(transcript.verify(&key, End::Caller, &proof));
     assert!(!reflected && !in_later_life && !with_names_swapped && !cut);
 }
+
+#[test]
+fn a_peer_that_stays_an_earlier_life_is_dialled_anew_ever_more_seldom() {
+    // Arrange
+    let settings = LinkSettings::default();
+    let first = Instant::now();
+    let mut peer = PeerState::default();
+    let mut now = first;
+    let mut dials_count = 0;
+
+    // Act
+    while now < first + Duration::from_secs(60) {
+        if peer.may_renew(now) {
+            peer.met_earlier_life(&settings, now);
+            dials_count += 1;
+        }
+        now += Duration::from_millis(10);
+    }
+
+    // Assert
+    assert!((12..=20).contains(&dials_count), "{dials_count}");
+    peer.forget_earlier_life();
+    assert!(peer.may_renew(now));
+}
