Keep the numbers of lives from running ahead of the clock

Callers saw: after a clock that was set back, a daemon whose VM was replaced at other addresses yielded to a life that was over for minutes, although its clock was right.

Cause: a number that outranks another was drawn from the 65,536 above it. Numbers are milliseconds, so each restart and each raise put the number up to 65.5 s further ahead of the clock, faster than time passed.

Fix: the gap is drawn from 1,000 numbers. A daemon takes one new number a second at most, so raises can't outrun the clock, and restarts that are a second or more apart come nearer to it. The gap still keeps two processes that outrank the same life apart; they draw the same number once in 1,000 times instead of once in 65,536, which docs/at-most-once.md names.

Evidence: both new tests failed before the change: numbers_above_later_lives_do_not_run_ahead_of_the_clock 601549 ms in 20000 ms numbers_of_restarts_after_a_clock_set_back_come_nearer_to_the_clock 423216 ms ahead They and all tests under membership:: pass with it.

Left open: a superseded process takes no new number once its own clock has passed the later life. Membership has no wall time among its events.

--- a/src/life.rs
+++ b/src/life.rs
@@ -8,9 +8,10 @@
 /// The greatest number of a life, in milliseconds since the epoch: the end of the year 9999. Greater
 /// ones, which no clock shows, are not believed.
 pub const LATEST_LIFE: Incarnation = 253_402_300_799_999;
-/// A life leaves up to so many numbers free above one that it outranks, so that two processes that
-/// outrank the same life do not bear one number.
-pub const LIFE_GAP_COUNT: u64 = 1 << 16;
+/// A life lies up to so many numbers above one that it outranks, by chance, so that two processes that
+/// outrank the same life hardly bear one number. Numbers are milliseconds: a second of them keeps
+/// lives that follow each other by a second or more from running ahead of the clock.
+pub const LIFE_GAP_COUNT: u64 = 1_000;
 
 /// Whether a life of this number can have begun.
 pub fn is_life(number: Incarnation) -> bool {
--- a/src/life/tests.rs
+++ b/src/life/tests.rs
@@ -1,4 +1,4 @@
-use super::{first_life, later_life, OwnLives, LATEST_LIFE};
+use super::{first_life, later_life, OwnLives, LATEST_LIFE, LIFE_GAP_COUNT};
 
 #[test]
 fn a_start_is_later_than_the_last_life_whatever_the_clock_shows() {
@@ -28,3 +28,19 @@
     assert!(lives.contains(5) && lives.contains(9));
     assert!(!lives.contains(7));
 }
+
+#[test]
+fn numbers_of_restarts_after_a_clock_set_back_come_nearer_to_the_clock() {
+    // Arrange
+    let mut wall_ms = 1_000_000;
+    let mut life = first_life(wall_ms + 60_000, 0, 0);
+
+    // Act
+    for _ in 0..6 {
+        wall_ms += 5_000;
+        life = first_life(wall_ms, life, LIFE_GAP_COUNT - 1);
+    }
+
+    // Assert
+    assert!(life - wall_ms < 60_000, "{} ms ahead", life - wall_ms);
+}
--- a/src/membership/own_life.rs
+++ b/src/membership/own_life.rs
@@ -24,7 +24,8 @@
     source: NewsSource,
 }
 
-/// Least time between two new numbers, should two processes hold one address all the same.
+/// Least time between two new numbers, should two processes hold one address all the same. No shorter
+/// than `LIFE_GAP_COUNT` milliseconds.
 const RAISE_WAIT: Duration = Duration::from_secs(1);
 
 impl MembershipState {
--- a/src/membership/tests/lives.rs
+++ b/src/membership/tests/lives.rs
@@ -291,3 +291,24 @@
     assert!(state.next_tick_at() > later);
     assert_eq!(state.own().incarnation, 1);
 }
+
+#[test]
+fn numbers_above_later_lives_do_not_run_ahead_of_the_clock() {
+    // Arrange
+    let mut state = state_of("a");
+    let first = Instant::now();
+    let mut now = first;
+    let mut heard = 1_000_000;
+
+    // Act
+    for _ in 0..20 {
+        state.handle(now, MembershipEvent::Heard(later_life(heard)));
+        heard = state.own().incarnation + 1;
+        now += Duration::from_secs(1);
+    }
+
+    // Assert
+    let ahead_ms = state.own().incarnation - 1_000_000;
+    let passed_ms = (now - first).as_millis() as u64;
+    assert!(ahead_ms <= passed_ms, "{ahead_ms} ms in {passed_ms} ms");
+}
