Keep what the processes of a soak print, its harms and its answers

A soak that fails left nothing to trace: the processes' log lines were dropped, and callers' answers were only counted. Without the variable nothing is kept and the soak plays as before: the draws, bounds and checks are unchanged.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,8 @@
 //! promises checked by what callers and servers saw.
 //!
 //! `SOAK_SEEDS=FROM-TO` plays other seeds than those of CI. A seed that ever failed stays in `SEEDS`
-//! with a line on its cause.
+//! with a line on its cause. `SOAK_LOGS=DIRECTORY` keeps there what each process printed, each harm
+//! and each order with its answer.
 
 mod support;
 
@@ -25,6 +26,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use readers::{read_sheets, ReaderReport};
+use serde_json::json;
+use support::logs::{note, now_ms};
 
 /// Seeds that CI plays.
 const SEEDS: &[u64] = &[1, 2];
@@ -51,7 +54,7 @@
     (number(from)..=number(to)).collect()
 }
 
-fn order(front: SocketAddr, path: &str) -> Option<(u16, String)> {
+fn order(front: SocketAddr, path: &str) -> Option<(u16, String, String)> {
     let response = attohttpc::post(format!("http://{front}{path}"))
         .bearer_auth("key-1")
         .header("x-deadline-ms", DEADLINE_MS.to_string())
@@ -62,25 +65,43 @@
     let ran = response.headers().get("x-banyanbeam-ran");
     let ran = ran.and_then(|value| value.to_str().ok());
     let ran = ran.unwrap_or_default().to_owned();
-    Some((response.status().as_u16(), ran))
+    let status = response.status().as_u16();
+    let text = response.text().unwrap_or_default();
+    Some((status, ran, kind(&text)))
+}
+
+/// The kind of refusal that a body names; empty where a server answered.
+fn kind(body: &str) -> String {
+    let body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    body["kind"].as_str().unwrap_or_default().to_owned()
 }
 
 fn call(caller: u64, seed: u64, fronts: &[SocketAddr], stop: &AtomicBool) -> Vec<Told> {
     let mut random = ChaCha8Rng::seed_from_u64(seed * CALLER_COUNT + caller);
     let mut told = Vec::new();
+    let mut notes = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         let front = *fronts.choose(&mut random).expect("entries");
         let path = format!("/orders/{seed}-{caller}-{}", told.len());
+        let from_ms = now_ms();
         let answer = order(front, &path);
+        let to_ms = now_ms();
+        let line = json!({
+            "from_ms": from_ms, "to_ms": to_ms, "front": front, "path": path, "answer": answer,
+        });
+        notes.push(line.to_string());
+        let answer = answer.map(|(status, ran, _)| (status, ran));
         told.push(Told { path, answer });
         thread::sleep(Duration::from_millis(random.random_range(0..10)));
     }
+    note("calls", &notes.join("\n"));
     told
 }
 
 /// Plays one seed; gives what callers were told, how often each path ran, and what readers saw.
 fn play(seed: u64) -> (Vec<Told>, BTreeMap<String, u64>, Vec<ReaderReport>) {
     let mut fleet = SoakFleet::start(&format!("soak-{seed}"));
+    note("fronts", &json!(fleet.fronts()).to_string());
     let stop = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|caller| {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -9,12 +9,16 @@
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 
 use super::proxy::{Harm, Proxy};
 use super::support::faults::{quick_settings, ran, set_faults};
+use super::support::logs::{note, now_ms};
 use super::support::{ask_until, publish_basics, start_daemon, start_log, start_server, Process};
 
 const DAEMON_COUNT: usize = 4;
+/// What the notes call each harm.
+const HARM_NAMES: [&str; 6] = ["pause", "kill", "stop", "server", "server", "log"];
 
 /// One VM: a daemon with fixed addresses, its server, and its way to the platform's log.
 struct Vm {
@@ -55,17 +59,20 @@
         let place = random.random_range(0..self.vms.len());
         let time = Duration::from_millis(random.random_range(100..1_200));
         let vm = &mut self.vms[place];
-        match random.random_range(0..6) {
+        let from_ms = now_ms();
+        let kind = random.random_range(0..6);
+        match kind {
             0 => vm.pause(time),
             1 => vm.restart("KILL", time / 4),
             2 => vm.restart("TERM", Duration::ZERO),
             3 | 4 => vm.fail_server(random, time),
-            _ => {
-                vm.log.set(log_harm(random));
-                thread::sleep(time);
-                vm.log.set(Harm::None);
-            }
+            _ => vm.harm_log(random, time),
         }
+        let harm = HARM_NAMES[kind];
+        let daemon = &vm.settings.daemon.daemon;
+        let to_ms = now_ms();
+        let line = json!({"from_ms": from_ms, "to_ms": to_ms, "daemon": daemon, "harm": harm});
+        note("harms", &line.to_string());
     }
 
     /// Waits until every entry answers by a server.
@@ -112,6 +119,14 @@
         }
     }
 
+    fn harm_log(&mut self, random: &mut ChaCha8Rng, time: Duration) {
+        let harm = log_harm(random);
+        note("harms", &format!("{harm:?}"));
+        self.log.set(harm);
+        thread::sleep(time);
+        self.log.set(Harm::None);
+    }
+
     fn pause(&mut self, time: Duration) {
         self.daemon.signal("STOP");
         thread::sleep(time);
@@ -128,6 +143,7 @@
 
     fn fail_server(&mut self, random: &mut ChaCha8Rng, time: Duration) {
         let faults = server_faults(random);
+        note("harms", &format!("{faults:?}").replace('\n', " "));
         let address = self.server.address("listening");
         set_faults(address, &faults);
         thread::sleep(time);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod faults;
+pub mod logs;
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -37,6 +38,7 @@
         output
             .read_line(&mut line)
             .expect("the process prints a line");
+        logs::keep_output(child.id(), output);
         Process {
             child,
             line: line.trim().to_owned(),
