Outrank a life that has few numbers above it

Callers saw: a record that names a life in the last numbers that are believed, at the daemon's own addresses, held the daemon back for good, and each start after it took the wall time and was held back again.

Cause: a number was taken only where the whole drawn gap, or for a running daemon the longest one, fitted below the greatest number.

A record with the greatest number still holds a daemon back: to refuse it, membership would have to compare numbers with the wall time, which it does not have.

--- a/src/life.rs
+++ b/src/life.rs
@@ -18,10 +18,12 @@
     number <= LATEST_LIFE
 }
 
-/// A number above a known one; none above the greatest. `gap_count` is drawn by chance.
+/// A number above a known one; none above the greatest. `gap_count` is drawn by chance, and made to
+/// fit where fewer numbers are left.
 pub fn later_life(known: Incarnation, gap_count: u64) -> Option<Incarnation> {
-    let next = known.checked_add(1)?.checked_add(gap_count)?;
-    is_life(next).then_some(next)
+    let left_count = LATEST_LIFE.checked_sub(known)?;
+    let fitting_count = gap_count.checked_rem(left_count)?;
+    Some(known + 1 + fitting_count)
 }
 
 /// The number of a life that begins now, above the last one that is known.
--- a/src/life/tests.rs
+++ b/src/life/tests.rs
@@ -44,3 +44,11 @@
     // Assert
     assert!(life - wall_ms < 60_000, "{} ms ahead", life - wall_ms);
 }
+
+#[test]
+fn a_start_outranks_a_last_life_with_few_numbers_above_it() {
+    for gap_count in [0, 1, 2, 3, LIFE_GAP_COUNT - 1] {
+        let life = first_life(900, LATEST_LIFE - 3, gap_count);
+        assert!(life > LATEST_LIFE - 3 && life <= LATEST_LIFE, "{life}");
+    }
+}
--- a/src/membership/own_life.rs
+++ b/src/membership/own_life.rs
@@ -12,7 +12,7 @@
 
 use super::message::{DaemonEntry, LifeRaised, MembershipAction, NewsSource, Summary};
 use super::state::MembershipState;
-use crate::life::{is_life, later_life, LIFE_GAP_COUNT};
+use crate::life::{is_life, later_life, LATEST_LIFE, LIFE_GAP_COUNT};
 use crate::types::Incarnation;
 
 /// The latest life of this daemon that others know, where it is later than this one.
@@ -135,7 +135,7 @@
     fn is_over(&self, later: &LaterLife) -> bool {
         let own = (self.own.guard_address, self.own.link_address);
         let named = !own.0.ip().is_unspecified() && !own.1.ip().is_unspecified();
-        let surpassable = later_life(later.incarnation, LIFE_GAP_COUNT).is_some();
+        let surpassable = later.incarnation < LATEST_LIFE;
         named && surpassable && later.addresses == Some(own)
     }
 
--- a/src/membership/tests/lives.rs
+++ b/src/membership/tests/lives.rs
@@ -312,3 +312,16 @@
     let passed_ms = (now - first).as_millis() as u64;
     assert!(ahead_ms <= passed_ms, "{ahead_ms} ms in {passed_ms} ms");
 }
+
+#[test]
+fn a_life_with_few_numbers_above_it_does_not_hold_this_one_back() {
+    // Arrange
+    let mut state = state_of("a");
+    let now = Instant::now();
+
+    // Act
+    state.handle(now, MembershipEvent::Heard(later_life(LATEST_LIFE - 1)));
+
+    // Assert
+    assert_eq!(state.own().incarnation, LATEST_LIFE);
+}
