--- a/src/guard/tests/announce.rs
+++ b/src/guard/tests/announce.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::thread;
 
+use crossbeam::channel::Select;
+
 use crate::guard::announce::{run, FleetAnnouncements};
 use crate::metrics::Metrics;
 use crate::ring::ring;
@@ -27,9 +29,9 @@
     let head = format!("POST /announce HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n");
     let request = format!("{head}{BODY}");
     stream.write_all(request.as_bytes()).expect("a request");
-    while messages.is_empty() {
-        thread::yield_now();
-    }
+    let mut left_in_ring = Select::new();
+    left_in_ring.recv(&messages);
+    left_in_ring.ready();
     drop(messages);
     let mut answer = [0; 12];
     stream.read_exact(&mut answer).expect("an answer");
