--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -4,6 +4,8 @@
 //! description, and a greater round, or a suspicion in the same round, replaces the standing. Both
 //! orders are total, so the order in which news arrives makes no difference.
 
+mod standing;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -273,82 +275,6 @@
         told
     }
 
-    /// This daemon suspects another in its present round, and tells so.
-    pub(super) fn suspect(&mut self, now: Instant, daemon: &DaemonId) {
-        self.update(daemon, |member| {
-            member.suspect = true;
-            member.since.get_or_insert(now);
-        });
-    }
-
-    /// This daemon alone has no sign of life of another.
-    pub(super) fn mark_unheard(&mut self, now: Instant, daemon: &DaemonId) {
-        self.update(daemon, |member| {
-            member.unheard = true;
-            member.since.get_or_insert(now);
-        });
-    }
-
-    /// A daemon showed that it lives: an own suspicion ends, a told one gets time to be refuted.
-    pub(super) fn heard(&mut self, now: Instant, daemon: &DaemonId) {
-        self.update(daemon, |member| {
-            member.unheard = false;
-            member.since = member.suspect.then_some(now);
-            if !member.entry.leaving {
-                member.gone_at = None;
-            }
-        });
-    }
-
-    /// Ends all suspicions that this daemon alone holds.
-    pub(super) fn clear_unheard(&mut self, now: Instant) {
-        let unheard: Vec<DaemonId> = self
-            .doubted()
-            .filter(|member| member.unheard)
-            .map(|member| member.entry.daemon.clone())
-            .collect();
-        for daemon in unheard {
-            self.heard(now, &daemon);
-        }
-    }
-
-    fn doubted(&self) -> impl Iterator<Item = &Member> {
-        self.doubted
-            .iter()
-            .filter_map(|daemon| self.members.get(daemon))
-    }
-
-    /// Gives every suspicion more time, after this daemon itself was paused.
-    pub(super) fn postpone(&mut self, pause: Duration) {
-        for member in self.members.values_mut() {
-            if let Some(since) = &mut member.since {
-                *since += pause;
-            }
-        }
-    }
-
-    /// When the next suspicion lapses.
-    pub(super) fn next_lapse_at(&self, limit: Duration) -> Option<Instant> {
-        let open = self.doubted().filter(|member| member.is_present());
-        open.filter_map(|member| member.since)
-            .min()
-            .map(|since| since + limit)
-    }
-
-    /// Suspected daemons without a refutation in time count as gone. Gives their names.
-    pub(super) fn lapse(&mut self, now: Instant, limit: Duration) -> Vec<DaemonId> {
-        let lapsed: Vec<DaemonId> = self
-            .doubted()
-            .filter(|member| member.is_present())
-            .filter(|member| member.since.is_some_and(|since| now >= since + limit))
-            .map(|member| member.entry.daemon.clone())
-            .collect();
-        for daemon in &lapsed {
-            self.update(daemon, |member| member.gone_at = Some(now));
-        }
-        lapsed
-    }
-
     /// Forgets daemons that are gone for long, and what was kept of forgotten ones.
     pub(super) fn forget(&mut self, now: Instant, own: &DaemonId, limit: Duration) {
         self.forgotten.retain(|_, kept| now < kept.at + limit);
@@ -399,15 +325,6 @@
             suspect: true,
         })
     }
-
-    /// Raises the round of this daemon itself above one in which it is suspected.
-    pub(super) fn refute(&mut self, own: &DaemonId, round: u32) {
-        self.update(own, |member| {
-            member.round = round.saturating_add(1);
-            member.suspect = false;
-            member.since = None;
-        });
-    }
 }
 
 fn set_standing(member: &mut Member, now: Instant, round: u32, suspect: bool) {
--- /dev/null
+++ b/src/membership/members/standing.rs
@@ -0,0 +1,93 @@
+//! Suspicions of daemons: how they begin, end and lapse.
+
+use std::time::{Duration, Instant};
+
+use super::{Member, Members};
+use crate::types::DaemonId;
+
+impl Members {
+    /// This daemon suspects another in its present round, and tells so.
+    pub(in crate::membership) fn suspect(&mut self, now: Instant, daemon: &DaemonId) {
+        self.update(daemon, |member| {
+            member.suspect = true;
+            member.since.get_or_insert(now);
+        });
+    }
+
+    /// This daemon alone has no sign of life of another.
+    pub(in crate::membership) fn mark_unheard(&mut self, now: Instant, daemon: &DaemonId) {
+        self.update(daemon, |member| {
+            member.unheard = true;
+            member.since.get_or_insert(now);
+        });
+    }
+
+    /// A daemon showed that it lives: an own suspicion ends, a told one gets time to be refuted.
+    pub(in crate::membership) fn heard(&mut self, now: Instant, daemon: &DaemonId) {
+        self.update(daemon, |member| {
+            member.unheard = false;
+            member.since = member.suspect.then_some(now);
+            if !member.entry.leaving {
+                member.gone_at = None;
+            }
+        });
+    }
+
+    /// Ends all suspicions that this daemon alone holds.
+    pub(in crate::membership) fn clear_unheard(&mut self, now: Instant) {
+        let unheard: Vec<DaemonId> = self
+            .doubted()
+            .filter(|member| member.unheard)
+            .map(|member| member.entry.daemon.clone())
+            .collect();
+        for daemon in unheard {
+            self.heard(now, &daemon);
+        }
+    }
+
+    fn doubted(&self) -> impl Iterator<Item = &Member> {
+        self.doubted
+            .iter()
+            .filter_map(|daemon| self.members.get(daemon))
+    }
+
+    /// Gives every suspicion more time, after this daemon itself was paused.
+    pub(in crate::membership) fn postpone(&mut self, pause: Duration) {
+        for member in self.members.values_mut() {
+            if let Some(since) = &mut member.since {
+                *since += pause;
+            }
+        }
+    }
+
+    /// When the next suspicion lapses.
+    pub(in crate::membership) fn next_lapse_at(&self, limit: Duration) -> Option<Instant> {
+        let open = self.doubted().filter(|member| member.is_present());
+        open.filter_map(|member| member.since)
+            .min()
+            .map(|since| since + limit)
+    }
+
+    /// Suspected daemons without a refutation in time count as gone. Gives their names.
+    pub(in crate::membership) fn lapse(&mut self, now: Instant, limit: Duration) -> Vec<DaemonId> {
+        let lapsed: Vec<DaemonId> = self
+            .doubted()
+            .filter(|member| member.is_present())
+            .filter(|member| member.since.is_some_and(|since| now >= since + limit))
+            .map(|member| member.entry.daemon.clone())
+            .collect();
+        for daemon in &lapsed {
+            self.update(daemon, |member| member.gone_at = Some(now));
+        }
+        lapsed
+    }
+
+    /// Raises the round of this daemon itself above one in which it is suspected.
+    pub(in crate::membership) fn refute(&mut self, own: &DaemonId, round: u32) {
+        self.update(own, |member| {
+            member.round = round.saturating_add(1);
+            member.suspect = false;
+            member.since = None;
+        });
+    }
+}
