--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -111,8 +111,8 @@
         }
         self.end_others(now, address, &word.server, actions, |_| true);
         match self.servers.contains_key(&word.server) {
-            true => self.named(now, address, &word.server),
-            false => self.found(now, address, word, actions),
+            true => self.confirm_known(now, address, &word.server),
+            false => self.enter_unannounced(now, address, word, actions),
         }
     }
 
@@ -125,7 +125,7 @@
     }
 
     /// Its health names a server that is known.
-    fn named(&mut self, now: Instant, address: SocketAddr, name: &BackendServerId) {
+    fn confirm_known(&mut self, now: Instant, address: SocketAddr, name: &BackendServerId) {
         let Some(server) = self.servers.get(name) else {
             return;
         };
@@ -143,7 +143,7 @@
     }
 
     /// Its health names a server that has not announced itself yet.
-    fn found(
+    fn enter_unannounced(
         &mut self,
         now: Instant,
         address: SocketAddr,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -256,7 +256,7 @@
     Announce {
         /// The announcement or withdrawal.
         event: GuardEvent,
-        /// Takes the verdict; closed without one when the guard ends.
+        /// Takes the verdict; none comes from a guard that has ended.
         verdict: Sender<AnnounceVerdict>,
     },
     /// Where other daemons are.
