Give each VM of the soak an address of its own

The ports of daemons come from the range of outgoing connections, so another socket may take one while its daemon is away. That this was it is suspected, not shown.

Change: daemons listen at 127.0.1.1 and on; outgoing connections leave from 127.0.0.1. Harms, draws, checks and bounds are as before.

--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -41,7 +41,7 @@
         let log_address = log.address("listening");
         publish_basics(log_address);
         let vms: Vec<Vm> = (0..DAEMON_COUNT)
-            .map(|index| Vm::start(&format!("{name}-{index}"), log_address))
+            .map(|index| Vm::start(&format!("{name}-{index}"), vm_address(index), log_address))
             .collect();
         let fleet = SoakFleet { _log: log, vms };
         fleet.wait_for_all();
@@ -99,11 +99,22 @@
     *harms.choose(random).expect("there are harms")
 }
 
+/// Any port at an address that no outgoing connection takes while a daemon is away.
+fn vm_address(index: usize) -> SocketAddr {
+    let last = 1 + u8::try_from(index).expect("a few VMs");
+    SocketAddr::from(([127, 0, 1, last], 0))
+}
+
 impl Vm {
-    fn start(name: &str, log: SocketAddr) -> Vm {
+    fn start(name: &str, any: SocketAddr, log: SocketAddr) -> Vm {
         let log = Proxy::start(log);
         let mut settings = quick_settings(name, log.address);
         settings.journal.address = log.address;
+        settings.front.address = any;
+        settings.guard.address = any;
+        settings.guard.announce_address = any;
+        settings.operator.address = any;
+        settings.link.address = any;
         let daemon = start_daemon(&settings);
         settings.front.address = daemon.address("front");
         settings.guard.address = daemon.address("guard");
