--- a/src/wire/client/connection.rs
+++ b/src/wire/client/connection.rs
@@ -13,6 +13,7 @@
 use super::body::SentBody;
 use super::head_limit::{HeadBudget, HeadLimited};
 use super::standing::AnswerCheck;
+use super::unsent::{Unsent, UnsentWatched};
 
 /// Sent bytes that stay unacknowledged for this long end the connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(5);
@@ -40,6 +41,8 @@
     refused: Vec<Box<str>>,
     /// Bytes that may come before the head of an answer.
     pub(super) head_budget: HeadBudget,
+    /// What the server has not taken yet of requests that it has answered.
+    unsent: Unsent,
     _task: Task<()>,
 }
 
@@ -62,6 +65,11 @@
             stream,
             budget: head_budget.clone(),
         };
+        let unsent = Unsent::default();
+        let stream = UnsentWatched {
+            stream,
+            unsent: unsent.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(HEAD_LIMIT_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -79,6 +87,7 @@
             used: false,
             refused: Vec::new(),
             head_budget,
+            unsent,
             _task: task,
         })
     }
@@ -87,7 +96,8 @@
     pub(super) fn may_reuse(&self, now: Instant, limit: Duration) -> bool {
         let limit = self.idle_limit.map_or(limit, |own| own.min(limit));
         let idle = now.saturating_duration_since(self.idle_since);
-        idle <= limit && self.sender.is_ready() && !self.sender.is_closed()
+        let is_free = self.sender.is_ready() && self.unsent.is_empty();
+        idle <= limit && is_free && !self.sender.is_closed()
     }
 
     /// Whether the answer to a call could be told from those to calls before it.
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -9,6 +9,7 @@
 mod head_limit;
 mod pool;
 mod standing;
+mod unsent;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -1,3 +1,5 @@
+mod cut;
+mod early;
 mod endless;
 mod standing;
 
