--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -1,10 +1,16 @@
 //! The thread that takes announcements of the backend servers on this VM.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam::channel::bounded;
 
 use super::message::{AnnounceVerdict, Announcement, GuardEvent, GuardMessage, IgnoredBecause};
+use crate::contract::check::SLOTS_LIMIT_COUNT;
+use crate::life::LATEST_LIFE;
+use crate::membership::bounds::NAME_LIMIT_BYTES;
+use crate::metrics::Metrics;
+use crate::report_once::{shortened, ReportOnce};
 use crate::ring::RingSender;
 use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
 use crate::wire::listener::HttpListener;
@@ -28,7 +34,10 @@
         match (head.method.as_str(), head.target.as_str()) {
             ("POST", "/announce") => parse(body).map(GuardEvent::Announced),
             ("DELETE", target) => match target.strip_prefix("/announce/") {
-                Some(server) => Ok(GuardEvent::Withdrawn(server.into())),
+                Some(server) => Ok(GuardEvent::Withdrawn {
+                    server: server.into(),
+                    started_at_ms: 0,
+                }),
                 None => Err("no such path".to_owned()),
             },
             _ => Err("POST /announce or DELETE /announce/SERVER".to_owned()),
@@ -56,27 +65,82 @@
     Ok(announcement)
 }
 
+/// Latest start of a server, in milliseconds since the epoch: the end of the year 9999.
+const STARTED_LIMIT_MS: u64 = LATEST_LIFE;
+/// Most announcements of one life of a server.
+const SEQUENCE_LIMIT: u64 = 1 << 53;
+
+impl Announcement {
+    /// Checks every value against its bounds. Beyond them no later announcement could follow.
+    pub fn check(&self) -> Result<(), String> {
+        for (field, name) in [("server", &self.server), ("service", &self.service)] {
+            if !(1..=NAME_LIMIT_BYTES).contains(&name.len()) {
+                return Err(format!("{field} must have 1 to {NAME_LIMIT_BYTES} bytes"));
+            }
+        }
+        if !(1..=SLOTS_LIMIT_COUNT).contains(&self.slots_count) {
+            let count = self.slots_count;
+            return Err(format!(
+                "slots_count: {count} must be from 1 to {SLOTS_LIMIT_COUNT}"
+            ));
+        }
+        if self.started_at_ms > STARTED_LIMIT_MS {
+            let at_ms = self.started_at_ms;
+            return Err(format!(
+                "started_at_ms: {at_ms} must be at most {STARTED_LIMIT_MS}"
+            ));
+        }
+        if self.sequence > SEQUENCE_LIMIT {
+            let sequence = self.sequence;
+            return Err(format!(
+                "sequence: {sequence} must be at most {SEQUENCE_LIMIT}"
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// What the server says, or what is wrong with it.
+pub fn read(
+    dialect: &dyn AnnouncementDialect,
+    head: &RawHead,
+    body: &[u8],
+) -> Result<GuardEvent, String> {
+    let event = dialect.read(head, body)?;
+    if let GuardEvent::Announced(announcement) = &event {
+        announcement.check()?;
+    }
+    Ok(event)
+}
+
 /// Takes announcements until the listener is closed. One is acknowledged only once the guard has
 /// taken it.
 pub fn run(
     listener: &Arc<HttpListener>,
     dialect: &dyn AnnouncementDialect,
     guard: &RingSender<GuardMessage>,
+    metrics: &Metrics,
 ) {
+    let mut reported = ReportOnce::default();
     while let Some((head, exchange)) = listener.next() {
         let event = match exchange.body() {
-            RequestBody::Whole(body) => dialect.read(&head, &body),
+            RequestBody::Whole(body) => read(dialect, &head, &body),
             RequestBody::Parts { .. } => Err("the announcement is too long".to_owned()),
         };
         let answer = match event {
             Ok(event) => match verdict_on(event, guard) {
                 Some(Ok(()) | Err(IgnoredBecause::Outdated)) => dialect.taken(),
                 Some(Err(reason)) => refused(STATUS_REFUSED, reason.name()),
-                None => refused(STATUS_STOPPING, "the daemon stops"),
+                None => refused(STATUS_UNDECIDED, "the daemon has not decided"),
             },
             Err(problem) => {
-                log::warn!(target = head.target, problem; "announcement_unreadable");
-                refused(STATUS_REFUSED, &problem)
+                let problem = shortened(&problem);
+                metrics.count("guard.announcement.refused");
+                if reported.is_new(&head.target, problem) {
+                    let path = shortened(&head.target);
+                    log::warn!(path, problem; "announcement_refused");
+                }
+                refused(STATUS_REFUSED, problem)
             }
         };
         exchange.answer(answer);
@@ -84,13 +148,17 @@
 }
 
 const STATUS_REFUSED: u16 = 400;
-const STATUS_STOPPING: u16 = 503;
+const STATUS_UNDECIDED: u16 = 503;
+
+/// A server takes an announcement for lost that is not acknowledged within a second.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// What the guard makes of an announcement; none from a guard that ends.
+/// What the guard makes of an announcement; none from a guard that ends or is held up.
 fn verdict_on(event: GuardEvent, guard: &RingSender<GuardMessage>) -> Option<AnnounceVerdict> {
     let (verdict, answered) = bounded(1);
     guard.deliver(GuardMessage::Announce { event, verdict });
-    answered.recv().ok()
+    // A ring keeps what its reader left in it, so the wait for a guard that has ended has a bound.
+    answered.recv_timeout(VERDICT_TIMEOUT).ok()
 }
 
 fn refused(status: u16, problem: &str) -> WholeAnswer {
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -1,7 +1,10 @@
+mod announce;
 mod beside;
 mod brief_wait;
 mod deaths;
+mod late;
 mod lives;
+mod odd;
 mod overdue;
 mod servers;
 mod shedding;
--- a/src/link/tests.rs
+++ b/src/link/tests.rs
@@ -1,5 +1,6 @@
 mod calls;
 mod faults;
 mod lives;
+mod odd;
 mod states;
 mod support;
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -18,7 +18,6 @@
 use super::own_life::LaterLife;
 use super::rumours::Rumours;
 use super::suspicion::Trouble;
-use crate::life::is_life;
 use crate::link::LinkError;
 use crate::settings::membership::MembershipSettings;
 use crate::types::{BackendServerId, DaemonId};
@@ -279,6 +278,9 @@
     }
 
     fn heard_from_log(&mut self, now: Instant, entry: DaemonEntry) {
+        if entry.check().is_err() {
+            return self.count("membership.entry.refused");
+        }
         if entry.daemon == self.own.daemon {
             let same_life = entry.incarnation == self.own.incarnation;
             let same_words = entry.leaving == self.own.leaving
@@ -289,7 +291,7 @@
             return self.hear_own_entry(now, &entry, NewsSource::Platform);
         }
         let daemon = entry.daemon.clone();
-        if is_life(entry.incarnation) && self.members.hear_entry(now, Arc::new(entry), None) {
+        if self.members.hear_entry(now, Arc::new(entry), None) {
             self.add_rumour(now, daemon);
         }
     }
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,5 +1,6 @@
 mod convergence;
 mod lives;
+mod odd;
 mod rules;
 
 use std::time::{Duration, Instant};
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -5,8 +5,9 @@
 
 use super::fingerprint::fingerprint;
 use super::message::{AttemptOutcome, HeldRequest, RequestPlan, Target};
+use crate::contract::check::DEADLINE_LIMIT_MS;
 use crate::error::{ErrorKind, Ran};
-use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId, ServiceId};
+use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId};
 use crate::wire::client::{Call, CallError, OutBody};
 use crate::wire::exchange::{RequestBody, WholeAnswer};
 use crate::wire::forward::{self, AttemptTerms, ForwardHead};
@@ -51,7 +52,6 @@
     context: &ForwardContext,
     job: &Attempted,
     held: &mut HeldRequest,
-    origin: &ServiceId,
     view: Offset,
 ) -> Result<Call, ErrorKind> {
     keep_body(held)?;
@@ -73,7 +73,7 @@
         weight_share: job.plan.weight_share,
         repeatable: job.plan.repeatable,
         foreground: job.plan.foreground,
-        origin: origin.clone(),
+        origin: held.origin.clone(),
         rank: job.plan.rank,
         terms: job.terms,
         entry: context.daemon.clone(),
@@ -166,7 +166,9 @@
             by_guard: true,
         };
     }
-    let wait_ms = header(&answer.headers, forward::WAIT_MS).and_then(|value| value.parse().ok());
+    let wait_ms = header(&answer.headers, forward::WAIT_MS);
+    let wait_ms = wait_ms.and_then(|value| value.parse::<u64>().ok());
+    let wait_ms = wait_ms.filter(|wait_ms| *wait_ms <= DEADLINE_LIMIT_MS);
     AttemptOutcome::NotRun {
         kind,
         retry_after: wait_ms.map(Duration::from_millis),
