Log what a request waited for when its caller left

What callers saw: an operator reports work that went on for callers that had left. The logs said only that a caller left, so three causes looked alike: the disconnect is not noticed, the cancellation is lost, or the request is sent on.

`caller_left` now has the attempt, the phase and the age of the request. `routing.cancel.failed` counts cancellations that no guard took, `listener.disconnect` connections that end with requests unanswered, and `listener.answer.undeliverable` answers to callers whose disconnect was seen before.

No decision changes.

--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -38,6 +38,7 @@
         let body_bytes = settings.front.retry_body_limit_bytes as u64;
         let between_daemons = ListenerOptions {
             eager_body_limit_bytes: body_bytes,
+            metrics: shared.metrics.clone(),
             ..Default::default()
         };
         let to_callers = ListenerOptions {
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -8,7 +8,7 @@
 
 use super::choice::ServerChoice;
 use super::forward::{self, AttemptJob, GuardCallContext};
-use super::log::{log_attempt, log_end, log_origin};
+use super::log::{log_attempt, log_caller_left, log_end, log_origin};
 use super::message::{HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage};
 use super::state::RoutingState;
 use crate::clock::Clock;
@@ -169,7 +169,8 @@
             }
             RoutingEvent::CallerLeft(request) => {
                 if let Some(held) = self.held.get(request) {
-                    log::info!(request = held.head.log_name(); "caller_left");
+                    let progress = self.state.progress(*request);
+                    log_caller_left(self.context, &held.head, progress);
                 }
             }
             RoutingEvent::View(view) => self.view = view.next,
@@ -242,9 +243,7 @@
             RoutingAction::Fence { to, fence } => self.fence(&to, fence),
             RoutingAction::Claim { to, claim } => self.claim(&to, claim),
             RoutingAction::Cancel { to, request } => {
-                self.context.metrics.count("routing.cancel");
-                let cancel = PeerRequest::Cancel(request);
-                self.context.peers.call(&to, cancel, Box::new(|_| {}));
+                self.cancel(&to, request);
                 None
             }
             RoutingAction::OwnCallFailed => {
@@ -320,6 +319,21 @@
         }
     }
 
+    /// Asks a guard to end the attempts at a request. A failure is counted.
+    fn cancel(&self, to: &DaemonId, request: RequestId) {
+        self.context.metrics.count("routing.cancel");
+        let metrics = self.context.metrics.clone();
+        let reply: PeerReply = Box::new(move |answer| {
+            if answer.is_err() {
+                metrics.count("routing.cancel.failed");
+            }
+        });
+        let cancel = PeerRequest::Cancel(request);
+        if !self.context.peers.call(to, cancel, reply) {
+            self.context.metrics.count("routing.cancel.failed");
+        }
+    }
+
     /// Asks a guard to fence an attempt, or returns the failure if the link takes no call.
     fn fence(&self, to: &DaemonId, fence: FenceRequest) -> Option<RoutingEvent> {
         self.context.metrics.count("routing.fence");
--- a/src/routing/log.rs
+++ b/src/routing/log.rs
@@ -30,6 +30,23 @@
     }
 }
 
+/// Writes one line for a caller that disconnected; none if its request has just ended.
+pub(super) fn log_caller_left(
+    context: &RoutingContext,
+    head: &RequestHead,
+    progress: Option<(Attempt, &'static str)>,
+) {
+    let Some((attempt, phase)) = progress else {
+        return;
+    };
+    let elapsed = context
+        .clock
+        .now()
+        .saturating_duration_since(head.arrived_at);
+    let elapsed_ms = elapsed.as_millis() as u64;
+    log::info!(request = head.log_name(), attempt, phase, elapsed_ms; "caller_left");
+}
+
 /// Writes one line for each attempt that did not bring the server's answer.
 pub(super) fn log_attempt(
     head: &RequestHead,
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -115,6 +115,19 @@
     Fencing { kind: ErrorKind },
 }
 
+impl Phase {
+    /// Returns the name of the phase in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Phase::New => "new",
+            Phase::Claiming { .. } => "claiming",
+            Phase::Sent { .. } => "sent",
+            Phase::Parked { .. } => "parked",
+            Phase::Fencing { .. } => "fencing",
+        }
+    }
+}
+
 impl RoutingState {
     /// Creates a state with no open requests and an empty fleet.
     pub fn new(settings: RoutingSettings, choice: Box<dyn ServerChoice>) -> RoutingState {
@@ -189,6 +202,12 @@
         self.requests.len()
     }
 
+    /// Returns the present attempt at an open request, and the name of what the request waits for.
+    pub(super) fn progress(&self, request: RequestId) -> Option<(Attempt, &'static str)> {
+        let state = self.requests.get(&request)?;
+        Some((state.attempt, state.phase.name()))
+    }
+
     /// Starts a request: claims its idempotency key first if it has one and may not be repeated.
     fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingActions {
         self.budget.record_dispatch(&plan.service);
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -78,13 +78,18 @@
         let dispatch_early = |head| self.dispatch_early(head);
         let reading = std::pin::pin!(read_ahead::pump(&stream, &self.ahead, &dispatch_early));
         let serving = std::pin::pin!(self.serve(stream.clone()));
-        if let Either::Left(_) = select(serving, reading).await {
-            if self.body_incomplete.get() {
-                linger(&stream).await;
-            }
+        match select(serving, reading).await {
+            Either::Left(_) if self.body_incomplete.get() => linger(&stream).await,
+            Either::Left(_) => {}
+            Either::Right(_) => self.count("listener.disconnect"),
         }
     }
 
+    /// Adds one to a counter of the listener.
+    fn count(&self, name: &str) {
+        self.shared.options.metrics.count(name);
+    }
+
     /// Serves the connection through the HTTP library until it ends or the listener is closed.
     async fn serve(&self, stream: Rc<Async<TcpStream>>) {
         let stream = ReadAheadStream {
@@ -163,6 +168,9 @@
             None => self.answer_in_turn(request).await,
         };
         self.ahead.borrow_mut().record_answer();
+        if self.ahead.borrow().is_closed() {
+            self.count("listener.answer.undeliverable");
+        }
         Ok(self.respond(answer))
     }
 
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -24,6 +24,7 @@
 use super::exchange::{Exchange, RawHead, WholeAnswer};
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
+use crate::metrics::Metrics;
 use crate::ring::spawn_duty;
 use connection::Connection;
 
@@ -53,6 +54,8 @@
     pub chunked_bodies: bool,
     /// Writes the answers to requests that the listener refuses itself.
     pub refusals: Arc<dyn Refusals>,
+    /// Counters of callers that disconnect.
+    pub metrics: Metrics,
 }
 
 impl Default for ListenerOptions {
@@ -61,6 +64,7 @@
             eager_body_limit_bytes: 65_536,
             chunked_bodies: false,
             refusals: Arc::new(FleetRefusals),
+            metrics: Metrics::local(),
         }
     }
 }
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -74,6 +74,11 @@
         self.waiting.pop_front().flatten()
     }
 
+    /// Returns whether the caller has closed the connection.
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed
+    }
+
     /// Records that the request that the library has read is answered.
     pub(super) fn record_answer(&mut self) {
         self.unanswered_count = self.unanswered_count.saturating_sub(1);
