--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod closing;
+mod disconnects;
 mod full;
 mod invalid;
 mod last_resort;
--- a/src/routing/tests/full.rs
+++ b/src/routing/tests/full.rs
@@ -57,7 +57,7 @@
 }
 
 /// Returns a state whose servers are not known to be busy.
-fn state() -> RoutingState {
+pub(super) fn state() -> RoutingState {
     state_with(Healthy { busy: false })
 }
 
--- a/src/wire/listener/tests.rs
+++ b/src/wire/listener/tests.rs
@@ -1,3 +1,4 @@
+mod disconnects;
 mod early;
 mod framing;
 mod leftover;
--- a/tests/front_http.rs
+++ b/tests/front_http.rs
@@ -178,3 +178,58 @@
         fleet.run_report(0).cancelled_count == 1
     });
 }
+
+/// Number of requests that a caller sends behind each other.
+const PIPELINED_COUNT: usize = 6;
+/// Time for which work may go on after its caller has left.
+const CANCEL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Returns requests for sheets 0 to 5 behind each other, with more header lines in each.
+fn pipelined_sheets(header_lines: &str) -> String {
+    let lines = format!("host: x\r\nauthorization: Bearer key-1\r\n{header_lines}");
+    (0..PIPELINED_COUNT)
+        .map(|index| format!("GET /sheets/{index} HTTP/1.1\r\n{lines}\r\n"))
+        .collect()
+}
+
+#[test]
+fn pipelined_requests_of_a_caller_that_left_run_no_longer_and_reach_no_server() {
+    let plain = pipelined_sheets("");
+    let (head, rest) = plain.split_at(20);
+    let with_te = pipelined_sheets("te: trailers\r\n");
+    let with_body = plain.replacen("\r\n\r\n", "\r\ncontent-length: 2\r\n\r\nhi", 1);
+    let cases = [
+        ("whole", [&plain, ""]),
+        ("the first head in parts", [head, rest]),
+        ("other headers", [&with_te, ""]),
+        ("the first with a body", [&with_body, ""]),
+    ];
+    for (name, parts) in cases {
+        // Arrange
+        let fleet = Fleet::start("front-pipeline", 1, 1);
+        let slow = ServerFaults {
+            slow_ms: 2_000,
+            ..Default::default()
+        };
+        fleet.set_faults(0, &slow);
+        let before_count = fleet.run_report(0).runs.len();
+        let mut caller = TcpStream::connect(fleet.front(0)).expect("the front accepts");
+        for part in parts {
+            caller.write_all(part.as_bytes()).expect("sent");
+            std::thread::sleep(Duration::from_millis(150));
+        }
+        fleet.wait_for_run(0, "/sheets/0");
+
+        // Act
+        drop(caller);
+        std::thread::sleep(CANCEL_LIMIT);
+        let at_limit = fleet.run_report(0);
+        std::thread::sleep(Duration::from_secs(5));
+        let later = fleet.run_report(0);
+
+        // Assert
+        assert_eq!(later.runs_by_path, at_limit.runs_by_path, "{name}");
+        let started_count = later.runs.len() - before_count;
+        assert_eq!(later.cancelled_count, started_count as u64, "{name}");
+    }
+}
