Notice a disconnect whoever reads the requests of the connection

What callers saw: work went on for callers that had left. Six GETs behind each other of which the first head came in two parts, had a body or had a TE header: nothing was cancelled, and servers were given more of them up to 5 s after the caller had closed its connection.

Cause: the read-ahead knew of requests only as long as it parsed them. From the first that was not plain, or whose head was incomplete, it left the end of the connection to the HTTP library, which looks for it only while its own buffer is empty. It is not with requests waiting in it.

Now a request counts as unanswered from when the library reads it, too, and the reader of the buffer alone decides that the caller has left: with a request unanswered the connection ends at once, and what is still unread is dropped. An incomplete head is kept until it is complete, so that later requests of the connection still run concurrently; the library's timeout ends it as before.

Ruled out: a timer of our own for incomplete heads. The library's timeout also runs while it sees an idle connection; the test of a head that does not end passes without one.

--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -1,7 +1,6 @@
 //! One connection of the listener: reads requests, delivers them, and sends the answers.
 
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -17,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Uri};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use thiserror::Error;
 
 use super::exchange::{CallerHandle, ListenerExchange};
 use super::linger::linger;
@@ -39,6 +39,11 @@
     body_incomplete: Cell<bool>,
 }
 
+/// The caller has closed the connection, so its unread requests are not run.
+#[derive(Debug, Error)]
+#[error("the caller has closed the connection")]
+struct CallerLeft;
+
 /// The part of a body that is read before its request is delivered.
 enum EagerBody {
     /// The complete body, which may be empty.
@@ -47,8 +52,6 @@
     Long { length_bytes: u64 },
 }
 
-/// Longest time for a head to arrive before the connection ends; an idle connection has no limit.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Greatest length of a head; a longer one is answered with 431.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 /// Greatest number of headers of a request.
@@ -99,7 +102,7 @@
         let service = service_fn(|request| self.answer(request));
         let serving = http1::Builder::new()
             .timer(SmolTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(self.shared.options.head_timeout)
             .max_buf_size(HEAD_LIMIT_BYTES)
             .max_headers(HEADER_LIMIT_COUNT)
             .serve_connection(FuturesIo::new(stream), service);
@@ -157,20 +160,22 @@
         Some((answer, watch))
     }
 
-    /// Returns the response to a request that the HTTP library has read.
+    /// Returns the response to a request that the HTTP library has read. One that was still unread
+    /// when the caller left is not delivered.
     async fn answer(
         &self,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    ) -> Result<Response<Full<Bytes>>, CallerLeft> {
+        if self.ahead.borrow().is_closed() {
+            self.count("listener.request.dropped");
+            return Err(CallerLeft);
+        }
         let early = self.ahead.borrow_mut().next();
         let answer = match early {
             Some(early) => self.early_answer(early, request).await,
             None => self.answer_in_turn(request).await,
         };
         self.ahead.borrow_mut().record_answer();
-        if self.ahead.borrow().is_closed() {
-            self.count("listener.answer.undeliverable");
-        }
         Ok(self.respond(answer))
     }
 
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -54,6 +54,9 @@
     pub chunked_bodies: bool,
     /// Writes the answers to requests that the listener refuses itself.
     pub refusals: Arc<dyn Refusals>,
+    /// A connection ends if no complete head has arrived for this time while no request is
+    /// unanswered.
+    pub head_timeout: Duration,
     /// Counters of callers that disconnect.
     pub metrics: Metrics,
 }
@@ -64,11 +67,15 @@
             eager_body_limit_bytes: 65_536,
             chunked_bodies: false,
             refusals: Arc::new(FleetRefusals),
+            head_timeout: HEAD_TIMEOUT,
             metrics: Metrics::local(),
         }
     }
 }
 
+/// Default of `ListenerOptions::head_timeout`.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Writes the answers to requests that a listener refuses itself.
 pub trait Refusals: Send + Sync {
     /// Returns the answer to a request that is not delivered.
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -6,6 +6,9 @@
 //! in order. Framing is left to the library: only plain requests are parsed here, and the first
 //! other request ends the reading ahead. Until then the library gets complete requests only, so
 //! that both parsers always start at the same byte.
+//!
+//! Whether the caller has left is decided here alone: the library sees the end of the connection
+//! only while it has no unread bytes.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -54,7 +57,7 @@
     /// Parsed requests that the library has not read yet, in order. `None` is a request that was
     /// not dispatched early.
     waiting: VecDeque<Option<EarlyRequest>>,
-    /// Parsed requests that are not answered, including those in `waiting`.
+    /// Requests that are not answered: those in `waiting`, and those that the library has read.
     unanswered_count: usize,
     /// Set at the first request that is not plain. Bytes after it are not parsed here.
     ended: bool,
@@ -69,9 +72,14 @@
 }
 
 impl ReadAhead {
-    /// Takes the request that the HTTP library has read now, if it was dispatched early.
+    /// Takes the request that the HTTP library has read now, if it was dispatched early. Counts it
+    /// as unanswered if it was not parsed here.
     pub(super) fn next(&mut self) -> Option<EarlyRequest> {
-        self.waiting.pop_front().flatten()
+        let Some(parsed) = self.waiting.pop_front() else {
+            self.unanswered_count += 1;
+            return None;
+        };
+        parsed
     }
 
     /// Returns whether the caller has closed the connection.
@@ -92,9 +100,12 @@
         self.ended = true;
     }
 
-    /// Records that the caller has closed the connection; returns whether requests are unanswered.
+    /// Records that the caller has closed the connection, and drops what the library has not read.
+    /// Returns whether requests are unanswered.
     fn close(&mut self) -> bool {
         self.closed = true;
+        self.buffer.clear();
+        self.framed_bytes = 0;
         wake(&mut self.reader_waker);
         self.unanswered_count > 0
     }
@@ -117,9 +128,9 @@
         }
     }
 
-    /// Parses and dispatches the plain requests that have arrived completely. An incomplete one is
-    /// kept while other requests run. When none runs, it is left to the library, which limits the
-    /// time for it to arrive.
+    /// Parses and dispatches the plain requests that have arrived completely. An incomplete head is
+    /// kept until the rest has arrived; one that fills the buffer is left to the library, which
+    /// refuses it.
     fn dispatch_requests(&mut self, dispatch_early: &DispatchEarly<'_>) {
         while !self.ended && self.unanswered_count < UNANSWERED_LIMIT_COUNT {
             let unframed = &self.buffer.make_contiguous()[self.framed_bytes..];
@@ -128,7 +139,7 @@
             }
             let (head, length_bytes) = match parse_plain_request(unframed) {
                 PlainParse::Request { head, length_bytes } => (head, length_bytes),
-                PlainParse::Incomplete if self.unanswered_count > 0 => break,
+                PlainParse::Incomplete if unframed.len() < BUFFER_LIMIT_BYTES => break,
                 PlainParse::Incomplete | PlainParse::Other => {
                     self.ended = true;
                     break;
--- a/src/wire/listener/tests/disconnects.rs
+++ b/src/wire/listener/tests/disconnects.rs
@@ -4,7 +4,9 @@
 
 use crossbeam::channel::{bounded, Receiver};
 
-use super::{answer, connected, get, read_answer, take, Arrival, GIVE_UP};
+use super::{
+    answer, connected, connected_to, get, read_answer, take, Arrival, ListenerOptions, GIVE_UP,
+};
 
 /// Lets the listener read what was sent before, so that it gets the next bytes separately.
 const READ_PAUSE: Duration = Duration::from_millis(100);
@@ -138,3 +140,20 @@
     let _ = reader.read_to_end(&mut rest);
     assert!(rest.is_empty(), "{rest:?}");
 }
+
+#[test]
+fn a_connection_whose_head_does_not_end_is_closed() {
+    // Arrange
+    let (_listener, _arrivals, mut caller) = connected_to(ListenerOptions {
+        head_timeout: READ_PAUSE,
+        ..Default::default()
+    });
+
+    // Act
+    caller.write_all(&get("/a").as_bytes()[..20]).expect("sent");
+
+    // Assert
+    let mut rest = Vec::new();
+    let _ = caller.read_to_end(&mut rest);
+    assert!(rest.is_empty(), "{rest:?}");
+}
