Notice a disconnect behind bytes that have no room in the read buffer

What callers saw: a request went on for a caller that had left, if more bytes than the read buffer holds came behind it, for example an upload; and an upload that waits for a slot went on.

Reading pauses while the buffer is full, so the end behind the unread bytes was not seen.

Weighed: a larger buffer for each connection (memory, and only a shift of the limit).

--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod exchange;
+mod hang_up;
 mod linger;
 mod plain;
 mod read_ahead;
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -24,6 +24,7 @@
 use futures::io::{AsyncRead, AsyncWrite};
 
 use super::exchange::CallerHandle;
+use super::hang_up::hung_up;
 use super::plain::{parse_plain_request, PlainParse};
 use crate::wire::exchange::{RawHead, WholeAnswer};
 
@@ -187,14 +188,14 @@
     }
 }
 
-/// Reads the bytes that have arrived into the buffer; waits while it is full. Returns whether the
-/// caller has closed its side or the connection broke.
+/// Reads the bytes that have arrived into the buffer; while it is full, only waits for the end of
+/// the connection. Returns whether the caller has closed its side or the connection broke.
 async fn read_chunk(stream: &Async<TcpStream>, ahead: &RefCell<ReadAhead>) -> bool {
-    poll_fn(|_| match ahead.borrow().is_full() {
-        true => Poll::Pending,
-        false => Poll::Ready(()),
-    })
-    .await;
+    let full = ahead.borrow().is_full();
+    if full {
+        hung_up(stream).await;
+        return true;
+    }
     let read = |mut socket: &TcpStream| {
         let mut chunk = [0; CHUNK_BYTES];
         let length = socket.read(&mut chunk)?;
