End a request at its entry when its caller leaves

What callers saw: work that went on for callers that had left.

Now the entry ends the request at the disconnect and drops the call of its attempt. The guard sees the end of the connection, behind the request on the same stream. Reports of disconnects are kept beside the ring and taken after each message. With a claimed idempotency key the attempt is fenced first, as its key is released only if it never starts.

One that outlasted its route's patience counts as lost, as before.

Ruled out: repeating lost cancellations over the link; it would leave the overtaking.

Tests: both in routing/tests/disconnects.rs failed before. Of those in routing/tests/duty.rs, the one of the full ring and the one of the early disconnect fail without their part of the change.

--- a/src/ring.rs
+++ b/src/ring.rs
@@ -6,6 +6,7 @@
 
 use std::any::Any;
 use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
+use std::sync::{Arc, Mutex};
 
 use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
 
@@ -55,6 +56,45 @@
     }
 }
 
+/// Reports to a duty that must not be lost, from threads that must not block. A report is added
+/// here before a message is offered to the duty's ring, and the duty takes the reports after each
+/// message. So a full ring delays a report and does not lose it.
+pub struct Reports<T> {
+    /// Reports that were not taken yet. What may be reported must be limited by its sender.
+    added: Arc<Mutex<Vec<T>>>,
+}
+
+impl<T> Clone for Reports<T> {
+    fn clone(&self) -> Self {
+        Reports {
+            added: self.added.clone(),
+        }
+    }
+}
+
+impl<T> Default for Reports<T> {
+    fn default() -> Self {
+        Reports {
+            added: Arc::default(),
+        }
+    }
+}
+
+impl<T> Reports<T> {
+    /// Adds a report.
+    pub fn add(&self, report: T) {
+        self.added
+            .lock()
+            .expect("no panic while locked")
+            .push(report);
+    }
+
+    /// Takes all reports.
+    pub fn take(&self) -> Vec<T> {
+        std::mem::take(&mut *self.added.lock().expect("no panic while locked"))
+    }
+}
+
 /// Creates a ring that holds up to `capacity_count` events. Its counters carry `name`.
 pub fn ring<T>(
     name: &'static str,
--- a/src/routing/at_most_once.rs
+++ b/src/routing/at_most_once.rs
@@ -81,6 +81,7 @@
                 Phase::Sent {
                     target,
                     incarnation,
+                    ..
                 } => actions.push(RoutingAction::Fence {
                     to: target.daemon.clone(),
                     fence: FenceRequest {
--- a/src/routing/attempted.rs
+++ b/src/routing/attempted.rs
@@ -29,6 +29,7 @@
             Phase::Sent {
                 target,
                 incarnation,
+                ..
             } if state.attempt == attempt => (target.clone(), *incarnation),
             _ => {
                 self.requests.insert(request, state);
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -56,6 +56,10 @@
         elapsed: Duration,
     );
 
+    /// Records that an attempt was dropped because its caller left, which says nothing about the
+    /// server. By default nothing is kept of open attempts.
+    fn attempt_abandoned(&mut self, _target: &Target) {}
+
     /// Returns the time without an answer after which an attempt may be given up for another
     /// server; none if it waits until the deadline.
     fn patience(&self, _plan: &RequestPlan) -> Option<Duration> {
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -9,17 +9,18 @@
 use super::choice::ServerChoice;
 use super::forward::{self, AttemptJob, GuardCallContext};
 use super::log::{log_attempt, log_caller_left, log_end, log_origin};
-use super::message::{HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage};
+use super::message::{
+    HeldRequest, Outcome, RequestPlan, RoutingAction, RoutingEvent, RoutingMessage,
+};
 use super::state::RoutingState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::front::duty::AnswerJob;
+use crate::front::RequestHead;
 use crate::guard::{GuardEvent, GuardMessage};
-use crate::link::{
-    ClaimRequest, ClaimStep, FenceRequest, PeerAnswer, PeerCaller, PeerReply, PeerRequest,
-};
+use crate::link::PeerCaller;
 use crate::metrics::Metrics;
-use crate::ring::RingSender;
+use crate::ring::{Reports, RingSender};
 use crate::settings::routing::RoutingSettings;
 use crate::types::{DaemonId, Offset, RequestId, ServiceId};
 use crate::wire::client::Caller;
@@ -62,9 +63,9 @@
 }
 
 /// State of the thread: the decisions, with the calls and exchanges of open requests.
-struct RoutingDuty<'a> {
+pub(super) struct RoutingDuty<'a> {
     /// Interfaces and rings of the thread.
-    context: &'a RoutingContext,
+    pub(super) context: &'a RoutingContext,
     /// Decides what is done.
     state: RoutingState,
     /// Heads, bodies and exchanges of open requests.
@@ -79,6 +80,8 @@
     origin_configured: bool,
     /// Offset up to which the configuration was read.
     view: Offset,
+    /// Requests whose callers have left and that were not ended yet.
+    left: Reports<RequestId>,
 }
 
 /// Runs the thread until it receives `Stop` or its ring is closed.
@@ -96,6 +99,7 @@
         origin: context.origin.clone(),
         origin_configured: !context.origin.is_empty(),
         view: 0,
+        left: Reports::default(),
     };
     let mut draining = false;
     loop {
@@ -124,23 +128,11 @@
             RoutingMessage::Dispatch {
                 plan,
                 head,
-                mut exchange,
-            } => {
-                duty.watch_caller(plan.request, &mut *exchange);
-                let held = HeldRequest {
-                    service: plan.service.clone(),
-                    route: plan.route.clone(),
-                    origin: duty.origin.clone(),
-                    head,
-                    exchange,
-                    body: None,
-                    body_spent: false,
-                    call: None,
-                };
-                duty.held.insert(plan.request, Box::new(held));
-                duty.decide(RoutingEvent::Dispatch(plan));
-            }
+                exchange,
+            } => duty.dispatch(plan, head, exchange),
+            RoutingMessage::CallersLeft => {}
         }
+        duty.end_left();
         if draining && duty.state.open_count() == 0 {
             // One notice is enough; if the channel is full, it already holds one.
             let _ = context.drained.try_send(());
@@ -190,6 +182,41 @@
         self.origin = service;
     }
 
+    /// Takes a request over from the front. Nothing is done for a caller that has left already.
+    fn dispatch(
+        &mut self,
+        plan: RequestPlan,
+        head: Arc<RequestHead>,
+        mut exchange: Box<dyn Exchange>,
+    ) {
+        if !exchange.caller_waits() {
+            self.context.metrics.count("routing.caller_left");
+            return log_caller_left(self.context, &head, Some((0, "new")));
+        }
+        self.watch_caller(plan.request, &mut *exchange);
+        let held = HeldRequest {
+            service: plan.service.clone(),
+            route: plan.route.clone(),
+            origin: self.origin.clone(),
+            head,
+            exchange,
+            body: None,
+            body_spent: false,
+            call: None,
+        };
+        self.held.insert(plan.request, Box::new(held));
+        self.decide(RoutingEvent::Dispatch(plan));
+    }
+
+    /// Ends the requests whose callers have left.
+    fn end_left(&mut self) {
+        for request in self.left.take() {
+            let event = RoutingEvent::CallerLeft(request);
+            self.observe(&event);
+            self.decide(event);
+        }
+    }
+
     /// Removes the ended call of a request from the counts.
     fn release_call(&mut self, request: RequestId) {
         let Some(held) = self.held.get_mut(&request) else {
@@ -201,14 +228,16 @@
         }
     }
 
-    /// Arranges for an event when the caller disconnects. If the ring is full, the event is lost
-    /// and counted, and the request runs on.
+    /// Arranges for a report when the caller disconnects.
     fn watch_caller(&self, request: RequestId, exchange: &mut dyn Exchange) {
         let own = self.context.own_ring.clone();
         let metrics = self.context.metrics.clone();
+        let left = self.left.clone();
         exchange.watch(Box::new(move || {
             metrics.count("routing.caller_left");
-            let _ = own.offer(RoutingMessage::Event(RoutingEvent::CallerLeft(request)));
+            left.add(request);
+            // A full ring holds messages, and the reports are taken after each of them.
+            let _ = own.offer(RoutingMessage::CallersLeft);
         }));
     }
 
@@ -253,6 +282,8 @@
                 None
             }
             RoutingAction::Finish { request, outcome } => {
+                // The call of a request whose caller left is still open; it ends here.
+                self.release_call(request);
                 if let Some(held) = self.held.remove(&request) {
                     finish(self.context, request, *held, outcome);
                 }
@@ -318,68 +349,6 @@
             Err(_) => Some(failed(ErrorKind::Busy)),
         }
     }
-
-    /// Asks a guard to end the attempts at a request. A failure is counted.
-    fn cancel(&self, to: &DaemonId, request: RequestId) {
-        self.context.metrics.count("routing.cancel");
-        let metrics = self.context.metrics.clone();
-        let reply: PeerReply = Box::new(move |answer| {
-            if answer.is_err() {
-                metrics.count("routing.cancel.failed");
-            }
-        });
-        let cancel = PeerRequest::Cancel(request);
-        if !self.context.peers.call(to, cancel, reply) {
-            self.context.metrics.count("routing.cancel.failed");
-        }
-    }
-
-    /// Asks a guard to fence an attempt, or returns the failure if the link takes no call.
-    fn fence(&self, to: &DaemonId, fence: FenceRequest) -> Option<RoutingEvent> {
-        self.context.metrics.count("routing.fence");
-        let FenceRequest {
-            request, attempt, ..
-        } = fence;
-        let own = self.context.own_ring.clone();
-        let fenced = move |answer| RoutingEvent::Fenced {
-            request,
-            attempt,
-            answer,
-        };
-        let reply: PeerReply = Box::new(move |answer| {
-            let answer = match answer {
-                Ok(PeerAnswer::Fence(answer)) => Some(answer),
-                _ => None,
-            };
-            own.deliver(RoutingMessage::Event(fenced(answer)));
-        });
-        let sent = self
-            .context
-            .peers
-            .call(to, PeerRequest::Fence(fence), reply);
-        (!sent).then(|| fenced(None))
-    }
-
-    /// Sends a claim to the home of a key, or returns the failure if the link takes no call.
-    fn claim(&self, to: &DaemonId, claim: ClaimRequest) -> Option<RoutingEvent> {
-        let ClaimRequest { request, step, .. } = claim;
-        let own = self.context.own_ring.clone();
-        let claimed = move |answer| RoutingEvent::Claimed { request, answer };
-        let reply: PeerReply = Box::new(move |answer| {
-            let answer = match answer {
-                Ok(PeerAnswer::Claim(answer)) => Some(answer),
-                _ => None,
-            };
-            if step == ClaimStep::Take {
-                own.deliver(RoutingMessage::Event(claimed(answer)));
-            }
-        });
-        let sent = self
-            .context
-            .peers
-            .call(to, PeerRequest::Claim(claim), reply);
-        (!sent && step == ClaimStep::Take).then(|| claimed(None))
-    }
 }
 
 /// Logs and counts the end of a request and hands its answer to the writing threads.
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -309,6 +309,14 @@
         }
     }
 
+    /// Counts the attempt as no longer open, and lets its path be probed by another one.
+    fn attempt_abandoned(&mut self, target: &Target) {
+        if let Some(estimate) = self.estimates.get_mut(&target.server) {
+            estimate.outstanding_count = estimate.outstanding_count.saturating_sub(1);
+        }
+        self.paths.abandoned(&target.daemon);
+    }
+
     /// Returns `PATIENCE_FACTOR` typical times of the route, at least `SHORTEST_PATIENCE`; none
     /// while the typical time is not known, or if the service has fewer than two eligible servers.
     fn patience(&self, plan: &RequestPlan) -> Option<Duration> {
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -165,6 +165,8 @@
     },
     /// Any other event, handled by the state.
     Event(RoutingEvent),
+    /// Callers of open requests have left; the thread has the list.
+    CallersLeft,
     /// The settings name another service for the server on this VM. If empty, the service of the
     /// server that announces itself is used.
     Origin(ServiceId),
--- a/src/routing/paths.rs
+++ b/src/routing/paths.rs
@@ -143,6 +143,13 @@
         path.avoid_until = Some(now + backoff.mul_f64(jitter));
     }
 
+    /// Records that an attempt to a daemon was dropped before it ended.
+    pub fn abandoned(&mut self, daemon: &DaemonId) {
+        if let Some(path) = self.paths.get_mut(daemon) {
+            path.probing = false;
+        }
+    }
+
     /// Opens the path to a daemon that left the fleet or began a new incarnation.
     pub fn forget(&mut self, daemon: &DaemonId) {
         self.paths.remove(daemon);
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -107,6 +107,7 @@
     Sent {
         target: Target,
         incarnation: Incarnation,
+        sent_at: Instant,
     },
     /// Every server is closed for now; `kind` is the error of the last refusal.
     Parked { kind: ErrorKind },
@@ -162,7 +163,7 @@
                 answer,
             } => self.fenced(now, request, attempt, answer),
             RoutingEvent::Claimed { request, answer } => self.claimed(now, request, answer),
-            RoutingEvent::CallerLeft(request) => self.caller_left(request),
+            RoutingEvent::CallerLeft(request) => self.caller_left(now, request),
             RoutingEvent::Tick => self.wake_due(now),
             RoutingEvent::OwnServerRepeats => {
                 self.own_repeats.record_repeat(now);
@@ -273,6 +274,7 @@
         state.phase = Phase::Sent {
             target,
             incarnation,
+            sent_at: now,
         };
         self.requests.insert(request, state);
         smallvec![action]
@@ -364,25 +366,6 @@
             _ => deadline_at,
         }
     }
-
-    /// Marks a request as abandoned: ends it if it is parked, or cancels its attempt at the guard.
-    fn caller_left(&mut self, request: RequestId) -> RoutingActions {
-        let Some(state) = self.requests.get_mut(&request) else {
-            return SmallVec::new();
-        };
-        state.abandoned = true;
-        if let Phase::Parked { kind } = state.phase {
-            let state = self.requests.remove(&request);
-            return state.map_or_else(RoutingActions::new, |state| {
-                self.finish_failed(request, state, kind, None)
-            });
-        }
-        let Phase::Sent { target, .. } = &state.phase else {
-            return SmallVec::new();
-        };
-        let to = target.daemon.clone();
-        smallvec![RoutingAction::Cancel { to, request }]
-    }
 }
 
 /// Returns whether a request may be sent to a failing server because the healthy ones have no room:
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod closing;
 mod disconnects;
+mod duty;
 mod full;
 mod invalid;
 mod last_resort;
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -39,6 +39,8 @@
 pub trait Exchange: Send {
     /// Returns the body. The parts of a body that is still arriving can be received only once.
     fn body(&self) -> RequestBody;
+    /// Returns whether the caller still waits for the answer.
+    fn caller_waits(&self) -> bool;
     /// Registers `on_disconnect`, which is called once if the caller disconnects before its answer.
     /// It is called on a thread that must not be blocked.
     fn watch(&mut self, on_disconnect: Box<dyn FnOnce() + Send>);
--- a/src/wire/listener/exchange.rs
+++ b/src/wire/listener/exchange.rs
@@ -59,6 +59,12 @@
 pub(super) struct CallerWatch(Arc<Mutex<CallerState>>);
 
 impl CallerWatch {
+    /// Returns whether the caller has not disconnected.
+    fn waits(&self) -> bool {
+        let caller = self.0.lock().expect("no panic while locked");
+        !matches!(*caller, CallerState::Disconnected)
+    }
+
     /// Registers `left`, which is called if the caller disconnects. Calls it at once if the caller
     /// has disconnected already.
     fn watch(&self, left: DisconnectCallback) {
@@ -104,6 +110,10 @@
         self.body.clone()
     }
 
+    fn caller_waits(&self) -> bool {
+        self.caller.waits()
+    }
+
     fn watch(&mut self, callback: DisconnectCallback) {
         self.caller.watch(callback);
     }
