Do not start what nobody waits for any more at the guard and the front

- A guard that found the connection of an entry closed started its request all the same, and cancelled it after the start.
- A report that an entry has left was lost if it found the guard's ring full; the request ran to its end.
- The front took a token of the organisation for a caller that had left.

The guard and the front look at the exchange before they take a request, and the guard's reports are kept beside its ring, as those of routing are.

What the tests of routing and of the guard share is in src/test_support.rs.

--- a/src/front/duty.rs
+++ b/src/front/duty.rs
@@ -57,6 +57,10 @@
             FrontMessage::Stop => return,
             FrontMessage::Event(event) => event,
             FrontMessage::Arrived(head, exchange) => {
+                if !exchange.caller_waits() {
+                    context.metrics.count("front.caller_left");
+                    continue;
+                }
                 held.insert(head.request, (head.clone(), exchange));
                 FrontEvent::Arrived(head)
             }
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -21,7 +21,7 @@
 use crate::link::{LinkMessage, PeerReply};
 use crate::membership::{Fleet, MembershipEvent};
 use crate::metrics::Metrics;
-use crate::ring::RingSender;
+use crate::ring::{Reports, RingSender};
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::guard::GuardSettings;
 use crate::types::{format_id, DaemonId, Incarnation};
@@ -73,7 +73,7 @@
 }
 
 /// A running call to a server; dropping it ends the call.
-struct OpenCall {
+pub(super) struct OpenCall {
     _handle: CallHandle,
     /// Names of the request and its server in log lines.
     name: LogName,
@@ -86,7 +86,7 @@
     /// Requests that have not started yet.
     held: HashMap<AttemptKey, HeldRequest>,
     /// Calls that are running.
-    calls: HashMap<AttemptKey, OpenCall>,
+    pub(super) calls: HashMap<AttemptKey, OpenCall>,
     /// Daemons of the fleet and their servers, as last received.
     pub(super) fleet: Arc<Fleet>,
     /// Incarnation of this daemon in that fleet.
@@ -95,6 +95,8 @@
     pub(super) fence_reply: Option<PeerReply>,
     /// Receives the verdict on the announcement that is being handled.
     announcer: Option<Sender<AnnounceVerdict>>,
+    /// Attempts whose entry daemons have left and that were not ended yet.
+    pub(super) left: Reports<AttemptKey>,
 }
 
 /// Runs the thread until it receives `Stop` or its ring is closed.
@@ -108,6 +110,7 @@
         fleet: Arc::default(),
         fence_reply: None,
         announcer: None,
+        left: Reports::default(),
     };
     loop {
         let now = context.clock.now();
@@ -120,6 +123,9 @@
             Err(RecvTimeoutError::Timeout) => duty.handle_event(GuardEvent::Tick),
             Ok(message) => duty.handle_message(message),
         }
+        for key in duty.left.take() {
+            duty.handle_event(GuardEvent::EntryLeft(key));
+        }
     }
 }
 
@@ -147,7 +153,7 @@
                 exchange,
                 arrived_at,
             } => self.handle_arrival(head, raw, exchange, arrived_at),
-            GuardMessage::Stop => {}
+            GuardMessage::EntriesLeft | GuardMessage::Stop => {}
         }
     }
 
@@ -180,6 +186,9 @@
         arrived_at: Instant,
     ) {
         let key = (head.request, head.attempt);
+        if !exchange.caller_waits() {
+            return self.context.metrics.count("guard.entry_left");
+        }
         if self.held.contains_key(&key) {
             let name = self.log_name(&head, &raw);
             return self.refuse(exchange, (key, &name), ErrorKind::OutcomeUnknown, None);
@@ -207,15 +216,6 @@
         }
     }
 
-    /// Watches whether the entry daemon closes its connection. A full ring drops and counts that
-    /// event, and the request keeps running.
-    fn watch_entry(&self, key: AttemptKey, exchange: &mut dyn Exchange) {
-        let own = self.context.own_ring.clone();
-        exchange.watch(Box::new(move || {
-            let _ = own.offer(GuardMessage::Event(GuardEvent::EntryLeft(key)));
-        }));
-    }
-
     /// Carries out an action that the decisions returned.
     fn carry_out(&mut self, action: GuardAction) {
         match action {
@@ -338,32 +338,6 @@
         });
     }
 
-    /// Ends a running request for which nobody waits. If the dialect has no way to cancel it, the
-    /// connection is closed, but only for a request that may run more than once.
-    fn cancel_at_server(
-        &mut self,
-        key: AttemptKey,
-        address: std::net::SocketAddr,
-        repeatable: bool,
-    ) {
-        if let Some(path) = self.context.forward.dialect.cancel_path(key.0) {
-            let job = CancelJob { path, address };
-            if self.context.cancels.offer(job).is_err() {
-                self.context.metrics.count("guard.cancel.dropped");
-            }
-            return;
-        }
-        if !repeatable || !self.calls.contains_key(&key) {
-            return;
-        }
-        self.context.metrics.count("guard.cancel.closed");
-        self.handle_event(GuardEvent::Finished {
-            key,
-            outcome: ServerOutcome::Abandoned,
-            elapsed: Duration::ZERO,
-        });
-    }
-
     /// Counts and logs a refusal, and passes the answer to the writer threads.
     fn refuse(
         &self,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -267,6 +267,8 @@
     Fleet(Arc<Fleet>),
     /// An event without further data.
     Event(GuardEvent),
+    /// Entry daemons closed their connections; the thread has the list of attempts.
+    EntriesLeft,
     /// Ends the guard's thread.
     Stop,
 }
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 mod deaths;
 mod departures;
+mod disconnects;
 mod drain;
 pub mod duty;
 pub mod forward;
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -3,6 +3,7 @@
 mod announce;
 mod brief_wait;
 mod deaths;
+mod disconnects;
 mod incarnations;
 mod invalid;
 mod late_announcements;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,3 +35,6 @@
 pub mod standin;
 pub mod types;
 pub mod wire;
+
+#[cfg(test)]
+mod test_support;
--- a/src/routing/tests/duty.rs
+++ b/src/routing/tests/duty.rs
@@ -2,13 +2,12 @@
 
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::bounded;
 
 use super::plan;
-use crate::clock::Clock;
 use crate::contract::View;
 use crate::front::RequestHead;
 use crate::link::{PeerCaller, PeerReply, PeerRequest};
@@ -20,10 +19,12 @@
 use crate::routing::forward::GuardCallContext;
 use crate::routing::message::{AttemptOutcome, RequestPlan, RoutingEvent, RoutingMessage, Target};
 use crate::settings::routing::RoutingSettings;
+use crate::test_support::{
+    assert_connection_ends, disconnect, DisconnectCallback, PausedClock, TestExchange,
+};
 use crate::types::{BackendServerId, DaemonId};
 use crate::wire::client::HttpClient;
 use crate::wire::dialect::FleetDialect;
-use crate::wire::exchange::{Exchange, RequestBody, WholeAnswer};
 use crate::wire::proof::FleetKey;
 
 /// Far longer than any step takes; only a failing test waits so long.
@@ -70,48 +71,6 @@
     }
 }
 
-/// Clock that makes its readers wait while the lock is held.
-#[derive(Default)]
-struct PausedClock(Mutex<()>);
-
-impl Clock for PausedClock {
-    fn now(&self) -> Instant {
-        drop(self.0.lock().expect("no panic while locked"));
-        Instant::now()
-    }
-
-    fn wall(&self) -> SystemTime {
-        SystemTime::now()
-    }
-}
-
-/// Callback that an exchange calls when its caller disconnects.
-type Callback = Arc<Mutex<Option<Box<dyn FnOnce() + Send>>>>;
-
-/// An exchange whose caller disconnects when the test says so.
-struct TestExchange {
-    /// Whether the caller still waits.
-    waits: bool,
-    /// Callback for the disconnect.
-    callback: Callback,
-}
-
-impl Exchange for TestExchange {
-    fn body(&self) -> RequestBody {
-        RequestBody::Whole(Default::default())
-    }
-
-    fn caller_waits(&self) -> bool {
-        self.waits
-    }
-
-    fn watch(&mut self, callback: Box<dyn FnOnce() + Send>) {
-        *self.callback.lock().expect("no panic while locked") = Some(callback);
-    }
-
-    fn answer(self: Box<Self>, _: WholeAnswer) {}
-}
-
 /// A running routing thread and the guard that its attempts go to.
 struct Routing {
     /// Ring of the thread, which holds one message.
@@ -163,8 +122,8 @@
 
 impl Routing {
     /// Dispatches a request, and returns the callback for the disconnect of its caller.
-    fn dispatch(&self, waits: bool) -> Callback {
-        let callback = Callback::default();
+    fn dispatch(&self, waits: bool) -> DisconnectCallback {
+        let callback = DisconnectCallback::default();
         let now = Instant::now();
         let head = RequestHead {
             request: 1,
@@ -203,18 +162,6 @@
     }
 }
 
-/// Calls the callback for the disconnect of a caller.
-fn disconnect(callback: &Callback) {
-    let callback = callback.lock().expect("no panic while locked").take();
-    callback.expect("the thread watches the caller")();
-}
-
-/// Asserts that the connection of a call ends.
-fn assert_call_ends(mut connection: TcpStream) {
-    let mut rest = Vec::new();
-    connection.read_to_end(&mut rest).expect("the end");
-}
-
 #[test]
 fn a_disconnect_closes_the_connection_of_the_attempt() {
     // Arrange
@@ -226,7 +173,7 @@
     disconnect(&callback);
 
     // Assert
-    assert_call_ends(connection);
+    assert_connection_ends(connection);
 }
 
 #[test]
@@ -245,7 +192,7 @@
     drop(paused);
 
     // Assert
-    assert_call_ends(connection);
+    assert_connection_ends(connection);
 }
 
 #[test]
