Take no request in a planned stop that would outlast it

What callers saw (reported by other operators of such systems): requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, orders among them (LOST).

It could happen here. A stopping daemon took requests for `linger_ms` whatever time was left, also if that was longer than the shutdown; an order could queue at a guard until the end and start then; what ran at the end was answered as an internal error or cut.

Both new tests of tests/shutdown.rs failed before: of orders that came without pause in a stop that ends by a kill after 3 s, two ran without their answer in each. They pass now.

- A request is sent only if twice the typical time of its route is left, or its target while no time is known, at the entry and at the guard.
Else it is refused at once as not run.
- An attempt that still queues at a guard when that much is left is fenced and refused as not run; before, this was 700 ms before the end for all routes.
- The linger time is at most half of the shutdown.
- What still runs at the end is answered as `outcome_unknown`.

Ruled out: refusing every new request at SIGTERM. Callers on the VM have no other daemon until they have learned that this one leaves.

--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -234,11 +234,14 @@
         let ends_at = Instant::now() + limit;
         let _ = rings.ready.offer(ReadyEvent::Drain);
         front.wind_down();
-        let leaving = RoutingMessage::Event(RoutingEvent::Leaving);
+        let leaving = RoutingMessage::Event(RoutingEvent::Leaving { ends_at });
         rings.routing.deliver(leaving);
+        rings
+            .guard
+            .deliver(GuardMessage::Event(GuardEvent::Leaving { ends_at }));
         rings.membership.deliver(MembershipEvent::Leave);
         // An early end of this wait would do no harm.
-        let _ = after(linger).recv();
+        let _ = after(linger.min(limit / LINGER_DIVISOR)).recv();
         rings.front.deliver(FrontMessage::Event(FrontEvent::Drain));
         rings.guard.deliver(GuardMessage::Event(GuardEvent::Drain));
         let leave = AllowanceMessage::Event(AllowanceEvent::Leave);
@@ -255,6 +258,9 @@
                 log::warn!("requests_left_running");
             }
         }
+        rings
+            .routing
+            .deliver(RoutingMessage::Event(RoutingEvent::Ending));
         stopping.store(true, Ordering::Relaxed);
         drop(pause);
         for listener in &listeners {
@@ -303,6 +309,10 @@
     threads
 }
 
+/// The linger time is at most the shutdown's limit divided by this, so that requests that are taken
+/// last can still be answered.
+const LINGER_DIVISOR: u32 = 2;
+
 /// Time before the shutdown's limit at which requests that have not started are cancelled.
 const CLOSING_LEAD_TIME: Duration = Duration::from_millis(700);
 
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -232,6 +232,11 @@
     },
     /// A new view of the configuration was read.
     View(Arc<View>),
+    /// The daemon is about to leave the fleet.
+    Leaving {
+        /// When the process ends, whatever still runs.
+        ends_at: Instant,
+    },
     /// The daemon is stopping and takes no new work.
     Drain,
 }
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -11,6 +11,7 @@
 use super::warmth::WarmthEvidence;
 use crate::membership::message::FULL_SHARE_PERMILLE;
 use crate::membership::ServerEntry;
+use crate::routing::stop::STOP_TIME_FACTOR;
 use crate::settings::guard::GuardSettings;
 use crate::types::RouteId;
 use crate::wire::client::CallError;
@@ -287,14 +288,30 @@
 
     /// Returns whether a request that must wait can still be answered by its deadline.
     pub(super) fn can_meet_deadline(&self, now: Instant, request: &GuardRequest) -> bool {
-        let Some(own_s) = self
+        let wait = self.expected_wait(request);
+        let answered_at = self.run_time(request).map(|run_time| now + wait + run_time);
+        answered_at.is_none_or(|at| at <= request.deadline_at)
+    }
+
+    /// Returns whether a request that waits this long for its slot will probably be answered
+    /// before the process ends.
+    pub(super) fn can_end_before(
+        &self,
+        now: Instant,
+        request: &GuardRequest,
+        wait: Duration,
+        ends_at: Instant,
+    ) -> bool {
+        let run_time = self.run_time(request).unwrap_or_default();
+        now + wait + run_time * STOP_TIME_FACTOR <= ends_at
+    }
+
+    /// Returns the mean time of the request's route, or of all routes; none if neither is known.
+    fn run_time(&self, request: &GuardRequest) -> Option<Duration> {
+        let mean_s = self
             .times
-            .route_or_overall_mean_s(&request.route, MIN_SAMPLE_COUNT)
-        else {
-            return true;
-        };
-        let answered_at = now + self.expected_wait(request) + Duration::from_secs_f64(own_s);
-        answered_at <= request.deadline_at
+            .route_or_overall_mean_s(&request.route, MIN_SAMPLE_COUNT)?;
+        Some(Duration::from_secs_f64(mean_s))
     }
 
     /// Returns the description of the server that other daemons get.
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -34,6 +34,8 @@
     pub(super) deaths: DeathTracker,
     pub(super) departures: Departures,
     pub(super) draining: bool,
+    /// When the process ends; none while the daemon does not leave the fleet.
+    ends_at: Option<Instant>,
     /// Whether the failure domain of this VM is out of service.
     pub(super) domain_out: bool,
     pub(super) view: Arc<View>,
@@ -64,6 +66,7 @@
             servers: BTreeMap::new(),
             running: HashMap::new(),
             draining: false,
+            ends_at: None,
             domain_out: false,
             view: Arc::default(),
             inquiries: Inquiries::default(),
@@ -135,6 +138,7 @@
             GuardEvent::Incarnation(incarnation) => self.own_incarnations.raise(incarnation),
             GuardEvent::OwnCallFailed => self.own_call_failed_at = Some(now),
             GuardEvent::Tick => self.handle_tick(now, &mut actions),
+            GuardEvent::Leaving { ends_at } => self.ends_at = Some(ends_at),
             GuardEvent::Drain => {
                 self.draining = true;
                 self.refuse_all_waiting(now, ErrorKind::Stopping, &mut actions);
@@ -218,8 +222,15 @@
             return refuse(ErrorKind::RetriesSpent, None);
         }
         let must_wait = !server.has_free_slot(now) || !server.queue.is_empty();
+        let wait = match must_wait {
+            true => server.expected_wait(&request),
+            false => Duration::ZERO,
+        };
+        let outlasts = |ends_at: &Instant| !server.can_end_before(now, &request, wait, *ends_at);
+        if self.ends_at.as_ref().is_some_and(outlasts) {
+            return refuse(ErrorKind::Stopping, None);
+        }
         if must_wait {
-            let wait = server.expected_wait(&request);
             let limit = terms
                 .wait_limit_ms
                 .map(|ms| Duration::from_millis(ms.into()));
--- a/src/guard/tests/brief_wait.rs
+++ b/src/guard/tests/brief_wait.rs
@@ -81,3 +81,23 @@
     let number: RequestId = 2;
     assert_eq!(refusal_of(&refused, number), Some(ErrorKind::Busy));
 }
+
+#[test]
+fn a_request_that_would_outlast_a_leaving_daemon_is_refused_as_not_run() {
+    // Arrange
+    let now = Instant::now();
+    let leaving = |time_left| {
+        let mut state = busy_guard(now);
+        let ends_at = now + time_left;
+        state.handle(now, GuardEvent::Leaving { ends_at });
+        state.handle(now, arrives(3, now, TYPICAL_TIME * 2))
+    };
+
+    // Act
+    let late = leaving(TYPICAL_TIME / 2);
+    let early = leaving(TYPICAL_TIME * 4);
+
+    // Assert
+    assert_eq!(refusal_of(&late, 3), Some(ErrorKind::Stopping));
+    assert_eq!(refusal_of(&early, 3), None);
+}
--- a/src/routing/at_most_once.rs
+++ b/src/routing/at_most_once.rs
@@ -69,38 +69,6 @@
         }
     }
 
-    /// Takes back what has not started: refuses parked requests, and asks guards to fence attempts
-    /// that still queue there. Attempts that run are left to be answered.
-    pub(super) fn close(&mut self) -> RoutingActions {
-        self.closing = true;
-        let mut actions = RoutingActions::new();
-        let mut parked = Vec::new();
-        for (request, state) in &self.requests {
-            match &state.phase {
-                Phase::Parked { .. } => parked.push(*request),
-                Phase::Sent {
-                    target,
-                    incarnation,
-                    ..
-                } => actions.push(RoutingAction::Fence {
-                    to: target.daemon.clone(),
-                    fence: FenceRequest {
-                        request: *request,
-                        attempt: state.attempt,
-                        incarnation: *incarnation,
-                    },
-                }),
-                Phase::New | Phase::Claiming { .. } | Phase::Fencing { .. } => {}
-            }
-        }
-        for request in parked {
-            if let Some(state) = self.requests.remove(&request) {
-                actions.extend(self.finish_failed(request, state, ErrorKind::Stopping, None));
-            }
-        }
-        actions
-    }
-
     /// Asks the guard of a lost attempt to make sure that the attempt never starts.
     pub(super) fn fence(
         &mut self,
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -60,6 +60,11 @@
     /// server. By default nothing is kept of open attempts.
     fn attempt_abandoned(&mut self, _target: &Target) {}
 
+    /// Returns the typical time of an attempt at the route; none while it is not known.
+    fn typical_time(&self, _plan: &RequestPlan) -> Option<Duration> {
+        None
+    }
+
     /// Returns the time without an answer after which an attempt may be given up for another
     /// server; none if it waits until the deadline.
     fn patience(&self, _plan: &RequestPlan) -> Option<Duration> {
--- a/src/routing/disconnects.rs
+++ b/src/routing/disconnects.rs
@@ -7,9 +7,15 @@
 use super::message::{AttemptOutcome, RequestPlan, Target};
 use super::state::{Phase, RoutingActions, RoutingState};
 use crate::error::ErrorKind;
-use crate::types::RequestId;
+use crate::types::{Attempt, RequestId};
 
 impl RoutingState {
+    /// Returns the present attempt at an open request, and the name of what the request waits for.
+    pub(super) fn progress(&self, request: RequestId) -> Option<(Attempt, &'static str)> {
+        let state = self.requests.get(&request)?;
+        Some((state.attempt, state.phase.name()))
+    }
+
     /// Ends a request whose caller disconnected. The end drops the call of its attempt, from which
     /// the guard learns that nobody waits. With a claimed idempotency key the guard is asked to
     /// fence the attempt first, so that the key is released if it never starts.
@@ -63,3 +69,16 @@
         self.choice.attempt_ended(now, plan, target, &lost, elapsed);
     }
 }
+
+impl Phase {
+    /// Returns the name of the phase in logs.
+    fn name(&self) -> &'static str {
+        match self {
+            Phase::New => "new",
+            Phase::Claiming { .. } => "claiming",
+            Phase::Sent { .. } => "sent",
+            Phase::Parked { .. } => "parked",
+            Phase::Fencing { .. } => "fencing",
+        }
+    }
+}
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -317,6 +317,10 @@
         self.paths.abandoned(&target.daemon);
     }
 
+    fn typical_time(&self, plan: &RequestPlan) -> Option<Duration> {
+        self.route_speeds.known_typical(&plan.route)
+    }
+
     /// Returns `PATIENCE_FACTOR` typical times of the route, at least `SHORTEST_PATIENCE`; none
     /// while the typical time is not known, or if the service has fewer than two eligible servers.
     fn patience(&self, plan: &RequestPlan) -> Option<Duration> {
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -143,9 +143,14 @@
     /// New settings are in force. The capacity of the duty's ring does not change.
     Settings(Box<RoutingSettings>),
     /// The daemon is about to leave the fleet.
-    Leaving,
+    Leaving {
+        /// When the process ends, whatever still runs.
+        ends_at: Instant,
+    },
     /// The process is about to end: attempts that have not started are taken back.
     Closing,
+    /// The process ends: every open request ends, too.
+    Ending,
     /// A new view of the configuration is in force.
     View(Arc<View>),
     /// The fleet has changed; holds its newest snapshot.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -27,6 +27,7 @@
 mod pick_criteria;
 pub mod speed;
 pub mod state;
+pub(crate) mod stop;
 
 pub use message::{
     AttemptOutcome, Outcome, RequestPlan, RoutingAction, RoutingEvent, RoutingMessage, Target,
--- a/src/routing/parked.rs
+++ b/src/routing/parked.rs
@@ -65,7 +65,7 @@
     fn wake_at(&self, now: Instant, state: &RequestState, kind: ErrorKind) -> Option<Instant> {
         let all_closed = matches!(kind, ErrorKind::ServerTripped | ErrorKind::NoServer);
         let full = self.parked.wake_ups.len() >= PARKED_LIMIT_COUNT;
-        if !all_closed || full || self.leaving || !self.has_attempt_left(now, state) {
+        if !all_closed || full || self.ends_at.is_some() || !self.has_attempt_left(now, state) {
             return None;
         }
         let until = state.arrived_at + self.park_limit(now, state);
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -45,8 +45,8 @@
     own_repeats: OwnRepeats,
     /// When parked requests try the servers again.
     pub(super) parked: Parked,
-    /// Whether the daemon is about to leave the fleet.
-    pub(super) leaving: bool,
+    /// When the process ends; none while the daemon does not leave the fleet.
+    pub(super) ends_at: Option<Instant>,
     /// Whether the process is about to end; no further attempt is made.
     pub(super) closing: bool,
 }
@@ -95,6 +95,8 @@
     pub(super) resendable: bool,
     /// Whether the caller closed its connection.
     pub(super) abandoned: bool,
+    /// Whether the guard was asked to take back the present attempt, as the process ends.
+    pub(super) taken_back: bool,
 }
 
 /// What an open request waits for.
@@ -116,19 +118,6 @@
     Fencing { kind: ErrorKind },
 }
 
-impl Phase {
-    /// Returns the name of the phase in logs.
-    fn name(&self) -> &'static str {
-        match self {
-            Phase::New => "new",
-            Phase::Claiming { .. } => "claiming",
-            Phase::Sent { .. } => "sent",
-            Phase::Parked { .. } => "parked",
-            Phase::Fencing { .. } => "fencing",
-        }
-    }
-}
-
 impl RoutingState {
     /// Creates a state with no open requests and an empty fleet.
     pub fn new(settings: RoutingSettings, choice: Box<dyn ServerChoice>) -> RoutingState {
@@ -141,7 +130,7 @@
             requests: HashMap::new(),
             own_repeats: OwnRepeats::default(),
             parked: Parked::default(),
-            leaving: false,
+            ends_at: None,
             closing: false,
         }
     }
@@ -164,7 +153,11 @@
             } => self.fenced(now, request, attempt, answer),
             RoutingEvent::Claimed { request, answer } => self.claimed(now, request, answer),
             RoutingEvent::CallerLeft(request) => self.caller_left(now, request),
-            RoutingEvent::Tick => self.wake_due(now),
+            RoutingEvent::Tick => {
+                let mut actions = self.wake_due(now);
+                actions.extend(self.take_back_late(now));
+                actions
+            }
             RoutingEvent::OwnServerRepeats => {
                 self.own_repeats.record_repeat(now);
                 SmallVec::new()
@@ -176,10 +169,11 @@
                 SmallVec::new()
             }
             RoutingEvent::Closing => self.close(),
-            RoutingEvent::Leaving => {
-                self.leaving = true;
+            RoutingEvent::Leaving { ends_at } => {
+                self.ends_at = Some(ends_at);
                 SmallVec::new()
             }
+            RoutingEvent::Ending => self.end_all(),
             RoutingEvent::View(view) => {
                 self.choice.update_view(view);
                 SmallVec::new()
@@ -193,9 +187,10 @@
         }
     }
 
-    /// Returns when the next `Tick` is due; none while no request is parked.
+    /// Returns when the next `Tick` is due, if any is.
     pub fn next_tick_at(&self) -> Option<Instant> {
-        self.parked.next_at()
+        let take_back_at = self.next_take_back_at();
+        self.parked.next_at().into_iter().chain(take_back_at).min()
     }
 
     /// Returns how many requests have not ended.
@@ -203,12 +198,6 @@
         self.requests.len()
     }
 
-    /// Returns the present attempt at an open request, and the name of what the request waits for.
-    pub(super) fn progress(&self, request: RequestId) -> Option<(Attempt, &'static str)> {
-        let state = self.requests.get(&request)?;
-        Some((state.attempt, state.phase.name()))
-    }
-
     /// Starts a request: claims its idempotency key first if it has one and may not be repeated.
     fn dispatch(&mut self, now: Instant, plan: RequestPlan) -> RoutingActions {
         self.budget.record_dispatch(&plan.service);
@@ -235,6 +224,7 @@
             death_count: 0,
             resendable: true,
             abandoned: false,
+            taken_back: false,
         };
         match &state.plan.idempotency_key {
             Some(key) if !state.plan.repeatable => {
@@ -253,6 +243,9 @@
         mut state: RequestState,
         kind: ErrorKind,
     ) -> RoutingActions {
+        if self.would_outlast_stop(now, &state.plan) {
+            return self.finish_failed(request, state, ErrorKind::Stopping, None);
+        }
         let Some((target, terms)) = self.pick(now, &state) else {
             return self.park(now, request, state, kind);
         };
@@ -261,6 +254,7 @@
         let daemon = self.fleet.daemons.get(&target.daemon);
         let incarnation = daemon.map_or(0, |daemon| daemon.incarnation);
         state.attempt += 1;
+        state.taken_back = false;
         state.tried.push(target.server.clone());
         self.choice.attempt_sent(now, &state.plan, &target);
         let action = RoutingAction::Send {
@@ -357,7 +351,7 @@
         let deadline_at = state.plan.deadline_at;
         // A daemon that leaves ends no attempt early, since a server may be running it. If the
         // budget has no retry left, there is no other attempt to save time for.
-        let may_retry = !self.leaving && self.budget.has_retry(&state.plan.service);
+        let may_retry = self.ends_at.is_none() && self.budget.has_retry(&state.plan.service);
         if !state.plan.repeatable || !may_retry || !self.has_attempt_left(now, state) {
             return deadline_at;
         }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -10,6 +10,7 @@
 mod parked;
 mod patience;
 mod probes;
+mod stop;
 
 use std::time::{Duration, Instant};
 
--- a/src/routing/tests/patience.rs
+++ b/src/routing/tests/patience.rs
@@ -76,7 +76,8 @@
     let mut state = RoutingState::new(RoutingSettings::default(), Box::new(Patient));
 
     // Act
-    state.handle(now, RoutingEvent::Leaving);
+    let ends_at = now + DEADLINE;
+    state.handle(now, RoutingEvent::Leaving { ends_at });
 
     // Assert
     assert_eq!(first_attempt(&mut state, now), DEADLINE);
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -27,7 +27,7 @@
     /// never. The graceful shutdown ends before that.
     pub kill_after_ms: u64,
     /// Time for which a stopping daemon still takes requests while callers and other daemons learn
-    /// that it leaves, in milliseconds.
+    /// that it leaves, in milliseconds. At most half of the shutdown is used.
     pub linger_ms: u64,
 }
 
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -16,11 +17,7 @@
 const LONG_DEADLINE_MS: u64 = 8_000;
 
 /// Sends orders until `stop` is set and returns the path and the answer of each.
-fn send_orders_until(
-    front: std::net::SocketAddr,
-    caller: usize,
-    stop: &AtomicBool,
-) -> Vec<(String, Answer)> {
+fn send_orders_until(front: SocketAddr, caller: usize, stop: &AtomicBool) -> Vec<(String, Answer)> {
     let mut answers = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         let path = format!("/orders/{caller}-{}", answers.len());
@@ -91,3 +88,70 @@
     assert_eq!(answer.status, 200, "{answer:?}");
     assert!(exited_cleanly);
 }
+
+/// Time between two orders of a caller that does not wait for answers.
+const ORDER_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Sends one order on a new connection and returns its status; none without a complete answer.
+fn order_status(front: SocketAddr, path: &str) -> Option<u16> {
+    let order = attohttpc::post(format!("http://{front}{path}"))
+        .bearer_auth("key-1")
+        .timeout(Duration::from_secs(20));
+    let response = order.text("one hinge").send().ok()?;
+    let status = response.status().as_u16();
+    response.text().ok().map(|_| status)
+}
+
+/// Stops an entry that is killed after `KILL_AFTER`, while orders that run for `work` come without
+/// pause, and asserts that each order that ran got the server's answer.
+fn assert_no_order_lost(name: &str, work: Duration) {
+    // Arrange
+    let fleet = Fleet::start_with(name, 1, 1, |settings| {
+        settings.daemon.kill_after_ms = KILL_AFTER.as_millis() as u64;
+        settings.daemon.linger_ms = 2_300;
+    });
+    let slow = ServerFaults {
+        slow_ms: work.as_millis() as u64,
+        ..Default::default()
+    };
+    fleet.set_faults(0, &slow);
+    let front = fleet.front(0);
+    assert_eq!(order_status(front, "/orders/first"), Some(200));
+    let send = |index: usize| {
+        let path = format!("/orders/{index}");
+        thread::spawn(move || (order_status(front, &path), path))
+    };
+
+    // Act
+    fleet.entries[0].signal("TERM");
+    let mut orders = Vec::new();
+    for index in 0..(KILL_AFTER.as_millis() / ORDER_INTERVAL.as_millis()) as usize {
+        orders.push(send(index));
+        thread::sleep(ORDER_INTERVAL);
+    }
+    fleet.entries[0].signal("KILL");
+
+    // Assert
+    let orders = orders.into_iter().map(|order| order.join().unwrap());
+    let lost: Vec<String> = orders
+        .filter(|(status, path)| *status != Some(200) && fleet.run_count(path) > 0)
+        .map(|(_, path)| path)
+        .collect();
+    assert!(
+        lost.is_empty(),
+        "orders that ran without their answer: {lost:?}"
+    );
+}
+
+/// Time from SIGTERM until the platform kills the process.
+const KILL_AFTER: Duration = Duration::from_secs(3);
+
+#[test]
+fn orders_late_in_a_planned_stop_are_answered() {
+    assert_no_order_lost("stop-late", Duration::from_millis(1_000));
+}
+
+#[test]
+fn orders_that_would_outlast_a_planned_stop_are_not_started() {
+    assert_no_order_lost("stop-long", Duration::from_millis(1_800));
+}
--- a/tests/support/faults.rs
+++ b/tests/support/faults.rs
@@ -34,14 +34,23 @@
 impl Fleet {
     /// Starts a fleet and waits until each entry has got an answer from every server.
     pub fn start(name: &str, entry_count: usize, server_count: usize) -> Fleet {
+        Fleet::start_with(name, entry_count, server_count, |_| {})
+    }
+
+    /// Starts a fleet whose daemons' settings are changed by `change`.
+    pub fn start_with(
+        name: &str,
+        entry_count: usize,
+        server_count: usize,
+        change: impl Fn(&mut Settings),
+    ) -> Fleet {
         let log = start_log();
         let log_address = log.address("listening");
         publish_test_contracts(log_address);
         let start_one = |kind: &str, index: usize| {
-            start_daemon(&short_margin_settings(
-                &format!("{name}-{kind}{index}"),
-                log_address,
-            ))
+            let mut settings = short_margin_settings(&format!("{name}-{kind}{index}"), log_address);
+            change(&mut settings);
+            start_daemon(&settings)
         };
         let entries = (0..entry_count)
             .map(|index| start_one("entry", index))
