--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -12,6 +12,19 @@
 const SERVER_RETENTION: Duration = Duration::from_secs(600);
 
 impl GuardState {
+    /// Returns when a draining guard on which nothing runs has received nothing for `quiet_ms`.
+    /// Until then, entry daemons that do not know yet that the daemon leaves still get refusals.
+    pub(super) fn drained_at(&self) -> Option<Instant> {
+        let idle = self.draining && self.running.is_empty();
+        idle.then_some(self.last_arrival_at)
+            .flatten()
+            .map(|at| at + Duration::from_millis(self.settings.quiet_ms))
+    }
+
+    pub(super) fn accepts_work(&self) -> bool {
+        !self.draining && !self.domain_out
+    }
+
     /// Handles the withdrawal of an incarnation. A delayed withdrawal of an incarnation before the
     /// present one changes nothing.
     pub(super) fn handle_withdrawal(
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -294,16 +294,17 @@
     }
 
     /// Returns whether a request that waits this long for its slot will probably be answered
-    /// before the process ends.
+    /// before the process ends; always if it does not end.
     pub(super) fn can_end_before(
         &self,
         now: Instant,
         request: &GuardRequest,
         wait: Duration,
-        ends_at: Instant,
+        ends_at: Option<Instant>,
     ) -> bool {
         let run_time = self.run_time(request).unwrap_or_default();
-        now + wait + run_time * STOP_TIME_FACTOR <= ends_at
+        let ended_at = now + wait + run_time * STOP_TIME_FACTOR;
+        ends_at.is_none_or(|ends_at| ended_at <= ends_at)
     }
 
     /// Returns the mean time of the request's route, or of all routes; none if neither is known.
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -46,7 +46,7 @@
     /// When a request that a server on this VM made itself last failed.
     own_call_failed_at: Option<Instant>,
     /// When the last request arrived or the drain began, whichever was later.
-    last_arrival_at: Option<Instant>,
+    pub(super) last_arrival_at: Option<Instant>,
     /// Servers in the last report to membership.
     pub(super) reported_servers: Vec<ServerEntry>,
 }
@@ -170,19 +170,6 @@
         Duration::from_millis(self.settings.announcement_ttl_ms)
     }
 
-    /// Returns when a draining guard on which nothing runs has received nothing for `quiet_ms`.
-    /// Until then, entry daemons that do not know yet that the daemon leaves still get refusals.
-    fn drained_at(&self) -> Option<Instant> {
-        let idle = self.draining && self.running.is_empty();
-        idle.then_some(self.last_arrival_at)
-            .flatten()
-            .map(|at| at + Duration::from_millis(self.settings.quiet_ms))
-    }
-
-    pub(super) fn accepts_work(&self) -> bool {
-        !self.draining && !self.domain_out
-    }
-
     /// Starts the request, queues it or refuses it.
     fn admit(&mut self, now: Instant, request: GuardRequest, actions: &mut Vec<GuardAction>) {
         let key = request.key();
@@ -226,8 +213,7 @@
             true => server.expected_wait(&request),
             false => Duration::ZERO,
         };
-        let outlasts = |ends_at: &Instant| !server.can_end_before(now, &request, wait, *ends_at);
-        if self.ends_at.as_ref().is_some_and(outlasts) {
+        if !server.can_end_before(now, &request, wait, self.ends_at) {
             return refuse(ErrorKind::Stopping, None);
         }
         if must_wait {
