Tell entries in each answer up to where the guard has read the configuration

Cause: a daemon that is behind learns it only from requests that reach its guard.

The guard reports entries that are ahead for as long as they are, not once: a call to a peer that failed was never repeated.

Weighed: a shorter waiting read, which costs a call of every daemon each time.

Tests of the header at the guard and of the report at the entry; both need the new header.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -88,6 +88,7 @@
         },
         call_limit_count: settings.front.worker_count,
         upload_limit_count: settings.front.upload_worker_count,
+        feed: rings.feed.clone(),
         guard: rings.guard.clone(),
         answers,
         peers: Arc::new(FleetCaller {
--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -1,5 +1,6 @@
 //! Starts the guard of the backend servers on this VM.
 
+use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -28,6 +29,7 @@
     let settings = &shared.settings;
     let (answers, answers_receiver) = ring("refuse", settings.guard.ring_count, &shared.metrics);
     let (cancels, cancels_receiver) = ring("cancel", CANCEL_RING_COUNT, &shared.metrics);
+    let view = Arc::new(AtomicU64::default());
     let mut threads = Vec::new();
     for index in 0..ACCEPT_THREAD_COUNT {
         let context = guard::accept::AcceptContext {
@@ -36,6 +38,7 @@
             clock: shared.clock.clone(),
             metrics: shared.metrics.clone(),
             guard: rings.guard.clone(),
+            view: view.clone(),
             feed: rings.feed.clone(),
         };
         threads.push(spawn_duty(&format!("guard-in-{index}"), move || {
@@ -63,6 +66,7 @@
         own_ring: rings.guard.clone(),
         routing: rings.routing.clone(),
         link: rings.link.clone(),
+        view,
         drained,
     };
     threads.push(spawn_duty("guard", move || {
--- a/src/guard/accept.rs
+++ b/src/guard/accept.rs
@@ -1,15 +1,16 @@
 //! Thread that accepts forwarded requests from entry daemons.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
 use super::message::GuardMessage;
+use super::view_report::ViewReport;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::feed::{FeedEvent, FeedMessage};
 use crate::front::answer::refusal;
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
-use crate::types::Offset;
 use crate::wire::forward::ForwardHead;
 use crate::wire::listener::HttpListener;
 use crate::wire::proof::FleetKey;
@@ -26,6 +27,8 @@
     pub metrics: Metrics,
     /// Ring of the guard's thread.
     pub guard: RingSender<GuardMessage>,
+    /// Offset up to which this daemon has read the configuration.
+    pub view: Arc<AtomicU64>,
     /// Ring of the configuration feed, which receives reports of entry daemons that have read
     /// further.
     pub feed: RingSender<FeedMessage>,
@@ -33,7 +36,6 @@
 
 /// Accepts requests until the listener is closed.
 pub fn run(context: &AcceptContext) {
-    let mut newest_offset = 0;
     while let Some((raw, exchange)) = context.listener.next() {
         let Some(head) = ForwardHead::decode(&raw.headers, &context.key) else {
             context.metrics.count("guard.refused.unproven");
@@ -41,8 +43,12 @@
             continue;
         };
         let request = head.request;
-        report_entry_ahead(context, &head, &mut newest_offset);
+        report_entry_ahead(context, &head);
         let arrived_at = context.clock.now();
+        let exchange = Box::new(ViewReport {
+            exchange,
+            view: context.view.clone(),
+        });
         let message = GuardMessage::Arrived {
             head,
             raw,
@@ -55,12 +61,11 @@
     }
 }
 
-/// Reports to the configuration feed an entry daemon that has read further than all before.
-fn report_entry_ahead(context: &AcceptContext, head: &ForwardHead, newest_offset: &mut Offset) {
-    if head.view <= *newest_offset {
+/// Reports to the configuration feed an entry daemon that has read further than this daemon.
+fn report_entry_ahead(context: &AcceptContext, head: &ForwardHead) {
+    if head.view <= context.view.load(Ordering::Relaxed) {
         return;
     }
-    *newest_offset = head.view;
     let event = FeedEvent::PeerAhead {
         peer: head.entry.clone(),
         next: head.view,
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -1,6 +1,7 @@
 //! The guard's thread: feeds events to the decisions and carries out their actions.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -60,6 +61,8 @@
     pub routing: RingSender<RoutingMessage>,
     /// Ring of the link to other daemons.
     pub link: RingSender<LinkMessage>,
+    /// Offset up to which this daemon has read the configuration; the thread updates it.
+    pub view: Arc<AtomicU64>,
     /// Receives a signal when a draining guard has nothing left to do.
     pub drained: Sender<()>,
 }
@@ -160,6 +163,9 @@
     /// Passes an event to the decisions and carries out the actions that follow.
     pub(super) fn handle_event(&mut self, event: GuardEvent) {
         let now = self.context.clock.now();
+        if let GuardEvent::View(view) = &event {
+            self.context.view.store(view.next, Ordering::Relaxed);
+        }
         if let GuardEvent::Finished {
             key,
             outcome,
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -26,6 +26,7 @@
 pub mod started;
 pub mod state;
 pub mod times;
+mod view_report;
 mod warmth;
 
 pub use message::{Announcement, AttemptKey, GuardAction, GuardEvent, GuardMessage};
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -11,6 +11,7 @@
 mod overdue;
 mod servers;
 mod shedding;
+mod view_report;
 mod warm_rate;
 
 use std::time::{Duration, Instant};
--- a/src/guard/tests/disconnects.rs
+++ b/src/guard/tests/disconnects.rs
@@ -79,6 +79,7 @@
         own_ring: own_ring.clone(),
         routing: ring("routing", 8, &metrics).0,
         link: ring("link", 8, &metrics).0,
+        view: Arc::default(),
         drained: bounded(1).0,
         metrics,
     };
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -15,6 +15,7 @@
 use super::state::RoutingState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
+use crate::feed::{FeedEvent, FeedMessage};
 use crate::front::duty::AnswerJob;
 use crate::front::RequestHead;
 use crate::guard::{GuardEvent, GuardMessage};
@@ -50,6 +51,8 @@
     pub call_limit_count: usize,
     /// Most open calls whose bodies are too long to be kept.
     pub upload_limit_count: usize,
+    /// Ring of the configuration feed, which receives reports of guards that have read further.
+    pub feed: RingSender<FeedMessage>,
     /// Ring of the guard on this VM.
     pub guard: RingSender<GuardMessage>,
     /// Ring of the threads that write answers to callers.
@@ -330,7 +333,13 @@
         let clock = self.context.clock.clone();
         let started_at = clock.now();
         let resendable = !held.body_spent;
+        let (feed, peer, view) = (self.context.feed.clone(), job.target.daemon, self.view);
         let done = Box::new(move |result| {
+            if let Some(next) = forward::peer_view(&result).filter(|next| *next > view) {
+                let event = FeedEvent::PeerAhead { peer, next };
+                // If the ring is full, a later answer or the feed itself brings the news.
+                let _ = feed.offer(FeedMessage::Event(event));
+            }
             own.deliver(RoutingMessage::Event(RoutingEvent::Attempted {
                 request,
                 attempt,
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -150,6 +150,12 @@
     }
 }
 
+/// Returns the offset up to which the guard's daemon has read the configuration, if it says so.
+pub fn peer_view(result: &Result<WholeAnswer, CallError>) -> Option<Offset> {
+    let answer = result.as_ref().ok()?;
+    header(&answer.headers, forward::VIEW)?.parse().ok()
+}
+
 /// Returns what a guard's answer means. An answer without the request's id is not trusted.
 fn answered(request: RequestId, answer: WholeAnswer) -> AttemptOutcome {
     if header(&answer.headers, forward::REQUEST) != Some(format_id(request).as_str()) {
--- a/src/routing/tests/duty.rs
+++ b/src/routing/tests/duty.rs
@@ -1,14 +1,15 @@
 //! Tests of the routing thread with real connections: what it does when callers disconnect.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::bounded;
+use crossbeam::channel::{bounded, Receiver};
 
 use super::plan;
 use crate::contract::View;
+use crate::feed::{FeedEvent, FeedMessage};
 use crate::front::RequestHead;
 use crate::link::{PeerCaller, PeerReply, PeerRequest};
 use crate::membership::Fleet;
@@ -79,6 +80,8 @@
     clock: Arc<PausedClock>,
     /// Listener of the guard.
     guard: TcpListener,
+    /// What is reported to the configuration feed.
+    news: Receiver<FeedMessage>,
 }
 
 /// Starts a routing thread.
@@ -87,6 +90,7 @@
     let address = guard.local_addr().expect("an address");
     let metrics = Metrics::local();
     let (own_ring, messages) = ring("routing", 1, &metrics);
+    let (feed, news) = ring("feed", 8, &metrics);
     let clock = Arc::new(PausedClock::default());
     let context = RoutingContext {
         settings: RoutingSettings::default(),
@@ -105,6 +109,7 @@
         },
         call_limit_count: 8,
         upload_limit_count: 8,
+        feed,
         guard: ring("guard", 8, &metrics).0,
         answers: ring("answer", 8, &metrics).0,
         peers: Arc::new(NoPeers),
@@ -117,6 +122,7 @@
         ring: own_ring,
         clock,
         guard,
+        news,
     }
 }
 
@@ -211,3 +217,22 @@
     // Assert
     assert!(routing.guard.accept().is_err());
 }
+
+#[test]
+fn a_guard_that_has_read_further_is_reported_to_the_feed() {
+    // Arrange
+    let routing = start();
+    let _callback = routing.dispatch(true);
+    let mut connection = routing.accept_call();
+
+    // Act
+    let answer = "HTTP/1.1 503 Full\r\nx-banyanbeam-view: 7\r\ncontent-length: 0\r\n\r\n";
+    connection.write_all(answer.as_bytes()).expect("sent");
+
+    // Assert
+    let reported = routing.news.recv_timeout(GIVE_UP).expect("a report");
+    let FeedMessage::Event(FeedEvent::PeerAhead { peer, next }) = reported else {
+        panic!("another message");
+    };
+    assert_eq!((&*peer, next), ("d", 7));
+}
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -30,6 +30,9 @@
 /// Header of a refusal with the time until the request would have got a slot, in milliseconds.
 pub const WAIT_MS: &str = "x-banyanbeam-wait-ms";
 
+/// Header of a guard's answer with the offset up to which its daemon has read the configuration.
+pub const VIEW: &str = "x-banyanbeam-view";
+
 /// Options of one attempt that the guard must follow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AttemptTerms {
