--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+
 use super::message::FeedRead;
 use super::{Feed, FeedError};
 use crate::settings::feed::FeedSettings;
@@ -117,7 +119,8 @@
         let doublings = (failed_count - 1).min(DOUBLING_LIMIT_COUNT);
         let wait_ms = self.settings.retry_ms << doublings;
         let wait = Duration::from_millis(wait_ms.min(self.settings.retry_limit_ms));
-        let left = wait.saturating_sub(began_at.elapsed());
+        let jitter = rand::rng().random_range(JITTER_FLOOR..=1.0);
+        let left = wait.mul_f64(jitter).saturating_sub(began_at.elapsed());
         // A closed channel means that the daemon stops.
         let _ = self.pause.recv_timeout(left);
     }
@@ -125,5 +128,7 @@
 
 /// Most doublings of the wait after failures.
 const DOUBLING_LIMIT_COUNT: u32 = 10;
+/// Smallest random factor on a wait after failures, which keeps daemons from reading in step.
+const JITTER_FLOOR: f64 = 0.75;
 /// Factor by which each wait between two polls is longer than the last.
 const POLL_FACTOR: u32 = 2;
