--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -317,6 +317,7 @@
         self.paths.abandoned(&target.daemon);
     }
 
+    /// Returns the typical time of the route.
     fn typical_time(&self, plan: &RequestPlan) -> Option<Duration> {
         self.route_speeds.known_typical(&plan.route)
     }
