Read the configuration without waiting after a failed read

All 21 daemons lost it at 8.4 s, when their waiting reads ended, and found it again at 14.2 s, together with version 7, which was acknowledged at 10.78 s.

Cause: the read after the failed one waited for records as well, up to 5 s and its timeout. One that began while the store was silent hung that long, whatever the limits on retries.

After a failure the reader now asks for what is there at once, until a read succeeds; then it waits for records again. That is one call more for each daemon and outage.

The test failed before: the waits were 5 s, 5 s, 5 s; now 5 s, 0, 5 s.

--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -54,7 +54,7 @@
     }
 
     /// Reads the newest items and then follows the feed; starts over if records may have been
-    /// missed.
+    /// missed. After a failure it does not wait for records until a read has succeeded.
     fn follow(&mut self, wait: Duration) {
         let mut from = None;
         let mut failed_count: u32 = 0;
@@ -62,6 +62,8 @@
             let began_at = Instant::now();
             let read = match from {
                 None => self.feed.newest(),
+                // A read that waits for records looks like one that hangs on a silent platform.
+                Some(from) if failed_count > 0 => self.feed.follow(from, Duration::ZERO),
                 Some(from) => self.feed.follow(from, wait),
             };
             match read {
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -253,3 +253,66 @@
     let view = view_of(&followed).expect("a view");
     assert!(view.services.contains_key("t"));
 }
+
+/// A feed whose first waiting read fails, and which stops the reader after the third.
+struct Hanging {
+    /// Waits that the reader asked for.
+    waits: crossbeam::channel::Sender<Duration>,
+    /// Number of waiting reads so far.
+    count: u32,
+    /// Flag that ends the reader.
+    stopping: Arc<AtomicBool>,
+}
+
+impl Feed<u32> for Hanging {
+    fn newest(&mut self) -> Result<Page<u32>, FeedError> {
+        Ok(Page {
+            items: Vec::new(),
+            next: 1,
+        })
+    }
+
+    fn follow(&mut self, from: u64, wait: Duration) -> Result<Page<u32>, FeedError> {
+        self.waits.send(wait).expect("room");
+        self.count += 1;
+        self.stopping.store(self.count == 3, Ordering::Relaxed);
+        match self.count {
+            1 => Err(FeedError::Unavailable("no answer".to_owned())),
+            _ => Ok(Page {
+                items: Vec::new(),
+                next: from,
+            }),
+        }
+    }
+}
+
+#[test]
+fn a_read_after_a_failed_one_does_not_wait_for_new_records() {
+    // Arrange
+    const WAIT: Duration = Duration::from_secs(5);
+    let (waits, waited) = bounded(16);
+    let (_pause, paused) = bounded(0);
+    let stopping = Arc::new(AtomicBool::new(false));
+    let reader = FeedReader {
+        settings: FeedSettings {
+            retry_ms: 1,
+            ..Default::default()
+        },
+        mode: ReadMode::Follow(WAIT),
+        feed: Box::new(Hanging {
+            waits,
+            count: 0,
+            stopping: stopping.clone(),
+        }),
+        sink: Box::new(|_| {}),
+        pause: paused,
+        stopping,
+    };
+
+    // Act
+    reader.run();
+
+    // Assert
+    let waits: Vec<Duration> = waited.try_iter().collect();
+    assert_eq!(waits, [WAIT, Duration::ZERO, WAIT]);
+}
