Build the fence of an attempt in one place, and one head for the guard's tests

No behaviour changes. `fence` and the stop built the same request to a guard; both call `fence_action` now, which takes target and incarnation from the request's phase, so that callers no longer pass them. Two tests of the guard built the same head of a forwarded request.

--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -23,7 +23,7 @@
 use crate::link::{FenceAnswer, FenceRequest};
 use crate::settings::guard::GuardSettings;
 use crate::types::RequestId;
-use crate::wire::forward::AttemptTerms;
+use crate::wire::forward::{AttemptTerms, ForwardHead};
 
 /// Incarnation of the guard's daemon and of the requests to it.
 const INCARNATION: u64 = 7;
@@ -55,6 +55,29 @@
     }
 }
 
+/// Returns the head of attempt 1 at a repeatable request to server `s`, with ten seconds left.
+fn forward_head() -> ForwardHead {
+    ForwardHead {
+        request: id(1, 1),
+        attempt: 1,
+        organisation: "o".into(),
+        service: "".into(),
+        route: "r".into(),
+        server: "s".into(),
+        weight_share: 1,
+        repeatable: true,
+        foreground: true,
+        origin: "".into(),
+        rank: 0,
+        terms: Default::default(),
+        entry: "e".into(),
+        view: 0,
+        incarnation: INCARNATION,
+        fingerprint: [0; 32],
+        remaining: Duration::from_secs(10),
+    }
+}
+
 /// Returns an announcement of server `s` with one slot.
 fn announcement() -> Announcement {
     Announcement {
--- a/src/guard/tests/disconnects.rs
+++ b/src/guard/tests/disconnects.rs
@@ -6,7 +6,7 @@
 
 use crossbeam::channel::{bounded, Receiver};
 
-use super::{id, INCARNATION};
+use super::{forward_head, INCARNATION};
 use crate::guard::cancel::CancelJob;
 use crate::guard::duty::{run, GuardContext};
 use crate::guard::forward::ServerCallContext;
@@ -20,7 +20,6 @@
 use crate::wire::client::HttpClient;
 use crate::wire::dialect::FleetDialect;
 use crate::wire::exchange::RawHead;
-use crate::wire::forward::ForwardHead;
 
 /// Far longer than any step takes; only a failing test waits so long.
 const GIVE_UP: Duration = Duration::from_secs(10);
@@ -105,25 +104,7 @@
     fn arrive(&self, waits: bool) -> DisconnectCallback {
         let callback = DisconnectCallback::default();
         self.ring.deliver(GuardMessage::Arrived {
-            head: ForwardHead {
-                request: id(1, 1),
-                attempt: 1,
-                organisation: "o".into(),
-                service: "".into(),
-                route: "r".into(),
-                server: "s".into(),
-                weight_share: 1,
-                repeatable: true,
-                foreground: true,
-                origin: "".into(),
-                rank: 0,
-                terms: Default::default(),
-                entry: "e".into(),
-                view: 0,
-                incarnation: INCARNATION,
-                fingerprint: [0; 32],
-                remaining: GIVE_UP,
-            },
+            head: forward_head(),
             raw: RawHead {
                 method: "GET".to_owned(),
                 target: "/".to_owned(),
--- a/src/guard/tests/view_report.rs
+++ b/src/guard/tests/view_report.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::forward_head;
 use crate::clock::SystemClock;
 use crate::guard::accept::{run, AcceptContext};
 use crate::guard::message::GuardMessage;
 use crate::metrics::Metrics;
 use crate::ring::ring;
 use crate::wire::exchange::WholeAnswer;
-use crate::wire::forward::ForwardHead;
 use crate::wire::listener::{HttpListener, ListenerOptions};
 use crate::wire::proof::FleetKey;
 
@@ -35,26 +35,7 @@
         feed: ring("feed", 8, &metrics).0,
     };
     std::thread::spawn(move || run(&context));
-    let (name, value) = ForwardHead {
-        request: 1,
-        attempt: 1,
-        organisation: "o".into(),
-        service: "".into(),
-        route: "r".into(),
-        server: "s".into(),
-        weight_share: 1,
-        repeatable: true,
-        foreground: true,
-        origin: "".into(),
-        rank: 0,
-        terms: Default::default(),
-        entry: "e".into(),
-        view: 0,
-        incarnation: 1,
-        fingerprint: [0; 32],
-        remaining: GIVE_UP,
-    }
-    .encode(&key);
+    let (name, value) = forward_head().encode(&key);
 
     // Act
     let mut entry = TcpStream::connect(listener.address()).expect("a connection");
--- a/src/routing/at_most_once.rs
+++ b/src/routing/at_most_once.rs
@@ -5,13 +5,13 @@
 
 use smallvec::{smallvec, SmallVec};
 
-use super::message::{RoutingAction, Target};
+use super::message::RoutingAction;
 use super::state::{Phase, RequestState, RoutingActions, RoutingState};
 use crate::error::ErrorKind;
 use crate::idempotency::home::claim_key;
 use crate::idempotency::HomeMap;
 use crate::link::{ClaimAnswer, ClaimRequest, ClaimStep, FenceAnswer, FenceRequest};
-use crate::types::{Attempt, Incarnation, RequestId};
+use crate::types::{Attempt, RequestId};
 
 impl RoutingState {
     /// Claims the idempotency key of a request at the key's home.
@@ -74,19 +74,12 @@
         &mut self,
         request: RequestId,
         mut state: RequestState,
-        target: &Target,
-        incarnation: Incarnation,
         kind: ErrorKind,
     ) -> RoutingActions {
-        let fence = FenceRequest {
-            request,
-            attempt: state.attempt,
-            incarnation,
-        };
+        let actions = fence_action(request, &state).into_iter().collect();
         state.phase = Phase::Fencing { kind };
         self.requests.insert(request, state);
-        let to = target.daemon.clone();
-        smallvec![RoutingAction::Fence { to, fence }]
+        actions
     }
 
     /// Handles a guard's answer to a fence. Unless the guard confirms it, the outcome is unknown.
@@ -127,3 +120,22 @@
         self.finish_failed(request, state, ErrorKind::Fenced, None)
     }
 }
+
+/// Returns the action that keeps the present attempt at a request from starting, if there is one.
+pub(super) fn fence_action(request: RequestId, state: &RequestState) -> Option<RoutingAction> {
+    let Phase::Sent {
+        target,
+        incarnation,
+        ..
+    } = &state.phase
+    else {
+        return None;
+    };
+    let fence = FenceRequest {
+        request,
+        attempt: state.attempt,
+        incarnation: *incarnation,
+    };
+    let to = target.daemon.clone();
+    Some(RoutingAction::Fence { to, fence })
+}
--- a/src/routing/attempted.rs
+++ b/src/routing/attempted.rs
@@ -25,12 +25,8 @@
         let Some(mut state) = self.requests.remove(&request) else {
             return SmallVec::new();
         };
-        let (target, incarnation) = match &state.phase {
-            Phase::Sent {
-                target,
-                incarnation,
-                ..
-            } if state.attempt == attempt => (target.clone(), *incarnation),
+        let target = match &state.phase {
+            Phase::Sent { target, .. } if state.attempt == attempt => target.clone(),
             _ => {
                 self.requests.insert(request, state);
                 return SmallVec::new();
@@ -83,7 +79,7 @@
             }
             AttemptOutcome::Unknown { kind, by_guard } => {
                 if !by_guard && !state.plan.repeatable {
-                    return self.fence(request, state, &target, incarnation, kind);
+                    return self.fence(request, state, kind);
                 }
                 state.may_have_run = true;
                 state.reached_count += 1;
--- a/src/routing/disconnects.rs
+++ b/src/routing/disconnects.rs
@@ -24,12 +24,10 @@
             return SmallVec::new();
         };
         state.abandoned = true;
-        let (target, incarnation, sent_at) = match &state.phase {
+        let (target, sent_at) = match &state.phase {
             Phase::Sent {
-                target,
-                incarnation,
-                sent_at,
-            } => (target.clone(), *incarnation, *sent_at),
+                target, sent_at, ..
+            } => (target.clone(), *sent_at),
             Phase::Parked { kind } => {
                 let kind = *kind;
                 return self.finish_failed(request, state, kind, None);
@@ -41,8 +39,7 @@
         };
         self.abandon_attempt(now, &state.plan, &target, sent_at);
         if state.claim_home.is_some() {
-            let kind = ErrorKind::OutcomeUnknown;
-            return self.fence(request, state, &target, incarnation, kind);
+            return self.fence(request, state, ErrorKind::OutcomeUnknown);
         }
         state.may_have_run = true;
         self.finish_failed(request, state, ErrorKind::OutcomeUnknown, None)
--- a/src/routing/stop.rs
+++ b/src/routing/stop.rs
@@ -7,10 +7,10 @@
 
 use smallvec::SmallVec;
 
-use super::message::{RequestPlan, RoutingAction};
+use super::at_most_once::fence_action;
+use super::message::RequestPlan;
 use super::state::{Phase, RequestState, RoutingActions, RoutingState};
 use crate::error::ErrorKind;
-use crate::link::FenceRequest;
 use crate::types::RequestId;
 
 /// Number of mean times of its route that a request is expected to need at most. One that would need
@@ -61,7 +61,7 @@
                 continue;
             };
             state.taken_back = true;
-            actions.extend(take_back(request, state));
+            actions.extend(fence_action(request, state));
         }
         actions
     }
@@ -76,7 +76,7 @@
             if matches!(state.phase, Phase::Parked { .. }) {
                 parked.push(*request);
             }
-            actions.extend(take_back(*request, state));
+            actions.extend(fence_action(*request, state));
         }
         for request in parked {
             if let Some(state) = self.requests.remove(&request) {
@@ -97,22 +97,3 @@
         actions
     }
 }
-
-/// Returns the action that keeps the present attempt at a request from starting, if there is one.
-fn take_back(request: RequestId, state: &RequestState) -> Option<RoutingAction> {
-    let Phase::Sent {
-        target,
-        incarnation,
-        ..
-    } = &state.phase
-    else {
-        return None;
-    };
-    let fence = FenceRequest {
-        request,
-        attempt: state.attempt,
-        incarnation: *incarnation,
-    };
-    let to = target.daemon.clone();
-    Some(RoutingAction::Fence { to, fence })
-}
