--- a/src/cli/reload.rs
+++ b/src/cli/reload.rs
@@ -57,25 +57,26 @@
             };
             let changed = last_stamp.update(file_stamp(&self.path));
             if requested || changed {
-                self.reload();
+                self.reload(if requested { "signal" } else { "check" });
             }
         }
     }
 
     /// Reads the file and applies the settings if they are valid and differ from those in force.
-    fn reload(&mut self) {
+    /// `trigger` is what the log names as the reason.
+    fn reload(&mut self, trigger: &str) {
         let settings = match (self.read)(&self.path) {
             Ok(settings) => settings,
             Err(problem) => {
                 // The daemon keeps its present settings.
-                return log::warn!(problem; "settings_refused");
+                return log::warn!(problem, trigger; "settings_refused");
             }
         };
         if settings == *self.updater.settings() {
-            return log::info!("settings_unchanged");
+            return log::info!(trigger; "settings_unchanged");
         }
         let waiting = self.updater.apply(settings).join(",");
-        log::info!(waiting; "settings_in_force");
+        log::info!(waiting, trigger; "settings_in_force");
     }
 }
 
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -312,6 +312,7 @@
             attempt,
             server = &*job.target.server,
             to = &*job.target.daemon,
+            origin = &*held.origin,
             view = self.view,
             wait_limit_ms:serde = job.terms.wait_limit_ms,
             last_resort = job.terms.last_resort;
