Send each request in the name that the settings bore when it arrived

The settings were a copy of unbounded age: the file was compared by time of change and length every 2 s, and a file of the same stamp was never read again. The name was taken at dispatch, not at arrival.

A request now waits for a read of the settings file that began after its arrival. Contents are compared. Requests between the last read of one name and the first of another could be of either service and are refused with origin_unknown, a row of its own that says "not run". A file that is half-written, or that names no service, leaves requests without a name rather than with the former one. Reading the file is a slice of its own.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -15,7 +15,6 @@
 mod measure_membership;
 mod measure_view;
 mod operate;
-pub mod reload;
 pub mod serve;
 mod settings;
 mod standin;
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -17,7 +17,8 @@
 use crate::allowance::{self, AllowanceMessage};
 use crate::front::{self, FrontMessage};
 use crate::link::PeerName;
-use crate::ring::{ring, spawn_duty};
+use crate::reload::ReloadMessage;
+use crate::ring::{ring, spawn_duty, RingSender};
 use crate::routing::forward::GuardCallContext;
 use crate::routing::least_loaded::LeastLoaded;
 use crate::routing::{self, RoutingMessage};
@@ -33,12 +34,14 @@
 pub(super) type EntryReceivers = (Receiver<FrontMessage>, Receiver<RoutingMessage>);
 
 /// Starts front and routing with the threads that accept requests and write answers. `drained` is
-/// signalled once after the drain, when no request is left.
+/// signalled once after the drain, when no request is left. `reload` is `None` if no file of the
+/// settings is read.
 pub(super) fn start_entry(
     shared: &SharedResources,
     rings: &RingSenders,
     listener: &Arc<HttpListener>,
     receivers: EntryReceivers,
+    reload: Option<RingSender<ReloadMessage>>,
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &shared.settings;
@@ -74,6 +77,7 @@
         settings: settings.routing.clone(),
         daemon: settings.daemon.daemon.clone(),
         origin: settings.daemon.service.clone(),
+        reload,
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
         dialect: shared.dialect.clone(),
--- a/src/daemon/interfaces.rs
+++ b/src/daemon/interfaces.rs
@@ -7,6 +7,7 @@
 use crate::journal::client::HttpLog;
 use crate::journal::PlatformLog;
 use crate::membership::DaemonEntry;
+use crate::reload::SettingsSource;
 use crate::settings::Settings;
 use crate::types::Incarnation;
 use crate::wire::dialect::{Dialect, FleetDialect};
@@ -20,6 +21,8 @@
     pub announcements: Arc<dyn AnnouncementDialect>,
     /// Storage of the platform for the configuration and the members of the fleet.
     pub store: Store,
+    /// File of the settings, which may change while the daemon runs; `None` if they stay.
+    pub settings: Option<Box<dyn SettingsSource>>,
     /// Last incarnation of this daemon that the platform knows, 0 for none. The new incarnation is
     /// greater, even if the clock is behind.
     pub last_incarnation: Incarnation,
@@ -50,6 +53,7 @@
             dialect: Arc::new(FleetDialect),
             announcements: Arc::new(FleetAnnouncements),
             store: Store::Log(Arc::new(HttpLog::new(&settings.journal))),
+            settings: None,
             last_incarnation: 0,
         }
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,5 +17,4 @@
 mod start;
 
 pub use interfaces::{Interfaces, KeyedStore, Store};
-pub use reload::SettingsUpdater;
 pub use start::{start, start_with, Daemon};
--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -2,12 +2,13 @@
 
 use super::rings::RingSenders;
 use crate::guard::{GuardEvent, GuardMessage};
+use crate::reload::{ServiceRead, SettingsTarget};
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::daemon::DaemonSettings;
 use crate::settings::Settings;
 
 /// Applies changed settings to a running daemon and remembers which settings it has.
-pub struct SettingsUpdater {
+pub(super) struct SettingsUpdater {
     /// Rings of the duties that receive changed settings.
     rings: RingSenders,
     /// Settings that were applied last.
@@ -22,10 +23,12 @@
             settings: settings.clone(),
         }
     }
+}
 
-    /// Applies the settings of guard, routing and log, and the service of this VM. Returns the
-    /// names of the other sections that differ; they take effect at the next start of the daemon.
-    pub fn apply(&mut self, settings: Settings) -> Vec<&'static str> {
+impl SettingsTarget for SettingsUpdater {
+    /// Applies the settings of guard, routing and log. Returns the names of the other sections that
+    /// differ; they take effect at the next start of the daemon.
+    fn apply(&mut self, settings: Settings) -> Vec<&'static str> {
         if settings.guard != self.settings.guard {
             let event = GuardEvent::Settings(Box::new(settings.guard.clone()));
             self.rings.guard.deliver(GuardMessage::Event(event));
@@ -34,10 +37,6 @@
             let event = RoutingEvent::Settings(Box::new(settings.routing.clone()));
             self.rings.routing.deliver(RoutingMessage::Event(event));
         }
-        if settings.daemon.service != self.settings.daemon.service {
-            let service = settings.daemon.service.clone();
-            self.rings.routing.deliver(RoutingMessage::Origin(service));
-        }
         if let Some(level) = settings.log.level() {
             log::set_max_level(level);
         }
@@ -46,10 +45,9 @@
         waiting
     }
 
-    /// Returns the settings that were applied last, with the sections that take effect at the next
-    /// start.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
+    /// Reports the service of this VM to routing, which names requests after it.
+    fn report_service(&mut self, read: ServiceRead) {
+        self.rings.routing.deliver(RoutingMessage::Service(read));
     }
 }
 
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -14,6 +14,7 @@
 use crate::membership::{MembershipCall, MembershipEvent};
 use crate::operator::OperatorMessage;
 use crate::ready::ReadyEvent;
+use crate::reload::ReloadMessage;
 use crate::ring::{ring, RingSender};
 use crate::routing::RoutingMessage;
 
@@ -36,6 +37,8 @@
     pub(super) feed: RingSender<FeedMessage>,
     /// Ring of the thread that answers readiness checks.
     pub(super) ready: RingSender<ReadyEvent>,
+    /// Ring of the thread that reads the settings file.
+    pub(super) reload: RingSender<ReloadMessage>,
 }
 
 /// Receiving ends of the rings; each is passed to the thread of its duty.
@@ -53,6 +56,7 @@
     pub(super) operator: Receiver<OperatorMessage>,
     pub(super) feed: Receiver<FeedMessage>,
     pub(super) ready: Receiver<ReadyEvent>,
+    pub(super) reload: Receiver<ReloadMessage>,
 }
 
 /// Creates all rings with the capacities of the settings. The names appear in counters.
@@ -75,6 +79,7 @@
     let (operator, operator_receiver) = ring("operator", settings.operator.ring_count, metrics);
     let (feed, feed_receiver) = ring("feed", settings.feed.ring_count, metrics);
     let (ready, ready_receiver) = ring("ready", READY_RING_COUNT, metrics);
+    let (reload, reload_receiver) = ring("reload", RELOAD_RING_COUNT, metrics);
     let rings = RingSenders {
         front,
         allowance,
@@ -89,6 +94,7 @@
         operator,
         feed,
         ready,
+        reload,
     };
     let receivers = RingReceivers {
         front: front_receiver,
@@ -104,6 +110,7 @@
         operator: operator_receiver,
         feed: feed_receiver,
         ready: ready_receiver,
+        reload: reload_receiver,
     };
     (rings, receivers)
 }
@@ -111,5 +118,8 @@
 /// Events that the ring of the journal holds.
 pub(super) const JOURNAL_RING_COUNT: usize = 1024;
 
+/// Messages that the ring of the thread that reads the settings file holds.
+const RELOAD_RING_COUNT: usize = 16;
+
 /// Events that the ring of the readiness duty holds.
 const READY_RING_COUNT: usize = 1024;
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -39,6 +39,8 @@
 use crate::metrics::Metrics;
 use crate::operator::OperatorMessage;
 use crate::ready::{self, ReadyEvent};
+use crate::reload::duty::ReloadContext;
+use crate::reload::{self, ReloadMessage, SettingsSource};
 use crate::ring::{ring, spawn_duty, RingSender};
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::Settings;
@@ -123,8 +125,12 @@
         &rings,
         &listeners.front,
         (receivers.front, receivers.routing),
+        interfaces.settings.as_ref().map(|_| rings.reload.clone()),
         entry_drained,
     ));
+    if let Some(source) = interfaces.settings {
+        threads.push(start_reload(&shared, &rings, source, receivers.reload));
+    }
     threads.extend(start_guard(
         &shared,
         &rings,
@@ -209,10 +215,10 @@
 }
 
 impl Daemon {
-    /// Returns the updater that applies changed settings to this daemon. `settings` are the current
-    /// ones.
-    pub fn settings_updater(&self, settings: &Settings) -> SettingsUpdater {
-        SettingsUpdater::new(&self.rings, settings)
+    /// Reads the settings file again, if the daemon has one.
+    pub fn reload(&self) {
+        // A full ring holds messages, and the read that follows them is of the newest file.
+        let _ = self.rings.reload.offer(ReloadMessage::Signal);
     }
 
     /// Shuts the daemon down gracefully: leaves the fleet, lets callers switch to other daemons for
@@ -280,6 +286,8 @@
         rings.journal.deliver(JournalEvent::Stop);
         rings.operator.deliver(OperatorMessage::Stop);
         rings.feed.deliver(FeedMessage::Stop);
+        // A full ring holds no `Stop`; the thread ends when the rings are dropped.
+        let _ = rings.reload.offer(ReloadMessage::Stop);
         audit_events.deliver(AuditEvent::Stop);
         rings.link.deliver(LinkMessage::Stop);
         drop(rings);
@@ -287,6 +295,24 @@
     }
 }
 
+/// Starts the thread that reads the settings file.
+fn start_reload(
+    shared: &SharedResources,
+    rings: &RingSenders,
+    source: Box<dyn SettingsSource>,
+    messages: Receiver<ReloadMessage>,
+) -> JoinHandle<()> {
+    let settings = shared.settings.clone();
+    let context = ReloadContext {
+        clock: shared.clock.clone(),
+        source,
+        target: Box::new(SettingsUpdater::new(rings, &settings)),
+    };
+    spawn_duty("settings", move || {
+        reload::duty::run(context, settings, &messages)
+    })
+}
+
 /// Starts the threads that answer readiness checks and export the metrics, if the settings name
 /// their addresses.
 fn start_ready(
--- a/src/error.rs
+++ b/src/error.rs
@@ -92,6 +92,8 @@
     AllowanceUnreachable = "allowance_unreachable", 503, No, "A part of the organisation's allowance is out of reach.";
     /// The daemon has no configuration that is recent enough to serve requests with.
     NoView = "no_view", 503, No, "This daemon has no current configuration.";
+    /// It is not known which service is on the VM where the request arrived.
+    OriginUnknown = "origin_unknown", 503, No, "The service on this machine is not known at the moment.";
     /// No backend server is in service for the request.
     NoServer = "no_server", 503, No, "No backend server can take the request.";
     /// Every queue or concurrency limit that the request could use is full.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod operator;
 pub mod quota;
 pub mod ready;
+pub mod reload;
 pub mod report_once;
 pub mod request_trace;
 pub mod ring;
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -1,32 +1,31 @@
 //! The routing thread: carries out the decisions of routing by calls to guards and peers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 
+use super::admission::Unnamed;
 use super::choice::ServerChoice;
 use super::forward::{self, AttemptJob, GuardCallContext};
-use super::log::{log_attempt, log_caller_left, log_end, log_origin};
-use super::message::{
-    HeldRequest, Outcome, RequestPlan, RoutingAction, RoutingEvent, RoutingMessage,
-};
+use super::log::{log_attempt, log_caller_left, log_end};
+use super::message::{HeldRequest, Outcome, RoutingAction, RoutingEvent, RoutingMessage};
+use super::origin::Origin;
 use super::state::RoutingState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::feed::{FeedEvent, FeedMessage};
 use crate::front::duty::AnswerJob;
-use crate::front::RequestHead;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::link::PeerCaller;
 use crate::metrics::Metrics;
+use crate::reload::ReloadMessage;
 use crate::ring::{Reports, RingSender};
 use crate::settings::routing::RoutingSettings;
 use crate::types::{DaemonId, Offset, RequestId, ServiceId};
 use crate::wire::client::Caller;
 use crate::wire::dialect::Dialect;
-use crate::wire::exchange::Exchange;
 
 /// Settings, interfaces and rings that the routing thread needs.
 pub struct RoutingContext {
@@ -37,6 +36,8 @@
     /// Service of the backend server on this VM, in whose name requests are sent. If empty, the
     /// service of the server that announces itself is used.
     pub origin: ServiceId,
+    /// Ring of the thread that reads the settings file; `None` if the settings come from no file.
+    pub reload: Option<RingSender<ReloadMessage>>,
     /// Clock by which deadlines, waits and timings are measured.
     pub clock: Arc<dyn Clock>,
     /// Takes the counters and timings of routing.
@@ -72,19 +73,21 @@
     /// Decides what is done.
     state: RoutingState,
     /// Heads, bodies and exchanges of open requests.
-    held: HashMap<RequestId, Box<HeldRequest>>,
+    pub(super) held: HashMap<RequestId, Box<HeldRequest>>,
     /// Calls to guards that have not ended.
     call_count: usize,
     /// Open calls whose bodies are too long to be kept.
     upload_count: usize,
-    /// Service of the backend server on this VM; empty if there is none.
-    origin: ServiceId,
-    /// Whether the settings name the service on this VM, so that no announcement changes it.
-    origin_configured: bool,
+    /// Service of the backend server on this VM.
+    pub(super) origin: Origin,
+    /// Requests that wait for a read of the settings, in the order of their arrival.
+    pub(super) unnamed: VecDeque<Unnamed>,
+    /// Whether a read of the settings was asked for and has not ended.
+    pub(super) read_pending: bool,
     /// Offset up to which the configuration was read.
     view: Offset,
     /// Requests whose callers have left and that were not ended yet.
-    left: Reports<RequestId>,
+    pub(super) left: Reports<RequestId>,
 }
 
 /// Runs the thread until it receives `Stop` or its ring is closed.
@@ -99,15 +102,21 @@
         held: HashMap::new(),
         call_count: 0,
         upload_count: 0,
-        origin: context.origin.clone(),
-        origin_configured: !context.origin.is_empty(),
+        origin: Origin::new(
+            context.origin.clone(),
+            context.dialect.needs_origin(),
+            context.reload.is_some(),
+        ),
+        unnamed: VecDeque::new(),
+        read_pending: false,
         view: 0,
         left: Reports::default(),
     };
     let mut draining = false;
     loop {
         let now = context.clock.now();
-        let next_tick_at = duty.state.next_tick_at();
+        let next_tick_at = duty.state.next_tick_at().into_iter();
+        let next_tick_at = next_tick_at.chain(duty.next_expiry_at()).min();
         let wait = next_tick_at.map_or(IDLE_WAIT, |at| at.saturating_duration_since(now));
         let message = match messages.recv_timeout(wait) {
             Ok(message) => message,
@@ -117,13 +126,7 @@
         match message {
             RoutingMessage::Stop => return,
             RoutingMessage::Drain => draining = true,
-            RoutingMessage::Origin(service) => {
-                duty.origin_configured = !service.is_empty();
-                // Without a name the last service stays until a server announces itself.
-                if duty.origin_configured {
-                    duty.take_origin(service);
-                }
-            }
+            RoutingMessage::Service(read) => duty.confirm_origin(read),
             RoutingMessage::Event(event) => {
                 duty.observe(&event);
                 duty.decide(event);
@@ -132,11 +135,12 @@
                 plan,
                 head,
                 exchange,
-            } => duty.dispatch(plan, head, exchange),
+            } => duty.admit(Unnamed::new(context.clock.now(), plan, head, exchange)),
             RoutingMessage::CallersLeft => {}
         }
+        duty.refuse_expired();
         duty.end_left();
-        if draining && duty.state.open_count() == 0 {
+        if draining && duty.state.open_count() == 0 && duty.unnamed.is_empty() {
             // One notice is enough; if the channel is full, it already holds one.
             let _ = context.drained.try_send(());
         }
@@ -169,48 +173,17 @@
                 }
             }
             RoutingEvent::View(view) => self.view = view.next,
-            RoutingEvent::Fleet(fleet) if !self.origin_configured => {
+            RoutingEvent::Fleet(fleet) => {
                 let own = fleet.daemons.get(&self.context.daemon);
-                if let Some(server) = own.and_then(|own| own.servers.first()) {
-                    self.take_origin(server.service.clone());
-                }
+                let server = own.and_then(|own| own.servers.first());
+                let service = server.map_or_else(|| "".into(), |server| server.service.clone());
+                self.change_origin(|origin| origin.announce(service));
             }
+            RoutingEvent::Ending => self.refuse_unnamed(ErrorKind::Stopping),
             _ => {}
         }
     }
 
-    /// Sends later requests in the name of another service.
-    fn take_origin(&mut self, service: ServiceId) {
-        log_origin(&self.origin, &service);
-        self.origin = service;
-    }
-
-    /// Takes a request over from the front. Nothing is done for a caller that has left already.
-    fn dispatch(
-        &mut self,
-        plan: RequestPlan,
-        head: Arc<RequestHead>,
-        mut exchange: Box<dyn Exchange>,
-    ) {
-        if !exchange.caller_waits() {
-            self.context.metrics.count("routing.caller_left");
-            return log_caller_left(self.context, &head, Some((0, "new")));
-        }
-        self.watch_caller(plan.request, &mut *exchange);
-        let held = HeldRequest {
-            service: plan.service.clone(),
-            route: plan.route.clone(),
-            origin: self.origin.clone(),
-            head,
-            exchange,
-            body: None,
-            body_spent: false,
-            call: None,
-        };
-        self.held.insert(plan.request, Box::new(held));
-        self.decide(RoutingEvent::Dispatch(plan));
-    }
-
     /// Ends the requests whose callers have left.
     fn end_left(&mut self) {
         for request in self.left.take() {
@@ -231,21 +204,8 @@
         }
     }
 
-    /// Arranges for a report when the caller disconnects.
-    fn watch_caller(&self, request: RequestId, exchange: &mut dyn Exchange) {
-        let own = self.context.own_ring.clone();
-        let metrics = self.context.metrics.clone();
-        let left = self.left.clone();
-        exchange.watch(Box::new(move || {
-            metrics.count("routing.caller_left");
-            left.add(request);
-            // A full ring holds messages, and the reports are taken after each of them.
-            let _ = own.offer(RoutingMessage::CallersLeft);
-        }));
-    }
-
     /// Applies an event and carries out its actions, with all events that follow at once.
-    fn decide(&mut self, event: RoutingEvent) {
+    pub(super) fn decide(&mut self, event: RoutingEvent) {
         let mut events = vec![event];
         while let Some(event) = events.pop() {
             for action in self.state.handle(self.context.clock.now(), event) {
@@ -362,7 +322,12 @@
 }
 
 /// Logs and counts the end of a request and hands its answer to the writing threads.
-fn finish(context: &RoutingContext, request: RequestId, held: HeldRequest, outcome: Outcome) {
+pub(super) fn finish(
+    context: &RoutingContext,
+    request: RequestId,
+    held: HeldRequest,
+    outcome: Outcome,
+) {
     log_end(context, &held, &outcome);
     let answer = match outcome {
         Outcome::Answered(answer) => context.dialect.caller_answer(request, answer),
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -11,6 +11,7 @@
 use crate::front::RequestHead;
 use crate::link::{ClaimAnswer, ClaimRequest, FenceAnswer, FenceRequest};
 use crate::membership::Fleet;
+use crate::reload::ServiceRead;
 use crate::settings::routing::RoutingSettings;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Incarnation, OrganisationId, RequestId, RouteId, ServiceId,
@@ -172,9 +173,8 @@
     Event(RoutingEvent),
     /// Callers of open requests have left; the thread has the list.
     CallersLeft,
-    /// The settings name another service for the server on this VM. If empty, the service of the
-    /// server that announces itself is used.
-    Origin(ServiceId),
+    /// The settings file was read; tells which service it names for this VM.
+    Service(ServiceRead),
     /// The daemon stops; routing reports when no request is open any more.
     Drain,
     /// Ends the routing thread.
@@ -201,6 +201,27 @@
     pub call: Option<CallHandle>,
 }
 
+impl HeldRequest {
+    /// Returns what is kept of a request of which nothing was sent.
+    pub(super) fn new(
+        plan: &RequestPlan,
+        head: Arc<RequestHead>,
+        exchange: Box<dyn Exchange>,
+        origin: ServiceId,
+    ) -> HeldRequest {
+        HeldRequest {
+            service: plan.service.clone(),
+            route: plan.route.clone(),
+            origin,
+            head,
+            exchange,
+            body: None,
+            body_spent: false,
+            call: None,
+        }
+    }
+}
+
 /// Outputs of the decisions of routing.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RoutingAction {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! attempt to a guard: the part of the daemon on the chosen server's VM that queues requests and
 //! passes them to the server.
 
+mod admission;
 mod at_most_once;
 mod attempted;
 pub mod budget;
@@ -20,6 +21,7 @@
 mod log;
 pub mod measure;
 pub mod message;
+mod origin;
 mod own_repeats;
 mod parked;
 pub mod paths;
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -7,6 +7,7 @@
 mod full;
 mod invalid;
 mod last_resort;
+mod origin;
 mod parked;
 mod patience;
 mod probes;
--- a/src/routing/tests/duty.rs
+++ b/src/routing/tests/duty.rs
@@ -96,6 +96,7 @@
         settings: RoutingSettings::default(),
         daemon: "entry".into(),
         origin: "s".into(),
+        reload: None,
         clock: clock.clone(),
         dialect: Arc::new(FleetDialect),
         caller: Arc::new(HttpClient::start("test-forward")),
--- /dev/null
+++ b/src/routing/tests/origin.rs
@@ -0,0 +1,146 @@
+//! Tests of the origin of requests under changes of the settings.
+
+use std::time::{Duration, Instant};
+
+use crate::reload::ServiceRead;
+use crate::routing::origin::{Origin, OriginAt, READ_LIMIT};
+
+/// Far longer than a request waits in a socket.
+const LATER: Duration = Duration::from_secs(1);
+
+/// Returns a read that took a millisecond.
+fn read(service: Option<&str>, began_at: Instant) -> ServiceRead {
+    ServiceRead {
+        service: service.map(Into::into),
+        began_at,
+        ended_at: began_at + Duration::from_millis(1),
+    }
+}
+
+/// Returns the origin of a daemon that was started with the service `orders`, confirmed at `now`.
+fn start(now: Instant) -> Origin {
+    let mut origin = Origin::new("orders".into(), true, true);
+    origin.confirm(read(Some("orders"), now));
+    origin
+}
+
+/// Returns what is known of a request at its arrival.
+fn at(origin: &Origin, arrived_at: Instant) -> OriginAt {
+    origin.at(arrived_at, arrived_at)
+}
+
+/// Returns a known origin.
+fn known(service: &str) -> OriginAt {
+    OriginAt::Known(service.into())
+}
+
+#[test]
+fn a_request_waits_for_a_read_that_began_after_its_arrival() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = start(now);
+    let arrived_at = now + LATER;
+
+    // Act
+    let before = at(&origin, arrived_at);
+    origin.confirm(read(Some("orders"), arrived_at));
+
+    // Assert
+    assert_eq!(before, OriginAt::Unconfirmed);
+    assert_eq!(at(&origin, arrived_at), known("orders"));
+}
+
+#[test]
+fn a_request_between_the_last_read_of_one_name_and_the_first_of_another_gets_none() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = start(now);
+    let changed_at = now + LATER;
+
+    // Act
+    let changed = origin.confirm(read(Some("labels"), changed_at));
+    origin.confirm(read(Some("labels"), changed_at + 2 * LATER));
+
+    // Assert
+    assert!(changed);
+    assert_eq!(at(&origin, now), known("orders"));
+    assert_eq!(at(&origin, now + LATER / 2), OriginAt::Unknown);
+    assert_eq!(at(&origin, changed_at), OriginAt::Unknown);
+    assert_eq!(at(&origin, changed_at + LATER), known("labels"));
+}
+
+#[test]
+fn requests_that_waited_in_the_socket_while_the_process_stood_still_get_no_origin() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = start(now);
+    let resumed_at = now + 5 * LATER;
+    origin.confirm(read(Some("labels"), resumed_at));
+
+    // Act
+    let arrived_at = resumed_at + Duration::from_millis(20);
+    origin.confirm(read(Some("labels"), arrived_at));
+
+    // Assert
+    assert_eq!(at(&origin, arrived_at), OriginAt::Unknown);
+}
+
+#[test]
+fn the_name_of_the_start_is_not_taken_for_confirmed() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = Origin::new("orders".into(), true, true);
+
+    // Act
+    let before = at(&origin, now);
+    origin.confirm(read(Some("labels"), now + LATER));
+
+    // Assert
+    assert_eq!(before, OriginAt::Unconfirmed);
+    assert_eq!(at(&origin, now), OriginAt::Unknown);
+}
+
+#[test]
+fn a_file_that_stays_unreadable_leaves_requests_without_an_origin() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = start(now);
+    let arrived_at = now + LATER;
+    origin.confirm(read(None, arrived_at));
+    origin.confirm(read(None, arrived_at + READ_LIMIT));
+
+    // Act
+    let late = arrived_at + 2 * READ_LIMIT;
+
+    // Assert
+    assert_eq!(at(&origin, arrived_at), OriginAt::Unconfirmed);
+    assert_eq!(origin.at(late, late), OriginAt::Unknown);
+    assert_eq!(origin.at(late, now), known("orders"));
+}
+
+#[test]
+fn without_a_name_in_the_settings_the_announced_server_gives_it() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = Origin::new("".into(), true, false);
+
+    // Act
+    let before = at(&origin, now);
+    origin.announce("orders".into());
+    let announced = at(&origin, now);
+    origin.announce("".into());
+
+    // Assert
+    assert_eq!(before, OriginAt::Unknown);
+    assert_eq!(announced, known("orders"));
+    assert_eq!(at(&origin, now), OriginAt::Unknown);
+}
+
+#[test]
+fn servers_that_need_no_origin_delay_no_request() {
+    // Arrange
+    let origin = Origin::new("".into(), false, true);
+
+    // Act and assert
+    assert_eq!(at(&origin, Instant::now()), known(""));
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -27,6 +27,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::types::ServiceId;
+
 /// All settings of a daemon, one section for each duty. A section or field that the file leaves out
 /// takes its default; an unknown field is an error.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -116,6 +118,14 @@
     lines.join("\n")
 }
 
+/// Returns the service that the settings in a JSON document name for this VM; empty if none.
+pub fn named_service(settings: &serde_json::Value) -> ServiceId {
+    settings["daemon"]["service"]
+        .as_str()
+        .unwrap_or_default()
+        .into()
+}
+
 /// Collects the rejected settings of one section.
 pub struct Checker<'a> {
     /// Name of the section, the first part of each field's path.
@@ -150,13 +160,17 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Settings, LoadError> {
-        let shown = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|source| LoadError::Read {
-            path: shown.clone(),
+            path: path.display().to_string(),
             source,
         })?;
-        let settings: Settings = serde_json::from_str(&text).map_err(|error| LoadError::Parse {
-            path: shown,
+        Settings::parse(path, &text)
+    }
+
+    /// Parses and checks the text of the settings file at `path`.
+    pub fn parse(path: &Path, text: &str) -> Result<Settings, LoadError> {
+        let settings: Settings = serde_json::from_str(text).map_err(|error| LoadError::Parse {
+            path: path.display().to_string(),
             line: error.line(),
             column: error.column(),
             problem: error.to_string(),
@@ -165,6 +179,13 @@
         Ok(settings)
     }
 
+    /// Returns the service that the text of a settings file names for this VM, even if other values
+    /// are invalid. Empty if it names none, and `None` if the text is incomplete.
+    pub fn service_in(text: &str) -> Option<ServiceId> {
+        let file: serde_json::Value = serde_json::from_str(text).ok()?;
+        Some(named_service(&file))
+    }
+
     /// Checks every value against its bounds and returns all errors together.
     pub fn check(&self) -> Result<(), LoadError> {
         let mut errors = Vec::new();
--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -88,6 +88,12 @@
     /// Returns whether backend servers get the caller's `Host` header.
     fn keeps_host(&self) -> bool;
 
+    /// Returns whether backend servers are told the service on the VM where a request originated,
+    /// so that a request without one must not be sent.
+    fn needs_origin(&self) -> bool {
+        false
+    }
+
     /// Returns the answer to a caller for an error kind.
     fn refusal(
         &self,
