Read the settings again when the server on the VM contradicts them, and name no request meanwhile

A health answer of such a server entered it under the service of the settings, so requests of that service could reach it.

The announce thread now has the settings file read and asks the guard again. If the file still names the former service and the health answer at its address names the announced server, requests that arrive on the VM get no name (origin_unknown, not run) until settings or server change. An announcement of a server that is not there changes nothing, as before.

--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -13,7 +13,8 @@
 use super::shared::SharedResources;
 use crate::guard::announce::AnnouncementDialect;
 use crate::guard::{self, GuardMessage};
-use crate::ring::{ring, spawn_duty};
+use crate::reload::ReloadMessage;
+use crate::ring::{ring, spawn_duty, RingSender};
 use crate::wire::client::HttpClient;
 use crate::wire::listener::HttpListener;
 
@@ -83,18 +84,21 @@
 /// Cancellations that may wait to be sent to backend servers.
 const CANCEL_RING_COUNT: usize = 256;
 
-/// Starts the thread that receives the announcements of backend servers.
+/// Starts the thread that receives the announcements of backend servers. `reload` is `None` if no
+/// file of the settings is read.
 pub(super) fn start_announce(
     shared: &SharedResources,
     rings: &RingSenders,
     listener: &Arc<HttpListener>,
     dialect: &Arc<dyn AnnouncementDialect>,
+    reload: Option<RingSender<ReloadMessage>>,
 ) -> JoinHandle<()> {
-    let listener = listener.clone();
-    let dialect = dialect.clone();
-    let guard = rings.guard.clone();
-    let metrics = shared.metrics.clone();
-    spawn_duty("announce", move || {
-        guard::announce::run(&listener, &*dialect, &guard, &metrics)
-    })
+    let context = guard::announce::AnnounceContext {
+        listener: listener.clone(),
+        dialect: dialect.clone(),
+        guard: rings.guard.clone(),
+        reload,
+        metrics: shared.metrics.clone(),
+    };
+    spawn_duty("announce", move || guard::announce::run(&context))
 }
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -119,13 +119,14 @@
     };
     let (guard_drained, guard_drained_receiver) = bounded(1);
     let (entry_drained, entry_drained_receiver) = bounded(1);
+    let reload = interfaces.settings.as_ref().map(|_| rings.reload.clone());
     let mut threads = Vec::new();
     threads.extend(start_entry(
         &shared,
         &rings,
         &listeners.front,
         (receivers.front, receivers.routing),
-        interfaces.settings.as_ref().map(|_| rings.reload.clone()),
+        reload.clone(),
         entry_drained,
     ));
     if let Some(source) = interfaces.settings {
@@ -143,6 +144,7 @@
         &rings,
         &listeners.announce,
         &interfaces.announcements,
+        reload,
     );
     threads.push(announce);
     let mut readers = fleet_readers(&rings);
--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -1,7 +1,7 @@
 //! Thread that receives the announcements of the backend servers on this VM.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::bounded;
 
@@ -10,6 +10,7 @@
 use crate::incarnation::INCARNATION_LIMIT;
 use crate::membership::bounds::NAME_LIMIT_BYTES;
 use crate::metrics::Metrics;
+use crate::reload::ReloadMessage;
 use crate::report_once::{shortened, ReportOnce};
 use crate::ring::RingSender;
 use crate::wire::exchange::{RawHead, RequestBody, WholeAnswer};
@@ -118,22 +119,34 @@
     Ok(event)
 }
 
+/// Dependencies of the thread.
+pub struct AnnounceContext {
+    /// Listener to which servers send announcements.
+    pub listener: Arc<HttpListener>,
+    /// Format of the announcements.
+    pub dialect: Arc<dyn AnnouncementDialect>,
+    /// Ring of the guard's thread.
+    pub guard: RingSender<GuardMessage>,
+    /// Ring of the thread that reads the settings file; `None` if the settings come from no file.
+    pub reload: Option<RingSender<ReloadMessage>>,
+    /// Counters of refused announcements.
+    pub metrics: Metrics,
+}
+
 /// Receives announcements until the listener is closed. An announcement is acknowledged only after
 /// the guard has decided on it.
-pub fn run(
-    listener: &Arc<HttpListener>,
-    dialect: &dyn AnnouncementDialect,
-    guard: &RingSender<GuardMessage>,
-    metrics: &Metrics,
-) {
+pub fn run(context: &AnnounceContext) {
+    let AnnounceContext {
+        dialect, metrics, ..
+    } = context;
     let mut reported = ReportOnce::default();
-    while let Some((head, exchange)) = listener.next() {
+    while let Some((head, exchange)) = context.listener.next() {
         let event = match exchange.body() {
-            RequestBody::Whole(body) => read(dialect, &head, &body),
+            RequestBody::Whole(body) => read(&**dialect, &head, &body),
             RequestBody::Parts { .. } => Err("the announcement is too long".to_owned()),
         };
         let answer = match event {
-            Ok(event) => match ask_guard(event, guard) {
+            Ok(event) => match decide(context, event) {
                 Some(Ok(()) | Err(IgnoredBecause::Outdated)) => dialect.accepted_answer(),
                 Some(Err(reason)) => refusal_answer(STATUS_REFUSED, reason.name()),
                 None => refusal_answer(STATUS_UNDECIDED, "the daemon has not decided"),
@@ -161,12 +174,37 @@
 /// announcement was lost.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Longest wait for a read of the settings file.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Returns the guard's verdict on an announcement; `None` if the guard has ended or is too slow. If
+/// the announcement contradicts the settings, their file may be newer, so it is read before the
+/// verdict counts.
+fn decide(context: &AnnounceContext, event: GuardEvent) -> Option<AnnounceVerdict> {
+    let until = Instant::now() + VERDICT_TIMEOUT;
+    let verdict = ask_guard(event.clone(), &context.guard, until)?;
+    let contradicts = verdict.is_err_and(IgnoredBecause::contradicts_settings);
+    let Some(reload) = context.reload.as_ref().filter(|_| contradicts) else {
+        return Some(verdict);
+    };
+    let (done, read) = bounded(1);
+    let asked = reload.offer(ReloadMessage::Contradicted { done }).is_ok();
+    if !asked || read.recv_timeout(READ_TIMEOUT).is_err() {
+        return Some(verdict);
+    }
+    ask_guard(event, &context.guard, until)
+}
+
 /// Returns the guard's verdict on an announcement; `None` if the guard has ended or is too slow.
-fn ask_guard(event: GuardEvent, guard: &RingSender<GuardMessage>) -> Option<AnnounceVerdict> {
+fn ask_guard(
+    event: GuardEvent,
+    guard: &RingSender<GuardMessage>,
+    until: Instant,
+) -> Option<AnnounceVerdict> {
     let (verdict, answered) = bounded(1);
     guard.deliver(GuardMessage::Announce { event, verdict });
     // A ring keeps what its reader left in it, so the wait for a guard that has ended is bounded.
-    answered.recv_timeout(VERDICT_TIMEOUT).ok()
+    answered.recv_deadline(until).ok()
 }
 
 /// Builds the answer to an announcement that was not accepted.
--- /dev/null
+++ b/src/guard/contradiction.rs
@@ -0,0 +1,87 @@
+//! Detects that the server on this VM is of another service than the settings name.
+//!
+//! An announcement alone does not show it, since it may be delayed or come from another writer. A
+//! health answer of the announced server at the address in the settings does.
+
+use std::time::Instant;
+
+use super::message::{Announcement, GuardAction, IgnoredBecause};
+use super::state::GuardState;
+use crate::types::BackendServerId;
+
+/// A server of another service that announced itself at the address in the settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Contradiction {
+    /// Server that announced itself.
+    server: BackendServerId,
+    /// Whether its health answer has shown that it is there.
+    proven: bool,
+}
+
+impl GuardState {
+    /// Records an announcement that was ignored because it names another service at the address in
+    /// the settings, and asks the server there for its health.
+    pub(super) fn record_contradiction(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        reason: IgnoredBecause,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let at_address = self.settings.server_address == Some(announcement.address);
+        if reason != IgnoredBecause::OtherService || !at_address || self.is_contradicted() {
+            return;
+        }
+        self.contradiction = Some(Contradiction {
+            server: announcement.server.clone(),
+            proven: false,
+        });
+        self.inquire_rival(now, announcement, actions);
+    }
+
+    /// Handles a health answer of a server at the address in the settings. Returns whether that
+    /// server is of another service than the settings name.
+    pub(super) fn check_contradiction(
+        &mut self,
+        server: &BackendServerId,
+        actions: &mut Vec<GuardAction>,
+    ) -> bool {
+        let Some(known) = &mut self.contradiction else {
+            return false;
+        };
+        if known.server != *server {
+            self.end_contradiction(actions);
+            return false;
+        }
+        if !std::mem::replace(&mut known.proven, true) {
+            actions.push(GuardAction::ServiceContradicted(true));
+        }
+        true
+    }
+
+    /// Forgets the contradiction, because the settings or the server have changed.
+    pub(super) fn end_contradiction(&mut self, actions: &mut Vec<GuardAction>) {
+        if self.contradiction.take().is_some_and(|known| known.proven) {
+            actions.push(GuardAction::ServiceContradicted(false));
+        }
+    }
+
+    /// Forgets the contradiction if the server that caused it leaves.
+    pub(super) fn end_contradiction_of(
+        &mut self,
+        server: &BackendServerId,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let known = self.contradiction.as_ref();
+        if known.is_some_and(|known| known.server == *server) {
+            self.end_contradiction(actions);
+        }
+    }
+
+    /// Returns whether the server on this VM is shown to be of another service.
+    pub(super) fn is_contradicted(&self) -> bool {
+        self.contradiction
+            .as_ref()
+            .is_some_and(|known| known.proven)
+    }
+}
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -253,6 +253,11 @@
                 log_announcement_ignored(&announcement, reason);
                 self.answer_announcer(Err(reason));
             }
+            GuardAction::ServiceContradicted(contradicted) => {
+                log::warn!(contradicted; "service_contradicted");
+                let message = RoutingMessage::ServiceContradicted(contradicted);
+                self.context.routing.deliver(message);
+            }
             GuardAction::RepeatStarted => {
                 let event = RoutingMessage::Event(RoutingEvent::OwnServerRepeats);
                 // If the ring is full, the calls of this one repeat are not counted.
--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -112,6 +112,10 @@
             return;
         }
         self.mark_others_gone(now, address, &report.server, actions, |_| true);
+        let named = self.settings.server_address == Some(address);
+        if named && self.check_contradiction(&report.server, actions) {
+            return;
+        }
         match self.servers.contains_key(&report.server) {
             true => self.confirm_server(now, address, &report.server),
             false => self.add_unannounced(now, address, report, actions),
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -298,6 +298,14 @@
 }
 
 impl IgnoredBecause {
+    /// Returns whether the announcement contradicts the settings, which may be out of date.
+    pub fn contradicts_settings(self) -> bool {
+        matches!(
+            self,
+            IgnoredBecause::OtherAddress | IgnoredBecause::OtherService
+        )
+    }
+
     /// Returns the name in logs, counters and answers to the server.
     pub fn name(self) -> &'static str {
         match self {
@@ -329,6 +337,9 @@
         /// Time after which the entry daemon should try again, where known.
         retry_after: Option<Duration>,
     },
+    /// Reports to routing whether the server on this VM is shown to be of another service than the
+    /// settings name.
+    ServiceContradicted(bool),
     /// Reports to routing that a repeat started at the server on this VM: calls that the server
     /// makes for it count as repeats too.
     RepeatStarted,
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -6,6 +6,7 @@
 pub mod breaker;
 pub mod cancel;
 pub mod cold;
+mod contradiction;
 mod deaths;
 mod departures;
 mod disconnects;
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -27,12 +27,16 @@
             if reason == IgnoredBecause::Replaced {
                 self.inquire_rival(now, &announcement, actions);
             }
+            self.record_contradiction(now, &announcement, reason, actions);
             actions.push(GuardAction::AnnouncementIgnored {
                 announcement,
                 reason,
             });
             return;
         }
+        if self.is_contradicted() {
+            self.inquire_rival(now, &announcement, actions);
+        }
         if self.is_new_server(&announcement) {
             actions.push(GuardAction::ServerSeen(announcement.clone()));
         }
@@ -183,6 +187,7 @@
         let named_changed = named(&settings) != named(&self.settings);
         self.settings = settings;
         if named_changed {
+            self.end_contradiction(actions);
             self.mark_contradicted_gone(now, actions);
             self.inquiries.restart(now);
             self.inquire_local(actions);
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::contradiction::Contradiction;
 use super::deaths::{BrokenCall, DeathTracker};
 use super::departures::Departures;
 use super::inquiry::Inquiries;
@@ -40,6 +41,9 @@
     pub(super) domain_out: bool,
     pub(super) view: Arc<View>,
     pub(super) inquiries: Inquiries,
+    /// A server of another service at the address in the settings; `None` where there is no sign
+    /// of one.
+    pub(super) contradiction: Option<Contradiction>,
     pub(super) retries: RetryWindow,
     /// Guards of the service of the server on this VM, including this one; at least 1.
     pub(super) guard_count: usize,
@@ -70,6 +74,7 @@
             domain_out: false,
             view: Arc::default(),
             inquiries: Inquiries::default(),
+            contradiction: None,
             own_call_failed_at: None,
             last_arrival_at: None,
             reported_servers: Vec::new(),
@@ -114,7 +119,10 @@
             GuardEvent::Withdrawn {
                 server,
                 started_at_ms,
-            } => self.handle_withdrawal(now, &server, started_at_ms, &mut actions),
+            } => {
+                self.end_contradiction_of(&server, &mut actions);
+                self.handle_withdrawal(now, &server, started_at_ms, &mut actions);
+            }
             GuardEvent::Domain { out } => self.set_domain_out(now, out, &mut actions),
             GuardEvent::Fence(fence) => self.handle_fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.handle_cancel(now, request, &mut actions),
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod brief_wait;
+mod contradiction;
 mod deaths;
 mod disconnects;
 mod incarnations;
--- /dev/null
+++ b/src/guard/tests/contradiction.rs
@@ -0,0 +1,95 @@
+//! Servers of another service than the settings name.
+
+use std::time::Instant;
+
+use super::announcement;
+use super::servers::{health, inquiring_guard};
+use crate::guard::message::{Announcement, GuardAction, GuardEvent};
+use crate::guard::state::GuardState;
+use crate::settings::guard::GuardSettings;
+
+/// Returns the announcement of the server `n` of another service at the address in the settings.
+fn other_service() -> GuardEvent {
+    GuardEvent::Announced(Announcement {
+        server: "n".into(),
+        service: "w".into(),
+        started_at_ms: 9,
+        ..announcement()
+    })
+}
+
+/// Returns what the actions say of a contradiction.
+fn contradicted(actions: &[GuardAction]) -> Option<bool> {
+    actions.iter().find_map(|action| match action {
+        GuardAction::ServiceContradicted(contradicted) => Some(*contradicted),
+        _ => None,
+    })
+}
+
+/// Returns a guard to which the server `n` of another service has announced itself and proven that it
+/// holds the address.
+fn contradicted_guard(now: Instant) -> GuardState {
+    let mut state = inquiring_guard(now);
+    state.handle(now, other_service());
+    let proven = state.handle(now, health("n", true));
+    assert_eq!(contradicted(&proven), Some(true));
+    state
+}
+
+#[test]
+fn a_server_of_another_service_is_not_entered_under_the_service_of_the_settings() {
+    // Arrange
+    let now = Instant::now();
+    let state = contradicted_guard(now);
+
+    // Act
+    let entered = state.servers.values().filter(|server| !server.gone);
+
+    // Assert
+    assert_eq!(entered.count(), 0);
+}
+
+#[test]
+fn an_announcement_of_a_server_that_is_not_there_does_not_contradict_the_settings() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = inquiring_guard(now);
+
+    // Act
+    let announced = state.handle(now, other_service());
+    let answered = state.handle(now, health("s", true));
+
+    // Assert
+    assert_eq!(contradicted(&announced), None);
+    assert_eq!(contradicted(&answered), None);
+}
+
+#[test]
+fn another_service_in_the_settings_ends_the_contradiction() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+    let settings = GuardSettings {
+        server_service: "w".into(),
+        ..state.settings.clone()
+    };
+
+    // Act
+    let actions = state.handle(now, GuardEvent::Settings(Box::new(settings)));
+
+    // Assert
+    assert_eq!(contradicted(&actions), Some(false));
+}
+
+#[test]
+fn a_health_answer_of_another_server_ends_the_contradiction() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+
+    // Act
+    let actions = state.handle(now, health("s", true));
+
+    // Assert
+    assert_eq!(contradicted(&actions), Some(false));
+}
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -127,6 +127,9 @@
             RoutingMessage::Stop => return,
             RoutingMessage::Drain => draining = true,
             RoutingMessage::Service(read) => duty.confirm_origin(read),
+            RoutingMessage::ServiceContradicted(contradicted) => {
+                duty.origin.contradict(contradicted);
+            }
             RoutingMessage::Event(event) => {
                 duty.observe(&event);
                 duty.decide(event);
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -175,6 +175,8 @@
     CallersLeft,
     /// The settings file was read; tells which service it names for this VM.
     Service(ServiceRead),
+    /// Whether the server on this VM is shown to be of another service than the settings name.
+    ServiceContradicted(bool),
     /// The daemon stops; routing reports when no request is open any more.
     Drain,
     /// Ends the routing thread.
--- a/src/routing/origin.rs
+++ b/src/routing/origin.rs
@@ -44,6 +44,8 @@
     confirmed_at: Option<Instant>,
     /// The name before, and when the last read of it began.
     former: Option<(ServiceId, Option<Instant>)>,
+    /// Whether the server on this VM is shown to be of another service than the settings name.
+    contradicted: bool,
     /// When the first of the last reads ended that brought no name.
     unreadable_since: Option<Instant>,
 }
@@ -60,6 +62,7 @@
             since: None,
             confirmed_at: None,
             former: None,
+            contradicted: false,
             unreadable_since: None,
         }
     }
@@ -78,6 +81,9 @@
                 false => OriginAt::Unconfirmed,
             };
         }
+        if self.contradicted {
+            return OriginAt::Unknown;
+        }
         let name = match self.since.is_some_and(|since| arrived_at < since) {
             false => self.present(),
             true => match &self.former {
@@ -117,6 +123,12 @@
         changed
     }
 
+    /// Records whether the server on this VM is shown to be of another service than the settings
+    /// name. If so, the settings are out of date, and nothing tells since when.
+    pub(super) fn contradict(&mut self, contradicted: bool) {
+        self.contradicted = contradicted;
+    }
+
     /// Records the service of the server on this VM; empty without one.
     pub(super) fn announce(&mut self, service: ServiceId) {
         if self.named.is_empty() && self.former.is_none() {
