Let the settings say that there is no server on the VM

An empty guard.server_address or guard.server_service accepts any server, and an empty daemon.service takes the name of any server that announces itself. So settings could not say that the VM has no server: after a server was taken away, the guard went on to accept a late announcement of it, and requests went on in its name.

guard.only_named_server accepts a server only if both its address and its service are named. daemon.service_from_announcements decides what an empty service means; DaemonSettings::origin returns the name that the settings decide, or none where announcements decide. The defaults keep what the product did before. Routing does not read origin() yet.

--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -150,12 +150,16 @@
         let GuardSettings {
             server_address,
             server_service,
+            only_named_server,
             ..
         } = &self.settings;
-        if server_address.is_some_and(|address| address != announcement.address) {
+        if server_address.map_or(*only_named_server, |named| named != announcement.address) {
             return Some(IgnoredBecause::OtherAddress);
         }
-        let other = !server_service.is_empty() && *server_service != announcement.service;
+        let other = match server_service.is_empty() {
+            true => *only_named_server,
+            false => *server_service != announcement.service,
+        };
         other.then_some(IgnoredBecause::OtherService)
     }
 
@@ -178,8 +182,13 @@
         for server in self.servers.values_mut() {
             server.apply_settings(&settings);
         }
-        let named =
-            |settings: &GuardSettings| (settings.server_address, settings.server_service.clone());
+        let named = |settings: &GuardSettings| {
+            (
+                settings.server_address,
+                settings.server_service.clone(),
+                settings.only_named_server,
+            )
+        };
         let named_changed = named(&settings) != named(&self.settings);
         self.settings = settings;
         if named_changed {
--- a/src/guard/tests/local_servers.rs
+++ b/src/guard/tests/local_servers.rs
@@ -5,7 +5,7 @@
 
 use super::{announcement, refusal_of, request, INCARNATION};
 use crate::error::ErrorKind;
-use crate::guard::message::{Announcement, GuardAction, GuardEvent, IgnoredBecause};
+use crate::guard::message::{Announcement, GuardAction, GuardEvent, GuardRequest, IgnoredBecause};
 use crate::guard::state::GuardState;
 use crate::guard::tests::servers::{health, inquiring_guard};
 use crate::membership::ServerEntry;
@@ -134,3 +134,30 @@
     // Assert
     assert_eq!(refusal_of(&actions, 1), Some(ErrorKind::NoServer));
 }
+
+#[test]
+fn no_server_is_accepted_where_the_settings_name_none() {
+    let named_server = GuardSettings {
+        only_named_server: true,
+        ..inquiring_guard(Instant::now()).settings
+    };
+    for (address, service) in [(None, ""), (None, "v"), (named_server.server_address, "")] {
+        // Arrange
+        let now = Instant::now();
+        let mut state = GuardState::new(named_server.clone(), INCARNATION);
+        state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+        let settings = GuardSettings {
+            server_address: address,
+            server_service: service.into(),
+            ..named_server.clone()
+        };
+
+        // Act
+        let actions = state.handle(now, GuardEvent::Settings(Box::new(settings)));
+        let announced = state.handle(now, GuardEvent::Announced(named("s", "v", 6)));
+
+        // Assert
+        assert_eq!(reported_servers(&actions), Some(&[][..]));
+        assert!(ignored(&announced).is_some(), "{address:?} {service:?}");
+    }
+}
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -17,8 +17,11 @@
     /// Failure domain of this VM; 1 to 255 bytes.
     pub domain: DomainId,
     /// Service of the backend server on this VM, sent as the origin of its requests. Empty takes
-    /// the service of the first server that announces itself.
+    /// the service of the first server that announces itself, or none.
     pub service: ServiceId,
+    /// Whether an empty `service` takes that of the first server that announces itself. Otherwise
+    /// it means that there is no server on this VM.
+    pub service_from_announcements: bool,
     /// Secret that every daemon of the fleet shares; at least 16 characters. It is never sent.
     pub fleet_secret: String,
     /// Longest graceful shutdown, in milliseconds.
@@ -37,6 +40,7 @@
             daemon: "daemon-1".into(),
             domain: "domain-1".into(),
             service: "".into(),
+            service_from_announcements: true,
             fleet_secret: "change-me-change-me-change-me-32".to_owned(),
             stop_grace_ms: 30_000,
             kill_after_ms: 0,
@@ -46,6 +50,13 @@
 }
 
 impl DaemonSettings {
+    /// Returns the service in whose name requests are sent, empty if there is no server on this VM;
+    /// `None` if announcements decide.
+    pub fn origin(&self) -> Option<ServiceId> {
+        let decided = !self.service.is_empty() || !self.service_from_announcements;
+        decided.then(|| self.service.clone())
+    }
+
     /// Returns the longest graceful shutdown. Where the platform kills the daemon, the last sixth
     /// of that time is left for ending the process.
     pub fn stop_limit(&self) -> Duration {
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -55,6 +55,9 @@
     /// Service of the backend servers on this VM; announcements of other services are ignored.
     /// Empty accepts any service.
     pub server_service: ServiceId,
+    /// Whether only a server is accepted whose address and service the settings name. If either is
+    /// missing then, there is no server on this VM, and every announcement is ignored.
+    pub only_named_server: bool,
     /// Whether a server that is new to this run of the daemon gets requests only after an answer of
     /// its health path or a second announcement has confirmed it.
     pub inquire: bool,
@@ -105,6 +108,7 @@
             connect_timeout_ms: 1_000,
             server_address: None,
             server_service: "".into(),
+            only_named_server: false,
             inquire: false,
             departures_final: false,
             breaker_open_ms: 0,
