Refuse a request at a server that runs another service now

A server that started again under its name with another service got the requests for its former one: the guard looked a server up by name and did not compare the service that the entry had chosen. Entries learn of the change by gossip, and requests wait in the guard's queue meanwhile. The test showed one started at arrival and one left in the queue.

The guard compares the service of a request with that of the server, and refuses what waits when an announcement changes it. server_replaced says that the request has not run, so the entry tries another server.

The fixtures of the guard's tests used servers of service v and of no service for the same request; they name v throughout now.

--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -184,6 +184,7 @@
             incarnation,
             organisation: "o".into(),
             weight_share: 1,
+            service: "".into(),
             route: "r".into(),
             server: format!("s{guard}").as_str().into(),
             repeatable: false,
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -216,6 +216,7 @@
         incarnation: head.incarnation,
         organisation: head.organisation.clone(),
         weight_share: head.weight_share,
+        service: head.service.clone(),
         route: head.route.clone(),
         server: head.server.clone(),
         repeatable: head.repeatable,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -85,6 +85,8 @@
     pub organisation: OrganisationId,
     /// Weight of the organisation in the fair queue.
     pub weight_share: u32,
+    /// Service that is to run the request.
+    pub service: ServiceId,
     /// Route that the request matched.
     pub route: RouteId,
     /// Backend server that is to run the request.
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -75,6 +75,7 @@
         };
         server.cold_rate_per_s = cold_rate_per_s;
         let is_earlier = announcement.started_at_ms < server.announcement.started_at_ms;
+        let service_changed = announcement.service != server.announcement.service;
         let becomes_confirmed = match server.presence {
             Presence::Confirmed => false,
             Presence::Unconfirmed => true,
@@ -92,6 +93,9 @@
         } else if becomes_confirmed {
             self.mark_others_gone(now, address, name, actions, |_| true);
         }
+        if service_changed {
+            self.refuse_waiting(now, name, ErrorKind::ServerReplaced, actions);
+        }
         if draining {
             self.refuse_waiting(now, name, ErrorKind::NoServer, actions);
         }
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -195,6 +195,9 @@
         let Some(server) = self.servers.get_mut(&request.server) else {
             return refuse(ErrorKind::NoServer, None);
         };
+        if server.announcement.service != request.service {
+            return refuse(ErrorKind::ServerReplaced, None);
+        }
         if !server.takes_work() {
             return refuse(ErrorKind::NoServer, None);
         }
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -41,6 +41,7 @@
         incarnation: INCARNATION,
         organisation: "o".into(),
         weight_share: 1,
+        service: "v".into(),
         route: "r".into(),
         server: "s".into(),
         repeatable: false,
@@ -82,6 +83,7 @@
 fn announcement() -> Announcement {
     Announcement {
         server: "s".into(),
+        service: "v".into(),
         slots_count: 1,
         ..Default::default()
     }
--- a/src/guard/tests/local_servers.rs
+++ b/src/guard/tests/local_servers.rs
@@ -161,3 +161,27 @@
         assert!(ignored(&announced).is_some(), "{address:?} {service:?}");
     }
 }
+
+#[test]
+fn a_request_does_not_run_at_a_server_that_has_changed_its_service() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = GuardState::new(GuardSettings::default(), INCARNATION);
+    let for_v = |number| {
+        GuardEvent::Arrived(GuardRequest {
+            service: "v".into(),
+            ..request(number, now)
+        })
+    };
+    state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+    state.handle(now, for_v(1));
+    state.handle(now, for_v(2));
+
+    // Act
+    let renewed = state.handle(now, GuardEvent::Announced(named("s", "w", 6)));
+    let arrived = state.handle(now, for_v(3));
+
+    // Assert
+    assert_eq!(refusal_of(&renewed, 2), Some(ErrorKind::ServerReplaced));
+    assert_eq!(refusal_of(&arrived, 3), Some(ErrorKind::ServerReplaced));
+}
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -98,6 +98,7 @@
                     incarnation,
                     organisation: plan.organisation.clone(),
                     weight_share: plan.weight_share,
+                    service: plan.service.clone(),
                     route: plan.route.clone(),
                     server: target.server,
                     repeatable: plan.repeatable,
--- a/tests/guard_queue.rs
+++ b/tests/guard_queue.rs
@@ -30,6 +30,7 @@
         incarnation: 1,
         organisation: format!("o{organisation}").as_str().into(),
         weight_share,
+        service: "".into(),
         route: "r".into(),
         server: "s".into(),
         repeatable: true,
--- a/tests/guard_scenarios/simulation.rs
+++ b/tests/guard_scenarios/simulation.rs
@@ -274,6 +274,7 @@
             incarnation: INCARNATION,
             organisation: load.organisation.as_str().into(),
             weight_share: load.weight_share,
+            service: "v".into(),
             route: "r".into(),
             server: "s".into(),
             repeatable: true,
