Refuse a request without an origin where servers expect one

A request of a daemon that knows no service for its VM reached the server of another one with an empty caller-service header; the test showed it at the guard. It came about with an empty daemon.service until the first announcement.

Dialect::needs_origin says whether servers expect the name; the product's own dialect does not. The entry is to refuse before it sends, which is left to routing.

--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -199,6 +199,10 @@
             let name = self.log_name(&head, &raw);
             return self.refuse(exchange, (key, &name), ErrorKind::OutcomeUnknown, None);
         }
+        if head.origin.is_empty() && self.context.forward.dialect.needs_origin() {
+            let name = self.log_name(&head, &raw);
+            return self.refuse(exchange, (key, &name), ErrorKind::NoServer, None);
+        }
         self.watch_entry(key, &mut *exchange);
         let deadline_at = arrived_at + head.remaining;
         let event = GuardEvent::Arrived(forward::guard_request(&head, deadline_at));
--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -88,6 +88,12 @@
     /// Returns whether backend servers get the caller's `Host` header.
     fn keeps_host(&self) -> bool;
 
+    /// Returns whether backend servers expect the service in whose name a request is sent, so that
+    /// no request may reach them without it.
+    fn needs_origin(&self) -> bool {
+        false
+    }
+
     /// Returns the answer to a caller for an error kind.
     fn refusal(
         &self,
