Read the platform's settings field by field

Where the platform has no value it renders an empty text. An empty app_address made the whole settings file unreadable: on a reload the daemon kept the service of a server that had left, and at its start it did not come up. One odd bound had the same effect.

A field of the wrong type, name or bounds is refused by itself with field and value, and the others hold: Settings::merge gives it its value of the settings in force, a server that is not named properly counts as none, and an odd bound keeps the present figures.

The reload reads a file without the settings in force yet, so a field that is needed still refuses the whole file there; SettingsFile::merge takes them once the reloader passes them on.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod log;
 pub mod membership;
+pub mod merge;
 pub mod metrics;
 pub mod operator;
 pub mod quota;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -1,4 +1,5 @@
 mod invalid;
+mod merge;
 
 use super::*;
 
