Withdraw a server that names another service than the settings

A guard that had taken the server at the configured address for one of the configured service, by its health, went on to send it requests of that service while the server itself announced another one: the announcement was ignored and logged as other_service, and nothing followed. So it is on a VM whose service changes until the daemon has read the new settings. The server may run requests of a service that it isn't, as they name its own id. The test showed it with the announcement before and after the health answer.

Such an announcement, unless it is late, withdraws the server, and its health does not bring it back; an announcement with the configured service does. A late word of an earlier life with another service can withdraw a server that has not announced itself yet, until it does.

Ruled out: a late announcement of another server does not withdraw the present one, as names are compared.

--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -25,6 +25,9 @@
     settings_changed_at: Option<Instant>,
     /// When the holder of an address was last asked for because of a rival announcement.
     rival_asked_at: Option<Instant>,
+    /// The server that last announced itself with a service that the settings do not name, and that
+    /// service. Its health does not make it a server of the service in the settings.
+    other_service: Option<(BackendServerId, ServiceId)>,
 }
 
 impl Inquiries {
@@ -33,6 +36,11 @@
         self.local_asked = false;
         self.settings_changed_at = Some(now);
     }
+
+    /// Forgets that a server named another service, because it has named the right one.
+    pub(super) fn clear_other_service(&mut self, name: &BackendServerId) {
+        self.other_service.take_if(|(server, _)| server == name);
+    }
 }
 
 impl GuardState {
@@ -91,6 +99,37 @@
         self.inquire(rival.address, &rival.service, actions);
     }
 
+    /// Withdraws a server that announces itself with a service that the settings do not name. The
+    /// settings may be out of date, so it gets no work as a server of their service.
+    pub(super) fn withdraw_other_service(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let name = &announcement.server;
+        let known = self.servers.get(name);
+        let is_late = known.is_some_and(|known| {
+            known.is_of_earlier_incarnation(announcement)
+                || known.has_later_announcement(announcement)
+        });
+        if is_late {
+            return;
+        }
+        self.inquiries.other_service = Some((name.clone(), announcement.service.clone()));
+        if known.is_some_and(|known| !known.gone) {
+            self.mark_gone(now, name, actions);
+        }
+    }
+
+    /// Returns whether a server last announced itself with a service that the settings do not name.
+    fn names_other_service(&self, name: &BackendServerId) -> bool {
+        let other = self.inquiries.other_service.as_ref();
+        other.is_some_and(|(server, service)| {
+            server == name && *service != self.settings.server_service
+        })
+    }
+
     /// Handles the answer to an inquiry. It names the present holder of the address and overrides
     /// delayed announcements. An answer of a server that reports that it is unhealthy is ignored.
     pub(super) fn handle_inquiry_end(
@@ -112,6 +151,9 @@
             return;
         }
         self.mark_others_gone(now, address, &report.server, actions, |_| true);
+        if self.names_other_service(&report.server) {
+            return;
+        }
         match self.servers.contains_key(&report.server) {
             true => self.confirm_server(now, address, &report.server),
             false => self.add_unannounced(now, address, report, actions),
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -24,8 +24,12 @@
     ) {
         let name = announcement.server.clone();
         if let Some(reason) = self.ignore_reason(now, &announcement) {
-            if reason == IgnoredBecause::Replaced {
-                self.inquire_rival(now, &announcement, actions);
+            match reason {
+                IgnoredBecause::Replaced => self.inquire_rival(now, &announcement, actions),
+                IgnoredBecause::OtherService => {
+                    self.withdraw_other_service(now, &announcement, actions);
+                }
+                _ => {}
             }
             actions.push(GuardAction::AnnouncementIgnored {
                 announcement,
@@ -33,6 +37,7 @@
             });
             return;
         }
+        self.inquiries.clear_other_service(&name);
         if self.is_new_server(&announcement) {
             actions.push(GuardAction::ServerSeen(announcement.clone()));
         }
--- a/src/guard/tests/local_servers.rs
+++ b/src/guard/tests/local_servers.rs
@@ -185,3 +185,55 @@
     assert_eq!(refusal_of(&renewed, 2), Some(ErrorKind::ServerReplaced));
     assert_eq!(refusal_of(&arrived, 3), Some(ErrorKind::ServerReplaced));
 }
+
+#[test]
+fn a_server_that_names_another_service_is_not_taken_for_the_configured_one() {
+    for health_first in [true, false] {
+        // Arrange
+        let now = Instant::now();
+        let mut state = inquiring_guard(now);
+        let other = GuardEvent::Announced(named("s", "w", 5));
+
+        // Act
+        if health_first {
+            state.handle(now, health("s", true));
+        }
+        state.handle(now, other);
+        state.handle(now, health("s", true));
+        let arrived = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+        // Assert
+        assert_eq!(refusal_of(&arrived, 1), Some(ErrorKind::NoServer));
+    }
+}
+
+#[test]
+fn a_server_that_named_another_service_serves_once_the_settings_name_it() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = inquiring_guard(now);
+    state.handle(now, health("s", true));
+    state.handle(now, GuardEvent::Announced(named("s", "w", 5)));
+    let settings = GuardSettings {
+        server_service: "w".into(),
+        ..state.settings.clone()
+    };
+    let for_w = GuardRequest {
+        service: "w".into(),
+        ..request(1, now)
+    };
+
+    // Act
+    state.handle(now, GuardEvent::Settings(Box::new(settings)));
+    for sequence in [1, 2] {
+        let announcement = Announcement {
+            sequence,
+            ..named("s", "w", 5)
+        };
+        state.handle(now, GuardEvent::Announced(announcement));
+    }
+    let arrived = state.handle(now, GuardEvent::Arrived(for_w));
+
+    // Assert
+    assert_eq!(refusal_of(&arrived, 1), None);
+}
