Look key and route up again when a request has waited for its token

A request that waited for its token was dispatched by the view at its arrival: a key that had been withdrawn, a key of another organisation and a route that led to another service all kept their former meaning, for as long as the wait lasted (700 ms at most where one daemon counts an organisation, longer where the setting says so).

The front counts the views it gets and keeps the head of a request that waits. If a view came in between, the request is planned again with its token: it goes on, is refused, or takes a token of the other organisation. While the view is not usable, the plan of the arrival holds.

--- a/src/front/state.rs
+++ b/src/front/state.rs
@@ -25,8 +25,20 @@
     draining: bool,
     /// Whether `FrontAction::Drained` was returned.
     drained: bool,
+    /// Number of views received so far.
+    view_count: u64,
     /// Requests that wait for a token.
-    waiting: HashMap<RequestId, RequestPlan>,
+    waiting: HashMap<RequestId, WaitingRequest>,
+}
+
+/// A request that waits for a token.
+struct WaitingRequest {
+    /// The head from which the plan was made.
+    head: Arc<RequestHead>,
+    /// What is to be done with the request.
+    plan: RequestPlan,
+    /// Number of views that had been received when the plan was made.
+    view_count: u64,
 }
 
 impl FrontState {
@@ -44,10 +56,8 @@
     /// Handles one event, without the check whether the drain is complete.
     fn handle_event(&mut self, event: FrontEvent) -> Option<FrontAction> {
         match event {
-            FrontEvent::Arrived(head) => Some(self.handle_arrival(&head)),
-            FrontEvent::TokenGranted { request } => {
-                self.waiting.remove(&request).map(FrontAction::Dispatch)
-            }
+            FrontEvent::Arrived(head) => Some(self.handle_arrival(head)),
+            FrontEvent::TokenGranted { request } => self.handle_grant(request),
             FrontEvent::TokenRefused {
                 request,
                 kind,
@@ -55,6 +65,7 @@
             } => self.refuse_waiting(request, kind, retry_after),
             FrontEvent::View(view) => {
                 self.view = Some(view);
+                self.view_count += 1;
                 None
             }
             FrontEvent::ViewUsable(usable) => {
@@ -69,30 +80,48 @@
     }
 
     /// Refuses a request, dispatches it, or asks for a token if an organisation sends it.
-    fn handle_arrival(&mut self, head: &RequestHead) -> FrontAction {
-        match self.plan_request(head) {
-            Err(kind) => FrontAction::Refuse {
-                request: head.request,
-                kind,
-                retry_after: None,
-            },
-            Ok(plan) if plan.organisation.is_empty() => FrontAction::Dispatch(plan),
-            Ok(plan) => {
-                let organisation = plan.organisation.clone();
-                self.waiting.insert(head.request, plan);
-                FrontAction::TakeToken {
-                    request: head.request,
-                    organisation,
-                }
-            }
+    fn handle_arrival(&mut self, head: Arc<RequestHead>) -> FrontAction {
+        match self.draining {
+            true => refusal(head.request, ErrorKind::Stopping),
+            false => self.admit(head, None),
+        }
+    }
+
+    /// Dispatches a request that has its token. If the view has changed meanwhile, key and route
+    /// are looked up again.
+    fn handle_grant(&mut self, request: RequestId) -> Option<FrontAction> {
+        let waiting = self.waiting.remove(&request)?;
+        if waiting.view_count == self.view_count || !self.usable {
+            return Some(FrontAction::Dispatch(waiting.plan));
+        }
+        Some(self.admit(waiting.head, Some(&waiting.plan.organisation)))
+    }
+
+    /// Decides on a request for which this organisation has paid a token, if any has.
+    fn admit(&mut self, head: Arc<RequestHead>, paid: Option<&OrganisationId>) -> FrontAction {
+        let plan = match self.plan_request(&head) {
+            Err(kind) => return refusal(head.request, kind),
+            Ok(plan) => plan,
+        };
+        if plan.organisation.is_empty() || paid == Some(&plan.organisation) {
+            return FrontAction::Dispatch(plan);
+        }
+        let request = head.request;
+        let organisation = plan.organisation.clone();
+        let waiting = WaitingRequest {
+            head,
+            plan,
+            view_count: self.view_count,
+        };
+        self.waiting.insert(request, waiting);
+        FrontAction::TakeToken {
+            request,
+            organisation,
         }
     }
 
     /// Matches a request with its route and organisation, or returns why it is refused.
     fn plan_request(&self, head: &RequestHead) -> Result<RequestPlan, ErrorKind> {
-        if self.draining {
-            return Err(ErrorKind::Stopping);
-        }
         let view = self.view.as_ref().filter(|_| self.usable);
         let view = view.ok_or(ErrorKind::NoView)?;
         let path = head.target.split('?').next().unwrap_or_default();
@@ -176,6 +205,15 @@
     }
 }
 
+/// Returns the refusal of a request for which no time to retry is known.
+fn refusal(request: RequestId, kind: ErrorKind) -> FrontAction {
+    FrontAction::Refuse {
+        request,
+        kind,
+        retry_after: None,
+    }
+}
+
 /// Rank of requests on open routes. Backend servers call each other on these routes, and a request
 /// that waits for such a call holds a slot.
 const OPEN_ROUTE_RANK: u8 = 0;
--- a/src/front/tests.rs
+++ b/src/front/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the check of request headers.
 
+mod changed_view;
+
 use std::time::Instant;
 
 use super::check::check_request;
