--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -28,11 +28,7 @@
             return Ok(ExitCode::from(EXIT_USAGE));
         }
     };
-    let file = SettingsFile {
-        path: arguments.settings.clone(),
-        parse: |path, text| Settings::parse(path, text).map_err(|error| error.to_string()),
-        service: Settings::service_in,
-    };
+    let file = SettingsFile::built_in(&arguments.settings);
     run_with(settings, |settings| Interfaces {
         settings: Some(Box::new(file)),
         ..Interfaces::built_in(settings)
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -76,7 +76,7 @@
     let context = routing::duty::RoutingContext {
         settings: settings.routing.clone(),
         daemon: settings.daemon.daemon.clone(),
-        origin: settings.daemon.service.clone(),
+        origin: settings.daemon.origin(),
         reload,
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
--- a/src/guard/contradiction.rs
+++ b/src/guard/contradiction.rs
@@ -3,57 +3,73 @@
 //! An announcement alone does not show it, since it may be delayed or come from another writer. A
 //! health answer of the announced server at the address in the settings does.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
-use super::message::{Announcement, GuardAction, IgnoredBecause};
+use super::message::{Announcement, GuardAction};
 use super::state::GuardState;
 use crate::types::BackendServerId;
 
-/// A server of another service that announced itself at the address in the settings.
+/// A server that announced itself with another service than the settings name. Its health does not
+/// make it a server of the service in the settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Contradiction {
     /// Server that announced itself.
     server: BackendServerId,
-    /// Whether its health answer has shown that it is there.
+    /// Whether its health answer has shown that it holds the address in the settings.
     proven: bool,
 }
 
 impl GuardState {
-    /// Records an announcement that was ignored because it names another service at the address in
-    /// the settings, and asks the server there for its health.
+    /// Records an announcement that was ignored because it names another service than the settings,
+    /// withdraws its server, and asks the server there for its health.
     pub(super) fn record_contradiction(
         &mut self,
         now: Instant,
         announcement: &Announcement,
-        reason: IgnoredBecause,
         actions: &mut Vec<GuardAction>,
     ) {
-        let at_address = self.settings.server_address == Some(announcement.address);
-        if reason != IgnoredBecause::OtherService || !at_address || self.is_contradicted() {
+        let name = &announcement.server;
+        let known = self.servers.get(name);
+        let is_late = known.is_some_and(|known| {
+            known.is_of_earlier_incarnation(announcement)
+                || known.has_later_announcement(announcement)
+        });
+        if is_late {
+            return;
+        }
+        if known.is_some_and(|known| !known.gone) {
+            self.mark_gone(now, name, actions);
+        }
+        if self.is_contradicted() {
             return;
         }
         self.contradiction = Some(Contradiction {
-            server: announcement.server.clone(),
+            server: name.clone(),
             proven: false,
         });
         self.inquire_rival(now, announcement, actions);
     }
 
-    /// Handles a health answer of a server at the address in the settings. Returns whether that
-    /// server is of another service than the settings name.
+    /// Handles a health answer of a server at an address. Returns whether that server is of another
+    /// service than the settings name.
     pub(super) fn check_contradiction(
         &mut self,
+        address: SocketAddr,
         server: &BackendServerId,
         actions: &mut Vec<GuardAction>,
     ) -> bool {
+        let named = self.settings.server_address == Some(address);
         let Some(known) = &mut self.contradiction else {
             return false;
         };
         if known.server != *server {
-            self.end_contradiction(actions);
+            if named {
+                self.end_contradiction(actions);
+            }
             return false;
         }
-        if !std::mem::replace(&mut known.proven, true) {
+        if named && !std::mem::replace(&mut known.proven, true) {
             actions.push(GuardAction::ServiceContradicted(true));
         }
         true
@@ -66,7 +82,7 @@
         }
     }
 
-    /// Forgets the contradiction if the server that caused it leaves.
+    /// Forgets the contradiction if its server has left or has announced the service in the settings.
     pub(super) fn end_contradiction_of(
         &mut self,
         server: &BackendServerId,
--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -112,8 +112,7 @@
             return;
         }
         self.mark_others_gone(now, address, &report.server, actions, |_| true);
-        let named = self.settings.server_address == Some(address);
-        if named && self.check_contradiction(&report.server, actions) {
+        if self.check_contradiction(address, &report.server, actions) {
             return;
         }
         match self.servers.contains_key(&report.server) {
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -24,16 +24,20 @@
     ) {
         let name = announcement.server.clone();
         if let Some(reason) = self.ignore_reason(now, &announcement) {
-            if reason == IgnoredBecause::Replaced {
-                self.inquire_rival(now, &announcement, actions);
+            match reason {
+                IgnoredBecause::Replaced => self.inquire_rival(now, &announcement, actions),
+                IgnoredBecause::OtherService => {
+                    self.record_contradiction(now, &announcement, actions);
+                }
+                _ => {}
             }
-            self.record_contradiction(now, &announcement, reason, actions);
             actions.push(GuardAction::AnnouncementIgnored {
                 announcement,
                 reason,
             });
             return;
         }
+        self.end_contradiction_of(&name, actions);
         if self.is_contradicted() {
             self.inquire_rival(now, &announcement, actions);
         }
@@ -79,6 +83,7 @@
         };
         server.cold_rate_per_s = cold_rate_per_s;
         let is_earlier = announcement.started_at_ms < server.announcement.started_at_ms;
+        let service_changed = announcement.service != server.announcement.service;
         let becomes_confirmed = match server.presence {
             Presence::Confirmed => false,
             Presence::Unconfirmed => true,
@@ -96,6 +101,9 @@
         } else if becomes_confirmed {
             self.mark_others_gone(now, address, name, actions, |_| true);
         }
+        if service_changed {
+            self.refuse_waiting(now, name, ErrorKind::ServerReplaced, actions);
+        }
         if draining {
             self.refuse_waiting(now, name, ErrorKind::NoServer, actions);
         }
@@ -154,12 +162,16 @@
         let GuardSettings {
             server_address,
             server_service,
+            only_named_server,
             ..
         } = &self.settings;
-        if server_address.is_some_and(|address| address != announcement.address) {
+        if server_address.map_or(*only_named_server, |named| named != announcement.address) {
             return Some(IgnoredBecause::OtherAddress);
         }
-        let other = !server_service.is_empty() && *server_service != announcement.service;
+        let other = match server_service.is_empty() {
+            true => *only_named_server,
+            false => *server_service != announcement.service,
+        };
         other.then_some(IgnoredBecause::OtherService)
     }
 
@@ -182,8 +194,13 @@
         for server in self.servers.values_mut() {
             server.apply_settings(&settings);
         }
-        let named =
-            |settings: &GuardSettings| (settings.server_address, settings.server_service.clone());
+        let named = |settings: &GuardSettings| {
+            (
+                settings.server_address,
+                settings.server_service.clone(),
+                settings.only_named_server,
+            )
+        };
         let named_changed = named(&settings) != named(&self.settings);
         self.settings = settings;
         if named_changed {
--- a/src/guard/tests/local_servers.rs
+++ b/src/guard/tests/local_servers.rs
@@ -5,7 +5,7 @@
 
 use super::{announcement, refusal_of, request, INCARNATION};
 use crate::error::ErrorKind;
-use crate::guard::message::{Announcement, GuardAction, GuardEvent, IgnoredBecause};
+use crate::guard::message::{Announcement, GuardAction, GuardEvent, GuardRequest, IgnoredBecause};
 use crate::guard::state::GuardState;
 use crate::guard::tests::servers::{health, inquiring_guard};
 use crate::membership::ServerEntry;
@@ -134,3 +134,106 @@
     // Assert
     assert_eq!(refusal_of(&actions, 1), Some(ErrorKind::NoServer));
 }
+
+#[test]
+fn no_server_is_accepted_where_the_settings_name_none() {
+    let named_server = GuardSettings {
+        only_named_server: true,
+        ..inquiring_guard(Instant::now()).settings
+    };
+    for (address, service) in [(None, ""), (None, "v"), (named_server.server_address, "")] {
+        // Arrange
+        let now = Instant::now();
+        let mut state = GuardState::new(named_server.clone(), INCARNATION);
+        state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+        let settings = GuardSettings {
+            server_address: address,
+            server_service: service.into(),
+            ..named_server.clone()
+        };
+
+        // Act
+        let actions = state.handle(now, GuardEvent::Settings(Box::new(settings)));
+        let announced = state.handle(now, GuardEvent::Announced(named("s", "v", 6)));
+
+        // Assert
+        assert_eq!(reported_servers(&actions), Some(&[][..]));
+        assert!(ignored(&announced).is_some(), "{address:?} {service:?}");
+    }
+}
+
+#[test]
+fn a_request_does_not_run_at_a_server_that_has_changed_its_service() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = GuardState::new(GuardSettings::default(), INCARNATION);
+    let for_v = |number| {
+        GuardEvent::Arrived(GuardRequest {
+            service: "v".into(),
+            ..request(number, now)
+        })
+    };
+    state.handle(now, GuardEvent::Announced(named("s", "v", 5)));
+    state.handle(now, for_v(1));
+    state.handle(now, for_v(2));
+
+    // Act
+    let renewed = state.handle(now, GuardEvent::Announced(named("s", "w", 6)));
+    let arrived = state.handle(now, for_v(3));
+
+    // Assert
+    assert_eq!(refusal_of(&renewed, 2), Some(ErrorKind::ServerReplaced));
+    assert_eq!(refusal_of(&arrived, 3), Some(ErrorKind::ServerReplaced));
+}
+
+#[test]
+fn a_server_that_names_another_service_is_not_taken_for_the_configured_one() {
+    for health_first in [true, false] {
+        // Arrange
+        let now = Instant::now();
+        let mut state = inquiring_guard(now);
+        let other = GuardEvent::Announced(named("s", "w", 5));
+
+        // Act
+        if health_first {
+            state.handle(now, health("s", true));
+        }
+        state.handle(now, other);
+        state.handle(now, health("s", true));
+        let arrived = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+        // Assert
+        assert_eq!(refusal_of(&arrived, 1), Some(ErrorKind::NoServer));
+    }
+}
+
+#[test]
+fn a_server_that_named_another_service_serves_once_the_settings_name_it() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = inquiring_guard(now);
+    state.handle(now, health("s", true));
+    state.handle(now, GuardEvent::Announced(named("s", "w", 5)));
+    let settings = GuardSettings {
+        server_service: "w".into(),
+        ..state.settings.clone()
+    };
+    let for_w = GuardRequest {
+        service: "w".into(),
+        ..request(1, now)
+    };
+
+    // Act
+    state.handle(now, GuardEvent::Settings(Box::new(settings)));
+    for sequence in [1, 2] {
+        let announcement = Announcement {
+            sequence,
+            ..named("s", "w", 5)
+        };
+        state.handle(now, GuardEvent::Announced(announcement));
+    }
+    let arrived = state.handle(now, GuardEvent::Arrived(for_w));
+
+    // Assert
+    assert_eq!(refusal_of(&arrived, 1), None);
+}
--- a/src/reload/file.rs
+++ b/src/reload/file.rs
@@ -3,13 +3,12 @@
 use std::path::{Path, PathBuf};
 
 use super::SettingsSource;
+use crate::settings::merge::Merged;
 use crate::settings::Settings;
-use crate::types::ServiceId;
 
-/// A function that parses and checks the text of the settings file at a path.
-pub type ParseSettings = fn(&Path, &str) -> Result<Settings, String>;
-/// A function that returns the service that the text of a settings file names for this VM.
-pub type ParseService = fn(&str) -> Option<ServiceId>;
+/// A function that parses and checks the text of the settings file at a path. A field that is
+/// refused by itself has its value of the present settings.
+pub type ParseSettings = fn(&Path, &str, &Settings) -> Result<Merged, String>;
 
 /// A settings file in JSON.
 pub struct SettingsFile {
@@ -17,8 +16,22 @@
     pub path: PathBuf,
     /// Parses and checks its text.
     pub parse: ParseSettings,
-    /// Finds the service in its text, even if other values are invalid.
-    pub service: ParseService,
+}
+
+impl SettingsFile {
+    /// Returns a file of the product's own format, which is refused as a whole.
+    pub fn built_in(path: &Path) -> SettingsFile {
+        SettingsFile {
+            path: path.to_owned(),
+            parse: |path, text, _| {
+                let settings = Settings::parse(path, text).map_err(|error| error.to_string())?;
+                Ok(Merged {
+                    settings,
+                    refused: Vec::new(),
+                })
+            },
+        }
+    }
 }
 
 impl SettingsSource for SettingsFile {
@@ -27,12 +40,8 @@
         std::fs::read(&self.path).map_err(|error| format!("settings file {path}: {error}"))
     }
 
-    fn parse(&self, content: &[u8]) -> Result<Settings, String> {
+    fn parse(&self, content: &[u8], present: &Settings) -> Result<Merged, String> {
         let text = std::str::from_utf8(content).map_err(|error| error.to_string())?;
-        (self.parse)(&self.path, text)
-    }
-
-    fn service(&self, content: &[u8]) -> Option<ServiceId> {
-        (self.service)(std::str::from_utf8(content).ok()?)
+        (self.parse)(&self.path, text, present)
     }
 }
--- a/src/reload/message.rs
+++ b/src/reload/message.rs
@@ -24,8 +24,8 @@
 /// The service that a read of the settings file named for this VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceRead {
-    /// Service that the file names, empty if it names none; `None` if the file is incomplete or
-    /// could not be read.
+    /// Service that the file names, empty if it names none; `None` if the file was refused or could
+    /// not be read.
     pub service: Option<ServiceId>,
     /// When the read began. The file named the service at some time from then to `ended_at`.
     pub began_at: Instant,
--- a/src/reload/mod.rs
+++ b/src/reload/mod.rs
@@ -9,23 +9,20 @@
 mod message;
 mod state;
 
-pub use file::{ParseService, ParseSettings, SettingsFile};
+pub use file::{ParseSettings, SettingsFile};
 pub use message::{ReloadMessage, ServiceRead};
 
+use crate::settings::merge::Merged;
 use crate::settings::Settings;
-use crate::types::ServiceId;
 
 /// The settings file of a daemon.
 pub trait SettingsSource: Send {
     /// Returns the present content of the file.
     fn read(&mut self) -> Result<Vec<u8>, String>;
 
-    /// Parses and checks a content.
-    fn parse(&self, content: &[u8]) -> Result<Settings, String>;
-
-    /// Returns the service that a content names for this VM, even if other values are invalid.
-    /// Empty if it names none, and `None` if the content is incomplete.
-    fn service(&self, content: &[u8]) -> Option<ServiceId>;
+    /// Parses and checks a content. A field that is refused by itself has its value of the `present`
+    /// settings.
+    fn parse(&self, content: &[u8], present: &Settings) -> Result<Merged, String>;
 }
 
 /// The running daemon, to which settings are applied.
--- a/src/reload/state.rs
+++ b/src/reload/state.rs
@@ -57,7 +57,7 @@
     Apply(Box<Settings>),
     /// Logs that the file says what is in force.
     LogUnchanged,
-    /// Logs why the file is refused. The settings in force stay.
+    /// Logs why the file or fields of it are refused. What was in force stays.
     LogRefused(String),
     /// Reports the service that the file names.
     ReportService(ServiceRead),
@@ -70,11 +70,11 @@
     /// Result of the last read; `None` before the first one, as the file may have changed since the
     /// daemon started.
     last: Option<Result<Vec<u8>, String>>,
-    /// Service that the last content names; `None` if it is incomplete or could not be read.
+    /// Service that the last content names; `None` if it was refused or could not be read.
     service: Option<ServiceId>,
-    /// Number of reads in a row that found the file incomplete or could not read it.
+    /// Number of reads in a row whose content was refused or could not be read.
     incomplete_count: u32,
-    /// Why the last content was refused.
+    /// Why the last content or fields of it were refused.
     problem: Option<String>,
 }
 
@@ -116,11 +116,11 @@
             let settings = self.take_content(&read.content, source);
             actions.extend(settings.map(ReloadAction::Apply));
         }
-        if actions.is_empty() && (changed || read.trigger == Trigger::Signal) {
-            actions.push(match &self.problem {
-                Some(problem) => ReloadAction::LogRefused(problem.clone()),
-                None => ReloadAction::LogUnchanged,
-            });
+        let logged = changed || read.trigger == Trigger::Signal;
+        match &self.problem {
+            Some(problem) if logged => actions.push(ReloadAction::LogRefused(problem.clone())),
+            None if logged && actions.is_empty() => actions.push(ReloadAction::LogUnchanged),
+            _ => {}
         }
         self.last = Some(read.content);
         self.incomplete_count = match self.service {
@@ -141,24 +141,23 @@
         content: &Result<Vec<u8>, String>,
         source: &dyn SettingsSource,
     ) -> Option<Box<Settings>> {
-        let content = content.as_ref();
-        self.service = content.ok().and_then(|content| source.service(content));
-        let parsed = content
-            .map_err(String::clone)
-            .and_then(|content| source.parse(content));
-        match parsed {
-            Ok(settings) => {
-                self.problem = None;
-                if settings == self.settings {
-                    return None;
-                }
-                self.settings = settings.clone();
-                Some(Box::new(settings))
-            }
+        let content = content.as_ref().map_err(String::clone);
+        let parsed = content.and_then(|content| source.parse(content, &self.settings));
+        let merged = match parsed {
+            Ok(merged) => merged,
             Err(problem) => {
+                self.service = None;
                 self.problem = Some(problem);
-                None
+                return None;
             }
+        };
+        self.service = Some(merged.settings.daemon.service.clone());
+        let refused: Vec<String> = merged.refused.iter().map(ToString::to_string).collect();
+        self.problem = Some(refused.join("; ")).filter(|problem| !problem.is_empty());
+        if merged.settings == self.settings {
+            return None;
         }
+        self.settings = merged.settings.clone();
+        Some(Box::new(merged.settings))
     }
 }
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -33,9 +33,9 @@
     pub settings: RoutingSettings,
     /// Id of this daemon.
     pub daemon: DaemonId,
-    /// Service of the backend server on this VM, in whose name requests are sent. If empty, the
-    /// service of the server that announces itself is used.
-    pub origin: ServiceId,
+    /// Service of the backend server on this VM, in whose name requests are sent, empty if there is
+    /// none; with `None`, the service of the server that announces itself is used.
+    pub origin: Option<ServiceId>,
     /// Ring of the thread that reads the settings file; `None` if the settings come from no file.
     pub reload: Option<RingSender<ReloadMessage>>,
     /// Clock by which deadlines, waits and timings are measured.
--- a/src/routing/origin.rs
+++ b/src/routing/origin.rs
@@ -35,8 +35,10 @@
     from_file: bool,
     /// Service that the settings name; empty if they name none.
     named: ServiceId,
-    /// Service of the server that announced itself on this VM; used if the settings never named
-    /// one. Empty without a server, and once the settings have named a service.
+    /// Whether the announced server gives the name if the settings name none.
+    from_announcements: bool,
+    /// Service of the server that announced itself on this VM; empty without one, and if
+    /// announcements give no name.
     announced: ServiceId,
     /// Requests that arrived before this may be older than the present name; `None` from the start.
     since: Option<Instant>,
@@ -51,13 +53,15 @@
 }
 
 impl Origin {
-    /// Returns the origin of requests of a daemon that was started with this name. `needed` says
-    /// whether servers are told it, and `from_file` whether reads of a file confirm it.
-    pub(super) fn new(named: ServiceId, needed: bool, from_file: bool) -> Origin {
+    /// Returns the origin of requests of a daemon that was started with this name; with `None`, the
+    /// announced server gives it. `needed` says whether servers are told it, and `from_file` whether
+    /// reads of a file confirm it.
+    pub(super) fn new(named: Option<ServiceId>, needed: bool, from_file: bool) -> Origin {
         Origin {
             needed,
             from_file,
-            named,
+            from_announcements: named.is_none(),
+            named: named.unwrap_or_else(|| "".into()),
             announced: "".into(),
             since: None,
             confirmed_at: None,
@@ -117,7 +121,6 @@
             let former = std::mem::replace(&mut self.named, service);
             self.former = Some((former, self.confirmed_at));
             self.since = Some(read.ended_at + SOCKET_WAIT);
-            self.announced = "".into();
         }
         self.confirmed_at = Some(read.began_at);
         changed
@@ -131,7 +134,7 @@
 
     /// Records the service of the server on this VM; empty without one.
     pub(super) fn announce(&mut self, service: ServiceId) {
-        if self.named.is_empty() && self.former.is_none() {
+        if self.from_announcements {
             self.announced = service;
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -13,6 +13,7 @@
 pub mod link;
 pub mod log;
 pub mod membership;
+pub mod merge;
 pub mod metrics;
 pub mod operator;
 pub mod quota;
@@ -27,8 +28,6 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::types::ServiceId;
-
 /// All settings of a daemon, one section for each duty. A section or field that the file leaves out
 /// takes its default; an unknown field is an error.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -118,14 +117,6 @@
     lines.join("\n")
 }
 
-/// Returns the service that the settings in a JSON document name for this VM; empty if none.
-pub fn named_service(settings: &serde_json::Value) -> ServiceId {
-    settings["daemon"]["service"]
-        .as_str()
-        .unwrap_or_default()
-        .into()
-}
-
 /// Collects the rejected settings of one section.
 pub struct Checker<'a> {
     /// Name of the section, the first part of each field's path.
@@ -179,13 +170,6 @@
         Ok(settings)
     }
 
-    /// Returns the service that the text of a settings file names for this VM, even if other values
-    /// are invalid. Empty if it names none, and `None` if the text is incomplete.
-    pub fn service_in(text: &str) -> Option<ServiceId> {
-        let file: serde_json::Value = serde_json::from_str(text).ok()?;
-        Some(named_service(&file))
-    }
-
     /// Checks every value against its bounds and returns all errors together.
     pub fn check(&self) -> Result<(), LoadError> {
         let mut errors = Vec::new();
--- a/src/wire/dialect.rs
+++ b/src/wire/dialect.rs
@@ -88,8 +88,8 @@
     /// Returns whether backend servers get the caller's `Host` header.
     fn keeps_host(&self) -> bool;
 
-    /// Returns whether backend servers are told the service on the VM where a request originated,
-    /// so that a request without one must not be sent.
+    /// Returns whether backend servers expect the service in whose name a request is sent, so that
+    /// no request may reach them without it.
     fn needs_origin(&self) -> bool {
         false
     }
