Deliver the service of the settings before what may wait for the guard

A reload delivered the guard's settings first and waited for room in its ring. Meanwhile requests went on in the name of the former service. The test fills the guard's ring: within 5 s no name reached routing, now it does at once. The order of the two does not matter otherwise: the name is that of requests that leave the VM, and the guard's settings decide on those that come to its server.

--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -26,6 +26,11 @@
     /// Applies the settings of guard, routing and log, and the service of this VM. Returns the
     /// names of the other sections that differ; they take effect at the next start of the daemon.
     pub fn apply(&mut self, settings: Settings) -> Vec<&'static str> {
+        // First, as the other deliveries may wait for their duties.
+        if settings.daemon.service != self.settings.daemon.service {
+            let service = settings.daemon.service.clone();
+            self.rings.routing.deliver(RoutingMessage::Origin(service));
+        }
         if settings.guard != self.settings.guard {
             let event = GuardEvent::Settings(Box::new(settings.guard.clone()));
             self.rings.guard.deliver(GuardMessage::Event(event));
@@ -34,10 +39,6 @@
             let event = RoutingEvent::Settings(Box::new(settings.routing.clone()));
             self.rings.routing.deliver(RoutingMessage::Event(event));
         }
-        if settings.daemon.service != self.settings.daemon.service {
-            let service = settings.daemon.service.clone();
-            self.rings.routing.deliver(RoutingMessage::Origin(service));
-        }
         if let Some(level) = settings.log.level() {
             log::set_max_level(level);
         }
@@ -78,3 +79,6 @@
     let differs = |(name, differs): (&'static str, bool)| differs.then_some(name);
     sections.into_iter().filter_map(differs).collect()
 }
+
+#[cfg(test)]
+mod tests;
