Remove a caller's headers of the connection in near spellings, too

content_length, transfer_encoding, deadline_ms and request_id reached the server as the caller sent them, beside the daemon's own. For a server that reads an underscore as a dash they are a second framing, a longer deadline or another id. The test of the reserved names showed it; they are removed now like their names with dashes.

--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -117,30 +117,30 @@
 }
 
 /// Returns the headers that are passed on to the server. Those that `Connection` names end here,
-/// except the caller's id of the request, by which its answer is recognised.
+/// except the caller's id of the request, by which its answer is recognised. An underscore counts
+/// as a dash, because some servers do not tell them apart.
 fn forwarded_headers(dialect: &dyn Dialect, headers: &[HeaderPair]) -> Vec<HeaderPair> {
     let names = dialect.caller_header_names();
     let mut kept = Vec::with_capacity(headers.len());
     for (name, value) in headers {
         let lower = name.to_ascii_lowercase();
-        let consumed = lower == "authorization" || lower == names.deadline_ms;
-        let ends_here = is_hop_by_hop_header(&lower) || is_named_by_connection(headers, &lower);
-        let is_id = names.request.is_some_and(|id| id == lower);
-        if consumed || is_reserved(dialect, &lower) || (ends_here && !is_id) {
+        let dashed = lower.replace('_', "-");
+        let consumed = dashed == "authorization" || dashed == names.deadline_ms;
+        let reserved = dashed.starts_with(PREFIX) || dialect.is_reserved(&dashed);
+        if consumed || reserved || is_hop_by_hop_header(&dashed) {
             continue;
         }
-        kept.push((name.clone(), value.clone()));
+        let is_kept = match names.request == Some(dashed.as_str()) {
+            true => lower == dashed,
+            false => !is_named_by_connection(headers, &lower),
+        };
+        if is_kept {
+            kept.push((name.clone(), value.clone()));
+        }
     }
     kept
 }
 
-/// Returns whether only the fleet may set a header. An underscore counts as a dash, because some
-/// servers do not tell them apart.
-fn is_reserved(dialect: &dyn Dialect, lower: &str) -> bool {
-    let name = lower.replace('_', "-");
-    name.starts_with(PREFIX) || dialect.is_reserved(&name)
-}
-
 /// Returns whether a `Connection` header names this header as one of its connection only.
 fn is_named_by_connection(headers: &[HeaderPair], name: &str) -> bool {
     headers
