--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -192,15 +192,13 @@
         if let Some(left) = self.deaths.refused_for(now, &request.fingerprint) {
             return refuse(ErrorKind::PoisonRequest, Some(left));
         }
-        let Some(server) = self.servers.get_mut(&request.server) else {
+        let server = self.servers.get_mut(&request.server);
+        let Some(server) = server.filter(|server| server.takes_work()) else {
             return refuse(ErrorKind::NoServer, None);
         };
         if server.announcement.service != request.service {
             return refuse(ErrorKind::ServerReplaced, None);
         }
-        if !server.takes_work() {
-            return refuse(ErrorKind::NoServer, None);
-        }
         let terms = request.terms;
         let passes = terms.last_resort && server.breaker.admits_last_resort(request.repeatable);
         if !passes && !server.breaker.admits(now, terms.may_probe) {
