--- a/src/daemon/reload.rs
+++ b/src/daemon/reload.rs
@@ -76,3 +76,6 @@
     let differs = |(name, differs): (&'static str, bool)| differs.then_some(name);
     sections.into_iter().filter_map(differs).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/reload/state.rs
+++ b/src/reload/state.rs
@@ -109,17 +109,25 @@
         &mut self,
         read: FileRead,
         source: &dyn SettingsSource,
-    ) -> SmallVec<[ReloadAction; 2]> {
-        let mut actions = SmallVec::new();
+    ) -> SmallVec<[ReloadAction; 3]> {
         let changed = self.last.as_ref() != Some(&read.content);
-        if changed {
-            let settings = self.take_content(&read.content, source);
-            actions.extend(settings.map(ReloadAction::Apply));
-        }
+        let settings = match changed {
+            true => self.take_content(&read.content, source),
+            false => None,
+        };
+        let mut actions = SmallVec::new();
+        // First, as applying settings may wait for other duties.
+        actions.push(ReloadAction::ReportService(ServiceRead {
+            service: self.service.clone(),
+            began_at: read.began_at,
+            ended_at: read.ended_at,
+        }));
+        let applied = settings.is_some();
+        actions.extend(settings.map(ReloadAction::Apply));
         let logged = changed || read.trigger == Trigger::Signal;
         match &self.problem {
             Some(problem) if logged => actions.push(ReloadAction::LogRefused(problem.clone())),
-            None if logged && actions.is_empty() => actions.push(ReloadAction::LogUnchanged),
+            None if logged && !applied => actions.push(ReloadAction::LogUnchanged),
             _ => {}
         }
         self.last = Some(read.content);
@@ -127,11 +135,6 @@
             Some(_) => 0,
             None => self.incomplete_count.saturating_add(1),
         };
-        actions.push(ReloadAction::ReportService(ServiceRead {
-            service: self.service.clone(),
-            began_at: read.began_at,
-            ended_at: read.ended_at,
-        }));
         actions
     }
 
--- a/src/reload/tests.rs
+++ b/src/reload/tests.rs
@@ -37,7 +37,7 @@
         now: Instant::now(),
     };
     let actions = reloading.read(Ok(&content("orders")), Trigger::Check);
-    assert_eq!(actions[0], ReloadAction::LogUnchanged);
+    assert_eq!(actions[1], ReloadAction::LogUnchanged);
     reloading
 }
 
@@ -86,8 +86,8 @@
     let second = state.handle(read(), &NoFile);
 
     // Assert
-    assert!(matches!(first[0], ReloadAction::Apply(_)), "{first:?}");
-    assert!(matches!(second[0], ReloadAction::ReportService(_)));
+    assert!(matches!(first[1], ReloadAction::Apply(_)), "{first:?}");
+    assert!(matches!(second[..], [ReloadAction::ReportService(_)]));
 }
 
 #[test]
@@ -99,11 +99,11 @@
     let actions = reloading.read(Ok(&content("labels")), Trigger::Check);
 
     // Assert
-    let ReloadAction::Apply(settings) = &actions[0] else {
+    let ReloadAction::Apply(settings) = &actions[1] else {
         panic!("{actions:?}");
     };
     assert_eq!(&*settings.daemon.service, "labels");
-    assert_eq!(actions[1], reloading.report(Some("labels")));
+    assert_eq!(actions[0], reloading.report(Some("labels")));
 }
 
 #[test]
@@ -118,7 +118,7 @@
     // Assert
     let report = reloading.report(Some("orders"));
     assert_eq!(checked, std::slice::from_ref(&report));
-    assert_eq!(signalled, [ReloadAction::LogUnchanged, report]);
+    assert_eq!(signalled, [report, ReloadAction::LogUnchanged]);
 }
 
 #[test]
@@ -131,9 +131,9 @@
     let actions = reloading.read(Ok(odd), Trigger::Check);
 
     // Assert
-    assert!(matches!(actions[0], ReloadAction::Apply(_)), "{actions:?}");
-    assert!(matches!(actions[1], ReloadAction::LogRefused(_)));
-    assert_eq!(actions[2], reloading.report(Some("labels")));
+    assert_eq!(actions[0], reloading.report(Some("labels")));
+    assert!(matches!(actions[1], ReloadAction::Apply(_)), "{actions:?}");
+    assert!(matches!(actions[2], ReloadAction::LogRefused(_)));
 }
 
 #[test]
@@ -148,11 +148,11 @@
 
     // Assert
     assert!(
-        matches!(actions[0], ReloadAction::LogRefused(_)),
+        matches!(actions[1], ReloadAction::LogRefused(_)),
         "{actions:?}"
     );
-    assert_eq!(actions[1], reloading.report(None));
-    assert_eq!(missing[1], reloading.report(None));
+    assert_eq!(actions[0], reloading.report(None));
+    assert_eq!(missing[0], reloading.report(None));
     assert!(reloading.state.is_incomplete());
     assert!(reloading.state.next_check() < interval / 10);
 }
