--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,5 +8,6 @@
 pub mod hex;
 pub mod http;
 pub mod listener;
+pub mod memory_budget;
 pub mod operator;
 pub mod proof;
