--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -50,7 +50,7 @@
     fn accepted_answer(&self) -> WholeAnswer {
         WholeAnswer {
             status: 200,
-            body: b"{}".to_vec(),
+            body: "{}".into(),
             ..Default::default()
         }
     }
@@ -211,7 +211,7 @@
 fn refusal_answer(status: u16, problem: &str) -> WholeAnswer {
     WholeAnswer {
         status,
-        body: problem.as_bytes().to_vec(),
+        body: problem.to_owned().into(),
         ..Default::default()
     }
 }
