--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -19,7 +20,8 @@
 
 impl LoggedDaemon {
     fn start(settings: &Settings) -> LoggedDaemon {
-        let name = format!("banyanbeam-reload-{}.json", std::process::id());
+        let daemon = &settings.daemon.daemon;
+        let name = format!("banyanbeam-{daemon}-{}.json", std::process::id());
         let path = std::env::temp_dir().join(name);
         write_settings(&path, settings);
         let mut child = Command::new(env!("CARGO_BIN_EXE_banyanbeam"))
@@ -88,3 +90,27 @@
         "{refused}"
     );
 }
+
+#[test]
+fn changed_file_of_the_same_length_and_time_takes_effect() {
+    // Arrange
+    let log = start_log();
+    let mut settings = settings("same-stamp", "north", log.address("listening"));
+    let daemon = LoggedDaemon::start(&settings);
+    daemon.wait_for("settings_unchanged");
+    let changed_at = std::fs::metadata(&daemon.path).and_then(|file| file.modified());
+
+    let changed_at = changed_at.expect("a time of change");
+
+    // Act
+    settings.guard.retry_share = 0.3;
+    let beside = daemon.path.with_extension("new");
+    write_settings(&beside, &settings);
+    let file = File::options().append(true).open(&beside);
+    file.and_then(|file| file.set_modified(changed_at))
+        .expect("the time is set");
+    std::fs::rename(&beside, &daemon.path).expect("the file is replaced");
+
+    // Assert
+    daemon.wait_for("settings_in_force");
+}
