Keep the buffer for discarded bytes out of the task of each connection

Connections that were opened and sent nothing took the memory of a daemon: 4,000 connections with one byte each took 125 MB.

Cause: the wait for the end of an unread body (`linger`) holds a buffer of 16 KiB across its reads, and is a part of the task of every connection, used or not. The task had 17,784 bytes (the new test, before the change).

Ruled out: bytes read ahead, which held one byte each.

The wait is boxed now, so that only a connection that lingers has the buffer.

--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -82,7 +82,8 @@
         let reading = std::pin::pin!(read_ahead::pump(&stream, &self.ahead, &dispatch_early));
         let serving = std::pin::pin!(self.serve(stream.clone()));
         match select(serving, reading).await {
-            Either::Left(_) if self.body_incomplete.get() => linger(&stream).await,
+            // Boxed, since its buffer would be part of the task of every connection.
+            Either::Left(_) if self.body_incomplete.get() => Box::pin(linger(&stream)).await,
             Either::Left(_) => {}
             Either::Right(_) => self.count("listener.disconnect"),
         }
--- a/src/wire/listener/tests.rs
+++ b/src/wire/listener/tests.rs
@@ -2,6 +2,7 @@
 mod early;
 mod framing;
 mod leftover;
+mod memory;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
