Bound the bytes that a listener holds of requests

Callers that stalled within their requests took the memory of a daemon: 100 chunked uploads of 4 MB 21 to 450 MB, 100 uploads with a length 449 MB, 2,000 heads of 60 KB 203 MB, 1,500 connections with requests behind each other 328 MB. The same at the guard's listener (449 MB) and at that of announcements (1,000 heads: 113 MB).

Cause: each body, head and read-ahead buffer had a limit, their sum had none. A body in chunks was also kept as its pieces, so that chunks of one byte took several times what was sent (11 MB sent: 70 MB).

Ruled out: the timeouts, which end each of these callers after 10 or 30 s; the memory is taken long before.

Every listener charges what it holds to a budget: a body by its announced length before it is read, a chunked body as it grows, both until the last use of their bytes, so also while routing keeps them for a retry; a body in parts by the bytes that its ring and buffers may hold; an incomplete head and requests behind others once they exceed 8 KiB. A body that does not fit is delivered in parts at the front and the guard, and is refused as busy ("not run") if these don't fit either. A connection whose head was given up is closed; requests that were delivered before still get their answers.

--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -10,6 +10,10 @@
 use crate::wire::exchange::{RawHead, WholeAnswer};
 use crate::wire::http::header;
 use crate::wire::listener::{HttpListener, ListenerOptions, Refusals};
+use crate::wire::memory_budget::MemoryBudget;
+
+/// Most bytes that are held of announcements, readiness checks and scrapes.
+const CONTROL_HELD_LIMIT_BYTES: usize = 2 * 1024 * 1024;
 
 /// Bound sockets of one daemon.
 pub(super) struct Listeners {
@@ -36,31 +40,42 @@
     pub(super) fn bind(shared: &SharedResources) -> eyre::Result<Listeners> {
         let settings = &shared.settings;
         let body_bytes = settings.front.retry_body_limit_bytes as u64;
+        let budget =
+            |name, limit_bytes| MemoryBudget::new(name, limit_bytes, shared.metrics.clone());
+        let held_bytes = settings.front.held_limit_bytes;
         let between_daemons = ListenerOptions {
             eager_body_limit_bytes: body_bytes,
+            budget: budget("attempts", held_bytes),
+            stream_beyond_budget: true,
             metrics: shared.metrics.clone(),
             ..Default::default()
         };
         let to_callers = ListenerOptions {
+            budget: budget("uploads", held_bytes),
             chunked_bodies: settings.front.chunked_bodies,
             refusals: Arc::new(CallerRefusals(shared.dialect.clone())),
             ..between_daemons.clone()
         };
+        let operator_body_bytes = settings.operator.body_limit_bytes;
         let to_operators = ListenerOptions {
-            eager_body_limit_bytes: settings.operator.body_limit_bytes,
+            eager_body_limit_bytes: operator_body_bytes,
+            budget: budget("operator", 2 * operator_body_bytes as usize),
+            ..Default::default()
+        };
+        let control = ListenerOptions {
+            budget: budget("control", CONTROL_HELD_LIMIT_BYTES),
             ..Default::default()
         };
         let bind_optional = |address: Option<SocketAddr>| {
-            let bind = |address| HttpListener::bind(address, ListenerOptions::default());
+            let bind = |address| HttpListener::bind(address, control.clone());
             Ok::<_, eyre::Report>(address.map(bind).transpose()?.map(Arc::new))
         };
         let link = link::duty::bind(settings.link.address)?;
         let guard = &settings.guard;
-        let announce = ListenerOptions::default();
         Ok(Listeners {
             front: Arc::new(HttpListener::bind(settings.front.address, to_callers)?),
             guard: Arc::new(HttpListener::bind(guard.address, between_daemons)?),
-            announce: Arc::new(HttpListener::bind(guard.announce_address, announce)?),
+            announce: Arc::new(HttpListener::bind(guard.announce_address, control.clone())?),
             operator: Arc::new(HttpListener::bind(settings.operator.address, to_operators)?),
             ready: bind_optional(settings.ready.address)?,
             metrics: bind_optional(settings.ready.metrics_address)?,
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -26,6 +26,10 @@
     pub answer_limit_bytes: usize,
     /// Longest body that is kept so that a retry can send it again, in bytes.
     pub retry_body_limit_bytes: usize,
+    /// Most bytes that are held of all requests together, in bytes: bodies, incomplete heads and
+    /// requests that wait behind others on their connection. Holds for callers' requests, and
+    /// again for those of other daemons to the guard.
+    pub held_limit_bytes: usize,
     /// Whether bodies may use chunked encoding. Such a body must not exceed
     /// `retry_body_limit_bytes`.
     pub chunked_bodies: bool,
@@ -42,6 +46,7 @@
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
             retry_body_limit_bytes: 65_536,
+            held_limit_bytes: 33_554_432,
             chunked_bodies: false,
         }
     }
@@ -65,5 +70,10 @@
             self.retry_body_limit_bytes,
             0..=16777216,
         );
+        checker.range(
+            "held_limit_bytes",
+            self.held_limit_bytes,
+            1048576..=1073741824,
+        );
     }
 }
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of the listener: reads requests, delivers them, and sends the answers.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -9,7 +9,7 @@
 use async_io::{Async, Timer};
 use futures::channel::oneshot;
 use futures::future::{select, Either};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
@@ -18,6 +18,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use super::body::{read_eager_body, EagerBody, BODY_RING_COUNT};
 use super::exchange::{CallerHandle, ListenerExchange};
 use super::linger::linger;
 use super::read_ahead::{self, EarlyRequest, ReadAhead, ReadAheadStream};
@@ -34,9 +35,6 @@
     shared: Rc<Shared>,
     /// Bytes that arrived and that the HTTP library has not read yet.
     ahead: Rc<RefCell<ReadAhead>>,
-    /// Whether the caller may still send the body of the current request. If so when that request
-    /// is answered, the connection is closed.
-    body_incomplete: Cell<bool>,
 }
 
 /// The caller has closed the connection, so its unread requests are not run.
@@ -44,33 +42,19 @@
 #[error("the caller has closed the connection")]
 struct CallerLeft;
 
-/// The part of a body that is read before its request is delivered.
-enum EagerBody {
-    /// The complete body, which may be empty.
-    Whole(Bytes),
-    /// Nothing, because the body is too long to be read before.
-    Long { length_bytes: u64 },
-}
-
 /// Greatest length of a head; a longer one is answered with 431.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 /// Greatest number of headers of a request.
 const HEADER_LIMIT_COUNT: usize = 200;
-/// Longest time for a body to arrive that is read before its request is delivered.
-const EAGER_BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// An upload is given up when the caller sends nothing for this time.
-const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Parts of a body that may be read before they are taken.
-const BODY_RING_COUNT: usize = 4;
 
 impl Connection {
     /// Returns a connection on which nothing was read yet.
     pub(super) fn new(peer: SocketAddr, shared: Rc<Shared>) -> Connection {
+        let ahead = ReadAhead::new(shared.options.budget.clone(), peer);
         Connection {
             peer,
             shared,
-            ahead: Rc::default(),
-            body_incomplete: Cell::default(),
+            ahead: Rc::new(RefCell::new(ahead)),
         }
     }
 
@@ -81,11 +65,18 @@
         let dispatch_early = |head| self.dispatch_early(head);
         let reading = std::pin::pin!(read_ahead::pump(&stream, &self.ahead, &dispatch_early));
         let serving = std::pin::pin!(self.serve(stream.clone()));
-        match select(serving, reading).await {
+        let served = matches!(select(serving, reading).await, Either::Left(_));
+        let shed = self.ahead.borrow().is_shed();
+        if shed {
+            self.count("listener.connection.shed");
+        }
+        match served {
             // Boxed, since its buffer would be part of the task of every connection.
-            Either::Left(_) if self.body_incomplete.get() => Box::pin(linger(&stream)).await,
-            Either::Left(_) => {}
-            Either::Right(_) => self.count("listener.disconnect"),
+            true if shed || self.ahead.borrow().body_incomplete() => {
+                Box::pin(linger(&stream)).await;
+            }
+            false if !shed => self.count("listener.disconnect"),
+            _ => {}
         }
     }
 
@@ -207,19 +198,30 @@
     /// are read meanwhile.
     async fn answer_in_turn(&self, request: Request<Incoming>) -> WholeAnswer {
         let (mut head, mut incoming) = take_head(request, self.peer);
-        self.body_incomplete.set(true);
-        let body = match self.read_eager_body(&mut head, &mut incoming).await {
+        self.ahead.borrow_mut().set_body_incomplete(true);
+        let options = &self.shared.options;
+        let body = match read_eager_body(options, self.peer, &mut head, &mut incoming).await {
             Ok(body) => body,
-            Err(kind) => return self.refusal(&head, kind),
+            Err(kind) => {
+                if kind == ErrorKind::Busy {
+                    self.count("listener.body.refused");
+                }
+                return self.refusal(&head, kind);
+            }
         };
+        let mut stream_charge = Bytes::new();
         let (body, reading) = match body {
             EagerBody::Whole(bytes) => {
-                self.body_incomplete.set(false);
+                self.ahead.borrow_mut().set_body_incomplete(false);
                 (RequestBody::Whole(bytes), None)
             }
-            EagerBody::Long { length_bytes } => {
+            EagerBody::Long {
+                length_bytes,
+                charge,
+            } => {
+                stream_charge = charge;
                 let (sender, parts) = async_channel::bounded(BODY_RING_COUNT);
-                let reading = read_body(incoming, sender);
+                let reading = read_body(incoming, sender, options.stall_timeout);
                 let body = RequestBody::Parts {
                     length_bytes,
                     parts,
@@ -236,49 +238,17 @@
             Some(reading) => match select(answering, std::pin::pin!(reading)).await {
                 Either::Left((answered, _)) => answered,
                 Either::Right((whole, answering)) => {
-                    self.body_incomplete.set(!whole);
+                    self.ahead.borrow_mut().set_body_incomplete(!whole);
                     answering.await
                 }
             },
         };
+        drop(stream_charge);
         watch.answered();
         // An exchange that was dropped unanswered is an internal error.
         answered.unwrap_or_else(|_| self.refusal(&head, ErrorKind::Internal))
     }
 
-    /// Reads a body completely before its request is delivered, so that a slow sender occupies no
-    /// other resources of the daemon. A longer body is left to be read in parts.
-    async fn read_eager_body(
-        &self,
-        head: &mut RawHead,
-        incoming: &mut Incoming,
-    ) -> Result<EagerBody, ErrorKind> {
-        let options = &self.shared.options;
-        let limit_bytes = options.eager_body_limit_bytes;
-        match head.body_bytes {
-            Some(0) => return Ok(EagerBody::Whole(Bytes::new())),
-            Some(length_bytes) if length_bytes > limit_bytes => {
-                return Ok(EagerBody::Long { length_bytes });
-            }
-            None if !options.chunked_bodies => return Err(ErrorKind::LengthRequired),
-            _ => {}
-        }
-        let limited = Limited::new(incoming, limit_bytes as usize);
-        let body = std::pin::pin!(limited.collect());
-        let timeout = std::pin::pin!(Timer::after(EAGER_BODY_TIMEOUT));
-        match select(body, timeout).await {
-            Either::Left((Ok(body), _)) => {
-                let bytes = body.to_bytes();
-                head.body_bytes = Some(bytes.len() as u64);
-                Ok(EagerBody::Whole(bytes))
-            }
-            Either::Left((Err(error), _)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(ErrorKind::BodyTooLarge)
-            }
-            Either::Left((Err(_), _)) | Either::Right(_) => Err(ErrorKind::ShortUpload),
-        }
-    }
-
     /// Returns the listener's own answer for an error kind.
     fn refusal(&self, head: &RawHead, kind: ErrorKind) -> WholeAnswer {
         self.shared.options.refusals.refuse(head, kind)
@@ -289,8 +259,9 @@
     fn respond(&self, answer: WholeAnswer) -> Response<Full<Bytes>> {
         let mut response = to_response(answer);
         let winding_down = self.shared.winding_down.load(Ordering::Relaxed);
-        let is_last = winding_down && !self.ahead.borrow().has_early_requests();
-        if is_last || self.body_incomplete.get() {
+        let ahead = self.ahead.borrow();
+        let ends = winding_down || ahead.is_shed();
+        if (ends && !ahead.has_early_requests()) || ahead.body_incomplete() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -302,10 +273,11 @@
 async fn read_body(
     mut incoming: Incoming,
     parts: async_channel::Sender<std::io::Result<Bytes>>,
+    stall_timeout: Duration,
 ) -> bool {
     loop {
         let frame = std::pin::pin!(incoming.frame());
-        let part = match select(frame, std::pin::pin!(Timer::after(UPLOAD_STALL_TIMEOUT))).await {
+        let part = match select(frame, std::pin::pin!(Timer::after(stall_timeout))).await {
             Either::Left((None, _)) => return true,
             Either::Left((Some(Ok(frame)), _)) => match frame.into_data() {
                 Ok(data) => Ok(data),
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -3,6 +3,7 @@
 //! Connections do not need a thread each, so that callers that disconnect, heads that never end and
 //! slow uploads block no thread of the daemon.
 
+mod body;
 mod connection;
 mod exchange;
 mod hang_up;
@@ -23,6 +24,7 @@
 use futures::future::{select, Either};
 
 use super::exchange::{Exchange, RawHead, WholeAnswer};
+use super::memory_budget::MemoryBudget;
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
 use crate::metrics::Metrics;
@@ -58,6 +60,15 @@
     /// A connection ends if no complete head has arrived for this time while no request is
     /// unanswered.
     pub head_timeout: Duration,
+    /// Longest time for a body to arrive that is read before its request is delivered.
+    pub body_timeout: Duration,
+    /// A body in parts is given up when the caller sends nothing for this time.
+    pub stall_timeout: Duration,
+    /// Limit on the bytes that are held of requests: heads that are incomplete, requests that wait
+    /// behind others, and bodies until their last use.
+    pub budget: MemoryBudget,
+    /// Whether a body that the budget can't hold is delivered in parts instead of being refused.
+    pub stream_beyond_budget: bool,
     /// Counters of callers that disconnect.
     pub metrics: Metrics,
 }
@@ -69,6 +80,10 @@
             chunked_bodies: false,
             refusals: Arc::new(FleetRefusals),
             head_timeout: HEAD_TIMEOUT,
+            body_timeout: BODY_TIMEOUT,
+            stall_timeout: STALL_TIMEOUT,
+            budget: MemoryBudget::unlimited(),
+            stream_beyond_budget: false,
             metrics: Metrics::local(),
         }
     }
@@ -76,6 +91,10 @@
 
 /// Default of `ListenerOptions::head_timeout`.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Default of `ListenerOptions::body_timeout`.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Default of `ListenerOptions::stall_timeout`.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Writes the answers to requests that a listener refuses itself.
 pub trait Refusals: Send + Sync {
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -10,26 +10,31 @@
 //! Whether the caller has left is decided here alone: the library sees the end of the connection
 //! only while it has no unread bytes.
 
+mod stream;
+
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io::Read;
-use std::net::TcpStream;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
+use std::task::{Poll, Waker};
 
 use async_io::Async;
 use futures::channel::oneshot;
 use futures::future::{poll_fn, select, Either};
-use futures::io::{AsyncRead, AsyncWrite};
 
 use super::exchange::CallerHandle;
 use super::hang_up::hung_up;
 use super::plain::{parse_plain_request, PlainParse};
 use crate::wire::exchange::{RawHead, WholeAnswer};
+use crate::wire::memory_budget::{MemoryBudget, MemoryHold, SMALL_HOLD_BYTES};
+pub(super) use stream::ReadAheadStream;
 
 /// Buffered bytes at which reading pauses until the HTTP library takes some.
-const BUFFER_LIMIT_BYTES: usize = 64 * 1024;
+pub(super) const BUFFER_LIMIT_BYTES: usize = 64 * 1024;
+/// The same for bytes that only the library parses and that belong to no body.
+const UNPARSED_LIMIT_BYTES: usize = 8 * 1024;
 /// Greatest number of requests of a connection that run concurrently.
 const UNANSWERED_LIMIT_COUNT: usize = 32;
 /// Greatest number of bytes in one read.
@@ -48,16 +53,37 @@
 /// Dispatches a request, or returns `None` if it has to be delivered in order.
 pub(super) type DispatchEarly<'a> = dyn Fn(RawHead) -> Option<EarlyRequest> + 'a;
 
+/// A request that was parsed before the HTTP library has read it.
+struct Parsed {
+    /// Length of the request.
+    length_bytes: usize,
+    /// The request; `None` if it was not dispatched early.
+    early: Option<EarlyRequest>,
+}
+
 /// Bytes and requests of a connection that were read and are not answered yet.
-#[derive(Default)]
 pub(super) struct ReadAhead {
+    /// Budget that the bytes are charged to.
+    budget: MemoryBudget,
+    /// Host of the caller.
+    host: SocketAddr,
+    /// The charge; `None` while at most `SMALL_HOLD_BYTES` are held.
+    hold: Option<MemoryHold>,
+    /// Whether bytes were dropped because the budget was exhausted. No others are read then.
+    shed: bool,
+    /// Whether the library reads a body. Its bytes are charged elsewhere and are never dropped.
+    body_incomplete: bool,
+    /// Bytes that the library has taken beyond the requests that it has read, if no body is
+    /// incomplete.
+    library_bytes: usize,
+    /// Whether the caller does not take the bytes of an answer.
+    write_blocked: bool,
     /// Bytes that the HTTP library has not taken yet.
     buffer: VecDeque<u8>,
     /// Bytes at the front of the buffer that belong to requests in `waiting`.
     framed_bytes: usize,
-    /// Parsed requests that the library has not read yet, in order. `None` is a request that was
-    /// not dispatched early.
-    waiting: VecDeque<Option<EarlyRequest>>,
+    /// Parsed requests that the library has not read yet, in order.
+    waiting: VecDeque<Parsed>,
     /// Requests that are not answered: those in `waiting`, and those that the library has read.
     unanswered_count: usize,
     /// Set at the first request that is not plain. Bytes after it are not parsed here.
@@ -73,14 +99,126 @@
 }
 
 impl ReadAhead {
+    /// Returns the state of a connection on which nothing was read yet.
+    pub(super) fn new(budget: MemoryBudget, peer: SocketAddr) -> ReadAhead {
+        ReadAhead {
+            budget,
+            host: SocketAddr::new(peer.ip(), 0),
+            hold: None,
+            shed: false,
+            body_incomplete: false,
+            library_bytes: 0,
+            write_blocked: false,
+            buffer: VecDeque::new(),
+            framed_bytes: 0,
+            waiting: VecDeque::new(),
+            unanswered_count: 0,
+            ended: false,
+            closed: false,
+            reader_waker: None,
+            pump_waker: None,
+            done_waker: None,
+        }
+    }
+
     /// Takes the request that the HTTP library has read now, if it was dispatched early. Counts it
     /// as unanswered if it was not parsed here.
     pub(super) fn next(&mut self) -> Option<EarlyRequest> {
         let Some(parsed) = self.waiting.pop_front() else {
             self.unanswered_count += 1;
+            self.library_bytes = 0;
             return None;
         };
-        parsed
+        self.library_bytes = self.library_bytes.saturating_sub(parsed.length_bytes);
+        parsed.early
+    }
+
+    /// Returns whether the caller may still send the body of the request that the library has read.
+    pub(super) fn body_incomplete(&self) -> bool {
+        self.body_incomplete
+    }
+
+    /// Sets whether the caller may still send the body of the request that the library has read.
+    pub(super) fn set_body_incomplete(&mut self, incomplete: bool) {
+        self.body_incomplete = incomplete;
+        wake(&mut self.pump_waker);
+    }
+
+    /// Returns whether bytes were dropped because the memory budget was exhausted.
+    pub(super) fn is_shed(&self) -> bool {
+        self.shed
+    }
+
+    /// Charges the bytes that are held to the budget, and drops what can be dropped if they don't
+    /// fit.
+    fn charge(&mut self) {
+        self.charge_with(match self.buffer.is_empty() {
+            true => 0,
+            false => self.buffer.capacity(),
+        });
+    }
+
+    /// Does the same for a buffer of this capacity.
+    fn charge_with(&mut self, buffer_bytes: usize) {
+        let held_bytes = buffer_bytes + self.library_bytes;
+        if held_bytes <= SMALL_HOLD_BYTES || self.body_incomplete || self.shed {
+            self.hold = None;
+            return;
+        }
+        let hold = self.hold.get_or_insert_with(|| self.budget.hold(self.host));
+        if hold.resize(held_bytes).is_err() {
+            self.shed();
+        }
+    }
+
+    /// Appends bytes that were read, or drops them if the budget has no room for them. The buffer
+    /// grows once only, which keeps the memory of many connections from being fragmented.
+    fn push(&mut self, bytes: &[u8]) {
+        let length_bytes = self.buffer.len() + bytes.len();
+        if length_bytes > self.buffer.capacity() && length_bytes > SMALL_HOLD_BYTES {
+            self.charge_with(BUFFER_LIMIT_BYTES);
+            if self.shed {
+                return;
+            }
+            self.buffer
+                .reserve_exact(BUFFER_LIMIT_BYTES - self.buffer.len());
+        }
+        self.buffer.extend(bytes);
+        self.charge();
+    }
+
+    /// Drops the requests that were not dispatched. The connection ends after the answers to the
+    /// other ones.
+    fn shed(&mut self) {
+        self.hold = None;
+        self.shed = true;
+        self.buffer.truncate(self.framed_bytes);
+        self.buffer.shrink_to_fit();
+        wake(&mut self.pump_waker);
+    }
+
+    /// Returns a future that completes when the charge is evicted.
+    fn evicted(&self) -> impl Future<Output = ()> {
+        let evicted = self.hold.as_ref().map(MemoryHold::evicted);
+        async {
+            match evicted {
+                Some(evicted) => evicted.await,
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    /// Returns whether the connection has to end at once, as it waits for the rest of a head that
+    /// was dropped.
+    fn is_spent(&self) -> bool {
+        self.shed && self.unanswered_count == 0 && !self.write_blocked
+    }
+
+    /// Frees the buffer's room beyond its bytes.
+    fn shrink(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() > SMALL_HOLD_BYTES {
+            self.buffer = VecDeque::new();
+        }
     }
 
     /// Returns whether the caller has closed the connection.
@@ -105,7 +243,8 @@
     /// Returns whether requests are unanswered.
     fn close(&mut self) -> bool {
         self.closed = true;
-        self.buffer.clear();
+        self.buffer = VecDeque::new();
+        self.hold = None;
         self.framed_bytes = 0;
         wake(&mut self.reader_waker);
         self.unanswered_count > 0
@@ -113,12 +252,17 @@
 
     /// Returns whether early requests wait behind the current one.
     pub(super) fn has_early_requests(&self) -> bool {
-        self.waiting.iter().any(Option::is_some)
+        self.waiting.iter().any(|parsed| parsed.early.is_some())
     }
 
-    /// Returns whether the buffer has reached the length at which reading pauses.
-    fn is_full(&self) -> bool {
-        self.buffer.len() >= BUFFER_LIMIT_BYTES
+    /// Returns the number of bytes that may be read into the buffer.
+    fn room_bytes(&self) -> usize {
+        let limit_bytes = match self.ended && !self.body_incomplete {
+            _ if self.shed => 0,
+            true => UNPARSED_LIMIT_BYTES,
+            false => BUFFER_LIMIT_BYTES,
+        };
+        limit_bytes.saturating_sub(self.buffer.len())
     }
 
     /// Returns the number of bytes that the HTTP library may take.
@@ -133,7 +277,7 @@
     /// kept until the rest has arrived; one that fills the buffer is left to the library, which
     /// refuses it.
     fn dispatch_requests(&mut self, dispatch_early: &DispatchEarly<'_>) {
-        while !self.ended && self.unanswered_count < UNANSWERED_LIMIT_COUNT {
+        while !self.ended && !self.shed && self.unanswered_count < UNANSWERED_LIMIT_COUNT {
             let unframed = &self.buffer.make_contiguous()[self.framed_bytes..];
             if unframed.is_empty() {
                 break;
@@ -148,7 +292,10 @@
             };
             self.framed_bytes += length_bytes;
             self.unanswered_count += 1;
-            self.waiting.push_back(dispatch_early(head));
+            self.waiting.push_back(Parsed {
+                length_bytes,
+                early: dispatch_early(head),
+            });
         }
         if self.ready_bytes() > 0 {
             wake(&mut self.reader_waker);
@@ -164,7 +311,8 @@
 }
 
 /// Reads the connection and dispatches requests until the caller has closed it. Completes then if
-/// requests are unanswered, and otherwise never, as the library ends the connection.
+/// requests are unanswered, and otherwise never, as the library ends the connection. Also completes
+/// once the connection has to end because its bytes were dropped.
 pub(super) async fn pump(
     stream: &Async<TcpStream>,
     ahead: &RefCell<ReadAhead>,
@@ -172,14 +320,16 @@
 ) {
     loop {
         ahead.borrow_mut().dispatch_requests(dispatch_early);
-        let read = std::pin::pin!(read_chunk(stream, ahead));
-        let changed = std::pin::pin!(changed(ahead));
-        let ended = match select(read, changed).await {
-            Either::Left((ended, _)) => ended,
-            Either::Right(_) => continue,
-        };
-        if ended {
-            break;
+        if ahead.borrow().is_spent() {
+            return;
+        }
+        let evicted = pin!(ahead.borrow().evicted());
+        let changed = pin!(changed(ahead));
+        let read = pin!(read_chunk(stream, ahead));
+        match select(read, select(changed, evicted)).await {
+            Either::Left((true, _)) => break,
+            Either::Left((false, _)) => {}
+            Either::Right(_) => ahead.borrow_mut().charge(),
         }
     }
     let left_unanswered = ahead.borrow_mut().close();
@@ -191,16 +341,16 @@
 /// Reads the bytes that have arrived into the buffer; while it is full, only waits for the end of
 /// the connection. Returns whether the caller has closed its side or the connection broke.
 async fn read_chunk(stream: &Async<TcpStream>, ahead: &RefCell<ReadAhead>) -> bool {
-    let full = ahead.borrow().is_full();
-    if full {
+    let room_bytes = ahead.borrow().room_bytes();
+    if room_bytes == 0 {
         hung_up(stream).await;
         return true;
     }
     let read = |mut socket: &TcpStream| {
         let mut chunk = [0; CHUNK_BYTES];
-        let length = socket.read(&mut chunk)?;
+        let length = socket.read(&mut chunk[..room_bytes.min(CHUNK_BYTES)])?;
         let mut state = ahead.borrow_mut();
-        state.buffer.extend(&chunk[..length]);
+        state.push(&chunk[..length]);
         Ok(length)
     };
     stream
@@ -234,49 +384,3 @@
     })
     .await;
 }
-
-/// The connection's stream for the HTTP library, which reads from the buffer.
-pub(super) struct ReadAheadStream {
-    /// Socket of the connection; writes go to it directly.
-    pub(super) stream: Rc<Async<TcpStream>>,
-    /// Buffer that the connection's reader fills.
-    pub(super) ahead: Rc<RefCell<ReadAhead>>,
-}
-
-impl AsyncRead for ReadAheadStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &mut [u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let mut state = self.ahead.borrow_mut();
-        let ready_bytes = state.ready_bytes();
-        if ready_bytes == 0 && !state.closed {
-            state.reader_waker = Some(context.waker().clone());
-            return Poll::Pending;
-        }
-        let limit_bytes = ready_bytes.min(bytes.len());
-        let length = state.buffer.read(&mut bytes[..limit_bytes])?;
-        state.framed_bytes = state.framed_bytes.saturating_sub(length);
-        wake(&mut state.pump_waker);
-        Poll::Ready(Ok(length))
-    }
-}
-
-impl AsyncWrite for ReadAheadStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut &*self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut &*self.stream).poll_flush(context)
-    }
-
-    fn poll_close(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut &*self.stream).poll_close(context)
-    }
-}
--- a/src/wire/memory_budget.rs
+++ b/src/wire/memory_budget.rs
@@ -5,6 +5,7 @@
 //! others.
 
 use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -225,10 +226,13 @@
         }
     }
 
-    /// Completes when this holder is evicted.
-    pub async fn evicted(&self) {
-        // Nothing is sent on the channel; it is only closed.
-        let _ = self.alive.recv().await;
+    /// Returns a future that completes when this holder is evicted or dropped.
+    pub fn evicted(&self) -> impl Future<Output = ()> {
+        let alive = self.alive.clone();
+        async move {
+            // Nothing is sent on the channel; it is only closed.
+            let _ = alive.recv().await;
+        }
     }
 
     /// Returns the complete bytes, which stay charged until the last clone is dropped and can no
