--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -29,6 +29,10 @@
     pub answer_memory_share: f64,
     /// Longest body that is kept so that a retry can send it again, in bytes.
     pub retry_body_limit_bytes: usize,
+    /// Share of `daemon.memory_limit_bytes` that callers' requests may hold together: bodies,
+    /// incomplete heads and requests that wait behind others on their connection. Requests of other
+    /// daemons to the guard may hold as much.
+    pub request_memory_share: f64,
     /// Whether bodies may use chunked encoding. Such a body must not exceed
     /// `retry_body_limit_bytes`.
     pub chunked_bodies: bool,
@@ -46,6 +50,7 @@
             answer_limit_bytes: 8_388_608,
             answer_memory_share: 0.25,
             retry_body_limit_bytes: 65_536,
+            request_memory_share: 0.125,
             chunked_bodies: false,
         }
     }
@@ -70,5 +75,10 @@
             self.retry_body_limit_bytes,
             0..=16777216,
         );
+        checker.range(
+            "request_memory_share",
+            self.request_memory_share,
+            0.01..=0.4,
+        );
     }
 }
--- a/src/wire/listener/tests.rs
+++ b/src/wire/listener/tests.rs
@@ -3,6 +3,7 @@
 mod framing;
 mod held;
 mod leftover;
+mod memory;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
