Withdraw no server for an announcement that names a service without a contract

An announcement of the server on the VM with the name of a service that the configuration does not know took the server out of service until its next announcement. Such a word is of no use and must not change what holds. The test failed before the change (the guard refused the next request).

--- a/src/guard/contradiction.rs
+++ b/src/guard/contradiction.rs
@@ -22,13 +22,17 @@
 
 impl GuardState {
     /// Records an announcement that was ignored because it names another service than the settings,
-    /// withdraws its server, and asks the server there for its health.
+    /// withdraws its server, and asks the server there for its health. One that names a service
+    /// without a contract is of no use to anybody and changes nothing.
     pub(super) fn record_contradiction(
         &mut self,
         now: Instant,
         announcement: &Announcement,
         actions: &mut Vec<GuardAction>,
     ) {
+        if !self.view.services.contains_key(&announcement.service) {
+            return;
+        }
         let name = &announcement.server;
         let known = self.servers.get(name);
         let is_late = known.is_some_and(|known| {
--- a/src/guard/tests/contradiction.rs
+++ b/src/guard/tests/contradiction.rs
@@ -2,17 +2,22 @@
 
 use std::time::Instant;
 
-use super::announcement;
 use super::servers::{health, inquiring_guard};
+use super::{announcement, request, starts};
 use crate::guard::message::{Announcement, GuardAction, GuardEvent};
 use crate::guard::state::GuardState;
 use crate::settings::guard::GuardSettings;
 
 /// Returns the announcement of the server `n` of another service at the address in the settings.
 fn other_service() -> GuardEvent {
+    announced("n", "w")
+}
+
+/// Returns the announcement of a server at the address in the settings.
+fn announced(server: &str, service: &str) -> GuardEvent {
     GuardEvent::Announced(Announcement {
-        server: "n".into(),
-        service: "w".into(),
+        server: server.into(),
+        service: service.into(),
         started_at_ms: 9,
         ..announcement()
     })
@@ -93,3 +98,19 @@
     // Assert
     assert_eq!(contradicted(&actions), Some(false));
 }
+
+#[test]
+fn an_announcement_of_a_service_without_a_contract_does_not_withdraw_its_server() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = inquiring_guard(now);
+    state.handle(now, health("s", true));
+
+    // Act
+    let actions = state.handle(now, announced("s", "no-such-service"));
+    let arrived = state.handle(now, GuardEvent::Arrived(request(1, now)));
+
+    // Assert
+    assert_eq!(contradicted(&actions), None);
+    assert!(starts(&arrived, 1));
+}
--- a/src/guard/tests/servers.rs
+++ b/src/guard/tests/servers.rs
@@ -76,12 +76,13 @@
 
 /// Returns a view of a service that has a health path.
 fn health_path_view() -> Arc<View> {
+    let contract = |service: &str| ServiceContract {
+        service: service.into(),
+        health_path: HEALTH_PATH.to_owned(),
+        ..Default::default()
+    };
     let document = Document {
-        services: vec![ServiceContract {
-            service: "v".into(),
-            health_path: HEALTH_PATH.to_owned(),
-            ..Default::default()
-        }],
+        services: vec![contract("v"), contract("w")],
         ..Default::default()
     };
     Arc::new(View::from_document(1, &document, Default::default()))
