Bound the memory of the answers that a daemon holds

Callers of a machine lost their requests when one faulty server answered without end: the daemon ran out of memory and ended.

Cause: `front.answer_limit_bytes` bounds each answer, and nothing bounded their sum. Answers that stop just below it are kept until their deadlines, and whole ones as long as their callers are slow. A long answer was also copied whole into the write buffer of its caller's connection, which keeps its capacity.

Answers are now charged to one budget for both clients of the daemon, under the address of their server, before memory is allocated and until the caller has taken the last part. Once it is full, the address that holds most loses its greatest answer that still arrives, with the new kind `answer_dropped` (502, outcome unknown).

Client and listener: tests/held.rs of both.

Ruled out: endless heads, chunk extensions, trailers, noise and interim answers end at their limits (endless.rs), and an answer that trickles ends at its deadline.

Remains: whole answers that wait for slow callers count but are not ended; buffers of connections and heads come on top of the budget.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -77,7 +77,10 @@
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
         dialect: shared.dialect.clone(),
-        caller: Arc::new(HttpClient::start("forward")),
+        caller: Arc::new(HttpClient::start_with_budget(
+            "forward",
+            shared.answers.clone(),
+        )),
         forward: GuardCallContext {
             daemon: settings.daemon.daemon.clone(),
             key: shared.key.clone(),
--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -51,7 +51,10 @@
         incarnation: shared.incarnation,
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
-        caller: Arc::new(HttpClient::start("call")),
+        caller: Arc::new(HttpClient::start_with_budget(
+            "call",
+            shared.answers.clone(),
+        )),
         forward: guard::forward::ServerCallContext {
             dialect: shared.dialect.clone(),
             connect_timeout: Duration::from_millis(settings.guard.connect_timeout_ms),
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -44,6 +44,7 @@
 use crate::settings::Settings;
 use crate::types::Incarnation;
 use crate::wire::listener::HttpListener;
+use crate::wire::memory_budget::MemoryBudget;
 use crate::wire::proof::FleetKey;
 
 /// Handle to a running daemon: its bound addresses, and what its shutdown needs.
@@ -98,9 +99,13 @@
     };
     let gap_count = rand::rng().random_range(0..INCARNATION_GAP_COUNT);
     let wall_ms = epoch_ms(SystemClock.wall());
+    let answers_bytes = settings
+        .daemon
+        .memory_share_bytes(settings.front.answer_memory_share);
     let shared = SharedResources {
         key: FleetKey::new(&settings.daemon.fleet_secret),
         clock: Arc::new(SystemClock),
+        answers: MemoryBudget::new("answers", answers_bytes, metrics.clone()),
         metrics,
         audit: Arc::new(audit),
         audit_events,
--- a/src/error.rs
+++ b/src/error.rs
@@ -130,6 +130,8 @@
     BadAnswer = "bad_answer", 502, Unknown, "The backend server's answer was incomplete.";
     /// The answer of the backend server exceeds the size limit.
     AnswerTooLarge = "answer_too_large", 502, Yes, "The backend server's answer exceeds its limit.";
+    /// The answer of the backend server was ended, because answers held too much memory.
+    AnswerDropped = "answer_dropped", 502, Unknown, "The answer was given up, as answers held too much memory.";
     /// The backend server crashed while it executed the request.
     ServerDied = "server_died", 502, Unknown, "The backend server died while running the request.";
     /// The daemon failed after the request may have been executed.
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -47,7 +47,7 @@
     WholeAnswer {
         status: row.status,
         headers,
-        body,
+        body: body.into(),
     }
 }
 
--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -49,7 +49,7 @@
     fn accepted_answer(&self) -> WholeAnswer {
         WholeAnswer {
             status: 200,
-            body: b"{}".to_vec(),
+            body: "{}".into(),
             ..Default::default()
         }
     }
@@ -173,7 +173,7 @@
 fn refusal_answer(status: u16, problem: &str) -> WholeAnswer {
     WholeAnswer {
         status,
-        body: problem.as_bytes().to_vec(),
+        body: problem.to_owned().into(),
         ..Default::default()
     }
 }
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -205,6 +205,7 @@
         CallError::Died => ErrorKind::ServerDied,
         CallError::ShortAnswer => ErrorKind::BadAnswer,
         CallError::AnswerTooLarge => ErrorKind::AnswerTooLarge,
+        CallError::Evicted => ErrorKind::AnswerDropped,
     }
 }
 
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -243,7 +243,10 @@
             }
             ServerOutcome::Abandoned
             | ServerOutcome::Failed(
-                CallError::Unwritable | CallError::ShortBody | CallError::AnswerTooLarge,
+                CallError::Unwritable
+                | CallError::ShortBody
+                | CallError::AnswerTooLarge
+                | CallError::Evicted,
             ) => return self.breaker.record_neutral(),
         };
         self.breaker.record_end(now, end, elapsed);
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -28,8 +28,9 @@
         CallError::Broken | CallError::Died => RequestEnd::Failed(FailureKind::Broken),
         CallError::ShortAnswer => RequestEnd::Failed(FailureKind::ShortAnswer),
         CallError::Late => RequestEnd::TimedOut,
-        CallError::Unwritable | CallError::ShortBody | CallError::AnswerTooLarge => {
-            RequestEnd::Neutral
-        }
+        CallError::Unwritable
+        | CallError::ShortBody
+        | CallError::AnswerTooLarge
+        | CallError::Evicted => RequestEnd::Neutral,
     }
 }
--- a/src/load/tests.rs
+++ b/src/load/tests.rs
@@ -34,7 +34,7 @@
     WholeAnswer {
         status: 200,
         headers: vec![(REQUEST.to_owned(), format_id(7))],
-        body: body.to_string().into_bytes(),
+        body: body.to_string().into(),
     }
 }
 
--- a/src/ready/duty.rs
+++ b/src/ready/duty.rs
@@ -55,6 +55,6 @@
     WholeAnswer {
         status,
         headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
-        body: text.into_bytes(),
+        body: text.into(),
     }
 }
--- a/src/routing/feedback.rs
+++ b/src/routing/feedback.rs
@@ -66,7 +66,7 @@
         } => Some(PathEnd::NoConnection),
         AttemptOutcome::NotRun { .. } => None,
         AttemptOutcome::Unknown {
-            kind: ErrorKind::AnswerTooLarge,
+            kind: ErrorKind::AnswerTooLarge | ErrorKind::AnswerDropped,
             ..
         } => Some(PathEnd::Answered),
         AttemptOutcome::Unknown { .. } => Some(PathEnd::Lost),
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -143,6 +143,7 @@
         Err(CallError::NotSent | CallError::Unwritable) => not_run(ErrorKind::NoServer),
         Err(CallError::ShortBody) => not_run(ErrorKind::ShortUpload),
         Err(CallError::AnswerTooLarge) => lost(ErrorKind::AnswerTooLarge),
+        Err(CallError::Evicted) => lost(ErrorKind::AnswerDropped),
         Err(CallError::ShortAnswer) => lost(ErrorKind::BadAnswer),
         Err(CallError::Late | CallError::Broken | CallError::Died) => {
             lost(ErrorKind::OutcomeUnknown)
--- a/src/routing/tests/invalid.rs
+++ b/src/routing/tests/invalid.rs
@@ -20,7 +20,7 @@
     let answer = WholeAnswer {
         status: 503,
         headers: headers.into(),
-        body: Vec::new(),
+        body: Default::default(),
     };
     outcome_of(1, Ok(answer))
 }
--- a/src/routing/tests/last_resort.rs
+++ b/src/routing/tests/last_resort.rs
@@ -150,7 +150,7 @@
         outcome: AttemptOutcome::Answered(WholeAnswer {
             status: 500,
             headers: Vec::new(),
-            body: Vec::new(),
+            body: Default::default(),
         }),
         elapsed: Duration::from_millis(1),
         resendable: true,
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -29,6 +29,8 @@
     /// Time for which a stopping daemon still takes requests while callers and other daemons learn
     /// that it leaves, in milliseconds. At most half of the shutdown is used.
     pub linger_ms: u64,
+    /// Memory that the process may use, in bytes. The budgets are shares of it.
+    pub memory_limit_bytes: u64,
 }
 
 impl Default for DaemonSettings {
@@ -41,6 +43,7 @@
             stop_grace_ms: 30_000,
             kill_after_ms: 0,
             linger_ms: 0,
+            memory_limit_bytes: 268_435_456,
         }
     }
 }
@@ -59,6 +62,11 @@
         }
     }
 
+    /// Returns the number of bytes in a share of the memory that the process may use.
+    pub fn memory_share_bytes(&self, share: f64) -> usize {
+        (self.memory_limit_bytes as f64 * share) as usize
+    }
+
     /// Checks every value against its bounds.
     pub fn check(&self, checker: &mut Checker<'_>) {
         checker.require(
@@ -83,6 +91,11 @@
         checker.range("stop_grace_ms", self.stop_grace_ms, 0..=600000);
         checker.range("kill_after_ms", self.kill_after_ms, 0..=1_000_000_000);
         checker.range("linger_ms", self.linger_ms, 0..=600_000);
+        checker.range(
+            "memory_limit_bytes",
+            self.memory_limit_bytes,
+            16_777_216..=1_099_511_627_776,
+        );
     }
 }
 
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -24,6 +24,9 @@
     pub header_limit_count: usize,
     /// Longest answer of a backend server that is accepted, in bytes.
     pub answer_limit_bytes: usize,
+    /// Share of `daemon.memory_limit_bytes` that answers of backend servers and guards may hold
+    /// together.
+    pub answer_memory_share: f64,
     /// Longest body that is kept so that a retry can send it again, in bytes.
     pub retry_body_limit_bytes: usize,
     /// Whether bodies may use chunked encoding. Such a body must not exceed
@@ -41,6 +44,7 @@
             header_limit_bytes: 16_384,
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
+            answer_memory_share: 0.2,
             retry_body_limit_bytes: 65_536,
             chunked_bodies: false,
         }
@@ -60,6 +64,7 @@
             self.answer_limit_bytes,
             1024..=1073741824,
         );
+        checker.range("answer_memory_share", self.answer_memory_share, 0.01..=0.9);
         checker.range(
             "retry_body_limit_bytes",
             self.retry_body_limit_bytes,
--- a/src/wire/client/answer.rs
+++ b/src/wire/client/answer.rs
@@ -7,13 +7,12 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use bytes::BytesMut;
 use futures::future::{select, Either};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, Uri};
 
+use super::answer_body::AnswerBody;
 use super::answer_match::{AnswerCheck, AnswerMatch};
 use super::body::BodyStream;
 use super::connection::Connection;
@@ -21,6 +20,7 @@
 use super::{Call, CallError};
 use crate::wire::exchange::WholeAnswer;
 use crate::wire::http::{is_hop_by_hop_header, HeaderPair};
+use crate::wire::memory_budget::MemoryHold;
 
 /// Longest wait for the connection of a reconnect check.
 const RECONNECT_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
@@ -66,7 +66,8 @@
             },
         };
         connection.head_budget.end();
-        let answer = read_answer(response, &mut connection, limit_bytes).await?;
+        let hold = pool.budget.hold(address);
+        let answer = read_answer(response, &mut connection, limit_bytes, hold).await?;
         if let Some(check) = &check {
             check_answer(&**check, &answer, &mut connection)?;
         }
@@ -145,28 +146,21 @@
     response: Response<Incoming>,
     connection: &mut Connection,
     limit_bytes: usize,
+    hold: MemoryHold,
 ) -> Result<WholeAnswer, CallError> {
-    let (head, mut incoming) = response.into_parts();
+    let (head, incoming) = response.into_parts();
     if head.status.is_informational() || !is_decodable(&head.headers) {
         return Err(CallError::ShortAnswer);
     }
-    let mut body = BytesMut::new();
-    while let Some(frame) = incoming.frame().await {
-        let frame = frame.map_err(|_| CallError::ShortAnswer)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if body.len() + data.len() > limit_bytes {
-            return Err(CallError::AnswerTooLarge);
-        }
-        body.extend_from_slice(&data);
-    }
+    let headers = answer_headers(&head.headers);
+    let body = AnswerBody::new(headers_bytes(&headers), limit_bytes, hold);
+    let body = body.read(incoming).await?;
     connection.idle_limit = idle_limit(&head.headers);
     connection.closes_after_answer = closes_after_answer(&head.headers);
     Ok(WholeAnswer {
         status: head.status.as_u16(),
-        headers: answer_headers(&head.headers),
-        body: body.to_vec(),
+        headers,
+        body,
     })
 }
 
@@ -197,6 +191,12 @@
     Some(seconds.saturating_sub(IDLE_MARGIN))
 }
 
+/// Returns the bytes that the names and values of headers hold.
+fn headers_bytes(headers: &[HeaderPair]) -> usize {
+    let pair_bytes = |(name, value): &HeaderPair| name.len() + value.len();
+    headers.iter().map(pair_bytes).sum()
+}
+
 /// Returns the headers of an answer that are to be forwarded.
 fn answer_headers(map: &HeaderMap) -> Vec<HeaderPair> {
     let mut headers = Vec::with_capacity(map.len());
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -5,6 +5,7 @@
 //! closes its connection, from which the server learns that nobody waits for the answer any more.
 
 mod answer;
+mod answer_body;
 mod answer_match;
 mod body;
 mod connection;
@@ -26,6 +27,7 @@
 
 use super::exchange::WholeAnswer;
 use super::http::HeaderPair;
+use super::memory_budget::MemoryBudget;
 use crate::ring::spawn_duty;
 use pool::Pool;
 
@@ -86,6 +88,9 @@
     /// The answer's body exceeds `answer_limit_bytes`.
     #[error("the answer is over its limit")]
     AnswerTooLarge,
+    /// The answer was ended before it was complete, because the answers held too much memory.
+    #[error("the answer was ended to free memory")]
+    Evicted,
 }
 
 /// Callback for the result of a call, called on the client's thread. It is not called if the call's
@@ -143,12 +148,18 @@
 const JOB_RING_COUNT: usize = 1024;
 
 impl HttpClient {
-    /// Starts the client's thread under a name.
+    /// Starts the client's thread under a name, without a limit on the sum of its answers.
     pub fn start(name: &str) -> HttpClient {
+        HttpClient::start_with_budget(name, MemoryBudget::unlimited())
+    }
+
+    /// Starts the client's thread under a name. Answers are charged to the budget as they arrive,
+    /// and until they are dropped.
+    pub fn start_with_budget(name: &str, budget: MemoryBudget) -> HttpClient {
         let (jobs, waiting) = async_channel::bounded(JOB_RING_COUNT);
         spawn_duty(name, move || {
             let executor = Rc::new(LocalExecutor::new());
-            async_io::block_on(executor.run(serve(&executor, &waiting)));
+            async_io::block_on(executor.run(serve(&executor, &waiting, budget)));
         });
         HttpClient { jobs }
     }
@@ -170,8 +181,12 @@
 }
 
 /// Starts each call in a task of its own until the client is dropped.
-async fn serve(executor: &Rc<LocalExecutor<'static>>, waiting: &async_channel::Receiver<Job>) {
-    let pool = Rc::new(Pool::new(Rc::downgrade(executor)));
+async fn serve(
+    executor: &Rc<LocalExecutor<'static>>,
+    waiting: &async_channel::Receiver<Job>,
+    budget: MemoryBudget,
+) {
+    let pool = Rc::new(Pool::new(Rc::downgrade(executor), budget));
     while let Ok(job) = waiting.recv().await {
         executor.spawn(run(pool.clone(), job)).detach();
     }
--- a/src/wire/client/pool.rs
+++ b/src/wire/client/pool.rs
@@ -10,6 +10,7 @@
 
 use super::answer_match::AnswerCheck;
 use super::connection::Connection;
+use crate::wire::memory_budget::MemoryBudget;
 
 /// Greatest number of idle connections to one address; beyond it the oldest is closed.
 const IDLE_LIMIT_COUNT: usize = 16;
@@ -20,15 +21,18 @@
 pub(super) struct Pool {
     /// Executor of the client's thread.
     executor: Weak<LocalExecutor<'static>>,
+    /// Budget that answers are charged to.
+    pub(super) budget: MemoryBudget,
     /// Idle connections by address, in the order of their last use.
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
 }
 
 impl Pool {
     /// Returns a pool without connections.
-    pub(super) fn new(executor: Weak<LocalExecutor<'static>>) -> Pool {
+    pub(super) fn new(executor: Weak<LocalExecutor<'static>>, budget: MemoryBudget) -> Pool {
         Pool {
             executor,
+            budget,
             idle: RefCell::default(),
         }
     }
--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -2,6 +2,7 @@
 mod cut;
 mod early;
 mod endless;
+mod held;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -82,7 +83,7 @@
     let second = ask(&client, get(address)).expect("an answer");
 
     // Assert
-    assert_eq!((first.body, second.body), (b"0".to_vec(), b"0".to_vec()));
+    assert_eq!((first.body, second.body), ("0".into(), "0".into()));
 }
 
 #[test]
--- a/src/wire/client/tests/early.rs
+++ b/src/wire/client/tests/early.rs
@@ -152,7 +152,7 @@
     after();
     let serving = serve_second(&listener);
     let next = ask(&client, second_call(address)).expect("the next answer");
-    assert_eq!(next.body, b"second");
+    assert_eq!(next.body, "second");
     serving
         .join()
         .expect("the next call came on another connection");
@@ -224,7 +224,7 @@
     let next = ask(&client, second_call(address)).expect("the next answer");
 
     // Assert
-    assert_eq!(next.body, b"second");
+    assert_eq!(next.body, "second");
     serving
         .join()
         .expect("the next call came on another connection");
@@ -252,7 +252,7 @@
 
     // Assert
     assert_eq!(result, Err(CallError::Late));
-    assert_eq!(next.body, b"second");
+    assert_eq!(next.body, "second");
     serving
         .join()
         .expect("the next call came on another connection");
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -13,8 +13,9 @@
     pub status: u16,
     /// Headers in order, without those that concern a single connection.
     pub headers: Vec<HeaderPair>,
-    /// The complete body, not encoded for transfer.
-    pub body: Vec<u8>,
+    /// The complete body, not encoded for transfer. A body that a client received is charged to the
+    /// client's memory budget until its last clone is dropped.
+    pub body: Bytes,
 }
 
 /// Receives the parts of a body as they arrive; a body that was cut off ends with an error.
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -9,7 +9,7 @@
 use async_io::{Async, Timer};
 use futures::channel::oneshot;
 use futures::future::{select, Either};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
@@ -18,6 +18,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use thiserror::Error;
 
+use super::answer_body::AnswerBody;
 use super::exchange::{CallerHandle, ListenerExchange};
 use super::linger::linger;
 use super::read_ahead::{self, EarlyRequest, ReadAhead, ReadAheadStream};
@@ -162,10 +163,7 @@
 
     /// Returns the response to a request that the HTTP library has read. One that was still unread
     /// when the caller left is not delivered.
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, CallerLeft> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, CallerLeft> {
         if self.ahead.borrow().is_closed() {
             self.count("listener.request.dropped");
             return Err(CallerLeft);
@@ -285,7 +283,7 @@
 
     /// Converts an answer to a response, which closes the connection if it can't be used further or
     /// the listener is winding down.
-    fn respond(&self, answer: WholeAnswer) -> Response<Full<Bytes>> {
+    fn respond(&self, answer: WholeAnswer) -> Response<AnswerBody> {
         let mut response = to_response(answer);
         let winding_down = self.shared.winding_down.load(Ordering::Relaxed);
         let is_last = winding_down && !self.ahead.borrow().has_early_requests();
@@ -352,7 +350,7 @@
 
 /// Converts an answer to a response. Its framing follows from the body alone: hop-by-hop headers of
 /// the answer are dropped, except `Connection`.
-fn to_response(answer: WholeAnswer) -> Response<Full<Bytes>> {
+fn to_response(answer: WholeAnswer) -> Response<AnswerBody> {
     let status = StatusCode::from_u16(answer.status).ok();
     let status = status.filter(|status| !status.is_informational());
     let mut response = empty_response(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
@@ -366,13 +364,13 @@
         }
         response.headers_mut().append(name, value);
     }
-    *response.body_mut() = Full::new(Bytes::from(answer.body));
+    *response.body_mut() = AnswerBody(answer.body);
     response
 }
 
 /// Returns a response with this status and an empty body.
-fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn empty_response(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::default());
     *response.status_mut() = status;
     response
 }
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -3,6 +3,7 @@
 //! Connections do not need a thread each, so that callers that disconnect, heads that never end and
 //! slow uploads block no thread of the daemon.
 
+mod answer_body;
 mod connection;
 mod exchange;
 mod hang_up;
--- a/src/wire/listener/tests.rs
+++ b/src/wire/listener/tests.rs
@@ -1,6 +1,7 @@
 mod disconnects;
 mod early;
 mod framing;
+mod held;
 mod leftover;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -75,7 +76,7 @@
     exchange.answer(WholeAnswer {
         status: 200,
         headers: Vec::new(),
-        body: head.target.into_bytes(),
+        body: head.target.into(),
     });
 }
 
--- a/src/wire/listener/tests/leftover.rs
+++ b/src/wire/listener/tests/leftover.rs
@@ -40,7 +40,7 @@
     exchange.answer(WholeAnswer {
         status,
         headers: Vec::new(),
-        body: b"no".to_vec(),
+        body: "no".into(),
     });
 }
 
--- a/src/wire/operator.rs
+++ b/src/wire/operator.rs
@@ -120,7 +120,9 @@
     WholeAnswer {
         status,
         headers: vec![content],
-        body: serde_json::to_vec(answer).expect("plain values become JSON"),
+        body: serde_json::to_vec(answer)
+            .expect("plain values become JSON")
+            .into(),
     }
 }
 
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -25,7 +25,7 @@
         while let Some((_, exchange)) = served.next() {
             exchange.answer(WholeAnswer {
                 status: 200,
-                body: b"whole".to_vec(),
+                body: "whole".into(),
                 ..Default::default()
             });
         }
