--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -42,7 +42,8 @@
         let body_bytes = settings.front.retry_body_limit_bytes as u64;
         let budget =
             |name, limit_bytes| MemoryBudget::new(name, limit_bytes, shared.metrics.clone());
-        let held_bytes = settings.front.held_limit_bytes;
+        let share = settings.front.request_memory_share;
+        let held_bytes = settings.daemon.memory_share_bytes(share);
         let between_daemons = ListenerOptions {
             eager_body_limit_bytes: body_bytes,
             budget: budget("attempts", held_bytes),
--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -24,12 +24,15 @@
     pub header_limit_count: usize,
     /// Longest answer of a backend server that is accepted, in bytes.
     pub answer_limit_bytes: usize,
+    /// Share of `daemon.memory_limit_bytes` that answers of backend servers and guards may hold
+    /// together.
+    pub answer_memory_share: f64,
     /// Longest body that is kept so that a retry can send it again, in bytes.
     pub retry_body_limit_bytes: usize,
-    /// Most bytes that are held of all requests together, in bytes: bodies, incomplete heads and
-    /// requests that wait behind others on their connection. Holds for callers' requests, and
-    /// again for those of other daemons to the guard.
-    pub held_limit_bytes: usize,
+    /// Share of `daemon.memory_limit_bytes` that callers' requests may hold together: bodies,
+    /// incomplete heads and requests that wait behind others on their connection. Requests of other
+    /// daemons to the guard may hold as much.
+    pub request_memory_share: f64,
     /// Whether bodies may use chunked encoding. Such a body must not exceed
     /// `retry_body_limit_bytes`.
     pub chunked_bodies: bool,
@@ -45,8 +48,9 @@
             header_limit_bytes: 16_384,
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
+            answer_memory_share: 0.2,
             retry_body_limit_bytes: 65_536,
-            held_limit_bytes: 33_554_432,
+            request_memory_share: 0.125,
             chunked_bodies: false,
         }
     }
@@ -65,15 +69,16 @@
             self.answer_limit_bytes,
             1024..=1073741824,
         );
+        checker.range("answer_memory_share", self.answer_memory_share, 0.01..=0.9);
         checker.range(
             "retry_body_limit_bytes",
             self.retry_body_limit_bytes,
             0..=16777216,
         );
         checker.range(
-            "held_limit_bytes",
-            self.held_limit_bytes,
-            1048576..=1073741824,
+            "request_memory_share",
+            self.request_memory_share,
+            0.01..=0.4,
         );
     }
 }
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -18,18 +18,18 @@
 const HEAD_BYTES: usize = 60_000;
 /// Most memory that the callers of a test may take together.
 const GROWTH_LIMIT_BYTES: usize = 80 * 1024 * 1024;
-/// Limit on the bytes that are held of heads.
-const HELD_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+/// Share of the memory that requests may hold where callers stall within a head.
+const HEADS_SHARE: f64 = 0.03;
 
 /// Time after which a daemon that takes no more memory has read what was sent.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Starts a daemon that keeps bodies of `BODY_BYTES`.
-fn start(name: &str, held_limit_bytes: usize) -> (Process, Process) {
+fn start(name: &str, request_memory_share: f64) -> (Process, Process) {
     let log = start_log();
     let mut settings = settings(name, "north", log.address("listening"));
     settings.front.retry_body_limit_bytes = BODY_BYTES;
-    settings.front.held_limit_bytes = held_limit_bytes;
+    settings.front.request_memory_share = request_memory_share;
     settings.front.chunked_bodies = true;
     (start_daemon(&settings), log)
 }
@@ -78,7 +78,7 @@
 #[test]
 fn stalled_chunked_uploads_do_not_exhaust_the_memory() {
     // Arrange
-    let (daemon, _log) = start("request-memory-uploads", 32 * 1024 * 1024);
+    let (daemon, _log) = start("request-memory-uploads", 0.125);
     let head = "POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
     let chunk = [b"4000\r\n".as_slice(), &[b'x'; 0x4000], b"\r\n"].concat();
     let part = [head.as_bytes(), &chunk.repeat(BODY_BYTES / 0x4000 - 1)].concat();
@@ -93,7 +93,7 @@
 #[test]
 fn heads_that_never_end_do_not_exhaust_the_memory() {
     // Arrange
-    let (daemon, _log) = start("request-memory-heads", HELD_LIMIT_BYTES);
+    let (daemon, _log) = start("request-memory-heads", HEADS_SHARE);
     let header = format!("x-a: {}\r\n", "y".repeat(993));
     let head = format!("GET /a HTTP/1.1\r\n{}", header.repeat(HEAD_BYTES / 1000));
 
