Let a body in parts displace no body that arrives

Evidence: the new test; without the change the third caller is delivered in parts (no answer within 10 s) instead of being refused with 503.

Parts are used only if they fit without an eviction.

--- a/src/wire/listener/body.rs
+++ b/src/wire/listener/body.rs
@@ -59,7 +59,8 @@
     };
     if let Some(length_bytes) = head.body_bytes {
         let reserved = body.reserve(length_bytes as usize);
-        if reserved.is_err() && options.stream_beyond_budget {
+        let has_room = options.budget.has_room(STREAM_HOLD_BYTES);
+        if reserved.is_err() && options.stream_beyond_budget && has_room {
             options.metrics.count("listener.body.streamed");
             return charge_stream(&options.budget, host, length_bytes);
         }
--- a/src/wire/listener/tests/memory.rs
+++ b/src/wire/listener/tests/memory.rs
@@ -176,6 +176,30 @@
     });
 }
 
+#[test]
+fn a_body_that_does_not_fit_in_parts_ends_no_other_one() {
+    // Arrange
+    let options = ListenerOptions {
+        eager_body_limit_bytes: LONG_BODY_BYTES as u64,
+        budget: MemoryBudget::new("test", 2 * LONG_BODY_BYTES, Metrics::local()),
+        stream_beyond_budget: true,
+        ..options()
+    };
+    let (listener, _arrivals, _caller) = connected_to(options.clone());
+    let request = post(LONG_BODY_BYTES, BODY_BYTES);
+    let arriving = [send(&listener, &request), send(&listener, &request)];
+    wait_until("two bodies are held", || {
+        options.budget.held_bytes() == 2 * LONG_BODY_BYTES
+    });
+
+    // Act
+    let third = send(&listener, &request);
+
+    // Assert
+    assert_eq!(status(&third), 503);
+    assert_eq!(ended_count(&arriving), 0);
+}
+
 #[test]
 fn a_body_that_is_kept_stays_charged_until_its_last_use() {
     // Arrange
--- a/src/wire/memory_budget.rs
+++ b/src/wire/memory_budget.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Returns whether so many bytes fit without the eviction of a holder.
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.held_bytes().saturating_add(bytes) <= self.0.limit_bytes
+    }
+
     /// Returns the bytes that are held at present.
     pub fn held_bytes(&self) -> usize {
         self.0.ledger().held_bytes
