--- a/src/settings/front.rs
+++ b/src/settings/front.rs
@@ -48,7 +48,7 @@
             header_limit_bytes: 16_384,
             header_limit_count: 100,
             answer_limit_bytes: 8_388_608,
-            answer_memory_share: 0.25,
+            answer_memory_share: 0.2,
             retry_body_limit_bytes: 65_536,
             request_memory_share: 0.125,
             chunked_bodies: false,
--- a/src/wire/client/mod.rs
+++ b/src/wire/client/mod.rs
@@ -192,19 +192,31 @@
     }
 }
 
-/// Runs a call until it has ended, its deadline passes, or its handle is dropped.
+/// Runs a call and reports its result, once what an unfinished call held is released. A call whose
+/// handle was dropped reports nothing.
 async fn run(pool: Rc<Pool>, job: Job) {
     let Job { call, done, alive } = job;
+    if let Some(result) = result_of(&pool, call, alive).await {
+        done(result);
+    }
+}
+
+/// Runs a call until it has ended or its deadline passes; returns `None` if its handle is dropped
+/// before.
+async fn result_of(
+    pool: &Pool,
+    call: Call,
+    alive: async_channel::Receiver<()>,
+) -> Option<Result<WholeAnswer, CallError>> {
     let deadline_at = call.deadline_at;
-    let calling = std::pin::pin!(answer::call(&pool, call));
+    let calling = std::pin::pin!(answer::call(pool, call));
     let timeout = std::pin::pin!(Timer::at(deadline_at));
     let abandoned = std::pin::pin!(dropped(alive));
-    let result = match select(calling, select(timeout, abandoned)).await {
-        Either::Left((result, _)) => result,
-        Either::Right((Either::Left(_), _)) => Err(CallError::Late),
-        Either::Right((Either::Right(_), _)) => return,
-    };
-    done(result);
+    match select(calling, select(timeout, abandoned)).await {
+        Either::Left((result, _)) => Some(result),
+        Either::Right((Either::Left(_), _)) => Some(Err(CallError::Late)),
+        Either::Right((Either::Right(_), _)) => None,
+    }
 }
 
 /// Completes when the call's handle is dropped, and never if it was detached.
--- a/src/wire/listener/answer_body.rs
+++ b/src/wire/listener/answer_body.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 /// Greatest length of a part.
-const PART_BYTES: usize = 64 * 1024;
+const PART_BYTES: usize = 16 * 1024;
 
 /// The bytes of a body that the library has not taken yet.
 #[derive(Default)]
