Give a request from before two changes of the service neither of the later names

Callers saw requests in the name of a service that came after them: a request that had arrived in the time of `orders` and was named after reads of `labels` and then of a third name (or `orders` again) was sent as `labels`, because only the end of the former name was kept. Its begin is kept as well now.

Evidence: the test, which fails before the change (Known("labels") where Unknown is due). The window is two changes within one wait, for example for a token.

--- a/src/routing/origin.rs
+++ b/src/routing/origin.rs
@@ -44,14 +44,32 @@
     since: Option<Instant>,
     /// When the last read of the present name began.
     confirmed_at: Option<Instant>,
-    /// The name before, and when the last read of it began.
-    former: Option<(ServiceId, Option<Instant>)>,
+    /// The name before; `None` if there was none or no read confirmed it.
+    former: Option<FormerName>,
     /// Whether the server on this VM is shown to be of another service than the settings name.
     contradicted: bool,
     /// When the first of the last reads ended that brought no name.
     unreadable_since: Option<Instant>,
 }
 
+/// A name that the settings gave before the present one.
+struct FormerName {
+    /// The service.
+    service: ServiceId,
+    /// Requests that arrived before this may be older than the name; `None` from the start.
+    since: Option<Instant>,
+    /// When the last read of the name began.
+    confirmed_at: Instant,
+}
+
+impl FormerName {
+    /// Returns whether the settings gave this name when a request arrived.
+    fn covers(&self, arrived_at: Instant) -> bool {
+        let is_old = self.since.is_some_and(|since| arrived_at < since);
+        !is_old && arrived_at <= self.confirmed_at
+    }
+}
+
 impl Origin {
     /// Returns the origin of requests of a daemon that was started with this name; with `None`, the
     /// announced server gives it. `needed` says whether servers are told it, and `from_file` whether
@@ -91,7 +109,7 @@
         let name = match self.since.is_some_and(|since| arrived_at < since) {
             false => self.present(),
             true => match &self.former {
-                Some((name, Some(confirmed_at))) if arrived_at <= *confirmed_at => name,
+                Some(former) if former.covers(arrived_at) => &former.service,
                 _ => return OriginAt::Unknown,
             },
         };
@@ -119,7 +137,11 @@
         let changed = service != self.named;
         if changed {
             let former = std::mem::replace(&mut self.named, service);
-            self.former = Some((former, self.confirmed_at));
+            self.former = self.confirmed_at.map(|confirmed_at| FormerName {
+                service: former,
+                since: self.since,
+                confirmed_at,
+            });
             self.since = Some(read.ended_at + SOCKET_WAIT);
         }
         self.confirmed_at = Some(read.began_at);
--- a/src/routing/tests/origin.rs
+++ b/src/routing/tests/origin.rs
@@ -159,3 +159,21 @@
     // Assert
     assert_eq!(at(&origin, now + 3 * LATER), OriginAt::Unknown);
 }
+
+#[test]
+fn a_request_from_before_two_changes_does_not_get_the_name_between_them() {
+    for last in ["frames", "orders"] {
+        // Arrange
+        let now = Instant::now();
+        let mut origin = start(now);
+
+        // Act
+        origin.confirm(read(Some("labels"), now + LATER));
+        origin.confirm(read(Some("labels"), now + 2 * LATER));
+        origin.confirm(read(Some(last), now + 3 * LATER));
+
+        // Assert
+        assert_eq!(at(&origin, now), OriginAt::Unknown);
+        assert_eq!(at(&origin, now + 2 * LATER), known("labels"));
+    }
+}
