Give no name to a request that a change of the service meets while it arrives

Callers saw a request that began at a VM of `orders` and whose body ended after the settings named `labels` reach a server in the name of `labels`: its arrival was timed after its body was read, up to 10 s later, and a request behind others on its connection when those were answered. It is now in the name of a service only if the settings named that one from its first bytes on.

The time of the first bytes is that of the read that found no request of the connection unanswered, so it can be too early behind other requests, and is then refused, not sent in a wrong name.

Evidence: the tests, which fail before the change (origins ["labels"] for the upload).

--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -34,6 +34,7 @@
             .unwrap_or_default()
             .to_owned(),
         arrived_at,
+        began_at: raw.began_at.map_or(arrived_at, |at| at.min(arrived_at)),
         method: raw.method.clone(),
         target: raw.target.clone(),
         headers: forwarded_headers(dialect, &raw.headers),
--- a/src/front/message.rs
+++ b/src/front/message.rs
@@ -20,8 +20,10 @@
     pub caller_id: Option<String>,
     /// Value of the host header; empty if there is none.
     pub host: String,
-    /// When the request arrived.
+    /// When the request had arrived, with its body unless that is read in parts.
     pub arrived_at: Instant,
+    /// When the first bytes of the request may have arrived; not after `arrived_at`.
+    pub began_at: Instant,
     /// Method of the request line.
     pub method: String,
     /// Path with its query string.
--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -51,7 +51,9 @@
             context.metrics.count("routing.caller_left");
             return log_caller_left(context, &request.head, Some((0, "new")));
         }
-        match self.origin.at(context.clock.now(), request.head.arrived_at) {
+        let head = &request.head;
+        let arrival = (head.began_at, head.arrived_at);
+        match self.origin.at(context.clock.now(), arrival) {
             OriginAt::Known(origin) => self.dispatch(request, origin),
             OriginAt::Unknown => self.refuse(request, ErrorKind::OriginUnknown),
             OriginAt::Unconfirmed => {
--- a/src/routing/origin.rs
+++ b/src/routing/origin.rs
@@ -40,7 +40,7 @@
     /// Service of the server that announced itself on this VM; empty without one, and if
     /// announcements give no name.
     announced: ServiceId,
-    /// Requests that arrived before this may be older than the present name; `None` from the start.
+    /// Requests that began before this may be older than the present name; `None` from the start.
     since: Option<Instant>,
     /// When the last read of the present name began.
     confirmed_at: Option<Instant>,
@@ -56,16 +56,16 @@
 struct FormerName {
     /// The service.
     service: ServiceId,
-    /// Requests that arrived before this may be older than the name; `None` from the start.
+    /// Requests that began before this may be older than the name; `None` from the start.
     since: Option<Instant>,
     /// When the last read of the name began.
     confirmed_at: Instant,
 }
 
 impl FormerName {
-    /// Returns whether the settings gave this name when a request arrived.
-    fn covers(&self, arrived_at: Instant) -> bool {
-        let is_old = self.since.is_some_and(|since| arrived_at < since);
+    /// Returns whether the settings gave this name all the while in which a request arrived.
+    fn covers(&self, began_at: Instant, arrived_at: Instant) -> bool {
+        let is_old = self.since.is_some_and(|since| began_at < since);
         !is_old && arrived_at <= self.confirmed_at
     }
 }
@@ -89,8 +89,9 @@
         }
     }
 
-    /// Returns what is known at `now` of the origin of a request that arrived at `arrived_at`.
-    pub(super) fn at(&self, now: Instant, arrived_at: Instant) -> OriginAt {
+    /// Returns what is known at `now` of the origin of a request whose first bytes arrived at
+    /// `began_at` or later, and which had arrived at `arrived_at`.
+    pub(super) fn at(&self, now: Instant, (began_at, arrived_at): (Instant, Instant)) -> OriginAt {
         if !self.needed {
             return OriginAt::Known(self.present().clone());
         }
@@ -106,10 +107,10 @@
         if self.contradicted {
             return OriginAt::Unknown;
         }
-        let name = match self.since.is_some_and(|since| arrived_at < since) {
+        let name = match self.since.is_some_and(|since| began_at < since) {
             false => self.present(),
             true => match &self.former {
-                Some(former) if former.covers(arrived_at) => &former.service,
+                Some(former) if former.covers(began_at, arrived_at) => &former.service,
                 _ => return OriginAt::Unknown,
             },
         };
--- a/src/routing/tests/duty.rs
+++ b/src/routing/tests/duty.rs
@@ -137,6 +137,7 @@
             caller_id: None,
             host: "h".to_owned(),
             arrived_at: now,
+            began_at: now,
             method: "GET".to_owned(),
             target: "/".to_owned(),
             headers: Vec::new(),
--- a/src/routing/tests/origin.rs
+++ b/src/routing/tests/origin.rs
@@ -26,7 +26,7 @@
 
 /// Returns what is known of a request at its arrival.
 fn at(origin: &Origin, arrived_at: Instant) -> OriginAt {
-    origin.at(arrived_at, arrived_at)
+    origin.at(arrived_at, (arrived_at, arrived_at))
 }
 
 /// Returns a known origin.
@@ -114,8 +114,8 @@
 
     // Assert
     assert_eq!(at(&origin, arrived_at), OriginAt::Unconfirmed);
-    assert_eq!(origin.at(late, late), OriginAt::Unknown);
-    assert_eq!(origin.at(late, now), known("orders"));
+    assert_eq!(at(&origin, late), OriginAt::Unknown);
+    assert_eq!(origin.at(late, (now, now)), known("orders"));
 }
 
 #[test]
@@ -177,3 +177,19 @@
         assert_eq!(at(&origin, now + 2 * LATER), known("labels"));
     }
 }
+
+#[test]
+fn a_request_that_began_before_a_change_and_ends_after_it_gets_no_origin() {
+    // Arrange
+    let now = Instant::now();
+    let mut origin = start(now);
+    origin.confirm(read(Some("labels"), now + LATER));
+    let arrived_at = now + 3 * LATER;
+
+    // Act
+    origin.confirm(read(Some("labels"), arrived_at));
+
+    // Assert
+    assert_eq!(origin.at(arrived_at, (now, arrived_at)), OriginAt::Unknown);
+    assert_eq!(at(&origin, arrived_at), known("labels"));
+}
--- a/src/wire/exchange.rs
+++ b/src/wire/exchange.rs
@@ -1,6 +1,7 @@
 //! A request that a listener has received, with the means to read its body and to answer it.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 
@@ -62,4 +63,6 @@
     pub body_bytes: Option<u64>,
     /// Address from which the caller connected.
     pub peer: Option<SocketAddr>,
+    /// When the first bytes of the request may have arrived, or earlier; `None` if it is not known.
+    pub began_at: Option<Instant>,
 }
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures::channel::oneshot;
@@ -136,6 +136,7 @@
         }
         let head = RawHead {
             peer: Some(self.peer),
+            began_at: Some(Instant::now()),
             ..head
         };
         // If the ring is full, the request is delivered in order, and refused if still full then.
@@ -204,6 +205,7 @@
     /// are read meanwhile.
     async fn answer_in_turn(&self, request: Request<Incoming>) -> WholeAnswer {
         let (mut head, mut incoming) = take_head(request, self.peer);
+        head.began_at = self.ahead.borrow().busy_since();
         self.body_incomplete.set(true);
         let body = match self.read_eager_body(&mut head, &mut incoming).await {
             Ok(body) => body,
@@ -344,6 +346,7 @@
             Some(hyper::body::Body::size_hint(&incoming).exact().unwrap_or(0))
         },
         peer: Some(peer),
+        began_at: None,
     };
     (head, incoming)
 }
--- a/src/wire/listener/plain.rs
+++ b/src/wire/listener/plain.rs
@@ -74,5 +74,6 @@
         headers,
         body_bytes: Some(0),
         peer: None,
+        began_at: None,
     })
 }
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -17,6 +17,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Instant;
 
 use async_io::Async;
 use futures::channel::oneshot;
@@ -60,6 +61,9 @@
     waiting: VecDeque<Option<EarlyRequest>>,
     /// Requests that are not answered: those in `waiting`, and those that the library has read.
     unanswered_count: usize,
+    /// When the first bytes arrived since all requests were answered. No request that is unanswered
+    /// began before.
+    busy_since: Option<Instant>,
     /// Set at the first request that is not plain. Bytes after it are not parsed here.
     ended: bool,
     /// Whether the caller has closed the connection.
@@ -83,6 +87,11 @@
         parsed
     }
 
+    /// Returns a time before which no unanswered request began; `None` if no bytes have arrived.
+    pub(super) fn busy_since(&self) -> Option<Instant> {
+        self.busy_since
+    }
+
     /// Returns whether the caller has closed the connection.
     pub(super) fn is_closed(&self) -> bool {
         self.closed
@@ -201,6 +210,9 @@
         let length = socket.read(&mut chunk)?;
         let mut state = ahead.borrow_mut();
         state.buffer.extend(&chunk[..length]);
+        if state.unanswered_count == 0 {
+            state.busy_since = Some(Instant::now());
+        }
         Ok(length)
     };
     stream
