--- a/src/routing/origin.rs
+++ b/src/routing/origin.rs
@@ -40,18 +40,36 @@
     /// Service of the server that announced itself on this VM; empty without one, and if
     /// announcements give no name.
     announced: ServiceId,
-    /// Requests that arrived before this may be older than the present name; `None` from the start.
+    /// Requests that began before this may be older than the present name; `None` from the start.
     since: Option<Instant>,
     /// When the last read of the present name began.
     confirmed_at: Option<Instant>,
-    /// The name before, and when the last read of it began.
-    former: Option<(ServiceId, Option<Instant>)>,
+    /// The name before; `None` if there was none or no read confirmed it.
+    former: Option<FormerName>,
     /// Whether the server on this VM is shown to be of another service than the settings name.
     contradicted: bool,
     /// When the first of the last reads ended that brought no name.
     unreadable_since: Option<Instant>,
 }
 
+/// A name that the settings gave before the present one.
+struct FormerName {
+    /// The service.
+    service: ServiceId,
+    /// Requests that began before this may be older than the name; `None` from the start.
+    since: Option<Instant>,
+    /// When the last read of the name began.
+    confirmed_at: Instant,
+}
+
+impl FormerName {
+    /// Returns whether the settings gave this name all the while in which a request arrived.
+    fn covers(&self, began_at: Instant, arrived_at: Instant) -> bool {
+        let is_old = self.since.is_some_and(|since| began_at < since);
+        !is_old && arrived_at <= self.confirmed_at
+    }
+}
+
 impl Origin {
     /// Returns the origin of requests of a daemon that was started with this name; with `None`, the
     /// announced server gives it. `needed` says whether servers are told it, and `from_file` whether
@@ -71,8 +89,9 @@
         }
     }
 
-    /// Returns what is known at `now` of the origin of a request that arrived at `arrived_at`.
-    pub(super) fn at(&self, now: Instant, arrived_at: Instant) -> OriginAt {
+    /// Returns what is known at `now` of the origin of a request whose first bytes arrived at
+    /// `began_at` or later, and which had arrived at `arrived_at`.
+    pub(super) fn at(&self, now: Instant, (began_at, arrived_at): (Instant, Instant)) -> OriginAt {
         if !self.needed {
             return OriginAt::Known(self.present().clone());
         }
@@ -88,10 +107,10 @@
         if self.contradicted {
             return OriginAt::Unknown;
         }
-        let name = match self.since.is_some_and(|since| arrived_at < since) {
+        let name = match self.since.is_some_and(|since| began_at < since) {
             false => self.present(),
             true => match &self.former {
-                Some((name, Some(confirmed_at))) if arrived_at <= *confirmed_at => name,
+                Some(former) if former.covers(began_at, arrived_at) => &former.service,
                 _ => return OriginAt::Unknown,
             },
         };
@@ -119,7 +138,11 @@
         let changed = service != self.named;
         if changed {
             let former = std::mem::replace(&mut self.named, service);
-            self.former = Some((former, self.confirmed_at));
+            self.former = self.confirmed_at.map(|confirmed_at| FormerName {
+                service: former,
+                since: self.since,
+                confirmed_at,
+            });
             self.since = Some(read.ended_at + SOCKET_WAIT);
         }
         self.confirmed_at = Some(read.began_at);
--- a/src/wire/listener/connection.rs
+++ b/src/wire/listener/connection.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures::channel::oneshot;
@@ -128,6 +128,7 @@
         }
         let head = RawHead {
             peer: Some(self.peer),
+            began_at: Some(Instant::now()),
             ..head
         };
         // If the ring is full, the request is delivered in order, and refused if still full then.
@@ -196,6 +197,7 @@
     /// are read meanwhile.
     async fn answer_in_turn(&self, request: Request<Incoming>) -> WholeAnswer {
         let (mut head, mut incoming) = take_head(request, self.peer);
+        head.began_at = self.ahead.borrow().busy_since();
         self.ahead.borrow_mut().set_body_incomplete(true);
         let options = &self.shared.options;
         let body = match read_eager_body(options, self.peer, &mut head, &mut incoming).await {
@@ -317,6 +319,7 @@
             Some(hyper::body::Body::size_hint(&incoming).exact().unwrap_or(0))
         },
         peer: Some(peer),
+        began_at: None,
     };
     (head, incoming)
 }
--- a/src/wire/listener/read_ahead.rs
+++ b/src/wire/listener/read_ahead.rs
@@ -19,6 +19,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::task::{Poll, Waker};
+use std::time::Instant;
 
 use async_io::Async;
 use futures::channel::oneshot;
@@ -86,6 +87,9 @@
     waiting: VecDeque<Parsed>,
     /// Requests that are not answered: those in `waiting`, and those that the library has read.
     unanswered_count: usize,
+    /// When the first bytes arrived since all requests were answered. No request that is unanswered
+    /// began before.
+    busy_since: Option<Instant>,
     /// Set at the first request that is not plain. Bytes after it are not parsed here.
     ended: bool,
     /// Whether the caller has closed the connection.
@@ -108,6 +112,7 @@
             shed: false,
             body_incomplete: false,
             library_bytes: 0,
+            busy_since: None,
             write_blocked: false,
             buffer: VecDeque::new(),
             framed_bytes: 0,
@@ -221,6 +226,11 @@
         }
     }
 
+    /// Returns a time before which no unanswered request began; `None` if no bytes have arrived.
+    pub(super) fn busy_since(&self) -> Option<Instant> {
+        self.busy_since
+    }
+
     /// Returns whether the caller has closed the connection.
     pub(super) fn is_closed(&self) -> bool {
         self.closed
@@ -350,6 +360,9 @@
         let mut chunk = [0; CHUNK_BYTES];
         let length = socket.read(&mut chunk[..room_bytes.min(CHUNK_BYTES)])?;
         let mut state = ahead.borrow_mut();
+        if state.unanswered_count == 0 && state.buffer.is_empty() && state.library_bytes == 0 {
+            state.busy_since = Some(Instant::now());
+        }
         state.push(&chunk[..length]);
         Ok(length)
     };
