--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -34,6 +34,7 @@
         started_at_ms: u64,
         actions: &mut Vec<GuardAction>,
     ) {
+        self.end_contradiction_of(name, actions);
         let held = self.servers.get(name);
         let held_ms = held.map_or(0, |server| server.announcement.started_at_ms);
         if started_at_ms != 0 && started_at_ms < held_ms {
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::message::{Announcement, GuardAction, IgnoredBecause};
 use super::server::{Presence, ServerState};
@@ -211,6 +211,11 @@
         }
     }
 
+    /// Returns how long a server counts as present after its last announcement.
+    pub(super) fn announcement_ttl(&self) -> Duration {
+        Duration::from_millis(self.settings.announcement_ttl_ms)
+    }
+
     /// Returns the service that the settings name for the server on this VM; empty for any.
     pub fn server_service(&self) -> &ServiceId {
         &self.settings.server_service
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -41,8 +41,7 @@
     pub(super) domain_out: bool,
     pub(super) view: Arc<View>,
     pub(super) inquiries: Inquiries,
-    /// A server of another service at the address in the settings; `None` where there is no sign
-    /// of one.
+    /// Sign of a server of another service than the settings name.
     pub(super) contradiction: Option<Contradiction>,
     pub(super) retries: RetryWindow,
     /// Guards of the service of the server on this VM, including this one; at least 1.
@@ -119,10 +118,7 @@
             GuardEvent::Withdrawn {
                 server,
                 started_at_ms,
-            } => {
-                self.end_contradiction_of(&server, &mut actions);
-                self.handle_withdrawal(now, &server, started_at_ms, &mut actions);
-            }
+            } => self.handle_withdrawal(now, &server, started_at_ms, &mut actions),
             GuardEvent::Domain { out } => self.set_domain_out(now, out, &mut actions),
             GuardEvent::Fence(fence) => self.handle_fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.handle_cancel(now, request, &mut actions),
@@ -174,10 +170,6 @@
         }
     }
 
-    pub(super) fn announcement_ttl(&self) -> Duration {
-        Duration::from_millis(self.settings.announcement_ttl_ms)
-    }
-
     /// Starts the request, queues it or refuses it.
     fn admit(&mut self, now: Instant, request: GuardRequest, actions: &mut Vec<GuardAction>) {
         let key = request.key();
