Let late words of an earlier life not end what contradicts the settings

Callers saw requests in the name of the settings again, and at a server of another service, after a late departure or heartbeat of an earlier life of the server that contradicts them: it ended the contradiction, and the heartbeat entered the server under the service of the settings, which its health answer then confirmed by its id. Words of an earlier life are now left aside while the later one announces itself, at most for the lifetime of an announcement.

The other way round the contradiction lasted for good where the service of the settings has no health path and its server came back under another id: only a health answer ended it, and nothing asked for one. The announcement of a server that started later ends it there.

Evidence: the three tests, which fail before the change; the two on right words after wrong ones pass before it.

--- a/src/guard/contradiction.rs
+++ b/src/guard/contradiction.rs
@@ -16,6 +16,10 @@
 pub(super) struct Contradiction {
     /// Server that announced itself.
     server: BackendServerId,
+    /// Start of its latest incarnation that did, in milliseconds since the epoch.
+    started_at_ms: u64,
+    /// When that incarnation last did.
+    renewed_at: Instant,
     /// Whether its health answer has shown that it holds the address in the settings.
     proven: bool,
 }
@@ -41,11 +45,18 @@
         if known.is_some_and(|known| !known.gone) {
             self.mark_gone(now, name, actions);
         }
-        if self.is_contradicted() {
+        let started_at_ms = announcement.started_at_ms;
+        if let Some(known) = self.contradiction.as_mut().filter(|known| known.proven) {
+            if known.server == *name && started_at_ms >= known.started_at_ms {
+                known.started_at_ms = started_at_ms;
+                known.renewed_at = now;
+            }
             return;
         }
         self.contradiction = Some(Contradiction {
             server: name.clone(),
+            started_at_ms,
+            renewed_at: now,
             proven: false,
         });
         self.inquire_rival(now, announcement, actions);
@@ -82,22 +93,58 @@
         }
     }
 
-    /// Forgets the contradiction if its server has left or has announced the service in the settings.
-    pub(super) fn end_contradiction_of(
+    /// Returns whether this is of an earlier incarnation of the server that contradicts the settings
+    /// at present. An incarnation that has announced nothing for a while outranks no other.
+    pub(super) fn is_before_contradiction(
+        &self,
+        now: Instant,
+        server: &BackendServerId,
+        started_at_ms: u64,
+    ) -> bool {
+        let known = self.contradiction.as_ref();
+        known.is_some_and(|known| {
+            known.proven
+                && known.server == *server
+                && started_at_ms < known.started_at_ms
+                && now.saturating_duration_since(known.renewed_at) < self.announcement_ttl()
+        })
+    }
+
+    /// Forgets the contradiction if its server, in an incarnation that started then, has left; 0
+    /// for one of unknown start.
+    pub(super) fn end_contradiction_by_departure(
         &mut self,
+        now: Instant,
         server: &BackendServerId,
+        started_at_ms: u64,
         actions: &mut Vec<GuardAction>,
     ) {
+        let is_late =
+            started_at_ms != 0 && self.is_before_contradiction(now, server, started_at_ms);
         let known = self.contradiction.as_ref();
-        if known.is_some_and(|known| known.server == *server) {
+        if !is_late && known.is_some_and(|known| known.server == *server) {
             self.end_contradiction(actions);
         }
     }
 
-    /// Returns whether the server on this VM is shown to be of another service.
-    pub(super) fn is_contradicted(&self) -> bool {
-        self.contradiction
-            .as_ref()
-            .is_some_and(|known| known.proven)
+    /// Forgets the contradiction if its server has announced the service in the settings, or one
+    /// that started later has and its health can't be asked; otherwise asks which server is there.
+    pub(super) fn end_contradiction_by_announcement(
+        &mut self,
+        now: Instant,
+        announcement: &Announcement,
+        actions: &mut Vec<GuardAction>,
+    ) {
+        let Some(known) = &self.contradiction else {
+            return;
+        };
+        let is_own = known.server == announcement.server;
+        let is_later = announcement.started_at_ms > known.started_at_ms;
+        if is_own || (is_later && !self.has_health_path(&announcement.service)) {
+            return self.end_contradiction(actions);
+        }
+        if known.proven {
+            self.inquire_rival(now, announcement, actions);
+        }
     }
 }
--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -59,6 +59,12 @@
         self.inquiries.local_asked |= self.inquire(address, &service, actions);
     }
 
+    /// Returns whether the servers of a service can be asked for their health.
+    pub(super) fn has_health_path(&self, service: &ServiceId) -> bool {
+        let contract = self.view.services.get(service);
+        contract.is_some_and(|contract| !contract.health_path.is_empty())
+    }
+
     /// Asks for a server's health; returns whether its service has a health path.
     fn inquire(
         &self,
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -37,10 +37,7 @@
             });
             return;
         }
-        self.end_contradiction_of(&name, actions);
-        if self.is_contradicted() {
-            self.inquire_rival(now, &announcement, actions);
-        }
+        self.end_contradiction_by_announcement(now, &announcement, actions);
         if self.is_new_server(&announcement) {
             actions.push(GuardAction::ServerSeen(announcement.clone()));
         }
@@ -135,6 +132,10 @@
         if let Some(reason) = self.settings_contradiction(announcement) {
             return Some(reason);
         }
+        let started_at_ms = announcement.started_at_ms;
+        if self.is_before_contradiction(now, &announcement.server, started_at_ms) {
+            return Some(IgnoredBecause::EarlierIncarnation);
+        }
         let own = self.servers.get(&announcement.server);
         if own.is_some_and(|known| known.is_of_earlier_incarnation(announcement)) {
             return Some(IgnoredBecause::EarlierIncarnation);
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -120,7 +120,7 @@
                 server,
                 started_at_ms,
             } => {
-                self.end_contradiction_of(&server, &mut actions);
+                self.end_contradiction_by_departure(now, &server, started_at_ms, &mut actions);
                 self.handle_withdrawal(now, &server, started_at_ms, &mut actions);
             }
             GuardEvent::Domain { out } => self.set_domain_out(now, out, &mut actions),
--- a/src/guard/tests/contradiction.rs
+++ b/src/guard/tests/contradiction.rs
@@ -3,8 +3,9 @@
 use std::time::Instant;
 
 use super::announcement;
-use super::servers::{health, inquiring_guard};
+use super::servers::{health, inquiring_guard, withdrawn};
 use crate::guard::message::{Announcement, GuardAction, GuardEvent};
+use crate::guard::server::ServerState;
 use crate::guard::state::GuardState;
 use crate::settings::guard::GuardSettings;
 
@@ -93,3 +94,96 @@
     // Assert
     assert_eq!(contradicted(&actions), Some(false));
 }
+
+#[test]
+fn a_late_departure_of_an_earlier_incarnation_does_not_end_the_contradiction() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+
+    // Act
+    let actions = state.handle(now, withdrawn("n", 5));
+
+    // Assert
+    assert_eq!(contradicted(&actions), None);
+}
+
+#[test]
+fn a_late_announcement_of_an_earlier_incarnation_does_not_end_the_contradiction() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+    let earlier = GuardEvent::Announced(Announcement {
+        server: "n".into(),
+        started_at_ms: 5,
+        ..announcement()
+    });
+
+    // Act
+    let actions = state.handle(now, earlier);
+
+    // Assert
+    assert_eq!(contradicted(&actions), None);
+}
+
+#[test]
+fn the_server_in_the_settings_ends_the_contradiction_where_its_service_has_no_health_path() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+    state.handle(now, GuardEvent::View(Default::default()));
+    let own = |sequence| {
+        GuardEvent::Announced(Announcement {
+            started_at_ms: 20,
+            sequence,
+            ..announcement()
+        })
+    };
+
+    // Act
+    let first = state.handle(now, own(1));
+    let second = state.handle(now, own(2));
+
+    // Assert
+    let ended = contradicted(&first).or(contradicted(&second));
+    assert_eq!(ended, Some(false));
+}
+
+#[test]
+fn a_heartbeat_with_a_wrong_service_is_outweighed_by_the_next_right_one() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+    let right = GuardEvent::Announced(Announcement {
+        server: "n".into(),
+        started_at_ms: 9,
+        ..announcement()
+    });
+
+    // Act
+    let actions = state.handle(now, right);
+    state.handle(now, health("n", true));
+
+    // Assert
+    assert_eq!(contradicted(&actions), Some(false));
+    assert!(state.servers.values().any(ServerState::takes_work));
+}
+
+#[test]
+fn an_incarnation_that_contradicts_no_more_outranks_no_earlier_one() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = contradicted_guard(now);
+    let earlier = GuardEvent::Announced(Announcement {
+        server: "n".into(),
+        started_at_ms: 5,
+        ..announcement()
+    });
+    let later = now + state.announcement_ttl();
+
+    // Act
+    let actions = state.handle(later, earlier);
+
+    // Assert
+    assert_eq!(contradicted(&actions), Some(false));
+}
