Let a signal and the end of the daemon shorten the pause after incomplete reads of the settings

Callers were refused with `origin_unknown` for up to 2 s longer than needed when a signal announced the mended file, and the thread outlived the daemon's duties by as much: during the pause it took no messages. Requests and announcements still do not shorten it.

Evidence: the two tests, which fail before the change.

--- a/src/reload/duty.rs
+++ b/src/reload/duty.rs
@@ -1,9 +1,9 @@
 //! The thread that reads the settings file.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crossbeam::channel::{after, Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use smallvec::SmallVec;
 
 use super::state::{FileRead, ReloadAction, ReloadState, Trigger};
@@ -26,15 +26,11 @@
 pub fn run(mut context: ReloadContext, settings: Settings, messages: &Receiver<ReloadMessage>) {
     let mut state = ReloadState::new(settings);
     loop {
-        if state.is_incomplete() {
-            // Messages do not shorten this pause; an early end of it would do no harm.
-            let _ = after(state.next_check()).recv();
-        }
-        let limit = match state.is_incomplete() {
-            true => Duration::ZERO,
-            false => state.next_check(),
+        let wait = Wait {
+            limit: state.next_check(),
+            whole: state.is_incomplete(),
         };
-        let Some(wanted) = wait(messages, limit) else {
+        let Some(wanted) = wait.for_messages(messages) else {
             return;
         };
         let began_at = context.clock.now();
@@ -62,31 +58,56 @@
     waiting: SmallVec<[Sender<()>; 2]>,
 }
 
-/// Waits for the next reason to read the file, at most for `limit`, and takes all messages that have
-/// arrived, since one read serves them all. Returns `None` when the thread is to end.
-fn wait(messages: &Receiver<ReloadMessage>, limit: Duration) -> Option<Wanted> {
-    let mut wanted = Wanted {
-        trigger: Trigger::Check,
-        waiting: SmallVec::new(),
-    };
-    let first = match messages.recv_timeout(limit) {
-        Ok(message) => Some(message),
-        Err(RecvTimeoutError::Timeout) => None,
-        Err(RecvTimeoutError::Disconnected) => return None,
-    };
-    for message in first.into_iter().chain(messages.try_iter()) {
+/// A wait for the next reason to read the file.
+struct Wait {
+    /// Longest wait.
+    limit: Duration,
+    /// Whether only a signal shortens the wait, so that an incomplete file is not read at the rate of
+    /// the messages.
+    whole: bool,
+}
+
+impl Wait {
+    /// Waits, and takes all messages that have arrived, since one read serves them all. Returns
+    /// `None` when the thread is to end.
+    fn for_messages(&self, messages: &Receiver<ReloadMessage>) -> Option<Wanted> {
+        let mut wanted = Wanted {
+            trigger: Trigger::Check,
+            waiting: SmallVec::new(),
+        };
+        let until = Instant::now() + self.limit;
+        loop {
+            match messages.recv_deadline(until) {
+                Ok(message) => wanted.add(message)?,
+                Err(RecvTimeoutError::Timeout) => break,
+                Err(RecvTimeoutError::Disconnected) => return None,
+            }
+            if !self.whole || wanted.trigger == Trigger::Signal {
+                break;
+            }
+        }
+        for message in messages.try_iter() {
+            wanted.add(message)?;
+        }
+        Some(wanted)
+    }
+}
+
+impl Wanted {
+    /// Adds what a message asks for. Returns `None` when the thread is to end.
+    fn add(&mut self, message: ReloadMessage) -> Option<()> {
         let trigger = match message {
             ReloadMessage::Signal => Trigger::Signal,
             ReloadMessage::Confirm => Trigger::Confirm,
             ReloadMessage::Contradicted { done } => {
-                wanted.waiting.push(done);
+                self.waiting.push(done);
                 Trigger::Contradicted
             }
             ReloadMessage::Stop => return None,
         };
-        wanted.trigger = wanted.trigger.max(trigger);
+        self.trigger = self.trigger.max(trigger);
+        Some(())
     }
-    Some(wanted)
 }
 
 /// Carries out an action.
--- a/src/reload/tests.rs
+++ b/src/reload/tests.rs
@@ -1,9 +1,15 @@
 //! Tests of what follows from reads of the settings file.
 
+use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel::{bounded, unbounded, Receiver, Sender};
+
+use super::duty::{run, ReloadContext};
 use super::state::{FileRead, ReloadAction, ReloadState, Trigger};
-use super::{ServiceRead, SettingsSource};
+use super::{ReloadMessage, ServiceRead, SettingsSource, SettingsTarget};
+use crate::clock::SystemClock;
 use crate::settings::merge::Merged;
 use crate::settings::Settings;
 use crate::types::ServiceId;
@@ -172,3 +178,73 @@
     assert_eq!(reloading.state.next_check(), interval);
     assert!(interval > Duration::ZERO);
 }
+
+/// A daemon that passes on the times at which reads of its file ended.
+struct ReadTimes(Sender<Instant>);
+
+impl SettingsTarget for ReadTimes {
+    fn apply(&mut self, _: Settings) -> Vec<&'static str> {
+        Vec::new()
+    }
+
+    fn report_service(&mut self, read: ServiceRead) {
+        // The receiver is gone once the test has ended.
+        let _ = self.0.send(read.ended_at);
+    }
+}
+
+/// Reads of a missing file after which the pause is longer than `PROMPTLY`.
+const MISSING_COUNT: usize = 12;
+/// Time within which a message is handled that does not wait for the pause.
+const PROMPTLY: Duration = Duration::from_millis(150);
+
+/// Starts the thread on a missing file and returns once the pause between reads is long.
+fn start_missing() -> (Sender<ReloadMessage>, Receiver<Instant>, Receiver<()>) {
+    let (messages, receiver) = bounded(16);
+    let (times, read_times) = unbounded();
+    let (end, ended) = bounded(1);
+    let context = ReloadContext {
+        clock: Arc::new(SystemClock),
+        source: Box::new(NoFile),
+        target: Box::new(ReadTimes(times)),
+    };
+    thread::spawn(move || {
+        run(context, Settings::default(), &receiver);
+        drop(end);
+    });
+    messages.send(ReloadMessage::Confirm).expect("a thread");
+    assert_eq!(read_times.iter().take(MISSING_COUNT).count(), MISSING_COUNT);
+    (messages, read_times, ended)
+}
+
+#[test]
+fn a_signal_shortens_the_pause_after_incomplete_reads_and_a_request_does_not() {
+    // Arrange
+    let (messages, read_times, _ended) = start_missing();
+
+    // Act
+    messages.send(ReloadMessage::Confirm).expect("a thread");
+    let for_request = read_times.recv_timeout(PROMPTLY);
+    messages.send(ReloadMessage::Signal).expect("a thread");
+    let for_signal = read_times.recv_timeout(PROMPTLY / 3);
+
+    // Assert
+    assert!(for_request.is_err());
+    assert!(for_signal.is_ok());
+}
+
+#[test]
+fn the_end_of_the_daemon_does_not_wait_for_the_pause_after_incomplete_reads() {
+    // Arrange
+    let (messages, _read_times, ended) = start_missing();
+
+    // Act
+    messages.send(ReloadMessage::Stop).expect("a thread");
+    let ended = ended.recv_timeout(PROMPTLY);
+
+    // Assert
+    assert_eq!(
+        ended,
+        Err(crossbeam::channel::RecvTimeoutError::Disconnected)
+    );
+}
