--- a/src/routing/admission.rs
+++ b/src/routing/admission.rs
@@ -56,6 +56,7 @@
         match self.origin.at(context.clock.now(), arrival) {
             OriginAt::Known(origin) => self.dispatch(request, origin),
             OriginAt::Unknown => self.refuse(request, ErrorKind::OriginUnknown),
+            OriginAt::Unconfirmed if self.ending => self.refuse(request, ErrorKind::Stopping),
             OriginAt::Unconfirmed => {
                 self.unnamed.push_back(request);
                 self.ask_for_read();
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -82,6 +82,8 @@
     pub(super) origin: Origin,
     /// Requests that wait for a read of the settings, in the order of their arrival.
     pub(super) unnamed: VecDeque<Unnamed>,
+    /// Whether the process is about to end, so that no request waits any more.
+    pub(super) ending: bool,
     /// Whether a read of the settings was asked for and has not ended.
     pub(super) read_pending: bool,
     /// Offset up to which the configuration was read.
@@ -108,6 +110,7 @@
             context.reload.is_some(),
         ),
         unnamed: VecDeque::new(),
+        ending: false,
         read_pending: false,
         view: 0,
         left: Reports::default(),
@@ -182,7 +185,10 @@
                 let service = server.map_or_else(|| "".into(), |server| server.service.clone());
                 self.change_origin(|origin| origin.announce(service));
             }
-            RoutingEvent::Ending => self.refuse_unnamed(ErrorKind::Stopping),
+            RoutingEvent::Ending => {
+                self.ending = true;
+                self.refuse_unnamed(ErrorKind::Stopping);
+            }
             _ => {}
         }
     }
