Give answers from the deciding thread instead of two pools of sixteen

A daemon ran 32 threads that only passed answers and refusals on. They stood from the time when writing an answer waited for its caller. Since the listener owns its connections, `Exchange::answer` puts the answer into a channel and returns, so no caller can hold up the thread that answers.

Also one thread instead of two takes requests from each listener: it checks one head at a time, and the next stage is a single thread as well.

Ruled out: smaller pools, since nothing is left for them to wait on.

Test: 100 callers that read nothing of 8 MiB each, answered by one thread, delay no other caller.

--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -18,22 +18,17 @@
 use crate::front::{self, FrontMessage};
 use crate::link::PeerName;
 use crate::reload::ReloadMessage;
-use crate::ring::{ring, spawn_duty, RingSender};
+use crate::ring::{spawn_duty, RingSender};
 use crate::routing::forward::GuardCallContext;
 use crate::routing::least_loaded::LeastLoaded;
 use crate::routing::{self, RoutingMessage};
 use crate::wire::client::HttpClient;
 use crate::wire::listener::HttpListener;
 
-/// Threads that write answers, for each ring of answers.
-const ANSWER_THREAD_COUNT: usize = 16;
-/// Threads that take requests from one listener.
-pub(super) const ACCEPT_THREAD_COUNT: usize = 2;
-
 /// Receiving ends of the rings of front and routing.
 pub(super) type EntryReceivers = (Receiver<FrontMessage>, Receiver<RoutingMessage>);
 
-/// Starts front and routing with the threads that accept requests and write answers. `drained` is
+/// Starts front and routing with the thread that accepts requests. `drained` is
 /// signalled once after the drain, when no request is left. `reload` is `None` if no file of the
 /// settings is read.
 pub(super) fn start_entry(
@@ -47,20 +42,15 @@
     let settings = &shared.settings;
     let (front_receiver, routing_receiver) = receivers;
     let mut threads = Vec::new();
-    let (answers, answers_receiver) = ring("answer", settings.front.ring_count, &shared.metrics);
-    for index in 0..ACCEPT_THREAD_COUNT {
-        let context = front::accept::AcceptContext {
-            settings: settings.front.clone(),
-            listener: listener.clone(),
-            clock: shared.clock.clone(),
-            metrics: shared.metrics.clone(),
-            dialect: shared.dialect.clone(),
-            front: rings.front.clone(),
-        };
-        threads.push(spawn_duty(&format!("accept-{index}"), move || {
-            front::accept::run(&context)
-        }));
-    }
+    let context = front::accept::AcceptContext {
+        settings: settings.front.clone(),
+        listener: listener.clone(),
+        clock: shared.clock.clone(),
+        metrics: shared.metrics.clone(),
+        dialect: shared.dialect.clone(),
+        front: rings.front.clone(),
+    };
+    threads.push(spawn_duty("accept", move || front::accept::run(&context)));
     let context = front::duty::FrontContext {
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
@@ -68,7 +58,6 @@
         dialect: shared.dialect.clone(),
         allowance: rings.allowance.clone(),
         routing: rings.routing.clone(),
-        answers: answers.clone(),
     };
     threads.push(spawn_duty("front", move || {
         front::duty::run(&context, &front_receiver)
@@ -97,7 +86,6 @@
         upload_limit_count: settings.front.upload_worker_count,
         feed: rings.feed.clone(),
         guard: rings.guard.clone(),
-        answers,
         peers: Arc::new(FleetCaller {
             own: settings.daemon.daemon.clone(),
             rings: rings.clone(),
@@ -113,7 +101,6 @@
     threads.push(spawn_duty("routing", move || {
         routing::duty::run(&context, choice, &routing_receiver)
     }));
-    threads.extend(start_answers("answer", &answers_receiver));
     threads
 }
 
@@ -145,17 +132,3 @@
         allowance::duty::run(context, &allowance_receiver)
     })
 }
-
-/// Starts the threads that write the answers of one ring. Their names begin with `name`.
-pub(super) fn start_answers(
-    name: &str,
-    jobs: &Receiver<front::duty::AnswerJob>,
-) -> Vec<JoinHandle<()>> {
-    let start = |index: usize| {
-        let jobs = jobs.clone();
-        spawn_duty(&format!("{name}-{index}"), move || {
-            front::duty::write_answers(&jobs)
-        })
-    };
-    (0..ANSWER_THREAD_COUNT).map(start).collect()
-}
--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -7,7 +7,6 @@
 
 use crossbeam::channel::{Receiver, Sender};
 
-use super::entry::{start_answers, ACCEPT_THREAD_COUNT};
 use super::health::HealthSender;
 use super::rings::RingSenders;
 use super::shared::SharedResources;
@@ -28,24 +27,19 @@
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &shared.settings;
-    let (answers, answers_receiver) = ring("refuse", settings.guard.ring_count, &shared.metrics);
     let (cancels, cancels_receiver) = ring("cancel", CANCEL_RING_COUNT, &shared.metrics);
     let view = Arc::new(AtomicU64::default());
     let mut threads = Vec::new();
-    for index in 0..ACCEPT_THREAD_COUNT {
-        let context = guard::accept::AcceptContext {
-            listener: listener.clone(),
-            key: shared.key.clone(),
-            clock: shared.clock.clone(),
-            metrics: shared.metrics.clone(),
-            guard: rings.guard.clone(),
-            view: view.clone(),
-            feed: rings.feed.clone(),
-        };
-        threads.push(spawn_duty(&format!("guard-in-{index}"), move || {
-            guard::accept::run(&context)
-        }));
-    }
+    let context = guard::accept::AcceptContext {
+        listener: listener.clone(),
+        key: shared.key.clone(),
+        clock: shared.clock.clone(),
+        metrics: shared.metrics.clone(),
+        guard: rings.guard.clone(),
+        view: view.clone(),
+        feed: rings.feed.clone(),
+    };
+    threads.push(spawn_duty("guard-in", move || guard::accept::run(&context)));
     let context = guard::duty::GuardContext {
         settings: settings.guard.clone(),
         daemon: settings.daemon.daemon.clone(),
@@ -64,7 +58,6 @@
             reuse_idle_once: Duration::from_millis(settings.guard.reuse_idle_once_ms),
         },
         cancels,
-        answers,
         outcomes: Box::new(HealthSender(rings.health.clone())),
         membership: rings.membership.clone(),
         own_ring: rings.guard.clone(),
@@ -80,7 +73,6 @@
     threads.push(spawn_duty("cancel", move || {
         guard::cancel::run(&metrics, &cancels_receiver)
     }));
-    threads.extend(start_answers("refuse", &answers_receiver));
     threads
 }
 
--- a/src/front/duty.rs
+++ b/src/front/duty.rs
@@ -1,4 +1,4 @@
-//! The front's thread, and the body of the threads that write answers.
+//! The front's thread.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,15 +17,7 @@
 use crate::routing::RoutingMessage;
 use crate::types::RequestId;
 use crate::wire::dialect::Dialect;
-use crate::wire::exchange::{Exchange, WholeAnswer};
-
-/// An answer to be written to its exchange.
-pub struct AnswerJob {
-    /// Exchange that takes the answer.
-    pub exchange: Box<dyn Exchange>,
-    /// Answer to be written to it.
-    pub answer: WholeAnswer,
-}
+use crate::wire::exchange::Exchange;
 
 /// Dependencies of the front's thread.
 pub struct FrontContext {
@@ -41,8 +33,6 @@
     pub allowance: RingSender<AllowanceMessage>,
     /// Ring of routing, which takes admitted requests.
     pub routing: RingSender<RoutingMessage>,
-    /// Ring of the threads that write answers.
-    pub answers: RingSender<AnswerJob>,
 }
 
 /// A request that waits for a decision, with its exchange.
@@ -106,7 +96,7 @@
                 exchange,
             };
             if let Err(RoutingMessage::Dispatch { exchange, .. }) = context.routing.offer(message) {
-                send_answer(context, exchange, refused);
+                exchange.answer(refused);
             }
         }
         FrontAction::Drained => context.routing.deliver(RoutingMessage::Drain),
@@ -143,7 +133,7 @@
         );
         audit_refusal(context, &head, kind);
         let refused = context.dialect.refusal(head.answer_to(), kind, retry_after);
-        send_answer(context, exchange, refused);
+        exchange.answer(refused);
     }
 }
 
@@ -163,18 +153,3 @@
         ],
     });
 }
-
-/// Passes an answer to the writer threads, or writes it here if their ring is full.
-fn send_answer(context: &FrontContext, exchange: Box<dyn Exchange>, answer: WholeAnswer) {
-    if let Err(job) = context.answers.offer(AnswerJob { exchange, answer }) {
-        context.metrics.count("front.answer.inline");
-        job.exchange.answer(job.answer);
-    }
-}
-
-/// Writes answers until the ring closes.
-pub fn write_answers(jobs: &Receiver<AnswerJob>) {
-    for job in jobs {
-        job.exchange.answer(job.answer);
-    }
-}
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -17,7 +17,6 @@
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::front::answer::refusal;
-use crate::front::duty::AnswerJob;
 use crate::health::{request_end, OutcomeObserver, StartedRequest};
 use crate::link::{LinkMessage, PeerReply};
 use crate::membership::{Fleet, MembershipEvent};
@@ -49,8 +48,6 @@
     pub forward: ServerCallContext,
     /// Ring of the thread that sends cancellations to servers.
     pub cancels: RingSender<CancelJob>,
-    /// Ring of the threads that write refusals.
-    pub answers: RingSender<AnswerJob>,
     /// Receives the starts and ends of requests, to detect unhealthy servers.
     pub outcomes: Box<dyn OutcomeObserver>,
     /// Ring of membership, which spreads the servers on this VM.
@@ -380,10 +377,6 @@
             retry_after_ms;
             "guard_refused"
         );
-        let answer = refusal(key.0, kind, retry_after);
-        if let Err(job) = self.context.answers.offer(AnswerJob { exchange, answer }) {
-            metrics.count("guard.answer.inline");
-            job.exchange.answer(job.answer);
-        }
+        exchange.answer(refusal(key.0, kind, retry_after));
     }
 }
--- a/src/guard/tests/disconnects.rs
+++ b/src/guard/tests/disconnects.rs
@@ -72,7 +72,6 @@
             reuse_idle_once: GIVE_UP,
         },
         cancels: cancels_ring,
-        answers: ring("refuse", 8, &metrics).0,
         outcomes: Box::new(NoObserver),
         membership,
         own_ring: own_ring.clone(),
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -16,7 +16,6 @@
 use crate::clock::Clock;
 use crate::error::ErrorKind;
 use crate::feed::{FeedEvent, FeedMessage};
-use crate::front::duty::AnswerJob;
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::link::PeerCaller;
 use crate::metrics::Metrics;
@@ -56,8 +55,6 @@
     pub feed: RingSender<FeedMessage>,
     /// Ring of the guard on this VM.
     pub guard: RingSender<GuardMessage>,
-    /// Ring of the threads that write answers to callers.
-    pub answers: RingSender<AnswerJob>,
     /// Calls guards and homes of idempotency keys at other daemons.
     pub peers: Arc<dyn PeerCaller>,
     /// Ring of this thread itself, through which answers of peers arrive.
@@ -353,9 +350,5 @@
     context.metrics.time("routing.request", elapsed);
     let by_service = format!("routing.request.{}", held.service);
     context.metrics.time(&by_service, elapsed);
-    let exchange = held.exchange;
-    if let Err(job) = context.answers.offer(AnswerJob { exchange, answer }) {
-        context.metrics.count("routing.answer.inline");
-        job.exchange.answer(job.answer);
-    }
+    held.exchange.answer(answer);
 }
--- a/src/routing/tests/duty.rs
+++ b/src/routing/tests/duty.rs
@@ -112,7 +112,6 @@
         upload_limit_count: 8,
         feed,
         guard: ring("guard", 8, &metrics).0,
-        answers: ring("answer", 8, &metrics).0,
         peers: Arc::new(NoPeers),
         own_ring: own_ring.clone(),
         drained: bounded(1).0,
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -175,3 +175,53 @@
     // Assert
     assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
 }
+
+/// Callers that ask for a long answer and read nothing of it.
+const STALLED_COUNT: usize = 100;
+/// Length of an answer that no socket buffer holds.
+const LONG_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+#[test]
+fn callers_that_read_nothing_hold_up_no_other_and_no_thread_that_answers() {
+    // Arrange: one thread answers all requests.
+    let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener =
+        Arc::new(HttpListener::bind(free_port, ListenerOptions::default()).expect("a free port"));
+    let served = listener.clone();
+    let long = bytes::Bytes::from(vec![b'x'; LONG_ANSWER_BYTES]);
+    std::thread::spawn(move || {
+        while let Some((head, exchange)) = served.next() {
+            let whole = || bytes::Bytes::from_static(b"whole");
+            exchange.answer(WholeAnswer {
+                status: 200,
+                body: match head.target.as_str() {
+                    "/long" => long.clone(),
+                    _ => whole(),
+                },
+                ..Default::default()
+            });
+        }
+    });
+    let address = listener.address();
+    let ask_for_long_answer = |_| {
+        let mut stream = TcpStream::connect(address).expect("the listener accepts");
+        stream
+            .write_all(b"GET /long HTTP/1.1\r\nhost: x\r\n\r\n")
+            .expect("the request is sent");
+        stream
+    };
+    let stalled: Vec<TcpStream> = (0..STALLED_COUNT).map(ask_for_long_answer).collect();
+    for stream in &stalled {
+        // The first bytes have come, so the answer was given.
+        stream.set_read_timeout(Some(WAIT_LIMIT)).expect("a timeout");
+        assert!(matches!(stream.peek(&mut [0; 1]), Ok(1)));
+    }
+
+    // Act
+    let mut other = TcpStream::connect(address).expect("the listener accepts");
+    let answered = is_answered(&mut other);
+
+    // Assert
+    assert!(answered);
+    drop(stalled);
+}
