--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -22,7 +22,6 @@
 use crate::routing::forward::GuardCallContext;
 use crate::routing::least_loaded::LeastLoaded;
 use crate::routing::{self, RoutingMessage};
-use crate::wire::client::HttpClient;
 use crate::wire::listener::HttpListener;
 
 /// Receiving ends of the rings of front and routing.
@@ -70,10 +69,7 @@
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
         dialect: shared.dialect.clone(),
-        caller: Arc::new(HttpClient::start_with_budget(
-            "forward",
-            shared.answers.clone(),
-        )),
+        caller: shared.caller.clone(),
         forward: GuardCallContext {
             daemon: settings.daemon.daemon.clone(),
             key: shared.key.clone(),
--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -22,7 +22,7 @@
 use crate::membership::duty::{FleetReader, MembershipCaller};
 use crate::membership::{self, CallTarget, DaemonEntry, MembershipCall, MembershipEvent, Ticket};
 use crate::operator::{OperatorEvent, OperatorMessage};
-use crate::ring::{spawn_duty, RingSender};
+use crate::ring::{spawn_duty, RingSender, TaskReceiver};
 use crate::routing::{RoutingEvent, RoutingMessage};
 
 /// Publishes the description of this daemon to the fleet.
@@ -226,7 +226,7 @@
     shared: &SharedResources,
     rings: &RingSenders,
     listener: TcpListener,
-    messages: Receiver<LinkMessage>,
+    messages: TaskReceiver<LinkMessage>,
     reads_feed: bool,
 ) -> JoinHandle<()> {
     let context = link::duty::LinkContext {
--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -9,7 +9,7 @@
 use crate::wire::dialect::{AnsweredRequest, Dialect};
 use crate::wire::exchange::{RawHead, WholeAnswer};
 use crate::wire::http::header;
-use crate::wire::listener::{HttpListener, ListenerOptions, Refusals};
+use crate::wire::listener::{BoundListener, HttpListener, ListenerOptions, Refusals};
 use crate::wire::memory_budget::MemoryBudget;
 
 /// Most bytes that are held of announcements, readiness checks and scrapes.
@@ -67,19 +67,28 @@
             budget: budget("control", CONTROL_HELD_LIMIT_BYTES),
             ..Default::default()
         };
-        let bind_optional = |address: Option<SocketAddr>| {
-            let bind = |address| HttpListener::bind(address, control.clone());
-            Ok::<_, eyre::Report>(address.map(bind).transpose()?.map(Arc::new))
-        };
         let link = link::duty::bind(settings.link.address)?;
         let guard = &settings.guard;
+        let front = BoundListener::bind(settings.front.address, to_callers)?;
+        let attempts = BoundListener::bind(guard.address, between_daemons)?;
+        let mut controls = vec![
+            BoundListener::bind(guard.announce_address, control.clone())?,
+            BoundListener::bind(settings.operator.address, to_operators)?,
+        ];
+        let ready = settings.ready.address;
+        let metrics = settings.ready.metrics_address;
+        for address in [ready, metrics].into_iter().flatten() {
+            controls.push(BoundListener::bind(address, control.clone())?);
+        }
+        let mut controls = start("http-control", controls);
+        let mut next = || controls.next().expect("one handle for each bound listener");
         Ok(Listeners {
-            front: Arc::new(HttpListener::bind(settings.front.address, to_callers)?),
-            guard: Arc::new(HttpListener::bind(guard.address, between_daemons)?),
-            announce: Arc::new(HttpListener::bind(guard.announce_address, control.clone())?),
-            operator: Arc::new(HttpListener::bind(settings.operator.address, to_operators)?),
-            ready: bind_optional(settings.ready.address)?,
-            metrics: bind_optional(settings.ready.metrics_address)?,
+            front: start_one("http-front", front),
+            guard: start_one("http-guard", attempts),
+            announce: next(),
+            operator: next(),
+            ready: ready.map(|_| next()),
+            metrics: metrics.map(|_| next()),
             link_address: link.local_addr()?,
             link,
         })
@@ -97,6 +106,18 @@
     }
 }
 
+/// Starts one thread that serves these listeners, and returns their handles in order.
+fn start(name: &str, bound: Vec<BoundListener>) -> impl Iterator<Item = Arc<HttpListener>> {
+    HttpListener::start(name, bound).into_iter().map(Arc::new)
+}
+
+/// Starts a thread that serves one listener.
+fn start_one(name: &str, bound: BoundListener) -> Arc<HttpListener> {
+    start(name, vec![bound])
+        .next()
+        .expect("one handle for each bound listener")
+}
+
 /// Refusals that the front's listener answers itself, in the dialect of the callers.
 struct CallerRefusals(Arc<dyn Dialect>);
 
--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -13,11 +13,10 @@
 use crate::guard::announce::AnnouncementDialect;
 use crate::guard::{self, GuardMessage};
 use crate::reload::ReloadMessage;
-use crate::ring::{ring, spawn_duty, RingSender};
-use crate::wire::client::HttpClient;
+use crate::ring::{spawn_duty, RingSender};
 use crate::wire::listener::HttpListener;
 
-/// Starts the guard with the threads that accept attempts, cancel calls and write refusals.
+/// Starts the guard with the thread that accepts attempts.
 /// `drained` is signalled once after the drain, when nothing runs or waits.
 pub(super) fn start_guard(
     shared: &SharedResources,
@@ -27,7 +26,6 @@
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &shared.settings;
-    let (cancels, cancels_receiver) = ring("cancel", CANCEL_RING_COUNT, &shared.metrics);
     let view = Arc::new(AtomicU64::default());
     let mut threads = Vec::new();
     let context = guard::accept::AcceptContext {
@@ -46,10 +44,7 @@
         incarnation: shared.incarnation,
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
-        caller: Arc::new(HttpClient::start_with_budget(
-            "call",
-            shared.answers.clone(),
-        )),
+        caller: shared.caller.clone(),
         forward: guard::forward::ServerCallContext {
             dialect: shared.dialect.clone(),
             connect_timeout: Duration::from_millis(settings.guard.connect_timeout_ms),
@@ -57,7 +52,6 @@
             reuse_idle: Duration::from_millis(settings.guard.reuse_idle_ms),
             reuse_idle_once: Duration::from_millis(settings.guard.reuse_idle_once_ms),
         },
-        cancels,
         outcomes: Box::new(HealthSender(rings.health.clone())),
         membership: rings.membership.clone(),
         own_ring: rings.guard.clone(),
@@ -69,16 +63,9 @@
     threads.push(spawn_duty("guard", move || {
         guard::duty::run(&context, &messages)
     }));
-    let metrics = shared.metrics.clone();
-    threads.push(spawn_duty("cancel", move || {
-        guard::cancel::run(&metrics, &cancels_receiver)
-    }));
     threads
 }
 
-/// Cancellations that may wait to be sent to backend servers.
-const CANCEL_RING_COUNT: usize = 256;
-
 /// Starts the thread that receives the announcements of backend servers. `reload` is `None` if no
 /// file of the settings is read.
 pub(super) fn start_announce(
--- a/src/daemon/reload/tests.rs
+++ b/src/daemon/reload/tests.rs
@@ -16,8 +16,8 @@
 use crate::routing::RoutingMessage;
 use crate::settings::merge::Merged;
 use crate::settings::Settings;
+use crate::wire::client::HttpClient;
 use crate::wire::dialect::FleetDialect;
-use crate::wire::memory_budget::MemoryBudget;
 use crate::wire::proof::FleetKey;
 
 /// Far longer than any step takes; only a failing test waits so long.
@@ -61,7 +61,7 @@
         clock: Arc::new(SystemClock),
         audit: Arc::new(NoAudit),
         audit_events: ring("audit", 1, &metrics).0,
-        answers: MemoryBudget::new("answers", 0, metrics.clone()),
+        caller: Arc::new(HttpClient::start("test-call")),
         metrics,
         dialect: Arc::new(FleetDialect),
         incarnation: 1,
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -15,7 +15,7 @@
 use crate::operator::OperatorMessage;
 use crate::ready::ReadyEvent;
 use crate::reload::ReloadMessage;
-use crate::ring::{ring, RingSender};
+use crate::ring::{ring, task_ring, RingSender, TaskReceiver};
 use crate::routing::RoutingMessage;
 
 /// Sending ends of the rings, one for each duty that receives events.
@@ -51,7 +51,7 @@
     pub(super) membership: Receiver<MembershipEvent>,
     pub(super) membership_calls: Receiver<MembershipCall>,
     pub(super) journal: Receiver<JournalEvent>,
-    pub(super) link: Receiver<LinkMessage>,
+    pub(super) link: TaskReceiver<LinkMessage>,
     pub(super) idempotency: Receiver<IdempotencyMessage>,
     pub(super) operator: Receiver<OperatorMessage>,
     pub(super) feed: Receiver<FeedMessage>,
@@ -75,7 +75,7 @@
     let (journal, journal_receiver) = ring("journal", JOURNAL_RING_COUNT, metrics);
     let idempotency_count = settings.idempotency.ring_count;
     let (idempotency, idempotency_receiver) = ring("idempotency", idempotency_count, metrics);
-    let (link, link_receiver) = ring("link", settings.link.ring_count, metrics);
+    let (link, link_receiver) = task_ring("link", settings.link.ring_count, metrics);
     let (operator, operator_receiver) = ring("operator", settings.operator.ring_count, metrics);
     let (feed, feed_receiver) = ring("feed", settings.feed.ring_count, metrics);
     let (ready, ready_receiver) = ring("ready", READY_RING_COUNT, metrics);
--- a/src/daemon/shared.rs
+++ b/src/daemon/shared.rs
@@ -8,8 +8,8 @@
 use crate::ring::RingSender;
 use crate::settings::Settings;
 use crate::types::Incarnation;
+use crate::wire::client::Caller;
 use crate::wire::dialect::Dialect;
-use crate::wire::memory_budget::MemoryBudget;
 use crate::wire::proof::FleetKey;
 
 /// Settings, keys, clock and sinks that the start functions pass on to the duties.
@@ -28,8 +28,8 @@
     pub(super) audit_events: RingSender<AuditEvent>,
     /// HTTP dialect that callers and backend servers use.
     pub(super) dialect: Arc<dyn Dialect>,
-    /// Budget of the answers that the daemon holds, from backend servers and from guards.
-    pub(super) answers: MemoryBudget,
+    /// Makes the calls to guards and backend servers. Their answers share a memory budget.
+    pub(super) caller: Arc<dyn Caller>,
     /// Incarnation that the daemon starts with. If membership raises it, snapshots of the fleet carry
     /// the later one.
     pub(super) incarnation: Incarnation,
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -45,6 +45,7 @@
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::Settings;
 use crate::types::Incarnation;
+use crate::wire::client::HttpClient;
 use crate::wire::listener::HttpListener;
 use crate::wire::memory_budget::MemoryBudget;
 use crate::wire::proof::FleetKey;
@@ -104,10 +105,11 @@
     let answers_bytes = settings
         .daemon
         .memory_share_bytes(settings.front.answer_memory_share);
+    let answers = MemoryBudget::new("answers", answers_bytes, metrics.clone());
     let shared = SharedResources {
         key: FleetKey::new(&settings.daemon.fleet_secret),
         clock: Arc::new(SystemClock),
-        answers: MemoryBudget::new("answers", answers_bytes, metrics.clone()),
+        caller: Arc::new(HttpClient::start_with_budget("call", answers)),
         metrics,
         audit: Arc::new(audit),
         audit_events,
@@ -191,7 +193,7 @@
         (receivers.membership, receivers.membership_calls),
     ));
     threads.push(start_audit(&shared, &rings, audit_events_receiver));
-    threads.extend(start_ready(&shared, &listeners, receivers.ready));
+    threads.push(start_ready(&shared, &listeners, receivers.ready));
     let served = listeners.http_listeners();
     let link = listeners.link;
     threads.push(start_link(
@@ -320,26 +322,21 @@
     })
 }
 
-/// Starts the threads that answer readiness checks and export the metrics, if the settings name
-/// their addresses.
+/// Starts the thread that answers readiness checks and exports the metrics. It ends at once if the
+/// settings name no address for either.
 fn start_ready(
     shared: &SharedResources,
     listeners: &Listeners,
     events: Receiver<ReadyEvent>,
-) -> Vec<JoinHandle<()>> {
-    let mut threads = Vec::new();
-    if let Some(listener) = listeners.ready.clone() {
-        threads.push(spawn_duty("ready", move || {
-            ready::duty::run(&listener, &events);
-        }));
-    }
-    if let Some(listener) = listeners.metrics.clone() {
-        let metrics = shared.metrics.clone();
-        threads.push(spawn_duty("metrics", move || {
-            ready::duty::run_metrics(&listener, &metrics);
-        }));
-    }
-    threads
+) -> JoinHandle<()> {
+    let listeners = ready::duty::ReadyListeners {
+        checks: listeners.ready.clone(),
+        scrapes: listeners.metrics.clone(),
+    };
+    let metrics = shared.metrics.clone();
+    spawn_duty("ready", move || {
+        ready::duty::run(&listeners, &events, &metrics)
+    })
 }
 
 /// The linger time is at most the shutdown's limit divided by this, so that requests that are taken
--- a/src/guard/cancel.rs
+++ b/src/guard/cancel.rs
@@ -1,36 +1,29 @@
-//! Thread that cancels requests at backend servers when nobody waits for them any more.
+//! Call that cancels a request at its backend server when nobody waits for it any more.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use attohttpc::Method;
-use crossbeam::channel::Receiver;
-
-use crate::metrics::Metrics;
-use crate::wire::http::request_builder;
+use crate::wire::client::{Call, OutgoingBody};
 
 /// Longest wait for the connection to a server, and for its answer.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Greatest length of the answer, whose body is not used.
+const ANSWER_LIMIT_BYTES: usize = 64 * 1024;
 
-/// A request to be cancelled at its server.
-pub struct CancelJob {
-    /// Path of the DELETE request that names the request to cancel.
-    pub path: String,
-    /// Address at which the server takes requests.
-    pub address: SocketAddr,
-}
-
-/// Sends cancellations until the ring closes.
-pub fn run(metrics: &Metrics, jobs: &Receiver<CancelJob>) {
-    for job in jobs {
-        let url = format!("http://{}{}", job.address, job.path);
-        let cancelled =
-            request_builder(Method::DELETE, &url, CANCEL_TIMEOUT, CANCEL_TIMEOUT).send();
-        let name = if cancelled.is_ok() {
-            "guard.cancel.told"
-        } else {
-            "guard.cancel.failed"
-        };
-        metrics.count(name);
+/// Returns the call that cancels the request of this path at a server.
+pub(super) fn cancel_call(address: SocketAddr, path: String, now: Instant) -> Call {
+    Call {
+        address,
+        method: "DELETE".to_owned(),
+        target: path,
+        host: None,
+        headers: Vec::new(),
+        body: OutgoingBody::Whole(Default::default()),
+        connect_timeout: CANCEL_TIMEOUT,
+        deadline_at: now + 2 * CANCEL_TIMEOUT,
+        answer_limit_bytes: ANSWER_LIMIT_BYTES,
+        reuse_idle: Duration::ZERO,
+        reconnect_check: false,
+        check: None,
     }
 }
--- a/src/guard/disconnects.rs
+++ b/src/guard/disconnects.rs
@@ -1,12 +1,13 @@
 //! What the guard's thread does when an entry daemon closes its connection.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::cancel::CancelJob;
+use super::cancel::cancel_call;
 use super::duty::GuardDuty;
 use super::message::{AttemptKey, GuardEvent, GuardMessage, ServerOutcome};
-use crate::wire::exchange::Exchange;
+use crate::wire::client::CallError;
+use crate::wire::exchange::{Exchange, WholeAnswer};
 
 impl GuardDuty<'_> {
     /// Watches whether the entry daemon closes its connection.
@@ -31,10 +32,7 @@
         repeatable: bool,
     ) {
         if let Some(path) = self.context.forward.dialect.cancel_path(key.0) {
-            let job = CancelJob { path, address };
-            if self.context.cancels.offer(job).is_err() {
-                self.context.metrics.count("guard.cancel.dropped");
-            }
+            self.send_cancellation(address, path);
             return;
         }
         if !repeatable || !self.calls.contains_key(&key) {
@@ -47,4 +45,22 @@
             elapsed: Duration::ZERO,
         });
     }
+    /// Sends a cancellation to a server without waiting for its answer, which is only counted.
+    fn send_cancellation(&self, address: SocketAddr, path: String) {
+        let metrics = self.context.metrics.clone();
+        let told = Box::new(move |result: Result<WholeAnswer, CallError>| {
+            metrics.count(match result {
+                Ok(_) => "guard.cancel.told",
+                Err(_) => "guard.cancel.failed",
+            });
+        });
+        match self
+            .context
+            .caller
+            .call(cancel_call(address, path, Instant::now()), told)
+        {
+            Ok(call) => call.detach(),
+            Err(_) => self.context.metrics.count("guard.cancel.dropped"),
+        }
+    }
 }
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -7,7 +7,6 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 
-use super::cancel::CancelJob;
 use super::forward::{self, ServerCallContext, StartJob};
 use super::log::{log_announcement_ignored, log_call_end, log_server_seen, log_servers, LogName};
 use super::message::{
@@ -42,12 +41,10 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and timings of the guard.
     pub metrics: Metrics,
-    /// Makes the calls to the servers.
+    /// Makes the calls to the servers, cancellations included.
     pub caller: Arc<dyn Caller>,
     /// Settings and dialect of the calls to the servers.
     pub forward: ServerCallContext,
-    /// Ring of the thread that sends cancellations to servers.
-    pub cancels: RingSender<CancelJob>,
     /// Receives the starts and ends of requests, to detect unhealthy servers.
     pub outcomes: Box<dyn OutcomeObserver>,
     /// Ring of membership, which spreads the servers on this VM.
--- a/src/guard/tests/disconnects.rs
+++ b/src/guard/tests/disconnects.rs
@@ -1,13 +1,13 @@
 //! Tests of the guard's thread: what it does when entry daemons close their connections.
 
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{bounded, Receiver};
+use crossbeam::channel::bounded;
 
 use super::{forward_head, INCARNATION};
-use crate::guard::cancel::CancelJob;
 use crate::guard::duty::{run, GuardContext};
 use crate::guard::forward::ServerCallContext;
 use crate::guard::message::{Announcement, GuardEvent, GuardMessage};
@@ -43,8 +43,6 @@
     ring: RingSender<GuardMessage>,
     /// Clock of the thread.
     clock: Arc<PausedClock>,
-    /// Cancellations for the server.
-    cancels: Receiver<CancelJob>,
     /// Listener of the server.
     server: TcpListener,
 }
@@ -55,7 +53,6 @@
     let address: SocketAddr = server.local_addr().expect("an address");
     let metrics = Metrics::local();
     let (own_ring, messages) = ring("guard", 1, &metrics);
-    let (cancels_ring, cancels) = ring("cancel", 8, &metrics);
     let (membership, reports) = ring("membership", 8, &metrics);
     let clock = Arc::new(PausedClock::default());
     let context = GuardContext {
@@ -71,7 +68,6 @@
             reuse_idle: GIVE_UP,
             reuse_idle_once: GIVE_UP,
         },
-        cancels: cancels_ring,
         outcomes: Box::new(NoObserver),
         membership,
         own_ring: own_ring.clone(),
@@ -93,7 +89,6 @@
     Guard {
         ring: own_ring,
         clock,
-        cancels,
         server,
     }
 }
@@ -135,7 +130,13 @@
     drop(paused);
 
     // Assert
-    assert!(guard.cancels.recv_timeout(GIVE_UP).is_ok());
+    let (mut cancellation, _) = guard.server.accept().expect("a second call");
+    cancellation
+        .set_read_timeout(Some(GIVE_UP))
+        .expect("a socket option");
+    let mut method = [0; 7];
+    cancellation.read_exact(&mut method).expect("a request");
+    assert_eq!(&method, b"DELETE ");
 }
 
 #[test]
--- a/src/link/duty.rs
+++ b/src/link/duty.rs
@@ -8,9 +8,6 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use crossbeam::channel::Receiver;
-use futures::channel::mpsc;
-use futures::{SinkExt, StreamExt};
 
 use super::accepted::Acceptor;
 use super::caller::{Caller, PeerKey};
@@ -18,7 +15,7 @@
 use super::message::{LinkMessage, PeerHandler, PeerName};
 use super::reply::PendingReply;
 use crate::metrics::Metrics;
-use crate::ring::spawn_duty;
+use crate::ring::TaskReceiver;
 use crate::settings::link::LinkSettings;
 use crate::wire::proof::FleetKey;
 
@@ -43,29 +40,9 @@
 }
 
 /// Runs the link until it receives `LinkMessage::Stop` or the ring is closed.
-pub fn run(context: &LinkContext, listener: TcpListener, messages: &Receiver<LinkMessage>) {
-    let (sender, receiver) = mpsc::channel(BRIDGE_LIMIT_COUNT);
-    let ring = messages.clone();
-    let bridge = spawn_duty("link-ring", move || forward_messages(&ring, sender));
+pub fn run(context: &LinkContext, listener: TcpListener, messages: &TaskReceiver<LinkMessage>) {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(context, &executor, listener, receiver)));
-    drop(executor);
-    // A thread that panicked has printed its message to standard error.
-    let _ = bridge.join();
-}
-
-/// Messages that may wait in the channel between the ring and the link's task.
-const BRIDGE_LIMIT_COUNT: usize = 16;
-
-/// Forwards messages from the ring, where receiving blocks the thread, to the channel that the
-/// link's task awaits.
-fn forward_messages(ring: &Receiver<LinkMessage>, mut sender: mpsc::Sender<LinkMessage>) {
-    for message in ring {
-        let stop = matches!(message, LinkMessage::Stop);
-        if async_io::block_on(sender.send(message)).is_err() || stop {
-            return;
-        }
-    }
+    async_io::block_on(executor.run(serve(context, &executor, listener, messages)));
 }
 
 /// Accepts connections and starts the calls that messages ask for, until `LinkMessage::Stop`.
@@ -73,7 +50,7 @@
     context: &LinkContext,
     executor: &Rc<LocalExecutor<'static>>,
     listener: TcpListener,
-    mut messages: mpsc::Receiver<LinkMessage>,
+    messages: &TaskReceiver<LinkMessage>,
 ) {
     let dial = DialContext {
         settings: context.settings.clone(),
--- a/src/link/tests/support.rs
+++ b/src/link/tests/support.rs
@@ -13,7 +13,7 @@
 use crate::link::message::*;
 use crate::membership::{DaemonEntry, Fleet};
 use crate::metrics::Metrics;
-use crate::ring::{ring, RingSender};
+use crate::ring::{task_ring, RingSender};
 use crate::settings::link::LinkSettings;
 use crate::types::DaemonId;
 use crate::wire::proof::FleetKey;
@@ -91,7 +91,7 @@
             held: Mutex::default(),
         }),
     };
-    let (sender, receiver) = ring("link", 64, &metrics);
+    let (sender, receiver) = task_ring("link", 64, &metrics);
     let thread = std::thread::spawn(move || run(&context, listener, &receiver));
     RunningLink {
         address,
--- a/src/ring.rs
+++ b/src/ring.rs
@@ -5,10 +5,13 @@
 //! ring has room. Only this one direction blocks, so two duties can't wait for each other.
 
 use std::any::Any;
+use std::future::poll_fn;
 use std::panic::{catch_unwind, resume_unwind, AssertUnwindSafe};
 use std::sync::{Arc, Mutex};
+use std::task::Poll;
 
-use crossbeam::channel::{bounded, Receiver, Sender, TrySendError};
+use crossbeam::channel::{bounded, Receiver, Sender, TryRecvError, TrySendError};
+use futures::task::AtomicWaker;
 
 use crate::metrics::Metrics;
 use crate::report_once::shortened;
@@ -17,10 +20,23 @@
 pub struct RingSender<T> {
     /// Name in the ring's counters, `ring.<name>.full` and `ring.<name>.closed`.
     name: &'static str,
-    /// Sending end of the bounded channel.
+    /// Sending end of the bounded channel. Dropped before `waker`, so that the task that is woken
+    /// last sees the ring closed.
     sender: Sender<T>,
     /// Counts messages that the ring refused.
     metrics: Metrics,
+    /// Wakes the receiving task; `None` if the receiver is a thread that blocks on the ring.
+    waker: Option<TaskWaker>,
+}
+
+/// Wakes the receiving task of a ring, also when the sender that holds it is dropped.
+#[derive(Clone)]
+struct TaskWaker(Arc<AtomicWaker>);
+
+impl Drop for TaskWaker {
+    fn drop(&mut self) {
+        self.0.wake();
+    }
 }
 
 impl<T> Clone for RingSender<T> {
@@ -29,6 +45,7 @@
             name: self.name,
             sender: self.sender.clone(),
             metrics: self.metrics.clone(),
+            waker: self.waker.clone(),
         }
     }
 }
@@ -38,7 +55,10 @@
     /// is counted, or closed.
     pub fn offer(&self, event: T) -> Result<(), T> {
         match self.sender.try_send(event) {
-            Ok(()) => Ok(()),
+            Ok(()) => {
+                self.wake();
+                Ok(())
+            }
             Err(TrySendError::Full(event)) => {
                 self.metrics.count(&format!("ring.{}.full", self.name));
                 Err(event)
@@ -53,6 +73,38 @@
         if self.sender.send(event).is_err() {
             self.metrics.count(&format!("ring.{}.closed", self.name));
         }
+        self.wake();
+    }
+
+    /// Wakes the receiver if it is a task. A thread is woken by the channel.
+    fn wake(&self) {
+        if let Some(TaskWaker(waker)) = &self.waker {
+            waker.wake();
+        }
+    }
+}
+
+/// Receiving side of a ring whose receiver is a task on an executor instead of a thread.
+pub struct TaskReceiver<T> {
+    /// Receiving end of the bounded channel.
+    receiver: Receiver<T>,
+    /// Woken by the senders after each event, and when one of them is dropped.
+    waker: Arc<AtomicWaker>,
+}
+
+impl<T> TaskReceiver<T> {
+    /// Waits for the next event; returns `None` once the ring is closed and empty.
+    pub async fn next(&self) -> Option<T> {
+        poll_fn(|context| {
+            // Registered first, so that an event after the look below wakes the task.
+            self.waker.register(context.waker());
+            match self.receiver.try_recv() {
+                Ok(event) => Poll::Ready(Some(event)),
+                Err(TryRecvError::Disconnected) => Poll::Ready(None),
+                Err(TryRecvError::Empty) => Poll::Pending,
+            }
+        })
+        .await
     }
 }
 
@@ -107,11 +159,24 @@
             name,
             sender,
             metrics: metrics.clone(),
+            waker: None,
         },
         receiver,
     )
 }
 
+/// Creates a ring like `ring` whose receiver is a task.
+pub fn task_ring<T>(
+    name: &'static str,
+    capacity_count: usize,
+    metrics: &Metrics,
+) -> (RingSender<T>, TaskReceiver<T>) {
+    let (mut sender, receiver) = ring(name, capacity_count, metrics);
+    let waker = Arc::new(AtomicWaker::new());
+    sender.waker = Some(TaskWaker(waker.clone()));
+    (sender, TaskReceiver { receiver, waker })
+}
+
 /// Starts a thread with this name that runs the body of a duty.
 pub fn spawn_duty<F>(name: &str, body: F) -> std::thread::JoinHandle<()>
 where
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -1,4 +1,5 @@
-//! HTTP listener: one thread owns all its connections and delivers requests through a ring.
+//! HTTP listener: one thread owns all its connections and delivers requests through a ring. Several
+//! listeners with little to do can share a thread.
 //!
 //! Connections do not need a thread each, so that callers that disconnect, heads that never end and
 //! slow uploads block no thread of the daemon.
@@ -22,7 +23,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
-use futures::future::{select, Either};
+use futures::future::{join_all, select, Either};
 
 use super::exchange::{Exchange, RawHead, WholeAnswer};
 use super::memory_budget::MemoryBudget;
@@ -129,41 +130,88 @@
 /// Wait after a failed accept, for example when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-impl HttpListener {
-    /// Listens at an address and starts the thread; port 0 chooses a free port.
-    pub fn bind(address: SocketAddr, options: ListenerOptions) -> eyre::Result<HttpListener> {
+/// A bound listener that no thread serves yet.
+pub struct BoundListener {
+    /// Handle to the listener.
+    handle: HttpListener,
+    /// Socket that accepts connections.
+    socket: TcpListener,
+    /// State of the listener's connections.
+    shared: Shared,
+    /// Dropped when all connections have ended.
+    running: Sender<()>,
+}
+
+impl BoundListener {
+    /// Listens at an address; port 0 chooses a free port.
+    pub fn bind(address: SocketAddr, options: ListenerOptions) -> eyre::Result<BoundListener> {
         let listener = sockets::listen(address)
             .map_err(|error| eyre::eyre!("can't listen at {address}: {error}"))?;
         let address = listener.local_addr()?;
         let (sender, arrivals) = bounded(ARRIVAL_RING_COUNT);
         let (close, closed) = async_channel::bounded(1);
         let winding_down = Arc::new(AtomicBool::new(false));
-        let shared_winding_down = winding_down.clone();
         let (running, ended) = bounded::<()>(0);
-        spawn_duty(&format!("http-{}", address.port()), move || {
-            let shared = Shared {
-                options,
-                arrivals: sender,
-                closed,
-                winding_down: shared_winding_down,
-            };
-            async_io::block_on(serve(listener, &Rc::new(shared)));
-            drop(running);
-        });
-        Ok(HttpListener {
+        let shared = Shared {
+            options,
+            arrivals: sender,
+            closed,
+            winding_down: winding_down.clone(),
+        };
+        let handle = HttpListener {
             address,
             arrivals,
             close,
             winding_down,
             ended,
+        };
+        Ok(BoundListener {
+            handle,
+            socket: listener,
+            shared,
+            running,
         })
     }
+}
+
+impl HttpListener {
+    /// Listens at an address and starts a thread for this listener; port 0 chooses a free port.
+    pub fn bind(address: SocketAddr, options: ListenerOptions) -> eyre::Result<HttpListener> {
+        let bound = BoundListener::bind(address, options)?;
+        let name = format!("http-{}", bound.handle.address.port());
+        let mut listeners = HttpListener::start(&name, vec![bound]);
+        Ok(listeners.remove(0))
+    }
+
+    /// Starts one thread that serves these listeners, and returns their handles in order.
+    pub fn start(name: &str, bound: Vec<BoundListener>) -> Vec<HttpListener> {
+        let mut handles = Vec::new();
+        let mut parts = Vec::new();
+        for listener in bound {
+            handles.push(listener.handle);
+            parts.push((listener.socket, listener.shared, listener.running));
+        }
+        spawn_duty(name, move || {
+            let serve_one = |(socket, shared, running)| async move {
+                serve(socket, &Rc::new(shared)).await;
+                drop(running);
+            };
+            async_io::block_on(join_all(parts.into_iter().map(serve_one)));
+        });
+        handles
+    }
 
     /// Returns the address at which the listener accepts connections.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Returns the ring of received requests, to wait for it together with others. It is closed
+    /// once the listener has ended.
+    pub(crate) fn arrivals(&self) -> &Receiver<Arrival> {
+        &self.arrivals
+    }
+
     /// Waits for the next request; returns `None` once the listener has ended.
     pub fn next(&self) -> Option<Arrival> {
         self.arrivals.recv().ok()
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -213,7 +213,9 @@
     let stalled: Vec<TcpStream> = (0..STALLED_COUNT).map(ask_for_long_answer).collect();
     for stream in &stalled {
         // The first bytes have come, so the answer was given.
-        stream.set_read_timeout(Some(WAIT_LIMIT)).expect("a timeout");
+        stream
+            .set_read_timeout(Some(WAIT_LIMIT))
+            .expect("a timeout");
         assert!(matches!(stream.peek(&mut [0; 1]), Ok(1)));
     }
 
