End hung runs of repeatable requests while another server can answer

Cause: an attempt was given up after ten typical times, one second at least, and only if as much time was left. No call with a deadline under 2 s met that, and an entry rarely knows the typical time of a route that it seldom serves. An attempt was also given up when the route allowed no further one.

The head of an attempt has a new last field, which older daemons ignore.

Ruled out: patience at the entry in smaller multiples, as it counts the wait for a slot and knows too few answers. Ending runs by default: the scenarios of health find a silent server too late, so it is a setting, on where no detector compares times.

--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -196,6 +196,7 @@
             },
             fingerprint: [0; 32],
             deadline_at: *NOW + Duration::from_secs(10),
+            hung_after: None,
         };
         self.handle_guard(guard, GuardEvent::Arrived(request), None);
     }
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -223,7 +223,11 @@
     /// Carries out an action that the decisions returned.
     fn carry_out(&mut self, action: GuardAction) {
         match action {
-            GuardAction::Start { key, address } => self.start_call(key, address),
+            GuardAction::Start {
+                key,
+                address,
+                until,
+            } => self.start_call(key, address, until),
             GuardAction::Refuse {
                 key,
                 kind,
@@ -285,7 +289,7 @@
     }
 
     /// Makes the call for an attempt that the decisions have started.
-    fn start_call(&mut self, key: AttemptKey, address: std::net::SocketAddr) {
+    fn start_call(&mut self, key: AttemptKey, address: std::net::SocketAddr, until: Instant) {
         let Some(held) = self.held.remove(&key) else {
             return;
         };
@@ -299,7 +303,7 @@
             head: held.head,
             raw: held.raw,
             exchange: held.exchange,
-            deadline_at: held.deadline_at,
+            deadline_at: until.min(held.deadline_at),
         };
         if self.calls.len() >= self.context.settings.worker_count {
             self.context.metrics.count("guard.call.limit");
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -226,5 +226,6 @@
         terms: head.terms,
         fingerprint: head.fingerprint,
         deadline_at,
+        hung_after: head.hung_after,
     }
 }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -103,6 +103,9 @@
     pub fingerprint: Fingerprint,
     /// When the answer must have arrived.
     pub deadline_at: Instant,
+    /// If another server can run the request: the time after which a run counts as hung where the
+    /// usual time of its route is not known.
+    pub hung_after: Option<Duration>,
 }
 
 impl GuardRequest {
@@ -329,6 +332,8 @@
         key: AttemptKey,
         /// Address of the server to call.
         address: SocketAddr,
+        /// When the call is ended without an answer; never after the request's deadline.
+        until: Instant,
     },
     /// Refuses the request; the kind says whether it may have run.
     Refuse {
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -6,6 +6,7 @@
 use super::cold::{ColdLimit, ColdSettings};
 use super::message::{Announcement, GuardRequest, ServerOutcome, StartBlocker};
 use super::queue::FairQueue;
+use super::run_limit::{first_run_limit, run_limit};
 use super::start_rate::StartRate;
 use super::times::RouteTimes;
 use super::warmth::WarmthEvidence;
@@ -283,6 +284,21 @@
         }
     }
 
+    /// Returns when a run that starts now is ended without an answer: at its deadline, or earlier if
+    /// it hangs while another server could still answer.
+    pub(super) fn run_until(&self, now: Instant, request: &GuardRequest) -> Instant {
+        let Some(hung_after) = request.hung_after else {
+            return request.deadline_at;
+        };
+        let left = request.deadline_at.saturating_duration_since(now);
+        let mean_s = self.times.route_mean_s(&request.route, MIN_SAMPLE_COUNT);
+        let limit = match mean_s {
+            Some(mean_s) => run_limit(Duration::from_secs_f64(mean_s), left),
+            None => first_run_limit(hung_after, left),
+        };
+        limit.map_or(request.deadline_at, |limit| now + limit)
+    }
+
     /// Estimates from recent service times how long a request would wait for its slot.
     pub(super) fn expected_wait(&self, request: &GuardRequest) -> Duration {
         let turns = (self.queue.ahead_count(request) + 1) as f64 / f64::from(self.limit_count());
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -266,6 +266,7 @@
         actions.push(GuardAction::Start {
             key,
             address: server.announcement.address,
+            until: server.run_until(now, &request),
         });
         self.running.insert(key, request);
     }
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -5,6 +5,7 @@
 mod contradiction;
 mod deaths;
 mod disconnects;
+mod hung_runs;
 mod incarnations;
 mod invalid;
 mod late_announcements;
@@ -54,6 +55,7 @@
         },
         fingerprint: [number as u8; 32],
         deadline_at: now + Duration::from_secs(1),
+        hung_after: None,
     }
 }
 
@@ -77,6 +79,7 @@
         incarnation: INCARNATION,
         fingerprint: [0; 32],
         remaining: Duration::from_secs(10),
+        hung_after: None,
     }
 }
 
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -90,6 +90,7 @@
                 incarnation,
                 until,
                 terms,
+                hung_after,
             } => {
                 self.tally.attempt_count += 1;
                 let request = GuardRequest {
@@ -107,6 +108,7 @@
                     terms,
                     fingerprint: fingerprint(plan.request),
                     deadline_at: until,
+                    hung_after,
                 };
                 self.send_attempt(node, &target.daemon, request);
             }
--- a/src/measure/guards.rs
+++ b/src/measure/guards.rs
@@ -61,7 +61,7 @@
     /// Carries out an action of the guard at a node.
     fn guard_action(&mut self, node: usize, action: GuardAction) {
         match action {
-            GuardAction::Start { key, .. } => self.start_attempt(node, key),
+            GuardAction::Start { key, until, .. } => self.start_attempt(node, key, until),
             GuardAction::Refuse {
                 key,
                 kind,
@@ -90,7 +90,7 @@
     }
 
     /// Starts an attempt at the server and schedules its end.
-    fn start_attempt(&mut self, node: usize, key: AttemptKey) {
+    fn start_attempt(&mut self, node: usize, key: AttemptKey, until: Instant) {
         let now = self.now;
         let vm = &mut self.nodes[node];
         let Some(pending) = vm.pending_attempts.get_mut(&key) else {
@@ -99,7 +99,7 @@
         pending.started_at = Some(now);
         vm.started_count += 1;
         let route = pending.request.route.clone();
-        let left = pending.request.deadline_at.saturating_duration_since(now);
+        let left = until.saturating_duration_since(now);
         let (mut time, mut outcome) = vm.server.simulate_request(now, &route, &mut self.random);
         if time > left {
             time = left;
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -71,6 +71,11 @@
         None
     }
 
+    /// Returns whether the service has more than one eligible server. By default it has none.
+    fn has_other_server(&self, _plan: &RequestPlan) -> bool {
+        false
+    }
+
     /// Replaces the settings that the choice depends on. By default it depends on none.
     fn update_settings(&mut self, _settings: &RoutingSettings) {}
 
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -230,6 +230,7 @@
                 incarnation,
                 until,
                 terms,
+                hung_after,
             } => self.send(AttemptJob {
                 plan,
                 attempt,
@@ -237,6 +238,7 @@
                 incarnation,
                 until,
                 terms,
+                hung_after,
             }),
             RoutingAction::Fence { to, fence } => self.fence(&to, fence),
             RoutingAction::Claim { to, claim } => self.claim(&to, claim),
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -28,6 +28,9 @@
     pub until: Instant,
     /// How the guard is to treat the attempt.
     pub terms: AttemptTerms,
+    /// If another attempt could follow: the time after which a run counts as hung where its usual
+    /// time is not known.
+    pub hung_after: Option<Duration>,
 }
 
 /// Settings and identity that calls to guards need.
@@ -81,6 +84,7 @@
         incarnation: job.incarnation,
         fingerprint: fingerprint(&job.plan, held),
         remaining,
+        hung_after: job.hung_after.filter(|_| held.body.is_some()),
     };
     let mut headers = vec![head.encode(&context.key)];
     headers.extend_from_slice(&held.head.headers);
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -325,14 +325,19 @@
     /// Returns `PATIENCE_FACTOR` typical times of the route, at least `SHORTEST_PATIENCE`; none
     /// while the typical time is not known, or if the service has fewer than two eligible servers.
     fn patience(&self, plan: &RequestPlan) -> Option<Duration> {
-        let candidates = self.candidates.of(&plan.service)?;
-        if candidates.all.len() < 2 {
+        if !self.has_other_server(plan) {
             return None;
         }
         let typical = self.route_speeds.known_typical(&plan.route)?;
         Some((typical * PATIENCE_FACTOR).max(SHORTEST_PATIENCE))
     }
 
+    /// Returns whether two servers or more are eligible.
+    fn has_other_server(&self, plan: &RequestPlan) -> bool {
+        let candidates = self.candidates.of(&plan.service);
+        candidates.is_some_and(|candidates| candidates.all.len() > 1)
+    }
+
     /// Replaces the settings, except for those of the paths.
     fn update_settings(&mut self, settings: &RoutingSettings) {
         self.settings = settings.clone();
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -41,6 +41,11 @@
 
     /// Returns whether the limits on attempts, the deadline and the body allow another attempt.
     pub(super) fn has_attempt_left(&self, now: Instant, state: &RequestState) -> bool {
+        self.has_attempts_left(now, state, 1)
+    }
+
+    /// Returns whether the limits allow this many attempts that each reach a server.
+    pub(super) fn has_attempts_left(&self, now: Instant, state: &RequestState, count: u32) -> bool {
         let reached_limit_count = match state.plan.attempts_limit_count {
             0 => self.settings.attempt_limit_count,
             limit_count => limit_count,
@@ -48,7 +53,7 @@
         let attempt_limit_count = reached_limit_count + self.settings.refusals_limit_count;
         !self.closing
             && state.budget_refusal_count < BUDGET_REFUSAL_LIMIT_COUNT
-            && state.reached_count < reached_limit_count
+            && state.reached_count + count <= reached_limit_count
             && state.attempt < attempt_limit_count
             && now < state.plan.deadline_at
             && state.resendable
--- a/src/routing/message.rs
+++ b/src/routing/message.rs
@@ -241,6 +241,9 @@
         until: Instant,
         /// How the guard is to treat the attempt.
         terms: AttemptTerms,
+        /// If another attempt could follow: the time after which a run counts as hung where its
+        /// usual time is not known.
+        hung_after: Option<Duration>,
     },
     /// Asks a guard to make sure that an attempt never starts.
     Fence {
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -264,6 +264,7 @@
             incarnation,
             until: self.attempt_until(now, &state),
             terms,
+            hung_after: self.hung_after(now, &state),
         };
         state.phase = Phase::Sent {
             target,
@@ -346,13 +347,29 @@
         }
     }
 
+    /// Returns whether the attempt that is sent now may end early, so that another one can be made.
+    /// A daemon that leaves ends no attempt early, since a server may be running it. If the budget
+    /// has no retry left, there is no other attempt to save time for.
+    fn may_give_up(&self, now: Instant, state: &RequestState) -> bool {
+        state.plan.repeatable
+            && self.ends_at.is_none()
+            && self.budget.has_retry(&state.plan.service)
+            && self.has_attempts_left(now, state, 2)
+    }
+
+    /// Returns the time after which a run counts as hung where its usual time is not known, if
+    /// another server could run the request.
+    fn hung_after(&self, now: Instant, state: &RequestState) -> Option<Duration> {
+        let replaceable = self.settings.end_hung_runs
+            && self.choice.has_other_server(&state.plan)
+            && self.may_give_up(now, state);
+        replaceable.then(|| self.target_time(now, state))
+    }
+
     /// Returns when an attempt is given up so that there is time left for another one.
     fn attempt_until(&self, now: Instant, state: &RequestState) -> Instant {
         let deadline_at = state.plan.deadline_at;
-        // A daemon that leaves ends no attempt early, since a server may be running it. If the
-        // budget has no retry left, there is no other attempt to save time for.
-        let may_retry = self.ends_at.is_none() && self.budget.has_retry(&state.plan.service);
-        if !state.plan.repeatable || !may_retry || !self.has_attempt_left(now, state) {
+        if !self.may_give_up(now, state) {
             return deadline_at;
         }
         match self.choice.patience(&state.plan) {
--- a/src/routing/tests/patience.rs
+++ b/src/routing/tests/patience.rs
@@ -14,6 +14,9 @@
 /// Time until the deadline of the request.
 const DEADLINE: Duration = Duration::from_secs(10);
 
+/// Target time of the request.
+const TARGET: Duration = Duration::from_secs(1);
+
 /// One server that is always open, with a patience of `PATIENCE`.
 struct Patient;
 
@@ -44,6 +47,10 @@
         Some(PATIENCE)
     }
 
+    fn has_other_server(&self, _: &RequestPlan) -> bool {
+        true
+    }
+
     fn update_view(&mut self, _: std::sync::Arc<crate::contract::View>) {}
 
     fn update_fleet(&mut self, _: std::sync::Arc<crate::membership::Fleet>) {}
@@ -51,13 +58,26 @@
 
 /// Returns how long the first attempt at a request may take.
 fn first_attempt(state: &mut RoutingState, now: Instant) -> Duration {
+    first_of(state, now, 2).0
+}
+
+/// Sends a request that may reach this many servers. Returns how long its first attempt may take,
+/// and after what time its run counts as hung.
+fn first_of(
+    state: &mut RoutingState,
+    now: Instant,
+    attempts_limit_count: u32,
+) -> (Duration, Option<Duration>) {
     let plan = RequestPlan {
-        attempts_limit_count: 2,
+        attempts_limit_count,
+        target: TARGET,
         ..plan(now + DEADLINE)
     };
     let actions = state.handle(now, RoutingEvent::Dispatch(plan));
     match &actions[..] {
-        [RoutingAction::Send { until, .. }] => *until - now,
+        [RoutingAction::Send {
+            until, hung_after, ..
+        }] => (*until - now, *hung_after),
         other => panic!("{other:?}"),
     }
 }
@@ -82,3 +102,15 @@
     // Assert
     assert_eq!(first_attempt(&mut state, now), DEADLINE);
 }
+
+#[test]
+fn the_only_attempt_of_a_request_is_not_given_up_before_the_deadline() {
+    let now = Instant::now();
+    let settings = RoutingSettings {
+        end_hung_runs: true,
+        ..Default::default()
+    };
+    let mut state = RoutingState::new(settings, Box::new(Patient));
+    assert_eq!(first_of(&mut state, now, 1), (DEADLINE, None));
+    assert_eq!(first_of(&mut state, now, 2), (PATIENCE, Some(TARGET)));
+}
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -41,6 +41,9 @@
     /// Whether an answer that reports a failure of the server leads to a retry of a repeatable
     /// request.
     pub retry_failed_answers: bool,
+    /// Whether guards end a run of a repeatable request that hangs while another server could still
+    /// answer. The time of such a run is lost to the detectors of `health`.
+    pub end_hung_runs: bool,
     /// Whether guards count the retries of their service, instead of each entry its own.
     pub retries_counted_by_guards: bool,
     /// Share of the route's target time for which a request may wait at the entry while every
@@ -72,6 +75,7 @@
             queue_wait_share: 0.0,
             refusals_limit_count: 0,
             retry_failed_answers: false,
+            end_hung_runs: false,
             retries_counted_by_guards: false,
             park_share: 0.0,
             retry_after_ms: 0,
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -88,6 +88,10 @@
     pub fingerprint: Fingerprint,
     /// Time left until the request's deadline.
     pub remaining: Duration,
+    /// If the entry can send the request to another server: the time after which a run counts as
+    /// hung where the usual time of its route is not known. `None` lets the run last to the deadline.
+    /// Last field: daemons that do not know it ignore it, and heads without it are read as `None`.
+    pub hung_after: Option<Duration>,
 }
 
 impl ForwardHead {
@@ -108,7 +112,9 @@
         if !key.verify(&[head], proof) {
             return None;
         }
-        let mut head: ForwardHead = postcard::from_bytes(head).ok()?;
+        // Bytes after the last field are ignored, so the zero stands for a missing last field.
+        let padded = [head, &[0]].concat();
+        let mut head: ForwardHead = postcard::from_bytes(&padded).ok()?;
         head.remaining = head.remaining.min(REMAINING_LIMIT);
         Some(head)
     }
--- a/src/wire/forward/tests.rs
+++ b/src/wire/forward/tests.rs
@@ -23,6 +23,7 @@
         incarnation: 3,
         fingerprint: [5; 32],
         remaining: Duration::from_millis(500),
+        hung_after: Some(Duration::from_millis(250)),
     }
 }
 
@@ -33,6 +34,34 @@
     assert_eq!(ForwardHead::decode(&headers, &key), Some(head()));
 }
 
+#[test]
+fn a_head_without_its_last_field_lets_the_run_last_to_its_deadline() {
+    // Arrange
+    let key = FleetKey::new("a secret of the fleet");
+    let mut bytes = postcard::to_stdvec(&head()).expect("a binary form");
+    // Without the last field, the time is missing as well.
+    let whole = bytes.len();
+    let without = postcard::to_stdvec(&ForwardHead {
+        hung_after: None,
+        ..head()
+    });
+    bytes.truncate(without.expect("a binary form").len() - 1);
+    assert!(bytes.len() < whole);
+    let proof = key.sign(&[&bytes]);
+    bytes.extend_from_slice(&proof);
+    let headers = [(HEAD.to_owned(), BASE64_URL_SAFE_NO_PAD.encode(bytes))];
+
+    // Act
+    let decoded = ForwardHead::decode(&headers, &key);
+
+    // Assert
+    let expected = ForwardHead {
+        hung_after: None,
+        ..head()
+    };
+    assert_eq!(decoded, Some(expected));
+}
+
 #[test]
 fn a_head_with_a_forged_organisation_is_refused() {
     // Arrange
--- a/tests/guard_queue.rs
+++ b/tests/guard_queue.rs
@@ -42,6 +42,7 @@
         },
         fingerprint: [0; 32],
         deadline_at: Instant::now() + Duration::from_secs(1),
+        hung_after: None,
     }
 }
 
--- a/tests/guard_scenarios/simulation.rs
+++ b/tests/guard_scenarios/simulation.rs
@@ -286,6 +286,7 @@
             },
             fingerprint: fingerprint(load.crashes_server, number),
             deadline_at: self.epoch_at + self.now + load.deadline,
+            hung_after: None,
         };
         self.tallies[index].sent += 1;
         self.requests.insert(request.key(), (index, self.now));
