Learn the time of a route from its hung runs too

A guard that ends hung runs never saw a whole answer of a server that had turned slow: it would have ended each run at four of its former mean times, and the requests would have been repeated until the budget was spent.

A run without an answer now counts with the time that it lasted, at most with the time after which it counts as hung. So the mean follows eightfold slowness within eight runs, and one hung run moves it by 30% at most. Before, a server's own 504 at a deadline of 3 s moved a mean of 0.28 s by 0.27 s.

Test: a server that turns eight times slower; without the change all 40 runs are ended early, now at most eight.

--- a/src/guard/run_limit.rs
+++ b/src/guard/run_limit.rs
@@ -15,11 +15,15 @@
 /// No run is ended earlier than this, however short the mean: a busy VM pauses its processes.
 const SHORTEST_LIMIT: Duration = Duration::from_millis(100);
 
+/// Returns the time after which a run counts as hung.
+pub(super) fn hung_time(mean: Duration) -> Duration {
+    (mean * HUNG_FACTOR).max(SHORTEST_LIMIT)
+}
+
 /// Returns after what time a run is ended; none if it may last until its deadline, because there is
 /// no time for another run after it.
 pub(super) fn run_limit(mean: Duration, left: Duration) -> Option<Duration> {
-    let usual = (mean * HUNG_FACTOR).max(SHORTEST_LIMIT);
-    let limit = usual.min(left.saturating_sub(mean * RESERVE_FACTOR));
+    let limit = hung_time(mean).min(left.saturating_sub(mean * RESERVE_FACTOR));
     let earliest = (mean * EARLIEST_HUNG_FACTOR).max(SHORTEST_LIMIT);
     (limit >= earliest).then_some(limit)
 }
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -6,7 +6,7 @@
 use super::cold::{ColdLimit, ColdSettings};
 use super::message::{Announcement, GuardRequest, ServerOutcome, StartBlocker};
 use super::queue::FairQueue;
-use super::run_limit::{first_run_limit, run_limit};
+use super::run_limit::{first_run_limit, hung_time, run_limit};
 use super::start_rate::StartRate;
 use super::times::RouteTimes;
 use super::warmth::WarmthEvidence;
@@ -260,6 +260,14 @@
         typical_s.is_none_or(|typical_s| elapsed.as_secs_f64() >= typical_s * OVERDUE_RATIO)
     }
 
+    /// Adds the time of a run to the mean of its route. A hung run counts no more than the time after
+    /// which it counts as hung, so the mean follows a server that turns slow, but hardly a single run.
+    pub(super) fn record_time(&mut self, route: &RouteId, elapsed: Duration) {
+        let mean_s = self.times.route_mean_s(route, MIN_SAMPLE_COUNT);
+        let most = mean_s.map(|mean_s| hung_time(Duration::from_secs_f64(mean_s)));
+        self.times.add(route, elapsed.min(most.unwrap_or(elapsed)));
+    }
+
     /// Records the time of a whole answer.
     pub(super) fn record_answer(
         &mut self,
@@ -267,7 +275,7 @@
         request: &GuardRequest,
         elapsed: Duration,
     ) {
-        self.times.add(&request.route, elapsed);
+        self.record_time(&request.route, elapsed);
         let slots_count = self.announcement.slots_count;
         self.cold
             .record_answer(now, &request.route, elapsed, slots_count);
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -360,7 +360,10 @@
                 }
                 self.deaths.record_survival(&request.fingerprint);
             }
-            ServerOutcome::Failed(CallError::Late) => server.cold.record_timeout(now),
+            ServerOutcome::Failed(CallError::Late) => {
+                server.record_time(&request.route, elapsed);
+                server.cold.record_timeout(now);
+            }
             ServerOutcome::Failed(CallError::NotSent) => server.cold.record_failure(now),
             ServerOutcome::Failed(CallError::Broken) => {
                 server.cold.record_failure(now);
--- a/src/guard/tests/hung_runs.rs
+++ b/src/guard/tests/hung_runs.rs
@@ -5,6 +5,7 @@
 use super::{guard_with_one_slot, id, request};
 use crate::guard::message::{GuardAction, GuardEvent, GuardRequest, ServerOutcome};
 use crate::guard::state::GuardState;
+use crate::wire::client::CallError;
 
 /// Time in which the server answers.
 const RUN_TIME: Duration = Duration::from_millis(60);
@@ -87,3 +88,58 @@
     let half = (first.deadline_at - now) / 2;
     assert_eq!(run_until(&mut state, now, first), now + half);
 }
+
+/// Ends a run that lasted this long and had no answer.
+fn hang(state: &mut GuardState, now: Instant, number: u128, elapsed: Duration) {
+    state.handle(now, GuardEvent::Arrived(request(number, now)));
+    let finished = GuardEvent::Finished {
+        key: (id(1, number), 1),
+        outcome: ServerOutcome::Failed(CallError::Late),
+        elapsed,
+    };
+    state.handle(now, finished);
+}
+
+#[test]
+fn one_run_that_hangs_hardly_moves_the_usual_time() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    answer_some(&mut state, now);
+
+    // Act
+    hang(&mut state, now, 20, RUN_TIME * 100);
+    let until = run_until(&mut state, now, replaceable(30, now));
+
+    // Assert
+    assert!(until < now + RUN_TIME * 6, "{:?}", until - now);
+}
+
+#[test]
+fn runs_at_a_server_that_turned_slow_are_soon_let_run_to_their_end() {
+    // Arrange: the server takes eight times as long, so no run ends before it counts as hung.
+    let now = Instant::now();
+    let mut state = guard_with_one_slot(now);
+    answer_some(&mut state, now);
+    let slow_time = RUN_TIME * 8;
+
+    // Act
+    let mut ended_count = 0;
+    for number in 20..60 {
+        let until = run_until(&mut state, now, replaceable(number, now));
+        let ended = until < now + slow_time;
+        ended_count += u32::from(ended);
+        let finished = GuardEvent::Finished {
+            key: (id(1, number), 1),
+            outcome: match ended {
+                true => ServerOutcome::Failed(CallError::Late),
+                false => ServerOutcome::Answered(200),
+            },
+            elapsed: slow_time.min(until - now),
+        };
+        state.handle(now, finished);
+    }
+
+    // Assert
+    assert!(ended_count <= 8, "{ended_count}");
+}
