--- a/src/guard/retries.rs
+++ b/src/guard/retries.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use super::message::GuardRequest;
 use crate::settings::guard::GuardSettings;
 
 /// Share of the budget that repeats may use; the rest covers calls that repeats cause unseen.
@@ -41,6 +42,18 @@
     Repeat,
 }
 
+impl AttemptKind {
+    /// Returns the kind of an attempt by its terms.
+    pub fn of(request: &GuardRequest) -> AttemptKind {
+        let terms = request.terms;
+        match (terms.repeat, terms.of_repeat) {
+            (true, _) => AttemptKind::Repeat,
+            (false, true) => AttemptKind::CallOfRepeat,
+            (false, false) => AttemptKind::First,
+        }
+    }
+}
+
 impl RetryWindow {
     /// Creates a window without attempts.
     pub fn new(settings: &GuardSettings) -> RetryWindow {
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -205,7 +205,7 @@
             let retry_after = server.breaker.retry_after(now);
             return refuse(ErrorKind::ServerTripped, retry_after);
         }
-        let kind = attempt_kind(&request);
+        let kind = AttemptKind::of(&request);
         if kind == AttemptKind::Repeat && !self.retries.admits(now, self.guard_count) {
             return refuse(ErrorKind::RetriesSpent, None);
         }
@@ -257,7 +257,7 @@
         server.breaker.record_start();
         server.start_rate.record_start(now);
         self.started.record_start(key);
-        let kind = attempt_kind(&request);
+        let kind = AttemptKind::of(&request);
         self.retries.record_start(now, kind);
         // Calls that servers make of each other carry no organisation and make no further calls.
         if kind == AttemptKind::Repeat && !request.organisation.is_empty() {
@@ -387,15 +387,6 @@
     }
 }
 
-fn attempt_kind(request: &GuardRequest) -> AttemptKind {
-    let terms = request.terms;
-    match (terms.repeat, terms.of_repeat) {
-        (true, _) => AttemptKind::Repeat,
-        (false, true) => AttemptKind::CallOfRepeat,
-        (false, false) => AttemptKind::First,
-    }
-}
-
 /// A failed answer this soon after a failed call of the server's own is attributed to that call.
 const OWN_CALL_FAILURE_WINDOW: Duration = Duration::from_millis(500);
 /// HTTP status with which servers shed load.
