Let the run of a last resort last to its deadline

Ruled out: the repeat refused for its budget (no refusal in the log), an entry that stops making no repeats (seven other runs that were ended at stopping entries were sent again).

Change: the entry lets a run last to its deadline if it is a last resort or if a guard has refused the request for lack of room. Two tests of routing, which failed before. 58 tests of routing passed.

--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -358,9 +358,12 @@
     }
 
     /// Returns the time after which a run counts as hung where its usual time is not known, if
-    /// another server could run the request.
+    /// another server is likely to run the request: none if one had no room for it, and none for a
+    /// last resort.
     fn hung_after(&self, now: Instant, state: &RequestState) -> Option<Duration> {
+        let has_room = state.full_refusal_count == 0 && !state.terms.last_resort;
         let replaceable = self.settings.end_hung_runs
+            && has_room
             && self.choice.has_other_server(&state.plan)
             && self.may_give_up(now, state);
         replaceable.then(|| self.target_time(now, state))
--- a/src/routing/tests/last_resort.rs
+++ b/src/routing/tests/last_resort.rs
@@ -67,6 +67,10 @@
     ) {
     }
 
+    fn has_other_server(&self, _: &RequestPlan) -> bool {
+        true
+    }
+
     fn update_view(&mut self, _: Arc<View>) {}
 
     fn update_fleet(&mut self, _: Arc<Fleet>) {}
@@ -76,6 +80,7 @@
 fn state() -> RoutingState {
     let settings = RoutingSettings {
         refusals_limit_count: 8,
+        end_hung_runs: true,
         ..Default::default()
     };
     RoutingState::new(settings, Box::new(Tripping { asked: Vec::new() }))
@@ -94,6 +99,52 @@
     })
 }
 
+/// Returns the time after which the run of the attempt that is sent counts as hung.
+fn hung_after(actions: &RoutingActions) -> Option<Duration> {
+    actions.iter().find_map(|action| match action {
+        RoutingAction::Send { hung_after, .. } => *hung_after,
+        _ => None,
+    })
+}
+
+#[test]
+fn the_run_of_a_last_resort_lasts_to_its_deadline() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+
+    // Act
+    let first = state.handle(
+        now,
+        RoutingEvent::Dispatch(plan(now + Duration::from_secs(1))),
+    );
+    state.handle(now, tripped(1));
+    let last = state.handle(now, tripped(2));
+
+    // Assert
+    assert!(hung_after(&first).is_some());
+    assert_eq!(sent(&last), Some(("a", true)));
+    assert_eq!(hung_after(&last), None);
+}
+
+#[test]
+fn a_run_lasts_to_its_deadline_if_another_server_had_no_room() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = state();
+    state.handle(
+        now,
+        RoutingEvent::Dispatch(plan(now + Duration::from_secs(1))),
+    );
+
+    // Act
+    let second = state.handle(now, not_run(1, ErrorKind::Busy, None));
+
+    // Assert
+    assert_eq!(sent(&second), Some(("b", false)));
+    assert_eq!(hung_after(&second), None);
+}
+
 #[test]
 fn when_every_server_is_closed_one_is_asked_as_a_last_resort() {
     // Arrange
