--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -351,7 +351,7 @@
         });
     }
 
-    /// Counts and logs a refusal, and passes the answer to the writer threads.
+    /// Counts and logs a refusal, and answers the entry daemon.
     fn refuse(
         &self,
         exchange: Box<dyn Exchange>,
