--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -27,9 +27,8 @@
 /// Receiving ends of the rings of front and routing.
 pub(super) type EntryReceivers = (Receiver<FrontMessage>, Receiver<RoutingMessage>);
 
-/// Starts front and routing with the thread that accepts requests. `drained` is
-/// signalled once after the drain, when no request is left. `reload` is `None` if no file of the
-/// settings is read.
+/// Starts front and routing with the thread that accepts requests. `drained` is signalled once after
+/// the drain, when no request is left. `reload` is `None` if no file of the settings is read.
 pub(super) fn start_entry(
     shared: &SharedResources,
     rings: &RingSenders,
--- a/src/daemon/listeners.rs
+++ b/src/daemon/listeners.rs
@@ -80,11 +80,13 @@
         for address in [ready, metrics].into_iter().flatten() {
             controls.push(BoundListener::bind(address, control.clone())?);
         }
-        let mut controls = start("http-control", controls);
+        let mut controls = HttpListener::start("http-control", controls)
+            .into_iter()
+            .map(Arc::new);
         let mut next = || controls.next().expect("one handle for each bound listener");
         Ok(Listeners {
-            front: start_one("http-front", front),
-            guard: start_one("http-guard", attempts),
+            front: Arc::new(front.start("http-front")),
+            guard: Arc::new(attempts.start("http-guard")),
             announce: next(),
             operator: next(),
             ready: ready.map(|_| next()),
@@ -106,18 +108,6 @@
     }
 }
 
-/// Starts one thread that serves these listeners, and returns their handles in order.
-fn start(name: &str, bound: Vec<BoundListener>) -> impl Iterator<Item = Arc<HttpListener>> {
-    HttpListener::start(name, bound).into_iter().map(Arc::new)
-}
-
-/// Starts a thread that serves one listener.
-fn start_one(name: &str, bound: BoundListener) -> Arc<HttpListener> {
-    start(name, vec![bound])
-        .next()
-        .expect("one handle for each bound listener")
-}
-
 /// Refusals that the front's listener answers itself, in the dialect of the callers.
 struct CallerRefusals(Arc<dyn Dialect>);
 
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -66,7 +66,6 @@
     head: ForwardHead,
     raw: RawHead,
     exchange: Box<dyn Exchange>,
-    deadline_at: Instant,
 }
 
 /// A running call to a server; dropping it ends the call.
@@ -204,7 +203,6 @@
             head,
             raw,
             exchange,
-            deadline_at,
         };
         self.held.insert(key, held);
         self.handle_event(event);
@@ -303,7 +301,7 @@
             head: held.head,
             raw: held.raw,
             exchange: held.exchange,
-            deadline_at: until.min(held.deadline_at),
+            deadline_at: until,
         };
         if self.calls.len() >= self.context.settings.worker_count {
             self.context.metrics.count("guard.call.limit");
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -263,9 +263,14 @@
     /// Adds the time of a run to the mean of its route. A hung run counts no more than the time after
     /// which it counts as hung, so the mean follows a server that turns slow, but hardly a single run.
     pub(super) fn record_time(&mut self, route: &RouteId, elapsed: Duration) {
+        let most = self.route_mean(route).map_or(elapsed, hung_time);
+        self.times.add(route, elapsed.min(most));
+    }
+
+    /// Returns the mean time of this route alone; none while it is not known.
+    fn route_mean(&self, route: &RouteId) -> Option<Duration> {
         let mean_s = self.times.route_mean_s(route, MIN_SAMPLE_COUNT);
-        let most = mean_s.map(|mean_s| hung_time(Duration::from_secs_f64(mean_s)));
-        self.times.add(route, elapsed.min(most.unwrap_or(elapsed)));
+        mean_s.map(Duration::from_secs_f64)
     }
 
     /// Records the time of a whole answer.
@@ -299,9 +304,8 @@
             return request.deadline_at;
         };
         let left = request.deadline_at.saturating_duration_since(now);
-        let mean_s = self.times.route_mean_s(&request.route, MIN_SAMPLE_COUNT);
-        let limit = match mean_s {
-            Some(mean_s) => run_limit(Duration::from_secs_f64(mean_s), left),
+        let limit = match self.route_mean(&request.route) {
+            Some(mean) => run_limit(mean, left),
             None => first_run_limit(hung_after, left),
         };
         limit.map_or(request.deadline_at, |limit| now + limit)
--- a/src/guard/tests/hung_runs.rs
+++ b/src/guard/tests/hung_runs.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::overdue::run;
 use super::{guard_with_one_slot, id, request};
 use crate::guard::message::{GuardAction, GuardEvent, GuardRequest, ServerOutcome};
 use crate::guard::state::GuardState;
@@ -36,13 +37,7 @@
 /// Lets the server answer some requests, each after `RUN_TIME`.
 fn answer_some(state: &mut GuardState, now: Instant) {
     for number in 1..=ANSWER_COUNT {
-        state.handle(now, GuardEvent::Arrived(request(number, now)));
-        let finished = GuardEvent::Finished {
-            key: (id(1, number), 1),
-            outcome: ServerOutcome::Answered(200),
-            elapsed: RUN_TIME,
-        };
-        state.handle(now, finished);
+        run(state, now, number, ServerOutcome::Answered(200), RUN_TIME);
     }
 }
 
@@ -89,17 +84,6 @@
     assert_eq!(run_until(&mut state, now, first), now + half);
 }
 
-/// Ends a run that lasted this long and had no answer.
-fn hang(state: &mut GuardState, now: Instant, number: u128, elapsed: Duration) {
-    state.handle(now, GuardEvent::Arrived(request(number, now)));
-    let finished = GuardEvent::Finished {
-        key: (id(1, number), 1),
-        outcome: ServerOutcome::Failed(CallError::Late),
-        elapsed,
-    };
-    state.handle(now, finished);
-}
-
 #[test]
 fn one_run_that_hangs_hardly_moves_the_usual_time() {
     // Arrange
@@ -108,7 +92,8 @@
     answer_some(&mut state, now);
 
     // Act
-    hang(&mut state, now, 20, RUN_TIME * 100);
+    let late = ServerOutcome::Failed(CallError::Late);
+    run(&mut state, now, 20, late, RUN_TIME * 100);
     let until = run_until(&mut state, now, replaceable(30, now));
 
     // Assert
--- a/src/guard/tests/overdue.rs
+++ b/src/guard/tests/overdue.rs
@@ -13,7 +13,13 @@
 const TYPICAL_TIME: Duration = Duration::from_millis(800);
 
 /// Runs a request that ends with this outcome after this time.
-fn run(state: &mut GuardState, now: Instant, number: u128, outcome: ServerOutcome, time: Duration) {
+pub(super) fn run(
+    state: &mut GuardState,
+    now: Instant,
+    number: u128,
+    outcome: ServerOutcome,
+    time: Duration,
+) {
     state.handle(now, GuardEvent::Arrived(request(number, now)));
     let finished = GuardEvent::Finished {
         key: (id(1, number), 1),
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -346,40 +346,6 @@
             false => state.plan.target,
         }
     }
-
-    /// Returns whether the attempt that is sent now may end early, so that another one can be made.
-    /// A daemon that leaves ends no attempt early, since a server may be running it. If the budget
-    /// has no retry left, there is no other attempt to save time for.
-    fn may_give_up(&self, now: Instant, state: &RequestState) -> bool {
-        state.plan.repeatable
-            && self.ends_at.is_none()
-            && self.budget.has_retry(&state.plan.service)
-            && self.has_attempts_left(now, state, 2)
-    }
-
-    /// Returns the time after which a run counts as hung where its usual time is not known, if
-    /// another server is likely to run the request: none if one had no room for it, and none for a
-    /// last resort.
-    fn hung_after(&self, now: Instant, state: &RequestState) -> Option<Duration> {
-        let has_room = state.full_refusal_count == 0 && !state.terms.last_resort;
-        let replaceable = self.settings.end_hung_runs
-            && has_room
-            && self.choice.has_other_server(&state.plan)
-            && self.may_give_up(now, state);
-        replaceable.then(|| self.target_time(now, state))
-    }
-
-    /// Returns when an attempt is given up so that there is time left for another one.
-    fn attempt_until(&self, now: Instant, state: &RequestState) -> Instant {
-        let deadline_at = state.plan.deadline_at;
-        if !self.may_give_up(now, state) {
-            return deadline_at;
-        }
-        match self.choice.patience(&state.plan) {
-            Some(patience) if now + patience * 2 <= deadline_at => now + patience,
-            _ => deadline_at,
-        }
-    }
 }
 
 /// Returns whether a request may be sent to a failing server because the healthy ones have no room:
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -107,14 +107,16 @@
     /// valid proof. Limits the remaining time to the longest possible deadline.
     pub fn decode(headers: &[HeaderPair], key: &FleetKey) -> Option<ForwardHead> {
         let text = header(headers, HEAD)?;
-        let bytes = BASE64_URL_SAFE_NO_PAD.decode(text).ok()?;
+        let mut bytes = BASE64_URL_SAFE_NO_PAD.decode(text).ok()?;
         let (head, proof) = bytes.split_last_chunk::<PROOF_BYTES>()?;
         if !key.verify(&[head], proof) {
             return None;
         }
         // Bytes after the last field are ignored, so the zero stands for a missing last field.
-        let padded = [head, &[0]].concat();
-        let mut head: ForwardHead = postcard::from_bytes(&padded).ok()?;
+        let head_bytes = head.len();
+        bytes.truncate(head_bytes);
+        bytes.push(0);
+        let mut head: ForwardHead = postcard::from_bytes(&bytes).ok()?;
         head.remaining = head.remaining.min(REMAINING_LIMIT);
         Some(head)
     }
--- a/src/wire/listener/mod.rs
+++ b/src/wire/listener/mod.rs
@@ -172,6 +172,11 @@
             running,
         })
     }
+
+    /// Starts a thread that serves this listener alone, and returns its handle.
+    pub fn start(self, name: &str) -> HttpListener {
+        HttpListener::start(name, vec![self]).remove(0)
+    }
 }
 
 impl HttpListener {
@@ -179,8 +184,7 @@
     pub fn bind(address: SocketAddr, options: ListenerOptions) -> eyre::Result<HttpListener> {
         let bound = BoundListener::bind(address, options)?;
         let name = format!("http-{}", bound.handle.address.port());
-        let mut listeners = HttpListener::start(&name, vec![bound]);
-        Ok(listeners.remove(0))
+        Ok(bound.start(&name))
     }
 
     /// Starts one thread that serves these listeners, and returns their handles in order.
