review: a withdrawn key and a dropped route work for 4.4 s while reads hang

A script that breaks CONFIG: open connections to the store go silent once, and a read that waits for a change is given up after 5.8 s only, though a change has to be in force within 2 s.

Ruled out: the first 3 s, in which no machine is in touch, are not counted.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,8 @@
 
 mod drain;
 mod http;
+mod relay;
+mod silence;
 mod store;
 mod world;
 
@@ -30,6 +32,7 @@
     let temporary = Path::new(temporary);
     let play = || match case.as_str() {
         "drain" => drain::play(&log, temporary, trouble),
+        "silence" => silence::play(&log, temporary, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(play));
