--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,14 @@
 #!/usr/bin/env bash
-# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+# Plays the case and writes record.txt beside this script. Exits with 1 if the rule was broken, 0 if
+# it held, 2 if the case couldn't run. With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
+TROUBLE="${TROUBLE:-1}"
+record=review/2/record.txt
+rm -f "$record"
+if [ ! -x target/review/standins ] || [ ! -x target/release/banyanbeam-platform ]; then
+	echo "not built: run the build of the deploy file and review/build.sh first" >"$record"
+	exit 2
+fi
 temporary=$(mktemp -d) || exit 2
 end_all() {
 	if [ -f "$temporary/pids" ]; then
@@ -9,8 +17,7 @@
 	rm -rf "$temporary"
 }
 trap end_all EXIT
-[ -x target/review/standins ] && [ -x target/release/banyanbeam-platform ] || exit 2
-timeout 110 target/review/standins drain review/2 "$temporary"
+timeout 110 target/review/standins drain "$record" "$temporary" "$TROUBLE"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,5 +1,6 @@
-//! Stand-ins and cases of the review. `standins CASE FOLDER TEMPORARY` plays a case, writes
-//! `FOLDER/record.txt`, and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+//! Stand-ins and cases of the review. `standins CASE RECORD TEMPORARY TROUBLE` plays a case, writes
+//! the file RECORD, and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+//! With TROUBLE 0 it leaves out the disruption.
 
 mod drain;
 mod http;
@@ -23,12 +24,16 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder, temporary] = arguments.as_slice() else {
-        eprintln!("usage: standins CASE FOLDER TEMPORARY");
+    let [_, case, record, temporary, trouble] = arguments.as_slice() else {
+        eprintln!("usage: standins CASE RECORD TEMPORARY TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let log = world::Log::create(&Path::new(folder).join("record.txt"));
+    let trouble = trouble != "0";
+    let log = world::Log::create(Path::new(record));
+    log.line(match trouble {
+        true => "the case with its disruption",
+        false => "the case without its disruption (TROUBLE=0)",
+    });
     let temporary = Path::new(temporary);
     let play = || match case.as_str() {
         "drain" => drain::play(&log, temporary, trouble),
