Do not confirm a server by announcements from before the daemon's start

About 96 orders reached a server up to 9 s after its daemon had acknowledged that it leaves, and three of them were lost when it exited. The daemon had been killed 0.3 s after the acknowledgement.

Cause: a restarted daemon remembers no departure. It asks the server for its health, and the leaving server answers 503. That answer was forgotten: the next announcement confirmed the server without another question, although announcements may be seconds late and both were made before the departure.

The new test late_announcements_do_not_undo_a_departure_from_before_a_restart failed before this change ("103 passed; 1 failed", the second announcement reported the server as usable), for an unhealthy answer, no answer, and an answer that is still pending.

Ruled out: an announcement that expired late (it expires after 60 s here), and the order of sequences (the late heartbeats come in order).

Why it works: for ANNOUNCEMENT_DELAY_LIMIT after the start an announcement proves nothing, since it may be from before the departure. It repeats the inquiry instead, and only a healthy answer confirms the server. After that time an announcement must be from after the start, and a server that left before the start makes none.

Price: a server whose health check is false gets no work for up to 10 s after its daemon restarts, instead of one announcement's time. No call to the store.

--- a/src/guard/departures.rs
+++ b/src/guard/departures.rs
@@ -10,8 +10,10 @@
 
 /// How long a departure is remembered.
 pub(super) const DEPARTURE_RETENTION: Duration = Duration::from_secs(600);
+/// Longest delay of an announcement that is allowed for.
+pub(super) const ANNOUNCEMENT_DELAY_LIMIT: Duration = Duration::from_secs(10);
 /// How long a departure without a start time applies to every incarnation of the server.
-const UNKNOWN_INCARNATION_HOLD: Duration = Duration::from_secs(10);
+const UNKNOWN_INCARNATION_HOLD: Duration = ANNOUNCEMENT_DELAY_LIMIT;
 /// Most departures that are remembered; the oldest is forgotten first.
 const DEPARTURE_LIMIT_COUNT: usize = 1024;
 
--- a/src/guard/inquiry.rs
+++ b/src/guard/inquiry.rs
@@ -1,12 +1,14 @@
 //! Confirms servers that this incarnation of the daemon has not seen yet, before they get work.
 //!
-//! A daemon that has just started remembers no departures, and an announcement may be delayed. So
-//! the address is asked for its health, and the answer names the server. If that does not help, a
-//! second announcement confirms the server.
+//! A daemon that has just started may have forgotten departures, and an announcement may be delayed.
+//! So the address is asked for its health, and the answer names the server. A second announcement
+//! confirms the server without a health answer, but only once the daemon has run for longer than
+//! announcements are delayed; until then each announcement repeats the inquiry.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::departures::ANNOUNCEMENT_DELAY_LIMIT;
 use super::message::{Announcement, GuardAction};
 use super::server::Presence;
 use super::state::GuardState;
@@ -19,6 +21,8 @@
 /// Inquiries that were made so far.
 #[derive(Debug, Default)]
 pub(super) struct Inquiries {
+    /// When this incarnation of the daemon handled its first event; none before.
+    began_at: Option<Instant>,
     /// Whether servers on this VM were asked since the settings last named another one.
     local_asked: bool,
     /// When the settings last named another server; answers to earlier inquiries are ignored.
@@ -28,6 +32,18 @@
 }
 
 impl Inquiries {
+    /// Records the time of the first event.
+    pub(super) fn begin(&mut self, now: Instant) {
+        self.began_at.get_or_insert(now);
+    }
+
+    /// Returns whether an announcement that arrives now was made since the daemon started. An earlier
+    /// one may be of a server whose departure a former incarnation of the daemon acknowledged.
+    pub(super) fn is_announced_since_start(&self, now: Instant) -> bool {
+        self.began_at
+            .is_some_and(|at| now.saturating_duration_since(at) >= ANNOUNCEMENT_DELAY_LIMIT)
+    }
+
     /// Starts over, because the settings name another server.
     pub(super) fn restart(&mut self, now: Instant) {
         self.local_asked = false;
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -75,6 +75,7 @@
         let draining = announcement.draining;
         let has_rival = self.other_servers_at(address, name).next().is_some();
         let cold_rate_per_s = self.cold_rate_per_s(&announcement.service);
+        let since_start = self.inquiries.is_announced_since_start(now);
         let Some(server) = self.servers.get_mut(name) else {
             return;
         };
@@ -83,9 +84,10 @@
         let service_changed = announcement.service != server.announcement.service;
         let becomes_confirmed = match server.presence {
             Presence::Confirmed => false,
-            Presence::Unconfirmed => true,
-            Presence::Asked => !has_rival,
+            Presence::Unconfirmed => since_start,
+            Presence::Asked => since_start && !has_rival,
         };
+        let asks_again = server.presence == Presence::Unconfirmed && !becomes_confirmed;
         let new_incarnation = server.renew(now, announcement);
         if becomes_confirmed {
             server.presence = Presence::Confirmed;
@@ -93,7 +95,7 @@
         if new_incarnation {
             actions.extend(self.deaths.confirm_deaths(now, name));
         }
-        if is_earlier {
+        if is_earlier || (asks_again && !draining) {
             self.withhold_until_confirmed(name, actions);
         } else if becomes_confirmed {
             self.mark_others_gone(now, address, name, actions, |_| true);
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -23,7 +23,8 @@
 /// Whether a server is confirmed to be at the address that it announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Presence {
-    /// A health answer named the server, or a second announcement came.
+    /// A health answer named the server, or a second announcement came that can't be from before the
+    /// start of the daemon.
     Confirmed,
     /// The address was asked for its health and has not answered yet.
     Asked,
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -102,6 +102,7 @@
     /// Handles one event and returns the actions that follow from it.
     pub fn handle(&mut self, now: Instant, event: GuardEvent) -> Vec<GuardAction> {
         let mut actions = Vec::new();
+        self.inquiries.begin(now);
         if matches!(event, GuardEvent::Arrived(_) | GuardEvent::Drain) {
             self.last_arrival_at = Some(now);
         }
--- a/src/guard/tests/late_announcements.rs
+++ b/src/guard/tests/late_announcements.rs
@@ -321,3 +321,31 @@
     // Assert
     assert!(inquires(&actions), "{actions:?}");
 }
+
+/// Guards against a restarted daemon that sends work to a server whose departure it had acknowledged
+/// before, after two late announcements.
+#[test]
+fn late_announcements_do_not_undo_a_departure_from_before_a_restart() {
+    // Arrange
+    let now = Instant::now();
+    let mut unhealthy = guard(now);
+    let mut unanswered = guard(now);
+    let mut pending = guard(now);
+
+    // Act
+    unhealthy.handle(now, announcement_event("s", 5, 7, false));
+    unhealthy.handle(now, health("s", false));
+    let asked_again = unhealthy.handle(now, announcement_event("s", 5, 8, false));
+    unanswered.handle(now, announcement_event("s", 5, 7, false));
+    unanswered.handle(now, unanswered_inquiry(now));
+    unanswered.handle(now, announcement_event("s", 5, 8, false));
+    pending.handle(now, announcement_event("s", 5, 7, false));
+    pending.handle(now, announcement_event("s", 5, 8, false));
+
+    // Assert
+    assert!(inquires(&asked_again), "{asked_again:?}");
+    for mut state in [unhealthy, unanswered, pending] {
+        let arrived = state.handle(now, GuardEvent::Arrived(request(1, now)));
+        assert_eq!(refusal_of(&arrived, 1), Some(ErrorKind::NoServer));
+    }
+}
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -59,7 +59,8 @@
     /// missing then, there is no server on this VM, and every announcement is ignored.
     pub only_named_server: bool,
     /// Whether a server that is new to this run of the daemon gets requests only after an answer of
-    /// its health path or a second announcement has confirmed it.
+    /// its health path has confirmed it, or a second announcement that can't be from before the start
+    /// of the daemon.
     pub inquire: bool,
     /// Whether a server that announced its departure is taken as leaving until it restarts,
     /// whatever it announces later.
