Keep acknowledged departures in the store for the next incarnation

The restarted daemon takes the server as new, and orders run at it until it exits.

Cause: an acknowledged departure is kept in the memory of the daemon alone. What has to outlive a process belongs into the platform's store.

Why it works: the record that a daemon writes to the store anyway when its servers change carries the last 16 departures, and is written at once. A daemon reads its own record before it starts, as it did for its incarnation, and hands the departures to the guard before the first announcement can arrive. They are written again with each later record. Not covered: a daemon that is killed before the write is over, or starts while the store is down; then the health of the server decides, as of the commit before.

Price: no call for a server that leaves without a word of draining, one for a server that drains first.

--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -20,13 +20,15 @@
 use crate::journal::{self, JournalEvent, PlatformLog, MEMBERS};
 use crate::link::{self, LinkMessage, PeerName, PeerRequest};
 use crate::membership::duty::{FleetReader, MembershipCaller};
-use crate::membership::{self, CallTarget, DaemonEntry, MembershipCall, MembershipEvent, Ticket};
+use crate::membership::{
+    self, CallTarget, DaemonEntry, DaemonRecord, MembershipCall, MembershipEvent, Ticket,
+};
 use crate::operator::{OperatorEvent, OperatorMessage};
 use crate::ring::{spawn_duty, RingSender, TaskReceiver};
 use crate::routing::{RoutingEvent, RoutingMessage};
 
-/// Publishes the description of this daemon to the fleet.
-pub(super) type Publish = Box<dyn Fn(&DaemonEntry) + Send>;
+/// Publishes the record of this daemon on the platform.
+pub(super) type Publish = Box<dyn Fn(&DaemonRecord) + Send>;
 
 /// Addresses at which other daemons reach this one.
 #[derive(Clone, Copy)]
@@ -71,12 +73,12 @@
     })
 }
 
-/// Publishes the description of this daemon by a record in the platform's log.
+/// Publishes the record of this daemon in the platform's log.
 pub(super) fn publish_in_log(shared: &SharedResources, rings: &RingSenders) -> Publish {
     let journal = rings.journal.clone();
     let metrics = shared.metrics.clone();
-    Box::new(move |entry| {
-        let body = serde_json::to_string(entry).expect("plain values become JSON");
+    Box::new(move |record| {
+        let body = serde_json::to_string(record).expect("plain values become JSON");
         let append = JournalEvent::Append {
             stream: MEMBERS,
             body,
@@ -87,14 +89,14 @@
     })
 }
 
-/// Publishes the description of this daemon as the newest record of its key in a keyed store.
+/// Publishes the record of this daemon as the newest one of its key in a keyed store.
 pub(super) fn publish_keyed(
     shared: &SharedResources,
-    descriptions: RingSender<DaemonEntry>,
+    records: RingSender<DaemonRecord>,
 ) -> Publish {
     let metrics = shared.metrics.clone();
-    Box::new(move |entry| {
-        if descriptions.offer(entry.clone()).is_err() {
+    Box::new(move |record| {
+        if records.offer(record.clone()).is_err() {
             metrics.count("membership.publish.refused");
         }
     })
--- a/src/daemon/interfaces.rs
+++ b/src/daemon/interfaces.rs
@@ -6,7 +6,7 @@
 use crate::guard::announce::{AnnouncementDialect, FleetAnnouncements};
 use crate::journal::client::HttpLog;
 use crate::journal::PlatformLog;
-use crate::membership::DaemonEntry;
+use crate::membership::{DaemonEntry, DaemonRecord, ServerDeparture};
 use crate::reload::SettingsSource;
 use crate::settings::Settings;
 use crate::types::Incarnation;
@@ -26,6 +26,8 @@
     /// Last incarnation of this daemon that the platform knows, 0 for none. The new incarnation is
     /// greater, even if the clock is behind.
     pub last_incarnation: Incarnation,
+    /// Departures that earlier incarnations of this daemon acknowledged, as the platform knows them.
+    pub departures: Vec<ServerDeparture>,
 }
 
 /// Kind of storage that the platform offers to the fleet.
@@ -42,8 +44,8 @@
     pub configuration: Box<dyn Feed<ConfigurationItem>>,
     /// Feed of the descriptions of all daemons.
     pub members: Box<dyn Feed<DaemonEntry>>,
-    /// Writes the description of this daemon to the store.
-    pub publisher: Box<dyn Publisher<DaemonEntry>>,
+    /// Writes the record of this daemon to the store.
+    pub publisher: Box<dyn Publisher<DaemonRecord>>,
 }
 
 impl Interfaces {
@@ -55,6 +57,7 @@
             store: Store::Log(Arc::new(HttpLog::new(&settings.journal))),
             settings: None,
             last_incarnation: 0,
+            departures: Vec::new(),
         }
     }
 }
--- a/src/daemon/keyed_store.rs
+++ b/src/daemon/keyed_store.rs
@@ -17,24 +17,24 @@
 use crate::feed::message::FeedRead;
 use crate::feed::reader::{FeedReader, ReadMode};
 use crate::feed::{self, FeedEvent, FeedMessage, Publisher};
-use crate::membership::{DaemonEntry, MembershipEvent};
+use crate::membership::{DaemonEntry, DaemonRecord, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::quota;
 use crate::ring::{ring, spawn_duty, RingSender};
 
-/// Descriptions of this daemon that may wait to be written. Only the newest one is written.
-const DESCRIPTION_RING_COUNT: usize = 16;
+/// Records of this daemon that may wait to be written. Only the newest one is written.
+const RECORD_RING_COUNT: usize = 16;
 
 /// Handles to the threads of a keyed store.
 pub(super) struct KeyedStoreThreads {
-    /// Receives the descriptions of this daemon that are to be published.
-    pub(super) descriptions: RingSender<DaemonEntry>,
+    /// Receives the records of this daemon that are to be published.
+    pub(super) records: RingSender<DaemonRecord>,
     /// Dropping it ends the waits of the reading threads.
     pub(super) pause: Sender<()>,
 }
 
 /// Starts the threads that read configuration and members, follow the configuration, and publish
-/// the description of this daemon.
+/// the record of this daemon.
 pub(super) fn start_keyed_store(
     shared: &SharedResources,
     rings: &RingSenders,
@@ -44,8 +44,7 @@
 ) -> KeyedStoreThreads {
     let settings = &shared.settings;
     let (pause, paused) = bounded(0);
-    let (descriptions, descriptions_receiver) =
-        ring("notice", DESCRIPTION_RING_COUNT, &shared.metrics);
+    let (records, records_receiver) = ring("notice", RECORD_RING_COUNT, &shared.metrics);
     let feed_ring = rings.feed.clone();
     let configuration = FeedReader {
         settings: settings.feed.clone(),
@@ -84,12 +83,9 @@
     spawn_duty("read-members", move || members.run());
     spawn_duty("feed", move || feed::duty::run(&context, &messages));
     spawn_duty("notice", move || {
-        write_descriptions(publisher, &descriptions_receiver, &metrics)
+        write_records(publisher, &records_receiver, &metrics)
     });
-    KeyedStoreThreads {
-        descriptions,
-        pause,
-    }
+    KeyedStoreThreads { records, pause }
 }
 
 /// Creates the dispatcher that passes views and records to the duties.
@@ -122,38 +118,36 @@
     }
 }
 
-/// Writes the descriptions of this daemon to the store until the ring closes. If several are
-/// waiting, only the newest is written. A failed write is repeated until a newer description comes.
-fn write_descriptions(
-    mut publisher: Box<dyn Publisher<DaemonEntry>>,
-    descriptions: &Receiver<DaemonEntry>,
+/// Writes the records of this daemon to the store until the ring closes. If several are waiting,
+/// only the newest is written. A failed write is repeated until a newer record comes.
+fn write_records(
+    mut publisher: Box<dyn Publisher<DaemonRecord>>,
+    records: &Receiver<DaemonRecord>,
     metrics: &Metrics,
 ) {
-    let mut unwritten: Option<DaemonEntry> = None;
+    let mut unwritten: Option<DaemonRecord> = None;
     loop {
         let next = match unwritten.take() {
-            None => descriptions
-                .recv()
-                .map_err(|_| RecvTimeoutError::Disconnected),
-            Some(entry) => match descriptions.recv_timeout(DESCRIPTION_RETRY_DELAY) {
-                Err(RecvTimeoutError::Timeout) => Ok(entry),
+            None => records.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            Some(record) => match records.recv_timeout(RECORD_RETRY_DELAY) {
+                Err(RecvTimeoutError::Timeout) => Ok(record),
                 other => other,
             },
         };
         let Ok(next) = next else {
             return;
         };
-        let newest = descriptions.try_iter().last().unwrap_or(next);
+        let newest = records.try_iter().last().unwrap_or(next);
         if let Err(error) = publisher.put(&newest) {
             metrics.count("notice.failed");
-            log::debug!("writing the description of this daemon failed: {error}");
+            log::debug!("writing the record of this daemon failed: {error}");
             unwritten = Some(newest);
         }
     }
 }
 
-/// Wait before a failed write of a description is repeated, since refused calls have a cost too.
-const DESCRIPTION_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Wait before a failed write of a record is repeated, since refused calls have a cost too.
+const RECORD_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Starts the thread of the quota, which replaces the allowance when there is no log.
 pub(super) fn start_quota(
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -139,6 +139,14 @@
     if let Some(source) = interfaces.settings {
         threads.push(start_reload(&shared, &rings, source, receivers.reload));
     }
+    for departure in interfaces.departures {
+        rings
+            .guard
+            .deliver(GuardMessage::Event(GuardEvent::Withdrawn {
+                server: departure.server,
+                started_at_ms: departure.started_at_ms,
+            }));
+    }
     threads.extend(start_guard(
         &shared,
         &rings,
@@ -182,7 +190,7 @@
             // nothing is lost when they end with the process.
             pause = Some(keyed_store.pause);
             readers.extend(keyed_fleet_readers(&rings));
-            publish_keyed(&shared, keyed_store.descriptions)
+            publish_keyed(&shared, keyed_store.records)
         }
     };
     threads.push(start_membership(
--- a/src/guard/departures.rs
+++ b/src/guard/departures.rs
@@ -6,6 +6,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use super::message::GuardAction;
+use super::state::GuardState;
+use crate::membership::ServerDeparture;
 use crate::types::BackendServerId;
 
 /// How long a departure is remembered.
@@ -17,6 +20,9 @@
 /// Most departures that are remembered; the oldest is forgotten first.
 const DEPARTURE_LIMIT_COUNT: usize = 1024;
 
+/// Most departures that are reported for the next incarnation of the daemon, the latest ones.
+const REPORTED_LIMIT_COUNT: usize = 16;
+
 /// The last departure of one server.
 #[derive(Debug, Clone, Copy)]
 struct Departure {
@@ -32,6 +38,8 @@
 pub(super) struct Departures {
     /// Last departure of each server; at most `DEPARTURE_LIMIT_COUNT`.
     by_server: HashMap<BackendServerId, Departure>,
+    /// Whether an incarnation has left that no report contains yet.
+    unreported: bool,
 }
 
 impl Departures {
@@ -42,6 +50,7 @@
             .get(server)
             .map_or(0, |left| left.started_at_ms);
         let started_at_ms = started_at_ms.max(known);
+        self.unreported |= started_at_ms != known;
         let departure = Departure {
             started_at_ms,
             left_at: now,
@@ -66,6 +75,30 @@
         })
     }
 
+    /// Returns the latest departures of known incarnations, oldest first, if one is not reported yet.
+    fn take_report(&mut self) -> Option<Vec<ServerDeparture>> {
+        if !std::mem::take(&mut self.unreported) {
+            return None;
+        }
+        let known = self.by_server.iter();
+        let known = known.filter(|(_, left)| left.started_at_ms != 0);
+        let mut latest: Vec<(Instant, ServerDeparture)> = known
+            .map(|(server, left)| {
+                let departure = ServerDeparture {
+                    server: server.clone(),
+                    started_at_ms: left.started_at_ms,
+                };
+                (left.left_at, departure)
+            })
+            .collect();
+        latest.sort_by(|(some, one), (others, other)| {
+            (some, &one.server).cmp(&(others, &other.server))
+        });
+        let surplus_count = latest.len().saturating_sub(REPORTED_LIMIT_COUNT);
+        let latest = latest.into_iter().skip(surplus_count);
+        Some(latest.map(|(_, departure)| departure).collect())
+    }
+
     /// Forgets departures older than `DEPARTURE_RETENTION`.
     pub(super) fn forget_expired(&mut self, now: Instant) {
         self.by_server
@@ -80,3 +113,15 @@
         }
     }
 }
+
+impl GuardState {
+    /// Reports a new departure, if departures are final.
+    pub(super) fn report_departures(&mut self, actions: &mut Vec<GuardAction>) {
+        if !self.settings.departures_final {
+            return;
+        }
+        if let Some(departures) = self.departures.take_report() {
+            actions.push(GuardAction::ReportDepartures(departures));
+        }
+    }
+}
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -242,6 +242,10 @@
                 let event = MembershipEvent::Local(servers);
                 self.context.membership.deliver(event);
             }
+            GuardAction::ReportDepartures(departures) => {
+                let event = MembershipEvent::Departures(departures);
+                self.context.membership.deliver(event);
+            }
             GuardAction::ServerSeen(announcement) => log_server_seen(&announcement),
             GuardAction::AnnouncementIgnored {
                 announcement,
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -11,8 +11,7 @@
 use crate::error::ErrorKind;
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, FenceRequest, PeerReply};
-use crate::membership::Fleet;
-use crate::membership::ServerEntry;
+use crate::membership::{Fleet, ServerDeparture, ServerEntry};
 use crate::settings::guard::GuardSettings;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, OrganisationId, RequestId,
@@ -388,4 +387,7 @@
     Drained,
     /// Reports all servers that are present on this VM to membership.
     ReportServers(Vec<ServerEntry>),
+    /// Reports the departures that the next incarnation of this daemon has to know to membership,
+    /// which publishes them.
+    ReportDepartures(Vec<ServerDeparture>),
 }
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -151,6 +151,7 @@
         }
         self.started.forget_expired(now);
         self.report_servers(&mut actions);
+        self.report_departures(&mut actions);
         if self.drained_at().is_some_and(|at| now >= at) {
             self.last_arrival_at = None;
             actions.push(GuardAction::Drained);
--- a/src/guard/tests/late_announcements.rs
+++ b/src/guard/tests/late_announcements.rs
@@ -8,6 +8,7 @@
 use crate::error::ErrorKind;
 use crate::guard::message::{Announcement, GuardAction, GuardEvent, IgnoredBecause};
 use crate::guard::state::GuardState;
+use crate::membership::ServerDeparture;
 use crate::settings::guard::GuardSettings;
 use crate::wire::dialect::HealthReport;
 
@@ -349,3 +350,39 @@
         assert_eq!(refusal_of(&arrived, 1), Some(ErrorKind::NoServer));
     }
 }
+
+/// Returns the departures that were reported to membership, if any were.
+fn reported_departures(actions: &[GuardAction]) -> Option<&[ServerDeparture]> {
+    actions.iter().find_map(|action| match action {
+        GuardAction::ReportDepartures(departures) => Some(departures.as_slice()),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_departure_is_reported_once_for_the_next_incarnation_of_the_daemon() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = guard(now);
+    state.handle(now, announcement_event("s", 5, 1, false));
+
+    // Act
+    let draining = state.handle(now, announcement_event("s", 5, 2, true));
+    let again = state.handle(now, announcement_event("s", 5, 3, true));
+    let withdrawal = state.handle(now, withdrawn("s", 5));
+    let other = state.handle(now, withdrawn("t", 6));
+    let unknown = state.handle(now, withdrawn("u", 0));
+
+    // Assert
+    let departure = |server: &str, started_at_ms| ServerDeparture {
+        server: server.into(),
+        started_at_ms,
+    };
+    let first = departure("s", 5);
+    assert_eq!(reported_departures(&draining), Some(&[first.clone()][..]));
+    assert_eq!(reported_departures(&again), None);
+    assert_eq!(reported_departures(&withdrawal), None);
+    let both = [first, departure("t", 6)];
+    assert_eq!(reported_departures(&other), Some(&both[..]));
+    assert_eq!(reported_departures(&unknown), None);
+}
--- a/src/membership/bounds.rs
+++ b/src/membership/bounds.rs
@@ -7,7 +7,9 @@
 
 use thiserror::Error;
 
-use super::message::{DaemonEntry, Delta, ServerEntry, Summary, FULL_SHARE_PERMILLE};
+use super::message::{
+    DaemonEntry, Delta, ServerDeparture, ServerEntry, Summary, FULL_SHARE_PERMILLE,
+};
 use crate::contract::check::SLOTS_LIMIT_COUNT;
 use crate::incarnation::{is_valid_incarnation, INCARNATION_LIMIT};
 use crate::types::Incarnation;
@@ -45,6 +47,9 @@
     /// The share of a server exceeds `FULL_SHARE_PERMILLE`.
     #[error("share_permille must be at most {FULL_SHARE_PERMILLE}")]
     Share,
+    /// The start of a server that left exceeds `INCARNATION_LIMIT`.
+    #[error("started_at_ms must be at most {INCARNATION_LIMIT}")]
+    StartedAt,
 }
 
 impl DaemonEntry {
@@ -61,6 +66,17 @@
     }
 }
 
+impl ServerDeparture {
+    /// Checks every field against its bounds.
+    pub fn check(&self) -> Result<(), EntryError> {
+        check_name("server", &self.server)?;
+        match self.started_at_ms > INCARNATION_LIMIT {
+            true => Err(EntryError::StartedAt),
+            false => Ok(()),
+        }
+    }
+}
+
 impl Delta {
     /// Checks the incarnation, the version and the servers against their bounds.
     pub fn check(&self) -> Result<(), EntryError> {
--- a/src/membership/duty.rs
+++ b/src/membership/duty.rs
@@ -10,7 +10,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::message::{
-    CallTarget, DaemonEntry, Fleet, MembershipAction, MembershipCall, MembershipEvent, Ticket,
+    CallTarget, DaemonEntry, DaemonRecord, Fleet, MembershipAction, MembershipCall,
+    MembershipEvent, Ticket,
 };
 use super::state::MembershipState;
 use crate::clock::Clock;
@@ -36,8 +37,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counters that membership increments.
     pub metrics: Metrics,
-    /// Appends the description of this daemon to the platform's log.
-    pub publish: Box<dyn Fn(&DaemonEntry) + Send>,
+    /// Writes the record of this daemon to the platform.
+    pub publish: Box<dyn Fn(&DaemonRecord) + Send>,
     /// Callbacks that receive every new snapshot.
     pub readers: Vec<FleetReader>,
     /// Sends calls to peers.
@@ -149,7 +150,7 @@
     /// Carries out an action that the state returned.
     fn carry_out(&mut self, action: MembershipAction) {
         match action {
-            MembershipAction::Publish(entry) => (self.context.publish)(&entry),
+            MembershipAction::Publish(record) => (self.context.publish)(&record),
             MembershipAction::FleetChanged(fleet) => {
                 self.fleet = fleet;
                 self.lagging_readers = (0..self.context.readers.len()).collect();
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -57,6 +57,27 @@
     pub servers: Vec<ServerEntry>,
 }
 
+/// Departure of a backend server, as the daemon on its VM acknowledged it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerDeparture {
+    /// Id of the backend server.
+    pub server: BackendServerId,
+    /// Start of the latest incarnation that left, in milliseconds since the epoch.
+    pub started_at_ms: u64,
+}
+
+/// Record that a daemon keeps on the platform: its description for the fleet, and what its next
+/// incarnation has to know.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DaemonRecord {
+    /// Description of the daemon.
+    #[serde(flatten)]
+    pub entry: DaemonEntry,
+    /// Departures that the daemon acknowledged; gossip does not carry them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<ServerDeparture>,
+}
+
 /// Snapshot of all known daemons. Clones share the parts that did not change.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Fleet {
@@ -69,6 +90,8 @@
 pub enum MembershipEvent {
     /// The backend servers on this VM changed; holds all of them.
     Local(Vec<ServerEntry>),
+    /// Departures of servers on this VM were acknowledged; holds all that are to be kept.
+    Departures(Vec<ServerDeparture>),
     /// Health set the share of a backend server on this VM.
     ShareChanged {
         /// Id of the backend server.
@@ -105,8 +128,8 @@
 /// An action, the output of `MembershipState::handle`, which the membership thread carries out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum MembershipAction {
-    /// Appends this description of the own daemon to the platform's log.
-    Publish(DaemonEntry),
+    /// Writes this record of the own daemon to the platform.
+    Publish(DaemonRecord),
     /// Hands a new snapshot of the fleet to the other threads of this process.
     FleetChanged(Arc<Fleet>),
     /// Calls a peer; `MembershipEvent::CallEnded` with the same ticket follows.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -25,9 +25,10 @@
 mod suspicion;
 
 pub use message::{
-    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, Delta, Fleet, Gossip,
+    CallTarget, CompareAnswer, CompareRequest, DaemonEntry, DaemonRecord, Delta, Fleet, Gossip,
     IncarnationRaised, MembersAnswer, MembersRequest, MembershipAction, MembershipCall,
-    MembershipEvent, NewsSource, ServerEntry, Summary, Ticket, FULL_SHARE_PERMILLE,
+    MembershipEvent, NewsSource, ServerDeparture, ServerEntry, Summary, Ticket,
+    FULL_SHARE_PERMILLE,
 };
 
 #[cfg(test)]
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -13,8 +13,8 @@
 use super::gossip::OpenCall;
 use super::members::Members;
 use super::message::{
-    DaemonEntry, MembershipAction, MembershipEvent, NewsSource, ServerEntry, Ticket,
-    FULL_SHARE_PERMILLE,
+    DaemonEntry, DaemonRecord, MembershipAction, MembershipEvent, NewsSource, ServerDeparture,
+    ServerEntry, Ticket, FULL_SHARE_PERMILLE,
 };
 use super::own_incarnation::LaterIncarnation;
 use super::rumours::Rumours;
@@ -31,6 +31,8 @@
     pub(super) random: ChaCha8Rng,
     /// Description of this daemon.
     pub(super) own: DaemonEntry,
+    /// Departures of servers on this VM, published beside the description.
+    departures: Vec<ServerDeparture>,
     /// Shares that health set, in thousandths, for servers that are on this VM now.
     shares: BTreeMap<BackendServerId, u16>,
     /// All known daemons, including this one.
@@ -111,6 +113,7 @@
             settings,
             random,
             own,
+            departures: Vec::new(),
             shares: BTreeMap::new(),
             members,
             rumours: Rumours::default(),
@@ -152,6 +155,7 @@
         self.detect_pause(now);
         match event {
             MembershipEvent::Local(servers) => self.update_local_servers(now, servers),
+            MembershipEvent::Departures(departures) => self.update_departures(now, departures),
             MembershipEvent::ShareChanged {
                 server,
                 share_permille,
@@ -276,6 +280,14 @@
         }
     }
 
+    /// Takes the departures to be kept and publishes them at once: this process may end at any time.
+    fn update_departures(&mut self, now: Instant, departures: Vec<ServerDeparture>) {
+        self.departures = departures;
+        if self.settings.publish_change_ms > 0 && !self.is_superseded() {
+            self.publish_at = now;
+        }
+    }
+
     /// Raises the version of this daemon's description and spreads it.
     pub(super) fn announce_change(&mut self, now: Instant) {
         self.own.version += 1;
@@ -299,8 +311,11 @@
     /// Publishes this daemon's description on the platform; repeated soon unless it is read back.
     pub(super) fn publish(&mut self, now: Instant) {
         self.publish_at = self.later(now, self.settings.publish_retry_ms);
-        let own = self.own.clone();
-        self.actions.push(MembershipAction::Publish(own));
+        let record = DaemonRecord {
+            entry: self.own.clone(),
+            departures: self.departures.clone(),
+        };
+        self.actions.push(MembershipAction::Publish(record));
     }
 
     /// Merges a description read from the platform. Reading back the own one postpones the next
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use super::message::{
-    DaemonEntry, MembershipAction, MembershipEvent, ServerEntry, FULL_SHARE_PERMILLE,
+    DaemonEntry, MembershipAction, MembershipEvent, ServerDeparture, ServerEntry,
+    FULL_SHARE_PERMILLE,
 };
 use super::state::MembershipState;
 use crate::settings::membership::MembershipSettings;
@@ -134,3 +135,37 @@
     assert!(published(&other));
     assert!(!published(&load));
 }
+
+#[test]
+fn acknowledged_departures_are_published_at_once_and_in_every_later_record() {
+    // Arrange
+    let begin = Instant::now();
+    let settings = MembershipSettings {
+        publish_change_ms: 200,
+        publish_ms: 1_000,
+        ..Default::default()
+    };
+    let random = ChaCha8Rng::seed_from_u64(1);
+    let mut state = MembershipState::new(settings, entry("a", 1, 0), random, begin);
+    state.handle(begin, MembershipEvent::Tick);
+    let departures = vec![ServerDeparture {
+        server: "s".into(),
+        started_at_ms: 5,
+    }];
+    let published = |actions: Vec<MembershipAction>| {
+        actions.into_iter().find_map(|action| match action {
+            MembershipAction::Publish(record) => Some(record.departures),
+            _ => None,
+        })
+    };
+
+    // Act
+    state.handle(begin, MembershipEvent::Departures(departures.clone()));
+    let at_once = published(state.handle(begin, MembershipEvent::Tick));
+    let much_later = begin + Duration::from_secs(60);
+    let again = published(state.handle(much_later, MembershipEvent::Tick));
+
+    // Assert
+    assert_eq!(at_once.as_ref(), Some(&departures));
+    assert_eq!(again, Some(departures));
+}
--- a/src/membership/tests/incarnations.rs
+++ b/src/membership/tests/incarnations.rs
@@ -116,7 +116,7 @@
 /// Returns the description that is published, if one is.
 fn published(actions: &[MembershipAction]) -> Option<&DaemonEntry> {
     actions.iter().find_map(|action| match action {
-        MembershipAction::Publish(entry) => Some(entry),
+        MembershipAction::Publish(record) => Some(&record.entry),
         _ => None,
     })
 }
--- a/src/membership/virtual_fleet.rs
+++ b/src/membership/virtual_fleet.rs
@@ -383,7 +383,7 @@
 
     fn carry_out(&mut self, index: Index, action: MembershipAction) {
         match action {
-            MembershipAction::Publish(entry) => self.append_to_log(entry),
+            MembershipAction::Publish(record) => self.append_to_log(record.entry),
             MembershipAction::FleetChanged(fleet) => self.daemons[index].fleet = fleet,
             MembershipAction::Call {
                 ticket,
--- a/src/settings/membership.rs
+++ b/src/settings/membership.rs
@@ -44,7 +44,8 @@
     /// milliseconds.
     pub publish_ms: u64,
     /// Wait before a change of the servers on this VM is published through the platform, in
-    /// milliseconds; 0 leaves it to gossip.
+    /// milliseconds; 0 leaves it to gossip. Acknowledged departures are published without this wait,
+    /// and not at all with 0.
     pub publish_change_ms: u64,
     /// Wait before an own description that was not read back is published again, in milliseconds.
     pub publish_retry_ms: u64,
