Spread the reads of the configuration and tell peers what they find

For 4.4 s after the store had acknowledged a version, a withdrawn key and a dropped route worked on all machines; the bound is 2 s. 80 requests each ran that should have been refused.

Cause: a change of the configuration ends the waiting reads of all daemons at the same moment, so all begin their next ones together. When the open connections to the store fall silent, all of these reads hang, and a hung read ends only after feed.wait_ms and feed.timeout_ms, 5.8 s after it began. Until then no daemon knows the change, so the hints between daemons have nothing to tell.

The new simulation of feed states and read plans fails without turns (1 daemon, change 0.1 s after the silence: in force 10.01 s after the start, due after 7.05 s), and with turns but without telling (4 daemons: 8.015 s, due after 7.05 s).

Ruled out: kept connections after the hang (a failed call drops the idle ones), the pause after failures (it is over when a read has hung), and a hint that is not followed (none was sent). Shorter waits for all daemons would multiply their waiting reads by four. TCP keep-alive does not show a relay that takes bytes.

Why it works: some daemon begins a read at least every feed.turn_ms, 0.4 of the bound, so one read is given up, and a fresh one made, within 0.8 of it. A daemon whose read has failed tells eight peers of each change that it learns while reads of others may still hang, and a daemon that learns a change from a peer tells eight more. A peer that is behind asks for the configuration. A later change reaches a fresh read at once.

Price: the turns shorten one wait a change of at most 14 daemons, so the store gets about seven more reads a change whatever the size of the fleet (turns_cost_a_large_fleet_few_more_reads: under 2% more at 355 daemons). Telling costs the store nothing.

--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -50,7 +50,11 @@
             }
             PeerRequest::Records(request) => {
                 if self.reads_feed {
-                    let message = FeedMessage::Asked { request, reply };
+                    let message = FeedMessage::Asked {
+                        from: from.daemon.clone(),
+                        request,
+                        reply,
+                    };
                     if let Err(FeedMessage::Asked { reply, .. }) = self.rings.feed.offer(message) {
                         reply(Err(LinkError::Refused));
                     }
--- a/src/feed/duty.rs
+++ b/src/feed/duty.rs
@@ -9,6 +9,7 @@
 
 use super::message::{FeedAction, FeedEvent, FeedMessage, Snapshot};
 use super::state::FeedState;
+use super::turn::SharedTurn;
 use crate::clock::Clock;
 use crate::journal::duty::JournalObserver;
 use crate::journal::CONFIGURATION;
@@ -35,6 +36,8 @@
     pub link: RingSender<LinkMessage>,
     /// Ring of this thread itself, through which answers of peers arrive.
     pub answers: RingSender<FeedMessage>,
+    /// Turn in which the configuration is read.
+    pub turn: Arc<SharedTurn>,
     /// Passes new views on to the other duties.
     pub observer: Box<dyn JournalObserver>,
 }
@@ -53,9 +56,14 @@
             Ok(FeedMessage::Stop) | Err(RecvTimeoutError::Disconnected) => return,
             Err(RecvTimeoutError::Timeout) => FeedEvent::Tick,
             Ok(FeedMessage::Event(event)) => event,
-            Ok(FeedMessage::Asked { request, reply }) => {
+            Ok(FeedMessage::Asked {
+                from,
+                request,
+                reply,
+            }) => {
+                let next = request.from;
                 answer(&state, &request, reply);
-                continue;
+                FeedEvent::PeerAhead { peer: from, next }
             }
         };
         for action in state.handle(context.clock.now(), event) {
@@ -91,6 +99,18 @@
             context.observer.usable_changed(usable);
         }
         FeedAction::Ask { peer, from } => ask(context, peer, from),
+        FeedAction::Tell { peers, next } => {
+            for peer in peers {
+                tell(
+                    &context.link,
+                    &context.metrics,
+                    peer,
+                    next,
+                    TELL_LIMIT_COUNT,
+                );
+            }
+        }
+        FeedAction::Turn(turn) => context.turn.set(turn),
         FeedAction::Reachable(reachable) => {
             log::info!(reachable; "store_reachable");
             context.observer.log_reachable_changed(reachable);
@@ -103,16 +123,50 @@
     }
 }
 
+/// Most times that a peer is told of one change. The first may be lost on a connection that has
+/// silently failed.
+const TELL_LIMIT_COUNT: u32 = 2;
+
+/// Tells a peer up to which offset this daemon has read: a question for what follows makes a peer
+/// that is behind ask in turn.
+fn tell(
+    link: &RingSender<LinkMessage>,
+    metrics: &Metrics,
+    peer: DaemonId,
+    next: Offset,
+    left_count: u32,
+) {
+    if left_count == 0 {
+        return;
+    }
+    metrics.count("feed.peer.told");
+    let (again, counters, to) = (link.clone(), metrics.clone(), peer.clone());
+    let reply: PeerReply = Box::new(move |result| {
+        // A peer that knows no more refuses.
+        if matches!(result, Err(LinkError::Silent | LinkError::Unreachable)) {
+            tell(&again, &counters, peer, next, left_count - 1);
+        }
+    });
+    let request = records_after(next);
+    // A full ring counts the refused message. Other daemons tell the peer, too.
+    let _ = link.offer(LinkMessage::Call { to, request, reply });
+}
+
+/// Returns the question for the configuration after an offset.
+fn records_after(from: Offset) -> PeerRequest {
+    PeerRequest::Records(RecordsRequest {
+        stream: CONFIGURATION.to_owned(),
+        from,
+        limit_count: 0,
+    })
+}
+
 /// Asks a peer for its configuration; the answer arrives as `FeedEvent::PeerAnswered`.
 fn ask(context: &FeedContext, peer: DaemonId, from: Offset) {
     context.metrics.count("feed.peer.asked");
     let answers = context.answers.clone();
     let metrics = context.metrics.clone();
-    let request = PeerRequest::Records(RecordsRequest {
-        stream: CONFIGURATION.to_owned(),
-        from,
-        limit_count: 0,
-    });
+    let request = records_after(from);
     let reply: PeerReply = Box::new(move |result| {
         let snapshot = match result {
             Ok(PeerAnswer::Records(answer)) => parse(&metrics, answer),
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -4,13 +4,18 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
+use super::turn::ReadTurn;
 use super::{FeedError, Page};
 use crate::contract::{Document, View};
 use crate::link::{PeerReply, RecordsRequest};
 use crate::membership::Fleet;
 use crate::types::{DaemonId, DomainId, Offset};
 
+/// Peers that a daemon tells of a change which others may have missed.
+pub const TOLD_COUNT: usize = 8;
+
 /// One item of the feed of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ConfigurationItem {
@@ -79,6 +84,8 @@
     Event(FeedEvent),
     /// A peer asks for the configuration in force.
     Asked {
+        /// The peer that asks.
+        from: DaemonId,
         /// The stream, and the offset up to which the peer has read.
         request: RecordsRequest,
         /// Sends the answer to the peer.
@@ -100,6 +107,15 @@
         /// Offset up to which this daemon has read.
         from: Offset,
     },
+    /// Tells peers up to which offset this daemon has read, so that those behind ask for the rest.
+    Tell {
+        /// The peers to be told.
+        peers: SmallVec<[DaemonId; TOLD_COUNT]>,
+        /// Offset up to which this daemon has read.
+        next: Offset,
+    },
+    /// Sets the turn in which this daemon reads.
+    Turn(ReadTurn),
     /// Reports that the platform answers again, or no longer does.
     Reachable(bool),
     /// Reports a record of the feed that can't be parsed.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -5,9 +5,11 @@
 //! further.
 
 pub mod duty;
+pub mod follow;
 pub mod message;
 pub mod reader;
 pub mod state;
+pub mod turn;
 
 use std::time::Duration;
 
--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -6,7 +6,9 @@
 
 use rand::Rng;
 
+use super::follow::{FollowPlan, ReadEnd};
 use super::message::FeedRead;
+use super::turn::SharedTurn;
 use super::{Feed, FeedError};
 use crate::settings::feed::FeedSettings;
 
@@ -14,10 +16,10 @@
 pub type ReadSink<T> = Box<dyn Fn(FeedRead<T>) + Send>;
 
 /// How a reader continues after the newest items.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum ReadMode {
-    /// Follows the feed; each read waits at the platform for the next item up to this long.
-    Follow(Duration),
+    /// Follows the feed; each read waits at the platform for the next item, in this daemon's turn.
+    Follow(Arc<SharedTurn>),
     /// Reads the newest items again after `first`, and then after longer and longer waits up to
     /// `longest`.
     Poll {
@@ -48,43 +50,51 @@
     /// Reads until the daemon stops.
     pub fn run(mut self) {
         match self.mode {
-            ReadMode::Follow(wait) => self.follow(wait),
+            ReadMode::Follow(ref turn) => {
+                let turn = turn.clone();
+                self.follow(&turn);
+            }
             ReadMode::Poll { first, longest } => self.poll(first, longest),
         }
     }
 
     /// Reads the newest items and then follows the feed; starts over if records may have been
     /// missed. After a failure it does not wait for records until a read has succeeded.
-    fn follow(&mut self, wait: Duration) {
+    fn follow(&mut self, turn: &SharedTurn) {
         let mut from = None;
-        let mut failed_count: u32 = 0;
+        let mut plan = FollowPlan::default();
         while !self.stopping.load(Ordering::Relaxed) {
             let began_at = Instant::now();
             let read = match from {
                 None => self.feed.newest(),
-                // A read that waits for records looks like one that hangs on a silent platform.
-                Some(from) if failed_count > 0 => self.feed.follow(from, Duration::ZERO),
-                Some(from) => self.feed.follow(from, wait),
+                Some(from) => {
+                    let wait = plan.next_wait(turn.get(), &self.settings);
+                    self.feed.follow(from, wait)
+                }
             };
             match read {
                 Ok(page) => {
-                    failed_count = 0;
-                    let followed = from.replace(page.next).is_some();
-                    (self.sink)(match followed {
+                    let next = page.next;
+                    let followed = from.replace(next);
+                    plan.record_end(match followed {
+                        None => ReadEnd::Newest,
+                        Some(from) if from < next => ReadEnd::Items,
+                        Some(_) => ReadEnd::Nothing,
+                    });
+                    (self.sink)(match followed.is_some() {
                         true => FeedRead::Followed(page),
                         false => FeedRead::Newest(page),
                     });
                 }
                 Err(error) => {
-                    if error != FeedError::Truncated {
-                        failed_count += 1;
-                    }
+                    let counts = error != FeedError::Truncated;
+                    plan.record_end(ReadEnd::Failed { counts });
                     // Records may have been missed, or dropped for newer ones.
                     if !matches!(error, FeedError::Unavailable(_)) {
                         from = None;
                     }
                     (self.sink)(FeedRead::Failed(error));
-                    self.back_off(failed_count, began_at);
+                    self.back_off(plan.failed_count(), began_at);
                 }
             }
         }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -6,7 +6,8 @@
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
-use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
+use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot, TOLD_COUNT};
+use super::turn::ReadTurn;
 use super::{FeedError, Page};
 use crate::contract::View;
 use crate::membership::Fleet;
@@ -31,6 +32,10 @@
     ahead: Option<(DaemonId, Offset)>,
     /// When a peer is to be asked; none if there is no reason to.
     ask_at: Option<Instant>,
+    /// Until when other daemons' reads may hang, since a read of this one has failed.
+    others_may_hang_until: Option<Instant>,
+    /// Turn in which this daemon reads.
+    turn: ReadTurn,
     /// The fleet, from which peers are chosen.
     fleet: Arc<Fleet>,
 }
@@ -47,6 +52,8 @@
             asking: false,
             ahead: None,
             ask_at: None,
+            others_may_hang_until: None,
+            turn: ReadTurn::default(),
             fleet: Arc::default(),
         }
     }
@@ -73,13 +80,23 @@
                 }
             }
             FeedEvent::PeerAnswered(snapshot) => self.peer_answered(now, snapshot, &mut actions),
-            FeedEvent::Fleet(fleet) => self.fleet = fleet,
+            FeedEvent::Fleet(fleet) => self.update_fleet(fleet, &mut actions),
             FeedEvent::Tick => {}
         }
         self.ask(now, &mut actions);
         actions
     }
 
+    /// Takes the fleet, and the turn in it.
+    fn update_fleet(&mut self, fleet: Arc<Fleet>, actions: &mut Vec<FeedAction>) {
+        self.fleet = fleet;
+        let turn = ReadTurn::new(&self.fleet, &self.own_daemon);
+        if turn != self.turn {
+            self.turn = turn;
+            actions.push(FeedAction::Turn(turn));
+        }
+    }
+
     /// Takes the result of a read of the feed.
     fn read(
         &mut self,
@@ -92,6 +109,7 @@
             self.reachable = reachable;
             actions.push(FeedAction::Reachable(reachable));
         }
+        let next = self.snapshot.next;
         match read {
             FeedRead::Newest(page) => {
                 let base = Snapshot::default();
@@ -103,9 +121,14 @@
             }
             FeedRead::Failed(_) if !reachable => {
                 self.ask_at.get_or_insert(now);
+                self.others_may_hang_until = Some(now + self.longest_read());
             }
             FeedRead::Failed(_) => {}
         }
+        let others_may_hang = self.others_may_hang_until.is_some_and(|until| now < until);
+        if self.snapshot.next > next && others_may_hang {
+            self.tell_peers(actions);
+        }
         if reachable && self.ahead.is_none() {
             self.ask_at = None;
         }
@@ -175,6 +198,20 @@
             return;
         };
         self.put_in_force(snapshot, actions);
+        self.tell_peers(actions);
+    }
+
+    /// Tells some peers of the configuration in force, since they may not have learnt of it either.
+    fn tell_peers(&mut self, actions: &mut Vec<FeedAction>) {
+        let others = other_daemons(&self.fleet, &self.own_daemon);
+        let peers = others.choose_multiple(&mut self.random, TOLD_COUNT);
+        if peers.is_empty() {
+            return;
+        }
+        actions.push(FeedAction::Tell {
+            peers: peers.into_iter().cloned().collect(),
+            next: self.snapshot.next,
+        });
     }
 
     /// Asks the peer that is ahead, or any peer while the platform does not answer.
@@ -197,13 +234,13 @@
 
     /// Returns a random peer that does not leave the fleet.
     fn random_peer(&mut self) -> Option<DaemonId> {
-        let others = self
-            .fleet
-            .daemons
-            .values()
-            .filter(|daemon| daemon.daemon != self.own_daemon && !daemon.leaving);
-        let chosen = others.choose(&mut self.random);
-        chosen.map(|daemon| daemon.daemon.clone())
+        let others = other_daemons(&self.fleet, &self.own_daemon);
+        others.choose(&mut self.random).cloned()
+    }
+
+    /// Returns how long a read of any daemon lasts at most.
+    fn longest_read(&self) -> Duration {
+        Duration::from_millis(self.settings.wait_ms + self.settings.timeout_ms)
     }
 
     /// Returns how long the feed may take to show what a peer has already read.
@@ -216,3 +253,10 @@
         Duration::from_millis(self.settings.peer_ask_ms)
     }
 }
+
+/// Returns the other daemons that do not leave the fleet.
+fn other_daemons<'a>(fleet: &'a Fleet, own: &'a DaemonId) -> impl Iterator<Item = &'a DaemonId> {
+    let others = fleet.daemons.values();
+    let others = others.filter(move |daemon| daemon.daemon != *own && !daemon.leaving);
+    others.map(|daemon| &daemon.daemon)
+}
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of the configuration duty and of the reader of a feed.
 
+mod silence;
+mod turn;
+
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -298,7 +301,7 @@
             retry_ms: 1,
             ..Default::default()
         },
-        mode: ReadMode::Follow(WAIT),
+        mode: ReadMode::Follow(Arc::default()),
         feed: Box::new(Hanging {
             waits,
             count: 0,
--- a/src/membership/digest.rs
+++ b/src/membership/digest.rs
@@ -18,7 +18,7 @@
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
 /// Returns the position of a daemon in the digest tree, a hash of its id.
-pub(super) fn tree_position(daemon: &DaemonId) -> u64 {
+pub fn tree_position(daemon: &DaemonId) -> u64 {
     let mut hash = FNV_OFFSET;
     for byte in daemon.bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -24,6 +24,7 @@
 mod rumours;
 mod suspicion;
 
+pub use digest::tree_position;
 pub use message::{
     CallTarget, CompareAnswer, CompareRequest, DaemonEntry, DaemonRecord, Delta, Fleet, Gossip,
     IncarnationRaised, MembersAnswer, MembersRequest, MembershipAction, MembershipCall,
