--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -139,13 +139,15 @@
     if let Some(source) = interfaces.settings {
         threads.push(start_reload(&shared, &rings, source, receivers.reload));
     }
+    // The guard's ring holds them before any announcement.
     for departure in interfaces.departures {
-        rings
-            .guard
-            .deliver(GuardMessage::Event(GuardEvent::Withdrawn {
-                server: departure.server,
-                started_at_ms: departure.started_at_ms,
-            }));
+        let (server, started_at_ms) = (departure.server, departure.started_at_ms);
+        log::info!(server = &*server, started_at_ms; "departure_recovered");
+        let event = GuardEvent::Withdrawn {
+            server,
+            started_at_ms,
+        };
+        rings.guard.deliver(GuardMessage::Event(event));
     }
     threads.extend(start_guard(
         &shared,
--- a/src/feed/duty.rs
+++ b/src/feed/duty.rs
@@ -61,8 +61,12 @@
                 request,
                 reply,
             }) => {
+                let is_feed = request.stream == CONFIGURATION;
                 let next = request.from;
                 answer(&state, &request, reply);
+                if !is_feed {
+                    continue;
+                }
                 FeedEvent::PeerAhead { peer: from, next }
             }
         };
