--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -14,10 +14,10 @@
     Items,
     /// The wait passed without a new item.
     Nothing,
-    /// The read failed. `count` is false for a failure that does not show that the platform is out
-    /// of service.
+    /// The read failed.
     Failed {
-        /// Whether the failure counts among those in a row.
+        /// Whether the failure counts among those in a row. One that only asks for a fresh start does
+        /// not.
         counts: bool,
     },
 }
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -15,7 +15,9 @@
 use super::reader::{FeedReader, ReadMode};
 use super::{Feed, FeedError, FeedState, Page};
 use crate::contract::{Document, ServiceContract, View};
+use crate::membership::{DaemonEntry, Fleet};
 use crate::settings::feed::FeedSettings;
+use crate::types::DaemonId;
 
 /// Returns the state of daemon `own` before the first read.
 fn state() -> FeedState {
@@ -23,6 +25,26 @@
     FeedState::new(FeedSettings::default(), "own".into(), random)
 }
 
+/// Returns a fleet of these daemons, without servers.
+fn fleet(names: impl Iterator<Item = DaemonId>) -> Fleet {
+    let daemons = names.map(|daemon| {
+        let entry = DaemonEntry {
+            daemon: daemon.clone(),
+            incarnation: 1,
+            version: 1,
+            domain: "d".into(),
+            guard_address: "127.0.0.1:1".parse().expect("a literal address"),
+            link_address: "127.0.0.1:2".parse().expect("a literal address"),
+            leaving: false,
+            servers: Vec::new(),
+        };
+        (daemon, Arc::new(entry))
+    });
+    Fleet {
+        daemons: daemons.collect(),
+    }
+}
+
 /// Returns a document that contains this service only.
 fn document(service: &str) -> Arc<Document> {
     Arc::new(Document {
--- a/src/feed/tests/silence.rs
+++ b/src/feed/tests/silence.rs
@@ -12,7 +12,6 @@
 use crate::feed::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead};
 use crate::feed::turn::ReadTurn;
 use crate::feed::{FeedError, FeedState, Page, Snapshot};
-use crate::membership::{DaemonEntry, Fleet};
 use crate::settings::feed::FeedSettings;
 use crate::types::DaemonId;
 
@@ -88,24 +87,6 @@
     format!("daemon-{index}").into()
 }
 
-/// Returns a fleet of this many daemons.
-fn fleet(daemon_count: usize) -> Arc<Fleet> {
-    let entry = |index| DaemonEntry {
-        daemon: name(index),
-        incarnation: 1,
-        version: 1,
-        domain: "d".into(),
-        guard_address: "127.0.0.1:1".parse().expect("a literal address"),
-        link_address: "127.0.0.1:2".parse().expect("a literal address"),
-        leaving: false,
-        servers: Vec::new(),
-    };
-    let daemons = (0..daemon_count).map(|index| (name(index), Arc::new(entry(index))));
-    Arc::new(Fleet {
-        daemons: daemons.collect(),
-    })
-}
-
 impl Simulation {
     /// Starts a fleet at `begin`. Records are written and connections fall silent after these times.
     fn new(
@@ -114,7 +95,7 @@
         written_after: &[Duration],
         silent_after: Option<Duration>,
     ) -> Simulation {
-        let fleet = fleet(daemon_count);
+        let fleet = Arc::new(super::fleet((0..daemon_count).map(name)));
         let daemon = |index| Daemon {
             state: FeedState::new(
                 settings(),
--- a/src/feed/tests/turn.rs
+++ b/src/feed/tests/turn.rs
@@ -3,31 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{failed, newest, state};
+use super::{failed, fleet, newest, state};
 use crate::feed::message::{FeedAction, FeedEvent, Snapshot, TOLD_COUNT};
 use crate::feed::turn::{ReadTurn, SharedTurn};
-use crate::membership::{DaemonEntry, Fleet};
+use crate::membership::Fleet;
 use crate::settings::feed::FeedSettings;
 
 /// Returns a fleet of `own` and this many others.
 fn fleet_with_others(other_count: usize) -> Fleet {
-    let entry = |daemon: &str| DaemonEntry {
-        daemon: daemon.into(),
-        incarnation: 1,
-        version: 1,
-        domain: "d".into(),
-        guard_address: "127.0.0.1:1".parse().expect("a literal address"),
-        link_address: "127.0.0.1:2".parse().expect("a literal address"),
-        leaving: false,
-        servers: Vec::new(),
-    };
-    let others = (0..other_count).map(|number| entry(&format!("other-{number}")));
-    let entries = others.chain([entry("own")]);
-    Fleet {
-        daemons: entries
-            .map(|entry| (entry.daemon.clone(), Arc::new(entry)))
-            .collect(),
-    }
+    let others = (0..other_count).map(|number| format!("other-{number}").into());
+    fleet(others.chain(["own".into()]))
 }
 
 /// Returns the peers that are told, and up to which offset.
