--- a/src/feed/duty.rs
+++ b/src/feed/duty.rs
@@ -103,14 +103,14 @@
             context.observer.usable_changed(usable);
         }
         FeedAction::Ask { peer, from } => ask(context, peer, from),
-        FeedAction::Tell { peers, next } => {
+        FeedAction::Notify { peers, next } => {
             for peer in peers {
-                tell(
+                notify(
                     &context.link,
                     &context.metrics,
                     peer,
                     next,
-                    TELL_LIMIT_COUNT,
+                    NOTIFY_LIMIT_COUNT,
                 );
             }
         }
@@ -127,13 +127,13 @@
     }
 }
 
-/// Most times that a peer is told of one change. The first may be lost on a connection that has
+/// Most times that a peer is notified of one change. The first may be lost on a connection that has
 /// silently failed.
-const TELL_LIMIT_COUNT: u32 = 2;
+const NOTIFY_LIMIT_COUNT: u32 = 2;
 
-/// Tells a peer up to which offset this daemon has read: a question for what follows makes a peer
+/// Notifies a peer up to which offset this daemon has read: a question for what follows makes a peer
 /// that is behind ask in turn.
-fn tell(
+fn notify(
     link: &RingSender<LinkMessage>,
     metrics: &Metrics,
     peer: DaemonId,
@@ -143,16 +143,16 @@
     if left_count == 0 {
         return;
     }
-    metrics.count("feed.peer.told");
+    metrics.count("feed.peer.notified");
     let (again, counters, to) = (link.clone(), metrics.clone(), peer.clone());
     let reply: PeerReply = Box::new(move |result| {
         // A peer that knows no more refuses.
         if matches!(result, Err(LinkError::Silent | LinkError::Unreachable)) {
-            tell(&again, &counters, peer, next, left_count - 1);
+            notify(&again, &counters, peer, next, left_count - 1);
         }
     });
     let request = records_after(next);
-    // A full ring counts the refused message. Other daemons tell the peer, too.
+    // A full ring counts the refused message. Other daemons notify the peer, too.
     let _ = link.offer(LinkMessage::Call { to, request, reply });
 }
 
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -13,8 +13,8 @@
 use crate::membership::Fleet;
 use crate::types::{DaemonId, DomainId, Offset};
 
-/// Peers that a daemon tells of a change which others may have missed.
-pub const TOLD_COUNT: usize = 8;
+/// Peers that a daemon notifies of a change which others may have missed.
+pub const NOTIFIED_COUNT: usize = 8;
 
 /// One item of the feed of the configuration.
 #[derive(Debug, Clone, PartialEq)]
@@ -107,10 +107,10 @@
         /// Offset up to which this daemon has read.
         from: Offset,
     },
-    /// Tells peers up to which offset this daemon has read, so that those behind ask for the rest.
-    Tell {
-        /// The peers to be told.
-        peers: SmallVec<[DaemonId; TOLD_COUNT]>,
+    /// Notifies peers up to which offset this daemon has read, so that those behind ask for the rest.
+    Notify {
+        /// The peers to be notified.
+        peers: SmallVec<[DaemonId; NOTIFIED_COUNT]>,
         /// Offset up to which this daemon has read.
         next: Offset,
     },
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -6,7 +6,9 @@
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
-use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot, TOLD_COUNT};
+use super::message::{
+    ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot, NOTIFIED_COUNT,
+};
 use super::turn::ReadTurn;
 use super::{FeedError, Page};
 use crate::contract::View;
@@ -127,7 +129,7 @@
         }
         let others_may_hang = self.others_may_hang_until.is_some_and(|until| now < until);
         if self.snapshot.next > next && others_may_hang {
-            self.tell_peers(actions);
+            self.notify_peers(actions);
         }
         if reachable && self.ahead.is_none() {
             self.ask_at = None;
@@ -198,17 +200,17 @@
             return;
         };
         self.put_in_force(snapshot, actions);
-        self.tell_peers(actions);
+        self.notify_peers(actions);
     }
 
-    /// Tells some peers of the configuration in force, since they may not have learnt of it either.
-    fn tell_peers(&mut self, actions: &mut Vec<FeedAction>) {
+    /// Notifies some peers of the configuration in force, since they may not have learnt of it either.
+    fn notify_peers(&mut self, actions: &mut Vec<FeedAction>) {
         let others = other_daemons(&self.fleet, &self.own_daemon);
-        let peers = others.choose_multiple(&mut self.random, TOLD_COUNT);
+        let peers = others.choose_multiple(&mut self.random, NOTIFIED_COUNT);
         if peers.is_empty() {
             return;
         }
-        actions.push(FeedAction::Tell {
+        actions.push(FeedAction::Notify {
             peers: peers.into_iter().cloned().collect(),
             next: self.snapshot.next,
         });
--- a/src/feed/tests/silence.rs
+++ b/src/feed/tests/silence.rs
@@ -228,7 +228,7 @@
                     let from = index;
                     self.schedule(now + LATENCY, Event::Asked { from, to, next });
                 }
-                FeedAction::Tell { peers, next } => {
+                FeedAction::Notify { peers, next } => {
                     for peer in peers {
                         let ahead = FeedEvent::PeerAhead {
                             peer: name(index),
--- a/src/feed/tests/turn.rs
+++ b/src/feed/tests/turn.rs
@@ -1,10 +1,10 @@
-//! Tests of the turns in which the daemons of a fleet read, and of what they tell each other.
+//! Tests of the turns in which the daemons of a fleet read, and of how they notify each other.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::{failed, fleet, newest, state};
-use crate::feed::message::{FeedAction, FeedEvent, Snapshot, TOLD_COUNT};
+use crate::feed::message::{FeedAction, FeedEvent, Snapshot, NOTIFIED_COUNT};
 use crate::feed::turn::{ReadTurn, SharedTurn};
 use crate::membership::Fleet;
 use crate::settings::feed::FeedSettings;
@@ -15,10 +15,10 @@
     fleet(others.chain(["own".into()]))
 }
 
-/// Returns the peers that are told, and up to which offset.
-fn told(actions: &[FeedAction]) -> Option<(usize, u64)> {
+/// Returns how many peers are notified, and up to which offset.
+fn notified(actions: &[FeedAction]) -> Option<(usize, u64)> {
     actions.iter().find_map(|action| match action {
-        FeedAction::Tell { peers, next } => Some((peers.len(), *next)),
+        FeedAction::Notify { peers, next } => Some((peers.len(), *next)),
         _ => None,
     })
 }
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn a_change_is_told_to_peers_only_while_their_reads_may_hang() {
+fn peers_are_notified_of_a_change_only_while_their_reads_may_hang() {
     // Arrange
     let now = Instant::now();
     let mut state = state();
@@ -99,14 +99,14 @@
     let much_later = state.handle(now + Duration::from_secs(10), newest(5, "s"));
 
     // Assert
-    assert_eq!(told(&calm), None);
-    assert_eq!(told(&unchanged), None);
-    assert_eq!(told(&after_failure), Some((TOLD_COUNT, 4)));
-    assert_eq!(told(&much_later), None);
+    assert_eq!(notified(&calm), None);
+    assert_eq!(notified(&unchanged), None);
+    assert_eq!(notified(&after_failure), Some((NOTIFIED_COUNT, 4)));
+    assert_eq!(notified(&much_later), None);
 }
 
 #[test]
-fn a_change_that_was_learnt_from_a_peer_is_told_on() {
+fn a_change_that_was_learnt_from_a_peer_is_passed_on() {
     // Arrange
     let now = Instant::now();
     let mut state = state();
@@ -122,6 +122,6 @@
     let again = state.handle(now, FeedEvent::PeerAnswered(Some(answer)));
 
     // Assert
-    assert_eq!(told(&newer), Some((2, 4)));
-    assert_eq!(told(&again), None);
+    assert_eq!(notified(&newer), Some((2, 4)));
+    assert_eq!(notified(&again), None);
 }
--- a/src/feed/turn.rs
+++ b/src/feed/turn.rs
@@ -3,7 +3,7 @@
 //! A waiting read can't be told from one that hangs on a silent connection. A new record ends the
 //! reads of all daemons at once, so without turns their next reads would all hang together, and no
 //! daemon would learn of a change until their wait is over. With turns, some daemon begins a read at
-//! least every `FeedSettings::turn_ms`, and tells the others what it finds.
+//! least every `FeedSettings::turn_ms`, and notifies the others of what it finds.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
