--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -44,6 +44,7 @@
       stream @10 :Text;
       from @11 :UInt64;
       limitCount @12 :UInt32;
+      era @30 :UInt64;
     }
     tombstones @13 :List(Data);
     poison @14 :List(PoisonReport);
@@ -66,6 +67,13 @@
     }
     probe @23 :Text;
     summary @24 :Text;
+    rollout :group {
+      service @31 :Text;
+      targetVersion @32 :Text;
+      order @33 :UInt64;
+      step @34 :UInt8;
+      holdsForMs @35 :UInt64;
+    }
   }
 }
 
@@ -112,6 +120,11 @@
     }
     probe @21 :Bool;
     summary @22 :List(ServerSummary);
+    rollout :group {
+      servers @27 :List(ServerSummary);
+      openCount @28 :UInt32;
+      step @29 :UInt8;
+    }
   }
 }
 
@@ -158,6 +171,8 @@
   cold @3 :Bool;
   draining @4 :Bool;
   sharePermille @5 :UInt16;
+  softwareVersion @6 :Text;
+  rolloutStep @7 :UInt8;
 }
 
 struct DaemonEntry {
--- a/src/allowance/tests/permits.rs
+++ b/src/allowance/tests/permits.rs
@@ -45,6 +45,7 @@
                 cold: false,
                 draining: false,
                 share_permille: 1000,
+                ..Default::default()
             }],
         };
         fleet.daemons.insert(entry.daemon.clone(), Arc::new(entry));
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -14,6 +14,7 @@
 use super::routes::RouteIndex;
 pub use super::routes::RouteLookup;
 use crate::allowance::partition::{shard_count, ShardIndex};
+use crate::rollout::RolloutOrder;
 use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, RouteId, ServiceId};
 
 /// The configuration that one prefix of the stream puts in force. A clone shares all unchanged
@@ -34,6 +35,8 @@
     /// Offset at which a failure domain last returned to service. A guard that sees the offset of
     /// its own domain grow treats the backend servers on its VM as cold.
     pub domains_back: BTreeMap<DomainId, Offset>,
+    /// Orders to roll out a version of a service's software.
+    pub rollouts: BTreeMap<ServiceId, Arc<RolloutOrder>>,
     /// Keys withdrawn without the log. Not part of the prefix; a key is removed only when the log
     /// has its withdrawal.
     pub tombstones: HashSet<KeyHash>,
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -78,6 +78,7 @@
                     false => Err(LinkError::Refused),
                 });
             }
+            PeerRequest::Rollout(_) => reply(Err(LinkError::Refused)),
             PeerRequest::Summary(service) => {
                 let asked = HealthMessage::SummaryRequested { service, reply };
                 if let Err(HealthMessage::SummaryRequested { reply, .. }) =
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -1,6 +1,6 @@
 //! Events, actions and messages of the configuration duty.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -11,7 +11,8 @@
 use crate::contract::{Document, View};
 use crate::link::{PeerReply, RecordsRequest};
 use crate::membership::Fleet;
-use crate::types::{DaemonId, DomainId, Offset};
+use crate::rollout::RolloutOrder;
+use crate::types::{DaemonId, DomainId, Offset, ServiceId};
 
 /// Peers that a daemon notifies of a change which others may have missed.
 pub const NOTIFIED_COUNT: usize = 8;
@@ -25,6 +26,10 @@
     DomainOut(DomainId),
     /// A failure domain returns to service.
     DomainIn(DomainId),
+    /// A version of a service's software is to be rolled out.
+    RolloutOrdered(Arc<RolloutOrder>),
+    /// The order for this service is withdrawn.
+    RolloutWithdrawn(ServiceId),
     /// A record that can't be parsed.
     Unreadable {
         /// Key of the record.
@@ -42,6 +47,9 @@
     pub document: Option<Arc<Document>>,
     /// Failure domains that are out of service.
     pub domains_out: BTreeSet<DomainId>,
+    /// Orders to roll out a version of a service's software.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub rollouts: BTreeMap<ServiceId, Arc<RolloutOrder>>,
     /// Offset up to which the feed was read.
     pub next: Offset,
 }
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -157,6 +157,12 @@
                 ConfigurationItem::DomainIn(domain) => {
                     snapshot.domains_out.remove(&domain);
                 }
+                ConfigurationItem::RolloutOrdered(order) => {
+                    snapshot.rollouts.insert(order.service.clone(), order);
+                }
+                ConfigurationItem::RolloutWithdrawn(service) => {
+                    snapshot.rollouts.remove(&service);
+                }
                 ConfigurationItem::Unreadable { key, problem } => {
                     actions.push(FeedAction::Unreadable { key, problem });
                 }
@@ -179,7 +185,8 @@
             return;
         };
         let domains_out = self.snapshot.domains_out.clone();
-        let view = View::from_document(self.snapshot.next, document, domains_out);
+        let mut view = View::from_document(self.snapshot.next, document, domains_out);
+        view.rollouts = self.snapshot.rollouts.clone();
         actions.push(FeedAction::View(Arc::new(view)));
     }
 
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -12,10 +12,11 @@
 use crate::link::message::PoisonReport;
 use crate::link::{FenceAnswer, FenceRequest, PeerReply};
 use crate::membership::{Fleet, ServerDeparture, ServerEntry};
+use crate::rollout::RolloutRule;
 use crate::settings::guard::GuardSettings;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, OrganisationId, RequestId,
-    RouteId, ServiceId,
+    RouteId, ServiceId, SoftwareVersion,
 };
 use crate::wire::client::CallError;
 use crate::wire::dialect::HealthReport;
@@ -30,6 +31,8 @@
     pub server: BackendServerId,
     /// Service that the server belongs to.
     pub service: ServiceId,
+    /// Version of the server's software; empty where the server does not report it.
+    pub software_version: SoftwareVersion,
     /// Address at which the server takes requests.
     pub address: SocketAddr,
     /// Requests that the server can run at the same time; at least 1.
@@ -56,6 +59,7 @@
         Announcement {
             server: "".into(),
             service: "".into(),
+            software_version: "".into(),
             address: "127.0.0.1:0".parse().expect("a literal address"),
             slots_count: 5,
             connections_count: 300,
@@ -210,6 +214,10 @@
         /// Guards of the service, including this one; at least 1.
         count: usize,
     },
+    /// What to do with servers of a service during a roll-out. Replaces the last rule of the service.
+    Rollout(RolloutRule),
+    /// No roll-out concerns the service any more.
+    RolloutEnded(ServiceId),
     /// An entry daemon that lost its connection to this guard asks it not to start a request.
     Fence(FenceRequest),
     /// The caller disconnected, so all attempts at the request may end.
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -12,6 +12,7 @@
 use super::warmth::WarmthEvidence;
 use crate::membership::message::FULL_SHARE_PERMILLE;
 use crate::membership::ServerEntry;
+use crate::rollout::RolloutStep;
 use crate::routing::stop::STOP_TIME_FACTOR;
 use crate::settings::guard::GuardSettings;
 use crate::types::RouteId;
@@ -369,6 +370,8 @@
             cold,
             draining: self.announcement.draining || !self.is_confirmed() || !takes_work,
             share_permille: FULL_SHARE_PERMILLE,
+            software_version: self.announcement.software_version.clone(),
+            rollout_step: RolloutStep::None,
         }
     }
 }
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -18,8 +18,9 @@
 use crate::error::ErrorKind;
 use crate::incarnation::OwnIncarnations;
 use crate::membership::ServerEntry;
+use crate::rollout::RolloutRule;
 use crate::settings::guard::GuardSettings;
-use crate::types::{BackendServerId, Incarnation};
+use crate::types::{BackendServerId, Incarnation, ServiceId};
 use crate::wire::client::CallError;
 
 /// State from which the guard decides on requests to the servers on this VM.
@@ -44,6 +45,8 @@
     /// Sign of a server of another service than the settings name.
     pub(super) contradiction: Option<Contradiction>,
     pub(super) retries: RetryWindow,
+    /// Rules of the roll-outs in progress.
+    pub(super) rollouts: BTreeMap<ServiceId, RolloutRule>,
     /// Guards of the service of the server on this VM, including this one; at least 1.
     pub(super) guard_count: usize,
     /// When a request that a server on this VM made itself last failed.
@@ -63,6 +66,7 @@
             deaths: DeathTracker::new(&settings),
             departures: Departures::default(),
             retries: RetryWindow::new(&settings),
+            rollouts: BTreeMap::new(),
             guard_count: 1,
             settings,
             own_incarnations: OwnIncarnations::new(incarnation),
@@ -121,6 +125,12 @@
                 started_at_ms,
             } => self.handle_withdrawal(now, &server, started_at_ms, &mut actions),
             GuardEvent::Domain { out } => self.set_domain_out(now, out, &mut actions),
+            GuardEvent::Rollout(rule) => {
+                self.rollouts.insert(rule.service.clone(), rule);
+            }
+            GuardEvent::RolloutEnded(service) => {
+                self.rollouts.remove(&service);
+            }
             GuardEvent::Fence(fence) => self.handle_fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.handle_cancel(now, request, &mut actions),
             GuardEvent::EntryLeft(key) => self.handle_entry_left(now, key, &mut actions),
--- a/src/health/tests.rs
+++ b/src/health/tests.rs
@@ -68,6 +68,7 @@
         cold: false,
         draining: false,
         share_permille: FULL_SHARE_PERMILLE,
+        ..Default::default()
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod report_once;
 pub mod request_trace;
 pub mod ring;
+pub mod rollout;
 pub mod routing;
 pub mod settings;
 pub mod standin;
--- a/src/link/codec/answer.rs
+++ b/src/link/codec/answer.rs
@@ -16,6 +16,7 @@
 };
 use crate::link::peer_capnp::{answer, ClaimState, FenceState};
 use crate::membership::{CompareAnswer, Gossip, MembersAnswer};
+use crate::rollout::{RolloutReport, RolloutStep};
 
 /// Encodes an answer into a Cap'n Proto message.
 pub fn write_answer(value: &PeerAnswer, mut out: answer::Builder<'_>) {
@@ -61,6 +62,13 @@
             write_summaries(&compare.summaries, group.init_summaries(count));
         }
         PeerAnswer::Members(members) => write_members(members, out.init_members()),
+        PeerAnswer::Rollout(report) => {
+            let mut group = out.init_rollout();
+            group.set_open_count(report.open_count);
+            group.set_step(report.step.number());
+            let count = report.servers.len() as u32;
+            write_server_summaries(&report.servers, group.init_servers(count));
+        }
         PeerAnswer::Summary(servers) => {
             write_server_summaries(servers, out.init_summary(servers.len() as u32));
         }
@@ -152,6 +160,11 @@
             complete: group.get_complete(),
         }),
         answer::Summary(servers) => PeerAnswer::Summary(read_server_summaries(servers?)?),
+        answer::Rollout(group) => PeerAnswer::Rollout(RolloutReport {
+            servers: read_server_summaries(group.get_servers()?)?,
+            open_count: group.get_open_count(),
+            step: RolloutStep::from_number(group.get_step()),
+        }),
         answer::Probe(reached) => PeerAnswer::Probe(reached),
     };
     Ok(found)
--- a/src/link/codec/member.rs
+++ b/src/link/codec/member.rs
@@ -8,6 +8,7 @@
 use super::malformed;
 use crate::link::peer_capnp::{address, daemon_entry, delta, server_entry, summary};
 use crate::membership::{DaemonEntry, Delta, ServerEntry, Summary};
+use crate::rollout::RolloutStep;
 use crate::types::DaemonId;
 
 /// Encodes the description of a daemon with its servers.
@@ -33,6 +34,8 @@
     out.set_cold(server.cold);
     out.set_draining(server.draining);
     out.set_share_permille(server.share_permille);
+    out.set_software_version(&*server.software_version);
+    out.set_rollout_step(server.rollout_step.number());
 }
 
 /// Encodes an IP address with its port.
@@ -96,6 +99,8 @@
             cold: server.get_cold(),
             draining: server.get_draining(),
             share_permille: server.get_share_permille(),
+            software_version: server.get_software_version()?.to_str()?.into(),
+            rollout_step: RolloutStep::from_number(server.get_rollout_step()),
         });
     }
     Ok(found)
--- a/src/link/codec/request.rs
+++ b/src/link/codec/request.rs
@@ -15,6 +15,7 @@
 };
 use crate::link::peer_capnp::{escrow_id, poison_report, request};
 use crate::membership::{CompareRequest, Gossip, MembersRequest};
+use crate::rollout::{RolloutCall, RolloutStep};
 use crate::types::KeyHash;
 
 /// Encodes a request into a Cap'n Proto message.
@@ -75,6 +76,14 @@
             group.set_limit_bytes(members.limit_bytes);
         }
         PeerRequest::Summary(service) => out.set_summary(&**service),
+        PeerRequest::Rollout(call) => {
+            let mut group = out.init_rollout();
+            group.set_service(&*call.service);
+            group.set_target_version(&*call.target_version);
+            group.set_order(call.order);
+            group.set_step(call.step.number());
+            group.set_holds_for_ms(to_ms(call.holds_for));
+        }
         PeerRequest::Probe(daemon) => out.set_probe(&**daemon),
     }
 }
@@ -165,6 +174,13 @@
             limit_bytes: group.get_limit_bytes(),
         }),
         request::Summary(service) => PeerRequest::Summary(service?.to_str()?.into()),
+        request::Rollout(group) => PeerRequest::Rollout(RolloutCall {
+            service: group.get_service()?.to_str()?.into(),
+            target_version: group.get_target_version()?.to_str()?.into(),
+            order: group.get_order(),
+            step: RolloutStep::from_number(group.get_step()),
+            holds_for: Duration::from_millis(group.get_holds_for_ms()),
+        }),
         request::Probe(daemon) => PeerRequest::Probe(daemon?.to_str()?.into()),
     };
     Ok(found)
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -8,6 +8,7 @@
 
 use crate::health::ServerSummary;
 use crate::membership::{CompareAnswer, CompareRequest, Gossip, MembersAnswer, MembersRequest};
+use crate::rollout::{RolloutCall, RolloutReport};
 use crate::types::{
     Attempt, DaemonId, Fingerprint, Incarnation, KeyHash, Offset, OrganisationId, RequestId,
     ServiceId,
@@ -178,6 +179,8 @@
     Members(MembersRequest),
     /// Asks the peer to check whether that daemon answers it.
     Probe(DaemonId),
+    /// Tells the peer the step of a roll-out, and asks for what its servers answered.
+    Rollout(RolloutCall),
 }
 
 impl PeerRequest {
@@ -229,6 +232,8 @@
     Members(MembersAnswer),
     /// Answers `PeerRequest::Probe` with whether the daemon answered.
     Probe(bool),
+    /// Answers `PeerRequest::Rollout` with the evidence of the service's servers on the answerer's VM.
+    Rollout(RolloutReport),
     /// Acknowledges a request of any other kind.
     Done,
 }
--- a/src/link/peer_capnp.rs
+++ b/src/link/peer_capnp.rs
@@ -2148,7 +2148,7 @@
 }
 
 pub mod request {
-  pub use self::Which::{Borrow,Promise,Fence,Cancel,Claim,Records,Tombstones,Poison,Gossip,Compare,Members,Probe,Summary};
+  pub use self::Which::{Borrow,Promise,Fence,Cancel,Claim,Records,Tombstones,Poison,Gossip,Compare,Members,Probe,Summary,Rollout};
 
   #[derive(Copy, Clone)]
   pub struct Owned(());
@@ -2303,6 +2303,11 @@
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        13 => {
+          ::core::result::Result::Ok(Rollout(
+            self.reader.into()
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -2412,6 +2417,7 @@
       self.builder.reborrow().get_pointer_field(0).clear();
       self.builder.set_data_field::<u64>(1, 0u64);
       self.builder.set_data_field::<u32>(0, 0u32);
+      self.builder.set_data_field::<u64>(2, 0u64);
       self.builder.into()
     }
     #[inline]
@@ -2501,6 +2507,16 @@
       !self.builder.is_pointer_field_null(0)
     }
     #[inline]
+    pub fn init_rollout(mut self, ) -> crate::link::peer_capnp::request::rollout::Builder<'a> {
+      self.builder.set_data_field::<u16>(2, 13);
+      self.builder.reborrow().get_pointer_field(0).clear();
+      self.builder.reborrow().get_pointer_field(1).clear();
+      self.builder.set_data_field::<u64>(1, 0u64);
+      self.builder.set_data_field::<u8>(0, 0u8);
+      self.builder.set_data_field::<u64>(2, 0u64);
+      self.builder.into()
+    }
+    #[inline]
     pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
       match self.builder.get_data_field::<u16>(2) {
         0 => {
@@ -2568,6 +2584,11 @@
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        13 => {
+          ::core::result::Result::Ok(Rollout(
+            self.builder.into()
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -2582,115 +2603,122 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 165] = [
+    pub static ENCODED_NODE: [::capnp::Word; 173] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
       ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
       ::capnp::word(53, 76, 14, 210, 169, 247, 198, 177),
-      ::capnp::word(4, 0, 7, 0, 0, 0, 13, 0),
+      ::capnp::word(4, 0, 7, 0, 0, 0, 14, 0),
       ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 23, 3, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
       ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(227, 130, 253, 212, 249, 0, 184, 150),
-      ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(128, 145, 233, 232, 181, 109, 193, 169),
-      ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(97, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(142, 41, 109, 123, 89, 232, 83, 241),
-      ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(35, 146, 6, 146, 102, 135, 81, 240),
-      ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(53, 1, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(238, 141, 30, 144, 118, 20, 184, 191),
-      ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(233, 0, 0, 0, 90, 0, 0, 0),
+      ::capnp::word(5, 1, 0, 0, 90, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(237, 189, 82, 246, 0, 44, 169, 144),
-      ::capnp::word(21, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(179, 55, 140, 73, 69, 189, 78, 150),
-      ::capnp::word(253, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(25, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(237, 3, 243, 153, 228, 228, 226, 161),
-      ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(205, 0, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(12, 0, 243, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(13, 0, 242, 255, 0, 0, 0, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(6, 135, 244, 234, 226, 164, 105, 227),
+      ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(98, 111, 114, 114, 111, 119, 0, 0),
       ::capnp::word(112, 114, 111, 109, 105, 115, 101, 0),
       ::capnp::word(102, 101, 110, 99, 101, 0, 0, 0),
@@ -2748,6 +2776,7 @@
       ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(114, 111, 108, 108, 111, 117, 116, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
@@ -2764,6 +2793,7 @@
         10 => <crate::link::peer_capnp::request::members::Owned as ::capnp::introspect::Introspect>::introspect(),
         11 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
         12 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+        13 => <crate::link::peer_capnp::request::rollout::Owned as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -2777,11 +2807,11 @@
       members_by_name: MEMBERS_BY_NAME,
     };
     pub static NONUNION_MEMBERS : &[u16] = &[];
-    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
-    pub static MEMBERS_BY_NAME : &[u16] = &[0,3,4,9,2,8,10,7,11,1,5,12,6];
+    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+    pub static MEMBERS_BY_NAME : &[u16] = &[0,3,4,9,2,8,10,7,11,1,5,13,12,6];
     pub const TYPE_ID: u64 = 0xae84_34a4_741c_b42b;
   }
-  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12> {
+  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10,A11,A12,A13> {
     Borrow(A0),
     Promise(A1),
     Fence(A2),
@@ -2795,9 +2825,10 @@
     Members(A10),
     Probe(A11),
     Summary(A12),
+    Rollout(A13),
   }
-  pub type WhichReader<'a,> = Which<crate::link::peer_capnp::request::borrow::Reader<'a>,crate::link::peer_capnp::request::promise::Reader<'a>,crate::link::peer_capnp::request::fence::Reader<'a>,::capnp::Result<::capnp::data::Reader<'a>>,crate::link::peer_capnp::request::claim::Reader<'a>,crate::link::peer_capnp::request::records::Reader<'a>,::capnp::Result<::capnp::data_list::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::poison_report::Owned>>,crate::link::peer_capnp::request::gossip::Reader<'a>,crate::link::peer_capnp::request::compare::Reader<'a>,crate::link::peer_capnp::request::members::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>>;
-  pub type WhichBuilder<'a,> = Which<crate::link::peer_capnp::request::borrow::Builder<'a>,crate::link::peer_capnp::request::promise::Builder<'a>,crate::link::peer_capnp::request::fence::Builder<'a>,::capnp::Result<::capnp::data::Builder<'a>>,crate::link::peer_capnp::request::claim::Builder<'a>,crate::link::peer_capnp::request::records::Builder<'a>,::capnp::Result<::capnp::data_list::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::poison_report::Owned>>,crate::link::peer_capnp::request::gossip::Builder<'a>,crate::link::peer_capnp::request::compare::Builder<'a>,crate::link::peer_capnp::request::members::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>>;
+  pub type WhichReader<'a,> = Which<crate::link::peer_capnp::request::borrow::Reader<'a>,crate::link::peer_capnp::request::promise::Reader<'a>,crate::link::peer_capnp::request::fence::Reader<'a>,::capnp::Result<::capnp::data::Reader<'a>>,crate::link::peer_capnp::request::claim::Reader<'a>,crate::link::peer_capnp::request::records::Reader<'a>,::capnp::Result<::capnp::data_list::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::poison_report::Owned>>,crate::link::peer_capnp::request::gossip::Reader<'a>,crate::link::peer_capnp::request::compare::Reader<'a>,crate::link::peer_capnp::request::members::Reader<'a>,::capnp::Result<::capnp::text::Reader<'a>>,::capnp::Result<::capnp::text::Reader<'a>>,crate::link::peer_capnp::request::rollout::Reader<'a>>;
+  pub type WhichBuilder<'a,> = Which<crate::link::peer_capnp::request::borrow::Builder<'a>,crate::link::peer_capnp::request::promise::Builder<'a>,crate::link::peer_capnp::request::fence::Builder<'a>,::capnp::Result<::capnp::data::Builder<'a>>,crate::link::peer_capnp::request::claim::Builder<'a>,crate::link::peer_capnp::request::records::Builder<'a>,::capnp::Result<::capnp::data_list::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::poison_report::Owned>>,crate::link::peer_capnp::request::gossip::Builder<'a>,crate::link::peer_capnp::request::compare::Builder<'a>,crate::link::peer_capnp::request::members::Builder<'a>,::capnp::Result<::capnp::text::Builder<'a>>,::capnp::Result<::capnp::text::Builder<'a>>,crate::link::peer_capnp::request::rollout::Builder<'a>>;
 
   pub mod borrow {
     #[derive(Copy, Clone)]
@@ -3945,6 +3976,10 @@
       pub fn get_limit_count(self) -> u32 {
         self.reader.get_data_field::<u32>(0)
       }
+      #[inline]
+      pub fn get_era(self) -> u64 {
+        self.reader.get_data_field::<u64>(2)
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4031,6 +4066,14 @@
       pub fn set_limit_count(&mut self, value: u32)  {
         self.builder.set_data_field::<u32>(0, value);
       }
+      #[inline]
+      pub fn get_era(self) -> u64 {
+        self.builder.get_data_field::<u64>(2)
+      }
+      #[inline]
+      pub fn set_era(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(2, value);
+      }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4042,7 +4085,7 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 63] = [
+      pub static ENCODED_NODE: [::capnp::Word; 78] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(238, 141, 30, 144, 118, 20, 184, 191),
         ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
@@ -4052,35 +4095,42 @@
         ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
         ::capnp::word(115, 116, 46, 114, 101, 99, 111, 114),
         ::capnp::word(100, 115, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(77, 0, 0, 0, 90, 0, 0, 0),
+        ::capnp::word(105, 0, 0, 0, 90, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(113, 0, 0, 0, 34, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
         ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4106,12 +4156,21 @@
         ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
           1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+          3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -4124,9 +4183,9 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+      pub static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
       pub const TYPE_ID: u64 = 0xbfb8_1476_901e_8dee;
     }
   }
@@ -5030,116 +5089,448 @@
       pub const TYPE_ID: u64 = 0xa1e2_e4e4_99f3_03ed;
     }
   }
-}
 
-pub mod answer {
-  pub use self::Which::{Done,Borrow,Promise,Fence,Claim,Records,Gossip,Compare,Members,Probe,Summary};
+  pub mod rollout {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
 
-  #[derive(Copy, Clone)]
-  pub struct Owned(());
-  impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
-  impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-  impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-  impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+      fn clone(&self) -> Self { *self }
+    }
 
-  pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-  impl <> ::core::marker::Copy for Reader<'_,>  {}
-  impl <> ::core::clone::Clone for Reader<'_,>  {
-    fn clone(&self) -> Self { *self }
-  }
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+      const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+      fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+        Self { reader,  }
+      }
+    }
 
-  impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-    const TYPE_ID: u64 = _private::TYPE_ID;
-  }
-  impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-    fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-      Self { reader,  }
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+      fn from(reader: Reader<'a,>) -> Self {
+        Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+      }
     }
-  }
 
-  impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-    fn from(reader: Reader<'a,>) -> Self {
-      Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+      fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+        core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+      }
     }
-  }
 
-  impl <> ::core::fmt::Debug for Reader<'_,>  {
-    fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-      core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+      fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        ::core::result::Result::Ok(reader.get_struct(default)?.into())
+      }
     }
-  }
 
-  impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-    fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-      ::core::result::Result::Ok(reader.get_struct(default)?.into())
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+      fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+        self.reader
+      }
     }
-  }
 
-  impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-    fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-      self.reader
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+      fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+        self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+      }
     }
-  }
 
-  impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-    fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-      self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+    impl <'a,> Reader<'a,>  {
+      pub fn reborrow(&self) -> Reader<'_,> {
+        Self { .. *self }
+      }
+
+      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+        self.reader.total_size()
+      }
+      #[inline]
+      pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_service(&self) -> bool {
+        !self.reader.get_pointer_field(0).is_null()
+      }
+      #[inline]
+      pub fn get_target_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_target_version(&self) -> bool {
+        !self.reader.get_pointer_field(1).is_null()
+      }
+      #[inline]
+      pub fn get_order(self) -> u64 {
+        self.reader.get_data_field::<u64>(1)
+      }
+      #[inline]
+      pub fn get_step(self) -> u8 {
+        self.reader.get_data_field::<u8>(0)
+      }
+      #[inline]
+      pub fn get_holds_for_ms(self) -> u64 {
+        self.reader.get_data_field::<u64>(2)
+      }
     }
-  }
 
-  impl <'a,> Reader<'a,>  {
-    pub fn reborrow(&self) -> Reader<'_,> {
-      Self { .. *self }
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+      const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+      fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+        Self { builder,  }
+      }
     }
 
-    pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-      self.reader.total_size()
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+      fn from(builder: Builder<'a,>) -> Self {
+        Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+      }
     }
-    #[inline]
-    pub fn has_summary(&self) -> bool {
-      if self.reader.get_data_field::<u16>(0) != 10 { return false; }
-      !self.reader.get_pointer_field(0).is_null()
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+      fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+        self.builder.imbue(::capnp::private::layout::CapTableBuilder::Plain(cap_table))
+      }
     }
-    #[inline]
-    pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
-      match self.reader.get_data_field::<u16>(0) {
-        0 => {
-          ::core::result::Result::Ok(Done(
-            ()
-          ))
-        }
-        1 => {
-          ::core::result::Result::Ok(Borrow(
-            self.reader.into()
-          ))
-        }
-        2 => {
-          ::core::result::Result::Ok(Promise(
-            self.reader.into()
-          ))
-        }
-        3 => {
-          ::core::result::Result::Ok(Fence(
-            ::core::convert::TryInto::try_into(self.reader.get_data_field::<u16>(2))
-          ))
-        }
-        4 => {
-          ::core::result::Result::Ok(Claim(
-            self.reader.into()
-          ))
-        }
-        5 => {
-          ::core::result::Result::Ok(Records(
-            self.reader.into()
-          ))
-        }
-        6 => {
-          ::core::result::Result::Ok(Gossip(
-            self.reader.into()
-          ))
-        }
-        7 => {
-          ::core::result::Result::Ok(Compare(
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+      fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+      }
+      fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+      }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+      fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+      pub fn into_reader(self) -> Reader<'a,> {
+        self.builder.into_reader().into()
+      }
+      pub fn reborrow(&mut self) -> Builder<'_,> {
+        Builder { builder: self.builder.reborrow() }
+      }
+      pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        self.builder.as_reader().into()
+      }
+
+      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+        self.builder.as_reader().total_size()
+      }
+      #[inline]
+      pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+      }
+      #[inline]
+      pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+        self.builder.get_pointer_field(0).init_text(size)
+      }
+      #[inline]
+      pub fn has_service(&self) -> bool {
+        !self.builder.is_pointer_field_null(0)
+      }
+      #[inline]
+      pub fn get_target_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_target_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+      }
+      #[inline]
+      pub fn init_target_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+        self.builder.get_pointer_field(1).init_text(size)
+      }
+      #[inline]
+      pub fn has_target_version(&self) -> bool {
+        !self.builder.is_pointer_field_null(1)
+      }
+      #[inline]
+      pub fn get_order(self) -> u64 {
+        self.builder.get_data_field::<u64>(1)
+      }
+      #[inline]
+      pub fn set_order(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(1, value);
+      }
+      #[inline]
+      pub fn get_step(self) -> u8 {
+        self.builder.get_data_field::<u8>(0)
+      }
+      #[inline]
+      pub fn set_step(&mut self, value: u8)  {
+        self.builder.set_data_field::<u8>(0, value);
+      }
+      #[inline]
+      pub fn get_holds_for_ms(self) -> u64 {
+        self.builder.get_data_field::<u64>(2)
+      }
+      #[inline]
+      pub fn set_holds_for_ms(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(2, value);
+      }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+      fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+        Self { _typeless: typeless,  }
+      }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+      pub static ENCODED_NODE: [::capnp::Word; 94] = [
+        ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+        ::capnp::word(6, 135, 244, 234, 226, 164, 105, 227),
+        ::capnp::word(19, 0, 0, 0, 1, 0, 3, 0),
+        ::capnp::word(43, 180, 28, 116, 164, 52, 132, 174),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+        ::capnp::word(110, 112, 58, 82, 101, 113, 117, 101),
+        ::capnp::word(115, 116, 46, 114, 111, 108, 108, 111),
+        ::capnp::word(117, 116, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(129, 0, 0, 0, 114, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 33, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 34, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 35, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(145, 0, 0, 0, 90, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(116, 97, 114, 103, 101, 116, 86, 101),
+        ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(115, 116, 101, 112, 0, 0, 0, 0),
+        ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(104, 111, 108, 100, 115, 70, 111, 114),
+        ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ];
+      pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+        match index {
+          0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+          1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+          2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          3 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+          4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          _ => ::capnp::introspect::panic_invalid_field_index(index),
+        }
+      }
+      pub fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+      }
+      pub static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema {
+        encoded_node: &ENCODED_NODE,
+        nonunion_members: NONUNION_MEMBERS,
+        members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
+        members_by_name: MEMBERS_BY_NAME,
+      };
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+      pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+      pub static MEMBERS_BY_NAME : &[u16] = &[4,2,0,3,1];
+      pub const TYPE_ID: u64 = 0xe369_a4e2_eaf4_8706;
+    }
+  }
+}
+
+pub mod answer {
+  pub use self::Which::{Done,Borrow,Promise,Fence,Claim,Records,Gossip,Compare,Members,Probe,Summary,Rollout};
+
+  #[derive(Copy, Clone)]
+  pub struct Owned(());
+  impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
+  impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+  impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+  impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+  pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+  impl <> ::core::marker::Copy for Reader<'_,>  {}
+  impl <> ::core::clone::Clone for Reader<'_,>  {
+    fn clone(&self) -> Self { *self }
+  }
+
+  impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+    const TYPE_ID: u64 = _private::TYPE_ID;
+  }
+  impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+    fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+      Self { reader,  }
+    }
+  }
+
+  impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+    fn from(reader: Reader<'a,>) -> Self {
+      Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+    }
+  }
+
+  impl <> ::core::fmt::Debug for Reader<'_,>  {
+    fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+      core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+    }
+  }
+
+  impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+    fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+      ::core::result::Result::Ok(reader.get_struct(default)?.into())
+    }
+  }
+
+  impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+    fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+      self.reader
+    }
+  }
+
+  impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+    fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+      self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+    }
+  }
+
+  impl <'a,> Reader<'a,>  {
+    pub fn reborrow(&self) -> Reader<'_,> {
+      Self { .. *self }
+    }
+
+    pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+      self.reader.total_size()
+    }
+    #[inline]
+    pub fn has_summary(&self) -> bool {
+      if self.reader.get_data_field::<u16>(0) != 10 { return false; }
+      !self.reader.get_pointer_field(0).is_null()
+    }
+    #[inline]
+    pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+      match self.reader.get_data_field::<u16>(0) {
+        0 => {
+          ::core::result::Result::Ok(Done(
+            ()
+          ))
+        }
+        1 => {
+          ::core::result::Result::Ok(Borrow(
+            self.reader.into()
+          ))
+        }
+        2 => {
+          ::core::result::Result::Ok(Promise(
+            self.reader.into()
+          ))
+        }
+        3 => {
+          ::core::result::Result::Ok(Fence(
+            ::core::convert::TryInto::try_into(self.reader.get_data_field::<u16>(2))
+          ))
+        }
+        4 => {
+          ::core::result::Result::Ok(Claim(
+            self.reader.into()
+          ))
+        }
+        5 => {
+          ::core::result::Result::Ok(Records(
+            self.reader.into()
+          ))
+        }
+        6 => {
+          ::core::result::Result::Ok(Gossip(
+            self.reader.into()
+          ))
+        }
+        7 => {
+          ::core::result::Result::Ok(Compare(
             self.reader.into()
           ))
         }
@@ -5158,6 +5549,11 @@
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        11 => {
+          ::core::result::Result::Ok(Rollout(
+            self.reader.into()
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -5303,6 +5699,14 @@
       !self.builder.is_pointer_field_null(0)
     }
     #[inline]
+    pub fn init_rollout(mut self, ) -> crate::link::peer_capnp::answer::rollout::Builder<'a> {
+      self.builder.set_data_field::<u16>(0, 11);
+      self.builder.reborrow().get_pointer_field(0).clear();
+      self.builder.set_data_field::<u32>(1, 0u32);
+      self.builder.set_data_field::<u8>(8, 0u8);
+      self.builder.into()
+    }
+    #[inline]
     pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
       match self.builder.get_data_field::<u16>(0) {
         0 => {
@@ -5360,6 +5764,11 @@
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
           ))
         }
+        11 => {
+          ::core::result::Result::Ok(Rollout(
+            self.builder.into()
+          ))
+        }
         x => ::core::result::Result::Err(::capnp::NotInSchema(x))
       }
     }
@@ -5374,101 +5783,108 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 137] = [
+    pub static ENCODED_NODE: [::capnp::Word; 145] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
       ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
       ::capnp::word(53, 76, 14, 210, 169, 247, 198, 177),
-      ::capnp::word(4, 0, 7, 0, 0, 0, 11, 0),
+      ::capnp::word(4, 0, 7, 0, 0, 0, 12, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
       ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(105, 191, 231, 220, 255, 14, 216, 227),
-      ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(70, 243, 152, 143, 226, 238, 170, 145),
-      ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(3, 0, 252, 255, 2, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(184, 86, 123, 93, 55, 84, 160, 185),
-      ::capnp::word(253, 0, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(25, 1, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(90, 145, 110, 3, 248, 186, 82, 211),
-      ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(1, 1, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(10, 3, 118, 65, 39, 88, 148, 213),
-      ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(67, 229, 114, 89, 221, 241, 132, 192),
-      ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
       ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(99, 224, 112, 144, 79, 230, 171, 163),
-      ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(9, 0, 246, 255, 32, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+      ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(11, 0, 244, 255, 0, 0, 0, 0),
+      ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(32, 147, 210, 79, 54, 46, 81, 217),
+      ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(100, 111, 110, 101, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5512,6 +5928,7 @@
       ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(114, 111, 108, 108, 111, 117, 116, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
@@ -5526,6 +5943,7 @@
         8 => <crate::link::peer_capnp::answer::members::Owned as ::capnp::introspect::Introspect>::introspect(),
         9 => <bool as ::capnp::introspect::Introspect>::introspect(),
         10 => <::capnp::struct_list::Owned<crate::link::peer_capnp::server_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
+        11 => <crate::link::peer_capnp::answer::rollout::Owned as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -5539,11 +5957,11 @@
       members_by_name: MEMBERS_BY_NAME,
     };
     pub static NONUNION_MEMBERS : &[u16] = &[];
-    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
-    pub static MEMBERS_BY_NAME : &[u16] = &[1,4,7,0,3,6,8,9,2,5,10];
+    pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
+    pub static MEMBERS_BY_NAME : &[u16] = &[1,4,7,0,3,6,8,9,2,5,11,10];
     pub const TYPE_ID: u64 = 0x9665_1cc3_ab18_bcf6;
   }
-  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
+  pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8> {
     Done(()),
     Borrow(A0),
     Promise(A1),
@@ -5555,9 +5973,10 @@
     Members(A6),
     Probe(bool),
     Summary(A7),
+    Rollout(A8),
   }
-  pub type WhichReader<'a,> = Which<crate::link::peer_capnp::answer::borrow::Reader<'a>,crate::link::peer_capnp::answer::promise::Reader<'a>,crate::link::peer_capnp::answer::claim::Reader<'a>,crate::link::peer_capnp::answer::records::Reader<'a>,crate::link::peer_capnp::answer::gossip::Reader<'a>,crate::link::peer_capnp::answer::compare::Reader<'a>,crate::link::peer_capnp::answer::members::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::server_summary::Owned>>>;
-  pub type WhichBuilder<'a,> = Which<crate::link::peer_capnp::answer::borrow::Builder<'a>,crate::link::peer_capnp::answer::promise::Builder<'a>,crate::link::peer_capnp::answer::claim::Builder<'a>,crate::link::peer_capnp::answer::records::Builder<'a>,crate::link::peer_capnp::answer::gossip::Builder<'a>,crate::link::peer_capnp::answer::compare::Builder<'a>,crate::link::peer_capnp::answer::members::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::server_summary::Owned>>>;
+  pub type WhichReader<'a,> = Which<crate::link::peer_capnp::answer::borrow::Reader<'a>,crate::link::peer_capnp::answer::promise::Reader<'a>,crate::link::peer_capnp::answer::claim::Reader<'a>,crate::link::peer_capnp::answer::records::Reader<'a>,crate::link::peer_capnp::answer::gossip::Reader<'a>,crate::link::peer_capnp::answer::compare::Reader<'a>,crate::link::peer_capnp::answer::members::Reader<'a>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::server_summary::Owned>>,crate::link::peer_capnp::answer::rollout::Reader<'a>>;
+  pub type WhichBuilder<'a,> = Which<crate::link::peer_capnp::answer::borrow::Builder<'a>,crate::link::peer_capnp::answer::promise::Builder<'a>,crate::link::peer_capnp::answer::claim::Builder<'a>,crate::link::peer_capnp::answer::records::Builder<'a>,crate::link::peer_capnp::answer::gossip::Builder<'a>,crate::link::peer_capnp::answer::compare::Builder<'a>,crate::link::peer_capnp::answer::members::Builder<'a>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::server_summary::Owned>>,crate::link::peer_capnp::answer::rollout::Builder<'a>>;
 
   pub mod borrow {
     #[derive(Copy, Clone)]
@@ -5961,60 +6380,293 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 48] = [
+      pub static ENCODED_NODE: [::capnp::Word; 48] = [
+        ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+        ::capnp::word(70, 243, 152, 143, 226, 238, 170, 145),
+        ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
+        ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
+        ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+        ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
+        ::capnp::word(114, 46, 112, 114, 111, 109, 105, 115),
+        ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(0, 0, 0, 0, 32, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(103, 105, 118, 101, 110, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(104, 111, 108, 100, 115, 70, 111, 114),
+        ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ];
+      pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+        match index {
+          0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+          1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          _ => ::capnp::introspect::panic_invalid_field_index(index),
+        }
+      }
+      pub fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+        ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+      }
+      pub static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema {
+        encoded_node: &ENCODED_NODE,
+        nonunion_members: NONUNION_MEMBERS,
+        members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
+        members_by_name: MEMBERS_BY_NAME,
+      };
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1];
+      pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+      pub static MEMBERS_BY_NAME : &[u16] = &[0,1];
+      pub const TYPE_ID: u64 = 0x91aa_eee2_8f98_f346;
+    }
+  }
+
+  pub mod claim {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+      fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+      const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+      fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+        Self { reader,  }
+      }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+      fn from(reader: Reader<'a,>) -> Self {
+        Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+      }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+      fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+        core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+      }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+      fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        ::core::result::Result::Ok(reader.get_struct(default)?.into())
+      }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+      fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+        self.reader
+      }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+      fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+        self.reader.imbue(::capnp::private::layout::CapTableReader::Plain(cap_table))
+      }
+    }
+
+    impl <'a,> Reader<'a,>  {
+      pub fn reborrow(&self) -> Reader<'_,> {
+        Self { .. *self }
+      }
+
+      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+        self.reader.total_size()
+      }
+      #[inline]
+      pub fn get_state(self) -> ::core::result::Result<crate::link::peer_capnp::ClaimState,::capnp::NotInSchema> {
+        ::core::convert::TryInto::try_into(self.reader.get_data_field::<u16>(2))
+      }
+      #[inline]
+      pub fn get_by(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_by(&self) -> bool {
+        !self.reader.get_pointer_field(0).is_null()
+      }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+      const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+      const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+      fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+        Self { builder,  }
+      }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+      fn from(builder: Builder<'a,>) -> Self {
+        Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>})))
+      }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+      fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+        self.builder.imbue(::capnp::private::layout::CapTableBuilder::Plain(cap_table))
+      }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+      fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+      }
+      fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+      }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+      fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+      pub fn into_reader(self) -> Reader<'a,> {
+        self.builder.into_reader().into()
+      }
+      pub fn reborrow(&mut self) -> Builder<'_,> {
+        Builder { builder: self.builder.reborrow() }
+      }
+      pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        self.builder.as_reader().into()
+      }
+
+      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+        self.builder.as_reader().total_size()
+      }
+      #[inline]
+      pub fn get_state(self) -> ::core::result::Result<crate::link::peer_capnp::ClaimState,::capnp::NotInSchema> {
+        ::core::convert::TryInto::try_into(self.builder.get_data_field::<u16>(2))
+      }
+      #[inline]
+      pub fn set_state(&mut self, value: crate::link::peer_capnp::ClaimState)  {
+        self.builder.set_data_field::<u16>(2, value as u16);
+      }
+      #[inline]
+      pub fn get_by(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_by(&mut self, value: ::capnp::data::Reader<'_>)  {
+        self.builder.reborrow().get_pointer_field(0).set_data(value);
+      }
+      #[inline]
+      pub fn init_by(self, size: u32) -> ::capnp::data::Builder<'a> {
+        self.builder.get_pointer_field(0).init_data(size)
+      }
+      #[inline]
+      pub fn has_by(&self) -> bool {
+        !self.builder.is_pointer_field_null(0)
+      }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+      fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+        Self { _typeless: typeless,  }
+      }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+      pub static ENCODED_NODE: [::capnp::Word; 46] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-        ::capnp::word(70, 243, 152, 143, 226, 238, 170, 145),
+        ::capnp::word(184, 86, 123, 93, 55, 84, 160, 185),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
         ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-        ::capnp::word(114, 46, 112, 114, 111, 109, 105, 115),
-        ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(114, 46, 99, 108, 97, 105, 109, 0),
         ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-        ::capnp::word(0, 0, 0, 0, 32, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
         ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(103, 105, 118, 101, 110, 0, 0, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(45, 0, 0, 0, 26, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
+        ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(98, 172, 59, 119, 138, 3, 206, 152),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(104, 111, 108, 100, 115, 70, 111, 114),
-        ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(98, 121, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
-          0 => <bool as ::capnp::introspect::Introspect>::introspect(),
-          1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          0 => <crate::link::peer_capnp::ClaimState as ::capnp::introspect::Introspect>::introspect(),
+          1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6029,12 +6681,12 @@
       };
       pub static NONUNION_MEMBERS : &[u16] = &[0,1];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[0,1];
-      pub const TYPE_ID: u64 = 0x91aa_eee2_8f98_f346;
+      pub static MEMBERS_BY_NAME : &[u16] = &[1,0];
+      pub const TYPE_ID: u64 = 0xb9a0_5437_5d7b_56b8;
     }
   }
 
-  pub mod claim {
+  pub mod records {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
@@ -6096,17 +6748,25 @@
         self.reader.total_size()
       }
       #[inline]
-      pub fn get_state(self) -> ::core::result::Result<crate::link::peer_capnp::ClaimState,::capnp::NotInSchema> {
-        ::core::convert::TryInto::try_into(self.reader.get_data_field::<u16>(2))
-      }
-      #[inline]
-      pub fn get_by(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+      pub fn get_checkpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
       }
       #[inline]
-      pub fn has_by(&self) -> bool {
+      pub fn has_checkpoint(&self) -> bool {
         !self.reader.get_pointer_field(0).is_null()
       }
+      #[inline]
+      pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::record::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_records(&self) -> bool {
+        !self.reader.get_pointer_field(1).is_null()
+      }
+      #[inline]
+      pub fn get_next(self) -> u64 {
+        self.reader.get_data_field::<u64>(1)
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -6162,28 +6822,44 @@
         self.builder.as_reader().total_size()
       }
       #[inline]
-      pub fn get_state(self) -> ::core::result::Result<crate::link::peer_capnp::ClaimState,::capnp::NotInSchema> {
-        ::core::convert::TryInto::try_into(self.builder.get_data_field::<u16>(2))
+      pub fn get_checkpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
       }
       #[inline]
-      pub fn set_state(&mut self, value: crate::link::peer_capnp::ClaimState)  {
-        self.builder.set_data_field::<u16>(2, value as u16);
+      pub fn set_checkpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
       }
       #[inline]
-      pub fn get_by(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+      pub fn init_checkpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+        self.builder.get_pointer_field(0).init_text(size)
       }
       #[inline]
-      pub fn set_by(&mut self, value: ::capnp::data::Reader<'_>)  {
-        self.builder.reborrow().get_pointer_field(0).set_data(value);
+      pub fn has_checkpoint(&self) -> bool {
+        !self.builder.is_pointer_field_null(0)
       }
       #[inline]
-      pub fn init_by(self, size: u32) -> ::capnp::data::Builder<'a> {
-        self.builder.get_pointer_field(0).init_data(size)
+      pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::record::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
       }
       #[inline]
-      pub fn has_by(&self) -> bool {
-        !self.builder.is_pointer_field_null(0)
+      pub fn set_records(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::record::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+      }
+      #[inline]
+      pub fn init_records(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::record::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+      }
+      #[inline]
+      pub fn has_records(&self) -> bool {
+        !self.builder.is_pointer_field_null(1)
+      }
+      #[inline]
+      pub fn get_next(self) -> u64 {
+        self.builder.get_data_field::<u64>(1)
+      }
+      #[inline]
+      pub fn set_next(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(1, value);
       }
     }
 
@@ -6196,58 +6872,80 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 46] = [
+      pub static ENCODED_NODE: [::capnp::Word; 67] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-        ::capnp::word(184, 86, 123, 93, 55, 84, 160, 185),
+        ::capnp::word(90, 145, 110, 3, 248, 186, 82, 211),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
         ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-        ::capnp::word(114, 46, 99, 108, 97, 105, 109, 0),
-        ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-        ::capnp::word(0, 0, 0, 0, 2, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+        ::capnp::word(114, 46, 114, 101, 99, 111, 114, 100),
+        ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(45, 0, 0, 0, 26, 0, 0, 0),
+        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
-        ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(98, 172, 59, 119, 138, 3, 206, 152),
+        ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(99, 104, 101, 99, 107, 112, 111, 105),
+        ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(98, 121, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(114, 101, 99, 111, 114, 100, 115, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 132, 240, 140, 61, 191, 155, 156),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
-          0 => <crate::link::peer_capnp::ClaimState as ::capnp::introspect::Introspect>::introspect(),
-          1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+          0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+          1 => <::capnp::struct_list::Owned<crate::link::peer_capnp::record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6260,14 +6958,14 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[1,0];
-      pub const TYPE_ID: u64 = 0xb9a0_5437_5d7b_56b8;
+      pub static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+      pub const TYPE_ID: u64 = 0xd352_baf8_036e_915a;
     }
   }
 
-  pub mod records {
+  pub mod gossip {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
@@ -6329,25 +7027,45 @@
         self.reader.total_size()
       }
       #[inline]
-      pub fn get_checkpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+      pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::summary::Owned>> {
         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
       }
       #[inline]
-      pub fn has_checkpoint(&self) -> bool {
+      pub fn has_summaries(&self) -> bool {
         !self.reader.get_pointer_field(0).is_null()
       }
       #[inline]
-      pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::record::Owned>> {
+      pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
       }
       #[inline]
-      pub fn has_records(&self) -> bool {
+      pub fn has_wanted(&self) -> bool {
         !self.reader.get_pointer_field(1).is_null()
       }
       #[inline]
-      pub fn get_next(self) -> u64 {
+      pub fn get_digest(self) -> u64 {
         self.reader.get_data_field::<u64>(1)
       }
+      #[inline]
+      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_entries(&self) -> bool {
+        !self.reader.get_pointer_field(2).is_null()
+      }
+      #[inline]
+      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::delta::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_deltas(&self) -> bool {
+        !self.reader.get_pointer_field(3).is_null()
+      }
+      #[inline]
+      pub fn get_known(self) -> u64 {
+        self.reader.get_data_field::<u64>(2)
+      }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -6395,52 +7113,92 @@
       pub fn reborrow(&mut self) -> Builder<'_,> {
         Builder { builder: self.builder.reborrow() }
       }
-      pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-        self.builder.as_reader().into()
+      pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        self.builder.as_reader().into()
+      }
+
+      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+        self.builder.as_reader().total_size()
+      }
+      #[inline]
+      pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_summaries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::summary::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+      }
+      #[inline]
+      pub fn init_summaries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+      }
+      #[inline]
+      pub fn has_summaries(&self) -> bool {
+        !self.builder.is_pointer_field_null(0)
+      }
+      #[inline]
+      pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+      }
+      #[inline]
+      pub fn init_wanted(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+      }
+      #[inline]
+      pub fn has_wanted(&self) -> bool {
+        !self.builder.is_pointer_field_null(1)
       }
-
-      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-        self.builder.as_reader().total_size()
+      #[inline]
+      pub fn get_digest(self) -> u64 {
+        self.builder.get_data_field::<u64>(1)
       }
       #[inline]
-      pub fn get_checkpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+      pub fn set_digest(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(1, value);
       }
       #[inline]
-      pub fn set_checkpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
       }
       #[inline]
-      pub fn init_checkpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
-        self.builder.get_pointer_field(0).init_text(size)
+      pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::daemon_entry::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
       }
       #[inline]
-      pub fn has_checkpoint(&self) -> bool {
-        !self.builder.is_pointer_field_null(0)
+      pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
       }
       #[inline]
-      pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::record::Owned>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+      pub fn has_entries(&self) -> bool {
+        !self.builder.is_pointer_field_null(2)
       }
       #[inline]
-      pub fn set_records(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::record::Owned>) -> ::capnp::Result<()> {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
       }
       #[inline]
-      pub fn init_records(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::record::Owned> {
-        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+      pub fn set_deltas(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::delta::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
       }
       #[inline]
-      pub fn has_records(&self) -> bool {
-        !self.builder.is_pointer_field_null(1)
+      pub fn init_deltas(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
       }
       #[inline]
-      pub fn get_next(self) -> u64 {
-        self.builder.get_data_field::<u64>(1)
+      pub fn has_deltas(&self) -> bool {
+        !self.builder.is_pointer_field_null(3)
       }
       #[inline]
-      pub fn set_next(&mut self, value: u64)  {
-        self.builder.set_data_field::<u64>(1, value);
+      pub fn get_known(self) -> u64 {
+        self.builder.get_data_field::<u64>(2)
+      }
+      #[inline]
+      pub fn set_known(&mut self, value: u64)  {
+        self.builder.set_data_field::<u64>(2, value);
       }
     }
 
@@ -6453,67 +7211,124 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 67] = [
+      pub static ENCODED_NODE: [::capnp::Word; 124] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-        ::capnp::word(90, 145, 110, 3, 248, 186, 82, 211),
+        ::capnp::word(10, 3, 118, 65, 39, 88, 148, 213),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
         ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-        ::capnp::word(114, 46, 114, 101, 99, 111, 114, 100),
-        ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(114, 46, 103, 111, 115, 115, 105, 112),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+        ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(99, 104, 101, 99, 107, 112, 111, 105),
-        ::capnp::word(110, 116, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
+        ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(148, 152, 69, 185, 3, 50, 71, 196),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
         ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(114, 101, 99, 111, 114, 100, 115, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
         ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(14, 132, 240, 140, 61, 191, 155, 156),
+        ::capnp::word(108, 127, 202, 25, 101, 210, 12, 252),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+        ::capnp::word(100, 101, 108, 116, 97, 115, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(216, 73, 135, 98, 243, 116, 201, 170),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
         ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6524,9 +7339,12 @@
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
-          0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-          1 => <::capnp::struct_list::Owned<crate::link::peer_capnp::record::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
           2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          3 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          4 => <::capnp::struct_list::Owned<crate::link::peer_capnp::delta::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6539,14 +7357,14 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-      pub const TYPE_ID: u64 = 0xd352_baf8_036e_915a;
+      pub static MEMBERS_BY_NAME : &[u16] = &[4,2,3,5,0,1];
+      pub const TYPE_ID: u64 = 0xd594_5827_4176_030a;
     }
   }
 
-  pub mod gossip {
+  pub mod compare {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
@@ -6616,36 +7434,12 @@
         !self.reader.get_pointer_field(0).is_null()
       }
       #[inline]
-      pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn has_wanted(&self) -> bool {
-        !self.reader.get_pointer_field(1).is_null()
-      }
-      #[inline]
-      pub fn get_digest(self) -> u64 {
-        self.reader.get_data_field::<u64>(1)
-      }
-      #[inline]
-      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
-        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn has_entries(&self) -> bool {
-        !self.reader.get_pointer_field(2).is_null()
-      }
-      #[inline]
-      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::delta::Owned>> {
-        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn has_deltas(&self) -> bool {
-        !self.reader.get_pointer_field(3).is_null()
+      pub fn get_deeper(self) -> u16 {
+        self.reader.get_data_field::<u16>(2)
       }
       #[inline]
-      pub fn get_known(self) -> u64 {
-        self.reader.get_data_field::<u64>(2)
+      pub fn get_listed(self) -> u16 {
+        self.reader.get_data_field::<u16>(3)
       }
     }
 
@@ -6689,97 +7483,49 @@
 
     impl <'a,> Builder<'a,>  {
       pub fn into_reader(self) -> Reader<'a,> {
-        self.builder.into_reader().into()
-      }
-      pub fn reborrow(&mut self) -> Builder<'_,> {
-        Builder { builder: self.builder.reborrow() }
-      }
-      pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-        self.builder.as_reader().into()
-      }
-
-      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-        self.builder.as_reader().total_size()
-      }
-      #[inline]
-      pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn set_summaries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::summary::Owned>) -> ::capnp::Result<()> {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-      }
-      #[inline]
-      pub fn init_summaries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned> {
-        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
-      }
-      #[inline]
-      pub fn has_summaries(&self) -> bool {
-        !self.builder.is_pointer_field_null(0)
-      }
-      #[inline]
-      pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-      }
-      #[inline]
-      pub fn init_wanted(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-      }
-      #[inline]
-      pub fn has_wanted(&self) -> bool {
-        !self.builder.is_pointer_field_null(1)
-      }
-      #[inline]
-      pub fn get_digest(self) -> u64 {
-        self.builder.get_data_field::<u64>(1)
+        self.builder.into_reader().into()
       }
-      #[inline]
-      pub fn set_digest(&mut self, value: u64)  {
-        self.builder.set_data_field::<u64>(1, value);
+      pub fn reborrow(&mut self) -> Builder<'_,> {
+        Builder { builder: self.builder.reborrow() }
       }
-      #[inline]
-      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+      pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+        self.builder.as_reader().into()
       }
-      #[inline]
-      pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::daemon_entry::Owned>) -> ::capnp::Result<()> {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+
+      pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+        self.builder.as_reader().total_size()
       }
       #[inline]
-      pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned> {
-        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+      pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
       }
       #[inline]
-      pub fn has_entries(&self) -> bool {
-        !self.builder.is_pointer_field_null(2)
+      pub fn set_summaries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::summary::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
       }
       #[inline]
-      pub fn get_deltas(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+      pub fn init_summaries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
       }
       #[inline]
-      pub fn set_deltas(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::delta::Owned>) -> ::capnp::Result<()> {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+      pub fn has_summaries(&self) -> bool {
+        !self.builder.is_pointer_field_null(0)
       }
       #[inline]
-      pub fn init_deltas(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::delta::Owned> {
-        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+      pub fn get_deeper(self) -> u16 {
+        self.builder.get_data_field::<u16>(2)
       }
       #[inline]
-      pub fn has_deltas(&self) -> bool {
-        !self.builder.is_pointer_field_null(3)
+      pub fn set_deeper(&mut self, value: u16)  {
+        self.builder.set_data_field::<u16>(2, value);
       }
       #[inline]
-      pub fn get_known(self) -> u64 {
-        self.builder.get_data_field::<u64>(2)
+      pub fn get_listed(self) -> u16 {
+        self.builder.get_data_field::<u16>(3)
       }
       #[inline]
-      pub fn set_known(&mut self, value: u64)  {
-        self.builder.set_data_field::<u64>(2, value);
+      pub fn set_listed(&mut self, value: u16)  {
+        self.builder.set_data_field::<u16>(3, value);
       }
     }
 
@@ -6792,66 +7538,45 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 124] = [
+      pub static ENCODED_NODE: [::capnp::Word; 67] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-        ::capnp::word(10, 3, 118, 65, 39, 88, 148, 213),
+        ::capnp::word(67, 229, 114, 89, 221, 241, 132, 192),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
         ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-        ::capnp::word(114, 46, 103, 111, 115, 115, 105, 112),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(114, 46, 99, 111, 109, 112, 97, 114),
+        ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
+        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
+        ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -6865,67 +7590,28 @@
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(108, 127, 202, 25, 101, 210, 12, 252),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(100, 101, 108, 116, 97, 115, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(100, 101, 101, 112, 101, 114, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(216, 73, 135, 98, 243, 116, 201, 170),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(108, 105, 115, 116, 101, 100, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
-          1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-          2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-          3 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
-          4 => <::capnp::struct_list::Owned<crate::link::peer_capnp::delta::Owned> as ::capnp::introspect::Introspect>::introspect(),
-          5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+          1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+          2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -6938,14 +7624,14 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[4,2,3,5,0,1];
-      pub const TYPE_ID: u64 = 0xd594_5827_4176_030a;
+      pub static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+      pub const TYPE_ID: u64 = 0xc084_f1dd_5972_e543;
     }
   }
 
-  pub mod compare {
+  pub mod members {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
@@ -7015,12 +7701,24 @@
         !self.reader.get_pointer_field(0).is_null()
       }
       #[inline]
-      pub fn get_deeper(self) -> u16 {
-        self.reader.get_data_field::<u16>(2)
+      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
       }
       #[inline]
-      pub fn get_listed(self) -> u16 {
-        self.reader.get_data_field::<u16>(3)
+      pub fn has_entries(&self) -> bool {
+        !self.reader.get_pointer_field(1).is_null()
+      }
+      #[inline]
+      pub fn get_next(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn has_next(&self) -> bool {
+        !self.reader.get_pointer_field(2).is_null()
+      }
+      #[inline]
+      pub fn get_complete(self) -> bool {
+        self.reader.get_bool_field(32)
       }
     }
 
@@ -7093,20 +7791,44 @@
         !self.builder.is_pointer_field_null(0)
       }
       #[inline]
-      pub fn get_deeper(self) -> u16 {
-        self.builder.get_data_field::<u16>(2)
+      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
       }
       #[inline]
-      pub fn set_deeper(&mut self, value: u16)  {
-        self.builder.set_data_field::<u16>(2, value);
+      pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::daemon_entry::Owned>) -> ::capnp::Result<()> {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
       }
       #[inline]
-      pub fn get_listed(self) -> u16 {
-        self.builder.get_data_field::<u16>(3)
+      pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned> {
+        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
       }
       #[inline]
-      pub fn set_listed(&mut self, value: u16)  {
-        self.builder.set_data_field::<u16>(3, value);
+      pub fn has_entries(&self) -> bool {
+        !self.builder.is_pointer_field_null(1)
+      }
+      #[inline]
+      pub fn get_next(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+      }
+      #[inline]
+      pub fn set_next(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+      }
+      #[inline]
+      pub fn init_next(self, size: u32) -> ::capnp::text::Builder<'a> {
+        self.builder.get_pointer_field(2).init_text(size)
+      }
+      #[inline]
+      pub fn has_next(&self) -> bool {
+        !self.builder.is_pointer_field_null(2)
+      }
+      #[inline]
+      pub fn get_complete(self) -> bool {
+        self.builder.get_bool_field(32)
+      }
+      #[inline]
+      pub fn set_complete(&mut self, value: bool)  {
+        self.builder.set_bool_field(32, value);
       }
     }
 
@@ -7119,9 +7841,9 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 67] = [
+      pub static ENCODED_NODE: [::capnp::Word; 87] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-        ::capnp::word(67, 229, 114, 89, 221, 241, 132, 192),
+        ::capnp::word(99, 224, 112, 144, 79, 230, 171, 163),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
         ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
@@ -7129,35 +7851,42 @@
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-        ::capnp::word(114, 46, 99, 111, 109, 112, 97, 114),
-        ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(114, 46, 109, 101, 109, 98, 101, 114),
+        ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+        ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(3, 0, 0, 0, 32, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(145, 0, 0, 0, 74, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
         ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -7171,28 +7900,42 @@
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(100, 101, 101, 112, 101, 114, 0, 0),
-        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(108, 127, 202, 25, 101, 210, 12, 252),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(108, 105, 115, 116, 101, 100, 0, 0),
-        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
           0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
-          1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
-          2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+          1 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+          3 => <bool as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -7205,14 +7948,14 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
-      pub const TYPE_ID: u64 = 0xc084_f1dd_5972_e543;
+      pub static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
+      pub const TYPE_ID: u64 = 0xa3ab_e64f_9070_e063;
     }
   }
 
-  pub mod members {
+  pub mod rollout {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types }).into() } }
@@ -7274,32 +8017,20 @@
         self.reader.total_size()
       }
       #[inline]
-      pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::summary::Owned>> {
+      pub fn get_servers(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::server_summary::Owned>> {
         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
       }
       #[inline]
-      pub fn has_summaries(&self) -> bool {
+      pub fn has_servers(&self) -> bool {
         !self.reader.get_pointer_field(0).is_null()
       }
       #[inline]
-      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
-        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn has_entries(&self) -> bool {
-        !self.reader.get_pointer_field(1).is_null()
-      }
-      #[inline]
-      pub fn get_next(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn has_next(&self) -> bool {
-        !self.reader.get_pointer_field(2).is_null()
+      pub fn get_open_count(self) -> u32 {
+        self.reader.get_data_field::<u32>(1)
       }
       #[inline]
-      pub fn get_complete(self) -> bool {
-        self.reader.get_bool_field(32)
+      pub fn get_step(self) -> u8 {
+        self.reader.get_data_field::<u8>(8)
       }
     }
 
@@ -7356,60 +8087,36 @@
         self.builder.as_reader().total_size()
       }
       #[inline]
-      pub fn get_summaries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned>> {
+      pub fn get_servers(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::server_summary::Owned>> {
         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
       }
       #[inline]
-      pub fn set_summaries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::summary::Owned>) -> ::capnp::Result<()> {
+      pub fn set_servers(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::server_summary::Owned>) -> ::capnp::Result<()> {
         ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
       }
       #[inline]
-      pub fn init_summaries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::summary::Owned> {
+      pub fn init_servers(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::server_summary::Owned> {
         ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
       }
       #[inline]
-      pub fn has_summaries(&self) -> bool {
+      pub fn has_servers(&self) -> bool {
         !self.builder.is_pointer_field_null(0)
       }
       #[inline]
-      pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::link::peer_capnp::daemon_entry::Owned>) -> ::capnp::Result<()> {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-      }
-      #[inline]
-      pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::link::peer_capnp::daemon_entry::Owned> {
-        ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-      }
-      #[inline]
-      pub fn has_entries(&self) -> bool {
-        !self.builder.is_pointer_field_null(1)
-      }
-      #[inline]
-      pub fn get_next(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-      }
-      #[inline]
-      pub fn set_next(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-        ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
-      }
-      #[inline]
-      pub fn init_next(self, size: u32) -> ::capnp::text::Builder<'a> {
-        self.builder.get_pointer_field(2).init_text(size)
+      pub fn get_open_count(self) -> u32 {
+        self.builder.get_data_field::<u32>(1)
       }
       #[inline]
-      pub fn has_next(&self) -> bool {
-        !self.builder.is_pointer_field_null(2)
+      pub fn set_open_count(&mut self, value: u32)  {
+        self.builder.set_data_field::<u32>(1, value);
       }
       #[inline]
-      pub fn get_complete(self) -> bool {
-        self.builder.get_bool_field(32)
+      pub fn get_step(self) -> u8 {
+        self.builder.get_data_field::<u8>(8)
       }
       #[inline]
-      pub fn set_complete(&mut self, value: bool)  {
-        self.builder.set_bool_field(32, value);
+      pub fn set_step(&mut self, value: u8)  {
+        self.builder.set_data_field::<u8>(8, value);
       }
     }
 
@@ -7422,9 +8129,9 @@
     impl Pipeline  {
     }
     mod _private {
-      pub static ENCODED_NODE: [::capnp::Word; 87] = [
+      pub static ENCODED_NODE: [::capnp::Word; 67] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-        ::capnp::word(99, 224, 112, 144, 79, 230, 171, 163),
+        ::capnp::word(32, 147, 210, 79, 54, 46, 81, 217),
         ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
         ::capnp::word(246, 188, 24, 171, 195, 28, 101, 150),
         ::capnp::word(4, 0, 7, 0, 1, 0, 0, 0),
@@ -7432,91 +8139,70 @@
         ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-        ::capnp::word(114, 46, 109, 101, 109, 98, 101, 114),
-        ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+        ::capnp::word(114, 46, 114, 111, 108, 108, 111, 117),
+        ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
         ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(121, 0, 0, 0, 66, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(3, 0, 0, 0, 32, 0, 0, 0),
-        ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(145, 0, 0, 0, 74, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-        ::capnp::word(115, 117, 109, 109, 97, 114, 105, 101),
-        ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-        ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(148, 152, 69, 185, 3, 50, 71, 196),
+        ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(89, 0, 0, 0, 82, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(2, 0, 0, 0, 8, 0, 0, 0),
+        ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+        ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+        ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+        ::capnp::word(115, 101, 114, 118, 101, 114, 115, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
         ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(108, 127, 202, 25, 101, 210, 12, 252),
+        ::capnp::word(61, 201, 40, 146, 5, 157, 5, 213),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(111, 112, 101, 110, 67, 111, 117, 110),
+        ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(115, 116, 101, 112, 0, 0, 0, 0),
+        ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ];
       pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
         match index {
-          0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
-          1 => <::capnp::struct_list::Owned<crate::link::peer_capnp::daemon_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
-          2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-          3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+          0 => <::capnp::struct_list::Owned<crate::link::peer_capnp::server_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
+          1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+          2 => <u8 as ::capnp::introspect::Introspect>::introspect(),
           _ => ::capnp::introspect::panic_invalid_field_index(index),
         }
       }
@@ -7529,10 +8215,10 @@
         members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
         members_by_name: MEMBERS_BY_NAME,
       };
-      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+      pub static NONUNION_MEMBERS : &[u16] = &[0,1,2];
       pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-      pub static MEMBERS_BY_NAME : &[u16] = &[3,1,2,0];
-      pub const TYPE_ID: u64 = 0xa3ab_e64f_9070_e063;
+      pub static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+      pub const TYPE_ID: u64 = 0xd951_2e36_4fd2_9320;
     }
   }
 }
@@ -8786,11 +9472,23 @@
     pub fn get_share_permille(self) -> u16 {
       self.reader.get_data_field::<u16>(3)
     }
+    #[inline]
+    pub fn get_software_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+      ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn has_software_version(&self) -> bool {
+      !self.reader.get_pointer_field(2).is_null()
+    }
+    #[inline]
+    pub fn get_rollout_step(self) -> u8 {
+      self.reader.get_data_field::<u8>(5)
+    }
   }
 
   pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
   impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
   }
   impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
     const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8904,6 +9602,30 @@
     pub fn set_share_permille(&mut self, value: u16)  {
       self.builder.set_data_field::<u16>(3, value);
     }
+    #[inline]
+    pub fn get_software_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+      ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+    }
+    #[inline]
+    pub fn set_software_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+      ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+    }
+    #[inline]
+    pub fn init_software_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+      self.builder.get_pointer_field(2).init_text(size)
+    }
+    #[inline]
+    pub fn has_software_version(&self) -> bool {
+      !self.builder.is_pointer_field_null(2)
+    }
+    #[inline]
+    pub fn get_rollout_step(self) -> u8 {
+      self.builder.get_data_field::<u8>(5)
+    }
+    #[inline]
+    pub fn set_rollout_step(&mut self, value: u8)  {
+      self.builder.set_data_field::<u8>(5, value);
+    }
   }
 
   pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8915,66 +9637,80 @@
   impl Pipeline  {
   }
   mod _private {
-    pub static ENCODED_NODE: [::capnp::Word; 110] = [
+    pub static ENCODED_NODE: [::capnp::Word; 142] = [
       ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
       ::capnp::word(153, 85, 233, 220, 12, 239, 60, 213),
       ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
       ::capnp::word(53, 76, 14, 210, 169, 247, 198, 177),
-      ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+      ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
       ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+      ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
       ::capnp::word(110, 112, 58, 83, 101, 114, 118, 101),
       ::capnp::word(114, 69, 110, 116, 114, 121, 0, 0),
       ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-      ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+      ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+      ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+      ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(161, 0, 0, 0, 90, 0, 0, 0),
+      ::capnp::word(217, 0, 0, 0, 90, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(3, 0, 0, 0, 32, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+      ::capnp::word(225, 0, 0, 0, 42, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(4, 0, 0, 0, 33, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+      ::capnp::word(229, 0, 0, 0, 74, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
       ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
       ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(181, 0, 0, 0, 114, 0, 0, 0),
+      ::capnp::word(237, 0, 0, 0, 114, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(245, 0, 0, 0, 130, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+      ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(253, 0, 0, 0, 98, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-      ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-      ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+      ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+      ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
       ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
       ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9026,6 +9762,24 @@
       ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
       ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(115, 111, 102, 116, 119, 97, 114, 101),
+      ::capnp::word(86, 101, 114, 115, 105, 111, 110, 0),
+      ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(114, 111, 108, 108, 111, 117, 116, 83),
+      ::capnp::word(116, 101, 112, 0, 0, 0, 0, 0),
+      ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+      ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub fn get_field_types(index: u16) -> ::capnp::introspect::Type {
       match index {
@@ -9035,6 +9789,8 @@
         3 => <bool as ::capnp::introspect::Introspect>::introspect(),
         4 => <bool as ::capnp::introspect::Introspect>::introspect(),
         5 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+        6 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+        7 => <u8 as ::capnp::introspect::Introspect>::introspect(),
         _ => ::capnp::introspect::panic_invalid_field_index(index),
       }
     }
@@ -9047,9 +9803,9 @@
       members_by_discriminant: MEMBERS_BY_DISCRIMINANT,
       members_by_name: MEMBERS_BY_NAME,
     };
-    pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+    pub static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
     pub static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-    pub static MEMBERS_BY_NAME : &[u16] = &[3,4,0,1,5,2];
+    pub static MEMBERS_BY_NAME : &[u16] = &[3,4,7,0,1,5,2,6];
     pub const TYPE_ID: u64 = 0xd53c_ef0c_dce9_5599;
   }
 }
--- a/src/link/tests/calls.rs
+++ b/src/link/tests/calls.rs
@@ -37,6 +37,7 @@
             cold: true,
             draining: true,
             share_permille: 250,
+            ..Default::default()
         }],
     }
 }
--- a/src/link/tests/invalid.rs
+++ b/src/link/tests/invalid.rs
@@ -33,6 +33,7 @@
         cold: false,
         draining: false,
         share_permille: 1000,
+        ..Default::default()
     };
     let entry = DaemonEntry {
         daemon: "b".into(),
--- a/src/membership/bounds.rs
+++ b/src/membership/bounds.rs
@@ -33,7 +33,7 @@
     #[error("version must be at most {VERSION_LIMIT}")]
     Version,
     /// The id in this field is empty or too long.
-    #[error("{0} must have at most {NAME_LIMIT_BYTES} bytes, and none but a domain may be empty")]
+    #[error("{0} must have at most {NAME_LIMIT_BYTES} bytes, and only a domain or a software version may be empty")]
     Name(&'static str),
     /// The address in this field has port 0, at which nothing can listen.
     #[error("{0} must have a port")]
@@ -129,6 +129,9 @@
     for server in servers {
         check_name("server", &server.server)?;
         check_name("service", &server.service)?;
+        if server.software_version.len() > NAME_LIMIT_BYTES {
+            return Err(EntryError::Name("software_version"));
+        }
         if server.slots_count > SLOTS_LIMIT_COUNT {
             return Err(EntryError::Slots);
         }
--- a/src/membership/measure.rs
+++ b/src/membership/measure.rs
@@ -131,6 +131,7 @@
         cold: false,
         draining: false,
         share_permille: FULL_SHARE_PERMILLE,
+        ..Default::default()
     };
     (0..count).map(server).collect()
 }
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::link::{LinkError, PeerAnswer, PeerName, PeerReply, PeerRequest};
-use crate::types::{BackendServerId, DaemonId, DomainId, Incarnation, ServiceId};
+use crate::rollout::RolloutStep;
+use crate::types::{BackendServerId, DaemonId, DomainId, Incarnation, ServiceId, SoftwareVersion};
 
 /// A backend server on the VM of a daemon, as the daemon describes it to the fleet.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,6 +27,28 @@
     /// ejected, small while it is probed, `FULL_SHARE_PERMILLE` in full service.
     #[serde(default = "full_share_permille")]
     pub share_permille: u16,
+    /// Version of the server's software.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub software_version: SoftwareVersion,
+    /// Step of the roll-out in which its guard gives it work.
+    #[serde(default, skip_serializing_if = "RolloutStep::is_none")]
+    pub rollout_step: RolloutStep,
+}
+
+impl Default for ServerEntry {
+    /// Returns the values of fields that a description leaves out.
+    fn default() -> Self {
+        ServerEntry {
+            server: "".into(),
+            service: "".into(),
+            slots_count: 0,
+            cold: false,
+            draining: false,
+            share_permille: FULL_SHARE_PERMILLE,
+            software_version: "".into(),
+            rollout_step: RolloutStep::None,
+        }
+    }
 }
 
 /// Share of a server in full service, in thousandths.
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -77,6 +77,7 @@
         cold: false,
         draining: false,
         share_permille: FULL_SHARE_PERMILLE,
+        ..Default::default()
     };
     state.handle(now, MembershipEvent::Local(vec![server.clone()]));
     let ejected = MembershipEvent::ShareChanged {
@@ -117,6 +118,7 @@
             cold: false,
             draining: false,
             share_permille: FULL_SHARE_PERMILLE,
+            ..Default::default()
         }])
     };
     let published = |actions: &[MembershipAction]| {
--- a/src/membership/tests/convergence.rs
+++ b/src/membership/tests/convergence.rs
@@ -79,6 +79,7 @@
         cold: false,
         draining: false,
         share_permille: FULL_SHARE_PERMILLE,
+        ..Default::default()
     }
 }
 
--- a/src/membership/tests/invalid.rs
+++ b/src/membership/tests/invalid.rs
@@ -28,6 +28,7 @@
         cold: false,
         draining: false,
         share_permille: 1000,
+        ..Default::default()
     }
 }
 
--- a/src/membership/tests/rules.rs
+++ b/src/membership/tests/rules.rs
@@ -191,6 +191,7 @@
         cold: false,
         draining: false,
         share_permille: 1000,
+        ..Default::default()
     };
     let delta = |from_version, version| {
         std::sync::Arc::new(Delta {
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -77,6 +77,7 @@
             cold: false,
             draining: false,
             share_permille: FULL_SHARE_PERMILLE,
+            ..Default::default()
         };
         let entry = DaemonEntry {
             daemon: format!("{domain}-1").as_str().into(),
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -8,6 +8,7 @@
 use super::message::Target;
 use crate::contract::View;
 use crate::membership::{DaemonEntry, Fleet, ServerEntry};
+use crate::rollout::RolloutStep;
 use crate::types::{DaemonId, DomainId, ServiceId};
 
 /// One server that may be chosen.
@@ -23,6 +24,8 @@
     pub cold: bool,
     /// Share of its full load that the server gets, in thousandths; never 0.
     pub share_permille: u16,
+    /// Step of the roll-out in which its guard gives it work.
+    pub rollout_step: RolloutStep,
 }
 
 /// The servers of one service among which an entry chooses.
@@ -198,5 +201,6 @@
         slots_count: server.slots_count,
         cold: server.cold,
         share_permille: server.share_permille,
+        rollout_step: server.rollout_step,
     }
 }
--- a/src/routing/measure.rs
+++ b/src/routing/measure.rs
@@ -94,6 +94,7 @@
             cold: version % 2 == 0,
             draining: false,
             share_permille: FULL_SHARE_PERMILLE,
+            ..Default::default()
         }
     };
     DaemonEntry {
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -29,6 +29,7 @@
         cold: false,
         draining: false,
         share_permille,
+        ..Default::default()
     };
     DaemonEntry {
         daemon: format!("d{index}").into(),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -18,6 +18,7 @@
 pub mod operator;
 pub mod quota;
 pub mod ready;
+pub mod rollout;
 pub mod routing;
 
 use std::fmt;
@@ -65,6 +66,8 @@
     pub audit: audit::AuditSettings,
     /// Choice of a backend server for each request, and retries.
     pub routing: routing::RoutingSettings,
+    /// Roll-outs of new versions of backend servers.
+    pub rollout: rollout::RolloutSettings,
     /// Export of counters and timings.
     pub metrics: metrics::MetricsSettings,
     /// The log that this process writes.
@@ -229,6 +232,10 @@
             section: "routing",
             errors: &mut errors,
         });
+        self.rollout.check(&mut Checker {
+            section: "rollout",
+            errors: &mut errors,
+        });
         self.log.check(&mut Checker {
             section: "log",
             errors: &mut errors,
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -56,6 +56,10 @@
     pub reuse_idle_ms: u64,
     /// Longest wait for a connection to a guard, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// Share of a service's requests that servers of a version under trial may get; 0 to 1.
+    pub trial_share: f64,
+    /// Requests that they may get beyond that share, from all entries together, for one order.
+    pub trial_slack_count: u32,
 }
 
 impl Default for RoutingSettings {
@@ -81,6 +85,8 @@
             retry_after_ms: 0,
             reuse_idle_ms: 10_000,
             connect_timeout_ms: 500,
+            trial_share: 0.1,
+            trial_slack_count: 0,
         }
     }
 }
@@ -115,6 +121,7 @@
         checker.range("reuse_idle_ms", self.reuse_idle_ms, 0..=600_000);
         self.check_backoff(checker);
         checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
+        checker.range("trial_share", self.trial_share, 0.0..=1.0);
     }
 
     /// Checks that the path backoff does not exceed its limit.
--- a/src/types.rs
+++ b/src/types.rs
@@ -14,6 +14,8 @@
 pub type DaemonId = Arc<str>;
 /// Name of a backend server, unique in the fleet.
 pub type BackendServerId = Arc<str>;
+/// Version of the software that a backend server runs; empty where the server does not report it.
+pub type SoftwareVersion = Arc<str>;
 /// Number of one run of a daemon: milliseconds since the epoch at its start. It is greater than
 /// that where an earlier run already has such a number (module `incarnation`). A later run has a
 /// greater number.
--- a/tests/membership_scenarios.rs
+++ b/tests/membership_scenarios.rs
@@ -101,6 +101,7 @@
             cold: false,
             draining: false,
             share_permille: FULL_SHARE_PERMILLE,
+            ..Default::default()
         };
         self.fleet
             .deliver(daemon, MembershipEvent::Local(vec![entry]));
