Let guards give work by the steps of a roll-out

It now brings each server to the step that the rule names for its version, whenever the server was announced, and again when it returns with another version.

A closed server refuses what arrives and what waits as not run, so that entries try others; what runs goes on, and the fleet sees the server as draining. A trial closes at the time that its rule names. That is checked before each event, because a request may arrive between the time and the tick.

Calls to the guard were an alternative to a tick of its own for the end of a trial: a guard that is cut off from whoever drives the roll-out would go on.

The version in an announcement is bounded like other names. next_tick_at moved beside the tick.

Checked: library tests of guard, routing, allowance and operator.

--- a/src/guard/announce.rs
+++ b/src/guard/announce.rs
@@ -84,6 +84,11 @@
                 return Err(format!("{field} must have 1 to {NAME_LIMIT_BYTES} bytes"));
             }
         }
+        if self.software_version.len() > NAME_LIMIT_BYTES {
+            return Err(format!(
+                "software_version must have at most {NAME_LIMIT_BYTES} bytes"
+            ));
+        }
         if !(1..=SLOTS_LIMIT_COUNT).contains(&self.slots_count) {
             let count = self.slots_count;
             return Err(format!(
--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -120,6 +120,29 @@
         }
     }
 
+    /// Returns when the next `GuardEvent::Tick` is due.
+    pub fn next_tick_at(&self) -> Option<Instant> {
+        let mut next = self
+            .drained_at()
+            .into_iter()
+            .chain(self.trial_ends_at())
+            .min();
+        for server in self.servers.values() {
+            let expires_at = (!server.gone).then(|| server.renewed_at + self.announcement_ttl());
+            for at in [
+                expires_at,
+                server.queue.next_deadline_at(),
+                server.rate_free_at(),
+            ]
+            .into_iter()
+            .flatten()
+            {
+                next = Some(next.map_or(at, |known| known.min(at)));
+            }
+        }
+        next
+    }
+
     /// Handles passed deadlines and expired announcements, and starts requests that may start now.
     pub(super) fn handle_tick(&mut self, now: Instant, actions: &mut Vec<GuardAction>) {
         let ttl = self.announcement_ttl();
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -22,6 +22,7 @@
 mod registration;
 pub mod retries;
 mod revoke;
+mod rollout;
 mod run_limit;
 mod server;
 pub mod start_rate;
--- a/src/guard/registration.rs
+++ b/src/guard/registration.rs
@@ -11,6 +11,7 @@
 use crate::contract::View;
 use crate::error::ErrorKind;
 use crate::membership::ServerEntry;
+use crate::rollout::RolloutStep;
 use crate::settings::guard::GuardSettings;
 use crate::types::{BackendServerId, ServiceId};
 
@@ -60,6 +61,7 @@
         let mut state = ServerState::new(&self.settings, announcement, now);
         state.presence = self.inquire_presence(&state.announcement, actions);
         state.cold_rate_per_s = self.cold_rate_per_s(&state.announcement.service);
+        state.rollout_step = self.rollout_step(now, &state.announcement);
         self.servers.insert(name, state);
     }
 
@@ -73,6 +75,7 @@
     ) {
         let address = announcement.address;
         let draining = announcement.draining;
+        let rollout_step = self.rollout_step(now, &announcement);
         let has_rival = self.other_servers_at(address, name).next().is_some();
         let cold_rate_per_s = self.cold_rate_per_s(&announcement.service);
         let since_start = self.inquiries.is_announced_since_start(now);
@@ -80,6 +83,7 @@
             return;
         };
         server.cold_rate_per_s = cold_rate_per_s;
+        server.rollout_step = rollout_step;
         let is_earlier = announcement.started_at_ms < server.announcement.started_at_ms;
         let service_changed = announcement.service != server.announcement.service;
         let becomes_confirmed = match server.presence {
@@ -103,7 +107,7 @@
         if service_changed {
             self.refuse_waiting(now, name, ErrorKind::ServerReplaced, actions);
         }
-        if draining {
+        if draining || rollout_step == RolloutStep::Closed {
             self.refuse_waiting(now, name, ErrorKind::NoServer, actions);
         }
         self.start_waiting(now, name, actions);
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -40,6 +40,8 @@
     pub(super) announcement: Announcement,
     /// When the announcement was last renewed.
     pub(super) renewed_at: Instant,
+    /// Step of the roll-out that concerns the server.
+    pub(super) rollout_step: RolloutStep,
     /// Whether the server is absent: its announcement expired or was withdrawn, it died, another
     /// server replaced it, or the settings exclude it.
     pub(super) gone: bool,
@@ -88,6 +90,7 @@
         ServerState {
             announcement,
             renewed_at: now,
+            rollout_step: RolloutStep::None,
             gone: false,
             incarnation_count: 1,
             running_count: 0,
@@ -162,9 +165,9 @@
         self.cold.limit_count(self.announcement.slots_count)
     }
 
-    /// Returns whether the server is present, confirmed and not draining.
+    /// Returns whether the server is present, confirmed, not draining and not closed by a roll-out.
     pub(super) fn takes_work(&self) -> bool {
-        !self.gone && self.is_confirmed() && !self.announcement.draining
+        !self.gone && self.is_confirmed() && !self.leaves()
     }
 
     /// Returns whether another request may start, by free slots and by the limit of starts.
@@ -368,10 +371,10 @@
                 self.announcement.slots_count
             },
             cold,
-            draining: self.announcement.draining || !self.is_confirmed() || !takes_work,
+            draining: self.leaves() || !self.is_confirmed() || !takes_work,
             share_permille: FULL_SHARE_PERMILLE,
             software_version: self.announcement.software_version.clone(),
-            rollout_step: RolloutStep::None,
+            rollout_step: self.rollout_step,
         }
     }
 }
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -45,7 +45,7 @@
     /// Sign of a server of another service than the settings name.
     pub(super) contradiction: Option<Contradiction>,
     pub(super) retries: RetryWindow,
-    /// Rules of the roll-outs in progress.
+    /// Rules of the roll-outs in progress; each server's `rollout_step` follows from them.
     pub(super) rollouts: BTreeMap<ServiceId, RolloutRule>,
     /// Guards of the service of the server on this VM, including this one; at least 1.
     pub(super) guard_count: usize,
@@ -84,25 +84,6 @@
         }
     }
 
-    /// Returns when the next `GuardEvent::Tick` is due.
-    pub fn next_tick_at(&self) -> Option<Instant> {
-        let mut next = self.drained_at();
-        for server in self.servers.values() {
-            let expires_at = (!server.gone).then(|| server.renewed_at + self.announcement_ttl());
-            for at in [
-                expires_at,
-                server.queue.next_deadline_at(),
-                server.rate_free_at(),
-            ]
-            .into_iter()
-            .flatten()
-            {
-                next = Some(next.map_or(at, |known| known.min(at)));
-            }
-        }
-        next
-    }
-
     /// Handles one event and returns the actions that follow from it.
     pub fn handle(&mut self, now: Instant, event: GuardEvent) -> Vec<GuardAction> {
         let mut actions = Vec::new();
@@ -110,6 +91,7 @@
         if matches!(event, GuardEvent::Arrived(_) | GuardEvent::Drain) {
             self.last_arrival_at = Some(now);
         }
+        self.apply_rollouts(now, &mut actions);
         match event {
             GuardEvent::Arrived(request) => self.admit(now, request, &mut actions),
             GuardEvent::Finished {
@@ -125,12 +107,8 @@
                 started_at_ms,
             } => self.handle_withdrawal(now, &server, started_at_ms, &mut actions),
             GuardEvent::Domain { out } => self.set_domain_out(now, out, &mut actions),
-            GuardEvent::Rollout(rule) => {
-                self.rollouts.insert(rule.service.clone(), rule);
-            }
-            GuardEvent::RolloutEnded(service) => {
-                self.rollouts.remove(&service);
-            }
+            GuardEvent::Rollout(rule) => self.set_rollout(now, rule, &mut actions),
+            GuardEvent::RolloutEnded(service) => self.end_rollout(now, &service, &mut actions),
             GuardEvent::Fence(fence) => self.handle_fence(now, &fence, &mut actions),
             GuardEvent::Cancel(request) => self.handle_cancel(now, request, &mut actions),
             GuardEvent::EntryLeft(key) => self.handle_entry_left(now, key, &mut actions),
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -11,6 +11,7 @@
 mod late_announcements;
 mod local_servers;
 mod overdue;
+mod rollout;
 mod servers;
 mod shedding;
 mod view_report;
