Leave servers kept back by a roll-out out of the floors of their service

During a roll-out servers of two versions are in the fleet. Both counted for the floor, so with as many new servers as old ones a floor of 0.7 let 31 of 106 be ejected, and all of them could be among the 53 that serve; once one half was closed, no server could be ejected and no failure domain taken out of service.

Servers under trial or closed now count for neither side.

Checked: a test of the permits for both steps, which fails without the change; library tests of allowance and operator.

--- a/src/allowance/permit.rs
+++ b/src/allowance/permit.rs
@@ -39,7 +39,10 @@
     let mut unavailable_count = 0_u32;
     for daemon in fleet.daemons.values() {
         let away = daemon.leaving || view.domains_out.contains(&daemon.domain);
-        for server in daemon.servers.iter().filter(|s| s.service == *service) {
+        for server in &daemon.servers {
+            if server.service != *service || !server.rollout_step.counts_for_floor() {
+                continue;
+            }
             server_count += 1;
             unavailable_count += u32::from(away || server.draining);
         }
--- a/src/allowance/tests/permits.rs
+++ b/src/allowance/tests/permits.rs
@@ -6,7 +6,8 @@
 use crate::contract::{ServiceContract, View};
 use crate::link::PeerName;
 use crate::membership::{DaemonEntry, Fleet, ServerEntry};
-use crate::types::{BackendServerId, ServiceId};
+use crate::rollout::RolloutStep;
+use crate::types::{BackendServerId, DaemonId, ServiceId};
 
 /// Returns a daemon in its first incarnation.
 fn peer(name: &str) -> PeerName {
@@ -72,6 +73,27 @@
     assert_eq!((all, drained, out), (6, 5, 0));
 }
 
+#[test]
+fn servers_that_a_roll_out_keeps_from_the_service_neither_count_for_the_floor_nor_use_permits() {
+    for step in [RolloutStep::Trial, RolloutStep::Closed] {
+        // Arrange: half of the servers are of another version.
+        let (view, mut fleet) = world(0.4);
+        for index in 0..5 {
+            let name: DaemonId = format!("daemon-{index}").into();
+            let mut daemon = (*fleet.daemons[&name]).clone();
+            daemon.servers[0].rollout_step = step;
+            daemon.servers[0].draining = step == RolloutStep::Closed;
+            fleet.daemons.insert(name, Arc::new(daemon));
+        }
+
+        // Act
+        let permitted = permit_count(&"workshop".into(), &view, &fleet);
+
+        // Assert
+        assert_eq!(permitted, 3, "{step:?}");
+    }
+}
+
 #[test]
 fn a_fractional_floor_is_rounded_up() {
     let (view, fleet) = world(0.55);
--- a/src/operator/floor.rs
+++ b/src/operator/floor.rs
@@ -27,7 +27,7 @@
         for daemon in fleet.daemons.values() {
             let out = daemon.leaving || domains_out.contains(&daemon.domain);
             for server in &daemon.servers {
-                if server.service != *service {
+                if server.service != *service || !server.rollout_step.counts_for_floor() {
                     continue;
                 }
                 status.server_count += 1;
--- a/src/rollout/message.rs
+++ b/src/rollout/message.rs
@@ -42,6 +42,12 @@
         *self == RolloutStep::None
     }
 
+    /// Returns whether a server takes its whole share of requests, so that it counts for the floor
+    /// of its service.
+    pub fn counts_for_floor(self) -> bool {
+        matches!(self, RolloutStep::None | RolloutStep::Full)
+    }
+
     /// Returns the number of the step in messages between daemons.
     pub fn number(self) -> u8 {
         match self {
