Bound at each entry what a version under trial gets

Each entry now compares its attempts at such servers with the requests that it had answered itself, and has a fixed part of the slack. The sum over entries keeps the bound whatever they know of each other: the share because sums of shares are a share of the sum, the slack because its parts are fixed by a hash over the fleet with half kept back. A process that began after the order has no part, since its earlier run may have used it.

Servers under trial are in a list of their own, so no last resort, probe or search through all servers finds them. An ordered version whose guards name no step yet gets nothing while another version serves: between the announcement of a new server and the rule at its guard it would get its full share.

Ruled out: weights that all derive from one rate (the sum fails on old news), permits from one holder (no evidence while it is away).

--- a/src/allowance/partition.rs
+++ b/src/allowance/partition.rs
@@ -150,7 +150,7 @@
 }
 
 /// Hashes the parts with FNV-1a and a final mix, the same on every daemon and in every release.
-fn hash_of(parts: &[&[u8]]) -> u64 {
+pub(crate) fn hash_of(parts: &[&[u8]]) -> u64 {
     let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
     for part in parts {
         for byte in part.iter().chain(&[0xff]) {
--- a/src/daemon/entry.rs
+++ b/src/daemon/entry.rs
@@ -88,11 +88,12 @@
         own_ring: rings.routing.clone(),
         drained,
     };
-    let choice = Box::new(LeastLoaded::new(
+    let choice = LeastLoaded::new(
         settings.routing.clone(),
         settings.daemon.domain.clone(),
         ChaCha8Rng::from_rng(&mut rand::rng()),
-    ));
+    );
+    let choice = Box::new(choice.with_daemon(settings.daemon.daemon.clone()));
     threads.push(spawn_duty("routing", move || {
         routing::duty::run(&context, choice, &routing_receiver)
     }));
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -8,7 +8,7 @@
 use super::message::Target;
 use crate::contract::View;
 use crate::membership::{DaemonEntry, Fleet, ServerEntry};
-use crate::rollout::RolloutStep;
+use crate::rollout::{RolloutOrder, RolloutStep};
 use crate::types::{DaemonId, DomainId, ServiceId};
 
 /// One server that may be chosen.
@@ -31,12 +31,16 @@
 /// The servers of one service among which an entry chooses.
 #[derive(Debug, Default)]
 pub struct ServiceCandidates {
-    /// Eligible servers; those of the entry's own failure domain come first.
+    /// Eligible servers, without those under trial; those of the entry's own failure domain come
+    /// first.
     pub all: Vec<Candidate>,
     /// Number of eligible servers in the entry's own failure domain.
     pub near_count: usize,
-    /// All servers of the service in the fleet, eligible or not.
+    /// All servers of the service in the fleet, eligible or not, without those that a roll-out
+    /// keeps from the service.
     pub known_count: usize,
+    /// Servers of a version under trial, of which each entry bounds the requests.
+    pub trial: Vec<Candidate>,
 }
 
 /// The eligible servers of every service.
@@ -51,6 +55,8 @@
     daemons: HashMap<ServiceId, BTreeSet<DaemonId>>,
     /// The list of each service that has any server.
     services: HashMap<ServiceId, Arc<ServiceCandidates>>,
+    /// Orders whose version was seen in full service.
+    passed: HashMap<ServiceId, Arc<RolloutOrder>>,
 }
 
 impl Candidates {
@@ -62,9 +68,15 @@
             fleet: Arc::default(),
             daemons: HashMap::new(),
             services: HashMap::new(),
+            passed: HashMap::new(),
         }
     }
 
+    /// Returns the fleet that the lists were built from.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
     /// Returns the servers of a service, or none if the fleet has none.
     pub fn of(&self, service: &ServiceId) -> Option<Arc<ServiceCandidates>> {
         self.services.get(service).cloned()
@@ -91,11 +103,12 @@
         contract.routes.iter().any(|route| route.repeatable)
     }
 
-    /// Replaces the view. Rebuilds all lists if the failure domains out of service have changed.
+    /// Replaces the view. Rebuilds all lists if the failure domains out of service or the roll-outs
+    /// have changed.
     pub fn update_view(&mut self, view: Arc<View>) {
-        let same_domains = view.domains_out == self.view.domains_out;
+        let same = view.domains_out == self.view.domains_out && view.rollouts == self.view.rollouts;
         self.view = view;
-        if same_domains {
+        if same {
             return;
         }
         let services: Vec<ServiceId> = self.daemons.keys().cloned().collect();
@@ -154,21 +167,62 @@
         }
     }
 
+    /// Returns whether servers of the ordered version get nothing until their guards name a step: if
+    /// the version was not seen in full service, and servers of another version serve.
+    fn holds_back_target(&mut self, service: &ServiceId) -> bool {
+        let Some(order) = self.view.rollouts.get(service).cloned() else {
+            self.passed.remove(service);
+            return false;
+        };
+        let mut serves_other = false;
+        let mut full = false;
+        for name in self.daemons.get(service).into_iter().flatten() {
+            let daemon = self.fleet.daemons.get(name);
+            for server in daemon.into_iter().flat_map(|daemon| &daemon.servers) {
+                let is_target = server.software_version == order.target_version;
+                if server.service != *service {
+                    continue;
+                }
+                full |= is_target && server.rollout_step == RolloutStep::Full;
+                serves_other |= !is_target && !server.draining && server.share_permille > 0;
+            }
+        }
+        if full {
+            self.passed.insert(service.clone(), order.clone());
+        }
+        serves_other && self.passed.get(service) != Some(&order)
+    }
+
     /// Rebuilds the list of one service from the fleet and the view.
     fn rebuild(&mut self, service: &ServiceId) {
         let mut candidates = ServiceCandidates::default();
         let mut far = Vec::new();
+        let holds_back = self.holds_back_target(service);
+        let order = self.view.rollouts.get(service).cloned();
+        let is_target = |server: &ServerEntry| {
+            let order = order.as_ref();
+            order.is_some_and(|order| order.target_version == server.software_version)
+        };
         for name in self.daemons.get(service).into_iter().flatten() {
             let Some(daemon) = self.fleet.daemons.get(name) else {
                 continue;
             };
             let closed = daemon.leaving || self.view.domains_out.contains(&daemon.domain);
             for server in &daemon.servers {
-                if server.service != *service {
+                if server.service != *service || server.rollout_step == RolloutStep::Closed {
+                    continue;
+                }
+                let under_trial = server.rollout_step == RolloutStep::Trial;
+                let held_back = holds_back && server.rollout_step.is_none() && is_target(server);
+                candidates.known_count += usize::from(!under_trial && !held_back);
+                if held_back || closed || server.draining || server.share_permille == 0 {
                     continue;
                 }
-                candidates.known_count += 1;
-                if closed || server.draining || server.share_permille == 0 {
+                if under_trial {
+                    // Without its order nothing bounds the requests of a version.
+                    if is_target(server) {
+                        candidates.trial.push(candidate(daemon, server));
+                    }
                     continue;
                 }
                 let list = match daemon.domain == self.own_domain {
@@ -180,7 +234,7 @@
         }
         candidates.near_count = candidates.all.len();
         candidates.all.append(&mut far);
-        if candidates.known_count == 0 {
+        if self.daemons.get(service).is_none_or(BTreeSet::is_empty) {
             self.services.remove(service);
             self.daemons.remove(service);
             return;
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::exposure::TrialCounts;
 use super::message::{AttemptOutcome, RequestPlan, Target};
 use crate::contract::View;
 use crate::membership::Fleet;
@@ -58,7 +59,13 @@
 
     /// Records that an attempt was dropped because its caller left, which says nothing about the
     /// server. By default nothing is kept of open attempts.
-    fn attempt_abandoned(&mut self, _target: &Target) {}
+    fn attempt_abandoned(&mut self, _plan: &RequestPlan, _target: &Target) {}
+
+    /// Returns the attempts sent since the last call to services that have servers under trial. By
+    /// default no server is under trial.
+    fn take_trial_counts(&mut self) -> TrialCounts {
+        TrialCounts::default()
+    }
 
     /// Returns the typical time of an attempt at the route; none while it is not known.
     fn typical_time(&self, _plan: &RequestPlan) -> Option<Duration> {
--- a/src/routing/disconnects.rs
+++ b/src/routing/disconnects.rs
@@ -57,7 +57,7 @@
         let elapsed = now.saturating_duration_since(sent_at);
         let patience = self.choice.patience(plan);
         if patience.is_none_or(|patience| elapsed < patience) {
-            return self.choice.attempt_abandoned(target);
+            return self.choice.attempt_abandoned(plan, target);
         }
         let lost = AttemptOutcome::Unknown {
             kind: ErrorKind::OutcomeUnknown,
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -218,6 +218,21 @@
                 events.extend(self.carry_out(action));
             }
         }
+        self.count_trials();
+    }
+
+    /// Counts the attempts at services that have servers under trial.
+    fn count_trials(&mut self) {
+        let counts = self.state.take_trial_counts();
+        let metrics = &self.context.metrics;
+        for (name, count) in [
+            ("routing.trial.sent", counts.sent_count),
+            ("routing.trial.withheld", counts.withheld_count),
+        ] {
+            if count > 0 {
+                metrics.add(name, count);
+            }
+        }
     }
 
     /// Carries out an action and returns the event that follows at once, if any.
--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -10,6 +10,7 @@
 
 use super::candidates::{Candidate, Candidates};
 use super::choice::ServerChoice;
+use super::exposure::{Exposure, TrialCounts};
 use super::feedback::{path_end, server_feedback, ServerFeedback};
 use super::message::{AttemptOutcome, RequestPlan, Target};
 use super::paths::Paths;
@@ -18,7 +19,7 @@
 use crate::contract::View;
 use crate::membership::{Fleet, FULL_SHARE_PERMILLE};
 use crate::settings::routing::RoutingSettings;
-use crate::types::{BackendServerId, DomainId, RouteId};
+use crate::types::{BackendServerId, DaemonId, DomainId, RouteId};
 
 /// An attempt at a repeatable request is given up after this many typical times of its route.
 const PATIENCE_FACTOR: u32 = 10;
@@ -65,7 +66,7 @@
     /// Settings of the choice, the paths and the patience.
     pub(super) settings: RoutingSettings,
     /// Draws servers, shares and the jitter of paths.
-    random: ChaCha8Rng,
+    pub(super) random: ChaCha8Rng,
     /// Failure domain of this entry.
     pub(super) own_domain: DomainId,
     /// The eligible servers of every service.
@@ -76,6 +77,8 @@
     pub(super) estimates: HashMap<BackendServerId, ServerEstimate>,
     /// Typical response time of each route.
     pub(super) route_speeds: RouteSpeeds,
+    /// What was sent to servers of versions under trial.
+    pub(super) exposure: Exposure,
 }
 
 impl LeastLoaded {
@@ -93,9 +96,16 @@
             paths,
             estimates: HashMap::new(),
             route_speeds: RouteSpeeds::default(),
+            exposure: Exposure::default(),
         }
     }
 
+    /// Names the daemon of this entry.
+    pub fn with_daemon(mut self, daemon: DaemonId) -> LeastLoaded {
+        self.exposure.set_daemon(daemon);
+        self
+    }
+
     /// Draws a few servers: every second one from the own failure domain, the others from all.
     fn draw(&mut self, count: usize, near_count: usize) -> SmallVec<[usize; 8]> {
         let mut drawn = SmallVec::new();
@@ -232,7 +242,8 @@
 }
 
 impl ServerChoice for LeastLoaded {
-    /// Returns a server whose probe is due, or else the least loaded of a few drawn at random.
+    /// Returns a server under trial if it may get the request, a server whose probe is due, or else
+    /// the least loaded of a few drawn at random.
     fn pick(
         &mut self,
         now: Instant,
@@ -241,7 +252,8 @@
     ) -> Option<Target> {
         let service = self.candidates.of(&plan.service)?;
         let criteria = self.pick_criteria(now, plan, tried, &service);
-        let probed = self.due_probe(&criteria, &service.all);
+        let under_trial = self.pick_trial(&criteria, &service);
+        let probed = under_trial.or_else(|| self.due_probe(&criteria, &service.all));
         probed.or_else(|| self.pick_from(&criteria, &service.all, service.near_count))
     }
 
@@ -280,7 +292,8 @@
     }
 
     /// Counts the attempt as open at its server and on its path.
-    fn attempt_sent(&mut self, _now: Instant, _plan: &RequestPlan, target: &Target) {
+    fn attempt_sent(&mut self, _now: Instant, plan: &RequestPlan, target: &Target) {
+        self.count_trial(plan, target);
         let estimate = self.estimates.entry(target.server.clone()).or_default();
         estimate.outstanding_count += 1;
         self.paths.sent(&target.daemon);
@@ -295,6 +308,7 @@
         outcome: &AttemptOutcome,
         elapsed: Duration,
     ) {
+        self.exposure.ended(now, plan, outcome, elapsed);
         if let Some(estimate) = self.estimates.get_mut(&target.server) {
             estimate.outstanding_count = estimate.outstanding_count.saturating_sub(1);
         }
@@ -310,7 +324,8 @@
     }
 
     /// Counts the attempt as no longer open, and lets its path be probed by another one.
-    fn attempt_abandoned(&mut self, target: &Target) {
+    fn attempt_abandoned(&mut self, plan: &RequestPlan, target: &Target) {
+        self.exposure.abandoned(plan);
         if let Some(estimate) = self.estimates.get_mut(&target.server) {
             estimate.outstanding_count = estimate.outstanding_count.saturating_sub(1);
         }
@@ -343,8 +358,15 @@
         self.settings = settings.clone();
     }
 
-    /// Rebuilds the candidates by the floors and failure domains of the new view.
+    /// Returns the attempts at services with servers under trial since the last call.
+    fn take_trial_counts(&mut self) -> TrialCounts {
+        self.exposure.take_counts()
+    }
+
+    /// Rebuilds the candidates by the floors, failure domains and roll-outs of the new view.
     fn update_view(&mut self, view: Arc<View>) {
+        self.exposure
+            .update_view(&view, self.candidates.fleet(), &self.settings);
         self.candidates.update_view(view);
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,6 +12,7 @@
 pub mod choice;
 mod disconnects;
 pub mod duty;
+pub mod exposure;
 mod feedback;
 pub mod fingerprint;
 mod finish;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -13,6 +13,7 @@
 
 use super::budget::RetryBudget;
 use super::choice::ServerChoice;
+use super::exposure::TrialCounts;
 use super::message::{RequestPlan, RoutingAction, RoutingEvent, Target};
 use super::own_repeats::OwnRepeats;
 use super::parked::Parked;
@@ -193,6 +194,11 @@
         self.parked.next_at().into_iter().chain(take_back_at).min()
     }
 
+    /// Returns the attempts sent since the last call to services that have servers under trial.
+    pub fn take_trial_counts(&mut self) -> TrialCounts {
+        self.choice.take_trial_counts()
+    }
+
     /// Returns how many requests have not ended.
     pub fn open_count(&self) -> usize {
         self.requests.len()
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -4,6 +4,7 @@
 mod closing;
 mod disconnects;
 mod duty;
+mod exposure;
 mod full;
 mod invalid;
 mod last_resort;
--- a/src/routing/tests/choice.rs
+++ b/src/routing/tests/choice.rs
@@ -21,7 +21,7 @@
 const DOMAINS: [&str; 3] = ["north", "south", "west"];
 
 /// Returns a daemon with one server, which gets `share_permille` of its normal requests.
-fn entry(index: usize, share_permille: u16) -> DaemonEntry {
+pub(super) fn entry(index: usize, share_permille: u16) -> DaemonEntry {
     let server = ServerEntry {
         server: format!("s{index}").into(),
         service: "workshop".into(),
@@ -44,7 +44,7 @@
 }
 
 /// Returns a fleet of these daemons.
-fn fleet(entries: impl IntoIterator<Item = DaemonEntry>) -> Arc<Fleet> {
+pub(super) fn fleet(entries: impl IntoIterator<Item = DaemonEntry>) -> Arc<Fleet> {
     let mut fleet = Fleet::default();
     for entry in entries {
         fleet.daemons.insert(entry.daemon.clone(), Arc::new(entry));
@@ -53,7 +53,7 @@
 }
 
 /// Returns a view with this floor, whose route may be repeated.
-fn view(floor_share: f64, domain_out: Option<&str>) -> Arc<View> {
+pub(super) fn view(floor_share: f64, domain_out: Option<&str>) -> Arc<View> {
     view_of(floor_share, domain_out, true)
 }
 
@@ -154,7 +154,7 @@
 }
 
 /// Returns the outcome of an attempt that was answered with status 200.
-fn answered() -> AttemptOutcome {
+pub(super) fn answered() -> AttemptOutcome {
     AttemptOutcome::Answered(WholeAnswer {
         status: 200,
         ..Default::default()
@@ -162,7 +162,7 @@
 }
 
 /// Returns the outcome of an attempt that was not run.
-fn refused(kind: ErrorKind, by_guard: bool) -> AttemptOutcome {
+pub(super) fn refused(kind: ErrorKind, by_guard: bool) -> AttemptOutcome {
     AttemptOutcome::NotRun {
         kind,
         retry_after: None,
