Give a server that says it is warm its slots where no cold rate is named

What callers saw: where a contract names no cold rate, every server was held to one request at a time, whatever its slots. The guard fell back on ColdLimit, which begins at one, starts anew with each failure and grows with rounds of good answers.

A limit is owed where the contract names a rate, where a server says that it is cold, and, with the new setting guard.suspect_cold, where it may be cold without a word. The default suspects as before. Contracts of the earlier deployments name a rate, by which their servers are limited as before.

Ruled out: no limit at all without a rate, since a server that says it is cold would get all its slots; the load header, which tells nothing of speed.

--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -49,7 +49,7 @@
     pub(super) running_count: u32,
     /// Requests that wait for a slot.
     pub(super) queue: FairQueue,
-    /// Limit on running requests while the server is cold, if its cold rate is not known.
+    /// Limit on running requests while the server is cold; see `cold_limit`.
     pub(super) cold: ColdLimit,
     /// Refuses requests while the server fails too many of them.
     pub(super) breaker: Breaker,
@@ -67,6 +67,8 @@
     cold_rate_factor: f64,
     /// Starts per second allowed in addition to the multiple of the cold rate.
     cold_rate_slack_count: u32,
+    /// Whether the server may be cold without announcing it, while its cold rate is not known.
+    suspect_cold: bool,
     /// Evidence on whether the server has silently turned cold.
     warmth: WarmthEvidence,
     /// Service times by route, from which waits are estimated.
@@ -100,6 +102,7 @@
             cold_rate_per_s: 0.0,
             cold_rate_factor: settings.cold_rate_factor,
             cold_rate_slack_count: settings.cold_rate_slack_count,
+            suspect_cold: settings.suspect_cold,
             warmth: WarmthEvidence::default(),
             times: RouteTimes::default(),
         }
@@ -109,6 +112,7 @@
     pub(super) fn apply_settings(&mut self, settings: &GuardSettings) {
         self.cold_rate_factor = settings.cold_rate_factor;
         self.cold_rate_slack_count = settings.cold_rate_slack_count;
+        self.suspect_cold = settings.suspect_cold;
     }
 
     /// Takes a new announcement and returns whether a new incarnation of the server started.
@@ -156,10 +160,15 @@
 
     /// Returns how many requests may run at the same time at present.
     pub(super) fn limit_count(&self) -> u32 {
-        if self.has_cold_rate() {
-            return self.announcement.slots_count;
-        }
-        self.cold.limit_count(self.announcement.slots_count)
+        let slots_count = self.announcement.slots_count;
+        let limit = self.cold_limit();
+        limit.map_or(slots_count, |limit| limit.limit_count(slots_count))
+    }
+
+    /// Returns the limit of a server that is cold or may be; none where its cold rate limits it.
+    fn cold_limit(&self) -> Option<&ColdLimit> {
+        let is_owed = self.announcement.cold || self.suspect_cold;
+        (is_owed && !self.has_cold_rate()).then_some(&self.cold)
     }
 
     /// Returns whether the server is present, confirmed and not draining.
@@ -350,14 +359,11 @@
 
     /// Returns the description of the server that other daemons get.
     pub(super) fn server_entry(&self, takes_work: bool) -> ServerEntry {
-        let by_rate = self.has_cold_rate();
-        let cold = match by_rate {
-            true => self.announcement.cold,
-            false => self.cold.is_cold(),
-        };
-        let cold_count = match by_rate {
-            true => (self.announcement.slots_count / COLD_SLOTS_DIVISOR).max(1),
-            false => self.cold.limit_count(1).max(1),
+        let limit = self.cold_limit();
+        let cold = limit.map_or(self.announcement.cold, ColdLimit::is_cold);
+        let cold_count = match limit {
+            None => (self.announcement.slots_count / COLD_SLOTS_DIVISOR).max(1),
+            Some(limit) => limit.limit_count(1).max(1),
         };
         ServerEntry {
             server: self.announcement.server.clone(),
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -13,6 +13,7 @@
 mod overdue;
 mod servers;
 mod shedding;
+mod suspected_cold;
 mod view_report;
 mod warm_rate;
 
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -32,6 +32,10 @@
     /// Time after which a steady latency above a cold server's earlier one is taken as its new
     /// reference, in milliseconds.
     pub cold_patience_ms: u64,
+    /// Whether a server that does not announce that it is cold may be cold all the same, where the
+    /// contract of its service names no cold rate: when it is first seen, after a restart, after
+    /// failures, or when it turns slow.
+    pub suspect_cold: bool,
     /// Time for which ended requests are remembered so that none starts twice, in milliseconds.
     pub started_keep_ms: u64,
     /// Most ended requests that are remembered.
@@ -100,6 +104,7 @@
             cold_limit_count: 1,
             cold_step_ms: 250,
             cold_patience_ms: 10_000,
+            suspect_cold: true,
             started_keep_ms: 600_000,
             started_limit_count: 200_000,
             poison_death_count: 2,
