--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -14,6 +14,7 @@
 mod rollout;
 mod servers;
 mod shedding;
+mod suspected_cold;
 mod view_report;
 mod warm_rate;
 
