Let the plan of a feed's reads own their offset

The reader and the simulation of a silent platform each kept the offset of the next read and told the plan how the last one had ended. FollowPlan now takes the result of a read itself, so that both share the rule when to start over.

--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -6,10 +6,10 @@
 
 use rand::Rng;
 
-use super::follow::{FollowPlan, ReadEnd};
+use super::follow::{FollowPlan, PlannedRead};
 use super::message::FeedRead;
 use super::turn::SharedTurn;
-use super::{Feed, FeedError};
+use super::Feed;
 use crate::settings::feed::FeedSettings;
 
 /// Receives the result of each read, on the reader's thread.
@@ -61,41 +61,17 @@
     /// Reads the newest items and then follows the feed; starts over if records may have been
     /// missed. After a failure it does not wait for records until a read has succeeded.
     fn follow(&mut self, turn: &SharedTurn) {
-        let mut from = None;
         let mut plan = FollowPlan::default();
         while !self.stopping.load(Ordering::Relaxed) {
             let began_at = Instant::now();
-            let read = match from {
-                None => self.feed.newest(),
-                Some(from) => {
-                    let wait = plan.next_wait(turn.get(), &self.settings);
-                    self.feed.follow(from, wait)
-                }
+            let result = match plan.next_read(turn.get(), &self.settings) {
+                PlannedRead::Newest => self.feed.newest(),
+                PlannedRead::Follow { from, wait } => self.feed.follow(from, wait),
             };
-            match read {
-                Ok(page) => {
-                    let next = page.next;
-                    let followed = from.replace(next);
-                    plan.record_end(match followed {
-                        None => ReadEnd::Newest,
-                        Some(from) if from < next => ReadEnd::Items,
-                        Some(_) => ReadEnd::Nothing,
-                    });
-                    (self.sink)(match followed.is_some() {
-                        true => FeedRead::Followed(page),
-                        false => FeedRead::Newest(page),
-                    });
-                }
-                Err(error) => {
-                    let counts = error != FeedError::Truncated;
-                    plan.record_end(ReadEnd::Failed { counts });
-                    // Records may have been missed, or dropped for newer ones.
-                    if !matches!(error, FeedError::Unavailable(_)) {
-                        from = None;
-                    }
-                    (self.sink)(FeedRead::Failed(error));
-                    self.back_off(plan.failed_count(), began_at);
-                }
+            let has_failed = result.is_err();
+            (self.sink)(plan.take(result));
+            if has_failed {
+                self.back_off(plan.failed_count(), began_at);
             }
         }
     }
--- a/src/feed/tests/silence.rs
+++ b/src/feed/tests/silence.rs
@@ -8,8 +8,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::feed::follow::{FollowPlan, ReadEnd};
-use crate::feed::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead};
+use crate::feed::follow::{FollowPlan, PlannedRead};
+use crate::feed::message::{ConfigurationItem, FeedAction, FeedEvent};
 use crate::feed::turn::ReadTurn;
 use crate::feed::{FeedError, FeedState, Page, Snapshot};
 use crate::settings::feed::FeedSettings;
@@ -30,7 +30,7 @@
     /// A daemon begins a read.
     ReadBegins(Index),
     /// A read ends.
-    ReadEnds(Index, FeedRead<ConfigurationItem>),
+    ReadEnds(Index, Result<Page<ConfigurationItem>, FeedError>),
     /// An event reaches the state of a daemon.
     Arrives(Index, FeedEvent),
     /// A question of the first daemon reaches the second one.
@@ -52,8 +52,6 @@
     plan: FollowPlan,
     /// Turn in which the daemon reads.
     turn: ReadTurn,
-    /// Offset of the next read; none before the first one.
-    from: Option<u64>,
     /// Time of the tick that is scheduled.
     tick_at: Option<Instant>,
     /// When each offset was first in force.
@@ -104,7 +102,6 @@
             ),
             plan: FollowPlan::default(),
             turn: ReadTurn::default(),
-            from: None,
             tick_at: None,
             in_force_at: BTreeMap::new(),
         };
@@ -137,7 +134,7 @@
         {
             match event {
                 Event::ReadBegins(index) => self.begin_read(now, index),
-                Event::ReadEnds(index, read) => self.end_read(now, index, read),
+                Event::ReadEnds(index, result) => self.end_read(now, index, result),
                 Event::Arrives(index, event) => self.handle(now, index, event),
                 Event::Asked { from, to, next } => self.answer(now, from, to, next),
             }
@@ -153,19 +150,16 @@
     /// Begins a read and schedules its end.
     fn begin_read(&mut self, now: Instant, index: Index) {
         self.read_count += 1;
-        let Daemon {
-            plan, turn, from, ..
-        } = &self.daemons[index];
-        let wait = match from {
-            None => Duration::ZERO,
-            Some(_) => plan.next_wait(*turn, &self.settings),
+        let Daemon { plan, turn, .. } = &self.daemons[index];
+        let (position, wait) = match plan.next_read(*turn, &self.settings) {
+            PlannedRead::Newest => (0, Duration::ZERO),
+            PlannedRead::Follow { from, wait } => (from, wait),
         };
-        let position = from.unwrap_or(0);
         let written_at = self.written_at.get(position as usize).copied();
         let ends_at = written_at.map_or(now + wait, |at| at.clamp(now, now + wait)) + LATENCY;
         let silent_at = self.silent_at.filter(|at| (now..ends_at).contains(at));
         if silent_at.is_some() {
-            let failed = FeedRead::Failed(FeedError::Unavailable("no answer".to_owned()));
+            let failed = Err(FeedError::Unavailable("no answer".to_owned()));
             let ends_at = now + wait + Duration::from_millis(self.settings.timeout_ms);
             return self.schedule(ends_at, Event::ReadEnds(index, failed));
         }
@@ -174,35 +168,21 @@
             true => vec![ConfigurationItem::Document(super::document("s"))],
             false => Vec::new(),
         };
-        let page = Page { items, next };
-        let read = match from {
-            None => FeedRead::Newest(page),
-            Some(_) => FeedRead::Followed(page),
-        };
-        self.schedule(ends_at, Event::ReadEnds(index, read));
+        self.schedule(ends_at, Event::ReadEnds(index, Ok(Page { items, next })));
     }
 
     /// Ends a read and begins the next one.
-    fn end_read(&mut self, now: Instant, index: Index, read: FeedRead<ConfigurationItem>) {
-        let daemon = &mut self.daemons[index];
+    fn end_read(
+        &mut self,
+        now: Instant,
+        index: Index,
+        result: Result<Page<ConfigurationItem>, FeedError>,
+    ) {
         let mut begins_at = now;
-        match &read {
-            FeedRead::Newest(page) => {
-                daemon.from = Some(page.next);
-                daemon.plan.record_end(ReadEnd::Newest);
-            }
-            FeedRead::Followed(page) => {
-                let has_items = daemon.from.replace(page.next) != Some(page.next);
-                daemon.plan.record_end(match has_items {
-                    true => ReadEnd::Items,
-                    false => ReadEnd::Nothing,
-                });
-            }
-            FeedRead::Failed(_) => {
-                daemon.plan.record_end(ReadEnd::Failed { counts: true });
-                begins_at += Duration::from_millis(self.settings.retry_ms);
-            }
+        if result.is_err() {
+            begins_at += Duration::from_millis(self.settings.retry_ms);
         }
+        let read = self.daemons[index].plan.take(result);
         self.handle(now, index, FeedEvent::Read(read));
         self.schedule(begins_at, Event::ReadBegins(index));
     }
