Use no kept connection that was idle when the store fell silent

Callers saw a withdrawn key and a dropped route work until 2.20 s after the acknowledgement where all open connections to the store fell silent while the fleet was at rest.

All clients of the store share kept connections, and the reads of members and the publisher leave some of them idle. A read that got no answer closed its own connection only: the next read took an idle one that was silent too and hung for its whole timeout, and so did the one after it. After a call without an answer a client now uses no connection whose last call ended before that.

--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -8,6 +8,7 @@
 pub mod follow;
 pub mod message;
 pub mod reader;
+pub mod reuse;
 pub mod state;
 pub mod turn;
 
