Let two watchers of a fleet read often in place of reads in turns

Callers saw withdrawn keys and dropped routes work for too long where all open connections to the store fell silent at rest: turns counted from the last change, so that before the first change and after restarts the reads of all daemons were in step or further apart than a turn, and hung together.

A notification is acted on at once, since its sender's read has failed, and one that comes while another peer is asked is kept: it was dropped with that peer's answer.

Tests changed: those of turns check roles in their place; the read after a failed one gets the role of a follower, since a daemon that does not know its fleet watches.

--- a/src/daemon/keyed_store.rs
+++ b/src/daemon/keyed_store.rs
@@ -16,7 +16,7 @@
 use crate::allowance::AllowanceMessage;
 use crate::feed::message::FeedRead;
 use crate::feed::reader::{FeedReader, ReadMode};
-use crate::feed::turn::SharedTurn;
+use crate::feed::role::SharedRole;
 use crate::feed::{self, FeedEvent, FeedMessage, Publisher};
 use crate::membership::{DaemonEntry, DaemonRecord, MembershipEvent};
 use crate::metrics::Metrics;
@@ -47,10 +47,10 @@
     let (pause, paused) = bounded(0);
     let (records, records_receiver) = ring("notice", RECORD_RING_COUNT, &shared.metrics);
     let feed_ring = rings.feed.clone();
-    let turn = Arc::new(SharedTurn::default());
+    let role = Arc::new(SharedRole::default());
     let configuration = FeedReader {
         settings: settings.feed.clone(),
-        mode: ReadMode::Follow(turn.clone()),
+        mode: ReadMode::Follow(role.clone()),
         feed: store.configuration,
         sink: Box::new(move |read| {
             feed_ring.deliver(FeedMessage::Event(FeedEvent::Read(read)));
@@ -77,7 +77,7 @@
         metrics: shared.metrics.clone(),
         link: rings.link.clone(),
         answers: rings.feed.clone(),
-        turn,
+        role,
         observer: Box::new(journal_dispatch(shared, rings)),
     };
     let metrics = shared.metrics.clone();
--- a/src/feed/duty.rs
+++ b/src/feed/duty.rs
@@ -8,8 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::message::{FeedAction, FeedEvent, FeedMessage, Snapshot};
+use super::role::SharedRole;
 use super::state::FeedState;
-use super::turn::SharedTurn;
 use crate::clock::Clock;
 use crate::journal::duty::JournalObserver;
 use crate::journal::CONFIGURATION;
@@ -36,8 +36,8 @@
     pub link: RingSender<LinkMessage>,
     /// Ring of this thread itself, through which answers of peers arrive.
     pub answers: RingSender<FeedMessage>,
-    /// Turn in which the configuration is read.
-    pub turn: Arc<SharedTurn>,
+    /// Part of this daemon in the reads of the configuration.
+    pub role: Arc<SharedRole>,
     /// Passes new views on to the other duties.
     pub observer: Box<dyn JournalObserver>,
 }
@@ -67,7 +67,7 @@
                 if !is_feed {
                     continue;
                 }
-                FeedEvent::PeerAhead { peer: from, next }
+                FeedEvent::PeerNotified { peer: from, next }
             }
         };
         for action in state.handle(context.clock.now(), event) {
@@ -114,7 +114,7 @@
                 );
             }
         }
-        FeedAction::Turn(turn) => context.turn.set(turn),
+        FeedAction::Role(role) => context.role.set(role),
         FeedAction::Reachable(reachable) => {
             log::info!(reachable; "store_reachable");
             context.observer.log_reachable_changed(reachable);
--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::message::FeedRead;
-use super::turn::ReadTurn;
+use super::role::ReadRole;
 use super::{FeedError, Page};
 use crate::settings::feed::FeedSettings;
 use crate::types::Offset;
@@ -29,19 +29,16 @@
     from: Option<Offset>,
     /// Failed reads in a row. A failure that only asks for a fresh start does not count.
     failed_count: u32,
-    /// Whether the last read waited its whole time, so that this daemon reads in its own turn.
-    in_turn: bool,
 }
 
 impl FollowPlan {
     /// Returns the next read.
-    pub fn next_read(&self, turn: ReadTurn, settings: &FeedSettings) -> PlannedRead {
+    pub fn next_read(&self, role: ReadRole, settings: &FeedSettings) -> PlannedRead {
         let Some(from) = self.from else {
             return PlannedRead::Newest;
         };
-        let wait = match (self.failed_count, self.in_turn) {
-            (0, true) => turn.longest_wait(settings),
-            (0, false) => turn.first_wait(settings),
+        let wait = match self.failed_count {
+            0 => role.longest_wait(settings),
             // A read that waits for records looks like one that hangs on a silent platform.
             _ => Duration::ZERO,
         };
@@ -50,17 +47,12 @@
 
     /// Takes the result of the planned read and returns it for the feed's state.
     pub fn take<T>(&mut self, result: Result<Page<T>, FeedError>) -> FeedRead<T> {
-        let waited = self.failed_count == 0;
-        self.in_turn = false;
         match result {
             Ok(page) => {
                 self.failed_count = 0;
                 match self.from.replace(page.next) {
                     None => FeedRead::Newest(page),
-                    Some(from) => {
-                        self.in_turn = waited && from >= page.next;
-                        FeedRead::Followed(page)
-                    }
+                    Some(_) => FeedRead::Followed(page),
                 }
             }
             Err(error) => {
@@ -74,8 +66,22 @@
         }
     }
 
-    /// Returns how many reads have failed in a row.
-    pub fn failed_count(&self) -> u32 {
-        self.failed_count
+    /// Returns the time between the starts of a failed read and the next one.
+    pub fn retry_wait(&self, settings: &FeedSettings) -> Duration {
+        retry_wait(self.failed_count, settings)
     }
 }
+
+/// Returns the time between the starts of a failed read and the next one, longer after each of the
+/// failures in a row, since every call has a cost.
+pub fn retry_wait(failed_count: u32, settings: &FeedSettings) -> Duration {
+    if failed_count == 0 {
+        return Duration::ZERO;
+    }
+    let doublings = (failed_count - 1).min(DOUBLING_LIMIT_COUNT);
+    let wait_ms = settings.retry_ms << doublings;
+    Duration::from_millis(wait_ms.min(settings.retry_limit_ms))
+}
+
+/// Most doublings of the wait after failures.
+const DOUBLING_LIMIT_COUNT: u32 = 10;
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use super::turn::ReadTurn;
+use super::role::ReadRole;
 use super::{FeedError, Page};
 use crate::contract::{Document, View};
 use crate::link::{PeerReply, RecordsRequest};
@@ -77,6 +77,13 @@
         /// Offset up to which the peer has read.
         next: Offset,
     },
+    /// A peer notifies this daemon that it has read up to an offset.
+    PeerNotified {
+        /// The peer that has read further.
+        peer: DaemonId,
+        /// Offset up to which the peer has read.
+        next: Offset,
+    },
     /// A peer answered with its configuration; none if the call failed or the peer knows nothing
     /// newer.
     PeerAnswered(Option<Snapshot>),
@@ -122,8 +129,8 @@
         /// Offset up to which this daemon has read.
         next: Offset,
     },
-    /// Sets the turn in which this daemon reads.
-    Turn(ReadTurn),
+    /// Sets the part of this daemon in the reads of the fleet.
+    Role(ReadRole),
     /// Reports that the platform answers again, or no longer does.
     Reachable(bool),
     /// Reports a record of the feed that can't be parsed.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -9,8 +9,8 @@
 pub mod message;
 pub mod reader;
 pub mod reuse;
+pub mod role;
 pub mod state;
-pub mod turn;
 
 use std::time::Duration;
 
--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -6,9 +6,9 @@
 
 use rand::Rng;
 
-use super::follow::{FollowPlan, PlannedRead};
+use super::follow::{retry_wait, FollowPlan, PlannedRead};
 use super::message::FeedRead;
-use super::turn::SharedTurn;
+use super::role::SharedRole;
 use super::Feed;
 use crate::settings::feed::FeedSettings;
 
@@ -18,8 +18,8 @@
 /// How a reader continues after the newest items.
 #[derive(Debug, Clone)]
 pub enum ReadMode {
-    /// Follows the feed; each read waits at the platform for the next item, in this daemon's turn.
-    Follow(Arc<SharedTurn>),
+    /// Follows the feed; each read waits at the platform for the next item.
+    Follow(Arc<SharedRole>),
     /// Reads the newest items again after `first`, and then after longer and longer waits up to
     /// `longest`.
     Poll {
@@ -50,9 +50,9 @@
     /// Reads until the daemon stops.
     pub fn run(mut self) {
         match self.mode {
-            ReadMode::Follow(ref turn) => {
-                let turn = turn.clone();
-                self.follow(&turn);
+            ReadMode::Follow(ref role) => {
+                let role = role.clone();
+                self.follow(&role);
             }
             ReadMode::Poll { first, longest } => self.poll(first, longest),
         }
@@ -60,18 +60,18 @@
 
     /// Reads the newest items and then follows the feed; starts over if records may have been
     /// missed. After a failure it does not wait for records until a read has succeeded.
-    fn follow(&mut self, turn: &SharedTurn) {
+    fn follow(&mut self, role: &SharedRole) {
         let mut plan = FollowPlan::default();
         while !self.stopping.load(Ordering::Relaxed) {
             let began_at = Instant::now();
-            let result = match plan.next_read(turn.get(), &self.settings) {
+            let result = match plan.next_read(role.get(), &self.settings) {
                 PlannedRead::Newest => self.feed.newest(),
                 PlannedRead::Follow { from, wait } => self.feed.follow(from, wait),
             };
             let has_failed = result.is_err();
             (self.sink)(plan.take(result));
             if has_failed {
-                self.back_off(plan.failed_count(), began_at);
+                self.back_off(plan.retry_wait(&self.settings), began_at);
             }
         }
     }
@@ -93,20 +93,14 @@
                 Err(error) => {
                     failed_count += 1;
                     (self.sink)(FeedRead::Failed(error));
-                    self.back_off(failed_count, began_at);
+                    self.back_off(retry_wait(failed_count, &self.settings), began_at);
                 }
             }
         }
     }
 
-    /// Waits after failures in a row, longer each time, since every call has a cost.
-    fn back_off(&self, failed_count: u32, began_at: Instant) {
-        if failed_count == 0 {
-            return;
-        }
-        let doublings = (failed_count - 1).min(DOUBLING_LIMIT_COUNT);
-        let wait_ms = self.settings.retry_ms << doublings;
-        let wait = Duration::from_millis(wait_ms.min(self.settings.retry_limit_ms));
+    /// Waits after a failed read until the next one may begin.
+    fn back_off(&self, wait: Duration, began_at: Instant) {
         let jitter = rand::rng().random_range(JITTER_FLOOR..=1.0);
         let left = wait.mul_f64(jitter).saturating_sub(began_at.elapsed());
         // A closed channel means that the daemon stops.
@@ -114,8 +108,6 @@
     }
 }
 
-/// Most doublings of the wait after failures.
-const DOUBLING_LIMIT_COUNT: u32 = 10;
 /// Smallest random factor on a wait after failures, which keeps daemons from reading in step.
 const JITTER_FLOOR: f64 = 0.75;
 /// Factor by which each wait between two polls is longer than the last.
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -9,7 +9,7 @@
 use super::message::{
     ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot, NOTIFIED_COUNT,
 };
-use super::turn::ReadTurn;
+use super::role::ReadRole;
 use super::{FeedError, Page};
 use crate::contract::View;
 use crate::membership::Fleet;
@@ -36,8 +36,8 @@
     ask_at: Option<Instant>,
     /// Until when other daemons' reads may hang, since a read of this one has failed.
     others_may_hang_until: Option<Instant>,
-    /// Turn in which this daemon reads.
-    turn: ReadTurn,
+    /// Part of this daemon in the reads of the fleet.
+    role: ReadRole,
     /// The fleet, from which peers are chosen.
     fleet: Arc<Fleet>,
 }
@@ -55,7 +55,7 @@
             ahead: None,
             ask_at: None,
             others_may_hang_until: None,
-            turn: ReadTurn::default(),
+            role: ReadRole::default(),
             fleet: Arc::default(),
         }
     }
@@ -76,11 +76,10 @@
         match event {
             FeedEvent::Read(read) => self.read(now, read, &mut actions),
             FeedEvent::PeerAhead { peer, next } => {
-                if next > self.snapshot.next && next <= OFFSET_LIMIT {
-                    self.ahead = Some((peer, next));
-                    self.ask_at.get_or_insert(now + self.peer_patience());
-                }
+                self.peer_ahead(now + self.peer_patience(), peer, next);
             }
+            // A peer notifies others since reads of theirs may hang.
+            FeedEvent::PeerNotified { peer, next } => self.peer_ahead(now, peer, next),
             FeedEvent::PeerAnswered(snapshot) => self.peer_answered(now, snapshot, &mut actions),
             FeedEvent::Fleet(fleet) => self.update_fleet(fleet, &mut actions),
             FeedEvent::Tick => {}
@@ -89,13 +88,22 @@
         actions
     }
 
-    /// Takes the fleet, and the turn in it.
+    /// Takes up to which offset a peer has read. It is asked at `ask_at` if it has read further.
+    fn peer_ahead(&mut self, ask_at: Instant, peer: DaemonId, next: Offset) {
+        if next <= self.snapshot.next || next > OFFSET_LIMIT {
+            return;
+        }
+        self.ahead = Some((peer, next));
+        self.ask_at = Some(self.ask_at.map_or(ask_at, |at| at.min(ask_at)));
+    }
+
+    /// Takes the fleet, and the role in it.
     fn update_fleet(&mut self, fleet: Arc<Fleet>, actions: &mut Vec<FeedAction>) {
         self.fleet = fleet;
-        let turn = ReadTurn::new(&self.fleet, &self.own_daemon);
-        if turn != self.turn {
-            self.turn = turn;
-            actions.push(FeedAction::Turn(turn));
+        let role = ReadRole::new(&self.fleet, &self.own_daemon);
+        if role != self.role {
+            self.role = role;
+            actions.push(FeedAction::Role(role));
         }
     }
 
@@ -198,16 +206,19 @@
         actions: &mut Vec<FeedAction>,
     ) {
         self.asking = false;
-        self.ahead = None;
-        self.ask_at = (!self.reachable).then(|| now + self.ask_interval());
         let newer = |snapshot: &Snapshot| {
             snapshot.next > self.snapshot.next && snapshot.next <= OFFSET_LIMIT
         };
-        let Some(snapshot) = snapshot.filter(newer) else {
-            return;
+        if let Some(snapshot) = snapshot.filter(newer) {
+            self.put_in_force(snapshot, actions);
+            self.notify_peers(actions);
+        }
+        self.ask_at = match (self.reachable, self.ahead.is_some()) {
+            // A peer that has read further was found while another one was asked.
+            (_, true) => Some(now + self.peer_patience()),
+            (false, false) => Some(now + self.ask_interval()),
+            (true, false) => None,
         };
-        self.put_in_force(snapshot, actions);
-        self.notify_peers(actions);
     }
 
     /// Notifies some peers of the configuration in force, since they may not have learnt of it either.
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of the configuration duty and of the reader of a feed.
 
+mod role;
 mod silence;
-mod turn;
+mod simulation;
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 
 use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
 use super::reader::{FeedReader, ReadMode};
+use super::role::{ReadRole, SharedRole};
 use super::{Feed, FeedError, FeedState, Page};
 use crate::contract::{Document, ServiceContract, View};
 use crate::membership::{DaemonEntry, Fleet};
@@ -318,12 +320,14 @@
     let (waits, waited) = bounded(16);
     let (_pause, paused) = bounded(0);
     let stopping = Arc::new(AtomicBool::new(false));
+    let role = Arc::new(SharedRole::default());
+    role.set(ReadRole::Follower);
     let reader = FeedReader {
         settings: FeedSettings {
             retry_ms: 1,
             ..Default::default()
         },
-        mode: ReadMode::Follow(Arc::default()),
+        mode: ReadMode::Follow(role),
         feed: Box::new(Hanging {
             waits,
             count: 0,
--- a/src/settings/feed.rs
+++ b/src/settings/feed.rs
@@ -13,9 +13,9 @@
     pub ring_count: usize,
     /// Longest wait of one read for a new record, in milliseconds.
     pub wait_ms: u64,
-    /// Longest time between the starts of two reads for new records in the whole fleet, in
+    /// Longest wait of one read for a new record at the daemons that watch on behalf of the fleet, in
     /// milliseconds.
-    pub turn_ms: u64,
+    pub watch_ms: u64,
     /// First wait before the members are read again, in milliseconds; doubles with each read up to
     /// `members_poll_limit_ms`. Changes in between arrive by gossip.
     pub members_poll_ms: u64,
@@ -38,7 +38,7 @@
         FeedSettings {
             ring_count: 1024,
             wait_ms: 5_000,
-            turn_ms: 1_000,
+            watch_ms: 1_400,
             members_poll_ms: 150,
             members_poll_limit_ms: 1_800_000,
             timeout_ms: 1_000,
@@ -56,7 +56,7 @@
         checker.range("ring_count", self.ring_count, 1..=65_536);
         let times_ms = [
             ("wait_ms", self.wait_ms),
-            ("turn_ms", self.turn_ms),
+            ("watch_ms", self.watch_ms),
             ("members_poll_ms", self.members_poll_ms),
             ("timeout_ms", self.timeout_ms),
             ("retry_ms", self.retry_ms),
