--- a/src/contract/document.rs
+++ b/src/contract/document.rs
@@ -12,7 +12,7 @@
 };
 use super::message::{OrganisationContract, ServiceContract};
 use super::state::{KeyState, View};
-use crate::types::{DomainId, KeyHash, Offset, OrganisationId};
+use crate::types::{DocumentVersion, DomainId, KeyHash, Offset, OrganisationId};
 
 /// Limits on what callers may send; 0 leaves a limit to the routes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Document {
+    /// Version that operators gave the configuration; a later one is greater. 0 without versions.
+    #[serde(skip_serializing_if = "is_unversioned")]
+    pub version: DocumentVersion,
     /// Contracts of services, with their routes.
     pub services: Vec<ServiceContract>,
     /// Contracts of all organisations.
@@ -36,6 +39,11 @@
     pub limits: CallerLimits,
 }
 
+/// Returns whether a document has no version, so that it is written as before there were any.
+fn is_unversioned(version: &DocumentVersion) -> bool {
+    *version == 0
+}
+
 impl View {
     /// Builds the view of a whole configuration that was read up to `next`.
     pub fn from_document(
--- a/src/contract/state.rs
+++ b/src/contract/state.rs
@@ -14,14 +14,19 @@
 use super::routes::RouteIndex;
 pub use super::routes::RouteLookup;
 use crate::allowance::partition::{shard_count, ShardIndex};
+use crate::feed::FeedPosition;
 use crate::rollout::RolloutOrder;
-use crate::types::{DomainId, KeyHash, Offset, OperationId, OrganisationId, RouteId, ServiceId};
+use crate::types::{
+    DomainId, KeyHash, Offset, OperationId, OrganisationId, RouteId, ServiceId, StoreEra,
+};
 
 /// The configuration that one prefix of the stream puts in force. A clone shares all unchanged
 /// parts.
 #[derive(Debug, Clone, Default)]
 pub struct View {
-    /// Offset after the last record that was read. Never decreases.
+    /// Era of the platform's store that `next` belongs to. Never decreases.
+    pub era: StoreEra,
+    /// Offset after the last record that was read. Never decreases within an era.
     pub next: Offset,
     /// Contracts of all organisations.
     pub organisations: OrdMap<OrganisationId, Arc<OrganisationContract>>,
@@ -76,6 +81,14 @@
 }
 
 impl View {
+    /// Returns the position up to which the configuration was read.
+    pub fn position(&self) -> FeedPosition {
+        FeedPosition {
+            era: self.era,
+            next: self.next,
+        }
+    }
+
     /// Applies the record at `offset`. A record below `next` changes nothing.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> ChangeVerdict {
         if offset < self.next {
--- a/src/daemon/interfaces.rs
+++ b/src/daemon/interfaces.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::feed::{ConfigurationItem, Feed, Publisher};
+use crate::feed::{ConfigurationItem, EraWatch, Feed, Publisher};
 use crate::guard::announce::{AnnouncementDialect, FleetAnnouncements};
 use crate::journal::client::HttpLog;
 use crate::journal::PlatformLog;
@@ -46,6 +46,8 @@
     pub members: Box<dyn Feed<DaemonEntry>>,
     /// Writes the record of this daemon to the store.
     pub publisher: Box<dyn Publisher<DaemonRecord>>,
+    /// Latest era that the store has told to any of the above.
+    pub eras: Arc<EraWatch>,
 }
 
 impl Interfaces {
--- a/src/daemon/keyed_store.rs
+++ b/src/daemon/keyed_store.rs
@@ -14,6 +14,7 @@
 use super::rings::RingSenders;
 use super::shared::SharedResources;
 use crate::allowance::AllowanceMessage;
+use crate::feed::era::{EraFeed, EraWatch};
 use crate::feed::message::FeedRead;
 use crate::feed::reader::{FeedReader, ReadMode};
 use crate::feed::turn::SharedTurn;
@@ -26,12 +27,15 @@
 /// Records of this daemon that may wait to be written. Only the newest one is written.
 const RECORD_RING_COUNT: usize = 16;
 
+/// Ends the wait of a reading thread when it is dropped, or for once by a message.
+pub(super) type Pause = Arc<Sender<()>>;
+
 /// Handles to the threads of a keyed store.
 pub(super) struct KeyedStoreThreads {
     /// Receives the records of this daemon that are to be published.
     pub(super) records: RingSender<DaemonRecord>,
-    /// Dropping it ends the waits of the reading threads.
-    pub(super) pause: Sender<()>,
+    /// Dropping them ends the waits of the reading threads.
+    pub(super) pauses: Vec<Pause>,
 }
 
 /// Starts the threads that read configuration and members, follow the configuration, and publish
@@ -44,18 +48,21 @@
     stopping: &Arc<AtomicBool>,
 ) -> KeyedStoreThreads {
     let settings = &shared.settings;
-    let (pause, paused) = bounded(0);
+    let (follow_pause, follow_paused) = bounded(0);
+    let (poll_pause, poll_paused) = bounded(1);
+    let pauses: Vec<Pause> = vec![Arc::new(follow_pause), Arc::new(poll_pause)];
+    listen_for_eras(&store.eras, rings, &pauses[1]);
     let (records, records_receiver) = ring("notice", RECORD_RING_COUNT, &shared.metrics);
     let feed_ring = rings.feed.clone();
     let turn = Arc::new(SharedTurn::default());
     let configuration = FeedReader {
         settings: settings.feed.clone(),
         mode: ReadMode::Follow(turn.clone()),
-        feed: store.configuration,
+        feed: Box::new(EraFeed::new(store.configuration, store.eras)),
         sink: Box::new(move |read| {
             feed_ring.deliver(FeedMessage::Event(FeedEvent::Read(read)));
         }),
-        pause: paused.clone(),
+        pause: follow_paused,
         stopping: stopping.clone(),
     };
     let membership = rings.membership.clone();
@@ -67,7 +74,7 @@
         },
         feed: store.members,
         sink: Box::new(move |read| send_to_membership(&membership, read)),
-        pause: paused,
+        pause: poll_paused,
         stopping: stopping.clone(),
     };
     let context = feed::duty::FeedContext {
@@ -88,7 +95,22 @@
     spawn_duty("notice", move || {
         write_records(publisher, &records_receiver, &metrics)
     });
-    KeyedStoreThreads { records, pause }
+    KeyedStoreThreads { records, pauses }
+}
+
+/// Has the duties told when the store returns from a copy: the configuration and the members are read
+/// again, and the record of this daemon is written again.
+fn listen_for_eras(eras: &EraWatch, rings: &RingSenders, poll_pause: &Pause) {
+    let (feed, membership) = (rings.feed.clone(), rings.membership.clone());
+    let poll_pause = Arc::downgrade(poll_pause);
+    eras.listen(Box::new(move |era| {
+        feed.deliver(FeedMessage::Event(FeedEvent::EraBegan(era)));
+        membership.deliver(MembershipEvent::StoreReturned);
+        if let Some(pause) = poll_pause.upgrade() {
+            // A message that waits already has the same effect.
+            let _ = pause.try_send(());
+        }
+    }));
 }
 
 /// Creates the dispatcher that passes views and records to the duties.
--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -1,6 +1,5 @@
 //! Starts the guard of the backend servers on this VM.
 
-use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -10,6 +9,7 @@
 use super::health::HealthSender;
 use super::rings::RingSenders;
 use super::shared::SharedResources;
+use crate::feed::SharedPosition;
 use crate::guard::announce::AnnouncementDialect;
 use crate::guard::{self, GuardMessage};
 use crate::reload::ReloadMessage;
@@ -26,7 +26,7 @@
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
     let settings = &shared.settings;
-    let view = Arc::new(AtomicU64::default());
+    let view = Arc::new(SharedPosition::default());
     let mut threads = Vec::new();
     let context = guard::accept::AcceptContext {
         listener: listener.clone(),
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crossbeam::channel::{after, bounded, Receiver, Sender};
+use crossbeam::channel::{after, bounded, Receiver};
 use rand::Rng;
 
 use super::entry::{start_allowance, start_entry};
@@ -16,7 +16,7 @@
 };
 use super::health::start_health;
 use super::interfaces::{Interfaces, Store};
-use super::keyed_store::{start_keyed_store, start_quota};
+use super::keyed_store::{start_keyed_store, start_quota, Pause};
 use super::listeners::Listeners;
 use super::local_servers::{start_announce, start_guard};
 use super::operator::{start_audit, start_operator};
@@ -79,7 +79,7 @@
     /// Ends the readers of streams once it is set.
     stopping: Arc<AtomicBool>,
     /// Dropping it ends the waits of the threads that read a keyed store.
-    pause: Option<Sender<()>>,
+    pauses: Vec<Pause>,
     /// Each receives one message when routing or the guard has nothing left to do after the drain.
     drained: Vec<Receiver<()>>,
     /// Threads to join when the daemon stops.
@@ -165,7 +165,7 @@
     );
     threads.push(announce);
     let mut readers = fleet_readers(&rings);
-    let mut pause = None;
+    let mut pauses = Vec::new();
     let reads_feed = matches!(interfaces.store, Store::Keyed(_));
     let publish = match interfaces.store {
         Store::Log(log) => {
@@ -190,7 +190,7 @@
             let keyed_store = start_keyed_store(&shared, &rings, store, receivers.feed, &stopping);
             // The threads of the store are not joined: they may be waiting for the platform, and
             // nothing is lost when they end with the process.
-            pause = Some(keyed_store.pause);
+            pauses = keyed_store.pauses;
             readers.extend(keyed_fleet_readers(&rings));
             publish_keyed(&shared, keyed_store.records)
         }
@@ -227,7 +227,7 @@
         listeners: served,
         rings,
         stopping,
-        pause,
+        pauses,
         drained: vec![entry_drained_receiver, guard_drained_receiver],
         threads,
     })
@@ -253,7 +253,7 @@
             audit_events,
             linger,
             front,
-            pause,
+            pauses,
             ..
         } = self;
         let ends_at = Instant::now() + limit;
@@ -287,7 +287,7 @@
             .routing
             .deliver(RoutingMessage::Event(RoutingEvent::Ending));
         stopping.store(true, Ordering::Relaxed);
-        drop(pause);
+        drop(pauses);
         for listener in &listeners {
             listener.close();
         }
--- a/src/feed/duty.rs
+++ b/src/feed/duty.rs
@@ -7,7 +7,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::message::{FeedAction, FeedEvent, FeedMessage, Snapshot};
+use super::era::FeedPosition;
+use super::message::{EraReport, FeedAction, FeedEvent, FeedMessage, Snapshot};
 use super::state::FeedState;
 use super::turn::SharedTurn;
 use crate::clock::Clock;
@@ -20,7 +21,7 @@
 use crate::report_once::shortened;
 use crate::ring::RingSender;
 use crate::settings::feed::FeedSettings;
-use crate::types::{DaemonId, Offset};
+use crate::types::DaemonId;
 
 /// Settings, interfaces and rings that the configuration thread needs.
 pub struct FeedContext {
@@ -62,7 +63,7 @@
                 reply,
             }) => {
                 let is_feed = request.stream == CONFIGURATION;
-                let next = request.from;
+                let next = asked_position(&request);
                 answer(&state, &request, reply);
                 if !is_feed {
                     continue;
@@ -80,10 +81,18 @@
 /// Longest wait for a message while no tick is due.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 
+/// Returns the position up to which the peer has read that sent a request.
+fn asked_position(request: &RecordsRequest) -> FeedPosition {
+    FeedPosition {
+        era: request.era,
+        next: request.from,
+    }
+}
+
 /// Answers a peer with the configuration in force, if it is newer than what the peer has.
 fn answer(state: &FeedState, request: &RecordsRequest, reply: PeerReply) {
     let snapshot = state.snapshot();
-    if request.stream != CONFIGURATION || snapshot.next <= request.from {
+    if request.stream != CONFIGURATION || snapshot.position() <= asked_position(request) {
         return reply(Err(LinkError::Refused));
     }
     let text = serde_json::to_string(&**snapshot).expect("a snapshot serialises to JSON");
@@ -98,7 +107,7 @@
 fn carry_out(context: &FeedContext, action: FeedAction, usable: bool) {
     match action {
         FeedAction::View(view) => {
-            log::info!(next = view.next, domains_out = view.domains_out.len(); "view_in_force");
+            log::info!(next = view.next, era = view.era, domains_out = view.domains_out.len(); "view_in_force");
             context.observer.view_changed(view);
             context.observer.usable_changed(usable);
         }
@@ -114,6 +123,8 @@
                 );
             }
         }
+        FeedAction::EraEntered(report) => report_era(context, &report),
+        FeedAction::KeptDropped => log::info!("store_era_settled"),
         FeedAction::Turn(turn) => context.turn.set(turn),
         FeedAction::Reachable(reachable) => {
             log::info!(reachable; "store_reachable");
@@ -127,17 +138,34 @@
     }
 }
 
+/// Counts and logs the return of the store from a copy.
+fn report_era(context: &FeedContext, report: &EraReport) {
+    context.metrics.count("feed.era.entered");
+    if report.stored < report.in_force {
+        context.metrics.count("feed.era.older_configuration");
+    }
+    log::warn!(
+        era = report.era,
+        before:% = report.before,
+        next = report.next,
+        in_force = report.in_force,
+        stored = report.stored,
+        kept_count = report.kept_count;
+        "store_era_entered"
+    );
+}
+
 /// Most times that a peer is notified of one change. The first may be lost on a connection that has
 /// silently failed.
 const NOTIFY_LIMIT_COUNT: u32 = 2;
 
-/// Notifies a peer up to which offset this daemon has read: a question for what follows makes a peer
+/// Notifies a peer up to where this daemon has read: a question for what follows makes a peer
 /// that is behind ask in turn.
 fn notify(
     link: &RingSender<LinkMessage>,
     metrics: &Metrics,
     peer: DaemonId,
-    next: Offset,
+    next: FeedPosition,
     left_count: u32,
 ) {
     if left_count == 0 {
@@ -156,17 +184,18 @@
     let _ = link.offer(LinkMessage::Call { to, request, reply });
 }
 
-/// Returns the question for the configuration after an offset.
-fn records_after(from: Offset) -> PeerRequest {
+/// Returns the question for the configuration after a position.
+fn records_after(from: FeedPosition) -> PeerRequest {
     PeerRequest::Records(RecordsRequest {
         stream: CONFIGURATION.to_owned(),
-        from,
+        from: from.next,
+        era: from.era,
         limit_count: 0,
     })
 }
 
 /// Asks a peer for its configuration; the answer arrives as `FeedEvent::PeerAnswered`.
-fn ask(context: &FeedContext, peer: DaemonId, from: Offset) {
+fn ask(context: &FeedContext, peer: DaemonId, from: FeedPosition) {
     context.metrics.count("feed.peer.asked");
     let answers = context.answers.clone();
     let metrics = context.metrics.clone();
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -6,13 +6,15 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::era::FeedPosition;
+use super::kept::Kept;
 use super::turn::ReadTurn;
 use super::{FeedError, Page};
 use crate::contract::{Document, View};
 use crate::link::{PeerReply, RecordsRequest};
 use crate::membership::Fleet;
 use crate::rollout::RolloutOrder;
-use crate::types::{DaemonId, DomainId, Offset, ServiceId};
+use crate::types::{DaemonId, DocumentVersion, DomainId, Offset, ServiceId, StoreEra};
 
 /// Peers that a daemon notifies of a change which others may have missed.
 pub const NOTIFIED_COUNT: usize = 8;
@@ -52,6 +54,27 @@
     pub rollouts: BTreeMap<ServiceId, Arc<RolloutOrder>>,
     /// Offset up to which the feed was read.
     pub next: Offset,
+    /// Era of the store that `next` and the fields above belong to; 0 if it tells none.
+    #[serde(default, skip_serializing_if = "is_untold")]
+    pub era: StoreEra,
+    /// What was in force before this era and may be lost; none once operators have written again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kept: Option<Arc<Kept>>,
+}
+
+impl Snapshot {
+    /// Returns the position that the feed was read up to.
+    pub fn position(&self) -> FeedPosition {
+        FeedPosition {
+            era: self.era,
+            next: self.next,
+        }
+    }
+}
+
+/// Returns whether the store tells no era, so that snapshots are written as before there were any.
+fn is_untold(era: &StoreEra) -> bool {
+    *era == 0
 }
 
 /// How a read of a feed ended.
@@ -65,6 +88,23 @@
     Failed(FeedError),
 }
 
+/// What a daemon found when it first read in a new era of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EraReport {
+    /// The new era.
+    pub era: StoreEra,
+    /// Position up to which the daemon had read before.
+    pub before: FeedPosition,
+    /// Offset at which the feed ends now.
+    pub next: Offset,
+    /// Version of the configuration in force.
+    pub in_force: DocumentVersion,
+    /// Version that the store shows; less than the other if the store has lost it.
+    pub stored: DocumentVersion,
+    /// Failure domains and orders of roll-outs in force that the store does not show.
+    pub kept_count: usize,
+}
+
 /// Inputs to the decisions of the configuration duty.
 #[derive(Debug, Clone)]
 pub enum FeedEvent {
@@ -74,12 +114,14 @@
     PeerAhead {
         /// The peer that may have read further.
         peer: DaemonId,
-        /// Offset up to which the peer has read.
-        next: Offset,
+        /// Position up to which the peer has read.
+        next: FeedPosition,
     },
     /// A peer answered with its configuration; none if the call failed or the peer knows nothing
     /// newer.
     PeerAnswered(Option<Snapshot>),
+    /// An answer of the store tells that it has returned from a copy.
+    EraBegan(StoreEra),
     /// The fleet has changed.
     Fleet(Arc<Fleet>),
     /// The time that `FeedState::next_tick_at` returned has come.
@@ -112,16 +154,20 @@
     Ask {
         /// The peer to be asked.
         peer: DaemonId,
-        /// Offset up to which this daemon has read.
-        from: Offset,
+        /// Position up to which this daemon has read.
+        from: FeedPosition,
     },
     /// Notifies peers up to which offset this daemon has read, so that those behind ask for the rest.
     Notify {
         /// The peers to be notified.
         peers: SmallVec<[DaemonId; NOTIFIED_COUNT]>,
-        /// Offset up to which this daemon has read.
-        next: Offset,
+        /// Position up to which this daemon has read.
+        next: FeedPosition,
     },
+    /// Reports that this daemon reads in a new era of the store.
+    EraEntered(EraReport),
+    /// Reports that nothing from earlier eras is kept any more.
+    KeptDropped,
     /// Sets the turn in which this daemon reads.
     Turn(ReadTurn),
     /// Reports that the platform answers again, or no longer does.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -5,9 +5,12 @@
 //! further.
 
 pub mod duty;
+pub mod era;
 pub mod follow;
+pub mod kept;
 pub mod message;
 pub mod reader;
+mod settle;
 pub mod state;
 pub mod turn;
 
@@ -15,10 +18,11 @@
 
 use thiserror::Error;
 
+pub use era::{EraWatch, FeedPosition, SharedPosition};
 pub use message::{ConfigurationItem, FeedEvent, FeedMessage, Snapshot};
 pub use state::FeedState;
 
-use crate::types::Offset;
+use crate::types::{Offset, StoreEra};
 
 /// Items that one read of a feed returned, and where the next read starts.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,6 +31,18 @@
     pub items: Vec<T>,
     /// Offset after the last item.
     pub next: Offset,
+    /// Era of the store that gave the answer; 0 if it tells none.
+    pub era: StoreEra,
+}
+
+impl<T> Page<T> {
+    /// Returns the position that the feed was read up to.
+    pub fn position(&self) -> FeedPosition {
+        FeedPosition {
+            era: self.era,
+            next: self.next,
+        }
+    }
 }
 
 /// Why a feed could not be read or written.
--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -40,7 +40,8 @@
     pub feed: Box<dyn Feed<T>>,
     /// Receives the result of each read.
     pub sink: ReadSink<T>,
-    /// Used to wait: it gets no message, and a daemon that stops ends the wait by closing it.
+    /// Used to wait: a message ends the wait, and a daemon that stops closes it. Only a reader that
+    /// polls gets messages, when the store may have lost what was read.
     pub pause: crossbeam::channel::Receiver<()>,
     /// Whether the daemon stops.
     pub stopping: Arc<AtomicBool>,
@@ -111,8 +112,13 @@
                     failed_count = 0;
                     (self.sink)(FeedRead::Newest(page));
                     // A closed channel means that the daemon stops.
-                    let _ = self.pause.recv_timeout(wait);
-                    wait = (wait * POLL_FACTOR).min(longest);
+                    if self.pause.recv_timeout(wait).is_err() {
+                        wait = (wait * POLL_FACTOR).min(longest);
+                        continue;
+                    }
+                    // All daemons are woken at once.
+                    let spread = first.mul_f64(rand::rng().random_range(0.0..=1.0));
+                    let _ = self.pause.recv_timeout(spread);
                 }
                 Err(error) => {
                     failed_count += 1;
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -6,6 +6,8 @@
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
 
+use super::era::FeedPosition;
+use super::kept::Kept;
 use super::message::{
     ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot, NOTIFIED_COUNT,
 };
@@ -14,30 +16,33 @@
 use crate::contract::View;
 use crate::membership::Fleet;
 use crate::settings::feed::FeedSettings;
-use crate::types::{DaemonId, Offset, OFFSET_LIMIT};
+use crate::types::DaemonId;
 
 /// State of the configuration at one daemon.
 pub struct FeedState {
     /// Settings of the calls to peers.
-    settings: FeedSettings,
+    pub(super) settings: FeedSettings,
     /// Id of this daemon.
     own_daemon: DaemonId,
     /// Chooses the peer to be asked.
     random: ChaCha8Rng,
-    /// The configuration in force. Its `next` never decreases.
-    snapshot: Arc<Snapshot>,
+    /// The configuration in force. Its position never decreases.
+    pub(super) snapshot: Arc<Snapshot>,
     /// Whether the platform answered the last read of the feed.
     reachable: bool,
     /// Whether a peer is being asked.
     asking: bool,
-    /// A peer that has read further, and up to which offset.
-    ahead: Option<(DaemonId, Offset)>,
+    /// A peer that has read further, and up to where.
+    ahead: Option<(DaemonId, FeedPosition)>,
     /// When a peer is to be asked; none if there is no reason to.
-    ask_at: Option<Instant>,
+    pub(super) ask_at: Option<Instant>,
     /// Until when other daemons' reads may hang, since a read of this one has failed.
     others_may_hang_until: Option<Instant>,
     /// Turn in which this daemon reads.
     turn: ReadTurn,
+    /// Until when operators may write again what a store that has returned from a copy has lost; none
+    /// in an era that the store has been in for long.
+    pub(super) settles_at: Option<Instant>,
     /// The fleet, from which peers are chosen.
     fleet: Arc<Fleet>,
 }
@@ -56,6 +61,7 @@
             ask_at: None,
             others_may_hang_until: None,
             turn: ReadTurn::default(),
+            settles_at: None,
             fleet: Arc::default(),
         }
     }
@@ -65,9 +71,11 @@
         &self.snapshot
     }
 
-    /// Returns when the next `Tick` is due; none if no peer is to be asked.
+    /// Returns when the next `Tick` is due; none if nothing is.
     pub fn next_tick_at(&self) -> Option<Instant> {
-        self.ask_at.filter(|_| !self.asking)
+        let ask_at = self.ask_at.filter(|_| !self.asking);
+        let due = [ask_at, self.settles_at];
+        due.into_iter().flatten().min()
     }
 
     /// Applies one event and returns the actions that follow from it.
@@ -76,15 +84,21 @@
         match event {
             FeedEvent::Read(read) => self.read(now, read, &mut actions),
             FeedEvent::PeerAhead { peer, next } => {
-                if next > self.snapshot.next && next <= OFFSET_LIMIT {
+                if next > self.snapshot.position() && next.is_valid() {
                     self.ahead = Some((peer, next));
                     self.ask_at.get_or_insert(now + self.peer_patience());
                 }
             }
             FeedEvent::PeerAnswered(snapshot) => self.peer_answered(now, snapshot, &mut actions),
+            FeedEvent::EraBegan(era) if era > self.snapshot.era => {
+                // The own read may wait for long; a peer may have read already.
+                self.ask_at.get_or_insert(now + self.peer_patience());
+            }
+            FeedEvent::EraBegan(_) => {}
             FeedEvent::Fleet(fleet) => self.update_fleet(fleet, &mut actions),
             FeedEvent::Tick => {}
         }
+        self.settle(now, &mut actions);
         self.ask(now, &mut actions);
         actions
     }
@@ -111,16 +125,29 @@
             self.reachable = reachable;
             actions.push(FeedAction::Reachable(reachable));
         }
-        let next = self.snapshot.next;
+        let before = self.snapshot.position();
         match read {
             FeedRead::Newest(page) => {
-                let base = Snapshot::default();
-                self.apply(base, page, actions);
+                let base = Snapshot {
+                    kept: self
+                        .snapshot
+                        .kept
+                        .clone()
+                        .filter(|_| page.era == self.snapshot.era),
+                    ..Default::default()
+                };
+                self.apply(now, base, page, actions);
             }
-            FeedRead::Followed(page) => {
-                let base = (*self.snapshot).clone();
-                self.apply(base, page, actions);
+            // Only the newest items show what the store holds in a new era.
+            FeedRead::Followed(page) if page.era == self.snapshot.era => {
+                let mut base = (*self.snapshot).clone();
+                if let Some(kept) = &mut base.kept {
+                    let kept = Arc::make_mut(kept);
+                    page.items.iter().for_each(|item| kept.record_named(item));
+                }
+                self.apply(now, base, page, actions);
             }
+            FeedRead::Followed(_) => {}
             FeedRead::Failed(_) if !reachable => {
                 self.ask_at.get_or_insert(now);
                 self.others_may_hang_until = Some(now + self.longest_read());
@@ -128,10 +155,10 @@
             FeedRead::Failed(_) => {}
         }
         let others_may_hang = self.others_may_hang_until.is_some_and(|until| now < until);
-        if self.snapshot.next > next && others_may_hang {
+        if self.snapshot.position() > before && others_may_hang {
             self.notify_peers(actions);
         }
-        if reachable && self.ahead.is_none() {
+        if reachable && self.ahead.is_none() && self.settles_at.is_none() {
             self.ask_at = None;
         }
     }
@@ -140,11 +167,12 @@
     /// beyond the configuration in force.
     fn apply(
         &mut self,
+        now: Instant,
         base: Snapshot,
         page: Page<ConfigurationItem>,
         actions: &mut Vec<FeedAction>,
     ) {
-        if page.next <= self.snapshot.next || page.next > OFFSET_LIMIT {
+        if page.position() <= self.snapshot.position() || !page.position().is_valid() {
             return;
         }
         let mut snapshot = base;
@@ -169,24 +197,38 @@
             }
         }
         snapshot.next = page.next;
-        self.put_in_force(snapshot, actions);
+        snapshot.era = page.era;
+        self.put_in_force(now, snapshot, actions);
     }
 
-    /// Puts a snapshot in force and builds its view.
-    fn put_in_force(&mut self, mut snapshot: Snapshot, actions: &mut Vec<FeedAction>) {
-        // A read that lacks the newest record must not take the configuration away.
-        if snapshot.document.is_none() {
+    /// Puts a snapshot of this era or a later one in force.
+    fn put_in_force(
+        &mut self,
+        now: Instant,
+        mut snapshot: Snapshot,
+        actions: &mut Vec<FeedAction>,
+    ) {
+        if snapshot.era > self.snapshot.era {
+            self.enter_era(now, &mut snapshot, actions);
+        } else if snapshot.document.is_none() {
+            // A read that lacks the newest record must not take the configuration away.
             snapshot.document = self.snapshot.document.clone();
         }
         let ahead = self.ahead.take();
-        self.ahead = ahead.filter(|(_, next)| *next > snapshot.next);
+        self.ahead = ahead.filter(|(_, next)| *next > snapshot.position());
         self.snapshot = Arc::new(snapshot);
-        let Some(document) = &self.snapshot.document else {
+        self.push_view(actions);
+    }
+
+    /// Builds the view of what is in force.
+    pub(super) fn push_view(&self, actions: &mut Vec<FeedAction>) {
+        let force = Kept::in_force(&self.snapshot);
+        let Some(document) = &force.document else {
             return;
         };
-        let domains_out = self.snapshot.domains_out.clone();
-        let mut view = View::from_document(self.snapshot.next, document, domains_out);
-        view.rollouts = self.snapshot.rollouts.clone();
+        let mut view = View::from_document(self.snapshot.next, document, force.domains_out);
+        view.era = self.snapshot.era;
+        view.rollouts = force.rollouts;
         actions.push(FeedAction::View(Arc::new(view)));
     }
 
@@ -199,14 +241,24 @@
     ) {
         self.asking = false;
         self.ahead = None;
-        self.ask_at = (!self.reachable).then(|| now + self.ask_interval());
-        let newer = |snapshot: &Snapshot| {
-            snapshot.next > self.snapshot.next && snapshot.next <= OFFSET_LIMIT
-        };
-        let Some(snapshot) = snapshot.filter(newer) else {
+        let again = !self.reachable || self.settles_at.is_some();
+        self.ask_at = again.then(|| now + self.ask_interval());
+        let Some(mut snapshot) = snapshot.filter(|snapshot| snapshot.position().is_valid()) else {
             return;
         };
-        self.put_in_force(snapshot, actions);
+        let settling = self.settles_at.is_some() && snapshot.era == self.snapshot.era;
+        if let Some(others) = snapshot.kept.take_if(|_| snapshot.era <= self.snapshot.era) {
+            if settling {
+                self.merge_kept(&others, actions);
+            }
+        }
+        if snapshot.position() <= self.snapshot.position() {
+            return;
+        }
+        if snapshot.era == self.snapshot.era {
+            snapshot.kept = self.snapshot.kept.clone();
+        }
+        self.put_in_force(now, snapshot, actions);
         self.notify_peers(actions);
     }
 
@@ -219,7 +271,7 @@
         }
         actions.push(FeedAction::Notify {
             peers: peers.into_iter().cloned().collect(),
-            next: self.snapshot.next,
+            next: self.snapshot.position(),
         });
     }
 
@@ -237,7 +289,7 @@
         self.ask_at = None;
         actions.push(FeedAction::Ask {
             peer,
-            from: self.snapshot.next,
+            from: self.asked_position(),
         });
     }
 
@@ -253,7 +305,7 @@
     }
 
     /// Returns how long the feed may take to show what a peer has already read.
-    fn peer_patience(&self) -> Duration {
+    pub(super) fn peer_patience(&self) -> Duration {
         Duration::from_millis(self.settings.peer_patience_ms)
     }
 
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the configuration duty and of the reader of a feed.
 
+mod era;
+mod era_feed;
 mod silence;
 mod turn;
 
@@ -13,7 +15,7 @@
 
 use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
 use super::reader::{FeedReader, ReadMode};
-use super::{Feed, FeedError, FeedState, Page};
+use super::{Feed, FeedError, FeedPosition, FeedState, Page};
 use crate::contract::{Document, ServiceContract, View};
 use crate::membership::{DaemonEntry, Fleet};
 use crate::settings::feed::FeedSettings;
@@ -58,7 +60,11 @@
 
 /// Returns a page of items that ends before offset `next`.
 fn page(next: u64, items: Vec<ConfigurationItem>) -> Page<ConfigurationItem> {
-    Page { items, next }
+    Page {
+        items,
+        next,
+        era: 0,
+    }
 }
 
 /// Returns a read of the newest configuration, which contains this service only.
@@ -148,7 +154,7 @@
     // Act
     let ahead = FeedEvent::PeerAhead {
         peer: "other".into(),
-        next: 4,
+        next: FeedPosition { era: 0, next: 4 },
     };
     let at_once = state.handle(now, ahead);
     let later = state.handle(now + Duration::from_millis(200), FeedEvent::Tick);
@@ -213,6 +219,7 @@
         Ok(Page {
             items: vec![self.count],
             next: 1,
+            era: 0,
         })
     }
 
@@ -251,6 +258,7 @@
         FeedRead::Newest(Page {
             items: vec![item],
             next: 1,
+            era: 0,
         })
     };
     let reads: Vec<FeedRead<u32>> = receiver.try_iter().collect();
@@ -294,6 +302,7 @@
         Ok(Page {
             items: Vec::new(),
             next: 1,
+            era: 0,
         })
     }
 
@@ -306,6 +315,7 @@
             _ => Ok(Page {
                 items: Vec::new(),
                 next: from,
+                era: 0,
             }),
         }
     }
--- a/src/feed/tests/silence.rs
+++ b/src/feed/tests/silence.rs
@@ -11,7 +11,7 @@
 use crate::feed::follow::{FollowPlan, ReadEnd};
 use crate::feed::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead};
 use crate::feed::turn::ReadTurn;
-use crate::feed::{FeedError, FeedState, Page, Snapshot};
+use crate::feed::{FeedError, FeedPosition, FeedState, Page, Snapshot};
 use crate::settings::feed::FeedSettings;
 use crate::types::DaemonId;
 
@@ -174,7 +174,11 @@
             true => vec![ConfigurationItem::Document(super::document("s"))],
             false => Vec::new(),
         };
-        let page = Page { items, next };
+        let page = Page {
+            items,
+            next,
+            era: 0,
+        };
         let read = match from {
             None => FeedRead::Newest(page),
             Some(_) => FeedRead::Followed(page),
@@ -214,6 +218,7 @@
         let answered = FeedEvent::PeerAnswered(newer);
         self.schedule(now + LATENCY, Event::Arrives(from, answered));
         let peer = name(from);
+        let next = FeedPosition { era: 0, next };
         self.handle(now, to, FeedEvent::PeerAhead { peer, next });
     }
 
@@ -223,7 +228,8 @@
         for action in actions {
             match action {
                 FeedAction::Turn(turn) => self.daemons[index].turn = turn,
-                FeedAction::Ask { peer, from: next } => {
+                FeedAction::Ask { peer, from: asked } => {
+                    let next = asked.next;
                     let to = self.index_of(&peer);
                     let from = index;
                     self.schedule(now + LATENCY, Event::Asked { from, to, next });
@@ -242,7 +248,10 @@
                     let daemon = &mut self.daemons[index];
                     daemon.in_force_at.entry(view.next).or_insert(now);
                 }
-                FeedAction::Reachable(_) | FeedAction::Unreadable { .. } => {}
+                FeedAction::Reachable(_)
+                | FeedAction::Unreadable { .. }
+                | FeedAction::EraEntered(_)
+                | FeedAction::KeptDropped => {}
             }
         }
         let daemon = &mut self.daemons[index];
--- a/src/feed/tests/turn.rs
+++ b/src/feed/tests/turn.rs
@@ -18,7 +18,7 @@
 /// Returns how many peers are notified, and up to which offset.
 fn notified(actions: &[FeedAction]) -> Option<(usize, u64)> {
     actions.iter().find_map(|action| match action {
-        FeedAction::Notify { peers, next } => Some((peers.len(), *next)),
+        FeedAction::Notify { peers, next } => Some((peers.len(), next.next)),
         _ => None,
     })
 }
--- a/src/guard/accept.rs
+++ b/src/guard/accept.rs
@@ -1,13 +1,12 @@
 //! Thread that accepts forwarded requests from entry daemons.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
 use super::message::GuardMessage;
 use super::view_report::ViewReport;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
-use crate::feed::{FeedEvent, FeedMessage};
+use crate::feed::{FeedEvent, FeedMessage, SharedPosition};
 use crate::front::answer::refusal;
 use crate::metrics::Metrics;
 use crate::ring::RingSender;
@@ -27,8 +26,8 @@
     pub metrics: Metrics,
     /// Ring of the guard's thread.
     pub guard: RingSender<GuardMessage>,
-    /// Offset up to which this daemon has read the configuration.
-    pub view: Arc<AtomicU64>,
+    /// Position up to which this daemon has read the configuration.
+    pub view: Arc<SharedPosition>,
     /// Ring of the configuration feed, which receives reports of entry daemons that have read
     /// further.
     pub feed: RingSender<FeedMessage>,
@@ -63,12 +62,12 @@
 
 /// Reports to the configuration feed an entry daemon that has read further than this daemon.
 fn report_entry_ahead(context: &AcceptContext, head: &ForwardHead) {
-    if head.view <= context.view.load(Ordering::Relaxed) {
+    if head.position() <= context.view.get() {
         return;
     }
     let event = FeedEvent::PeerAhead {
         peer: head.entry.clone(),
-        next: head.view,
+        next: head.position(),
     };
     // If the ring is full, a later request of an entry daemon or the feed itself brings the news.
     let _ = context.feed.offer(FeedMessage::Event(event));
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -1,7 +1,6 @@
 //! The guard's thread: feeds events to the decisions and carries out their actions.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +14,7 @@
 use super::state::GuardState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
+use crate::feed::SharedPosition;
 use crate::front::answer::refusal;
 use crate::health::{request_end, OutcomeObserver, StartedRequest};
 use crate::link::{LinkMessage, PeerReply};
@@ -56,7 +56,7 @@
     /// Ring of the link to other daemons.
     pub link: RingSender<LinkMessage>,
     /// Offset up to which this daemon has read the configuration; the thread updates it.
-    pub view: Arc<AtomicU64>,
+    pub view: Arc<SharedPosition>,
     /// Receives a signal when a draining guard has nothing left to do.
     pub drained: Sender<()>,
 }
@@ -157,7 +157,7 @@
     pub(super) fn handle_event(&mut self, event: GuardEvent) {
         let now = self.context.clock.now();
         if let GuardEvent::View(view) = &event {
-            self.context.view.store(view.next, Ordering::Relaxed);
+            self.context.view.set(view.position());
         }
         if let GuardEvent::Finished {
             key,
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -76,6 +76,7 @@
         terms: Default::default(),
         entry: "e".into(),
         view: 0,
+        era: 0,
         incarnation: INCARNATION,
         fingerprint: [0; 32],
         remaining: Duration::from_secs(10),
--- a/src/guard/tests/view_report.rs
+++ b/src/guard/tests/view_report.rs
@@ -5,6 +5,7 @@
 
 use super::forward_head;
 use crate::clock::SystemClock;
+use crate::feed::{FeedPosition, SharedPosition};
 use crate::guard::accept::{run, AcceptContext};
 use crate::guard::message::GuardMessage;
 use crate::metrics::Metrics;
@@ -23,6 +24,8 @@
     let listener = HttpListener::bind(any, ListenerOptions::default()).expect("a port");
     let listener = Arc::new(listener);
     let metrics = Metrics::local();
+    let view = SharedPosition::default();
+    view.set(FeedPosition { era: 2, next: 7 });
     let (guard, messages) = ring("guard", 8, &metrics);
     let key = FleetKey::new("a secret");
     let context = AcceptContext {
@@ -31,7 +34,7 @@
         clock: Arc::new(SystemClock),
         metrics: metrics.clone(),
         guard,
-        view: Arc::new(7.into()),
+        view: Arc::new(view),
         feed: ring("feed", 8, &metrics).0,
     };
     std::thread::spawn(move || run(&context));
@@ -54,5 +57,5 @@
     // Assert
     let mut answer = String::new();
     entry.read_to_string(&mut answer).expect("an answer");
-    assert!(answer.contains("x-banyanbeam-view: 7\r\n"), "{answer}");
+    assert!(answer.contains("x-banyanbeam-view: 2:7\r\n"), "{answer}");
 }
--- a/src/guard/view_report.rs
+++ b/src/guard/view_report.rs
@@ -1,17 +1,17 @@
-//! Tells entry daemons in each answer up to which offset this daemon has read the configuration.
+//! Tells entry daemons in each answer up to where this daemon has read the configuration.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
+use crate::feed::SharedPosition;
 use crate::wire::exchange::{Exchange, RequestBody, WholeAnswer};
 use crate::wire::forward::VIEW;
 
-/// An exchange with an entry daemon whose answer gets the offset as a header.
+/// An exchange with an entry daemon whose answer gets the position as a header.
 pub(super) struct ViewReport {
     /// Exchange that takes the answer.
     pub(super) exchange: Box<dyn Exchange>,
-    /// Offset up to which the configuration was read.
-    pub(super) view: Arc<AtomicU64>,
+    /// Position up to which the configuration was read.
+    pub(super) view: Arc<SharedPosition>,
 }
 
 impl Exchange for ViewReport {
@@ -28,7 +28,7 @@
     }
 
     fn answer(self: Box<Self>, mut answer: WholeAnswer) {
-        let view = self.view.load(Ordering::Relaxed).to_string();
+        let view = self.view.get().to_string();
         answer.headers.push((VIEW.to_owned(), view));
         self.exchange.answer(answer);
     }
--- a/src/journal/state.rs
+++ b/src/journal/state.rs
@@ -489,6 +489,7 @@
         let request = RecordsRequest {
             stream: CONFIGURATION.to_owned(),
             from: self.follower.view().next,
+            era: 0,
             limit_count: self.settings.batch_count as u32,
         };
         actions.push(JournalAction::AskPeer { to, request });
--- a/src/journal/tests/peers.rs
+++ b/src/journal/tests/peers.rs
@@ -73,6 +73,7 @@
     let request = RecordsRequest {
         stream: CONFIGURATION.to_owned(),
         from: 0,
+        era: 0,
         limit_count: 10,
     };
 
--- a/src/link/codec/request.rs
+++ b/src/link/codec/request.rs
@@ -49,6 +49,7 @@
             let mut group = out.init_records();
             group.set_stream(&*records.stream);
             group.set_from(records.from);
+            group.set_era(records.era);
             group.set_limit_count(records.limit_count);
         }
         PeerRequest::Tombstones(keys) => {
@@ -152,6 +153,7 @@
         request::Records(group) => PeerRequest::Records(RecordsRequest {
             stream: group.get_stream()?.to_string()?,
             from: group.get_from(),
+            era: group.get_era(),
             limit_count: group.get_limit_count(),
         }),
         request::Tombstones(keys) => PeerRequest::Tombstones(read_key_hashes(keys?)?),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,7 +11,7 @@
 use crate::rollout::{RolloutCall, RolloutReport};
 use crate::types::{
     Attempt, DaemonId, Fingerprint, Incarnation, KeyHash, Offset, OrganisationId, RequestId,
-    ServiceId,
+    ServiceId, StoreEra,
 };
 
 /// Identifies one run of a daemon.
@@ -135,6 +135,8 @@
     pub stream: String,
     /// Offset of the first record wanted.
     pub from: Offset,
+    /// Era of the platform's store that the offset belongs to.
+    pub era: StoreEra,
     /// Greatest number of records in the answer.
     pub limit_count: u32,
 }
--- a/src/link/tests/calls.rs
+++ b/src/link/tests/calls.rs
@@ -99,6 +99,7 @@
     let records = PeerRequest::Records(RecordsRequest {
         stream: "configuration".to_owned(),
         from: 4,
+        era: 3,
         limit_count: 10,
     });
     let found = |checkpoint| {
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -124,6 +124,8 @@
     },
     /// A description of a daemon was read from the platform's log.
     EntryReceived(DaemonEntry),
+    /// The platform's store has returned from a copy and may have lost the record of this daemon.
+    StoreReturned,
     /// A peer sent a request.
     RequestReceived {
         /// Identifies the request in the reply to it.
--- a/src/membership/state.rs
+++ b/src/membership/state.rs
@@ -69,6 +69,9 @@
     pub(super) compare_at: Instant,
     /// When the own description is published next.
     publish_at: Instant,
+    /// When the record is published that the platform's store may have lost; a record that is read
+    /// back may be an older one and does not postpone this.
+    rewrite_at: Option<Instant>,
     /// When gone daemons are forgotten and lost calls expired next.
     sweep_at: Instant,
     /// Earliest time of the next snapshot.
@@ -130,6 +133,7 @@
             heal_at: now,
             compare_at: now,
             publish_at: now,
+            rewrite_at: None,
             sweep_at: now + SWEEP_INTERVAL,
             snapshot_at: now,
             resumed_at: now,
@@ -164,6 +168,7 @@
                 self.update_local_servers(now, self.own.servers.clone());
             }
             MembershipEvent::EntryReceived(entry) => self.receive_published_entry(now, entry),
+            MembershipEvent::StoreReturned => self.plan_rewrite(now),
             MembershipEvent::Leave => self.leave(now),
             MembershipEvent::RequestReceived {
                 ticket,
@@ -186,6 +191,7 @@
         next = next.min(self.sweep_at);
         if !self.is_superseded() {
             next = next.min(self.publish_at);
+            next = self.rewrite_at.map_or(next, |at| next.min(at));
         }
         if let Some(full_sync) = &self.full_sync {
             next = next.min(full_sync.next_at());
@@ -219,7 +225,8 @@
         for _ in self.members.expire_suspicions(now, limit) {
             self.count("membership.gone");
         }
-        if now >= self.publish_at && !self.is_superseded() {
+        let rewrites = self.rewrite_at.is_some_and(|at| now >= at);
+        if (rewrites || now >= self.publish_at) && !self.is_superseded() {
             self.publish(now);
         }
         if now >= self.sweep_at {
@@ -311,6 +318,9 @@
     /// Publishes this daemon's description on the platform; repeated soon unless it is read back.
     pub(super) fn publish(&mut self, now: Instant) {
         self.publish_at = self.later(now, self.settings.publish_retry_ms);
+        if self.rewrite_at.take_if(|at| now >= *at).is_some() {
+            self.count("membership.rewritten");
+        }
         let record = DaemonRecord {
             entry: self.own.clone(),
             departures: self.departures.clone(),
@@ -318,6 +328,15 @@
         self.actions.push(MembershipAction::Publish(record));
     }
 
+    /// Plans to publish the record again after the platform's store has lost some. All daemons do so at
+    /// once, so each waits at random, longer in a larger fleet.
+    fn plan_rewrite(&mut self, now: Instant) {
+        let daemon_count = self.members.count().max(1) as u64;
+        let spread_ms = self.settings.rewrite_interval_ms * daemon_count;
+        let wait_ms = self.random.random_range(0..=spread_ms);
+        self.rewrite_at = Some(now + Duration::from_millis(wait_ms));
+    }
+
     /// Merges a description read from the platform. Reading back the own one postpones the next
     /// publication.
     fn receive_published_entry(&mut self, now: Instant, entry: DaemonEntry) {
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -4,6 +4,7 @@
 mod incarnations;
 mod invalid;
 mod rules;
+mod store_return;
 
 use std::time::{Duration, Instant};
 
--- a/src/routing/duty.rs
+++ b/src/routing/duty.rs
@@ -15,14 +15,14 @@
 use super::state::RoutingState;
 use crate::clock::Clock;
 use crate::error::ErrorKind;
-use crate::feed::{FeedEvent, FeedMessage};
+use crate::feed::{FeedEvent, FeedMessage, FeedPosition};
 use crate::guard::{GuardEvent, GuardMessage};
 use crate::link::PeerCaller;
 use crate::metrics::Metrics;
 use crate::reload::ReloadMessage;
 use crate::ring::{Reports, RingSender};
 use crate::settings::routing::RoutingSettings;
-use crate::types::{DaemonId, Offset, RequestId, ServiceId};
+use crate::types::{DaemonId, RequestId, ServiceId};
 use crate::wire::client::Caller;
 use crate::wire::dialect::Dialect;
 
@@ -84,7 +84,7 @@
     /// Whether a read of the settings was asked for and has not ended.
     pub(super) read_pending: bool,
     /// Offset up to which the configuration was read.
-    view: Offset,
+    view: FeedPosition,
     /// Requests whose callers have left and that were not ended yet.
     pub(super) left: Reports<RequestId>,
 }
@@ -109,7 +109,7 @@
         unnamed: VecDeque::new(),
         ending: false,
         read_pending: false,
-        view: 0,
+        view: FeedPosition::default(),
         left: Reports::default(),
     };
     let mut draining = false;
@@ -175,7 +175,7 @@
                     log_caller_left(self.context, &held.head, progress);
                 }
             }
-            RoutingEvent::View(view) => self.view = view.next,
+            RoutingEvent::View(view) => self.view = view.position(),
             RoutingEvent::Fleet(fleet) => {
                 let own = fleet.daemons.get(&self.context.daemon);
                 let server = own.and_then(|own| own.servers.first());
@@ -281,7 +281,7 @@
             server = &*job.target.server,
             to = &*job.target.daemon,
             origin = &*held.origin,
-            view = self.view,
+            view = self.view.next,
             wait_limit_ms:serde = job.terms.wait_limit_ms,
             last_resort = job.terms.last_resort;
             "attempt_sent"
--- a/src/routing/forward.rs
+++ b/src/routing/forward.rs
@@ -7,7 +7,8 @@
 use super::message::{AttemptOutcome, HeldRequest, RequestPlan, Target};
 use crate::contract::check::DEADLINE_LIMIT_MS;
 use crate::error::{ErrorKind, Ran};
-use crate::types::{format_id, Attempt, DaemonId, Incarnation, Offset, RequestId};
+use crate::feed::FeedPosition;
+use crate::types::{format_id, Attempt, DaemonId, Incarnation, RequestId};
 use crate::wire::client::{Call, CallError, OutgoingBody};
 use crate::wire::exchange::{RequestBody, WholeAnswer};
 use crate::wire::forward::{self, AttemptTerms, ForwardHead};
@@ -55,7 +56,7 @@
     context: &GuardCallContext,
     job: &AttemptJob,
     held: &mut HeldRequest,
-    view: Offset,
+    view: FeedPosition,
 ) -> Result<Call, ErrorKind> {
     keep_body(held)?;
     let until = match held.body {
@@ -80,11 +81,12 @@
         rank: job.plan.rank,
         terms: job.terms,
         entry: context.daemon.clone(),
-        view,
+        view: view.next,
         incarnation: job.incarnation,
         fingerprint: fingerprint(&job.plan, held),
         remaining,
         hung_after: job.hung_after.filter(|_| held.body.is_some()),
+        era: view.era,
     };
     let mut headers = vec![head.encode(&context.key)];
     headers.extend_from_slice(&held.head.headers);
@@ -155,8 +157,8 @@
     }
 }
 
-/// Returns the offset up to which the guard's daemon has read the configuration, if it says so.
-pub fn peer_view(result: &Result<WholeAnswer, CallError>) -> Option<Offset> {
+/// Returns the position up to which the guard's daemon has read the configuration, if it says so.
+pub fn peer_view(result: &Result<WholeAnswer, CallError>) -> Option<FeedPosition> {
     let answer = result.as_ref().ok()?;
     header(&answer.headers, forward::VIEW)?.parse().ok()
 }
--- a/src/routing/tests/duty.rs
+++ b/src/routing/tests/duty.rs
@@ -9,7 +9,7 @@
 
 use super::plan;
 use crate::contract::View;
-use crate::feed::{FeedEvent, FeedMessage};
+use crate::feed::{FeedEvent, FeedMessage, FeedPosition};
 use crate::front::RequestHead;
 use crate::link::{PeerCaller, PeerReply, PeerRequest};
 use crate::membership::Fleet;
@@ -235,5 +235,5 @@
     let FeedMessage::Event(FeedEvent::PeerAhead { peer, next }) = reported else {
         panic!("another message");
     };
-    assert_eq!((&*peer, next), ("d", 7));
+    assert_eq!((&*peer, next), ("d", FeedPosition { era: 0, next: 7 }));
 }
--- a/src/settings/feed.rs
+++ b/src/settings/feed.rs
@@ -31,6 +31,9 @@
     pub peer_ask_ms: u64,
     /// Time that the feed may take to show a record that a peer has already read, in milliseconds.
     pub peer_patience_ms: u64,
+    /// Time that operators may take to write again what the store has lost, in milliseconds. What it
+    /// doesn't show then is no longer in force, except a later version of the configuration.
+    pub era_settle_ms: u64,
 }
 
 impl Default for FeedSettings {
@@ -46,6 +49,7 @@
             retry_limit_ms: 2_000,
             peer_ask_ms: 500,
             peer_patience_ms: 150,
+            era_settle_ms: 5_000,
         }
     }
 }
@@ -63,6 +67,7 @@
             ("retry_limit_ms", self.retry_limit_ms),
             ("peer_ask_ms", self.peer_ask_ms),
             ("peer_patience_ms", self.peer_patience_ms),
+            ("era_settle_ms", self.era_settle_ms),
         ];
         let limit_ms = self.members_poll_limit_ms;
         checker.range("members_poll_limit_ms", limit_ms, 1..=86_400_000);
--- a/src/settings/membership.rs
+++ b/src/settings/membership.rs
@@ -49,6 +49,9 @@
     pub publish_change_ms: u64,
     /// Wait before an own description that was not read back is published again, in milliseconds.
     pub publish_retry_ms: u64,
+    /// Average time between two records of the fleet that are published again after the platform's
+    /// store has returned from a copy, in milliseconds.
+    pub rewrite_interval_ms: u64,
     /// Shortest time between two snapshots for the other duties, in milliseconds.
     pub snapshot_ms: u64,
     /// Most bytes of descriptions in one page of a new daemon's first view.
@@ -78,6 +81,7 @@
             publish_ms: 1_800_000,
             publish_change_ms: 0,
             publish_retry_ms: 10_000,
+            rewrite_interval_ms: 10,
             snapshot_ms: 50,
             page_bytes: 65_536,
             page_ms: 250,
@@ -117,6 +121,7 @@
             let holds = (10..=86_400_000).contains(&value);
             checker.require(holds, field, value, "must be from 10 to 86400000");
         }
+        checker.range("rewrite_interval_ms", self.rewrite_interval_ms, 1..=10_000);
         checker.range("publish_change_ms", self.publish_change_ms, 0..=86_400_000);
         let sizes_bytes = [
             ("gossip_bytes_per_s", self.gossip_bytes_per_s),
--- a/src/types.rs
+++ b/src/types.rs
@@ -29,6 +29,13 @@
 /// Greatest offset that is accepted. No stream has that many records, and a reader that continued
 /// beyond it would skip all records that follow.
 pub const OFFSET_LIMIT: Offset = 1 << 48;
+/// Version of a whole configuration, as its operators count it.
+pub type DocumentVersion = u64;
+/// Number by which the platform's store tells that it returned from a copy: each return raises it by
+/// one. 0 for a store that tells none.
+pub type StoreEra = u64;
+/// Greatest era that is accepted. A daemon that took a greater one would ignore the eras that follow.
+pub const ERA_LIMIT: StoreEra = 1 << 32;
 /// SHA-256 digest of an API key. The key itself is never stored.
 pub type KeyHash = [u8; 32];
 /// Hash by which equal requests of one organisation are recognised.
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::contract::check::DEADLINE_LIMIT_MS;
+use crate::feed::FeedPosition;
 use crate::types::{
     Attempt, BackendServerId, DaemonId, Fingerprint, Incarnation, Offset, OrganisationId,
-    RequestId, RouteId, ServiceId,
+    RequestId, RouteId, ServiceId, StoreEra,
 };
 use crate::wire::http::{header, HeaderPair};
 use crate::wire::proof::FleetKey;
@@ -30,7 +31,8 @@
 /// Header of a refusal with the time until the request would have got a slot, in milliseconds.
 pub const WAIT_MS: &str = "x-banyanbeam-wait-ms";
 
-/// Header of a guard's answer with the offset up to which its daemon has read the configuration.
+/// Header of a guard's answer with the position up to which its daemon has read the configuration:
+/// `ERA:OFFSET`, or only the offset where the store tells no era.
 pub const VIEW: &str = "x-banyanbeam-view";
 
 /// Options of one attempt that the guard must follow.
@@ -90,11 +92,21 @@
     pub remaining: Duration,
     /// If the entry can send the request to another server: the time after which a run counts as
     /// hung where the usual time of its route is not known. `None` lets the run last to the deadline.
-    /// Last field: daemons that do not know it ignore it, and heads without it are read as `None`.
+    /// Daemons that do not know it ignore it, and heads without it are read as `None`.
     pub hung_after: Option<Duration>,
+    /// Era of the store that `view` belongs to. A later field than `hung_after`; read as 0 if missing.
+    pub era: StoreEra,
 }
 
 impl ForwardHead {
+    /// Returns the position up to which the entry has read the configuration.
+    pub fn position(&self) -> FeedPosition {
+        FeedPosition {
+            era: self.era,
+            next: self.view,
+        }
+    }
+
     /// Encodes the head and the proof appended to it as a header.
     pub fn encode(&self, key: &FleetKey) -> HeaderPair {
         let mut bytes = postcard::to_stdvec(self).expect("plain values have a binary form");
@@ -112,16 +124,18 @@
         if !key.verify(&[head], proof) {
             return None;
         }
-        // Bytes after the last field are ignored, so the zero stands for a missing last field.
+        // Bytes after the last field are ignored, so the zeros stand for missing last fields.
         let head_bytes = head.len();
         bytes.truncate(head_bytes);
-        bytes.push(0);
+        bytes.extend_from_slice(&[0; LATER_FIELD_COUNT]);
         let mut head: ForwardHead = postcard::from_bytes(&bytes).ok()?;
         head.remaining = head.remaining.min(REMAINING_LIMIT);
         Some(head)
     }
 }
 
+/// Fields that daemons of earlier versions do not send, each one byte long when it is 0 or `None`.
+const LATER_FIELD_COUNT: usize = 2;
 /// Length of the proof at the end of the header.
 const PROOF_BYTES: usize = 32;
 /// Longest deadline that a contract allows.
--- a/src/wire/forward/tests.rs
+++ b/src/wire/forward/tests.rs
@@ -24,6 +24,7 @@
         fingerprint: [5; 32],
         remaining: Duration::from_millis(500),
         hung_after: Some(Duration::from_millis(250)),
+        era: 2,
     }
 }
 
@@ -35,17 +36,17 @@
 }
 
 #[test]
-fn a_head_without_its_last_field_lets_the_run_last_to_its_deadline() {
+fn a_head_without_its_later_fields_lets_the_run_last_to_its_deadline() {
     // Arrange
     let key = FleetKey::new("a secret of the fleet");
     let mut bytes = postcard::to_stdvec(&head()).expect("a binary form");
-    // Without the last field, the time is missing as well.
+    // Without the later fields, the time and the era are missing.
     let whole = bytes.len();
     let without = postcard::to_stdvec(&ForwardHead {
         hung_after: None,
         ..head()
     });
-    bytes.truncate(without.expect("a binary form").len() - 1);
+    bytes.truncate(without.expect("a binary form").len() - LATER_FIELD_COUNT);
     assert!(bytes.len() < whole);
     let proof = key.sign(&[&bytes]);
     bytes.extend_from_slice(&proof);
@@ -57,6 +58,7 @@
     // Assert
     let expected = ForwardHead {
         hung_after: None,
+        era: 0,
         ..head()
     };
     assert_eq!(decoded, Some(expected));
