--- a/src/feed/tests/role.rs
+++ b/src/feed/tests/role.rs
@@ -6,6 +6,7 @@
 use super::{asked, failed, fleet, newest, state};
 use crate::feed::message::{FeedAction, FeedEvent, Snapshot, NOTIFIED_COUNT};
 use crate::feed::role::{ReadRole, SharedRole};
+use crate::feed::FeedPosition;
 use crate::membership::{DaemonEntry, Fleet};
 use crate::settings::feed::FeedSettings;
 use crate::types::DaemonId;
@@ -19,7 +20,7 @@
 /// Returns how many peers are notified, and up to which offset.
 fn notified(actions: &[FeedAction]) -> Option<(usize, u64)> {
     actions.iter().find_map(|action| match action {
-        FeedAction::Notify { peers, next } => Some((peers.len(), *next)),
+        FeedAction::Notify { peers, next } => Some((peers.len(), next.next)),
         _ => None,
     })
 }
@@ -150,7 +151,7 @@
     state.handle(now, newest(3, "s"));
     let notified = |peer: &str, next| FeedEvent::PeerNotified {
         peer: peer.into(),
-        next,
+        next: FeedPosition { era: 0, next },
     };
     let first = state.handle(now, notified("other-0", 4));
 
--- a/src/feed/tests/simulation.rs
+++ b/src/feed/tests/simulation.rs
@@ -11,7 +11,7 @@
 use crate::feed::message::{ConfigurationItem, FeedAction, FeedEvent};
 use crate::feed::reuse::ConnectionReuse;
 use crate::feed::role::ReadRole;
-use crate::feed::{FeedError, FeedState, Page, Snapshot};
+use crate::feed::{FeedError, FeedPosition, FeedState, Page, Snapshot};
 use crate::settings::feed::FeedSettings;
 use crate::types::DaemonId;
 
@@ -225,7 +225,11 @@
             true => vec![ConfigurationItem::Document(super::document("s"))],
             false => Vec::new(),
         };
-        let result = Ok(Page { items, next });
+        let result = Ok(Page {
+            items,
+            next,
+            era: 0,
+        });
         self.schedule(ends_at, Event::ReadEnds(index, connection, result));
     }
 
@@ -252,6 +256,7 @@
         let answered = FeedEvent::PeerAnswered(newer);
         self.schedule(now + LATENCY, Event::Arrives(from, answered));
         let peer = name(from);
+        let next = FeedPosition { era: 0, next };
         self.handle(now, to, FeedEvent::PeerNotified { peer, next });
     }
 
@@ -261,7 +266,8 @@
         for action in actions {
             match action {
                 FeedAction::Role(role) => self.daemons[index].role = role,
-                FeedAction::Ask { peer, from: next } => {
+                FeedAction::Ask { peer, from: asked } => {
+                    let next = asked.next;
                     let to = self.index_of(&peer);
                     let from = index;
                     self.schedule(now + LATENCY, Event::Asked { from, to, next });
@@ -280,7 +286,10 @@
                     let daemon = &mut self.daemons[index];
                     daemon.in_force_at.entry(view.next).or_insert(now);
                 }
-                FeedAction::Reachable(_) | FeedAction::Unreadable { .. } => {}
+                FeedAction::Reachable(_)
+                | FeedAction::Unreadable { .. }
+                | FeedAction::EraEntered(_)
+                | FeedAction::KeptDropped => {}
             }
         }
         let daemon = &mut self.daemons[index];
