Move a service to another version by roll-outs, or roll it back

Nothing in the product knew of a roll-out: servers of a new version got requests like all others, and a bad version got as many as a good one.

The slice rollout has one duty for each daemon. The driver of a service, the first daemon by rank that has a server of it, tries the version at a few servers, judges it against the others by a sequential test, and moves all requests or closes the version. Its state is the status record of the store, which is written on the condition that nothing was written since, so another daemon goes on where a killed one stopped.

--- a/src/daemon/fleet.rs
+++ b/src/daemon/fleet.rs
@@ -25,6 +25,7 @@
 };
 use crate::operator::{OperatorEvent, OperatorMessage};
 use crate::ring::{spawn_duty, RingSender, TaskReceiver};
+use crate::rollout::{RolloutEvent, RolloutMessage};
 use crate::routing::{RoutingEvent, RoutingMessage};
 
 /// Publishes the record of this daemon on the platform.
@@ -150,10 +151,17 @@
 /// store.
 pub(super) fn keyed_fleet_readers(rings: &RingSenders) -> Vec<FleetReader> {
     let feed = rings.feed.clone();
-    vec![Box::new(move |fleet| {
-        let event = FeedEvent::Fleet(fleet.clone());
-        feed.offer(FeedMessage::Event(event)).is_ok()
-    })]
+    let rollout = rings.rollout.clone();
+    vec![
+        Box::new(move |fleet| {
+            let event = FeedEvent::Fleet(fleet.clone());
+            feed.offer(FeedMessage::Event(event)).is_ok()
+        }),
+        Box::new(move |fleet| {
+            let event = RolloutEvent::Fleet(fleet.clone());
+            rollout.offer(RolloutMessage::Event(event)).is_ok()
+        }),
+    ]
 }
 
 /// Sends the calls of membership through the link.
--- a/src/daemon/interfaces.rs
+++ b/src/daemon/interfaces.rs
@@ -8,6 +8,7 @@
 use crate::journal::PlatformLog;
 use crate::membership::{DaemonEntry, DaemonRecord, ServerDeparture};
 use crate::reload::SettingsSource;
+use crate::rollout::RolloutStore;
 use crate::settings::Settings;
 use crate::types::Incarnation;
 use crate::wire::dialect::{Dialect, FleetDialect};
@@ -46,6 +47,8 @@
     pub members: Box<dyn Feed<DaemonEntry>>,
     /// Writes the record of this daemon to the store.
     pub publisher: Box<dyn Publisher<DaemonRecord>>,
+    /// Access to the records in which operators follow roll-outs.
+    pub rollouts: Box<dyn RolloutStore>,
 }
 
 impl Interfaces {
--- a/src/daemon/journal_dispatch.rs
+++ b/src/daemon/journal_dispatch.rs
@@ -16,9 +16,9 @@
 use crate::operator::{OperatorEvent, OperatorMessage};
 use crate::ready::ReadyEvent;
 use crate::ring::RingSender;
+use crate::rollout::{RolloutEvent, RolloutMessage};
 use crate::routing::{RoutingEvent, RoutingMessage};
-use crate::types::DomainId;
-use crate::types::{Offset, OperationId};
+use crate::types::{DomainId, Offset, OperationId, ServiceId};
 
 /// Passes new views, records and states of the platform's log to the duties of this daemon.
 pub struct JournalDispatch {
@@ -39,6 +39,8 @@
     pub guard: RingSender<GuardMessage>,
     /// Ring of the readiness duty, which gets whether the view is usable.
     pub ready: RingSender<ReadyEvent>,
+    /// Ring of the roll-out duty, which gets the orders of views; none where it does not run.
+    pub rollout: Option<RingSender<RolloutMessage>>,
     /// The failure domain of this VM.
     pub domain: DomainId,
     /// Offset of the domain's last return to service that was sent to the guard. The outer option
@@ -73,10 +75,22 @@
     }
 }
 
+/// Returns the orders of a view as an event.
+fn rollout_orders(view: &View) -> RolloutEvent {
+    let is_unknown = |service: &&ServiceId| !view.services.contains_key(*service);
+    RolloutEvent::Orders {
+        orders: view.rollouts.values().cloned().collect(),
+        unknown_services: view.rollouts.keys().filter(is_unknown).cloned().collect(),
+    }
+}
+
 impl JournalObserver for JournalDispatch {
     fn view_changed(&self, view: Arc<View>) {
         self.send_to_operator(OperatorEvent::View(view.clone()));
         self.send_domain_state(&view);
+        if let Some(rollout) = &self.rollout {
+            rollout.deliver(RolloutMessage::Event(rollout_orders(&view)));
+        }
         self.guard
             .deliver(GuardMessage::Event(GuardEvent::View(view.clone())));
         self.allowance
--- a/src/daemon/keyed_store.rs
+++ b/src/daemon/keyed_store.rs
@@ -9,7 +9,6 @@
 
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 
-use super::interfaces::KeyedStore;
 use super::journal_dispatch::JournalDispatch;
 use super::rings::RingSenders;
 use super::shared::SharedResources;
@@ -17,7 +16,7 @@
 use crate::feed::message::FeedRead;
 use crate::feed::reader::{FeedReader, ReadMode};
 use crate::feed::turn::SharedTurn;
-use crate::feed::{self, FeedEvent, FeedMessage, Publisher};
+use crate::feed::{self, ConfigurationItem, Feed, FeedEvent, FeedMessage, Publisher};
 use crate::membership::{DaemonEntry, DaemonRecord, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::quota;
@@ -26,6 +25,16 @@
 /// Records of this daemon that may wait to be written. Only the newest one is written.
 const RECORD_RING_COUNT: usize = 16;
 
+/// Parts of a keyed store for configuration and members.
+pub(super) struct KeyedFeeds {
+    /// Feed of contracts, keys and other items of the configuration.
+    pub(super) configuration: Box<dyn Feed<ConfigurationItem>>,
+    /// Feed of the descriptions of all daemons.
+    pub(super) members: Box<dyn Feed<DaemonEntry>>,
+    /// Writes the record of this daemon to the store.
+    pub(super) publisher: Box<dyn Publisher<DaemonRecord>>,
+}
+
 /// Handles to the threads of a keyed store.
 pub(super) struct KeyedStoreThreads {
     /// Receives the records of this daemon that are to be published.
@@ -39,7 +48,7 @@
 pub(super) fn start_keyed_store(
     shared: &SharedResources,
     rings: &RingSenders,
-    store: KeyedStore,
+    store: KeyedFeeds,
     messages: Receiver<FeedMessage>,
     stopping: &Arc<AtomicBool>,
 ) -> KeyedStoreThreads {
@@ -78,7 +87,7 @@
         link: rings.link.clone(),
         answers: rings.feed.clone(),
         turn,
-        observer: Box::new(journal_dispatch(shared, rings)),
+        observer: Box::new(keyed_dispatch(shared, rings)),
     };
     let metrics = shared.metrics.clone();
     let publisher = store.publisher;
@@ -103,12 +112,22 @@
         membership: rings.membership.clone(),
         guard: rings.guard.clone(),
         ready: rings.ready.clone(),
+        rollout: None,
         domain: shared.settings.daemon.domain.clone(),
         batch_count: shared.settings.journal.batch_count,
         metrics: shared.metrics.clone(),
     }
 }
 
+/// Creates the dispatcher of a keyed store, which passes the orders of views to the roll-out duty
+/// too.
+fn keyed_dispatch(shared: &SharedResources, rings: &RingSenders) -> JournalDispatch {
+    JournalDispatch {
+        rollout: Some(rings.rollout.clone()),
+        ..journal_dispatch(shared, rings)
+    }
+}
+
 /// Passes the members that were read to membership; logs a failed read.
 fn send_to_membership(membership: &RingSender<MembershipEvent>, read: FeedRead<DaemonEntry>) {
     match read {
--- a/src/daemon/local_servers.rs
+++ b/src/daemon/local_servers.rs
@@ -7,21 +7,22 @@
 
 use crossbeam::channel::{Receiver, Sender};
 
-use super::health::HealthSender;
 use super::rings::RingSenders;
 use super::shared::SharedResources;
 use crate::guard::announce::AnnouncementDialect;
 use crate::guard::{self, GuardMessage};
+use crate::health::OutcomeObserver;
 use crate::reload::ReloadMessage;
 use crate::ring::{spawn_duty, RingSender};
 use crate::wire::listener::HttpListener;
 
 /// Starts the guard with the thread that accepts attempts.
-/// `drained` is signalled once after the drain, when nothing runs or waits.
+/// `outcomes` receives the starts and outcomes of requests. `drained` is signalled once after the drain, when nothing runs or waits.
 pub(super) fn start_guard(
     shared: &SharedResources,
     rings: &RingSenders,
     listener: &Arc<HttpListener>,
+    outcomes: Box<dyn OutcomeObserver>,
     messages: Receiver<GuardMessage>,
     drained: Sender<()>,
 ) -> Vec<JoinHandle<()>> {
@@ -52,7 +53,7 @@
             reuse_idle: Duration::from_millis(settings.guard.reuse_idle_ms),
             reuse_idle_once: Duration::from_millis(settings.guard.reuse_idle_once_ms),
         },
-        outcomes: Box::new(HealthSender(rings.health.clone())),
+        outcomes,
         membership: rings.membership.clone(),
         own_ring: rings.guard.clone(),
         routing: rings.routing.clone(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod reload;
 mod rings;
+mod rollout;
 mod shared;
 mod start;
 
--- a/src/daemon/peers.rs
+++ b/src/daemon/peers.rs
@@ -11,6 +11,7 @@
     LinkError, LinkMessage, PeerAnswer, PeerCaller, PeerHandler, PeerName, PeerReply, PeerRequest,
 };
 use crate::membership::MembershipCall;
+use crate::rollout::RolloutMessage;
 use crate::types::DaemonId;
 
 /// Passes each request of a peer to the duty that answers it. If the ring of the duty is full, the
@@ -78,7 +79,13 @@
                     false => Err(LinkError::Refused),
                 });
             }
-            PeerRequest::Rollout(_) => reply(Err(LinkError::Refused)),
+            PeerRequest::Rollout(call) => {
+                let message = RolloutMessage::Called { call, reply };
+                if let Err(RolloutMessage::Called { reply, .. }) = self.rings.rollout.offer(message)
+                {
+                    reply(Err(LinkError::Refused));
+                }
+            }
             PeerRequest::Summary(service) => {
                 let asked = HealthMessage::SummaryRequested { service, reply };
                 if let Err(HealthMessage::SummaryRequested { reply, .. }) =
--- a/src/daemon/rings.rs
+++ b/src/daemon/rings.rs
@@ -16,6 +16,7 @@
 use crate::ready::ReadyEvent;
 use crate::reload::ReloadMessage;
 use crate::ring::{ring, task_ring, RingSender, TaskReceiver};
+use crate::rollout::RolloutMessage;
 use crate::routing::RoutingMessage;
 
 /// Sending ends of the rings, one for each duty that receives events.
@@ -35,6 +36,8 @@
     pub(super) operator: RingSender<OperatorMessage>,
     /// Ring of the feed duty, which runs only with a keyed store.
     pub(super) feed: RingSender<FeedMessage>,
+    /// Ring of the roll-out duty, which runs only with a keyed store.
+    pub(super) rollout: RingSender<RolloutMessage>,
     /// Ring of the thread that answers readiness checks.
     pub(super) ready: RingSender<ReadyEvent>,
     /// Ring of the thread that reads the settings file.
@@ -55,6 +58,7 @@
     pub(super) idempotency: Receiver<IdempotencyMessage>,
     pub(super) operator: Receiver<OperatorMessage>,
     pub(super) feed: Receiver<FeedMessage>,
+    pub(super) rollout: Receiver<RolloutMessage>,
     pub(super) ready: Receiver<ReadyEvent>,
     pub(super) reload: Receiver<ReloadMessage>,
 }
@@ -78,6 +82,7 @@
     let (link, link_receiver) = task_ring("link", settings.link.ring_count, metrics);
     let (operator, operator_receiver) = ring("operator", settings.operator.ring_count, metrics);
     let (feed, feed_receiver) = ring("feed", settings.feed.ring_count, metrics);
+    let (rollout, rollout_receiver) = ring("rollout", settings.rollout.ring_count, metrics);
     let (ready, ready_receiver) = ring("ready", READY_RING_COUNT, metrics);
     let (reload, reload_receiver) = ring("reload", RELOAD_RING_COUNT, metrics);
     let rings = RingSenders {
@@ -93,6 +98,7 @@
         idempotency,
         operator,
         feed,
+        rollout,
         ready,
         reload,
     };
@@ -109,6 +115,7 @@
         idempotency: idempotency_receiver,
         operator: operator_receiver,
         feed: feed_receiver,
+        rollout: rollout_receiver,
         ready: ready_receiver,
         reload: reload_receiver,
     };
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -14,14 +14,15 @@
     fleet_readers, keyed_fleet_readers, log_fleet_readers, publish_in_log, publish_keyed,
     start_idempotency, start_journal, start_link, start_membership, FleetAddresses,
 };
-use super::health::start_health;
+use super::health::{start_health, HealthSender};
 use super::interfaces::{Interfaces, Store};
-use super::keyed_store::{start_keyed_store, start_quota};
+use super::keyed_store::{start_keyed_store, start_quota, KeyedFeeds};
 use super::listeners::Listeners;
 use super::local_servers::{start_announce, start_guard};
 use super::operator::{start_audit, start_operator};
 use super::reload::SettingsUpdater;
 use super::rings::{make_rings, RingSenders};
+use super::rollout::{start_rollout, RolloutSender};
 use super::shared::SharedResources;
 use crate::allowance::{AllowanceEvent, AllowanceMessage};
 use crate::audit::duty::AuditRing;
@@ -30,7 +31,7 @@
 use crate::feed::FeedMessage;
 use crate::front::{FrontEvent, FrontMessage};
 use crate::guard::{GuardEvent, GuardMessage};
-use crate::health::HealthMessage;
+use crate::health::{HealthMessage, OutcomeObserver};
 use crate::idempotency::IdempotencyMessage;
 use crate::incarnation::{first_incarnation, INCARNATION_GAP_COUNT};
 use crate::journal::JournalEvent;
@@ -42,6 +43,7 @@
 use crate::reload::duty::ReloadContext;
 use crate::reload::{self, ReloadMessage, SettingsSource};
 use crate::ring::{ring, spawn_duty, RingSender};
+use crate::rollout::RolloutMessage;
 use crate::routing::{RoutingEvent, RoutingMessage};
 use crate::settings::Settings;
 use crate::types::Incarnation;
@@ -149,10 +151,19 @@
         };
         rings.guard.deliver(GuardMessage::Event(event));
     }
+    let rollout_active = Arc::new(AtomicBool::new(false));
+    let outcomes: Box<dyn OutcomeObserver> = match interfaces.store {
+        Store::Log(_) => Box::new(HealthSender(rings.health.clone())),
+        Store::Keyed(_) => Box::new(RolloutSender {
+            rollout: rings.rollout.clone(),
+            active: rollout_active.clone(),
+        }),
+    };
     threads.extend(start_guard(
         &shared,
         &rings,
         &listeners.guard,
+        outcomes,
         receivers.guard,
         guard_drained,
     ));
@@ -187,7 +198,19 @@
         }
         Store::Keyed(store) => {
             threads.push(start_quota(&shared, &rings, receivers.allowance));
-            let keyed_store = start_keyed_store(&shared, &rings, store, receivers.feed, &stopping);
+            threads.push(start_rollout(
+                &shared,
+                &rings,
+                store.rollouts,
+                receivers.rollout,
+                rollout_active,
+            ));
+            let feeds = KeyedFeeds {
+                configuration: store.configuration,
+                members: store.members,
+                publisher: store.publisher,
+            };
+            let keyed_store = start_keyed_store(&shared, &rings, feeds, receivers.feed, &stopping);
             // The threads of the store are not joined: they may be waiting for the platform, and
             // nothing is lost when they end with the process.
             pause = Some(keyed_store.pause);
@@ -305,6 +328,7 @@
         rings.journal.deliver(JournalEvent::Stop);
         rings.operator.deliver(OperatorMessage::Stop);
         rings.feed.deliver(FeedMessage::Stop);
+        rings.rollout.deliver(RolloutMessage::Stop);
         // A full ring holds no `Stop`; the thread ends when the rings are dropped.
         let _ = rings.reload.offer(ReloadMessage::Stop);
         audit_events.deliver(AuditEvent::Stop);
--- a/src/rollout/message.rs
+++ b/src/rollout/message.rs
@@ -42,6 +42,16 @@
         *self == RolloutStep::None
     }
 
+    /// Returns the name of the step in records and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RolloutStep::None => "none",
+            RolloutStep::Trial => "trial",
+            RolloutStep::Full => "full",
+            RolloutStep::Closed => "closed",
+        }
+    }
+
     /// Returns the number of the step in messages between daemons.
     pub fn number(self) -> u8 {
         match self {
@@ -89,14 +99,16 @@
     pub order: Offset,
     /// Step of the called daemon's server of the service, whichever its version.
     pub step: RolloutStep,
-    /// For how long a trial goes on without another call, counted from when the call was sent.
+    /// For how long a trial goes on without another call, counted from when the call arrives. A
+    /// closed server stays closed for good if this is zero: its version was rolled back.
     pub holds_for: Duration,
 }
 
 /// A daemon's answer to a `RolloutCall`.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RolloutReport {
-    /// What its servers of the service answered since the order.
+    /// What its servers of the service answered since the order: in `long` the requests that ended,
+    /// in `recent` those that run, by their age.
     pub servers: Vec<ServerSummary>,
     /// Requests that run or wait at them.
     pub open_count: u32,
@@ -115,6 +127,17 @@
     RolledBack,
 }
 
+impl RolloutState {
+    /// Returns the name of the state in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            RolloutState::Running => "running",
+            RolloutState::Completed => "completed",
+            RolloutState::RolledBack => "rolled_back",
+        }
+    }
+}
+
 /// Record of a roll-out on the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutStatus {
@@ -128,6 +151,9 @@
     pub order: Offset,
     /// Step of the target version's servers, from which another daemon goes on.
     pub step: RolloutStep,
+    /// Time since the order when the status was written, in milliseconds; at least as much has
+    /// passed when it is read.
+    pub age_ms: u64,
     /// Why the roll-out is in this state, for operators; empty if there is nothing to say.
     pub reason: String,
 }
@@ -149,3 +175,13 @@
     /// Another record was written before; nothing was done.
     Changed,
 }
+
+impl ConditionalWrite {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            ConditionalWrite::Written => "written",
+            ConditionalWrite::Changed => "changed",
+        }
+    }
+}
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -3,12 +3,25 @@
 //! An operator orders a version while servers of it run beside those of the present version. The
 //! guards of both give work by the step that they are told.
 
+pub mod course;
+pub mod driver;
+pub mod duty;
+pub mod event;
+pub mod evidence;
+pub mod judgement;
+pub mod local;
+pub mod members;
 pub mod message;
+pub mod plan;
+pub mod record;
+pub mod state;
 
+pub use event::{RolloutAction, RolloutEvent, RolloutMessage};
 pub use message::{
     ConditionalWrite, RolloutCall, RolloutOrder, RolloutReport, RolloutRule, RolloutState,
     RolloutStatus, RolloutStep, StatusPage,
 };
+pub use state::Rollouts;
 
 use crate::feed::FeedError;
 use crate::types::{Offset, ServiceId};
@@ -23,3 +36,6 @@
     fn write(&mut self, status: &RolloutStatus, end: Offset)
         -> Result<ConditionalWrite, FeedError>;
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/rollout/tests.rs
@@ -0,0 +1,7 @@
+//! Tests of roll-outs by whole fleets under virtual time: good and bad versions, and each failure.
+
+mod delivery;
+mod failures;
+mod traffic;
+mod versions;
+mod world;
