--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -11,8 +11,10 @@
 mod late_announcements;
 mod local_servers;
 mod overdue;
+mod rollout;
 mod servers;
 mod shedding;
+mod suspected_cold;
 mod view_report;
 mod warm_rate;
 
