Try a version only in failure domains that are in service

A canary in a domain that was taken out of service gets no requests, so a trial that begins while a zone is evacuated could end without evidence. Daemons of such a domain are left out of the canaries and of the servers that are compared.

--- a/src/daemon/journal_dispatch.rs
+++ b/src/daemon/journal_dispatch.rs
@@ -81,6 +81,7 @@
     RolloutEvent::Orders {
         orders: view.rollouts.values().cloned().collect(),
         unknown_services: view.rollouts.keys().filter(is_unknown).cloned().collect(),
+        domains_out: view.domains_out.clone(),
     }
 }
 
--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -337,7 +337,7 @@
         let mut baseline_count = 0;
         for member in members {
             let is_canary = self.canaries.contains(&member.daemon);
-            if !member.is_target {
+            if !member.is_target && !member.is_out {
                 baseline_count += 1;
             }
             let peer = self.peers.entry(member.daemon.clone()).or_default();
--- a/src/rollout/event.rs
+++ b/src/rollout/event.rs
@@ -1,5 +1,6 @@
 //! Events and actions of the roll-out duty, and messages to its thread.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use crate::health::{RequestEnd, StartedRequest};
 use crate::link::PeerReply;
 use crate::membership::{Fleet, ServerEntry};
-use crate::types::{DaemonId, Offset, ServiceId};
+use crate::types::{DaemonId, DomainId, Offset, ServiceId};
 
 /// Identifies a peer's call until it is answered.
 pub type CallId = u64;
@@ -26,6 +27,8 @@
         orders: Vec<Arc<RolloutOrder>>,
         /// Services of these orders that the configuration does not have.
         unknown_services: Vec<ServiceId>,
+        /// Failure domains that are out of service.
+        domains_out: BTreeSet<DomainId>,
     },
     /// The snapshot of the fleet changed.
     Fleet(Arc<Fleet>),
--- a/src/rollout/members.rs
+++ b/src/rollout/members.rs
@@ -1,10 +1,11 @@
 //! The daemons that have servers of a service under an order, and the choice among them.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use super::message::{RolloutOrder, RolloutReport, RolloutStep};
 use crate::membership::{tree_position, Fleet, ServerEntry};
-use crate::types::{BackendServerId, DaemonId};
+use crate::types::{BackendServerId, DaemonId, DomainId};
 
 /// Time after which a call without an answer counts as lost.
 const CALL_PATIENCE: Duration = Duration::from_secs(1);
@@ -16,6 +17,8 @@
     pub daemon: DaemonId,
     /// Whether its server is of the target version.
     pub is_target: bool,
+    /// Whether its failure domain is out of service, so that its server gets no requests.
+    pub is_out: bool,
     /// Step that the fleet shows for its server.
     pub step: RolloutStep,
     /// Its servers of the service.
@@ -24,7 +27,11 @@
 
 /// Returns the daemons that have servers of the order's service and are not leaving, in an order by
 /// hash that all daemons agree on, so that neighbours are in different failure domains.
-pub fn members(fleet: &Fleet, order: &RolloutOrder) -> Vec<Member> {
+pub fn members(
+    fleet: &Fleet,
+    order: &RolloutOrder,
+    domains_out: &BTreeSet<DomainId>,
+) -> Vec<Member> {
     let mut found = Vec::new();
     for entry in fleet.daemons.values().filter(|entry| !entry.leaving) {
         let servers = entry.servers.iter();
@@ -40,6 +47,7 @@
         found.push(Member {
             daemon: entry.daemon.clone(),
             is_target: target.is_some(),
+            is_out: domains_out.contains(&entry.domain),
             step: shown.rollout_step,
             servers: servers.iter().map(|server| server.server.clone()).collect(),
         });
@@ -59,7 +67,7 @@
     first.map(|entry| entry.daemon.clone())
 }
 
-/// Replaces canaries that are gone, and keeps the others. A service of `other_count` servers of
+/// Replaces canaries that are gone or out of service, and keeps the others. A service of `other_count` servers of
 /// other versions gets as many as give each about the load of one of those.
 pub fn choose_canaries(
     canaries: &mut Vec<DaemonId>,
@@ -69,7 +77,10 @@
 ) {
     let share_count = (trial_share * other_count as f64).round() as usize;
     let count = share_count.max(CANARY_MIN_COUNT);
-    let targets = || members.iter().filter(|member| member.is_target);
+    let targets = || {
+        let targets = members.iter().filter(|member| member.is_target);
+        targets.filter(|member| !member.is_out)
+    };
     canaries.retain(|canary| targets().any(|member| member.daemon == *canary));
     for member in targets() {
         if canaries.len() >= count {
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -1,7 +1,7 @@
 //! Decisions of the roll-out duty of one daemon: the rule for its own servers, and the roll-outs
 //! that it drives.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 use super::message::{RolloutCall, RolloutOrder, RolloutReport, RolloutRule, RolloutStep};
 use super::record::{StatusRecord, StoreCall};
 use crate::membership::{Fleet, ServerEntry};
-use crate::types::{DaemonId, ServiceId, SoftwareVersion};
+use crate::types::{DaemonId, DomainId, ServiceId, SoftwareVersion};
 
 /// Interval of ticks of a daemon that drives a roll-out.
 const DRIVER_TICK: Duration = Duration::from_millis(100);
@@ -49,6 +49,8 @@
     trial_share: f64,
     /// The newest snapshot of the fleet.
     fleet: Arc<Fleet>,
+    /// Failure domains that are out of service.
+    domains_out: BTreeSet<DomainId>,
     /// The servers on this VM.
     servers: Vec<ServerEntry>,
     /// Requests at these servers.
@@ -69,6 +71,7 @@
             own_daemon,
             trial_share,
             fleet: Arc::default(),
+            domains_out: BTreeSet::new(),
             servers: Vec::new(),
             evidence: LocalEvidence::default(),
             rollouts: BTreeMap::new(),
@@ -94,7 +97,12 @@
             RolloutEvent::Orders {
                 orders,
                 unknown_services,
-            } => self.set_orders(now, orders, &unknown_services, &mut actions),
+                domains_out,
+            } => {
+                self.domains_out = domains_out;
+                self.set_orders(now, orders, &unknown_services, &mut actions);
+                self.update_members();
+            }
             RolloutEvent::Fleet(fleet) => {
                 self.fleet = fleet;
                 self.update_members();
@@ -168,7 +176,7 @@
             self.evidence.begin(&order.service);
             let local = LocalRule::new(order.clone(), self.own_daemon.clone(), refused_versions);
             let rollout = Rollout {
-                members: members(&self.fleet, &order),
+                members: members(&self.fleet, &order, &self.domains_out),
                 order: order.clone(),
                 ordered_at: now,
                 problem,
@@ -183,7 +191,7 @@
     /// Finds the daemons with servers of each service again.
     fn update_members(&mut self) {
         for rollout in self.rollouts.values_mut() {
-            rollout.members = members(&self.fleet, &rollout.order);
+            rollout.members = members(&self.fleet, &rollout.order, &self.domains_out);
         }
     }
 
--- a/src/rollout/tests/failures.rs
+++ b/src/rollout/tests/failures.rs
@@ -240,3 +240,17 @@
     world.run_ms(3_000);
     assert_eq!(world.step(&canary), RolloutStep::Closed);
 }
+
+#[test]
+fn trial_goes_on_where_a_domain_goes_out_of_service() {
+    for (bad, expected) in [
+        (Badness::default(), RolloutState::Completed),
+        (FAILING, RolloutState::RolledBack),
+    ] {
+        let mut world = ordered(bad);
+        world.run_ms(500);
+        world.domains_out.insert("north".into());
+        world.tell_orders();
+        assert_end(world, expected, "north out");
+    }
+}
--- a/src/rollout/tests/traffic.rs
+++ b/src/rollout/tests/traffic.rs
@@ -29,7 +29,9 @@
         let of = |step| -> Vec<&DaemonId> {
             let alive = |daemon: &&DaemonId| {
                 let machine = &self.machines[*daemon];
-                machine.state.is_some() && self.step(daemon) == step
+                machine.state.is_some()
+                    && !self.domains_out.contains(machine.domain)
+                    && self.step(daemon) == step
             };
             daemons.iter().filter(alive).collect()
         };
--- a/src/rollout/tests/world.rs
+++ b/src/rollout/tests/world.rs
@@ -1,6 +1,6 @@
 //! A fleet of roll-out states with guards, traffic, and a store of statuses, under virtual time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 use crate::guard::message::AttemptKey;
 use crate::health::RequestEnd;
 use crate::membership::{DaemonEntry, Fleet, ServerEntry};
-use crate::types::{DaemonId, Offset};
+use crate::types::{DaemonId, DomainId, Offset};
 
 /// The version before the roll-out.
 pub const OLD: &str = "v1";
@@ -61,6 +61,8 @@
 pub struct Machine {
     /// The state; none while the daemon is dead.
     pub state: Option<Rollouts>,
+    /// Its failure domain.
+    pub domain: &'static str,
     /// Version of its server.
     pub version: &'static str,
     /// The rule that its guard has.
@@ -98,6 +100,8 @@
     /// Orders in force, and since when.
     pub orders: Vec<Arc<RolloutOrder>>,
     pub ordered_at: Instant,
+    /// Failure domains that are out of service.
+    pub domains_out: BTreeSet<DomainId>,
     /// Requests since the order, those at the new version, and bad answers of it.
     pub total_count: u32,
     pub new_count: u32,
@@ -130,6 +134,7 @@
             bad,
             orders: Vec::new(),
             ordered_at: now,
+            domains_out: BTreeSet::new(),
             total_count: 0,
             new_count: 0,
             bad_count: 0,
@@ -153,6 +158,11 @@
     pub fn add(&mut self, daemon: &str, version: &'static str) {
         let machine = Machine {
             state: None,
+            domain: if self.machines.len() % 4 < 2 {
+                "north"
+            } else {
+                "south"
+            },
             version,
             rule: None,
             running: Vec::new(),
@@ -214,12 +224,13 @@
         RolloutEvent::Orders {
             orders: self.orders.clone(),
             unknown_services: Vec::new(),
+            domains_out: self.domains_out.clone(),
         }
     }
 
     /// Returns the daemon that drives the roll-out.
     pub fn driver(&self) -> DaemonId {
-        let members = members(&self.fleet, &self.orders[0]);
+        let members = members(&self.fleet, &self.orders[0], &self.domains_out);
         driver_of(&self.fleet, &members).expect("a driver")
     }
 
@@ -322,7 +333,7 @@
                 daemon: daemon.clone(),
                 incarnation: 1,
                 version: 0,
-                domain: "north".into(),
+                domain: machine.domain.into(),
                 guard_address: any,
                 link_address: any,
                 leaving: false,
