--- a/src/daemon/interfaces.rs
+++ b/src/daemon/interfaces.rs
@@ -8,6 +8,7 @@
 use crate::journal::PlatformLog;
 use crate::membership::{DaemonEntry, DaemonRecord, ServerDeparture};
 use crate::reload::SettingsSource;
+use crate::rollout::RolloutStore;
 use crate::settings::Settings;
 use crate::types::Incarnation;
 use crate::wire::dialect::{Dialect, FleetDialect};
@@ -48,6 +49,8 @@
     pub publisher: Box<dyn Publisher<DaemonRecord>>,
     /// Latest era that the store has told to any of the above.
     pub eras: Arc<EraWatch>,
+    /// Access to the records in which operators follow roll-outs.
+    pub rollouts: Box<dyn RolloutStore>,
 }
 
 impl Interfaces {
--- a/src/daemon/keyed_store.rs
+++ b/src/daemon/keyed_store.rs
@@ -9,7 +9,6 @@
 
 use crossbeam::channel::{bounded, Receiver, RecvTimeoutError, Sender};
 
-use super::interfaces::KeyedStore;
 use super::journal_dispatch::JournalDispatch;
 use super::rings::RingSenders;
 use super::shared::SharedResources;
@@ -18,7 +17,7 @@
 use crate::feed::message::FeedRead;
 use crate::feed::reader::{FeedReader, ReadMode};
 use crate::feed::role::SharedRole;
-use crate::feed::{self, FeedEvent, FeedMessage, Publisher};
+use crate::feed::{self, ConfigurationItem, Feed, FeedEvent, FeedMessage, Publisher};
 use crate::membership::{DaemonEntry, DaemonRecord, MembershipEvent};
 use crate::metrics::Metrics;
 use crate::quota;
@@ -30,6 +29,18 @@
 /// Ends the wait of a reading thread when it is dropped, or for once by a message.
 pub(super) type Pause = Arc<Sender<()>>;
 
+/// Parts of a keyed store for configuration and members.
+pub(super) struct KeyedFeeds {
+    /// Feed of contracts, keys and other items of the configuration.
+    pub(super) configuration: Box<dyn Feed<ConfigurationItem>>,
+    /// Feed of the descriptions of all daemons.
+    pub(super) members: Box<dyn Feed<DaemonEntry>>,
+    /// Writes the record of this daemon to the store.
+    pub(super) publisher: Box<dyn Publisher<DaemonRecord>>,
+    /// Latest era that the store has told to any of the above.
+    pub(super) eras: Arc<EraWatch>,
+}
+
 /// Handles to the threads of a keyed store.
 pub(super) struct KeyedStoreThreads {
     /// Receives the records of this daemon that are to be published.
@@ -43,7 +54,7 @@
 pub(super) fn start_keyed_store(
     shared: &SharedResources,
     rings: &RingSenders,
-    store: KeyedStore,
+    store: KeyedFeeds,
     messages: Receiver<FeedMessage>,
     stopping: &Arc<AtomicBool>,
 ) -> KeyedStoreThreads {
@@ -85,7 +96,7 @@
         link: rings.link.clone(),
         answers: rings.feed.clone(),
         role,
-        observer: Box::new(journal_dispatch(shared, rings)),
+        observer: Box::new(keyed_dispatch(shared, rings)),
     };
     let metrics = shared.metrics.clone();
     let publisher = store.publisher;
@@ -125,12 +136,22 @@
         membership: rings.membership.clone(),
         guard: rings.guard.clone(),
         ready: rings.ready.clone(),
+        rollout: None,
         domain: shared.settings.daemon.domain.clone(),
         batch_count: shared.settings.journal.batch_count,
         metrics: shared.metrics.clone(),
     }
 }
 
+/// Creates the dispatcher of a keyed store, which passes the orders of views to the roll-out duty
+/// too.
+fn keyed_dispatch(shared: &SharedResources, rings: &RingSenders) -> JournalDispatch {
+    JournalDispatch {
+        rollout: Some(rings.rollout.clone()),
+        ..journal_dispatch(shared, rings)
+    }
+}
+
 /// Passes the members that were read to membership; logs a failed read.
 fn send_to_membership(membership: &RingSender<MembershipEvent>, read: FeedRead<DaemonEntry>) {
     match read {
