Notify peers after deleted records, and pause between fresh starts

Callers got a 404 as an older configuration says, 4 to 8 s after the acknowledgement of a new route, while the store deleted the records of its keyed topics as they came.

A waiting read does not see a record that is deleted at once. It waits on for up to five seconds and then learns that records are gone. Watchers find this within feed.watch_ms, but did not notify the others, since their reads had not hung. They do now: deleted records count as a reason why reads of others may wait in vain.

A fresh start that leads to deleted records again is followed by the wait after a failure; it was followed by the next call without a pause.

--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -27,8 +27,11 @@
 pub struct FollowPlan {
     /// Offset up to which the feed was read; none if the newest items are to be read first.
     from: Option<Offset>,
-    /// Failed reads in a row. A failure that only asks for a fresh start does not count.
+    /// Failed reads in a row. A failure that only asks for a fresh start does not count, unless the
+    /// fresh start led to the same failure.
     failed_count: u32,
+    /// Whether the last read of items after an offset asked for a fresh start.
+    restarted: bool,
 }
 
 impl FollowPlan {
@@ -52,11 +55,16 @@
                 self.failed_count = 0;
                 match self.from.replace(page.next) {
                     None => FeedRead::Newest(page),
-                    Some(_) => FeedRead::Followed(page),
+                    Some(_) => {
+                        self.restarted = false;
+                        FeedRead::Followed(page)
+                    }
                 }
             }
             Err(error) => {
-                self.failed_count += u32::from(error != FeedError::Truncated);
+                let is_truncated = error == FeedError::Truncated;
+                self.failed_count += u32::from(!is_truncated || self.restarted);
+                self.restarted |= is_truncated;
                 // Records may have been missed, or dropped for newer ones.
                 if !matches!(error, FeedError::Unavailable(_)) {
                     self.from = None;
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -34,7 +34,7 @@
     ahead: Option<(DaemonId, Offset)>,
     /// When a peer is to be asked; none if there is no reason to.
     ask_at: Option<Instant>,
-    /// Until when other daemons' reads may hang, since a read of this one has failed.
+    /// Until when other daemons' reads may hang or wait in vain, since a read of this one has failed.
     others_may_hang_until: Option<Instant>,
     /// Part of this daemon in the reads of the fleet.
     role: ReadRole,
@@ -133,6 +133,10 @@
                 self.ask_at.get_or_insert(now);
                 self.others_may_hang_until = Some(now + self.longest_read());
             }
+            FeedRead::Failed(FeedError::Truncated) => {
+                // A record that was deleted at once did not end the waits of other daemons' reads.
+                self.others_may_hang_until = Some(now + self.longest_read());
+            }
             FeedRead::Failed(_) => {}
         }
         let others_may_hang = self.others_may_hang_until.is_some_and(|until| now < until);
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::follow::FollowPlan;
 use super::message::{ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot};
 use super::reader::{FeedReader, ReadMode};
 use super::role::{ReadRole, SharedRole};
@@ -345,3 +346,30 @@
     let waits: Vec<Duration> = waited.try_iter().collect();
     assert_eq!(waits, [WAIT, Duration::ZERO, WAIT]);
 }
+
+/// Guards against a daemon that calls the platform without a pause, since the newest records are always
+/// older than those that are still kept.
+#[test]
+fn a_fresh_start_that_leads_to_the_same_failure_is_followed_by_a_pause() {
+    // Arrange
+    let settings = FeedSettings::default();
+    let newest = || {
+        Ok(Page::<u32> {
+            items: Vec::new(),
+            next: 1,
+        })
+    };
+    let mut plan = FollowPlan::default();
+    plan.take(newest());
+
+    // Act
+    let waits = [(); 3].map(|()| {
+        plan.take::<u32>(Err(FeedError::Truncated));
+        let wait = plan.retry_wait(&settings);
+        plan.take(newest());
+        wait.as_millis() as u64
+    });
+
+    // Assert
+    assert_eq!(waits, [0, settings.retry_ms, settings.retry_ms]);
+}
