--- a/src/feed/follow.rs
+++ b/src/feed/follow.rs
@@ -1,61 +1,87 @@
-//! Decides how long each read of a followed feed waits for records.
+//! Decides where each read of a followed feed starts and how long it waits for records.
 
 use std::time::Duration;
 
-use super::turn::ReadTurn;
+use super::message::FeedRead;
+use super::role::ReadRole;
+use super::{FeedError, Page};
 use crate::settings::feed::FeedSettings;
+use crate::types::Offset;
 
-/// How a read ended.
+/// The next read of a feed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReadEnd {
-    /// The newest items of every key were read.
+pub enum PlannedRead {
+    /// Reads the newest item of every key.
     Newest,
-    /// Items were read since the last read.
-    Items,
-    /// The wait passed without a new item.
-    Nothing,
-    /// The read failed.
-    Failed {
-        /// Whether the failure counts among those in a row. One that only asks for a fresh start does
-        /// not.
-        counts: bool,
+    /// Reads the items after an offset.
+    Follow {
+        /// Offset of the first item.
+        from: Offset,
+        /// Longest wait for it.
+        wait: Duration,
     },
 }
 
-/// Waits of the reads of one feed.
+/// Offset and waits of the reads of one feed.
 #[derive(Debug, Default)]
 pub struct FollowPlan {
-    /// Failed reads in a row.
+    /// Offset up to which the feed was read; none if the newest items are to be read first.
+    from: Option<Offset>,
+    /// Failed reads in a row. A failure that only asks for a fresh start does not count.
     failed_count: u32,
-    /// Whether the last read waited its whole time, so that this daemon reads in its own turn.
-    in_turn: bool,
 }
 
 impl FollowPlan {
-    /// Returns how many reads have failed in a row.
-    pub fn failed_count(&self) -> u32 {
-        self.failed_count
+    /// Returns the next read.
+    pub fn next_read(&self, role: ReadRole, settings: &FeedSettings) -> PlannedRead {
+        let Some(from) = self.from else {
+            return PlannedRead::Newest;
+        };
+        let wait = match self.failed_count {
+            0 => role.longest_wait(settings),
+            // A read that waits for records looks like one that hangs on a silent platform.
+            _ => Duration::ZERO,
+        };
+        PlannedRead::Follow { from, wait }
     }
 
-    /// Returns how long the next read waits for records.
-    pub fn next_wait(&self, turn: ReadTurn, settings: &FeedSettings) -> Duration {
-        if self.failed_count > 0 {
-            // A read that waits for records looks like one that hangs on a silent platform.
-            return Duration::ZERO;
-        }
-        match self.in_turn {
-            true => turn.longest_wait(settings),
-            false => turn.first_wait(settings),
+    /// Takes the result of the planned read and returns it for the feed's state.
+    pub fn take<T>(&mut self, result: Result<Page<T>, FeedError>) -> FeedRead<T> {
+        match result {
+            Ok(page) => {
+                self.failed_count = 0;
+                match self.from.replace(page.next) {
+                    None => FeedRead::Newest(page),
+                    Some(_) => FeedRead::Followed(page),
+                }
+            }
+            Err(error) => {
+                self.failed_count += u32::from(error != FeedError::Truncated);
+                // Records may have been missed, or dropped for newer ones.
+                if !matches!(error, FeedError::Unavailable(_)) {
+                    self.from = None;
+                }
+                FeedRead::Failed(error)
+            }
         }
     }
 
-    /// Records how a read ended.
-    pub fn record_end(&mut self, end: ReadEnd) {
-        let waited = self.failed_count == 0;
-        self.in_turn = waited && end == ReadEnd::Nothing;
-        match end {
-            ReadEnd::Failed { counts } => self.failed_count += u32::from(counts),
-            ReadEnd::Newest | ReadEnd::Items | ReadEnd::Nothing => self.failed_count = 0,
-        }
+    /// Returns the time between the starts of a failed read and the next one.
+    pub fn retry_wait(&self, settings: &FeedSettings) -> Duration {
+        retry_wait(self.failed_count, settings)
     }
 }
+
+/// Returns the time between the starts of a failed read and the next one, longer after each of the
+/// failures in a row, since every call has a cost.
+pub fn retry_wait(failed_count: u32, settings: &FeedSettings) -> Duration {
+    if failed_count == 0 {
+        return Duration::ZERO;
+    }
+    let doublings = (failed_count - 1).min(DOUBLING_LIMIT_COUNT);
+    let wait_ms = settings.retry_ms << doublings;
+    Duration::from_millis(wait_ms.min(settings.retry_limit_ms))
+}
+
+/// Most doublings of the wait after failures.
+const DOUBLING_LIMIT_COUNT: u32 = 10;
--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -8,7 +8,7 @@
 
 use super::era::FeedPosition;
 use super::kept::Kept;
-use super::turn::ReadTurn;
+use super::role::ReadRole;
 use super::{FeedError, Page};
 use crate::contract::{Document, View};
 use crate::link::{PeerReply, RecordsRequest};
@@ -117,6 +117,13 @@
         /// Position up to which the peer has read.
         next: FeedPosition,
     },
+    /// A peer notifies this daemon that it has read up to an offset.
+    PeerNotified {
+        /// The peer that has read further.
+        peer: DaemonId,
+        /// Position up to which the peer has read.
+        next: FeedPosition,
+    },
     /// A peer answered with its configuration; none if the call failed or the peer knows nothing
     /// newer.
     PeerAnswered(Option<Snapshot>),
@@ -168,8 +175,8 @@
     EraEntered(EraReport),
     /// Reports that nothing from earlier eras is kept any more.
     KeptDropped,
-    /// Sets the turn in which this daemon reads.
-    Turn(ReadTurn),
+    /// Sets the part of this daemon in the reads of the fleet.
+    Role(ReadRole),
     /// Reports that the platform answers again, or no longer does.
     Reachable(bool),
     /// Reports a record of the feed that can't be parsed.
--- a/src/feed/mod.rs
+++ b/src/feed/mod.rs
@@ -10,9 +10,10 @@
 pub mod kept;
 pub mod message;
 pub mod reader;
+pub mod reuse;
+pub mod role;
 mod settle;
 pub mod state;
-pub mod turn;
 
 use std::time::Duration;
 
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -11,7 +11,7 @@
 use super::message::{
     ConfigurationItem, FeedAction, FeedEvent, FeedRead, Snapshot, NOTIFIED_COUNT,
 };
-use super::turn::ReadTurn;
+use super::role::ReadRole;
 use super::{FeedError, Page};
 use crate::contract::View;
 use crate::membership::Fleet;
@@ -19,6 +19,7 @@
 use crate::types::DaemonId;
 
 /// State of the configuration at one daemon.
+#[derive(Clone)]
 pub struct FeedState {
     /// Settings of the calls to peers.
     pub(super) settings: FeedSettings,
@@ -38,8 +39,8 @@
     pub(super) ask_at: Option<Instant>,
     /// Until when other daemons' reads may hang, since a read of this one has failed.
     others_may_hang_until: Option<Instant>,
-    /// Turn in which this daemon reads.
-    turn: ReadTurn,
+    /// Part of this daemon in the reads of the fleet.
+    role: ReadRole,
     /// Until when operators may write again what a store that has returned from a copy has lost; none
     /// in an era that the store has been in for long.
     pub(super) settles_at: Option<Instant>,
@@ -60,7 +61,7 @@
             ahead: None,
             ask_at: None,
             others_may_hang_until: None,
-            turn: ReadTurn::default(),
+            role: ReadRole::default(),
             settles_at: None,
             fleet: Arc::default(),
         }
@@ -84,11 +85,10 @@
         match event {
             FeedEvent::Read(read) => self.read(now, read, &mut actions),
             FeedEvent::PeerAhead { peer, next } => {
-                if next > self.snapshot.position() && next.is_valid() {
-                    self.ahead = Some((peer, next));
-                    self.ask_at.get_or_insert(now + self.peer_patience());
-                }
+                self.peer_ahead(now + self.peer_patience(), peer, next);
             }
+            // A peer notifies others since reads of theirs may hang.
+            FeedEvent::PeerNotified { peer, next } => self.peer_ahead(now, peer, next),
             FeedEvent::PeerAnswered(snapshot) => self.peer_answered(now, snapshot, &mut actions),
             FeedEvent::EraBegan(era) if era > self.snapshot.era => {
                 // The own read may wait for long; a peer may have read already.
@@ -103,13 +103,22 @@
         actions
     }
 
-    /// Takes the fleet, and the turn in it.
+    /// Takes up to where a peer has read. It is asked at `ask_at` if it has read further.
+    fn peer_ahead(&mut self, ask_at: Instant, peer: DaemonId, next: FeedPosition) {
+        if next <= self.snapshot.position() || !next.is_valid() {
+            return;
+        }
+        self.ahead = Some((peer, next));
+        self.ask_at = Some(self.ask_at.map_or(ask_at, |at| at.min(ask_at)));
+    }
+
+    /// Takes the fleet, and the role in it.
     fn update_fleet(&mut self, fleet: Arc<Fleet>, actions: &mut Vec<FeedAction>) {
         self.fleet = fleet;
-        let turn = ReadTurn::new(&self.fleet, &self.own_daemon);
-        if turn != self.turn {
-            self.turn = turn;
-            actions.push(FeedAction::Turn(turn));
+        let role = ReadRole::new(&self.fleet, &self.own_daemon);
+        if role != self.role {
+            self.role = role;
+            actions.push(FeedAction::Role(role));
         }
     }
 
@@ -240,12 +249,27 @@
         actions: &mut Vec<FeedAction>,
     ) {
         self.asking = false;
-        self.ahead = None;
+        let snapshot = snapshot.filter(|snapshot| snapshot.position().is_valid());
+        if let Some(snapshot) = snapshot {
+            self.take_snapshot(now, snapshot, actions);
+        }
         let again = !self.reachable || self.settles_at.is_some();
-        self.ask_at = again.then(|| now + self.ask_interval());
-        let Some(mut snapshot) = snapshot.filter(|snapshot| snapshot.position().is_valid()) else {
-            return;
+        self.ask_at = match (again, self.ahead.is_some()) {
+            // A peer that has read further was found while another one was asked.
+            (_, true) => Some(now + self.peer_patience()),
+            (true, false) => Some(now + self.ask_interval()),
+            (false, false) => None,
         };
+    }
+
+    /// Puts a peer's configuration in force if it is newer, and takes what the peer keeps from earlier
+    /// eras.
+    fn take_snapshot(
+        &mut self,
+        now: Instant,
+        mut snapshot: Snapshot,
+        actions: &mut Vec<FeedAction>,
+    ) {
         let settling = self.settles_at.is_some() && snapshot.era == self.snapshot.era;
         if let Some(others) = snapshot.kept.take_if(|_| snapshot.era <= self.snapshot.era) {
             if settling {
