--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -19,6 +19,7 @@
 use crate::types::DaemonId;
 
 /// State of the configuration at one daemon.
+#[derive(Clone)]
 pub struct FeedState {
     /// Settings of the calls to peers.
     pub(super) settings: FeedSettings,
@@ -102,7 +103,7 @@
         actions
     }
 
-    /// Takes up to which offset a peer has read. It is asked at `ask_at` if it has read further.
+    /// Takes up to where a peer has read. It is asked at `ask_at` if it has read further.
     fn peer_ahead(&mut self, ask_at: Instant, peer: DaemonId, next: FeedPosition) {
         if next <= self.snapshot.position() || !next.is_valid() {
             return;
@@ -252,7 +253,8 @@
         actions: &mut Vec<FeedAction>,
     ) {
         self.asking = false;
-        if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.position().is_valid()) {
+        let snapshot = snapshot.filter(|snapshot| snapshot.position().is_valid());
+        if let Some(snapshot) = snapshot {
             self.take_snapshot(now, snapshot, actions);
         }
         let again = !self.reachable || self.settles_at.is_some();
@@ -264,7 +266,8 @@
         };
     }
 
-    /// Takes a peer's snapshot, and passes it on if it is newer.
+    /// Puts a peer's configuration in force if it is newer, and takes what the peer keeps from earlier
+    /// eras.
     fn take_snapshot(
         &mut self,
         now: Instant,
--- a/src/feed/tests.rs
+++ b/src/feed/tests.rs
@@ -365,6 +365,7 @@
     let settings = FeedSettings::default();
     let newest = || {
         Ok(Page::<u32> {
+            era: 0,
             items: Vec::new(),
             next: 1,
         })
