--- a/src/feed/message.rs
+++ b/src/feed/message.rs
@@ -117,7 +117,7 @@
         /// Position up to which the peer has read.
         next: FeedPosition,
     },
-    /// A peer notifies this daemon that it has read up to an offset.
+    /// A peer notifies this daemon that it has read up to a position.
     PeerNotified {
         /// The peer that has read further.
         peer: DaemonId,
--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -249,8 +249,7 @@
         actions: &mut Vec<FeedAction>,
     ) {
         self.asking = false;
-        let snapshot = snapshot.filter(|snapshot| snapshot.position().is_valid());
-        if let Some(snapshot) = snapshot {
+        if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.position().is_valid()) {
             self.take_snapshot(now, snapshot, actions);
         }
         let again = !self.reachable || self.settles_at.is_some();
