--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -30,6 +30,7 @@
 pub mod state;
 pub mod times;
 mod view_report;
+mod waits;
 mod warmth;
 
 pub use message::{Announcement, AttemptKey, GuardAction, GuardEvent, GuardMessage};
