Let entries remember the speed of servers for as long as settings say

Of many servers an entry hears from one about every ten seconds, and forgot within two that it was slow. So unequal servers got equal shares, and callers of the slow ones waited. routing.speed_half_life_ms sets the memory; the default of 2 s keeps what was.

--- a/src/routing/least_loaded.rs
+++ b/src/routing/least_loaded.rs
@@ -201,18 +201,20 @@
         server: &BackendServerId,
         feedback: &ServerFeedback,
     ) {
+        let half_life = self.speed_half_life();
         let estimate = self.estimates.entry(server.clone()).or_default();
         match feedback {
             ServerFeedback::Time(elapsed) => {
                 let typical = self.route_speeds.record(route, *elapsed);
-                estimate.speed.record_answer(now, *elapsed, typical);
+                let speed = &mut estimate.speed;
+                speed.record_answer(now, *elapsed, typical, half_life);
                 estimate.busy_until = None;
                 estimate.closed_until = None;
                 estimate.tripped_until = None;
                 estimate.slot_at = None;
             }
             ServerFeedback::Failure => {
-                estimate.speed.record_failure(now);
+                estimate.speed.record_failure(now, half_life);
                 // If this was a failed probe, the guard will name another time for the next.
                 estimate.tripped_until = estimate.tripped_until.map(|_| now + CLOSED_HOLD);
             }
@@ -226,7 +228,7 @@
                 estimate.closed_until = Some(now + time);
             }
             ServerFeedback::Tripped(retry_after) => {
-                estimate.speed.record_trip(now);
+                estimate.speed.record_trip(now, half_life);
                 estimate.tripped_until = Some(now + retry_after.unwrap_or(CLOSED_HOLD));
             }
             ServerFeedback::Nothing => {}
--- a/src/routing/pick_criteria.rs
+++ b/src/routing/pick_criteria.rs
@@ -120,7 +120,10 @@
         let estimate = self.estimates.get(&candidate.target.server);
         let outstanding = estimate.map_or(0, |estimate| estimate.outstanding_count);
         let backlog = estimate.map_or(0.0, |estimate| self.backlog(criteria, estimate));
-        let slowness = estimate.map_or(1.0, |estimate| estimate.speed.slowness(criteria.now));
+        let half_life = self.speed_half_life();
+        let slowness = estimate.map_or(1.0, |estimate| {
+            estimate.speed.slowness(criteria.now, half_life)
+        });
         let mut load = f64::from(outstanding + 1) / f64::from(candidate.slots_count.max(1));
         load = load * slowness + backlog;
         if candidate.cold {
@@ -135,6 +138,11 @@
         load
     }
 
+    /// Returns the time after which the excess slowness of a server counts half.
+    pub(super) fn speed_half_life(&self) -> Duration {
+        Duration::from_millis(self.settings.speed_half_life_ms)
+    }
+
     /// Returns how much a long body adds to the load of a server in another failure domain.
     fn far_body_factor(&self, plan: &RequestPlan) -> f64 {
         match self.settings.far_body_bytes {
--- a/src/routing/speed.rs
+++ b/src/routing/speed.rs
@@ -11,9 +11,6 @@
 /// Weight of the newest request in a server's slowness.
 const SERVER_WEIGHT: f64 = 0.2;
 
-/// Time after which a server's excess slowness counts half.
-const HALF_LIFE: Duration = Duration::from_secs(2);
-
 /// Slowness that one failure counts as: a server that fails fast must not seem fast.
 const FAILURE_SLOWNESS: f64 = 4.0;
 
@@ -60,7 +57,8 @@
     }
 }
 
-/// How slow one server is relative to the typical time: 2 means twice the time.
+/// How slow one server is relative to the typical time: 2 means twice the time. Each method takes the
+/// time after which excess slowness counts half.
 #[derive(Debug, Clone, Default)]
 pub struct ServerSpeed {
     /// Slowness minus 1, as of `at`.
@@ -71,38 +69,44 @@
 
 impl ServerSpeed {
     /// Records the time of one whole answer, next to the route's typical time.
-    pub fn record_answer(&mut self, now: Instant, elapsed: Duration, typical: Duration) {
+    pub fn record_answer(
+        &mut self,
+        now: Instant,
+        elapsed: Duration,
+        typical: Duration,
+        half_life: Duration,
+    ) {
         let typical_s = typical.as_secs_f64().max(f64::MIN_POSITIVE);
-        self.record_slowness(now, elapsed.as_secs_f64() / typical_s);
+        self.record_slowness(now, elapsed.as_secs_f64() / typical_s, half_life);
     }
 
     /// Records one failure of the server.
-    pub fn record_failure(&mut self, now: Instant) {
-        self.record_slowness(now, FAILURE_SLOWNESS);
+    pub fn record_failure(&mut self, now: Instant, half_life: Duration) {
+        self.record_slowness(now, FAILURE_SLOWNESS, half_life);
     }
 
     /// Records that the guard's breaker is open because the server failed.
-    pub fn record_trip(&mut self, now: Instant) {
-        self.excess = (self.slowness(now) - 1.0).max(TRIPPED_EXCESS);
+    pub fn record_trip(&mut self, now: Instant, half_life: Duration) {
+        self.excess = (self.slowness(now, half_life) - 1.0).max(TRIPPED_EXCESS);
         self.updated_at = Some(now);
     }
 
     /// Moves the slowness towards that of one request.
-    fn record_slowness(&mut self, now: Instant, slowness: f64) {
+    fn record_slowness(&mut self, now: Instant, slowness: f64, half_life: Duration) {
         let (least, most) = SLOWNESS_BOUNDS;
-        let before = self.slowness(now) - 1.0;
+        let before = self.slowness(now, half_life) - 1.0;
         let observed = slowness.clamp(least, most) - 1.0;
         self.excess = before + SERVER_WEIGHT * (observed - before);
         self.updated_at = Some(now);
     }
 
     /// Returns the server's slowness now; old observations decay towards 1.
-    pub fn slowness(&self, now: Instant) -> f64 {
+    pub fn slowness(&self, now: Instant, half_life: Duration) -> f64 {
         let Some(updated_at) = self.updated_at else {
             return 1.0;
         };
         let half_lives =
-            now.saturating_duration_since(updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+            now.saturating_duration_since(updated_at).as_secs_f64() / half_life.as_secs_f64();
         1.0 + self.excess * 0.5f64.powf(half_lives)
     }
 }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -13,6 +13,7 @@
 mod patience;
 mod probes;
 mod stop;
+mod uneven;
 
 use std::time::{Duration, Instant};
 
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -18,6 +18,9 @@
     pub retry_share: f64,
     /// Servers drawn at random for each choice, of which the least loaded is taken.
     pub draw_count: usize,
+    /// Time after which the slowness that this entry has seen of a server counts half, in
+    /// milliseconds.
+    pub speed_half_life_ms: u64,
     /// Factor by which the load of a server in another failure domain is multiplied; 1 to 100.
     pub far_factor: f64,
     /// Body size that adds the whole load of a server in another failure domain once more, in
@@ -70,6 +73,7 @@
             answer_grace_ms: 100,
             retry_share: 0.2,
             draw_count: 4,
+            speed_half_life_ms: 2_000,
             far_factor: 1.2,
             far_body_bytes: 0,
             path_backoff_ms: 250,
@@ -104,6 +108,7 @@
             "must be from 0 to 1",
         );
         checker.range("draw_count", self.draw_count, 1..=8);
+        checker.range("speed_half_life_ms", self.speed_half_life_ms, 100..=600_000);
         let far_factor_holds = (1.0..=100.0).contains(&self.far_factor);
         checker.require(
             far_factor_holds,
