Refuse a request when its limit on the wait for a slot has passed

What callers saw: attempts with a limit of 100 ms on their wait came back as busy after 579 and 891 ms, and the last attempt of a call of a server waited at one server until its caller left, while others were not asked.

Cause: the guard compared the limit with the expected wait on arrival only, and kept a request that it had taken until its deadline. A call of the server on the VM had no limit at the server where it queued.

The limit now counts from the arrival at the guard, which refuses the request as busy when it has passed: it has not started, so the refusal is true and the entry can ask another server. With routing.own_call_wait_share a call of a server waits for that share of what is left while another server can be asked, and to its deadline only at the last one.

Ruled out: a limit kept by the entry with a cancellation, since it needs an answer to know that nothing started.

Evidence: a_request_that_waits_longer_than_expected_is_refused_when_its_limit_has_passed and a_call_of_a_server_leaves_time_to_wait_at_another_server failed before. Tests that build a request for a guard name its arrival now; the fake choice in routing/tests/full.rs says that there are other servers, as it has five.

--- a/spec/at_most_once/deliver.rs
+++ b/spec/at_most_once/deliver.rs
@@ -195,6 +195,7 @@
                 ..Default::default()
             },
             fingerprint: [0; 32],
+            arrived_at: *NOW,
             deadline_at: *NOW + Duration::from_secs(10),
             hung_after: None,
         };
--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Handles passed deadlines and expired announcements, and starts requests that may start now.
+    /// Handles passed deadlines and wait limits and expired announcements, and starts requests that may start now.
     pub(super) fn handle_tick(&mut self, now: Instant, actions: &mut Vec<GuardAction>) {
         let ttl = self.announcement_ttl();
         let names: Vec<BackendServerId> = self.servers.keys().cloned().collect();
@@ -131,11 +131,15 @@
             let expired = now.saturating_duration_since(server.renewed_at) >= ttl;
             while let Some(overdue) = server.queue.pop_expired(now) {
                 let key = overdue.key();
+                let (kind, retry_after) = match now >= overdue.deadline_at {
+                    true => (ErrorKind::DeadlineUnmeetable, None),
+                    false => (ErrorKind::Busy, Some(server.expected_wait(&overdue))),
+                };
                 self.started.record_refusal(now, key);
                 actions.push(GuardAction::Refuse {
                     key,
-                    kind: ErrorKind::DeadlineUnmeetable,
-                    retry_after: None,
+                    kind,
+                    retry_after,
                 });
             }
             if expired && !server.gone {
--- a/src/guard/duty.rs
+++ b/src/guard/duty.rs
@@ -197,8 +197,7 @@
             return self.refuse(exchange, (key, &name), ErrorKind::NoServer, None);
         }
         self.watch_entry(key, &mut *exchange);
-        let deadline_at = arrived_at + head.remaining;
-        let event = GuardEvent::Arrived(forward::guard_request(&head, deadline_at));
+        let event = GuardEvent::Arrived(forward::guard_request(&head, arrived_at));
         let held = HeldRequest {
             head,
             raw,
--- a/src/guard/forward.rs
+++ b/src/guard/forward.rs
@@ -210,7 +210,7 @@
 }
 
 /// Extracts the parts of a request on which the guard decides.
-pub fn guard_request(head: &ForwardHead, deadline_at: Instant) -> GuardRequest {
+pub fn guard_request(head: &ForwardHead, arrived_at: Instant) -> GuardRequest {
     GuardRequest {
         request: head.request,
         attempt: head.attempt,
@@ -225,7 +225,8 @@
         rank: head.rank,
         terms: head.terms,
         fingerprint: head.fingerprint,
-        deadline_at,
+        arrived_at,
+        deadline_at: arrived_at + head.remaining,
         hung_after: head.hung_after,
     }
 }
--- a/src/guard/message.rs
+++ b/src/guard/message.rs
@@ -104,6 +104,8 @@
     pub terms: AttemptTerms,
     /// Hash by which equal requests are recognised.
     pub fingerprint: Fingerprint,
+    /// When the request arrived at the guard.
+    pub arrived_at: Instant,
     /// When the answer must have arrived.
     pub deadline_at: Instant,
     /// If another server can run the request: the time after which a run counts as hung where the
@@ -116,44 +118,13 @@
     pub fn key(&self) -> AttemptKey {
         (self.request, self.attempt)
     }
-}
-
-/// Requests that run and wait at one server at one moment.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ServerLoad {
-    /// Requests that run at the server.
-    pub running_count: u32,
-    /// Requests that may run at the same time.
-    pub limit_count: u32,
-    /// Requests that wait for a slot.
-    pub waiting_count: usize,
-    /// What keeps the next request from starting.
-    pub start_blocker: StartBlocker,
-}
-
-/// Reason why no further request starts at a server at present.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum StartBlocker {
-    /// A request may start.
-    #[default]
-    Nothing,
-    /// The breaker of the server is open.
-    Breaker,
-    /// All slots of the server are in use.
-    Slots,
-    /// The server has reached its limit of starts within a second.
-    StartRate,
-}
 
-impl StartBlocker {
-    /// Returns the name in logs and counters.
-    pub fn name(self) -> &'static str {
-        match self {
-            StartBlocker::Nothing => "nothing",
-            StartBlocker::Breaker => "breaker",
-            StartBlocker::Slots => "slots",
-            StartBlocker::StartRate => "start_rate",
-        }
+    /// Returns until when the request waits for a slot: as long as its entry lets it, and never after
+    /// its deadline.
+    pub fn waits_until(&self) -> Instant {
+        let limit_ms = self.terms.wait_limit_ms.map(u64::from);
+        let limit_at = limit_ms.map(|ms| self.arrived_at + Duration::from_millis(ms));
+        limit_at.map_or(self.deadline_at, |at| at.min(self.deadline_at))
     }
 }
 
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -14,6 +14,7 @@
 pub mod duty;
 pub mod forward;
 mod inquiry;
+pub mod load;
 mod log;
 pub mod message;
 mod outbound;
@@ -29,6 +30,7 @@
 pub mod state;
 pub mod times;
 mod view_report;
+mod waits;
 mod warmth;
 
 pub use message::{Announcement, AttemptKey, GuardAction, GuardEvent, GuardMessage};
--- a/src/guard/queue.rs
+++ b/src/guard/queue.rs
@@ -94,9 +94,9 @@
         self.remove_where(|request| request.key() == key)
     }
 
-    /// Removes one request whose deadline has passed.
+    /// Removes one request that may not wait any longer.
     pub fn pop_expired(&mut self, now: Instant) -> Option<GuardRequest> {
-        self.remove_where(|request| request.deadline_at <= now)
+        self.remove_where(|request| request.waits_until() <= now)
     }
 
     /// Removes the first request that matches, in any lane.
@@ -107,12 +107,12 @@
         removed
     }
 
-    /// Returns the earliest deadline of the waiting requests.
-    pub fn next_deadline_at(&self) -> Option<Instant> {
+    /// Returns when the first of the waiting requests may not wait any longer.
+    pub fn next_end_at(&self) -> Option<Instant> {
         self.lanes
             .values()
             .flat_map(Lane::requests)
-            .map(|request| request.deadline_at)
+            .map(GuardRequest::waits_until)
             .min()
     }
 
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -4,7 +4,8 @@
 
 use super::breaker::{Breaker, CallEnd};
 use super::cold::{ColdLimit, ColdSettings};
-use super::message::{Announcement, GuardRequest, ServerOutcome, StartBlocker};
+use super::load::StartBlocker;
+use super::message::{Announcement, GuardRequest, ServerOutcome};
 use super::queue::FairQueue;
 use super::run_limit::{first_run_limit, hung_time, run_limit};
 use super::start_rate::StartRate;
@@ -13,13 +14,12 @@
 use crate::membership::message::FULL_SHARE_PERMILLE;
 use crate::membership::ServerEntry;
 use crate::rollout::RolloutStep;
-use crate::routing::stop::STOP_TIME_FACTOR;
 use crate::settings::guard::GuardSettings;
 use crate::types::RouteId;
 use crate::wire::client::CallError;
 
 /// Answers of a route that are needed before waits are estimated from its mean time.
-const MIN_SAMPLE_COUNT: u32 = 8;
+pub(super) const MIN_SAMPLE_COUNT: u32 = 8;
 
 /// Whether a server is confirmed to be at the address that it announces.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,7 +72,7 @@
     /// Evidence on whether the server has silently turned cold.
     warmth: WarmthEvidence,
     /// Service times by route, from which waits are estimated.
-    times: RouteTimes,
+    pub(super) times: RouteTimes,
 }
 
 impl ServerState {
@@ -322,41 +322,6 @@
         limit.map_or(request.deadline_at, |limit| now + limit)
     }
 
-    /// Estimates from recent service times how long a request would wait for its slot.
-    pub(super) fn expected_wait(&self, request: &GuardRequest) -> Duration {
-        let turns = (self.queue.ahead_count(request) + 1) as f64 / f64::from(self.limit_count());
-        Duration::from_secs_f64((turns * self.times.overall_mean_s()).min(MAX_WAIT_S))
-    }
-
-    /// Returns whether a request that must wait can still be answered by its deadline.
-    pub(super) fn can_meet_deadline(&self, now: Instant, request: &GuardRequest) -> bool {
-        let wait = self.expected_wait(request);
-        let answered_at = self.run_time(request).map(|run_time| now + wait + run_time);
-        answered_at.is_none_or(|at| at <= request.deadline_at)
-    }
-
-    /// Returns whether a request that waits this long for its slot will probably be answered
-    /// before the process ends; always if it does not end.
-    pub(super) fn can_end_before(
-        &self,
-        now: Instant,
-        request: &GuardRequest,
-        wait: Duration,
-        ends_at: Option<Instant>,
-    ) -> bool {
-        let run_time = self.run_time(request).unwrap_or_default();
-        let ended_at = now + wait + run_time * STOP_TIME_FACTOR;
-        ends_at.is_none_or(|ends_at| ended_at <= ends_at)
-    }
-
-    /// Returns the mean time of the request's route, or of all routes; none if neither is known.
-    fn run_time(&self, request: &GuardRequest) -> Option<Duration> {
-        let mean_s = self
-            .times
-            .route_or_overall_mean_s(&request.route, MIN_SAMPLE_COUNT)?;
-        Some(Duration::from_secs_f64(mean_s))
-    }
-
     /// Returns the description of the server that other daemons get.
     pub(super) fn server_entry(&self, takes_work: bool) -> ServerEntry {
         let limit = self.cold_limit();
@@ -382,9 +347,6 @@
     }
 }
 
-/// Upper bound of an estimated wait.
-const MAX_WAIT_S: f64 = 3600.0;
-
 /// Multiple of a route's typical time from which a missing answer counts against the server.
 const OVERDUE_RATIO: f64 = 2.0;
 
--- a/src/guard/state.rs
+++ b/src/guard/state.rs
@@ -8,9 +8,8 @@
 use super::deaths::{BrokenCall, DeathTracker};
 use super::departures::Departures;
 use super::inquiry::Inquiries;
-use super::message::{
-    AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerLoad, ServerOutcome,
-};
+use super::load::ServerLoad;
+use super::message::{AttemptKey, GuardAction, GuardEvent, GuardRequest, ServerOutcome};
 use super::retries::{AttemptKind, RetryWindow};
 use super::server::{ServerState, FAILURE_STATUS};
 use super::started::StartedRecord;
@@ -91,7 +90,7 @@
             let expires_at = (!server.gone).then(|| server.renewed_at + self.announcement_ttl());
             for at in [
                 expires_at,
-                server.queue.next_deadline_at(),
+                server.queue.next_end_at(),
                 server.rate_free_at(),
             ]
             .into_iter()
@@ -222,23 +221,9 @@
             return refuse(ErrorKind::RetriesSpent, None);
         }
         let must_wait = !server.has_free_slot(now) || !server.queue.is_empty();
-        let wait = match must_wait {
-            true => server.expected_wait(&request),
-            false => Duration::ZERO,
-        };
-        if !server.can_end_before(now, &request, wait, self.ends_at) {
-            return refuse(ErrorKind::Stopping, None);
-        }
-        if must_wait {
-            let limit = terms
-                .wait_limit_ms
-                .map(|ms| Duration::from_millis(ms.into()));
-            if limit.is_some_and(|limit| wait >= limit) {
-                return refuse(ErrorKind::Busy, Some(wait));
-            }
-            if !server.can_meet_deadline(now, &request) {
-                return refuse(ErrorKind::DeadlineUnmeetable, Some(wait));
-            }
+        let refusal = server.wait_refusal(now, &request, must_wait, self.ends_at);
+        if let Some((kind, retry_after)) = refusal {
+            return refuse(kind, retry_after);
         }
         if let Err(kind) = self.started.admit(key, request.repeatable) {
             return refuse(kind, None);
--- a/src/guard/tests.rs
+++ b/src/guard/tests.rs
@@ -55,6 +55,7 @@
             ..Default::default()
         },
         fingerprint: [number as u8; 32],
+        arrived_at: now,
         deadline_at: now + Duration::from_secs(1),
         hung_after: None,
     }
--- a/src/guard/tests/brief_wait.rs
+++ b/src/guard/tests/brief_wait.rs
@@ -101,3 +101,39 @@
     assert_eq!(refusal_of(&late, 3), Some(ErrorKind::Stopping));
     assert_eq!(refusal_of(&early, 3), None);
 }
+
+#[test]
+fn a_request_that_waits_longer_than_expected_is_refused_when_its_limit_has_passed() {
+    // Arrange: the slot is expected after 100 ms, but the run in it lasts much longer.
+    let now = Instant::now();
+    let wait_limit = TYPICAL_TIME * 2;
+    let mut state = busy_guard(now);
+    let waiting = state.handle(now, arrives(3, now, wait_limit));
+
+    // Act
+    let tick_at = state.next_tick_at().expect("a tick");
+    let at_limit = state.handle(tick_at, GuardEvent::Tick);
+    let later = tick_at + TYPICAL_TIME;
+    let freed = state.handle(later, finished(2, ServerOutcome::Answered(200)));
+
+    // Assert
+    assert_eq!(refusal_of(&waiting, 3), None);
+    assert_eq!(tick_at, now + wait_limit);
+    assert_eq!(refusal_of(&at_limit, 3), Some(ErrorKind::Busy));
+    assert!(!starts(&freed, 3));
+}
+
+#[test]
+fn a_request_whose_deadline_passes_before_its_wait_limit_is_refused_for_its_deadline() {
+    // Arrange
+    let now = Instant::now();
+    let mut state = busy_guard(now);
+    state.handle(now, arrives(3, now, Duration::from_secs(5)));
+
+    // Act
+    let deadline_at = now + Duration::from_secs(1);
+    let actions = state.handle(deadline_at, GuardEvent::Tick);
+
+    // Assert
+    assert_eq!(refusal_of(&actions, 3), Some(ErrorKind::DeadlineUnmeetable));
+}
--- a/src/measure/callers.rs
+++ b/src/measure/callers.rs
@@ -59,7 +59,7 @@
         };
         let pending = PendingRequest {
             stream,
-            arrived_at: now,
+            arrived_at: self.now,
             deadline_at,
         };
         self.pending_requests.insert(request, pending);
@@ -107,6 +107,7 @@
                     rank: plan.rank,
                     terms,
                     fingerprint: fingerprint(plan.request),
+                    arrived_at: self.now,
                     deadline_at: until,
                     hung_after,
                 };
--- a/src/measure/guards.rs
+++ b/src/measure/guards.rs
@@ -22,6 +22,10 @@
         request: GuardRequest,
         sent_at: Instant,
     ) {
+        let request = GuardRequest {
+            arrived_at: self.now,
+            ..request
+        };
         let pending = PendingAttempt {
             entry: from,
             request: request.clone(),
--- a/src/routing/limits.rs
+++ b/src/routing/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::state::{RequestState, RoutingState};
+use super::state::{is_own_call, RequestState, RoutingState, FULL_REFUSAL_LIMIT_COUNT};
 use crate::error::ErrorKind;
 
 impl RoutingState {
@@ -82,6 +82,25 @@
         replaceable.then(|| self.target_time(now, state))
     }
 
+    /// Returns how long an attempt waits in a queue for a slot; none to its deadline. A call of the
+    /// server on this VM waits to its deadline once no other server can be asked: if it failed, the
+    /// work of the server that waits for it would be lost as well.
+    pub(super) fn queue_wait_limit_ms(&self, now: Instant, state: &RequestState) -> Option<u32> {
+        if !is_own_call(&state.plan) {
+            let share = Some(self.settings.queue_wait_share).filter(|share| *share > 0.0)?;
+            return Some(self.target_share_ms(now, state, share));
+        }
+        let share = self.settings.own_call_wait_share;
+        let is_last = state.full_refusal_count + 1 >= FULL_REFUSAL_LIMIT_COUNT
+            || !self.choice.has_other_server(&state.plan)
+            || !self.has_attempts_left(now, state, 2);
+        if share <= 0.0 || is_last {
+            return None;
+        }
+        let left = state.plan.deadline_at.saturating_duration_since(now);
+        Some(left.mul_f64(share).as_millis() as u32)
+    }
+
     /// Returns when an attempt is given up so that there is time left for another one.
     pub(super) fn attempt_until(&self, now: Instant, state: &RequestState) -> Instant {
         let deadline_at = state.plan.deadline_at;
--- a/src/routing/state.rs
+++ b/src/routing/state.rs
@@ -319,12 +319,7 @@
             }
         }
         let target = self.choice.pick(now, &state.plan, &state.tried)?;
-        let share = self.settings.queue_wait_share;
-        // A call of the server on this VM may queue until its deadline: if it failed, the work of
-        // the server that waits for it would be lost as well.
-        if share > 0.0 && !is_own_call(&state.plan) {
-            terms.wait_limit_ms = Some(self.target_share_ms(now, state, share));
-        }
+        terms.wait_limit_ms = self.queue_wait_limit_ms(now, state);
         Some((target, terms))
     }
 
@@ -335,7 +330,7 @@
     }
 
     /// Returns a share of the target time in milliseconds.
-    fn target_share_ms(&self, now: Instant, state: &RequestState, share: f64) -> u32 {
+    pub(super) fn target_share_ms(&self, now: Instant, state: &RequestState, share: f64) -> u32 {
         self.target_time(now, state).mul_f64(share).as_millis() as u32
     }
 
@@ -363,7 +358,7 @@
 const TARGET_DIVISOR: u32 = 4;
 
 /// Refusals for lack of room after which the whole service counts as full.
-const FULL_REFUSAL_LIMIT_COUNT: u32 = 2;
+pub(super) const FULL_REFUSAL_LIMIT_COUNT: u32 = 2;
 
 /// Requests with longer bodies do not look for a free slot, since each try sends the body.
 const FREE_SLOT_BODY_BYTES: u64 = 8_192;
--- a/src/routing/tests/full.rs
+++ b/src/routing/tests/full.rs
@@ -39,6 +39,10 @@
         self.busy
     }
 
+    fn has_other_server(&self, _: &RequestPlan) -> bool {
+        true
+    }
+
     fn attempt_sent(&mut self, _: Instant, _: &RequestPlan, _: &Target) {}
 
     fn attempt_ended(
@@ -191,3 +195,40 @@
     // Assert
     assert!(!terms(&third).last_resort);
 }
+
+/// Returns the terms of an attempt that `refused_count` guards have refused before it as busy, at a
+/// call of the server on this VM with two seconds left.
+fn own_call_terms(own_call_wait_share: f64, refused_count: Attempt) -> AttemptTerms {
+    let now = Instant::now();
+    let mut state = state();
+    let settings = RoutingSettings {
+        own_call_wait_share,
+        ..state.settings.clone()
+    };
+    state.handle(now, RoutingEvent::Settings(Box::new(settings)));
+    let call = RequestPlan {
+        organisation: "".into(),
+        ..plan(now + Duration::from_secs(2))
+    };
+    let mut actions = state.handle(now, RoutingEvent::Dispatch(call));
+    for attempt in 1..=refused_count {
+        actions = state.handle(now, busy(attempt, 900));
+    }
+    terms(&actions)
+}
+
+#[test]
+fn a_call_of_a_server_leaves_time_to_wait_at_another_server() {
+    // Act: two tries for a free slot come first.
+    let first_wait = own_call_terms(0.4, 2);
+    let last_wait = own_call_terms(0.4, 3);
+
+    // Assert
+    assert_eq!(first_wait.wait_limit_ms, Some(800));
+    assert_eq!(last_wait.wait_limit_ms, None);
+}
+
+#[test]
+fn without_a_share_a_call_of_a_server_waits_to_its_deadline() {
+    assert_eq!(own_call_terms(0.0, 2).wait_limit_ms, None);
+}
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -36,6 +36,9 @@
     /// Share of the route's target time that a caller's request waits in a queue for a slot; 0 lets
     /// it wait until its deadline.
     pub queue_wait_share: f64,
+    /// Share of the time left that a call of the server on this VM waits in a queue for a slot while
+    /// another server can still be asked; 0 lets it wait until its deadline.
+    pub own_call_wait_share: f64,
     /// Attempts that guards may refuse, beyond those that may reach a server.
     pub refusals_limit_count: u32,
     /// Whether an answer that reports a failure of the server leads to a retry of a repeatable
@@ -77,6 +80,7 @@
             free_slot_tries_count: 0,
             free_slot_wait_share: 0.0,
             queue_wait_share: 0.0,
+            own_call_wait_share: 0.0,
             refusals_limit_count: 0,
             retry_failed_answers: false,
             end_hung_runs: false,
@@ -115,6 +119,7 @@
         checker.range("free_slot_tries_count", self.free_slot_tries_count, 0..=64);
         checker.range("free_slot_wait_share", self.free_slot_wait_share, 0.0..=1.0);
         checker.range("queue_wait_share", self.queue_wait_share, 0.0..=1.0);
+        checker.range("own_call_wait_share", self.own_call_wait_share, 0.0..=1.0);
         checker.range("refusals_limit_count", self.refusals_limit_count, 0..=64);
         checker.range("park_share", self.park_share, 0.0..=1.0);
         checker.range("retry_after_ms", self.retry_after_ms, 0..=60_000);
--- a/tests/guard_queue.rs
+++ b/tests/guard_queue.rs
@@ -41,6 +41,7 @@
             ..Default::default()
         },
         fingerprint: [0; 32],
+        arrived_at: Instant::now(),
         deadline_at: Instant::now() + Duration::from_secs(1),
         hung_after: None,
     }
--- a/tests/guard_scenarios/simulation.rs
+++ b/tests/guard_scenarios/simulation.rs
@@ -285,6 +285,7 @@
                 ..Default::default()
             },
             fingerprint: fingerprint(load.crashes_server, number),
+            arrived_at: self.epoch_at + self.now,
             deadline_at: self.epoch_at + self.now + load.deadline,
             hung_after: None,
         };
