--- a/src/guard/drain.rs
+++ b/src/guard/drain.rs
@@ -131,7 +131,7 @@
             let expires_at = (!server.gone).then(|| server.renewed_at + self.announcement_ttl());
             for at in [
                 expires_at,
-                server.queue.next_deadline_at(),
+                server.queue.next_end_at(),
                 server.rate_free_at(),
             ]
             .into_iter()
@@ -143,7 +143,8 @@
         next
     }
 
-    /// Handles passed deadlines and expired announcements, and starts requests that may start now.
+    /// Handles waits that have ended and expired announcements, and starts requests that may start
+    /// now.
     pub(super) fn handle_tick(&mut self, now: Instant, actions: &mut Vec<GuardAction>) {
         let ttl = self.announcement_ttl();
         let names: Vec<BackendServerId> = self.servers.keys().cloned().collect();
@@ -154,11 +155,15 @@
             let expired = now.saturating_duration_since(server.renewed_at) >= ttl;
             while let Some(overdue) = server.queue.pop_expired(now) {
                 let key = overdue.key();
+                let (kind, retry_after) = match now >= overdue.deadline_at {
+                    true => (ErrorKind::DeadlineUnmeetable, None),
+                    false => (ErrorKind::Busy, Some(server.expected_wait(&overdue))),
+                };
                 self.started.record_refusal(now, key);
                 actions.push(GuardAction::Refuse {
                     key,
-                    kind: ErrorKind::DeadlineUnmeetable,
-                    retry_after: None,
+                    kind,
+                    retry_after,
                 });
             }
             if expired && !server.gone {
--- a/src/guard/mod.rs
+++ b/src/guard/mod.rs
@@ -14,6 +14,7 @@
 pub mod duty;
 pub mod forward;
 mod inquiry;
+pub mod load;
 mod log;
 pub mod message;
 mod outbound;
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -4,7 +4,8 @@
 
 use super::breaker::{Breaker, CallEnd};
 use super::cold::{ColdLimit, ColdSettings};
-use super::message::{Announcement, GuardRequest, ServerOutcome, StartBlocker};
+use super::load::StartBlocker;
+use super::message::{Announcement, GuardRequest, ServerOutcome};
 use super::queue::FairQueue;
 use super::run_limit::{first_run_limit, hung_time, run_limit};
 use super::start_rate::StartRate;
