Hold a version back that was closed after it had been in full service

A version that turns bad late is closed after it was in full service. Once its guards had no rule any more, entries took it for a version that has passed and gave its servers their full share. Seeing it closed now takes that back.

The part of the slack is also bound to a view that was read, so an empty view at the start of a process does not count as one from before the order.

--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -55,7 +55,7 @@
     daemons: HashMap<ServiceId, BTreeSet<DaemonId>>,
     /// The list of each service that has any server.
     services: HashMap<ServiceId, Arc<ServiceCandidates>>,
-    /// Orders whose version was seen in full service.
+    /// Orders whose version was seen in full service and not closed since.
     passed: HashMap<ServiceId, Arc<RolloutOrder>>,
 }
 
@@ -168,14 +168,15 @@
     }
 
     /// Returns whether servers of the ordered version get nothing until their guards name a step: if
-    /// the version was not seen in full service, and servers of another version serve.
+    /// the version was not seen in full service or was closed since, and servers of another version
+    /// serve.
     fn holds_back_target(&mut self, service: &ServiceId) -> bool {
         let Some(order) = self.view.rollouts.get(service).cloned() else {
             self.passed.remove(service);
             return false;
         };
         let mut serves_other = false;
-        let mut full = false;
+        let (mut full, mut closed) = (false, false);
         for name in self.daemons.get(service).into_iter().flatten() {
             let daemon = self.fleet.daemons.get(name);
             for server in daemon.into_iter().flat_map(|daemon| &daemon.servers) {
@@ -184,11 +185,14 @@
                     continue;
                 }
                 full |= is_target && server.rollout_step == RolloutStep::Full;
+                closed |= is_target && server.rollout_step == RolloutStep::Closed;
                 serves_other |= !is_target && !server.draining && server.share_permille > 0;
             }
         }
         if full {
             self.passed.insert(service.clone(), order.clone());
+        } else if closed {
+            self.passed.remove(service);
         }
         serves_other && self.passed.get(service) != Some(&order)
     }
--- a/src/routing/exposure.rs
+++ b/src/routing/exposure.rs
@@ -103,7 +103,7 @@
             };
             self.trials.insert(service.clone(), trial);
         }
-        self.had_view = true;
+        self.had_view |= view.next > 0;
     }
 
     /// Returns this entry's part of the slack, in whole requests. What can't be divided evenly goes
--- a/src/routing/tests/exposure.rs
+++ b/src/routing/tests/exposure.rs
@@ -352,13 +352,15 @@
 }
 
 #[test]
-fn servers_of_an_ordered_version_get_nothing_before_a_step_and_all_requests_after_the_end() {
+fn servers_of_an_ordered_version_get_requests_without_a_step_only_after_full_service() {
     // Arrange
     let now = Instant::now();
     let cases = [
         (RolloutStep::None, false),
         (RolloutStep::Full, true),
         (RolloutStep::None, true),
+        (RolloutStep::Closed, false),
+        (RolloutStep::None, false),
     ];
     let mut entry = lone_entry(0);
     for (step, expected) in cases {
