Take no answer with a status that HTTP does not know

Callers got answers with status 600 and 999 whole, as a server had sent them: the HTTP library takes any number of three digits from 100 on, and the client passed it on. The client of all calls now takes 200 to 599; anything else is a malformed answer, which ends its connection: 502 with outcome unknown.

Evidence: through two daemons as processes a status of 600 reached the caller before, and the client's test failed before.

--- a/src/wire/client/answer.rs
+++ b/src/wire/client/answer.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io::ErrorKind;
 use std::net::TcpStream;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 
 /// Longest wait for the connection of a reconnect check.
 const RECONNECT_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Statuses of final answers. The HTTP library accepts any number of three digits from 100 on.
+const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
 /// A kept connection is no longer reused this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -149,7 +152,7 @@
     hold: MemoryHold,
 ) -> Result<WholeAnswer, CallError> {
     let (head, incoming) = response.into_parts();
-    if head.status.is_informational() || !is_decodable(&head.headers) {
+    if !ANSWER_STATUSES.contains(&head.status.as_u16()) || !is_decodable(&head.headers) {
         return Err(CallError::ShortAnswer);
     }
     let headers = answer_headers(&head.headers);
--- a/src/wire/client/tests.rs
+++ b/src/wire/client/tests.rs
@@ -3,6 +3,7 @@
 mod early;
 mod endless;
 mod held;
+mod status;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
