Let the breaker wait for a second reset where the settings say so

Whole: the setting guard.breaker_reset_count, off by default and not switched on in the deployment's settings. One reset of a connection shut a server for all callers. A reset is now evidence of its own kind: with the setting at 2 the second one among six calls opens the breaker, and calls cut within 10 ms of each other count once. A refused connection and a death open it at once as before.

Simulated servers can fail in spells of resets, and a policy of the simulation has settings of the guard.

Tests of the breaker name the count 1 where they had no such argument.

--- a/src/guard/breaker.rs
+++ b/src/guard/breaker.rs
@@ -20,6 +20,8 @@
 const PROBE_STARVATION_FACTOR: u32 = 4;
 /// Good probes in a row that close the breaker after a broken call; one may succeed by chance.
 const GOOD_COUNT_AFTER_BROKEN: u32 = 2;
+/// Resets that end within this time of each other count once.
+const SAME_MOMENT: Duration = Duration::from_millis(10);
 /// Shortest wait that a refused entry daemon is given, so that a probe under way can end.
 const MIN_PROBE_WAIT: Duration = Duration::from_millis(150);
 /// Interval between the turns of two entry daemons to probe.
@@ -40,7 +42,9 @@
     Shed,
     /// The server answered with a failure or an unusable answer, or did not answer in time.
     FailedAnswer,
-    /// The connection broke or was refused, or the server died or was replaced.
+    /// The connection broke; the server may still take others.
+    Reset,
+    /// The connection was refused, or the server died or was replaced.
     Broken,
 }
 
@@ -49,6 +53,10 @@
 pub struct Breaker {
     /// Open time after the first opening; zero keeps the breaker closed for good.
     open_time: Duration,
+    /// Resets among the latest calls that open the breaker; at least 1.
+    reset_limit_count: usize,
+    /// When the last reset was counted.
+    last_reset_at: Option<Instant>,
     /// Ends of the latest calls, at most `WINDOW_COUNT` while the breaker is closed.
     recent_ends: VecDeque<CallEnd>,
     /// State of the present opening; `None` while the breaker is closed.
@@ -78,9 +86,11 @@
 
 impl Breaker {
     /// Creates a closed breaker with this open time; zero disables it.
-    pub fn new(open_time: Duration) -> Breaker {
+    pub fn new(open_time: Duration, reset_limit_count: usize) -> Breaker {
         Breaker {
             open_time,
+            reset_limit_count: reset_limit_count.max(1),
+            last_reset_at: None,
             recent_ends: VecDeque::with_capacity(WINDOW_COUNT),
             open: None,
             last_closed: None,
@@ -103,7 +113,7 @@
     /// call leaves its outcome unknown.
     pub fn admits_last_resort(&self, repeatable: bool) -> bool {
         let cause = self.open.map(|open| open.cause);
-        repeatable || cause != Some(CallEnd::Broken)
+        repeatable || cause.is_none_or(|cause| cause < CallEnd::Reset)
     }
 
     /// Returns the time until the next probe; `None` while the breaker is closed.
@@ -155,12 +165,14 @@
             }
             return;
         }
+        if end == CallEnd::Reset && !self.is_new_reset(now) {
+            return;
+        }
         if self.recent_ends.len() == WINDOW_COUNT {
             self.recent_ends.pop_front();
         }
         self.recent_ends.push_back(end);
-        let failed = self.recent_ends.iter().filter(|end| **end != CallEnd::Good);
-        if end == CallEnd::Broken || failed.count() >= FAILED_LIMIT_COUNT {
+        if self.is_failing(end) {
             let relapse = self
                 .last_closed
                 .filter(|(at, _)| now.saturating_duration_since(*at) < RELAPSE_WINDOW);
@@ -168,6 +180,27 @@
         }
     }
 
+    /// Returns whether a reset tells more than the last one: several calls end at the same moment
+    /// when connections are cut, whatever the server does.
+    fn is_new_reset(&mut self, now: Instant) -> bool {
+        let last = self.last_reset_at.replace(now);
+        let passed = last.map(|at| now.saturating_duration_since(at));
+        self.reset_limit_count == 1 || passed.is_none_or(|passed| passed >= SAME_MOMENT)
+    }
+
+    /// Returns whether the latest calls, the last of which ended so, show that the server fails.
+    fn is_failing(&self, last: CallEnd) -> bool {
+        let count_of = |counts: fn(&CallEnd) -> bool| {
+            let ends = self.recent_ends.iter();
+            ends.filter(|end| counts(end)).count()
+        };
+        last == CallEnd::Broken
+            || count_of(|end| *end == CallEnd::Reset) >= self.reset_limit_count
+            || count_of(|end| *end != CallEnd::Good)
+                >= FAILED_LIMIT_COUNT.max(self.reset_limit_count)
+            || count_of(|end| !matches!(end, CallEnd::Good | CallEnd::Reset)) >= FAILED_LIMIT_COUNT
+    }
+
     /// Closes the breaker after enough good probes, or opens it again after a bad one.
     fn record_probe(&mut self, now: Instant, open: OpenState, end: CallEnd) {
         if end != CallEnd::Good {
@@ -176,7 +209,7 @@
         }
         let good_count = open.good_count + 1;
         let wanted_count = match open.cause {
-            CallEnd::Broken => GOOD_COUNT_AFTER_BROKEN,
+            CallEnd::Reset | CallEnd::Broken => GOOD_COUNT_AFTER_BROKEN,
             _ => 1,
         };
         if good_count < wanted_count {
--- a/src/guard/breaker/tests.rs
+++ b/src/guard/breaker/tests.rs
@@ -11,7 +11,7 @@
 
 /// Returns a breaker that one broken call has opened.
 fn opened(now: Instant) -> Breaker {
-    let mut breaker = Breaker::new(OPEN_TIME);
+    let mut breaker = Breaker::new(OPEN_TIME, 1);
     breaker.record_end(now, CallEnd::Broken, CALL_TIME);
     breaker
 }
@@ -26,7 +26,7 @@
 fn one_failed_answer_among_good_ones_keeps_the_breaker_closed_and_two_open_it() {
     // Arrange
     let now = Instant::now();
-    let mut breaker = Breaker::new(OPEN_TIME);
+    let mut breaker = Breaker::new(OPEN_TIME, 1);
 
     // Act
     breaker.record_end(now, CallEnd::FailedAnswer, CALL_TIME);
@@ -55,7 +55,7 @@
 
 /// Returns a breaker that two failed answers opened.
 fn opened_by_answers(now: Instant) -> Breaker {
-    let mut breaker = Breaker::new(OPEN_TIME);
+    let mut breaker = Breaker::new(OPEN_TIME, 1);
     breaker.record_end(now, CallEnd::FailedAnswer, CALL_TIME);
     breaker.record_end(now, CallEnd::FailedAnswer, CALL_TIME);
     breaker
@@ -143,7 +143,7 @@
 #[test]
 fn without_an_open_time_the_breaker_never_opens() {
     let now = Instant::now();
-    let mut breaker = Breaker::new(Duration::ZERO);
+    let mut breaker = Breaker::new(Duration::ZERO, 1);
     breaker.record_end(now, CallEnd::Broken, CALL_TIME);
     assert!(breaker.admits(now, false));
 }
@@ -162,3 +162,52 @@
     assert!(waits[1] > waits[0] && waits[2] > waits[1]);
     assert_eq!(waits[29], OPEN_TIME + NO_TURN_WAIT);
 }
+
+/// Returns a closed breaker that two resets open.
+fn tolerant() -> Breaker {
+    Breaker::new(OPEN_TIME, 2)
+}
+
+#[test]
+fn one_reset_of_a_sound_server_does_not_shut_it_and_a_second_one_does() {
+    // Arrange
+    let now = Instant::now();
+    let mut breaker = tolerant();
+
+    // Act
+    breaker.record_end(now, CallEnd::Reset, CALL_TIME);
+    breaker.record_end(now + CALL_TIME, CallEnd::Good, CALL_TIME);
+    let after_one = breaker.admits(now, false);
+    breaker.record_end(now + CALL_TIME * 3, CallEnd::Reset, CALL_TIME);
+
+    // Assert
+    assert!(after_one);
+    assert!(!breaker.admits(now, false));
+}
+
+#[test]
+fn connections_cut_at_one_moment_count_once() {
+    let now = Instant::now();
+    let mut breaker = tolerant();
+    for _ in 0..5 {
+        breaker.record_end(now, CallEnd::Reset, CALL_TIME);
+    }
+    assert!(breaker.admits(now, false));
+}
+
+#[test]
+fn a_refused_connection_shuts_a_server_at_once() {
+    let now = Instant::now();
+    let mut breaker = tolerant();
+    breaker.record_end(now, CallEnd::Broken, CALL_TIME);
+    assert!(!breaker.admits(now, true));
+}
+
+#[test]
+fn a_reset_and_a_failed_answer_shut_a_server() {
+    let now = Instant::now();
+    let mut breaker = tolerant();
+    breaker.record_end(now, CallEnd::Reset, CALL_TIME);
+    breaker.record_end(now, CallEnd::FailedAnswer, CALL_TIME);
+    assert!(!breaker.admits(now, true));
+}
--- a/src/guard/server.rs
+++ b/src/guard/server.rs
@@ -97,7 +97,10 @@
             cold,
             presence: Presence::Confirmed,
             seen_at: now,
-            breaker: Breaker::new(Duration::from_millis(settings.breaker_open_ms)),
+            breaker: Breaker::new(
+                Duration::from_millis(settings.breaker_open_ms),
+                settings.breaker_reset_count,
+            ),
             start_rate: StartRate::default(),
             cold_rate_per_s: 0.0,
             cold_rate_factor: settings.cold_rate_factor,
@@ -248,11 +251,10 @@
             ServerOutcome::Failed(CallError::Late | CallError::ShortAnswer) => {
                 CallEnd::FailedAnswer
             }
+            ServerOutcome::Failed(CallError::Broken) => CallEnd::Reset,
             ServerOutcome::Died
             | ServerOutcome::Replaced
-            | ServerOutcome::Failed(CallError::NotSent | CallError::Broken | CallError::Died) => {
-                CallEnd::Broken
-            }
+            | ServerOutcome::Failed(CallError::NotSent | CallError::Died) => CallEnd::Broken,
             ServerOutcome::Abandoned
             | ServerOutcome::Failed(
                 CallError::Unwritable
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -22,5 +22,7 @@
 pub mod tally;
 pub mod traffic;
 
+#[cfg(test)]
+mod reset_spells;
 #[cfg(test)]
 mod tests;
--- a/src/measure/node.rs
+++ b/src/measure/node.rs
@@ -16,7 +16,6 @@
 use crate::membership::{DaemonEntry, ServerEntry, FULL_SHARE_PERMILLE};
 use crate::routing::state::RoutingState;
 use crate::routing::RoutingEvent;
-use crate::settings::guard::GuardSettings;
 use crate::types::{BackendServerId, DomainId, Incarnation, ServiceId};
 
 /// Incarnation of every simulated daemon, none of which restarts.
@@ -104,7 +103,7 @@
         };
         Node {
             routing: RoutingState::new(policy.routing.clone(), choice),
-            guard: GuardState::new(GuardSettings::default(), INCARNATION),
+            guard: GuardState::new(policy.guard.clone(), INCARNATION),
             health,
             server,
             server_name: format!("server-{index}").into(),
--- a/src/measure/policy.rs
+++ b/src/measure/policy.rs
@@ -6,6 +6,7 @@
 use super::round_robin::RoundRobin;
 use crate::routing::choice::ServerChoice;
 use crate::routing::least_loaded::LeastLoaded;
+use crate::settings::guard::GuardSettings;
 use crate::settings::health::{DetectorName, HealthSettings};
 use crate::settings::routing::RoutingSettings;
 use crate::types::DomainId;
@@ -21,6 +22,8 @@
     pub health: Option<HealthSettings>,
     /// Settings of the routing duty.
     pub routing: RoutingSettings,
+    /// Settings of the guards.
+    pub guard: GuardSettings,
 }
 
 impl Policy {
@@ -31,6 +34,7 @@
             round_robin: true,
             health: None,
             routing: RoutingSettings::default(),
+            guard: GuardSettings::default(),
         }
     }
 
@@ -45,6 +49,7 @@
             round_robin: false,
             health: Some(health),
             routing: RoutingSettings::default(),
+            guard: GuardSettings::default(),
         }
     }
 
@@ -55,6 +60,7 @@
             round_robin: false,
             health: Some(HealthSettings::default()),
             routing: RoutingSettings::default(),
+            guard: GuardSettings::default(),
         }
     }
 
--- a/src/measure/server.rs
+++ b/src/measure/server.rs
@@ -46,6 +46,19 @@
         /// Length of each failing and each normal phase.
         period: Duration,
     },
+    /// Breaks the connections of most calls in spells, and of a few calls at any time.
+    ResetSpells {
+        /// Time from the start of one spell to that of the next.
+        interval: Duration,
+        /// Length of a spell.
+        length: Duration,
+        /// Time from the start of the fault to that of the first spell.
+        offset: Duration,
+        /// Share of calls that break in a spell, from 0 to 1.
+        spell_share: f64,
+        /// Share of calls that break outside of spells, from 0 to 1.
+        stray_share: f64,
+    },
 }
 
 /// Failures and delays that healthy servers have too.
@@ -182,6 +195,26 @@
                 *outcome = ServerOutcome::Answered(500);
             }
         }
+        Fault::ResetSpells {
+            interval,
+            length,
+            offset,
+            spell_share,
+            stray_share,
+        } => {
+            let passed = now.saturating_duration_since(since + *offset);
+            let spell_part = passed.as_secs_f64() % interval.as_secs_f64();
+            let is_in_spell = now >= since + *offset && spell_part < length.as_secs_f64();
+            let share = if is_in_spell {
+                spell_share
+            } else {
+                stray_share
+            };
+            if random.random_bool(*share) {
+                *time = time.mul_f64(random.random::<f64>());
+                *outcome = ServerOutcome::Failed(CallError::Broken);
+            }
+        }
         _ => {}
     }
 }
--- a/src/settings/guard.rs
+++ b/src/settings/guard.rs
@@ -72,6 +72,9 @@
     /// Time for which the circuit breaker opens after a server's first failure, in milliseconds; 0
     /// disables the breaker.
     pub breaker_open_ms: u64,
+    /// Broken calls among the latest calls of a server that open the breaker while the server still
+    /// takes connections; 1 opens it with the first.
+    pub breaker_reset_count: usize,
     /// Requests that may start per second at any server, relative to the `cold_rate_per_s` of its
     /// service, since a server may turn cold without announcing it; 0 sets no such limit.
     pub cold_rate_factor: f64,
@@ -118,6 +121,7 @@
             inquire: false,
             departures_final: false,
             breaker_open_ms: 0,
+            breaker_reset_count: 1,
             cold_rate_factor: 0.0,
             cold_rate_slack_count: 0,
             retry_window_ms: 0,
@@ -141,6 +145,7 @@
         self.check_records(checker);
         checker.range("connect_timeout_ms", self.connect_timeout_ms, 1..=60000);
         checker.range("breaker_open_ms", self.breaker_open_ms, 0..=60_000);
+        checker.range("breaker_reset_count", self.breaker_reset_count, 1..=6);
         checker.range("cold_rate_factor", self.cold_rate_factor, 0.0..=1000.0);
         checker.range("retry_window_ms", self.retry_window_ms, 0..=600_000);
         checker.range("retry_share", self.retry_share, 0.0..=1.0);
