Take a log that has returned from a copy as unreachable

What could happen: the product's own log forgets the claim of a partition in a loss, while its holder spends on its grantor's lease; a daemon that reads on claims the same partition, and both spend. Offsets of different eras name different records, so readers skip some without a sign.

The client of the log compares the era that each answer tells with the one in which it met the log, and from then on neither reads nor writes until the daemon is restarted. No answer of the new era is taken, so among running daemons no second holder arises. A log that tells no era is read as before.

The stand-in of the log learns it: it tells its era, POST /return loses the records of the last lost_ms, and offsets that it does not have yet get 410.

--- a/src/journal/client.rs
+++ b/src/journal/client.rs
@@ -1,14 +1,16 @@
 //! HTTP client of the platform's log.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
 use std::time::Duration;
 
-use attohttpc::Method;
+use attohttpc::{Method, Response};
 use serde::{Deserialize, Serialize};
 
 use super::{Batch, LogError, LogRecord, PlatformLog};
 use crate::settings::journal::JournalSettings;
-use crate::types::{Offset, OFFSET_LIMIT};
+use crate::types::{Offset, StoreEra, OFFSET_LIMIT};
 use crate::wire::http::request_builder;
 
 /// JSON body that answers a read of a stream.
@@ -52,14 +54,47 @@
     address: SocketAddr,
     /// Longest time for an answer, in addition to the wait of a read.
     timeout: Duration,
+    /// Era in which the log was met; none before the first answer that tells one.
+    era: Mutex<Option<StoreEra>>,
+    /// Whether the log has told another era since. Never cleared.
+    returned: AtomicBool,
 }
 
+/// Header of an answer with the era of a log that may return from a copy.
+pub const ERA_HEADER: &str = "store-era";
+
 impl HttpLog {
     /// Creates a client for the address and the timeout of the settings.
     pub fn new(settings: &JournalSettings) -> HttpLog {
         HttpLog {
             address: settings.address,
             timeout: Duration::from_millis(settings.timeout_ms),
+            era: Mutex::new(None),
+            returned: AtomicBool::new(false),
+        }
+    }
+
+    /// Refuses a log that has returned from a copy. Its offsets name other records, and it may have
+    /// forgotten who holds a partition, so a daemon that goes on with it might give a right to a second
+    /// holder.
+    fn check_era(&self, response: &Response) -> Result<(), LogError> {
+        let told = response.headers().get(ERA_HEADER);
+        let told = told.and_then(|text| text.to_str().ok()?.parse::<StoreEra>().ok());
+        let mut era = self.era.lock().expect("no panic while locked");
+        if let Some(told) = told {
+            let met = *era.get_or_insert(told);
+            if told != met && !self.returned.swap(true, Ordering::Relaxed) {
+                log::error!(met, told; "log_returned_from_copy");
+            }
+        }
+        self.check_returned()
+    }
+
+    /// Fails once the log has returned from a copy.
+    fn check_returned(&self) -> Result<(), LogError> {
+        match self.returned.load(Ordering::Relaxed) {
+            false => Ok(()),
+            true => Err(LogError::Unavailable("returned from a copy".to_owned())),
         }
     }
 
@@ -77,6 +112,7 @@
         limit_count: usize,
         wait: Duration,
     ) -> Result<Batch, LogError> {
+        self.check_returned()?;
         let wait_ms = wait.as_millis();
         let url = format!(
             "{}?from={from}&limit={limit_count}&wait_ms={wait_ms}",
@@ -85,6 +121,7 @@
         let response = request_builder(Method::GET, &url, self.timeout, wait + self.timeout)
             .send()
             .map_err(unavailable)?;
+        self.check_era(&response)?;
         if !response.is_success() {
             return Err(LogError::Unavailable(response.status().to_string()));
         }
@@ -112,10 +149,12 @@
     }
 
     fn append(&self, stream: &str, body: &str) -> Result<Offset, LogError> {
+        self.check_returned()?;
         let response = request_builder(Method::POST, &self.url(stream), self.timeout, self.timeout)
             .text(body)
             .send()
             .map_err(unavailable)?;
+        self.check_era(&response)?;
         if !response.is_success() {
             return Err(LogError::Unavailable(response.status().to_string()));
         }
--- a/src/journal/tests.rs
+++ b/src/journal/tests.rs
@@ -6,6 +6,7 @@
 use crate::contract::{Change, KeyLookup, OrganisationContract, Record};
 use crate::settings::journal::JournalSettings;
 
+mod era;
 mod fake;
 mod invalid;
 mod peers;
--- a/src/standin/platform_log.rs
+++ b/src/standin/platform_log.rs
@@ -1,18 +1,19 @@
 //! Stand-in for the platform's log: streams of records with offsets, with configurable retention
 //! and faults.
 //!
-//! `GET /streams/NAME?from=N&limit=M&wait_ms=W`, `POST /streams/NAME`, and `PUT /faults` with a
-//! `LogFaults` to change how it fails.
+//! `GET /streams/NAME?from=N&limit=M&wait_ms=W`, `POST /streams/NAME`, `PUT /faults` with a `LogFaults`
+//! to change how it fails, and `POST /return?lost_ms=N` to come back from a copy that is so old.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response, Server};
 
-use crate::journal::client::{AppendAnswer, ReadAnswer, RecordAnswer};
+use crate::journal::client::{AppendAnswer, ReadAnswer, RecordAnswer, ERA_HEADER};
 use crate::ring::spawn_duty;
 use crate::types::Offset;
 
@@ -60,8 +61,8 @@
 struct StoredStream {
     /// Offset of the oldest retained record.
     first_offset: Offset,
-    /// Record `i` has offset `first_offset + i`.
-    records: VecDeque<String>,
+    /// Record `i` has offset `first_offset + i`; each with the time of its append.
+    records: VecDeque<(Instant, String)>,
 }
 
 impl StoredStream {
@@ -78,6 +79,8 @@
     state: Mutex<LogState>,
     /// Signals new records, new reads and new faults.
     changed: Condvar,
+    /// Number of returns from a copy.
+    era: AtomicU64,
 }
 
 /// A running stand-in log, which ends with its process.
@@ -116,7 +119,7 @@
 fn handle_request(shared: &SharedState, mut request: Request) {
     let mut body = String::new();
     if request.as_reader().read_to_string(&mut body).is_err() {
-        return respond(request, 400, "the body is not text");
+        return respond(shared, request, 400, "the body is not text");
     }
     let (path, query) = match request.url().split_once('?') {
         Some((path, query)) => (path.to_owned(), query.to_owned()),
@@ -125,8 +128,11 @@
     if path == "/faults" && *request.method() == Method::Put {
         return set_faults(shared, request, &body);
     }
+    if path == "/return" && *request.method() == Method::Post {
+        return return_from_copy(shared, request, &query);
+    }
     let Some(stream) = path.strip_prefix("/streams/") else {
-        return respond(request, 404, "no such path");
+        return respond(shared, request, 404, "no such path");
     };
     let faults = shared
         .state
@@ -136,12 +142,12 @@
         .clone();
     std::thread::sleep(Duration::from_millis(faults.slow_ms));
     if faults.down {
-        return respond(request, 503, "down");
+        return respond(shared, request, 503, "down");
     }
     match *request.method() {
         Method::Get => read(shared, request, stream, &query),
         Method::Post => append(shared, request, stream, body),
-        _ => respond(request, 405, "GET or POST"),
+        _ => respond(shared, request, 405, "GET or POST"),
     }
 }
 
@@ -157,10 +163,27 @@
             }
             drop(state);
             shared.changed.notify_all();
-            respond(request, 200, "{}");
+            respond(shared, request, 200, "{}");
         }
-        Err(error) => respond(request, 400, &error.to_string()),
+        Err(error) => respond(shared, request, 400, &error.to_string()),
+    }
+}
+
+/// Loses the records of the last `lost_ms` milliseconds and begins an era, as a store does that comes
+/// back from a copy.
+fn return_from_copy(shared: &SharedState, request: Request, query: &str) {
+    let lost = Duration::from_millis(parameter(query, "lost_ms").unwrap_or(0));
+    let now = Instant::now();
+    let mut state = shared.state.lock().expect("no panic while locked");
+    for stream in state.streams.values_mut() {
+        stream
+            .records
+            .retain(|(appended_at, _)| now - *appended_at >= lost);
     }
+    shared.era.fetch_add(1, Ordering::Relaxed);
+    drop(state);
+    shared.changed.notify_all();
+    respond(shared, request, 200, "{}");
 }
 
 /// Drops the oldest records beyond the retention count; 0 keeps all.
@@ -177,16 +200,16 @@
     let retention_count = state.faults.retention_count;
     let entry = state.streams.entry(stream.to_owned()).or_default();
     let offset = entry.next_offset();
-    entry.records.push_back(body);
+    entry.records.push_back((Instant::now(), body));
     apply_retention(entry, retention_count);
     let is_lost = state.faults.lost_answers_count > 0;
     state.faults.lost_answers_count = state.faults.lost_answers_count.saturating_sub(1);
     drop(state);
     shared.changed.notify_all();
     if is_lost {
-        return respond(request, 503, "the answer was lost");
+        return respond(shared, request, 503, "the answer was lost");
     }
-    respond(request, 200, &to_json(&AppendAnswer { offset }));
+    respond(shared, request, 200, &to_json(&AppendAnswer { offset }));
 }
 
 /// Adds a read to the reads that wait for a record.
@@ -223,18 +246,19 @@
                 .streams
                 .get(&read.stream)
                 .is_some_and(|stream| stream.next_offset() > read.from);
-            let due = has_record || state.faults.down || read.until <= now;
+            let is_lost = is_beyond_copy(shared, &state, &read);
+            let due = is_lost || has_record || state.faults.down || read.until <= now;
             if due { &mut ready } else { &mut waiting }.push(read);
         }
         state.waiting_reads = waiting;
         if !ready.is_empty() {
             let answers: Vec<_> = ready
                 .into_iter()
-                .map(|read| prepare_answer(&state, read))
+                .map(|read| prepare_answer(shared, &state, read))
                 .collect();
             drop(state);
             for (request, status, body) in answers {
-                respond(request, status, &body);
+                respond(shared, request, status, &body);
             }
             state = shared.state.lock().expect("no panic while locked");
             continue;
@@ -249,11 +273,29 @@
     }
 }
 
+/// Returns whether a read asks for an offset that a log which returned from a copy doesn't have yet.
+fn is_beyond_copy(shared: &SharedState, state: &LogState, read: &WaitingRead) -> bool {
+    let stream = state.streams.get(&read.stream);
+    let next = stream.map_or(0, StoredStream::next_offset);
+    shared.era.load(Ordering::Relaxed) > 0 && read.from > next
+}
+
 /// Returns the request of a read with the status and the body of its answer.
-fn prepare_answer(state: &LogState, read: WaitingRead) -> (Request, u16, String) {
+fn prepare_answer(
+    shared: &SharedState,
+    state: &LogState,
+    read: WaitingRead,
+) -> (Request, u16, String) {
     if state.faults.down {
         return (read.request, 503, "down".to_owned());
     }
+    if is_beyond_copy(shared, state, &read) {
+        return (
+            read.request,
+            410,
+            "the copy ends before this offset".to_owned(),
+        );
+    }
     let answer = read_answer(state.streams.get(&read.stream), read.from, read.limit_count);
     (read.request, 200, to_json(&answer))
 }
@@ -268,7 +310,7 @@
         };
     };
     let mut records = Vec::new();
-    for (index, body) in stream.records.iter().enumerate() {
+    for (index, (_, body)) in stream.records.iter().enumerate() {
         let offset = stream.first_offset + index as Offset;
         if offset < from || records.len() >= limit_count {
             continue;
@@ -300,7 +342,10 @@
 }
 
 /// Answers a request with a status and a body.
-fn respond(request: Request, status: u16, body: &str) {
+fn respond(shared: &SharedState, request: Request, status: u16, body: &str) {
     // A reader that left cannot receive an error.
-    let _ = request.respond(Response::from_string(body).with_status_code(status));
+    let era = shared.era.load(Ordering::Relaxed).to_string();
+    let era = Header::from_bytes(ERA_HEADER, era).expect("a number is a header's value");
+    let response = Response::from_string(body).with_status_code(status);
+    let _ = request.respond(response.with_header(era));
 }
