--- a/src/feed/state.rs
+++ b/src/feed/state.rs
@@ -37,7 +37,7 @@
     ahead: Option<(DaemonId, FeedPosition)>,
     /// When a peer is to be asked; none if there is no reason to.
     pub(super) ask_at: Option<Instant>,
-    /// Until when other daemons' reads may hang, since a read of this one has failed.
+    /// Until when other daemons' reads may hang or wait in vain, since a read of this one has failed.
     others_may_hang_until: Option<Instant>,
     /// Part of this daemon in the reads of the fleet.
     role: ReadRole,
@@ -161,6 +161,10 @@
                 self.ask_at.get_or_insert(now);
                 self.others_may_hang_until = Some(now + self.longest_read());
             }
+            FeedRead::Failed(FeedError::Truncated) => {
+                // A record that was deleted at once did not end the waits of other daemons' reads.
+                self.others_may_hang_until = Some(now + self.longest_read());
+            }
             FeedRead::Failed(_) => {}
         }
         let others_may_hang = self.others_may_hang_until.is_some_and(|until| now < until);
@@ -249,7 +253,8 @@
         actions: &mut Vec<FeedAction>,
     ) {
         self.asking = false;
-        if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.position().is_valid()) {
+        let snapshot = snapshot.filter(|snapshot| snapshot.position().is_valid());
+        if let Some(snapshot) = snapshot {
             self.take_snapshot(now, snapshot, actions);
         }
         let again = !self.reachable || self.settles_at.is_some();
