Find the watchers of a fleet in one pass, and test that for 7,900 daemons

Each daemon searched its fleet three times for its role. The role of every daemon is still checked up to 355.

--- a/src/feed/role.rs
+++ b/src/feed/role.rs
@@ -6,10 +6,11 @@
 //! the fleet, which starts and changes bring into step.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::membership::{tree_position, DaemonEntry, Fleet};
+use smallvec::SmallVec;
+
+use crate::membership::{tree_position, Fleet};
 use crate::settings::feed::FeedSettings;
 use crate::types::DaemonId;
 
@@ -24,25 +25,11 @@
 }
 
 impl ReadRole {
-    /// Returns the role of a daemon. Watchers are the first daemon by hash, and the first one of
-    /// another failure domain.
-    pub fn new<'a>(fleet: &'a Fleet, own: &DaemonId) -> ReadRole {
-        let staying = || {
-            let daemons = fleet.daemons.values();
-            daemons.filter(|daemon| !daemon.leaving)
-        };
-        let first_of = |daemons: &mut dyn Iterator<Item = &'a Arc<DaemonEntry>>| {
-            daemons.min_by_key(|daemon| (tree_position(&daemon.daemon), &daemon.daemon))
-        };
-        let first = first_of(&mut staying());
-        let Some(first) = first.filter(|_| fleet.daemons.contains_key(own)) else {
-            return ReadRole::Watcher;
-        };
-        let mut elsewhere = staying().filter(|daemon| daemon.domain != first.domain);
-        let mut others = staying().filter(|daemon| daemon.daemon != first.daemon);
-        let second = first_of(&mut elsewhere).or_else(|| first_of(&mut others));
-        let watches = first.daemon == *own || second.is_some_and(|second| second.daemon == *own);
-        match watches {
+    /// Returns the role of a daemon.
+    pub fn new(fleet: &Fleet, own: &DaemonId) -> ReadRole {
+        let watchers = watchers(fleet);
+        let is_unknown = watchers.is_empty() || !fleet.daemons.contains_key(own);
+        match is_unknown || watchers.contains(&own) {
             true => ReadRole::Watcher,
             false => ReadRole::Follower,
         }
@@ -57,6 +44,26 @@
     }
 }
 
+/// Returns the watchers of a fleet: the first daemon by hash, and the first one of another failure
+/// domain, or of the same one if there is no other.
+pub fn watchers(fleet: &Fleet) -> SmallVec<[&DaemonId; 2]> {
+    let daemons = fleet.daemons.values().filter(|daemon| !daemon.leaving);
+    let mut ranked: Vec<_> = daemons
+        .map(|daemon| (tree_position(&daemon.daemon), daemon))
+        .collect();
+    ranked.sort_unstable_by_key(|(position, daemon)| (*position, &daemon.daemon));
+    let Some((_, first)) = ranked.first() else {
+        return SmallVec::new();
+    };
+    let elsewhere = ranked
+        .iter()
+        .find(|(_, daemon)| daemon.domain != first.domain);
+    let second = elsewhere.or(ranked.get(1));
+    let found = [Some(first), second.map(|(_, daemon)| daemon)];
+    let found = found.into_iter().flatten();
+    found.map(|daemon| &daemon.daemon).collect()
+}
+
 /// The present role of this daemon, passed from the feed duty to the thread that reads.
 #[derive(Debug, Default)]
 pub struct SharedRole {
--- a/src/feed/tests/role.rs
+++ b/src/feed/tests/role.rs
@@ -5,7 +5,7 @@
 
 use super::{asked, failed, fleet, newest, state};
 use crate::feed::message::{FeedAction, FeedEvent, Snapshot, NOTIFIED_COUNT};
-use crate::feed::role::{ReadRole, SharedRole};
+use crate::feed::role::{watchers, ReadRole, SharedRole};
 use crate::feed::FeedPosition;
 use crate::membership::{DaemonEntry, Fleet};
 use crate::settings::feed::FeedSettings;
@@ -25,22 +25,25 @@
     })
 }
 
-/// Returns the daemons of a fleet that watch.
-fn watchers(fleet: &Fleet) -> Vec<DaemonId> {
-    let daemons = fleet.daemons.keys().cloned();
-    let watches = |daemon: &DaemonId| ReadRole::new(fleet, daemon) == ReadRole::Watcher;
-    daemons.filter(watches).collect()
-}
-
 #[test]
 fn any_fleet_has_two_watchers_and_the_others_read_as_rarely_as_before() {
     let settings = FeedSettings::default();
-    for daemon_count in [1, 2, 3, 4, 7, 21, 355] {
+    for daemon_count in [1, 2, 3, 4, 5, 6, 7, 21, 355, 7_900] {
         // Act
-        let watchers = watchers(&fleet_with_others(daemon_count - 1));
+        let fleet = fleet_with_others(daemon_count - 1);
+        let watchers = watchers(&fleet);
 
         // Assert
         assert_eq!(watchers.len(), daemon_count.min(2), "{daemon_count}");
+        for watcher in watchers {
+            assert_eq!(ReadRole::new(&fleet, watcher), ReadRole::Watcher);
+        }
+    }
+    for daemon_count in [1, 2, 3, 4, 7, 21, 355] {
+        let fleet = fleet_with_others(daemon_count - 1);
+        let daemons = fleet.daemons.keys();
+        let watching = daemons.filter(|daemon| ReadRole::new(&fleet, daemon) == ReadRole::Watcher);
+        assert_eq!(watching.count(), daemon_count.min(2), "{daemon_count}");
     }
     let waits = [ReadRole::Watcher, ReadRole::Follower].map(|role| role.longest_wait(&settings));
     assert_eq!(waits.map(|wait| wait.as_millis()), [1_400, 5_000]);
@@ -66,7 +69,7 @@
     }
     for _ in 0..10 {
         // Act
-        let found = watchers(&fleet);
+        let found: Vec<DaemonId> = watchers(&fleet).into_iter().cloned().collect();
 
         // Assert
         assert_eq!(found.len(), 2, "{found:?}");
