Drive a roll-out only after a moment as the first in rank

A daemon drives now after 0.3 s as the first, or after 3 s if it knows no other.

Two faults of the judgement came up in the tests of good versions: slow was told from 4 requests of the other version, and a gray server decided alone in a window in which only it had requests. Both need more now.

A step that another driver wrote drops what was to be written, else a driver could set the step back; found with the model in spec/rollout.rs, which searches two drivers with a kill or a lost answer over the real StatusRecord.

Checked: 27 tests of the slice, 5 of the model.

--- a/src/rollout/course.rs
+++ b/src/rollout/course.rs
@@ -7,7 +7,7 @@
 use super::message::{RolloutOrder, RolloutState, RolloutStatus, RolloutStep};
 
 /// Phase of a roll-out at its driver.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Phase {
     /// The status was not read yet.
     Reading,
@@ -24,6 +24,24 @@
 }
 
 impl Phase {
+    /// Returns the phase that follows from a status of the order; none if the status tells nothing
+    /// new.
+    pub fn after(self, status: &RolloutStatus) -> Option<Phase> {
+        let phase = match (status.state, status.step) {
+            (RolloutState::Running, RolloutStep::Full) => Phase::Full,
+            (RolloutState::Running, RolloutStep::Closed) => Phase::RollingBack,
+            (RolloutState::Running, _) => Phase::Waiting,
+            (state, _) => Phase::Ended(state),
+        };
+        let is_new = match phase {
+            Phase::Ended(_) => self != phase,
+            Phase::Full => matches!(self, Phase::Reading | Phase::Waiting | Phase::Trial),
+            Phase::RollingBack => !matches!(self, Phase::RollingBack | Phase::Ended(_)),
+            _ => self == Phase::Reading,
+        };
+        is_new.then_some(phase)
+    }
+
     /// Returns the name in the log.
     fn name(self) -> &'static str {
         match self {
--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -128,27 +128,9 @@
         };
         self.course
             .written_at_age(now, Duration::from_millis(status.age_ms));
-        let phase = match (status.state, status.step) {
-            (RolloutState::Running, RolloutStep::Full) => Phase::Full,
-            (RolloutState::Running, RolloutStep::Closed) => Phase::RollingBack,
-            (RolloutState::Running, _) => Phase::Waiting,
-            (state, _) => Phase::Ended(state),
-        };
-        let is_news = match phase {
-            Phase::Ended(_) => self.course.phase != phase,
-            Phase::Full => matches!(
-                self.course.phase,
-                Phase::Reading | Phase::Waiting | Phase::Trial
-            ),
-            Phase::RollingBack => {
-                !matches!(self.course.phase, Phase::RollingBack | Phase::Ended(_))
-            }
-            _ => self.course.phase == Phase::Reading,
-        };
-        if is_news {
-            if matches!(phase, Phase::Ended(_)) {
-                record.cancel();
-            }
+        if let Some(phase) = self.course.phase.after(&status) {
+            // What was to be written was decided before this was known.
+            record.cancel();
             self.course
                 .enter(now, phase, status.reason.clone(), &mut actions);
         }
--- a/src/rollout/judgement.rs
+++ b/src/rollout/judgement.rs
@@ -33,7 +33,8 @@
 const SERVER_WEIGHT: f64 = 2.0;
 /// Quantile of the other versions' times, from which the slow threshold is derived.
 const SLOW_QUANTILE: f64 = 0.9;
-/// Requests of the other versions that a window needs; with fewer, all since the order are taken.
+/// Requests of the other versions that a window needs. With fewer, all since the order are taken;
+/// if those are fewer, nothing is said of slow answers.
 const BASELINE_COUNT: u32 = 30;
 /// Requests of the other versions that make a route one that the service serves.
 const ROUTE_COUNT: u32 = 20;
@@ -239,6 +240,10 @@
         if other.seen_count < BASELINE_COUNT {
             other = self.total(route, false, None);
         }
+        if is_slow && other.seen_count < BASELINE_COUNT {
+            // Too few to tell what slow is.
+            return None;
+        }
         let threshold = match is_slow {
             true => Some(quantile_bucket(&other.buckets.map(f64::from), SLOW_QUANTILE)? + 1),
             false => None,
@@ -267,11 +272,13 @@
         if seen_count == 0 {
             return None;
         }
+        let targets = self.tracks.values().filter(|track| track.is_target);
+        let server_count = targets.count();
         let sums: Vec<f64> = parts
             .iter()
             .map(|(met_count, seen_count)| log_ratio(expected_share, *met_count, *seen_count))
             .collect();
-        let sum = sum_limited(&sums);
+        let sum = sum_limited(&sums, server_count);
         Some(Finding {
             route: Some(route.clone()),
             kind: if is_slow { "slow" } else { "failed" },
@@ -317,12 +324,12 @@
     f64::from(met_count) * met + f64::from(seen_count - met_count) * unaffected
 }
 
-/// Adds what the servers say. Where there are several, the one that says most counts for at most
+/// Adds what the servers say. Where the version has several, with requests or not, the one that says most counts for at most
 /// `SERVER_WEIGHT` times all others: it may be gray for reasons of its own.
-fn sum_limited(sums: &[f64]) -> f64 {
+fn sum_limited(sums: &[f64], server_count: usize) -> f64 {
     let total: f64 = sums.iter().sum();
     let most = sums.iter().copied().fold(f64::NEG_INFINITY, f64::max);
-    if sums.len() < 2 || most <= 0.0 {
+    if server_count < 2 || most <= 0.0 {
         return total;
     }
     let others = total - most;
--- a/src/rollout/message.rs
+++ b/src/rollout/message.rs
@@ -22,7 +22,7 @@
 }
 
 /// Step of a roll-out at one server, as its guard applies it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, Hash)]
 #[serde(rename_all = "snake_case")]
 pub enum RolloutStep {
     /// No roll-out concerns the server.
@@ -123,7 +123,7 @@
 }
 
 /// State of a roll-out as operators see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RolloutState {
     /// The version is under trial, or is taking over.
     Running,
@@ -145,7 +145,7 @@
 }
 
 /// Record of a roll-out on the platform.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct RolloutStatus {
     /// The service that is moved.
     pub service: ServiceId,
@@ -165,7 +165,7 @@
 }
 
 /// The status of one service, and where the stream of statuses ended when it was read.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct StatusPage {
     /// The status; none if nothing was written about the service.
     pub status: Option<RolloutStatus>,
--- a/src/rollout/record.rs
+++ b/src/rollout/record.rs
@@ -11,7 +11,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// A call to the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum StoreCall {
     /// Reads the status.
     Read,
@@ -20,7 +20,7 @@
 }
 
 /// What this daemon knows of the status record, and what it wants to write.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct StatusRecord {
     /// The record as it was last read or written; none if it is to be read.
     known: Option<StatusPage>,
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -23,6 +23,11 @@
 /// Interval of ticks of the other daemons while there are orders.
 const QUIET_TICK: Duration = Duration::from_secs(1);
 
+/// Time for which a daemon must be the first in rank before it drives.
+const DRIVER_DELAY: Duration = Duration::from_millis(300);
+/// The same for a daemon that knows no other, since it may just have started.
+const ALONE_DELAY: Duration = Duration::from_secs(3);
+
 /// One order that is in force, and what this daemon does for it.
 struct Rollout {
     /// The order.
@@ -37,6 +42,8 @@
     applied: Option<RolloutRule>,
     /// Daemons with servers of the service.
     members: Vec<Member>,
+    /// Since when this daemon has been the first in rank; none while it is not.
+    first_since: Option<Instant>,
     /// Drives the roll-out; none while another daemon does.
     driver: Option<Driver>,
 }
@@ -182,6 +189,7 @@
                 problem,
                 local,
                 applied: None,
+                first_since: None,
                 driver: None,
             };
             self.rollouts.insert(order.service.clone(), rollout);
@@ -259,9 +267,19 @@
             let first = driver_of(&self.fleet, &rollout.members);
             if first.as_ref() != Some(&self.own_daemon) {
                 rollout.driver = None;
+                rollout.first_since = None;
                 tick = Some(tick.unwrap_or(QUIET_TICK).min(QUIET_TICK));
                 continue;
             }
+            let first_since = *rollout.first_since.get_or_insert(now);
+            let delay = match self.fleet.daemons.len() {
+                0 | 1 => ALONE_DELAY,
+                _ => DRIVER_DELAY,
+            };
+            if rollout.driver.is_none() && now.saturating_duration_since(first_since) < delay {
+                tick = Some(tick.unwrap_or(DRIVER_TICK).min(DRIVER_TICK));
+                continue;
+            }
             let record = self.records.entry(service.clone()).or_default();
             let driver = rollout.driver.get_or_insert_with(|| {
                 record.forget();
