--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -128,7 +128,7 @@
         };
         self.course
             .written_at_age(now, Duration::from_millis(status.age_ms));
-        if let Some(phase) = self.course.phase.after(&status) {
+        if let Some(phase) = self.course.phase.after(status) {
             // What was to be written was decided before this was known.
             record.cancel();
             self.course
