End a trial without calls within the time to roll back

The bound rollout.rollback_ms was read by nobody: a server under trial whose driver was cut off went on for 2 s, also where the platform allows less. The hold is now at most 0.4 of that time.

--- a/src/daemon/rollout.rs
+++ b/src/daemon/rollout.rs
@@ -13,6 +13,7 @@
 use crate::health::{OutcomeObserver, RequestEnd, StartedRequest};
 use crate::membership::ServerEntry;
 use crate::ring::{spawn_duty, RingSender};
+use crate::rollout::plan::TrialBounds;
 use crate::rollout::{self, RolloutEvent, RolloutMessage, RolloutStore};
 
 /// Passes the outcomes of the guard to the roll-out duty while there are orders. If its ring is full,
@@ -60,7 +61,10 @@
 ) -> JoinHandle<()> {
     let context = rollout::duty::RolloutContext {
         own_daemon: shared.settings.daemon.daemon.clone(),
-        trial_share: shared.settings.routing.trial_share,
+        bounds: TrialBounds {
+            share: shared.settings.routing.trial_share,
+            rollback: Duration::from_millis(shared.settings.rollout.rollback_ms),
+        },
         clock: shared.clock.clone(),
         metrics: shared.metrics.clone(),
         guard: rings.guard.clone(),
--- a/src/rollout/driver.rs
+++ b/src/rollout/driver.rs
@@ -9,7 +9,7 @@
 use super::judgement::{Judgement, Verdict, DOUBT, LIMIT};
 use super::members::{choose_canaries, Member, Peer};
 use super::message::{RolloutCall, RolloutOrder, RolloutReport, RolloutState, RolloutStep};
-use super::plan::call_plan;
+use super::plan::{call_plan, TrialBounds};
 use super::record::StatusRecord;
 use crate::types::{BackendServerId, DaemonId};
 
@@ -43,8 +43,8 @@
 pub struct Driver {
     /// The order, and how far it has come.
     course: Course,
-    /// Share of the service's requests that the version may get during the trial.
-    trial_share: f64,
+    /// Bounds of the trial.
+    bounds: TrialBounds,
     /// Why the order can't be carried out; none if it can.
     problem: Option<&'static str>,
     /// Daemons whose servers of the version are under trial.
@@ -67,12 +67,12 @@
         now: Instant,
         order: Arc<RolloutOrder>,
         ordered_at: Instant,
-        trial_share: f64,
+        bounds: TrialBounds,
         problem: Option<&'static str>,
     ) -> Driver {
         Driver {
             course: Course::new(now, order, ordered_at),
-            trial_share,
+            bounds,
             problem,
             canaries: Vec::new(),
             peers: BTreeMap::new(),
@@ -185,7 +185,7 @@
             Phase::RollingBack => self.end_roll_back(now, members, record),
             _ => {}
         }
-        choose_canaries(&mut self.canaries, members, other_count, self.trial_share);
+        choose_canaries(&mut self.canaries, members, other_count, self.bounds.share);
         self.call_members(now, members, &mut actions);
         self.read_if_refused(now, record);
         actions
@@ -346,7 +346,7 @@
                     target_version: self.course.order.target_version.clone(),
                     order: self.course.order.order,
                     step: plan.step,
-                    holds_for: plan.holds_for,
+                    holds_for: plan.holds_for.min(self.bounds.hold()),
                 },
             });
         }
--- a/src/rollout/duty.rs
+++ b/src/rollout/duty.rs
@@ -10,6 +10,7 @@
 
 use super::event::{CallId, RolloutAction, RolloutEvent, RolloutMessage, StepRecord};
 use super::message::{RolloutCall, RolloutStatus};
+use super::plan::TrialBounds;
 use super::state::Rollouts;
 use super::RolloutStore;
 use crate::clock::Clock;
@@ -28,8 +29,8 @@
 pub struct RolloutContext {
     /// Id of this daemon.
     pub own_daemon: DaemonId,
-    /// Share of a service's requests that a version under trial may get.
-    pub trial_share: f64,
+    /// Bounds of trials.
+    pub bounds: TrialBounds,
     /// Clock by which steps are measured.
     pub clock: Arc<dyn Clock>,
     /// Takes the counters of roll-outs.
@@ -81,7 +82,7 @@
     messages: &Receiver<RolloutMessage>,
 ) {
     let mut duty = RolloutDuty {
-        state: Rollouts::new(context.own_daemon.clone(), context.trial_share),
+        state: Rollouts::new(context.own_daemon.clone(), context.bounds),
         context,
         store: Some(StoreAccess::Unused(store)),
         replies: HashMap::new(),
--- a/src/rollout/plan.rs
+++ b/src/rollout/plan.rs
@@ -6,8 +6,11 @@
 use super::members::{Member, Peer};
 use super::message::{RolloutState, RolloutStep};
 
-/// Time for which a trial goes on without another call of the driver.
-pub const TRIAL_HOLD: Duration = Duration::from_secs(2);
+/// Longest time for which a trial goes on without another call of the driver.
+const TRIAL_HOLD: Duration = Duration::from_secs(2);
+/// Part of the time to roll back that a trial may go on without another call. The rest is for the
+/// evidence and for what is on its way.
+const TRIAL_HOLD_SHARE: f64 = 0.4;
 /// Interval of calls to a server under trial.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of calls to servers of other versions for their evidence.
@@ -27,6 +30,22 @@
 /// Time for which the version's servers open before the others close.
 const OPEN_LEAD: Duration = Duration::from_millis(300);
 
+/// Bounds of a trial, from the settings.
+#[derive(Debug, Clone, Copy)]
+pub struct TrialBounds {
+    /// Share of a service's requests that a version under trial may get.
+    pub share: f64,
+    /// Longest time from the evidence that a version is bad until it gets no requests.
+    pub rollback: Duration,
+}
+
+impl TrialBounds {
+    /// Returns for how long a trial goes on without another call of the driver.
+    pub fn hold(&self) -> Duration {
+        TRIAL_HOLD.min(self.rollback.mul_f64(TRIAL_HOLD_SHARE))
+    }
+}
+
 /// A call to a daemon, if one is due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallPlan {
--- a/src/rollout/state.rs
+++ b/src/rollout/state.rs
@@ -14,6 +14,7 @@
 use super::local::LocalRule;
 use super::members::{driver_of, members, Member};
 use super::message::{RolloutCall, RolloutOrder, RolloutReport, RolloutRule, RolloutStep};
+use super::plan::TrialBounds;
 use super::record::{StatusRecord, StoreCall};
 use crate::membership::{Fleet, ServerEntry};
 use crate::types::{DaemonId, DomainId, ServiceId, SoftwareVersion};
@@ -52,8 +53,8 @@
 pub struct Rollouts {
     /// Id of this daemon.
     own_daemon: DaemonId,
-    /// Share of a service's requests that a version under trial may get.
-    trial_share: f64,
+    /// Bounds of trials.
+    bounds: TrialBounds,
     /// The newest snapshot of the fleet.
     fleet: Arc<Fleet>,
     /// Failure domains that are out of service.
@@ -73,10 +74,10 @@
 
 impl Rollouts {
     /// Creates the state without orders.
-    pub fn new(own_daemon: DaemonId, trial_share: f64) -> Rollouts {
+    pub fn new(own_daemon: DaemonId, bounds: TrialBounds) -> Rollouts {
         Rollouts {
             own_daemon,
-            trial_share,
+            bounds,
             fleet: Arc::default(),
             domains_out: BTreeSet::new(),
             servers: Vec::new(),
@@ -285,7 +286,7 @@
                 record.forget();
                 record.cancel();
                 let (order, at) = (rollout.order.clone(), rollout.ordered_at);
-                Driver::new(now, order, at, self.trial_share, rollout.problem)
+                Driver::new(now, order, at, self.bounds, rollout.problem)
             });
             for action in driver.advance(now, &rollout.members, record) {
                 match action {
--- a/src/rollout/tests/world.rs
+++ b/src/rollout/tests/world.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::super::members::{driver_of, members};
+use super::super::plan::TrialBounds;
 use super::super::{
     RolloutEvent, RolloutOrder, RolloutRule, RolloutState, RolloutStatus, RolloutStep, Rollouts,
 };
@@ -178,7 +179,11 @@
     pub fn start(&mut self, daemon: &str) {
         let orders = self.orders_event();
         let machine = self.machines.get_mut(daemon).expect("a machine");
-        machine.state = Some(Rollouts::new(daemon.into(), TRIAL_SHARE));
+        let bounds = TrialBounds {
+            share: TRIAL_SHARE,
+            rollback: Duration::from_secs(5),
+        };
+        machine.state = Some(Rollouts::new(daemon.into(), bounds));
         machine.rule = None;
         machine.reported = None;
         let fleet = RolloutEvent::Fleet(self.fleet.clone());
