Let the fleet's own server lapse before the raw one answers

The server that the fleet starts had ended, but requests still went to it until its announcement lapsed. The checks are as they were.

--- a/tests/mixed_answers.rs
+++ b/tests/mixed_answers.rs
@@ -15,6 +15,8 @@
 const UPLOAD_BYTES: usize = 8 * 1024 * 1024;
 /// Start of an answer to a request; its head goes on.
 const GOOD: &str = "HTTP/1.1 200 OK\r\n";
+/// Time after which a server that has ended is no longer known; more than `guard.announcement_ttl_ms`.
+const ANNOUNCEMENT_LAPSE: Duration = Duration::from_millis(2_500);
 /// Requests that are sent for each answer.
 const ROUND_COUNT: usize = 4;
 
@@ -152,8 +154,9 @@
     let mut fleet = Fleet::start("mixed-answers", 1, 1);
     let entry = fleet.front(0);
     let server = RawServer::start(fleet.guards[0].address("announce"));
-    // Ends the fleet's own server, so that every request goes to the raw one.
+    // Ends the fleet's own server. Until its announcement lapses, requests may still go to it.
     fleet.servers.clear();
+    std::thread::sleep(ANNOUNCEMENT_LAPSE);
     for status in ["000", "099", "600", "999"] {
         let good = whole("strange").bytes;
         let reply = Reply {
