--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod health;
 mod interfaces;
+mod join;
 mod journal_dispatch;
 mod keyed_store;
 mod listeners;
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -16,6 +16,7 @@
 };
 use super::health::{start_health, HealthSender};
 use super::interfaces::{Interfaces, Store};
+use super::join::join_until;
 use super::keyed_store::{start_keyed_store, start_quota, KeyedFeeds, Pause};
 use super::listeners::Listeners;
 use super::local_servers::{start_announce, start_guard};
@@ -383,19 +384,3 @@
 
 /// Time for the last answers and for joining the threads, even if the shutdown reached its limit.
 const LAST_ANSWER_TIME: Duration = Duration::from_millis(500);
-
-/// Joins the threads, but stops waiting at `ends_at` for those that are still blocked by a peer.
-fn join_until(threads: Vec<JoinHandle<()>>, ends_at: Instant) {
-    let (joined, joined_receiver) = bounded(1);
-    spawn_duty("join", move || {
-        for thread in threads {
-            // A panic of a duty was already reported on standard error.
-            let _ = thread.join();
-        }
-        // The receiver is gone if the wait has timed out.
-        let _ = joined.send(());
-    });
-    if joined_receiver.recv_deadline(ends_at).is_err() {
-        log::warn!("threads_left_running");
-    }
-}
--- a/src/journal/client.rs
+++ b/src/journal/client.rs
@@ -61,7 +61,7 @@
 }
 
 /// Header of an answer with the era of a log that may return from a copy.
-pub const ERA_HEADER: &str = "store-era";
+pub const ERA_HEADER: &str = "x-banyanbeam-log-era";
 
 impl HttpLog {
     /// Creates a client for the address and the timeout of the settings.
--- a/src/rollout/judgement.rs
+++ b/src/rollout/judgement.rs
@@ -324,8 +324,8 @@
     f64::from(met_count) * met + f64::from(seen_count - met_count) * unaffected
 }
 
-/// Adds what the servers say. Where the version has several, with requests or not, the one that says most counts for at most
-/// `SERVER_WEIGHT` times all others: it may be gray for reasons of its own.
+/// Adds what the servers say. Where the version has several, with requests or not, the one that says
+/// most counts for at most `SERVER_WEIGHT` times all others: it may be gray for reasons of its own.
 fn sum_limited(sums: &[f64], server_count: usize) -> f64 {
     let total: f64 = sums.iter().sum();
     let most = sums.iter().copied().fold(f64::NEG_INFINITY, f64::max);
